--- /dev/null
+++ b/src/claims/claims.ts
@@ -0,0 +1,197 @@
+/**
+ * Claims of non-repeatable requests. A claim is written to the store before the request is sent on, so that
+ * a caller's repeat on any host finds it. Claims share buckets, and all claims that wait for a bucket are
+ * written with one call.
+ */
+import { createHash, randomUUID } from 'node:crypto'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { putConfirmed } from '../store/confirmedWrite.js'
+import type { Store } from '../store/store.js'
+
+/** A claim in the store: the request that made it, when, and the status of its answer once known. */
+export interface Claim {
+  readonly requestId: string
+  readonly atMs: number
+  readonly status?: number
+}
+
+/** What a claim attempt found. */
+export interface ClaimResult {
+  /** True when this request holds the claim and may be sent on. */
+  readonly isOwn: boolean
+  readonly claim: Claim
+}
+
+/** The claims of all hosts. */
+export interface Claims {
+  /** Errors: `store-unavailable` and `overloaded` when nothing was claimed; `answer-lost` when that is unknown. */
+  claim (key: string, requestId: string): Promise<ClaimResult>
+  /** Notes the status of the answer, with a later write. */
+  complete (key: string, requestId: string, status: number): void
+  /** Takes back the claim of a request that was surely not run. */
+  release (key: string, requestId: string): Promise<void>
+  stop (): void
+}
+
+/** Number of buckets. One bucket holds about 10,000 claims. */
+export const claimBucketCount = 32
+
+const maxBucketBytes = 900_000
+const completionDelayMs = 1_000
+const maxAttempts = 20
+
+interface Change {
+  readonly key: string
+  apply (claims: Map<string, Claim>): void
+  resolve (claims: ReadonlyMap<string, Claim>): void
+  reject (error: unknown): void
+}
+
+interface Bucket {
+  readonly key: string
+  claims: Map<string, Claim>
+  revision: number | undefined
+  pending: Change[]
+  isWriting: boolean
+  timer: NodeJS.Timeout | undefined
+}
+
+/** Creates the access to the claims. Claims older than `getRetentionMs` are forgotten. */
+export function createClaims (store: Store, getRetentionMs: () => number): Claims {
+  const buckets = new Map<number, Bucket>()
+  let isStopped = false
+
+  return { claim, complete, release, stop }
+
+  function claim (key: string, requestId: string): Promise<ClaimResult> {
+    const name = hashKey(key)
+    return new Promise((resolve, reject) => {
+      enqueue(name, {
+        key: name,
+        apply: claims => { if (!claims.has(name)) claims.set(name, { requestId, atMs: Date.now() }) },
+        resolve: claims => {
+          const found = claims.get(name)
+          if (found === undefined) reject(createError(ErrorKind.Internal, 'a written claim is missing'))
+          else resolve({ isOwn: found.requestId === requestId, claim: found })
+        },
+        reject
+      }, 0)
+    })
+  }
+
+  function complete (key: string, requestId: string, status: number): void {
+    const name = hashKey(key)
+    enqueue(name, {
+      key: name,
+      apply: claims => {
+        const found = claims.get(name)
+        if (found?.requestId === requestId) claims.set(name, { ...found, status })
+      },
+      resolve: () => {},
+      reject: () => {}
+    }, completionDelayMs)
+  }
+
+  function release (key: string, requestId: string): Promise<void> {
+    const name = hashKey(key)
+    return new Promise((resolve, reject) => {
+      enqueue(name, {
+        key: name,
+        apply: claims => { if (claims.get(name)?.requestId === requestId) claims.delete(name) },
+        resolve: () => resolve(),
+        reject
+      }, 0)
+    })
+  }
+
+  function enqueue (name: string, change: Change, delayMs: number): void {
+    const bucket = getBucket(name)
+    bucket.pending.push(change)
+    if (delayMs === 0) void writeBucket(bucket)
+    else bucket.timer ??= setTimeout(() => { void writeBucket(bucket) }, delayMs)
+  }
+
+  function getBucket (name: string): Bucket {
+    const number = Buffer.from(name, 'base64url').readUInt16BE(0) % claimBucketCount
+    const known = buckets.get(number)
+    if (known !== undefined) return known
+    const created: Bucket = { key: `claims/${number}`, claims: new Map(), revision: undefined, pending: [], isWriting: false, timer: undefined }
+    buckets.set(number, created)
+    return created
+  }
+
+  async function writeBucket (bucket: Bucket): Promise<void> {
+    clearTimeout(bucket.timer)
+    bucket.timer = undefined
+    if (bucket.isWriting) return
+    bucket.isWriting = true
+    while (bucket.pending.length > 0 && !isStopped) {
+      const batch = bucket.pending
+      bucket.pending = []
+      try {
+        await writeBatch(bucket, batch)
+        for (const change of batch) change.resolve(bucket.claims)
+      } catch (error) {
+        bucket.revision = undefined
+        for (const change of batch) change.reject(error)
+      }
+    }
+    bucket.isWriting = false
+  }
+
+  async function writeBatch (bucket: Bucket, batch: readonly Change[]): Promise<void> {
+    for (let attempt = 0; attempt < maxAttempts; attempt++) {
+      if (bucket.revision === undefined) await readBucket(bucket)
+      const next = new Map(bucket.claims)
+      dropExpired(next)
+      for (const change of batch) change.apply(next)
+      if (isSameClaims(next, bucket.claims)) return
+      const value = JSON.stringify({ writeId: randomUUID(), claims: [...next] })
+      if (value.length > maxBucketBytes) throw createError(ErrorKind.Overloaded, 'the claims of the retention time fill their bucket')
+      if (await tryPut(bucket, value, next)) return
+    }
+    throw createError(ErrorKind.Overloaded, 'the claims could not be written among those of other hosts')
+  }
+
+  async function tryPut (bucket: Bucket, value: string, next: Map<string, Claim>): Promise<boolean> {
+    try {
+      bucket.revision = await putConfirmed(store, { key: bucket.key, value, expectedRevision: bucket.revision ?? 0 })
+      bucket.claims = next
+      return true
+    } catch (error) {
+      if (!isErrorOfKind(error, ErrorKind.Conflict)) throw error
+      bucket.revision = undefined
+      return false
+    }
+  }
+
+  async function readBucket (bucket: Bucket): Promise<void> {
+    const entry = await store.get(bucket.key)
+    const stored = entry === undefined ? [] : (JSON.parse(entry.value) as { claims: [string, Claim][] }).claims
+    bucket.claims = new Map(stored)
+    bucket.revision = entry?.revision ?? 0
+  }
+
+  function dropExpired (claims: Map<string, Claim>): void {
+    const oldestMs = Date.now() - getRetentionMs()
+    for (const [name, claim] of claims) {
+      if (claim.atMs >= oldestMs) return
+      claims.delete(name)
+    }
+  }
+
+  function stop (): void {
+    isStopped = true
+    for (const bucket of buckets.values()) clearTimeout(bucket.timer)
+  }
+}
+
+function isSameClaims (left: ReadonlyMap<string, Claim>, right: ReadonlyMap<string, Claim>): boolean {
+  if (left.size !== right.size) return false
+  for (const [name, claim] of left) if (right.get(name) !== claim) return false
+  return true
+}
+
+function hashKey (key: string): string {
+  return createHash('sha256').update(key).digest('base64url').slice(0, 22)
+}
--- /dev/null
+++ b/src/cli/connection.ts
@@ -0,0 +1,54 @@
+/** How commands reach an entry host: flags, or the environment. */
+import { Flags } from '@oclif/core'
+import { request as sendRequest } from 'undici'
+import { createRpcClient } from '../common/rpc.js'
+import type { RpcClient } from '../common/rpc.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+
+/** Flags of the commands for callers. */
+export const callerFlags = {
+  entry: Flags.string({ env: 'SASSAFRASFORD_ENTRY', required: true, description: 'callers\' address of an entry host, HOST:PORT' }),
+  token: Flags.string({ env: 'SASSAFRASFORD_TOKEN', required: true, description: 'token of an organisation or an operator' }),
+  json: Flags.boolean({ description: 'print JSON' })
+}
+
+/** Flags of the commands for operators. */
+export const operatorFlags = {
+  host: Flags.string({ env: 'SASSAFRASFORD_HOST', required: true, description: 'peers\' address of an entry host, HOST:PORT' }),
+  token: Flags.string({ env: 'SASSAFRASFORD_OPERATOR_TOKEN', required: true, description: 'token of an operator' }),
+  json: Flags.boolean({ description: 'print JSON' })
+}
+
+const operatorTimeoutMs = 35_000
+const callerTimeoutMs = 70_000
+
+/** Connects to the operators' interface. */
+export function connectOperator (flags: { readonly host: string, readonly token: string }): RpcClient {
+  return createRpcClient(flags.host, { token: flags.token, from: 'operator', timeoutMs: operatorTimeoutMs })
+}
+
+/** Calls the callers' interface. Errors carry the answer's kind and message. */
+export async function callEntry<T> (
+  flags: { readonly entry: string, readonly token: string }, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string, key?: string
+): Promise<T> {
+  const answer = await sendToEntry(flags, method, path, body, key)
+  const parsed = JSON.parse(answer.text) as T & { kind?: ErrorKind, message?: string, details?: Record<string, unknown> }
+  if (answer.status < 400) return parsed
+  throw createError(parsed.kind ?? ErrorKind.Internal, parsed.message ?? `the answer has status ${answer.status}`, parsed.details)
+}
+
+async function sendToEntry (
+  flags: { readonly entry: string, readonly token: string }, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string, key?: string
+): Promise<{ readonly status: number, readonly text: string }> {
+  const headers: Record<string, string> = { authorization: `Bearer ${flags.token}` }
+  if (body !== undefined) headers['content-type'] = 'application/json'
+  if (key !== undefined) headers['idempotency-key'] = key
+  try {
+    const response = await sendRequest(`http://${flags.entry}${path}`, { method, headers, body, headersTimeout: callerTimeoutMs })
+    return { status: response.statusCode, text: await response.body.text() }
+  } catch (error) {
+    const isUnsent = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED'
+    if (isUnsent) throw createError(ErrorKind.PeerUnreachable, `no entry host answers at ${flags.entry}`)
+    throw createError(ErrorKind.AnswerLost, `the answer of ${flags.entry} was lost`)
+  }
+}
--- /dev/null
+++ b/src/cli/formatJob.ts
@@ -0,0 +1,44 @@
+/** Jobs and tables as text. */
+import type { JobView } from '../scheduling/jobViews.js'
+
+/** Writes rows as aligned columns. */
+export function formatTable (rows: readonly (readonly string[])[]): string {
+  const widths: number[] = []
+  for (const row of rows) row.forEach((cell, index) => { widths[index] = Math.max(widths[index] ?? 0, cell.length) })
+  return rows.map(row => row.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()).join('\n')
+}
+
+/** Writes one job over several lines, with the reason why it waits. */
+export function formatJob (job: JobView): string {
+  const lines = [
+    `${job.jobId}  ${job.name}  ${job.organisation}`,
+    `  state      ${job.state}${job.result === undefined ? '' : `, ${job.result}`}${job.reason === undefined ? '' : `: ${job.reason}`}`,
+    `  gang       ${job.members} member(s) with ${job.acceleratorsPerMember} accelerator(s) each`,
+    `  guarantee  ${job.guaranteeId ?? 'none: it can be preempted'}`,
+    `  attempts   ${job.attempt}, preempted ${job.preemptions} time(s)`,
+    `  submitted  ${formatTime(job.submittedAtMs)}`,
+    `  started    ${formatTime(job.startedAtMs)}`,
+    `  ended      ${formatTime(job.endedAtMs)}`
+  ]
+  if (job.workers.length > 0) lines.push(`  workers    ${job.workers.join(', ')}`)
+  return lines.join('\n')
+}
+
+/** Writes jobs as a table. */
+export function formatJobs (jobs: readonly JobView[]): string {
+  const head = ['JOB', 'ORGANISATION', 'NAME', 'GANG', 'STATE', 'GUARANTEE']
+  const rows = jobs.map(job => [
+    job.jobId,
+    job.organisation,
+    job.name,
+    `${job.members}x${job.acceleratorsPerMember}`,
+    job.result ?? job.state,
+    job.guaranteeId ?? '-'
+  ])
+  return formatTable([head, ...rows])
+}
+
+/** Writes a time of the clock, in ms since the epoch. */
+export function formatTime (timeMs: number | undefined): string {
+  return timeMs === undefined ? '-' : new Date(timeMs).toISOString()
+}
--- /dev/null
+++ b/src/commands/standin/endpoint.ts
@@ -0,0 +1,15 @@
+import { Command } from '@oclif/core'
+import { runStandin, standinFlags } from '../../cli/runStandin.js'
+import { endpointSettingsSchema } from '../../settings/settings.js'
+import { startEndpointStandin } from '../../standins/endpoint.js'
+
+/** Runs a stand-in of the platform. */
+export default class Endpoint extends Command {
+  static override description = 'run the stand-in of an endpoint'
+  static override flags = standinFlags
+
+  async run (): Promise<void> {
+    const { flags } = await this.parse(Endpoint)
+    await runStandin(this, flags.settings, endpointSettingsSchema, settings => startEndpointStandin(settings.listen, settings, settings.faults))
+  }
+}
--- /dev/null
+++ b/src/common/logger.ts
@@ -0,0 +1,49 @@
+/** Logs by pino: short sentences with the prefix of the part that writes them. */
+import { existsSync } from 'node:fs'
+import { pino, destination as createDestination } from 'pino'
+import type { Logger as PinoLogger } from 'pino'
+import pretty from 'pino-pretty'
+
+/** Writes log lines of one part of the program. */
+export interface Logger {
+  debug (message: string, fields?: object): void
+  info (message: string, fields?: object): void
+  warn (message: string, fields?: object): void
+  error (message: string, fields?: object): void
+  /** Returns a logger whose sentences start with another prefix. */
+  part (prefix: string): Logger
+}
+
+/** Where and how much to log. `file` is reopened on SIGHUP. */
+export interface LogSettings {
+  readonly level: 'debug' | 'info' | 'warn' | 'error' | 'silent'
+  readonly file?: string
+}
+
+/** Creates the root logger of a process. */
+export function createLogger (settings: LogSettings, bindings: object = {}): Logger {
+  const options = { level: settings.level, base: bindings }
+  if (settings.file !== undefined) return createFileLogger(settings.file, options)
+  if (process.stderr.isTTY) return wrapLogger(pino(options, pretty({ destination: 2, sync: true })), '')
+  return wrapLogger(pino(options, createDestination({ dest: 2, sync: true })), '')
+}
+
+/** A logger that writes nothing, for tests. */
+export const silentLogger: Logger = createLogger({ level: 'silent' })
+
+function createFileLogger (file: string, options: object): Logger {
+  const target = createDestination({ dest: file, sync: true, append: existsSync(file) })
+  process.on('SIGHUP', () => target.reopen())
+  return wrapLogger(pino(options, target), '')
+}
+
+function wrapLogger (target: PinoLogger, prefix: string): Logger {
+  const lead = prefix === '' ? '' : `${prefix}: `
+  return {
+    debug: (message, fields) => target.debug(fields ?? {}, lead + message),
+    info: (message, fields) => target.info(fields ?? {}, lead + message),
+    warn: (message, fields) => target.warn(fields ?? {}, lead + message),
+    error: (message, fields) => target.error(fields ?? {}, lead + message),
+    part: childPrefix => wrapLogger(target, childPrefix)
+  }
+}
--- /dev/null
+++ b/src/common/random.ts
@@ -0,0 +1,17 @@
+/** Random numbers by seed, so that a run can be repeated. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+
+/** Returns a number from 0 up to, but not including, 1. */
+export type Random = () => number
+
+/** Creates a source of random numbers from a seed. */
+export function createRandom (seed: number): Random {
+  const generator = xoroshiro128plus(seed)
+  return () => uniformFloat64(generator)
+}
+
+/** Returns one of the items at random. */
+export function pickRandom<T> (items: readonly T[], random: Random): T | undefined {
+  return items[Math.floor(random() * items.length)]
+}
--- /dev/null
+++ b/src/jobs/jobGateway.ts
@@ -0,0 +1,154 @@
+/** Brings calls about jobs to the host that schedules the domain, here or elsewhere. */
+import { createHash, randomUUID } from 'node:crypto'
+import { z } from 'zod'
+import { defineMethod } from '../common/rpc.js'
+import type { RpcClient, RpcMethod } from '../common/rpc.js'
+import { delay } from '../common/time.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { Adjacency, jobRequestSchema } from '../scheduling/jobTypes.js'
+import type { JobRequest, JobSpec } from '../scheduling/jobTypes.js'
+import type { JobView, SchedulerStatus } from '../scheduling/jobViews.js'
+import type { Scheduler } from '../scheduling/scheduler.js'
+
+/** What the gateway needs from outside. */
+export interface JobGatewayHost {
+  readonly domain: string
+  readonly getScheduler: () => Scheduler | undefined
+  /** The host that schedules a domain, if one is known. */
+  readonly tryConnect: (domain: string) => RpcClient | undefined
+  readonly getDomains: () => readonly string[]
+}
+
+/** The calls about jobs. `organisation` undefined stands for an operator, who sees all. */
+export interface JobGateway {
+  readonly methods: readonly RpcMethod[]
+  submit (request: JobRequest, organisation: string, idempotencyKey: string | undefined): Promise<JobView>
+  get (jobId: string, organisation: string | undefined, waitMs: number): Promise<JobView>
+  cancel (jobId: string, organisation: string | undefined): Promise<JobView>
+  list (organisation: string | undefined): Promise<readonly JobView[]>
+  getStatuses (): Promise<readonly SchedulerStatus[]>
+}
+
+const submitMethod = 'jobs.submit'
+const getMethod = 'jobs.get'
+const cancelMethod = 'jobs.cancel'
+const listMethod = 'jobs.list'
+const statusMethod = 'jobs.status'
+const deadlineMs = 8_000
+const retryMs = 100
+const callMarginMs = 2_000
+const submitTimeoutMs = 6_000
+const keyDigits = 24
+
+const specSchema = z.strictObject({
+  ...jobRequestSchema.shape,
+  adjacency: z.enum(Adjacency),
+  jobId: z.string().min(1).max(200),
+  organisation: z.string(),
+  domain: z.string(),
+  submittedAtMs: z.number()
+})
+const idSchema = z.strictObject({ jobId: z.string(), waitMs: z.number().min(0).max(60_000).default(0) })
+
+/** Creates the gateway of a host. */
+export function createJobGateway (host: JobGatewayHost): JobGateway {
+  return { methods: createMethods(), submit, get, cancel, list, getStatuses }
+
+  function createMethods (): RpcMethod[] {
+    return [
+      defineMethod(submitMethod, specSchema, params => getOwnScheduler().submit(params)),
+      defineMethod(getMethod, idSchema, async params => (await getOwnScheduler().get(params.jobId, params.waitMs)) ?? null),
+      defineMethod(cancelMethod, z.strictObject({ jobId: z.string() }), params => getOwnScheduler().cancel(params.jobId)),
+      defineMethod(listMethod, z.strictObject({ organisation: z.string().optional() }), async params => getOwnScheduler().list(params.organisation)),
+      defineMethod(statusMethod, z.strictObject({}), async () => getOwnScheduler().getStatus())
+    ]
+  }
+
+  function getOwnScheduler (): Scheduler {
+    const scheduler = host.getScheduler()
+    if (scheduler === undefined) throw createError(ErrorKind.NotLeader, 'this host does not schedule its domain')
+    return scheduler
+  }
+
+  async function submit (request: JobRequest, organisation: string, idempotencyKey: string | undefined): Promise<JobView> {
+    const domain = request.domain ?? host.domain
+    const jobId = createJobId(domain, organisation, idempotencyKey)
+    const spec: JobSpec = { ...request, jobId, organisation, domain, submittedAtMs: Date.now() }
+    try {
+      return await callScheduler(domain, scheduler => scheduler.submit(spec), submitMethod, spec, submitTimeoutMs)
+    } catch (error) {
+      if (!isErrorOfKind(error, ErrorKind.AnswerLost)) throw error
+      throw createError(ErrorKind.AnswerLost, `it is unknown whether the job was accepted; ask for ${jobId}`, { jobId })
+    }
+  }
+
+  async function get (jobId: string, organisation: string | undefined, waitMs: number): Promise<JobView> {
+    const domain = getDomainOf(jobId)
+    const view = await callScheduler(domain, async scheduler => (await scheduler.get(jobId, waitMs)) ?? null, getMethod, { jobId, waitMs }, waitMs + callMarginMs)
+    if (view === null || !isVisible(view, organisation)) throw createError(ErrorKind.NotFound, `there is no job ${jobId}`)
+    return view
+  }
+
+  async function cancel (jobId: string, organisation: string | undefined): Promise<JobView> {
+    await get(jobId, organisation, 0)
+    return await callScheduler(getDomainOf(jobId), scheduler => scheduler.cancel(jobId), cancelMethod, { jobId }, callMarginMs)
+  }
+
+  async function list (organisation: string | undefined): Promise<readonly JobView[]> {
+    const lists = await Promise.all(host.getDomains().map(domain =>
+      callOnce<readonly JobView[]>(domain, async scheduler => scheduler.list(organisation), listMethod, { organisation }, callMarginMs).catch(() => [])))
+    return lists.flat().sort((left, right) => right.submittedAtMs - left.submittedAtMs)
+  }
+
+  async function getStatuses (): Promise<readonly SchedulerStatus[]> {
+    const statuses = await Promise.all(host.getDomains().map(domain =>
+      callOnce<SchedulerStatus>(domain, async scheduler => scheduler.getStatus(), statusMethod, {}, callMarginMs).catch(() => undefined)))
+    return statuses.filter(status => status !== undefined)
+  }
+
+  /** Every call is idempotent by its job id, so it is repeated until a scheduler answers or the deadline passes. */
+  async function callScheduler<T> (
+    domain: string, callOwn: (scheduler: Scheduler) => Promise<T>, method: string, params: object, timeoutMs: number
+  ): Promise<T> {
+    const untilMs = Date.now() + deadlineMs
+    let mayHaveArrived = false
+    while (true) {
+      try {
+        return await callOnce(domain, callOwn, method, params, timeoutMs)
+      } catch (error) {
+        if (isErrorOfKind(error, ErrorKind.AnswerLost)) mayHaveArrived = true
+        const isTransient = isErrorOfKind(error, ErrorKind.AnswerLost, ErrorKind.PeerUnreachable, ErrorKind.NotLeader, ErrorKind.NoScheduler)
+        if (!isTransient) throw error
+        if (Date.now() < untilMs) await delay(retryMs)
+        else if (mayHaveArrived) throw createError(ErrorKind.AnswerLost, 'the scheduler of the domain does not answer')
+        else throw error
+      }
+    }
+  }
+
+  async function callOnce<T> (
+    domain: string, callOwn: (scheduler: Scheduler) => Promise<T>, method: string, params: object, timeoutMs: number
+  ): Promise<T> {
+    const own = domain === host.domain ? host.getScheduler() : undefined
+    if (own !== undefined) return await callOwn(own)
+    const client = host.tryConnect(domain)
+    if (client === undefined) throw createError(ErrorKind.NoScheduler, `no host that schedules the domain ${domain} is known`)
+    return await client.call<T>(method, params, timeoutMs)
+  }
+}
+
+/** A caller's own repeat gets the same job id, whichever host it reaches. */
+function createJobId (domain: string, organisation: string, idempotencyKey: string | undefined): string {
+  if (idempotencyKey === undefined) return `${domain}:${randomUUID()}`
+  const digest = createHash('sha256').update(`${organisation} ${idempotencyKey}`).digest('hex')
+  return `${domain}:k${digest.slice(0, keyDigits)}`
+}
+
+function getDomainOf (jobId: string): string {
+  const [domain = ''] = jobId.split(':')
+  return domain
+}
+
+function isVisible (view: JobView, organisation: string | undefined): boolean {
+  return organisation === undefined || view.organisation === organisation
+}
--- /dev/null
+++ b/src/operators/operatorInterface.ts
@@ -0,0 +1,108 @@
+/** The operators' calls: rules and status, over JSON-RPC with an operator's token. */
+import { z } from 'zod'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { defineMethod } from '../common/rpc.js'
+import type { RpcMethod } from '../common/rpc.js'
+import { delay } from '../common/time.js'
+import type { PeerInfo } from '../membership/membership.js'
+import type { RuleChange, RuleEntry } from '../rules/ruleEdit.js'
+import type { RuleEditor } from '../rules/ruleEditor.js'
+import type { RuleLog } from '../rules/ruleLog.js'
+import type { RuleReplica } from '../rules/ruleReplica.js'
+import type { RuleSet } from '../rules/ruleSet.js'
+
+/** Every method for operators. */
+export enum OperatorMethod {
+  ShowRules = 'operator.showRules',
+  CheckRules = 'operator.checkRules',
+  ApplyRules = 'operator.applyRules',
+  RulesHistory = 'operator.rulesHistory',
+  Confirmations = 'operator.confirmations',
+  Status = 'operator.status'
+}
+
+/** What an edit would do. */
+export interface RulePreview {
+  readonly changes: readonly RuleChange[]
+  readonly effects: readonly string[]
+}
+
+/** Which hosts have a revision. */
+export interface Confirmations {
+  readonly confirmed: readonly string[]
+  readonly missing: readonly string[]
+}
+
+/** What the interface needs from outside. */
+export interface OperatorInterfaceHost {
+  readonly hostId: string
+  readonly replica: RuleReplica
+  readonly editor: RuleEditor
+  readonly log: RuleLog
+  readonly getPeers: () => readonly PeerInfo[]
+  readonly push: (revision: number) => void
+  readonly explain: (changes: readonly RuleChange[], next: RuleSet) => readonly string[]
+  readonly getStatus: () => Promise<unknown>
+}
+
+const editSchema = z.strictObject({
+  text: z.string().max(4_000_000),
+  baseRevision: z.number().int().min(0).optional(),
+  askedBy: z.string().min(1).max(200),
+  editId: z.string().max(100).optional()
+})
+const historySchema = z.strictObject({ identity: z.string().optional(), limit: z.number().int().min(1).max(10_000).default(100) })
+const confirmSchema = z.strictObject({ revision: z.number().int(), waitMs: z.number().min(0).max(30_000) })
+const confirmPollMs = 50
+
+/** Creates the operators' methods. */
+export function createOperatorMethods (host: OperatorInterfaceHost): RpcMethod[] {
+  return [
+    defineMethod(OperatorMethod.ShowRules, z.strictObject({}), async () => host.replica.getSnapshot()),
+    defineMethod(OperatorMethod.CheckRules, editSchema, async (params, caller) => {
+      const { changes, next } = host.editor.preview({ ...params, author: caller.identity })
+      return { changes, effects: host.explain(changes, next) } satisfies RulePreview
+    }),
+    defineMethod(OperatorMethod.ApplyRules, editSchema, async (params, caller) => {
+      const before = host.replica.getRuleSet().revision
+      const result = await host.editor.apply({ ...params, author: caller.identity })
+      host.push(Math.min(before, result.revision - 1))
+      return result
+    }),
+    defineMethod(OperatorMethod.RulesHistory, historySchema, params => getHistory(params.identity, params.limit)),
+    defineMethod(OperatorMethod.Confirmations, confirmSchema, params => waitForConfirmations(params.revision, params.waitMs)),
+    defineMethod(OperatorMethod.Status, z.strictObject({}), () => host.getStatus())
+  ]
+
+  async function getHistory (identity: string | undefined, limit: number): Promise<readonly RuleEntry[]> {
+    const entries = await readHistory()
+    const found = identity === undefined
+      ? entries
+      : entries.filter(entry => entry.changes.some(change => change.identity === identity))
+    return found.slice(-limit)
+  }
+
+  async function readHistory (): Promise<readonly RuleEntry[]> {
+    try {
+      return await host.log.readHistory()
+    } catch {
+      const recent = host.replica.getRecentEntries()
+      if (recent.length > 0) return recent
+      throw createError(ErrorKind.StoreUnavailable, 'the store is out, and this host holds no recent entries')
+    }
+  }
+
+  async function waitForConfirmations (revision: number, waitMs: number): Promise<Confirmations> {
+    const untilMs = Date.now() + waitMs
+    while (true) {
+      const hosts = [
+        { hostId: host.hostId, rulesRevision: host.replica.getRuleSet().revision },
+        ...host.getPeers()
+      ]
+      const missing = hosts.filter(peer => peer.rulesRevision < revision).map(peer => peer.hostId)
+      const confirmed = hosts.filter(peer => peer.rulesRevision >= revision).map(peer => peer.hostId)
+      if (missing.length === 0 || Date.now() >= untilMs) return { confirmed, missing }
+      await delay(confirmPollMs)
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/requestMetrics.ts
@@ -0,0 +1,91 @@
+/** Counts and times of requests, for `/metrics` and `status`. Quantiles by hdr-histogram. */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import { Counter, Gauge, Registry } from 'prom-client'
+
+/** The figures of one host. */
+export interface RequestMetrics {
+  readonly registry: Registry
+  noteAnswer (kind: string, outcome: string, durationMs: number): void
+  noteRetry (kind: string): void
+  getTotals (): RequestTotals
+}
+
+/** Requests since the host started. */
+export interface RequestTotals {
+  readonly answered: number
+  readonly notRun: number
+  readonly unknown: number
+  readonly retries: number
+}
+
+/** The outcome of a request that was answered by an endpoint. */
+export const answeredOutcome = 'answered'
+
+const quantiles = [50, 90, 99, 99.9]
+const highestMs = 600_000
+
+/** Creates figures at zero. `getGauges` adds values that are read at each scrape. */
+export function createRequestMetrics (getGauges: () => Readonly<Record<string, number>>): RequestMetrics {
+  const registry = new Registry()
+  const histograms = new Map<string, Histogram>()
+  const totals = { answered: 0, notRun: 0, unknown: 0, retries: 0 }
+  const answers = new Counter({
+    name: 'sassafrasford_requests_total',
+    help: 'Requests by kind and outcome',
+    labelNames: ['kind', 'outcome'],
+    registers: [registry]
+  })
+  const retries = new Counter({ name: 'sassafrasford_retries_total', help: 'Retries by kind', labelNames: ['kind'], registers: [registry] })
+  createQuantileGauge(registry, histograms)
+  createStateGauge(registry, getGauges)
+
+  return { registry, noteAnswer, noteRetry, getTotals: () => ({ ...totals }) }
+
+  function noteAnswer (kind: string, outcome: string, durationMs: number): void {
+    answers.inc({ kind, outcome })
+    if (outcome === answeredOutcome) totals.answered++
+    else if (outcome === 'not-run') totals.notRun++
+    else totals.unknown++
+    getHistogram(kind).recordValue(Math.min(highestMs, Math.max(0, Math.round(durationMs))))
+  }
+
+  function noteRetry (kind: string): void {
+    retries.inc({ kind })
+    totals.retries++
+  }
+
+  function getHistogram (kind: string): Histogram {
+    const known = histograms.get(kind)
+    if (known !== undefined) return known
+    const created = build({ lowestDiscernibleValue: 1, highestTrackableValue: highestMs, numberOfSignificantValueDigits: 2 })
+    histograms.set(kind, created)
+    return created
+  }
+}
+
+function createQuantileGauge (registry: Registry, histograms: ReadonlyMap<string, Histogram>): void {
+  const gauge: Gauge<'kind' | 'quantile'> = new Gauge({
+    name: 'sassafrasford_request_duration_ms',
+    help: 'Time from the arrival of a request to the end of its answer, in ms',
+    labelNames: ['kind', 'quantile'],
+    registers: [registry],
+    collect: () => {
+      for (const [kind, histogram] of histograms) {
+        for (const quantile of quantiles) gauge.set({ kind, quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile))
+      }
+    }
+  })
+}
+
+function createStateGauge (registry: Registry, getGauges: () => Readonly<Record<string, number>>): void {
+  const gauge: Gauge<'name'> = new Gauge({
+    name: 'sassafrasford_state',
+    help: 'State of the host by name',
+    labelNames: ['name'],
+    registers: [registry],
+    collect: () => {
+      for (const [name, value] of Object.entries(getGauges())) gauge.set({ name }, value)
+    }
+  })
+}
--- /dev/null
+++ b/src/rules/ruleEditor.ts
@@ -0,0 +1,129 @@
+/** Accepts operators' edits: checks, merges, and writes them to the log with compare-and-swap. */
+import { randomUUID } from 'node:crypto'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { Diagnostic } from '../errors/diagnostics.js'
+import { diffRules, mergeRules } from './ruleEdit.js'
+import type { RuleChange, RuleConflict, RuleEntry, RuleMap } from './ruleEdit.js'
+import type { RuleLog } from './ruleLog.js'
+import type { RuleReplica } from './ruleReplica.js'
+import { checkReferences, createRuleSet } from './ruleSet.js'
+import type { RuleSet } from './ruleSet.js'
+import { parseRules } from './ruleSyntax.js'
+
+/** An operator's edit: the whole file, and the revision that it was made from. */
+export interface RuleEdit {
+  readonly text: string
+  readonly baseRevision?: number
+  readonly author: string
+  readonly askedBy: string
+  /** Repeating an edit with the same id never applies it twice. */
+  readonly editId?: string
+}
+
+/** What an edit would do, or has done. */
+export interface RuleEditResult {
+  readonly revision: number
+  readonly changes: readonly RuleChange[]
+  readonly editId: string
+}
+
+/** What the editor needs from outside. */
+export interface RuleEditorHost {
+  readonly log: RuleLog
+  readonly replica: RuleReplica
+  /** Says which guarantees do not fit the workers. */
+  checkGuarantees (next: RuleSet, lines: ReadonlyMap<string, number>): readonly Diagnostic[]
+}
+
+/** Accepts operators' edits. */
+export interface RuleEditor {
+  /** Works out an edit against the newest rules known here, without writing it. */
+  preview (edit: RuleEdit): { readonly changes: readonly RuleChange[], readonly next: RuleSet }
+  /** Errors: `rule-invalid`, `rule-conflict`, `base-too-old`, `store-unavailable`, `answer-lost`. */
+  apply (edit: RuleEdit): Promise<RuleEditResult>
+}
+
+const maxAttempts = 40
+
+/** Creates the editor of a host. */
+export function createRuleEditor (host: RuleEditorHost): RuleEditor {
+  return { preview, apply }
+
+  function preview (edit: RuleEdit): { changes: readonly RuleChange[], next: RuleSet } {
+    const parsed = parseRules(edit.text)
+    throwOnDiagnostics(parsed.diagnostics)
+    const head = host.replica.getRuleSet()
+    const baseRevision = getBaseRevision(edit, parsed.baseRevision, head)
+    const base = host.replica.tryGetRulesAt(baseRevision)
+    if (base === undefined) {
+      throw createError(ErrorKind.BaseTooOld, `revision ${baseRevision} is not known here; the newest is ${head.revision}; run "rules show" and edit that text`)
+    }
+    const { merged, conflicts } = mergeRules(base, parsed.rules, head.rules)
+    if (conflicts.length > 0) throwConflict(conflicts, edit, baseRevision)
+    const next = createRuleSet(merged, head.revision + 1)
+    throwOnDiagnostics([...checkReferences(merged, parsed.lines), ...checkFit(head.rules, next, parsed.lines)])
+    return { changes: diffRules(head.rules, merged), next }
+  }
+
+  async function apply (edit: RuleEdit): Promise<RuleEditResult> {
+    const editId = edit.editId ?? randomUUID()
+    for (let attempt = 0; attempt < maxAttempts; attempt++) {
+      await catchUp()
+      const earlier = host.replica.getRecentEntries().find(entry => entry.editId === editId)
+      if (earlier !== undefined) return { revision: earlier.revision, changes: earlier.changes, editId }
+      const { changes, next } = preview(edit)
+      if (changes.length === 0) return { revision: next.revision - 1, changes, editId }
+      const entry = { revision: next.revision, editId, author: edit.author, askedBy: edit.askedBy, atMs: Date.now(), changes }
+      if (await tryAppend(entry)) return { revision: entry.revision, changes, editId }
+    }
+    throw createError(ErrorKind.Conflict, 'other edits came first every time; nothing was changed')
+  }
+
+  async function tryAppend (entry: RuleEntry): Promise<boolean> {
+    try {
+      await host.log.append(entry)
+    } catch (error) {
+      if (isErrorOfKind(error, ErrorKind.Conflict)) return false
+      throw error
+    }
+    host.replica.adopt({ entries: [entry] })
+    return true
+  }
+
+  async function catchUp (): Promise<void> {
+    const update = await host.log.readSince(host.replica.getRuleSet().revision)
+    host.replica.adopt(update)
+  }
+
+  /** A guarantee that was already accepted is not held against an edit of something else. */
+  function checkFit (head: RuleMap, next: RuleSet, lines: ReadonlyMap<string, number>): readonly Diagnostic[] {
+    const isGuaranteeEdit = diffRules(head, next.rules).some(change => change.identity.startsWith('guarantee ') && change.after !== undefined)
+    return isGuaranteeEdit ? host.checkGuarantees(next, lines) : []
+  }
+
+  function throwConflict (conflicts: readonly RuleConflict[], edit: RuleEdit, baseRevision: number): never {
+    const first = conflicts[0] as RuleConflict
+    const others = host.replica.getRecentEntries()
+      .filter(entry => entry.revision > baseRevision && entry.changes.some(change => change.identity === first.identity))
+      .map(entry => entry.author)
+    const otherAuthors = [...new Set(others)].join(', ') || 'another operator'
+    throw createError(
+      ErrorKind.RuleConflict,
+      `the rule "${first.identity}" was changed by ${otherAuthors} since revision ${baseRevision}, and differently by ${edit.author}`,
+      { conflicts }
+    )
+  }
+}
+
+function getBaseRevision (edit: RuleEdit, headerRevision: number | undefined, head: RuleSet): number {
+  const baseRevision = edit.baseRevision ?? headerRevision
+  if (baseRevision !== undefined) return baseRevision
+  if (head.revision === 0) return 0
+  throw createError(ErrorKind.BadRequest, 'the file does not say which revision it was made from; its first line should be "# revision N", as "rules show" prints it')
+}
+
+function throwOnDiagnostics (diagnostics: readonly Diagnostic[]): void {
+  const first = diagnostics[0]
+  if (first === undefined) return
+  throw createError(ErrorKind.RuleInvalid, `the rules have ${diagnostics.length} error(s); the first: ${first.message}`, { diagnostics })
+}
--- /dev/null
+++ b/src/rules/ruleReplica.ts
@@ -0,0 +1,103 @@
+/** A host's copy of the rules. Its revision only ever grows. */
+import { assert } from '../common/debug.js'
+import { createSignal } from '../common/time.js'
+import type { Signal } from '../common/time.js'
+import { applyEntry, revertEntry } from './ruleEdit.js'
+import type { RuleEntry, RuleMap } from './ruleEdit.js'
+import { formatRules, parseRules } from './ruleSyntax.js'
+import { createRuleSet } from './ruleSet.js'
+import type { RuleSet } from './ruleSet.js'
+
+/** All rules of one revision, as text. */
+export interface RuleSnapshot {
+  readonly revision: number
+  readonly text: string
+}
+
+/** What a host sends to another that is behind: the entries, or all rules where the entries are gone. */
+export interface RuleUpdate {
+  readonly entries: readonly RuleEntry[]
+  readonly snapshot?: RuleSnapshot
+}
+
+/** A host's copy of the rules. */
+export interface RuleReplica {
+  /** Notified after every adopted revision. */
+  readonly changed: Signal
+  getRuleSet (): RuleSet
+  /** Adopts what follows the own revision and skips what is older. Returns false when entries are missing. */
+  adopt (update: RuleUpdate): boolean
+  /** Returns the rules at an earlier revision, if the entries since then are still known. */
+  tryGetRulesAt (revision: number): RuleMap | undefined
+  getUpdateSince (revision: number): RuleUpdate
+  getSnapshot (): RuleSnapshot
+  /** The known entries, oldest first. */
+  getRecentEntries (): readonly RuleEntry[]
+}
+
+const maxEntriesKept = 3_000
+
+/** Creates an empty copy at revision 0. */
+export function createRuleReplica (): RuleReplica {
+  const changed = createSignal()
+  let ruleSet = createRuleSet(new Map(), 0)
+  let entries: RuleEntry[] = []
+
+  return {
+    changed,
+    getRuleSet: () => ruleSet,
+    adopt,
+    tryGetRulesAt,
+    getUpdateSince,
+    getSnapshot: () => ({ revision: ruleSet.revision, text: formatRules(ruleSet.rules.values(), ruleSet.revision) }),
+    getRecentEntries: () => entries
+  }
+
+  function adopt (update: RuleUpdate): boolean {
+    const before = ruleSet.revision
+    adoptSnapshot(update.snapshot)
+    let isComplete = true
+    for (const entry of update.entries) {
+      if (entry.revision <= ruleSet.revision) continue
+      isComplete = entry.revision === ruleSet.revision + 1
+      if (!isComplete) break
+      adoptEntry(entry)
+    }
+    assert(ruleSet.revision >= before, 'a host went back to a lower revision of the rules')
+    if (ruleSet.revision > before) changed.notify()
+    return isComplete
+  }
+
+  function adoptSnapshot (snapshot: RuleSnapshot | undefined): void {
+    if (snapshot === undefined || snapshot.revision <= ruleSet.revision) return
+    ruleSet = createRuleSet(parseRules(snapshot.text).rules, snapshot.revision)
+    entries = []
+  }
+
+  function adoptEntry (entry: RuleEntry): void {
+    ruleSet = createRuleSet(applyEntry(ruleSet.rules, entry), entry.revision)
+    entries.push(entry)
+    if (entries.length > maxEntriesKept) entries = entries.slice(-maxEntriesKept / 2)
+  }
+
+  function tryGetRulesAt (revision: number): RuleMap | undefined {
+    if (revision > ruleSet.revision || revision < getHorizon()) return undefined
+    let rules: RuleMap = ruleSet.rules
+    for (let index = entries.length - 1; index >= 0; index--) {
+      const entry = entries[index] as RuleEntry
+      if (entry.revision <= revision) break
+      rules = revertEntry(rules, entry)
+    }
+    return rules
+  }
+
+  function getUpdateSince (revision: number): RuleUpdate {
+    if (revision < getHorizon()) return { entries: [], snapshot: { revision: ruleSet.revision, text: formatRules(ruleSet.rules.values(), ruleSet.revision) } }
+    return { entries: entries.filter(entry => entry.revision > revision) }
+  }
+
+  /** The lowest revision whose rules can still be worked out. */
+  function getHorizon (): number {
+    return (entries[0]?.revision ?? ruleSet.revision + 1) - 1
+  }
+}
--- /dev/null
+++ b/src/scheduling/guaranteeCheck.ts
@@ -0,0 +1,30 @@
+/** Says before a rule is accepted whether all guarantees fit the workers of their domains. */
+import { createDiagnostic, diagnosticMessages } from '../errors/diagnostics.js'
+import type { Diagnostic } from '../errors/diagnostics.js'
+import type { Guarantee, RuleSet } from '../rules/ruleSet.js'
+import { createDomainCells } from './domainCells.js'
+import type { WorkerInfo } from './workerTypes.js'
+
+/** Finds the guarantees that do not fit. `lines` gives the line of each rule in the checked text. */
+export function checkGuarantees (
+  next: RuleSet, lines: ReadonlyMap<string, number>, getWorkers: (domain: string) => readonly WorkerInfo[]
+): Diagnostic[] {
+  const domains = new Set(next.guarantees.map(guarantee => guarantee.domain))
+  return [...domains].flatMap(domain => {
+    const own = next.guarantees.filter(guarantee => guarantee.domain === domain)
+    return checkDomain(own, getWorkers(domain), lines)
+  })
+}
+
+function checkDomain (guarantees: readonly Guarantee[], workers: readonly WorkerInfo[], lines: ReadonlyMap<string, number>): Diagnostic[] {
+  const cells = createDomainCells()
+  cells.addWorkers(workers)
+  cells.setGuarantees(guarantees)
+  return cells.getShortages().map(shortage => {
+    const guarantee = guarantees.find(candidate => candidate.id === shortage.guaranteeId)
+    const available = workers.reduce((sum, worker) => sum + worker.accelerators, 0)
+    const reason = `${shortage.missingCells} of ${guarantee?.cells} cell(s) of ${shortage.acceleratorsPerCell} adjacent accelerators do not fit into the ` +
+      `${available} accelerators of ${guarantee?.domain} beside the guarantees before it`
+    return createDiagnostic(diagnosticMessages.guaranteeTooLarge, [shortage.guaranteeId, reason], lines.get(`guarantee ${shortage.guaranteeId}`), 1)
+  })
+}
--- /dev/null
+++ b/src/scheduling/jobViews.ts
@@ -0,0 +1,102 @@
+/** Jobs and a domain's scheduling, as callers and operators see them. */
+import type { DecidedJob, Decider } from './decider.js'
+import { JobPhase } from './decider.js'
+import type { DomainUsage } from './domainCells.js'
+import type { GangRun } from './gangRun.js'
+import type { GuaranteeShortage } from './guaranteeCells.js'
+import { getAcceleratorCount, JobState } from './jobTypes.js'
+import type { JobRecord, JobResult } from './jobTypes.js'
+import type { SetAsideWorker } from './workerHealth.js'
+
+/** A job as callers see it. */
+export interface JobView {
+  readonly jobId: string
+  readonly organisation: string
+  readonly name: string
+  readonly domain: string
+  readonly state: JobViewState
+  readonly result?: JobResult
+  readonly reason?: string
+  readonly members: number
+  readonly acceleratorsPerMember: number
+  readonly guaranteeId?: string
+  readonly attempt: number
+  readonly preemptions: number
+  readonly submittedAtMs: number
+  readonly startedAtMs?: number
+  readonly endedAtMs?: number
+  readonly workers: readonly string[]
+}
+
+/** The states of a job as callers see them. */
+export type JobViewState = 'waiting' | 'starting' | 'running' | 'leaving' | 'ended'
+
+/** A large gang that waits, and why. */
+export interface WaitingGang {
+  readonly jobId: string
+  readonly accelerators: number
+  readonly waitedMs: number
+  readonly reason: string
+}
+
+/** One screen about a domain's scheduling. */
+export interface SchedulerStatus {
+  readonly domain: string
+  readonly epoch: number
+  readonly isRecovered: boolean
+  readonly usage: DomainUsage
+  readonly waiting: number
+  readonly running: number
+  readonly shortages: readonly GuaranteeShortage[]
+  readonly setAside: readonly SetAsideWorker[]
+  readonly unreachableWorkers: readonly string[]
+  readonly largestWaiting: readonly WaitingGang[]
+  readonly unwrittenRecords: number
+}
+
+const maxLargestWaiting = 5
+
+/** Puts together what is known of a job. */
+export function createJobView (
+  record: JobRecord, job: DecidedJob | undefined, run: GangRun | undefined, getWaitReason: (jobId: string) => string
+): JobView {
+  const { spec } = record
+  const state = getViewState(record, run, job)
+  return {
+    jobId: spec.jobId,
+    organisation: spec.organisation,
+    name: spec.name,
+    domain: spec.domain,
+    state,
+    result: record.result,
+    reason: state === 'waiting' ? getWaitReason(spec.jobId) : record.reason,
+    members: spec.members,
+    acceleratorsPerMember: spec.acceleratorsPerMember,
+    guaranteeId: job?.guaranteeId,
+    attempt: record.attempt,
+    preemptions: job?.preemptions ?? 0,
+    submittedAtMs: spec.submittedAtMs,
+    startedAtMs: job?.startedAtMs ?? record.startedAtMs,
+    endedAtMs: record.endedAtMs,
+    workers: [...new Set(run?.members.map(member => member.workerId) ?? [])]
+  }
+}
+
+/** The largest gangs that wait, with the reason. */
+export function getLargestWaiting (decider: Decider): WaitingGang[] {
+  const waiting = [...decider.getJobs()].filter(job => job.phase === JobPhase.Waiting)
+  waiting.sort((left, right) => getAcceleratorCount(right.spec) - getAcceleratorCount(left.spec) || left.waitingSinceMs - right.waitingSinceMs)
+  return waiting.slice(0, maxLargestWaiting).map(job => ({
+    jobId: job.spec.jobId,
+    accelerators: getAcceleratorCount(job.spec),
+    waitedMs: Date.now() - job.waitingSinceMs,
+    reason: decider.getWaitReason(job.spec.jobId)
+  }))
+}
+
+function getViewState (record: JobRecord, run: GangRun | undefined, job: DecidedJob | undefined): JobViewState {
+  if (record.state === JobState.Ended) return 'ended'
+  if (run === undefined) return 'waiting'
+  if (job?.phase === JobPhase.Leaving) return 'leaving'
+  return run.isReleased() ? 'running' : 'starting'
+}
--- /dev/null
+++ b/src/scheduling/takeover.ts
@@ -0,0 +1,152 @@
+/** Takes over the jobs of an earlier scheduler, from the workers' reports and the records. */
+import { delay } from '../common/time.js'
+import type { Decider, JobHistory } from './decider.js'
+import { createGangRun } from './gangRun.js'
+import type { GangEnd, GangRun, GangRunHost } from './gangRun.js'
+import type { JobRecords } from './jobRecords.js'
+import { JobResult, JobState } from './jobTypes.js'
+import type { JobRecord, JobSpec } from './jobTypes.js'
+import { TaskState } from './workerTypes.js'
+import type { TaskDescriptor, TaskReport } from './workerTypes.js'
+
+/** A task as its worker reported it in full. */
+export interface ReportedTask {
+  readonly workerId: string
+  readonly report: TaskReport
+  readonly descriptor: TaskDescriptor
+}
+
+/** The newest attempt of a job that workers know, and leftovers of earlier ones. */
+export interface ReportedGang {
+  readonly spec: JobSpec
+  readonly attempt: number
+  readonly tasks: readonly ReportedTask[]
+  readonly staleTasks: readonly ReportedTask[]
+}
+
+/** What the takeover needs of its scheduler. */
+export interface TakeoverHost {
+  readonly records: JobRecords
+  readonly decider: Decider
+  readonly runs: Map<string, GangRun>
+  readonly runHost: GangRunHost
+  readonly noteAttempt: (jobId: string, attempt: number) => number
+  readonly followRun: (run: GangRun, end: Promise<GangEnd>) => void
+  readonly stopTask: (task: ReportedTask) => void
+  readonly endJob: (jobId: string, result: JobResult, reason?: string) => void
+  readonly scheduleDecision: () => void
+  readonly isStopped: () => boolean
+}
+
+/** Takes over jobs. */
+export interface Takeover {
+  /** Finishes or undoes the start of every gang that the workers report. */
+  takeOverGangs (tasks: Iterable<ReportedTask>): void
+  /** Brings the jobs into line with the records, after these have been read. */
+  reconcileRecords (): void
+}
+
+const settlePollMs = 50
+
+/** Creates the takeover of a scheduler. */
+export function createTakeover (host: TakeoverHost): Takeover {
+  const { records, decider, runs, runHost } = host
+
+  return { takeOverGangs, reconcileRecords }
+
+  function takeOverGangs (tasks: Iterable<ReportedTask>): void {
+    for (const gang of findReportedGangs(tasks)) takeOverGang(gang)
+  }
+
+  /** A gang is released whole if its release was decided; otherwise it is undone. */
+  function takeOverGang (gang: ReportedGang): void {
+    const { spec, attempt } = gang
+    const record = records.get(spec.jobId)
+    host.noteAttempt(spec.jobId, attempt)
+    for (const task of gang.staleTasks) host.stopTask(task)
+    const isObsolete = record !== undefined && (record.state === JobState.Ended || record.attempt > attempt)
+    const isOnRecord = record !== undefined && record.state === JobState.Released && record.attempt === attempt
+    if (isObsolete || (!isOnRecord && !isReleaseMarked(gang))) {
+      for (const task of gang.tasks) host.stopTask(task)
+      return
+    }
+    if (record === undefined) records.keepUnrecorded(spec, { state: JobState.Released, attempt, startedAtMs: Date.now() })
+    const first = gang.tasks[0] as ReportedTask
+    const history = { waitingSinceMs: spec.submittedAtMs, attainedMs: first.descriptor.attainedMs }
+    const members = gang.tasks.filter(task => task.report.state !== TaskState.Ended)
+      .map(task => ({ workerId: task.workerId, accelerators: task.descriptor.accelerators }))
+    const startedAtMs = Date.now() - Math.max(...gang.tasks.map(task => task.report.ranMs))
+    decider.addRunning(spec, members, first.descriptor.guaranteeId, history, startedAtMs)
+    const run = createGangRun(runHost, { spec, attempt, progressMs: first.descriptor.progressMs, attainedMs: first.descriptor.attainedMs })
+    runs.set(spec.jobId, run)
+    for (const task of gang.tasks) {
+      run.addMember(task.workerId, task.descriptor.taskId, task.descriptor.member)
+      run.onReport(task.report)
+    }
+    host.followRun(run, run.resume())
+  }
+
+  /** Brings the jobs into line with the records, after these have been read. */
+  function reconcileRecords (): void {
+    for (const record of [...records.getAll()]) {
+      const { jobId } = record.spec
+      host.noteAttempt(jobId, record.attempt)
+      if (record.state === JobState.Ended || runs.has(jobId) || decider.get(jobId) !== undefined) continue
+      if (record.isCancelRequested) host.endJob(jobId, JobResult.Cancelled)
+      else if (record.state === JobState.Queued) decider.addWaiting(record.spec, getHistory(record))
+      else if (runHost.areWorkersSettled()) concludeLostGang(record)
+      else void concludeWhenSettled(record)
+    }
+    host.scheduleDecision()
+  }
+
+  async function concludeWhenSettled (record: JobRecord): Promise<void> {
+    while (!host.isStopped() && !runHost.areWorkersSettled()) await delay(settlePollMs)
+    const { jobId } = record.spec
+    if (!host.isStopped() && !runs.has(jobId) && decider.get(jobId) === undefined) concludeLostGang(record)
+  }
+
+  /** The record says that the gang was released, but no worker knows it. */
+  function concludeLostGang (record: JobRecord): void {
+    if (!record.spec.repeatable) {
+      host.endJob(record.spec.jobId, JobResult.Unknown, 'its workers were lost after its release')
+      return
+    }
+    records.writeLater(record.spec.jobId, { state: JobState.Queued, attempt: record.attempt + 1 })
+    host.noteAttempt(record.spec.jobId, record.attempt + 1)
+    decider.addWaiting(record.spec, getHistory(record))
+  }
+}
+
+/** Groups tasks by job and attempt. */
+export function findReportedGangs (tasks: Iterable<ReportedTask>): ReportedGang[] {
+  const byJob = new Map<string, ReportedTask[]>()
+  for (const task of tasks) {
+    const { jobId } = task.descriptor.spec
+    const own = byJob.get(jobId)
+    if (own === undefined) byJob.set(jobId, [task])
+    else own.push(task)
+  }
+  return [...byJob.values()].map(createGang)
+}
+
+function createGang (tasks: readonly ReportedTask[]): ReportedGang {
+  const attempt = tasks.reduce((highest, task) => Math.max(highest, task.descriptor.attempt), 0)
+  const first = tasks[0] as ReportedTask
+  return {
+    spec: first.descriptor.spec,
+    attempt,
+    tasks: tasks.filter(task => task.descriptor.attempt === attempt),
+    staleTasks: tasks.filter(task => task.descriptor.attempt < attempt)
+  }
+}
+
+/** The workers' own evidence that the release was decided: a released member, or the commit mark of all. */
+function isReleaseMarked (gang: ReportedGang): boolean {
+  if (gang.tasks.some(task => task.report.wasReleased)) return true
+  return gang.tasks.length === gang.spec.members && gang.tasks.every(task => task.report.state === TaskState.Committed)
+}
+
+function getHistory (record: JobRecord): Partial<JobHistory> {
+  return { waitingSinceMs: record.spec.submittedAtMs, attainedMs: record.attainedMs }
+}
--- /dev/null
+++ b/src/standins/store.ts
@@ -0,0 +1,198 @@
+/** Stand-in of the platform's key-value service: one process, in memory, every call counted. */
+import { randomUUID } from 'node:crypto'
+import { z } from 'zod'
+import { listenHttp } from '../common/http.js'
+import type { HttpListener, ListenAddress } from '../common/http.js'
+import { createRpcHandler, defineMethod } from '../common/rpc.js'
+import { createSignal } from '../common/time.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { maxValueBytes, StoreMethod } from '../store/store.js'
+import type { Store, StoreEntry, StoreEvent, StoreWrite, WatchResult } from '../store/store.js'
+import { createFaultControl } from './faults.js'
+import type { FaultControl, Faults } from './faults.js'
+
+/** Calls that the service has counted. */
+export interface StoreCalls {
+  reads: number
+  writes: number
+  watches: number
+}
+
+/** The service in memory. */
+export interface MemoryStore extends Store {
+  readonly calls: StoreCalls
+  /** Ends every lease at once, as if its time had passed. */
+  lapseLeases (): void
+}
+
+interface Lease {
+  readonly ttlMs: number
+  expiresAtMs: number
+  readonly keys: Set<string>
+}
+
+const maxEventsKept = 50_000
+
+/** Creates the service in memory. */
+export function createMemoryStore (): MemoryStore {
+  const entries = new Map<string, StoreEntry>()
+  const leases = new Map<string, Lease>()
+  const leaseOfKey = new Map<string, string>()
+  const calls: StoreCalls = { reads: 0, writes: 0, watches: 0 }
+  const changed = createSignal()
+  let events: StoreEvent[] = []
+  let revision = 0
+
+  return { calls, get, range, put, remove, grantLease, keepLease, revokeLease, watch, lapseLeases }
+
+  async function get (key: string): Promise<StoreEntry | undefined> {
+    calls.reads++
+    expireLeases()
+    return entries.get(key)
+  }
+
+  async function range (prefix: string, options: { readonly after?: string, readonly limit?: number } = {}): Promise<readonly StoreEntry[]> {
+    calls.reads++
+    expireLeases()
+    const found = [...entries.values()].filter(entry => entry.key.startsWith(prefix) && entry.key > (options.after ?? ''))
+    found.sort((left, right) => left.key < right.key ? -1 : 1)
+    return found.slice(0, options.limit ?? found.length)
+  }
+
+  async function put (write: StoreWrite): Promise<number> {
+    calls.writes++
+    expireLeases()
+    if (Buffer.byteLength(write.value) > maxValueBytes) throw createError(ErrorKind.TooLarge, 'the value is larger than 1 MB')
+    assertRevision(write.key, write.expectedRevision)
+    if (write.leaseId !== undefined) attachLease(write.key, write.leaseId)
+    revision++
+    const entry = { key: write.key, value: write.value, revision }
+    entries.set(write.key, entry)
+    addEvent(entry)
+    return revision
+  }
+
+  async function remove (key: string, expectedRevision: number): Promise<void> {
+    calls.writes++
+    expireLeases()
+    if (!entries.has(key)) return
+    assertRevision(key, expectedRevision)
+    removeKey(key)
+  }
+
+  async function grantLease (ttlMs: number): Promise<string> {
+    calls.writes++
+    const leaseId = randomUUID()
+    leases.set(leaseId, { ttlMs, expiresAtMs: Date.now() + ttlMs, keys: new Set() })
+    return leaseId
+  }
+
+  async function keepLease (leaseId: string): Promise<void> {
+    calls.writes++
+    expireLeases()
+    const lease = leases.get(leaseId)
+    if (lease === undefined) throw createError(ErrorKind.NotFound, 'the lease has lapsed')
+    lease.expiresAtMs = Date.now() + lease.ttlMs
+  }
+
+  async function revokeLease (leaseId: string): Promise<void> {
+    calls.writes++
+    endLease(leaseId)
+  }
+
+  async function watch (prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult> {
+    calls.watches++
+    const deadlineMs = Date.now() + waitMs
+    while (true) {
+      expireLeases()
+      const found = events.filter(event => event.revision > afterRevision && event.key.startsWith(prefix))
+      const remainingMs = deadlineMs - Date.now()
+      if (found.length > 0 || remainingMs <= 0) return { events: found, revision }
+      await changed.wait(remainingMs)
+    }
+  }
+
+  function lapseLeases (): void {
+    for (const leaseId of [...leases.keys()]) endLease(leaseId)
+  }
+
+  function expireLeases (): void {
+    for (const [leaseId, lease] of leases) {
+      if (lease.expiresAtMs <= Date.now()) endLease(leaseId)
+    }
+  }
+
+  function endLease (leaseId: string): void {
+    const lease = leases.get(leaseId)
+    leases.delete(leaseId)
+    for (const key of lease?.keys ?? []) removeKey(key)
+  }
+
+  function attachLease (key: string, leaseId: string): void {
+    const lease = leases.get(leaseId)
+    if (lease === undefined) throw createError(ErrorKind.NotFound, 'the lease has lapsed')
+    lease.keys.add(key)
+    leaseOfKey.set(key, leaseId)
+  }
+
+  function removeKey (key: string): void {
+    if (!entries.delete(key)) return
+    leases.get(leaseOfKey.get(key) ?? '')?.keys.delete(key)
+    leaseOfKey.delete(key)
+    revision++
+    addEvent({ key, revision })
+  }
+
+  function addEvent (event: StoreEvent): void {
+    events.push(event)
+    if (events.length > maxEventsKept) events = events.slice(maxEventsKept / 2)
+    changed.notify()
+  }
+
+  function assertRevision (key: string, expectedRevision: number): void {
+    const actual = entries.get(key)?.revision ?? 0
+    if (actual !== expectedRevision) throw createError(ErrorKind.Conflict, `the key ${key} is at revision ${actual}`)
+  }
+}
+
+/** A stand-in of the service that listens on TCP. */
+export interface StoreStandin {
+  readonly address: string
+  readonly store: MemoryStore
+  readonly faults: FaultControl
+  close (): Promise<void>
+}
+
+/** Starts the stand-in of the service. */
+export async function startStoreStandin (listen: ListenAddress, faults: Partial<Faults> = {}): Promise<StoreStandin> {
+  const store = createMemoryStore()
+  const control = createFaultControl(faults, store.lapseLeases)
+  const listener: HttpListener = await listenHttp(listen, control.wrap(createRpcHandler(createStoreMethods(store))))
+  return { address: listener.address, store, faults: control, close: listener.destroy }
+}
+
+function createStoreMethods (store: Store): Parameters<typeof createRpcHandler>[0] {
+  const key = z.string().min(1).max(500)
+  return [
+    defineMethod(StoreMethod.Get, z.strictObject({ key }), async params => (await store.get(params.key)) ?? null),
+    defineMethod(StoreMethod.Range, z.strictObject({ prefix: key, after: z.string().optional(), limit: z.number().optional() }),
+      params => store.range(params.prefix, params)),
+    defineMethod(StoreMethod.Put, z.strictObject({ key, value: z.string(), expectedRevision: z.number(), leaseId: z.string().optional() }),
+      params => store.put(params)),
+    defineMethod(StoreMethod.Remove, z.strictObject({ key, expectedRevision: z.number() }), async params => {
+      await store.remove(params.key, params.expectedRevision)
+      return true
+    }),
+    defineMethod(StoreMethod.GrantLease, z.strictObject({ ttlMs: z.number().positive() }), params => store.grantLease(params.ttlMs)),
+    defineMethod(StoreMethod.KeepLease, z.strictObject({ leaseId: z.string() }), async params => {
+      await store.keepLease(params.leaseId)
+      return true
+    }),
+    defineMethod(StoreMethod.RevokeLease, z.strictObject({ leaseId: z.string() }), async params => {
+      await store.revokeLease(params.leaseId)
+      return true
+    }),
+    defineMethod(StoreMethod.Watch, z.strictObject({ prefix: key, afterRevision: z.number(), waitMs: z.number().max(60_000) }),
+      params => store.watch(params.prefix, params.afterRevision, params.waitMs))
+  ]
+}
--- /dev/null
+++ b/src/standins/worker.ts
@@ -0,0 +1,309 @@
+/** Stand-in of a platform's worker: runs tasks under leases, as timers. */
+import { randomUUID } from 'node:crypto'
+import { z } from 'zod'
+import { listenHttp } from '../common/http.js'
+import type { ListenAddress } from '../common/http.js'
+import { createRpcHandler, defineMethod } from '../common/rpc.js'
+import { createSignal, delay } from '../common/time.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { TaskEnd, TaskState, WorkerMethod } from '../scheduling/workerTypes.js'
+import type { RenewRequest, TaskDescriptor, TaskReport, WorkerPort, WorkerReport } from '../scheduling/workerTypes.js'
+import { createFaultControl } from './faults.js'
+import type { FaultControl, Faults } from './faults.js'
+
+/** A worker in memory. */
+export interface MemoryWorker extends WorkerPort {
+  /** How often a member of each job was released here, for the tests' ledger. */
+  readonly releases: ReadonlyMap<string, number>
+  getTasks (): readonly TaskReport[]
+  /** Loses every task, as a restart does. */
+  restart (): void
+  setFailEverything (isFailing: boolean): void
+}
+
+/** How the stand-in behaves. */
+export interface MemoryWorkerOptions {
+  readonly accelerators: number
+  readonly checkpointMs?: number
+  readonly reportLagMs?: number
+  readonly failEverything?: boolean
+}
+
+interface Task {
+  readonly descriptor: TaskDescriptor
+  state: TaskState
+  end: TaskEnd | undefined
+  sequence: number
+  changedAtMs: number
+  startedAtMs: number
+  ranMs: number
+  progressMs: number
+  expiresAtMs: number
+  timer: NodeJS.Timeout | undefined
+}
+
+const defaultCheckpointMs = 200
+const leaseCheckMs = 250
+
+/** Creates a worker in memory. */
+export function createMemoryWorker (options: MemoryWorkerOptions): MemoryWorker {
+  const tasks = new Map<string, Task>()
+  const releases = new Map<string, number>()
+  const epochs = new Map<string, number>()
+  const changed = createSignal()
+  let instanceId = randomUUID()
+  let sequence = 0
+  let failEverything = options.failEverything ?? false
+  let leaseTimer: NodeJS.Timeout | undefined
+
+  return {
+    releases,
+    prepare,
+    commit,
+    release,
+    stop,
+    checkpoint,
+    renew,
+    getTasks: () => [...tasks.values()].map(task => toReport(task, true)),
+    restart,
+    setFailEverything: isFailing => { failEverything = isFailing }
+  }
+
+  async function prepare (epoch: number, descriptor: TaskDescriptor, leaseMs: number): Promise<void> {
+    admitEpoch(descriptor.spec.domain, epoch)
+    expireLeases()
+    const known = tasks.get(descriptor.taskId)
+    if (known !== undefined) {
+      if (known.state === TaskState.Ended) throw createError(ErrorKind.Conflict, `the task ${descriptor.taskId} has ended`)
+      return
+    }
+    const taken = descriptor.accelerators.find(isAcceleratorTaken)
+    if (taken !== undefined) throw createError(ErrorKind.Conflict, `accelerator ${taken} is taken`)
+    const task: Task = {
+      descriptor,
+      state: TaskState.Held,
+      end: undefined,
+      sequence: 0,
+      changedAtMs: 0,
+      startedAtMs: 0,
+      ranMs: 0,
+      progressMs: descriptor.progressMs,
+      expiresAtMs: Date.now() + leaseMs,
+      timer: undefined
+    }
+    tasks.set(descriptor.taskId, task)
+    noteChange(task)
+    startLeaseTimer()
+  }
+
+  async function commit (epoch: number, taskIds: readonly string[]): Promise<void> {
+    for (const task of getLiveTasks(epoch, taskIds)) {
+      if (task.state !== TaskState.Held) continue
+      task.state = TaskState.Committed
+      noteChange(task)
+    }
+  }
+
+  async function release (epoch: number, taskIds: readonly string[]): Promise<void> {
+    for (const task of getLiveTasks(epoch, taskIds)) {
+      if (task.state === TaskState.Running) continue
+      startTask(task)
+    }
+  }
+
+  async function stop (epoch: number, taskIds: readonly string[]): Promise<readonly TaskReport[]> {
+    const found = findTasks(epoch, taskIds)
+    for (const task of found) endTask(task, TaskEnd.Stopped)
+    return found.map(task => toReport(task, false))
+  }
+
+  async function checkpoint (epoch: number, taskIds: readonly string[]): Promise<readonly TaskReport[]> {
+    const found = findTasks(epoch, taskIds)
+    await Promise.all(found.map(saveTask))
+    return found.map(task => toReport(task, false))
+  }
+
+  async function saveTask (task: Task): Promise<void> {
+    const ignoresCheckpoint = task.descriptor.spec.command.includes('ignore-checkpoint')
+    if (!ignoresCheckpoint) {
+      await delay(options.checkpointMs ?? defaultCheckpointMs)
+      if (task.state === TaskState.Running) task.progressMs += Date.now() - task.startedAtMs
+      endTask(task, TaskEnd.Checkpointed)
+      return
+    }
+    while (task.state !== TaskState.Ended) await changed.wait()
+  }
+
+  async function renew (request: RenewRequest): Promise<WorkerReport> {
+    admitEpoch(request.domain, request.epoch)
+    expireLeases()
+    forgetAcknowledged(request.ackedSequence)
+    const visibleBeforeMs = Date.now() - (options.reportLagMs ?? 0)
+    const reports: TaskReport[] = []
+    let visibleSequence = request.seenSequence
+    for (const task of tasks.values()) {
+      if (task.state === TaskState.Running) task.expiresAtMs = Math.max(task.expiresAtMs, Date.now() + request.leaseMs)
+      if (!request.isFull && (task.sequence <= request.seenSequence || task.changedAtMs > visibleBeforeMs)) continue
+      visibleSequence = Math.max(visibleSequence, task.sequence)
+      reports.push(toReport(task, request.isFull))
+    }
+    return { instanceId, sequence: visibleSequence, tasks: reports }
+  }
+
+  function restart (): void {
+    for (const task of tasks.values()) clearTimeout(task.timer)
+    tasks.clear()
+    instanceId = randomUUID()
+    sequence = 0
+    changed.notify()
+  }
+
+  function admitEpoch (domain: string, epoch: number): void {
+    const seen = epochs.get(domain) ?? 0
+    if (epoch < seen) throw createError(ErrorKind.StaleEpoch, `epoch ${epoch} is below ${seen}`, { seenEpoch: seen })
+    epochs.set(domain, epoch)
+  }
+
+  function findTasks (epoch: number, taskIds: readonly string[]): Task[] {
+    expireLeases()
+    const found = taskIds.map(taskId => tasks.get(taskId)).filter(task => task !== undefined)
+    for (const task of found) admitEpoch(task.descriptor.spec.domain, epoch)
+    return found
+  }
+
+  function getLiveTasks (epoch: number, taskIds: readonly string[]): Task[] {
+    const found = findTasks(epoch, taskIds)
+    const isWhole = found.length === taskIds.length && found.every(task => task.state !== TaskState.Ended)
+    if (!isWhole) throw createError(ErrorKind.Conflict, 'the task is not here or has ended')
+    return found
+  }
+
+  function isAcceleratorTaken (accelerator: number): boolean {
+    if (accelerator >= options.accelerators) return true
+    return [...tasks.values()].some(task => task.state !== TaskState.Ended && task.descriptor.accelerators.includes(accelerator))
+  }
+
+  function startTask (task: Task): void {
+    const { jobId } = task.descriptor.spec
+    const releaseKey = `${jobId}.${task.descriptor.member}`
+    releases.set(releaseKey, (releases.get(releaseKey) ?? 0) + 1)
+    task.state = TaskState.Running
+    task.startedAtMs = Date.now()
+    const { runMs, isFailing } = parseCommand(task.descriptor.spec.command)
+    const end = isFailing || failEverything ? TaskEnd.Failed : TaskEnd.Succeeded
+    const remainingMs = failEverything ? 0 : Math.max(0, runMs - task.descriptor.progressMs)
+    task.timer = setTimeout(() => endTask(task, end), remainingMs)
+    noteChange(task)
+  }
+
+  function endTask (task: Task, end: TaskEnd): void {
+    if (task.state === TaskState.Ended) return
+    if (task.state === TaskState.Running) task.ranMs = Date.now() - task.startedAtMs
+    clearTimeout(task.timer)
+    task.state = TaskState.Ended
+    task.end = end
+    noteChange(task)
+  }
+
+  function expireLeases (): void {
+    const nowMs = Date.now()
+    for (const task of tasks.values()) {
+      if (task.state !== TaskState.Ended && task.expiresAtMs <= nowMs) endTask(task, TaskEnd.LeaseLapsed)
+    }
+  }
+
+  function startLeaseTimer (): void {
+    leaseTimer ??= setInterval(() => {
+      expireLeases()
+      const isIdle = [...tasks.values()].every(task => task.state === TaskState.Ended)
+      if (!isIdle) return
+      clearInterval(leaseTimer)
+      leaseTimer = undefined
+    }, leaseCheckMs)
+  }
+
+  function forgetAcknowledged (ackedSequence: number): void {
+    for (const [taskId, task] of tasks) {
+      if (task.state === TaskState.Ended && task.sequence <= ackedSequence) tasks.delete(taskId)
+    }
+  }
+
+  function noteChange (task: Task): void {
+    task.sequence = ++sequence
+    task.changedAtMs = Date.now()
+    changed.notify()
+  }
+}
+
+function toReport (task: Task, isFull: boolean): TaskReport {
+  const ranMs = task.state === TaskState.Running ? Date.now() - task.startedAtMs : task.ranMs
+  const { descriptor, state, end, progressMs, sequence } = task
+  const wasReleased = task.startedAtMs > 0
+  return { taskId: descriptor.taskId, sequence, state, end, wasReleased, ranMs, progressMs, descriptor: isFull ? descriptor : undefined }
+}
+
+/** The stand-in understands `run MS` and `fail MS`; anything else runs for a second. */
+function parseCommand (command: readonly string[]): { readonly runMs: number, readonly isFailing: boolean } {
+  const runMs = Number(command[1])
+  return { runMs: Number.isFinite(runMs) ? runMs : 1_000, isFailing: command[0] === 'fail' }
+}
+
+/** A stand-in of a worker that listens on TCP. */
+export interface WorkerStandin {
+  readonly address: string
+  readonly worker: MemoryWorker
+  readonly faults: FaultControl
+  close (): Promise<void>
+}
+
+/** Starts the stand-in of a worker. */
+export async function startWorkerStandin (listen: ListenAddress, options: MemoryWorkerOptions, faults: Partial<Faults> = {}): Promise<WorkerStandin> {
+  const worker = createMemoryWorker({ ...options, failEverything: faults.failEverything })
+  const control = createFaultControl(faults)
+  const handler = createRpcHandler(createWorkerMethods(worker))
+  const listener = await listenHttp(listen, control.wrap(async (request, response) => {
+    worker.setFailEverything(control.get().failEverything)
+    await handler(request, response)
+  }))
+  return {
+    address: listener.address,
+    worker,
+    faults: control,
+    close: async () => {
+      worker.restart()
+      await listener.destroy()
+    }
+  }
+}
+
+function createWorkerMethods (worker: MemoryWorker): Parameters<typeof createRpcHandler>[0] {
+  const epoch = z.number().int()
+  const taskIds = z.array(z.string())
+  const batch = z.strictObject({ epoch, taskIds })
+  const descriptor = z.custom<TaskDescriptor>(value => typeof value === 'object' && value !== null && 'taskId' in value && 'spec' in value)
+  const renewSchema = z.strictObject({
+    domain: z.string(),
+    epoch,
+    leaseMs: z.number().positive(),
+    seenSequence: z.number(),
+    ackedSequence: z.number(),
+    isFull: z.boolean()
+  })
+  return [
+    defineMethod(WorkerMethod.Prepare, z.strictObject({ epoch, task: descriptor, leaseMs: z.number().positive() }), async params => {
+      await worker.prepare(params.epoch, params.task, params.leaseMs)
+      return true
+    }),
+    defineMethod(WorkerMethod.Commit, batch, async params => {
+      await worker.commit(params.epoch, params.taskIds)
+      return true
+    }),
+    defineMethod(WorkerMethod.Release, batch, async params => {
+      await worker.release(params.epoch, params.taskIds)
+      return true
+    }),
+    defineMethod(WorkerMethod.Stop, batch, params => worker.stop(params.epoch, params.taskIds)),
+    defineMethod(WorkerMethod.Checkpoint, batch, params => worker.checkpoint(params.epoch, params.taskIds)),
+    defineMethod(WorkerMethod.Renew, renewSchema, params => worker.renew(params))
+  ]
+}
--- /dev/null
+++ b/src/store/storeClient.ts
@@ -0,0 +1,61 @@
+/** Client of the platform's key-value service, with a record of whether it is reachable. */
+import { createRpcClient } from '../common/rpc.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { StoreMethod } from './store.js'
+import type { Store, StoreEntry, WatchResult } from './store.js'
+
+/** A store that knows how its last calls went. */
+export interface StoreClient extends Store {
+  /** Since when the service has answered, in ms since the epoch; undefined while it does not. */
+  getReachableSinceMs (): number | undefined
+  isReachable (): boolean
+}
+
+const callTimeoutMs = 1_500
+const watchMarginMs = 1_000
+
+/** Creates a client for the service at `address`. */
+export function createStoreClient (address: string, from: string): StoreClient {
+  const rpc = createRpcClient(address, { from, timeoutMs: callTimeoutMs })
+  let reachableSinceMs: number | undefined
+
+  return {
+    get: async key => (await call<StoreEntry | null>(StoreMethod.Get, { key })) ?? undefined,
+    range: (prefix, options = {}) => call(StoreMethod.Range, { prefix, ...options }),
+    put: write => call(StoreMethod.Put, write),
+    remove: (key, expectedRevision) => call(StoreMethod.Remove, { key, expectedRevision }),
+    grantLease: ttlMs => call(StoreMethod.GrantLease, { ttlMs }),
+    keepLease: leaseId => call(StoreMethod.KeepLease, { leaseId }),
+    revokeLease: leaseId => call(StoreMethod.RevokeLease, { leaseId }),
+    watch: (prefix, afterRevision, waitMs) =>
+      call<WatchResult>(StoreMethod.Watch, { prefix, afterRevision, waitMs }, waitMs + watchMarginMs),
+    getReachableSinceMs: () => reachableSinceMs,
+    isReachable: () => reachableSinceMs !== undefined
+  }
+
+  async function call<T> (method: StoreMethod, params: object, timeoutMs?: number): Promise<T> {
+    try {
+      const result = await rpc.call<T>(method, params, timeoutMs)
+      reachableSinceMs ??= Date.now()
+      return result
+    } catch (error) {
+      throw toStoreError(error, method)
+    }
+  }
+
+  function toStoreError (error: unknown, method: StoreMethod): unknown {
+    const isTransport = isErrorOfKind(error, ErrorKind.PeerUnreachable, ErrorKind.AnswerLost, ErrorKind.StoreUnavailable)
+    if (!isTransport) {
+      reachableSinceMs ??= Date.now()
+      return error
+    }
+    reachableSinceMs = undefined
+    const mayHaveWritten = isErrorOfKind(error, ErrorKind.AnswerLost) && isWrite(method)
+    if (mayHaveWritten) return error
+    return createError(ErrorKind.StoreUnavailable, 'the platform\'s store does not answer')
+  }
+}
+
+function isWrite (method: StoreMethod): boolean {
+  return method === StoreMethod.Put || method === StoreMethod.Remove || method === StoreMethod.GrantLease
+}
