--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -44,6 +44,7 @@
   readonly callersAddress: string
   readonly peersAddress: string
   getScheduler (): Scheduler | undefined
+  countPeers (): number
   /** A planned stop: says so, serves on while the balancer catches up, hands over, finishes what is in flight. */
   stop (): Promise<void>
   /** Ends at once, as a crash does. */
@@ -162,6 +163,7 @@
     callersAddress: callersListener.address,
     peersAddress: peersListener.address,
     getScheduler: () => scheduler,
+    countPeers: () => membership.getPeers().length,
     stop,
     crash
   }
--- a/src/routing/endpointPool.ts
+++ b/src/routing/endpointPool.ts
@@ -147,7 +147,6 @@
       case SlotOutcome.Leaving:
         if (!leavingSinceMs.has(id)) host.onLeaving(id)
         leavingSinceMs.set(id, Date.now())
-
         break
       default:
     }
