Prove gangs whole under a crash, freeze or lost answer at every call of the scheduler

Cause: the promises had no failure tests. A gate now strikes at each of the first 26 outside calls, in four ways, for repeatable and non-repeatable gangs; further tests take the store, workers and callers. Found: a failed job could be placed on the same bad worker again and again, so the worker was never set aside (3 distinct jobs needed, 0 seen after 40 s). Failed jobs now avoid the workers they failed on; a job that fails on two workers acquits both, and at most a fifth of the workers is set aside.

--- a/src/commands/standin/store.ts
+++ b/src/commands/standin/store.ts
@@ -10,6 +10,6 @@
 
   async run (): Promise<void> {
     const { flags } = await this.parse(Store)
-    await runStandin(this, flags.settings, storeSettingsSchema, settings => startStoreStandin(settings.listen, settings.faults))
+    await runStandin(this, flags.settings, storeSettingsSchema, settings => startStoreStandin(settings.listen, settings.faults, settings.file))
   }
 }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -202,9 +202,14 @@
   }
 
   async function refreshLoop (): Promise<void> {
+    let announcedRevision = 0
     while (!isStopped) {
       await Promise.race([hostList.changed.wait(refreshPollMs), replica.changed.wait(refreshPollMs)])
-      if (!isStopped) scheduler?.refresh()
+      if (isStopped) return
+      scheduler?.refresh()
+      const { revision } = replica.getRuleSet()
+      if (revision > announcedRevision) void membership.announce()
+      announcedRevision = revision
     }
   }
 
--- a/src/scheduling/decider.ts
+++ b/src/scheduling/decider.ts
@@ -37,6 +37,8 @@
   readonly attainedMs: number
   readonly preemptions: number
   readonly isCheckpointIgnored: boolean
+  /** Workers on which the job has failed. */
+  readonly avoid: ReadonlySet<string>
 }
 
 /** What the decider needs from outside. */
@@ -78,6 +80,7 @@
   preemptions: number
   isCheckpointIgnored: boolean
   waitingSinceMs: number
+  avoid: ReadonlySet<string>
   /** The policy's value at the last ordering. */
   value: number
 }
@@ -149,6 +152,7 @@
       attainedMs: history.attainedMs ?? 0,
       preemptions: history.preemptions ?? 0,
       isCheckpointIgnored: history.isCheckpointIgnored ?? false,
+      avoid: history.avoid ?? new Set(),
       startedAtMs: undefined,
       guaranteeId: undefined,
       value: 0
@@ -245,7 +249,7 @@
       for (const entry of waiting) {
         const size = getAcceleratorCount(entry.spec)
         if (size >= smallestFailed || isOverQuota(entry)) continue
-        const placement = cells.tryPlaceGuaranteed(entry.spec, getReclaimCost)
+        const placement = cells.tryPlaceGuaranteed(entry.spec, getReclaimCost, entry.avoid)
         if (placement === undefined) smallestFailed = size
         else startEntry(entry, placement, placements)
       }
@@ -282,9 +286,9 @@
         cursor.skip()
         continue
       }
-      const free = isHopeless ? undefined : cells.tryPlaceBorrowed(entry.spec)
-      if (free === undefined && cursor.level >= 0) smallestFullLevel = Math.min(smallestFullLevel, cursor.level)
-      const placement = free ?? cells.tryPlaceBorrowed(entry.spec, createCost(entry, nowMs))
+      const free = isHopeless ? undefined : cells.tryPlaceBorrowed(entry.spec, undefined, entry.avoid)
+      if (free === undefined && cursor.level >= 0 && entry.avoid.size === 0) smallestFullLevel = Math.min(smallestFullLevel, cursor.level)
+      const placement = free ?? cells.tryPlaceBorrowed(entry.spec, createCost(entry, nowMs), entry.avoid)
       if (placement === undefined) {
         cursor.close()
         continue
--- a/src/scheduling/domainCells.ts
+++ b/src/scheduling/domainCells.ts
@@ -43,9 +43,9 @@
   /** Says why a job could never run here, even with nothing else running. */
   getImpossibleReason (spec: JobSpec): string | undefined
   /** Places a job under its organisation's guarantee, preempting borrowed work. */
-  tryPlaceGuaranteed (spec: JobSpec, cost: PreemptionCost): Placement | undefined
+  tryPlaceGuaranteed (spec: JobSpec, cost: PreemptionCost, avoid?: ReadonlySet<string>): Placement | undefined
   /** Places a job on accelerators that are free or, where `cost` allows it, held by others that can be preempted. */
-  tryPlaceBorrowed (spec: JobSpec, cost?: PreemptionCost): Placement | undefined
+  tryPlaceBorrowed (spec: JobSpec, cost?: PreemptionCost, avoid?: ReadonlySet<string>): Placement | undefined
   /** Takes over a job that runs already. Returns whether it could be put under its guarantee. */
   adopt (spec: JobSpec, members: readonly MemberPlacement[], guaranteeId: string | undefined): boolean
   /** Notes one more member of a job that was taken over. */
@@ -79,6 +79,7 @@
 }
 
 const maxCandidates = 48
+const noWorkers: ReadonlySet<string> = new Set()
 
 /** Creates a domain without workers. */
 export function createDomainCells (): DomainCells {
@@ -96,6 +97,8 @@
   let minProcessorsPerAccelerator = Infinity
   let minMemoryPerAccelerator = Infinity
   let nextCandidate = 0
+  /** Workers on which the job that is being placed has failed before. */
+  let avoided = noWorkers
 
   return {
     addWorkers,
@@ -198,7 +201,8 @@
     return count
   }
 
-  function tryPlaceGuaranteed (spec: JobSpec, cost: PreemptionCost): Placement | undefined {
+  function tryPlaceGuaranteed (spec: JobSpec, cost: PreemptionCost, avoid: ReadonlySet<string> = noWorkers): Placement | undefined {
+    avoided = avoid
     const size = spec.acceleratorsPerMember === 0 ? undefined : getMemberSize(spec)
     if (size === undefined) return undefined
     const leaves: number[] = []
@@ -254,8 +258,13 @@
     return leaves
   }
 
+  function isFreeLeaf (leaf: number): boolean {
+    return occupancy.isLeafFree(leaf) && (avoided.size === 0 || !avoided.has(topology.getAt(leaf)?.info.workerId ?? ''))
+  }
+
   function isOpenForGuarantee (leaf: number, cost: PreemptionCost): boolean {
-    if (!isReal(leaf) || unusable.has(topology.getAt(leaf)?.info.workerId ?? '')) return false
+    const workerId = topology.getAt(leaf)?.info.workerId ?? ''
+    if (!isReal(leaf) || avoided.has(workerId) || unusable.has(workerId)) return false
     return (jobsAt[leaf] ?? []).every(jobId => !cells.isGuaranteed(jobId) && cost(jobId) !== undefined)
   }
 
@@ -297,7 +306,8 @@
     return sum
   }
 
-  function tryPlaceBorrowed (spec: JobSpec, cost?: PreemptionCost): Placement | undefined {
+  function tryPlaceBorrowed (spec: JobSpec, cost?: PreemptionCost, avoid: ReadonlySet<string> = noWorkers): Placement | undefined {
+    avoided = avoid
     if (spec.acceleratorsPerMember === 0) return placeOnProcessors(spec)
     const size = getMemberSize(spec)
     if (size === undefined) return undefined
@@ -326,7 +336,7 @@
       for (const block of sampleSubBlocks(occupancy, maximal, level)) {
         const fullness = getFullness(level, block)
         if (fullness <= bestFullness) continue
-        const starts = findMemberBlocks(level, block, size, spec.members, leaf => occupancy.isLeafFree(leaf))
+        const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
         if (starts.length < spec.members) continue
         best = starts
         bestFullness = fullness
@@ -342,7 +352,7 @@
     if (total === 1 << level || level > maxLevel) return undefined
     for (const block of rotateBlocks(level)) {
       if ((1 << level) - occupancy.getBlockedCount(level, block) < total) continue
-      const starts = findMemberBlocks(level, block, size, spec.members, leaf => occupancy.isLeafFree(leaf))
+      const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
       if (starts.length === spec.members) return starts
     }
     return undefined
@@ -353,7 +363,7 @@
     const memberLevel = getLevelOf(size)
     for (let maximal = memberLevel; maximal <= maxLevel && starts.length < members; maximal++) {
       for (const block of occupancy.getMaximalBlocks(maximal)) {
-        starts.push(...findMemberBlocks(maximal, block, size, members - starts.length, leaf => occupancy.isLeafFree(leaf)))
+        starts.push(...findMemberBlocks(maximal, block, size, members - starts.length, isFreeLeaf))
         if (starts.length === members) return starts
       }
     }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -82,7 +82,7 @@
   const policy = createPolicy(() => host.getRules().weights)
   const decider = createDecider({ cells, policy, getRules: host.getRules })
   const records = createJobRecords(host.store, host.domain, () => host.epoch, host.logger)
-  const health = createWorkerHealth()
+  const health = createWorkerHealth(() => workers.size)
   const changed = createSignal()
   const runs = new Map<string, GangRun>()
   const attempts = new Map<string, number>()
@@ -381,7 +381,7 @@
     const workerId = end.workerId ?? ''
     tried.add(workerId)
     const isJobToBlame = tried.size >= maxFailuresOfJob || !spec.repeatable || workers.size <= tried.size
-    if (isJobToBlame && tried.size > 1) health.acquit(spec.jobId).forEach(updateUsable)
+    if (tried.size > 1) health.acquit(spec.jobId).forEach(updateUsable)
     else if (health.noteFailure(workerId, spec.jobId)) host.logger.warn(`worker ${workerId} is set aside: every job fails on it`)
     updateUsable(workerId)
     if (isJobToBlame) endJob(spec.jobId, JobResult.Failed, `it failed on ${[...tried].join(', ')}`)
@@ -403,7 +403,8 @@
     const attainedMs = job.attainedMs + end.attainedMs
     const preemptions = job.preemptions + (end.outcome === GangOutcome.Preempted ? 1 : 0)
     const isCheckpointIgnored = job.isCheckpointIgnored || end.isCheckpointIgnored
-    decider.requeue(jobId, { waitingSinceMs: job.waitingSinceMs, attainedMs, preemptions, isCheckpointIgnored })
+    const avoid = failedOn.get(jobId) ?? new Set<string>()
+    decider.requeue(jobId, { waitingSinceMs: job.waitingSinceMs, attainedMs, preemptions, isCheckpointIgnored, avoid })
     const attempt = noteAttempt(jobId, run.start.attempt)
     records.writeLater(jobId, { state: JobState.Queued, attempt: attempt + 1, progressMs: end.progressMs, attainedMs })
     noteAttempt(jobId, attempt + 1)
--- /dev/null
+++ b/src/scheduling/schedulerCrash.test.ts
@@ -0,0 +1,100 @@
+/** A scheduler is killed, frozen or loses an answer at every call that it makes. No gang may run in part. */
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createGate, GateFault } from '../testing/gate.js'
+import type { Gate } from '../testing/gate.js'
+import { createSchedulerRig, createSpec, isEnded } from '../testing/schedulerRig.js'
+import type { SchedulerRig } from '../testing/schedulerRig.js'
+import { JobResult } from './jobTypes.js'
+import type { JobView } from './jobViews.js'
+import type { Scheduler } from './scheduler.js'
+
+const members = 4
+const callCount = 26
+const takeoverMs = 7_000
+const endMs = 60_000
+const guarantee = 'guarantee mill/plan domain=harju accelerators=32 cells=1 # test'
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+const lost = (): Error => createError(ErrorKind.AnswerLost, 'lost')
+
+async function submitAndTakeOver (rig: SchedulerRig, gate: Gate, isRepeatable: boolean): Promise<{ successor: Scheduler, first: Scheduler, view: JobView | undefined, wasAccepted: boolean }> {
+  const first = rig.startScheduler(gate)
+  await jest.advanceTimersByTimeAsync(200)
+  const spec = createSpec('gang', { members, repeatable: isRepeatable })
+  let wasAccepted = false
+  void first.submit(spec).then(() => { wasAccepted = true }, () => {})
+  await jest.advanceTimersByTimeAsync(takeoverMs)
+  const successor = rig.startScheduler()
+  await jest.advanceTimersByTimeAsync(3_000)
+  const running = rig.countRunning(spec.jobId)
+  expect([0, members]).toContain(running)
+  if (gate.hasStruck()) gate.thaw()
+  await jest.advanceTimersByTimeAsync(endMs)
+  return { successor, first, view: await successor.get(spec.jobId, 0), wasAccepted }
+}
+
+describe.each([GateFault.CrashBefore, GateFault.CrashAfter, GateFault.Freeze, GateFault.LoseAnswer])('fault %s at every call', fault => {
+  test.each([true, false])('a gang ends whole or not at all (repeatable: %s)', async isRepeatable => {
+    for (let strikeAt = 0; strikeAt < callCount; strikeAt++) {
+      const rig = createSchedulerRig(8, guarantee)
+      let crashed: Scheduler | undefined
+      const gate = createGate(strikeAt, fault, lost, () => { if (fault !== GateFault.Freeze && fault !== GateFault.LoseAnswer) crashed?.stop() })
+      const { successor, first, view, wasAccepted } = await submitAndTakeOver(rig, gate, isRepeatable)
+      crashed = first
+      const releases = rig.getReleases('harju:gang')
+      const trace = `fault ${fault} at call ${strikeAt} (${gate.calls[strikeAt]})`
+      if (wasAccepted) expect([trace, isEnded(view)]).toEqual([trace, true])
+      if (isRepeatable && view !== undefined) expect([trace, view.result]).toEqual([trace, JobResult.Succeeded])
+      if (!isRepeatable) {
+        expect([trace, Math.max(0, ...releases) <= 1]).toEqual([trace, true])
+        const isTruthful = view === undefined || [JobResult.Succeeded, JobResult.Unknown, JobResult.Interrupted].includes(view.result as JobResult)
+        expect([trace, isTruthful]).toEqual([trace, true])
+        const wasDecided = gate.calls.slice(0, strikeAt + 1).filter(name => name === 'put').length > 1
+        if (wasAccepted && !wasDecided) expect([trace, view?.result]).toEqual([trace, JobResult.Succeeded])
+        if (view?.result === JobResult.Succeeded) expect([trace, releases]).toEqual([trace, Array(members).fill(1)])
+      }
+      expect([trace, rig.countLiveTasks()]).toEqual([trace, 0])
+      successor.verify()
+      first.stop()
+      successor.stop()
+      await jest.advanceTimersByTimeAsync(1_000)
+    }
+  })
+})
+
+test('two schedulers in one domain: the workers obey the higher epoch only', async () => {
+  const rig = createSchedulerRig(8, guarantee)
+  const first = rig.startScheduler()
+  await jest.advanceTimersByTimeAsync(200)
+  const second = rig.startScheduler()
+  await jest.advanceTimersByTimeAsync(200)
+  const spec = createSpec('gang', { members, repeatable: false })
+  void first.submit(spec).catch(() => {})
+  void second.submit({ ...spec }).catch(() => {})
+  await jest.advanceTimersByTimeAsync(30_000)
+  expect(rig.getDeposedCount()).toBe(1)
+  expect(rig.getReleases(spec.jobId)).toEqual(Array(members).fill(1))
+  expect((await second.get(spec.jobId, 0))?.result).toBe(JobResult.Succeeded)
+  first.stop()
+  second.stop()
+})
+
+test('a worker that is lost after the release ends the whole gang, and a repeatable one runs again whole', async () => {
+  const rig = createSchedulerRig(8, guarantee)
+  const scheduler = rig.startScheduler()
+  await jest.advanceTimersByTimeAsync(200)
+  const spec = createSpec('gang', { members })
+  await scheduler.submit(spec)
+  await jest.advanceTimersByTimeAsync(2_000)
+  expect(rig.countRunning(spec.jobId)).toBe(members)
+  const [workerId = ''] = (await scheduler.get(spec.jobId, 0))?.workers ?? []
+  rig.setCutOff(workerId, true)
+  await jest.advanceTimersByTimeAsync(12_000)
+  expect([0, members]).toContain(rig.countRunning(spec.jobId))
+  await jest.advanceTimersByTimeAsync(30_000)
+  expect((await scheduler.get(spec.jobId, 0))?.result).toBe(JobResult.Succeeded)
+  scheduler.stop()
+})
--- /dev/null
+++ b/src/scheduling/schedulerFaults.test.ts
@@ -0,0 +1,193 @@
+/** The scheduler's promises under failures of workers, the store, and callers who change their minds. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { ErrorKind } from '../errors/errorKinds.js'
+import { createSchedulerRig, createSpec } from '../testing/schedulerRig.js'
+import type { SchedulerRig } from '../testing/schedulerRig.js'
+import { JobResult } from './jobTypes.js'
+import type { JobView } from './jobViews.js'
+import type { Scheduler } from './scheduler.js'
+
+const urgentStartMs = 2_900
+const plan = 'guarantee mill/plan domain=harju accelerators=32 cells=1 # test'
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+async function start (rig: SchedulerRig): Promise<Scheduler> {
+  const scheduler = rig.startScheduler()
+  await jest.advanceTimersByTimeAsync(200)
+  return scheduler
+}
+
+async function getResult (scheduler: Scheduler, jobId: string): Promise<JobView | undefined> {
+  return await scheduler.get(jobId, 0)
+}
+
+test('no member is released while another cannot be held', async () => {
+  const rig = createSchedulerRig(4, plan)
+  const scheduler = await start(rig)
+  rig.setCutOff('w002', true)
+  const spec = createSpec('gang', { members: 4 })
+  await scheduler.submit(spec)
+  for (let step = 0; step < 40; step++) {
+    await jest.advanceTimersByTimeAsync(100)
+    expect(rig.getReleases(spec.jobId)).toEqual([])
+  }
+  rig.setCutOff('w002', false)
+  await jest.advanceTimersByTimeAsync(40_000)
+  expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  scheduler.stop()
+})
+
+test('a non-repeatable gang whose workers and scheduler are lost is never released again', async () => {
+  const rig = createSchedulerRig(4, plan)
+  const first = await start(rig)
+  const spec = createSpec('refund-run', { members: 4, repeatable: false })
+  await first.submit(spec)
+  await jest.advanceTimersByTimeAsync(2_000)
+  expect(rig.countRunning(spec.jobId)).toBe(4)
+  first.stop()
+  for (const worker of rig.workers.values()) worker.restart()
+  const second = await start(rig)
+  await jest.advanceTimersByTimeAsync(60_000)
+  expect((await getResult(second, spec.jobId))?.result).toBe(JobResult.Unknown)
+  expect(rig.getReleases(spec.jobId)).toEqual([1, 1, 1, 1])
+  second.stop()
+})
+
+test.each([[['run', '60000']], [['run', '60000', 'ignore-checkpoint']]])('urgent work starts in time on lent-out accelerators: borrowers run %s', async command => {
+  const rig = createSchedulerRig(8, plan)
+  const scheduler = await start(rig)
+  const borrowers = Array.from({ length: 16 }, (_, index) => createSpec(`b${index}`, { organisation: 'haul', acceleratorsPerMember: 4, command }))
+  for (const spec of borrowers) await scheduler.submit(spec)
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect(scheduler.getStatus().usage.borrowed).toBe(64)
+  const urgent = createSpec('urgent', { members: 4, urgent: true, command: ['run', '1000'] })
+  await scheduler.submit(urgent)
+  await jest.advanceTimersByTimeAsync(urgentStartMs)
+  expect(rig.countRunning(urgent.jobId) + rig.getReleases(urgent.jobId).length).toBeGreaterThanOrEqual(4)
+  const view = await getResult(scheduler, urgent.jobId)
+  expect((view?.startedAtMs ?? Infinity) - urgent.submittedAtMs).toBeLessThanOrEqual(urgentStartMs)
+  await jest.advanceTimersByTimeAsync(200_000)
+  for (const spec of borrowers) expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  scheduler.verify()
+  scheduler.stop()
+})
+
+test('a wave of cancellations leaves nothing running and nothing leaked', async () => {
+  const rig = createSchedulerRig(16, plan)
+  const scheduler = await start(rig)
+  const specs = Array.from({ length: 2_000 }, (_, index) => createSpec(`c${index}`, {
+    organisation: index % 2 === 0 ? 'mill' : 'haul', members: 1 + index % 4, acceleratorsPerMember: 2, command: ['run', '600000']
+  }))
+  await Promise.all(specs.map(spec => scheduler.submit(spec)))
+  for (const spec of specs) void scheduler.cancel(spec.jobId)
+  for (const spec of specs) void scheduler.cancel(spec.jobId)
+  await jest.advanceTimersByTimeAsync(20_000)
+  expect(rig.countLiveTasks()).toBe(0)
+  expect(scheduler.getStatus()).toMatchObject({ running: 0, waiting: 0, usage: { inUse: 0 } })
+  const results = await Promise.all(specs.map(spec => getResult(scheduler, spec.jobId)))
+  expect(results.filter(view => view?.result !== JobResult.Cancelled)).toEqual([])
+  scheduler.verify()
+  scheduler.stop()
+})
+
+test('with the store down, running jobs go on, ends are kept, guarantees are reclaimed, and records agree afterwards', async () => {
+  const rig = createSchedulerRig(8, plan)
+  const scheduler = await start(rig)
+  const borrowers = Array.from({ length: 8 }, (_, index) => createSpec(`b${index}`, { organisation: 'haul', command: ['run', '15000'] }))
+  for (const spec of borrowers) await scheduler.submit(spec)
+  await jest.advanceTimersByTimeAsync(2_000)
+  rig.setStoreDown(true)
+  const urgent = createSpec('urgent', { members: 4, urgent: true, command: ['run', '5000'] })
+  const submitted = scheduler.submit(urgent)
+  await jest.advanceTimersByTimeAsync(5_000)
+  expect((await submitted).state).toBe('running')
+  const refused = scheduler.submit(createSpec('too-much', { organisation: 'haul', members: 8 })).catch((error: { kind: ErrorKind }) => error.kind)
+  await jest.advanceTimersByTimeAsync(6_000)
+  expect(await refused).toBe(ErrorKind.StoreUnavailable)
+  expect(rig.getReleases('harju:too-much')).toEqual([])
+  await jest.advanceTimersByTimeAsync(60_000)
+  expect((await getResult(scheduler, urgent.jobId))?.result).toBe(JobResult.Succeeded)
+  rig.setStoreDown(false)
+  await jest.advanceTimersByTimeAsync(5_000)
+  expect(scheduler.getStatus().unwrittenRecords).toBe(0)
+  scheduler.stop()
+  const second = await start(rig)
+  for (const spec of [...borrowers, urgent]) expect((await getResult(second, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  expect(rig.countLiveTasks()).toBe(0)
+  second.stop()
+})
+
+test('jobs accepted while the store is down survive the death of their scheduler', async () => {
+  const rig = createSchedulerRig(8, plan)
+  const first = await start(rig)
+  rig.setStoreDown(true)
+  const spec = createSpec('outage', { members: 4, command: ['run', '20000'] })
+  const submitted = first.submit(spec)
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect((await submitted).state).toBe('running')
+  first.stop()
+  const second = await start(rig)
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect((await getResult(second, spec.jobId))?.state).toBe('running')
+  expect(rig.countRunning(spec.jobId)).toBe(4)
+  rig.setStoreDown(false)
+  await jest.advanceTimersByTimeAsync(40_000)
+  expect((await getResult(second, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  expect(rig.getReleases(spec.jobId)).toEqual([1, 1, 1, 1])
+  second.stop()
+})
+
+test('a worker that fails everything is set aside, no job pays for it, and a bad job sets no worker aside', async () => {
+  const rig = createSchedulerRig(8, '')
+  const scheduler = await start(rig)
+  rig.workers.get('w003')?.setFailEverything(true)
+  const good = Array.from({ length: 24 }, (_, index) => createSpec(`g${index}`, { acceleratorsPerMember: 8, command: ['run', '2000'] }))
+  for (const spec of good) await scheduler.submit(spec)
+  await jest.advanceTimersByTimeAsync(40_000)
+  for (const spec of good) expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  expect(scheduler.getStatus().setAside.map(worker => worker.workerId)).toEqual(['w003'])
+  const bad = Array.from({ length: 40 }, (_, index) => createSpec(`bad${index}`, { acceleratorsPerMember: 2, command: ['fail', '500'] }))
+  for (const spec of bad) await scheduler.submit(spec)
+  for (let second = 0; second < 40; second++) {
+    await jest.advanceTimersByTimeAsync(1_000)
+    expect(scheduler.getStatus().setAside.filter(worker => worker.workerId !== 'w003')).toEqual([])
+  }
+  for (const spec of bad) expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Failed)
+  rig.workers.get('w003')?.setFailEverything(false)
+  await jest.advanceTimersByTimeAsync(120_000)
+  expect(scheduler.getStatus().setAside).toEqual([])
+  scheduler.stop()
+})
+
+test('what can never run is refused at once, and what becomes impossible when it does', async () => {
+  const rig = createSchedulerRig(8, 'quota haul accelerators=16 # test')
+  const scheduler = await start(rig)
+  const refuse = async (changes: Parameters<typeof createSpec>[1]): Promise<unknown> =>
+    await scheduler.submit(createSpec('never', changes)).catch((error: { kind: ErrorKind }) => error.kind)
+  expect(await refuse({ members: 16 })).toBe(ErrorKind.JobImpossible)
+  expect(await refuse({ processorsPerMember: 65 })).toBe(ErrorKind.JobImpossible)
+  expect(await refuse({ memoryBytesPerMember: 2 ** 39 })).toBe(ErrorKind.JobImpossible)
+  expect(await refuse({ organisation: 'haul', members: 3 })).toBe(ErrorKind.JobImpossible)
+  expect(await refuse({ organisation: 'nobody' })).toBe(ErrorKind.Forbidden)
+  expect(rig.countLiveTasks()).toBe(0)
+  scheduler.stop()
+})
+
+test('a lost worker makes a guarantee impossible: status names it, and the others lose nothing', async () => {
+  const rig = createSchedulerRig(8, 'guarantee mill/plan domain=harju accelerators=32 cells=1 # a\nguarantee haul/day domain=harju accelerators=32 cells=1 # b')
+  const scheduler = await start(rig)
+  expect(scheduler.getStatus().shortages).toEqual([])
+  rig.setCutOff('w001', true)
+  await jest.advanceTimersByTimeAsync(12_000)
+  expect(scheduler.getStatus().shortages).toEqual([{ guaranteeId: 'haul/day', organisation: 'haul', acceleratorsPerCell: 32, missingCells: 1 }])
+  const spec = createSpec('plan', { members: 4, urgent: true, command: ['run', '1000'] })
+  await scheduler.submit(spec)
+  await jest.advanceTimersByTimeAsync(6_000)
+  expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  rig.setCutOff('w001', false)
+  await jest.advanceTimersByTimeAsync(12_000)
+  expect(scheduler.getStatus().shortages).toEqual([])
+  scheduler.stop()
+})
--- a/src/scheduling/workerHealth.ts
+++ b/src/scheduling/workerHealth.ts
@@ -26,6 +26,7 @@
 const minFailedJobs = 3
 const firstPauseMs = 60_000
 const maxPauseMs = 3_600_000
+const maxSetAsideShare = 0.2
 
 interface Evidence {
   readonly failedJobs: Set<string>
@@ -35,8 +36,8 @@
   isOnProbation: boolean
 }
 
-/** Creates an empty record of evidence. */
-export function createWorkerHealth (): WorkerHealth {
+/** Creates an empty record of evidence. Only a part of the `getWorkerCount()` workers is ever set aside. */
+export function createWorkerHealth (getWorkerCount: () => number): WorkerHealth {
   const evidences = new Map<string, Evidence>()
 
   return { noteSuccess, noteFailure, acquit, takeReadmitted, isSetAside, getSetAside }
@@ -51,6 +52,7 @@
     if (evidence.setAsideUntilMs !== undefined) return false
     evidence.failedJobs.add(jobId)
     if (evidence.failedJobs.size < (evidence.isOnProbation ? 1 : minFailedJobs)) return false
+    if (getSetAside().length + 1 > Math.max(1, getWorkerCount() * maxSetAsideShare)) return false
     evidence.setAsideUntilMs = Date.now() + evidence.pauseMs
     evidence.pauseMs = Math.min(maxPauseMs, evidence.pauseMs * 2)
     return true
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -40,7 +40,11 @@
 const standinBase = { listen: listenSchema, log: logSchema, faults: faultSchema.partial().default({}) }
 
 /** Settings of `standin store`. */
-export const storeSettingsSchema = z.strictObject({ ...standinBase })
+export const storeSettingsSchema = z.strictObject({
+  ...standinBase,
+  /** Keeps the entries when the stand-in is restarted. */
+  file: z.string().optional()
+})
 
 /** Settings of `standin worker`. */
 export const workerSettingsSchema = z.strictObject({
--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -1,5 +1,6 @@
 /** Stand-in of the platform's key-value service: one process, in memory, every call counted. */
 import { randomUUID } from 'node:crypto'
+import { appendFileSync, existsSync, readFileSync } from 'node:fs'
 import { z } from 'zod'
 import { listenHttp } from '../common/http.js'
 import type { HttpListener, ListenAddress } from '../common/http.js'
@@ -33,8 +34,14 @@
 
 const maxEventsKept = 50_000
 
-/** Creates the service in memory. */
-export function createMemoryStore (): MemoryStore {
+/** Where a stand-in keeps its entries beyond its end. */
+export interface StoreFile {
+  load (): readonly StoreEvent[]
+  append (event: StoreEvent): void
+}
+
+/** Creates the service in memory. Keys under leases do not outlive it. */
+export function createMemoryStore (file?: StoreFile): MemoryStore {
   const entries = new Map<string, StoreEntry>()
   const leases = new Map<string, Lease>()
   const leaseOfKey = new Map<string, string>()
@@ -42,6 +49,11 @@
   const changed = createSignal()
   let events: StoreEvent[] = []
   let revision = 0
+  for (const event of file?.load() ?? []) {
+    revision = event.revision
+    if (event.value === undefined) entries.delete(event.key)
+    else entries.set(event.key, { key: event.key, value: event.value, revision: event.revision })
+  }
 
   return { calls, get, range, put, remove, grantLease, keepLease, revokeLease, watch, lapseLeases }
 
@@ -69,6 +81,7 @@
     const entry = { key: write.key, value: write.value, revision }
     entries.set(write.key, entry)
     addEvent(entry)
+    file?.append(write.leaseId === undefined ? entry : { key: write.key, revision })
     return revision
   }
 
@@ -141,6 +154,7 @@
     leaseOfKey.delete(key)
     revision++
     addEvent({ key, revision })
+    file?.append({ key, revision })
   }
 
   function addEvent (event: StoreEvent): void {
@@ -164,13 +178,23 @@
 }
 
 /** Starts the stand-in of the service. */
-export async function startStoreStandin (listen: ListenAddress, faults: Partial<Faults> = {}): Promise<StoreStandin> {
-  const store = createMemoryStore()
+export async function startStoreStandin (listen: ListenAddress, faults: Partial<Faults> = {}, fileName?: string): Promise<StoreStandin> {
+  const store = createMemoryStore(fileName === undefined ? undefined : createStoreFile(fileName))
   const control = createFaultControl(faults, store.lapseLeases)
   const listener: HttpListener = await listenHttp(listen, control.wrap(createRpcHandler(createStoreMethods(store))))
   return { address: listener.address, store, faults: control, close: listener.destroy }
 }
 
+/** Keeps the events of a stand-in as lines of JSON. */
+function createStoreFile (fileName: string): StoreFile {
+  return {
+    load: () => existsSync(fileName)
+      ? readFileSync(fileName, 'utf8').split('\n').filter(line => line !== '').map(line => JSON.parse(line) as StoreEvent)
+      : [],
+    append: event => appendFileSync(fileName, JSON.stringify(event) + '\n')
+  }
+}
+
 function createStoreMethods (store: Store): Parameters<typeof createRpcHandler>[0] {
   const key = z.string().min(1).max(500)
   return [
--- /dev/null
+++ b/src/testing/schedulerRig.ts
@@ -0,0 +1,191 @@
+/** A failure domain in memory for tests of the scheduler: the real scheduler, with the stand-ins called directly. */
+import { silentLogger } from '../common/logger.js'
+import { createRandom } from '../common/random.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createRuleSet } from '../rules/ruleSet.js'
+import type { RuleSet } from '../rules/ruleSet.js'
+import { parseRules } from '../rules/ruleSyntax.js'
+import { Adjacency } from '../scheduling/jobTypes.js'
+import type { JobSpec } from '../scheduling/jobTypes.js'
+import type { JobView } from '../scheduling/jobViews.js'
+import { createScheduler } from '../scheduling/scheduler.js'
+import type { Scheduler } from '../scheduling/scheduler.js'
+import { TaskState } from '../scheduling/workerTypes.js'
+import type { WorkerInfo, WorkerPort } from '../scheduling/workerTypes.js'
+import { createMemoryStore } from '../standins/store.js'
+import type { MemoryStore } from '../standins/store.js'
+import { createMemoryWorker } from '../standins/worker.js'
+import type { MemoryWorker } from '../standins/worker.js'
+import type { Store } from '../store/store.js'
+import type { Gate } from './gate.js'
+
+/** A failure domain in memory. */
+export interface SchedulerRig {
+  readonly store: MemoryStore
+  readonly workers: ReadonlyMap<string, MemoryWorker>
+  /** Starts a scheduler with the next epoch. All its calls go through the gate, if one is given. */
+  startScheduler (gate?: Gate): Scheduler
+  setStoreDown (isDown: boolean): void
+  /** Cuts a worker off from every scheduler. */
+  setCutOff (workerId: string, isCutOff: boolean): void
+  setRules (text: string): void
+  /** How many members of a job run at this moment. */
+  countRunning (jobId: string): number
+  /** How often the members of a job were released; one number a member. */
+  getReleases (jobId: string): readonly number[]
+  /** Tasks that have not ended, on all workers. */
+  countLiveTasks (): number
+  getDeposedCount (): number
+}
+
+/** The failure domain of every rig. */
+export const rigDomain = 'harju'
+
+const rulesHead = 'organisation mill # test\norganisation haul # test\n'
+
+/** Creates a domain with workers of 8 accelerators, 8 to a rack. */
+export function createSchedulerRig (workerCount: number, rulesText: string): SchedulerRig {
+  const store = createMemoryStore()
+  const workers = new Map<string, MemoryWorker>()
+  const infos: WorkerInfo[] = []
+  const cutOff = new Set<string>()
+  let isStoreDown = false
+  let rules: RuleSet = toRuleSet(rulesText, 1)
+  let epoch = 0
+  let deposedCount = 0
+  for (let index = 0; index < workerCount; index++) {
+    const workerId = `w${String(index).padStart(3, '0')}`
+    workers.set(workerId, createMemoryWorker({ accelerators: 8 }))
+    infos.push({ workerId, address: workerId, domain: rigDomain, rack: `r${Math.floor(index / 8)}`, processors: 64, memoryBytes: 2 ** 38, accelerators: 8, isLeaving: false })
+  }
+
+  return {
+    store,
+    workers,
+    startScheduler,
+    setStoreDown: isDown => { isStoreDown = isDown },
+    setCutOff: (workerId, isCutOff) => {
+      if (isCutOff) cutOff.add(workerId)
+      else cutOff.delete(workerId)
+    },
+    setRules: text => { rules = toRuleSet(text, rules.revision + 1) },
+    countRunning: jobId => countTasks(jobId, state => state === TaskState.Running),
+    getReleases,
+    countLiveTasks: () => countTasks(undefined, state => state !== TaskState.Ended),
+    getDeposedCount: () => deposedCount
+  }
+
+  function startScheduler (gate?: Gate): Scheduler {
+    epoch++
+    return createScheduler({
+      domain: rigDomain,
+      epoch,
+      store: createGatedStore(gate),
+      isStoreReachable: () => !isStoreDown,
+      logger: silentLogger,
+      random: createRandom(epoch),
+      getRules: () => rules,
+      getWorkers: () => infos,
+      connect: info => createGatedWorker(info.workerId, gate),
+      timing: { renewMs: 1_000, leaseMs: 6_000, suspectMs: 3_000, lossMarginMs: 500 },
+      carriedRecords: [],
+      onDeposed: () => { deposedCount++ }
+    })
+  }
+
+  function createGatedStore (gate: Gate | undefined): Store {
+    const call = async <T>(name: string, run: () => Promise<T>): Promise<T> => {
+      const guarded = async (): Promise<T> => {
+        if (isStoreDown) throw createError(ErrorKind.StoreUnavailable, 'down')
+        return await run()
+      }
+      return await (gate === undefined ? guarded() : gate.pass(name, guarded))
+    }
+    return {
+      get: key => call('get', () => store.get(key)),
+      range: (prefix, options) => call('range', () => store.range(prefix, options)),
+      put: write => call('put', () => store.put(write)),
+      remove: (key, revision) => call('remove', () => store.remove(key, revision)),
+      grantLease: ttlMs => store.grantLease(ttlMs),
+      keepLease: leaseId => store.keepLease(leaseId),
+      revokeLease: leaseId => store.revokeLease(leaseId),
+      watch: (prefix, revision, waitMs) => store.watch(prefix, revision, waitMs)
+    }
+  }
+
+  function createGatedWorker (workerId: string, gate: Gate | undefined): WorkerPort {
+    const worker = workers.get(workerId) as MemoryWorker
+    const call = async <T>(name: string, run: () => Promise<T>): Promise<T> => {
+      const guarded = async (): Promise<T> => {
+        if (cutOff.has(workerId)) throw createError(ErrorKind.AnswerLost, 'cut off')
+        return await run()
+      }
+      return await (gate === undefined ? guarded() : gate.pass(name, guarded))
+    }
+    return {
+      prepare: (own, task, leaseMs) => call('prepare', () => worker.prepare(own, task, leaseMs)),
+      commit: (own, taskIds) => call('commit', () => worker.commit(own, taskIds)),
+      release: (own, taskIds) => call('release', () => worker.release(own, taskIds)),
+      stop: (own, taskIds) => call('stop', () => worker.stop(own, taskIds)),
+      checkpoint: (own, taskIds) => call('checkpoint', () => worker.checkpoint(own, taskIds)),
+      renew: request => call('renew', () => worker.renew(request))
+    }
+  }
+
+  function countTasks (jobId: string | undefined, isCounted: (state: TaskState) => boolean): number {
+    let count = 0
+    for (const worker of workers.values()) {
+      for (const task of worker.getTasks()) {
+        if ((jobId === undefined || task.descriptor?.spec.jobId === jobId) && isCounted(task.state)) count++
+      }
+    }
+    return count
+  }
+
+  function getReleases (jobId: string): readonly number[] {
+    const counts: number[] = []
+    for (const worker of workers.values()) {
+      for (const [key, count] of worker.releases) {
+        const [id, member] = splitReleaseKey(key)
+        if (id === jobId) counts[member] = (counts[member] ?? 0) + count
+      }
+    }
+    return counts
+  }
+}
+
+/** Creates a job for the rig's domain. */
+export function createSpec (jobId: string, changes: Partial<JobSpec> = {}): JobSpec {
+  return {
+    jobId: `${rigDomain}:${jobId}`,
+    organisation: 'mill',
+    domain: rigDomain,
+    submittedAtMs: Date.now(),
+    name: jobId,
+    members: 1,
+    acceleratorsPerMember: 8,
+    adjacency: Adjacency.Adjacent,
+    processorsPerMember: 1,
+    memoryBytesPerMember: 0,
+    declaredRunMs: 60_000,
+    priority: 'normal',
+    repeatable: true,
+    urgent: false,
+    command: ['run', '10000'],
+    ...changes
+  }
+}
+
+/** Whether a job has ended, by its view. */
+export function isEnded (job: JobView | undefined): boolean {
+  return job?.state === 'ended'
+}
+
+function toRuleSet (text: string, revision: number): RuleSet {
+  return createRuleSet(parseRules(rulesHead + text).rules, revision)
+}
+
+function splitReleaseKey (key: string): readonly [string, number] {
+  const dot = key.lastIndexOf('.')
+  return [key.slice(0, dot), Number(key.slice(dot + 1))]
+}
