Prove requests at each byte boundary, claims and rules by properties, and the path on separate processes

Cause: no failure tests for requests, rules and processes. Found: a host with a cached claim bucket told a repeat "duplicate" after another host had released the claim; a result that rests on the cache alone is now read again.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -141,11 +141,17 @@
 
   async function writeBatch (bucket: Bucket, batch: readonly Change[]): Promise<void> {
     for (let attempt = 0; attempt < maxAttempts; attempt++) {
-      if (bucket.revision === undefined) await readBucket(bucket)
+      const isCached = bucket.revision !== undefined
+      if (!isCached) await readBucket(bucket)
       const next = new Map(bucket.claims)
       dropExpired(next)
       for (const change of batch) change.apply(next)
-      if (isSameClaims(next, bucket.claims)) return
+      if (isSameClaims(next, bucket.claims)) {
+        if (!isCached) return
+        // A cached claim may have been released by another host.
+        bucket.revision = undefined
+        continue
+      }
       const value = JSON.stringify({ writeId: randomUUID(), claims: [...next] })
       if (value.length > maxBucketBytes) throw createError(ErrorKind.Overloaded, 'the claims of the retention time fill their bucket')
       if (await tryPut(bucket, value, next)) return
--- /dev/null
+++ b/src/entry/processes.test.ts
@@ -0,0 +1,120 @@
+/** The whole path on separate processes, started as the README shows, while each kind of process is killed once. */
+import { afterAll, beforeAll, expect, test } from '@jest/globals'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { request as sendRequest } from 'undici'
+import { delay } from '../common/time.js'
+import { createProcessSystem } from '../testing/processes.js'
+import type { CommandResult, ProcessSystem } from '../testing/processes.js'
+
+const examples = fileURLToPath(new URL('../../examples/', import.meta.url))
+const callersPorts = [7300, 7301, 7302]
+const peersPort = 7400
+const patienceMs = 60_000
+let system: ProcessSystem
+
+beforeAll(async () => {
+  system = await createProcessSystem()
+  await system.startAll()
+  await waitFor(async () => (await operate(['status'])).code === 0)
+})
+
+afterAll(async () => { await system.stop() })
+
+function operate (args: readonly string[]): Promise<CommandResult> {
+  return system.run([...args, '--host', system.getAddress(peersPort), '--token', 'example-token-of-malee'])
+}
+
+function call (args: readonly string[], port = 7300, organisation = 'returns'): Promise<CommandResult> {
+  return system.run([...args, '--entry', system.getAddress(port), '--token', `example-token-of-${organisation}`])
+}
+
+async function waitFor (isDone: () => Promise<boolean>): Promise<void> {
+  const untilMs = Date.now() + patienceMs
+  while (!await isDone()) {
+    if (Date.now() > untilMs) throw new Error('waited in vain')
+    await delay(200)
+  }
+}
+
+interface Told {
+  readonly id: string
+  readonly status: number
+  readonly outcome: string
+  readonly endpoint: string
+}
+
+async function send (port: number, path: string, id: string, key?: string): Promise<Told> {
+  const headers: Record<string, string> = { 'x-request-id': id }
+  if (key !== undefined) headers['idempotency-key'] = key
+  try {
+    const response = await sendRequest(`http://${system.getAddress(port)}${path}`, { method: 'POST', body: 'x', headers })
+    const body = await response.body.json() as { endpoint?: string, id?: string }
+    if (response.statusCode === 200) expect(body.id).toBe(id)
+    return { id, status: response.statusCode, outcome: String(response.headers['sassafrasford-outcome'] ?? 'answered'), endpoint: body.endpoint ?? '' }
+  } catch {
+    return { id, status: 0, outcome: 'unknown', endpoint: '' }
+  }
+}
+
+test('rules, a job and a request run from one end to the other', async () => {
+  await waitFor(async () => (await operate(['rules', 'apply', join(examples, 'bangkok.rules'), '--base', '0', '--asked-by', 'Malee', '--wait'])).code === 0)
+  const shown = await operate(['rules', 'show'])
+  expect(shown.output).toMatch(/^# revision 1\n/)
+  expect((await operate(['rules', 'history', 'quota research'])).output).toContain('by malee, asked by Malee')
+  const submitted = await call(['job', 'submit', join(examples, 'job.json'), '--key', 'first'])
+  expect(submitted.code).toBe(0)
+  expect((await call(['job', 'submit', join(examples, 'job.json'), '--key', 'first'], 7301)).output).toBe(submitted.output)
+  const ended = await call(['job', 'wait', submitted.output], 7302)
+  expect(ended).toMatchObject({ code: 0 })
+  expect(ended.output).toContain('succeeded')
+  expect((await call(['job', 'show', submitted.output], 7301, 'research')).code).toBe(1)
+  expect(await send(7301, '/pickups', 'p-1')).toMatchObject({ status: 200 })
+})
+
+test('a peer host, a worker and the store are killed in turn under load, and no promise breaks', async () => {
+  const submitted = await call(['job', 'submit', join(examples, 'job.json'), '--key', 'second'])
+  const told: Told[] = []
+  let isLoading = true
+  const senders = callersPorts.map(async (port, sender) => {
+    for (let index = 0; isLoading; index++) {
+      const id = `r-${sender}-${index}`
+      const isRefund = index % 5 === 0
+      told.push(await send(port, isRefund ? '/refunds' : '/pickups', id, isRefund ? id : undefined))
+      // A caller that was left in doubt asks another host with the same key.
+      if (isRefund) told.push(await send(callersPorts[(sender + 1) % 3] as number, '/refunds', id, id))
+      await delay(15)
+    }
+  })
+  await delay(500)
+  await system.kill('entry-1')
+  await delay(1_500)
+  system.start('entry-1')
+  await system.kill('worker-0')
+  await delay(1_500)
+  system.start('worker-0')
+  await system.kill('store')
+  await delay(3_000)
+  system.start('store')
+  await delay(3_000)
+  isLoading = false
+  await Promise.all(senders)
+  const answeredIds = told.filter(answer => answer.status === 200).map(answer => answer.id)
+  expect(new Set(answeredIds).size).toBe(answeredIds.length)
+  expect(answeredIds.length).toBeGreaterThan(100)
+  expect(told.every(answer => answer.status === 200 || answer.outcome !== 'answered')).toBe(true)
+  const ended = await call(['job', 'wait', submitted.output, '--timeout-ms', String(patienceMs)])
+  expect(ended.output).toContain('succeeded')
+  expect((await operate(['status'])).output).toContain('invariants: all hold')
+  expect((await operate(['rules', 'show'])).output).toMatch(/^# revision 1\n/)
+})
+
+test('a planned stop exits with 0, and wrong input gets a clear error and an exit code', async () => {
+  expect(await system.terminate('entry-2')).toBe(0)
+  const wrongJob = await system.run(['job', 'submit', 'worker-0.json', '--entry', system.getAddress(7300), '--token', 'example-token-of-returns'])
+  expect(wrongJob.code).toBe(1)
+  expect(wrongJob.errors).toContain('bad-request')
+  expect((await call(['job', 'list'], 7300, 'nobody')).errors).toContain('unauthorized')
+  expect((await system.run(['entry', '--settings', 'worker-0.json'])).errors).toMatch(/worker-0.json: SF2002: setting "hostId"/)
+  expect((await system.run(['entry', '--settings', 'nothing.json'])).errors).toMatch(/SF2003/)
+})
--- /dev/null
+++ b/src/routing/requestRouter.test.ts
@@ -0,0 +1,172 @@
+/** Requests over loopback, with endpoints that break at each point of an exchange. */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { request as sendRequest } from 'undici'
+import { createClaims } from '../claims/claims.js'
+import { listenHttp } from '../common/http.js'
+import type { HttpListener } from '../common/http.js'
+import { silentLogger } from '../common/logger.js'
+import { createRandom } from '../common/random.js'
+import { delay } from '../common/time.js'
+import { HostKind } from '../membership/hostList.js'
+import type { ListedHost } from '../membership/hostList.js'
+import { createRuleSet } from '../rules/ruleSet.js'
+import { parseRules } from '../rules/ruleSyntax.js'
+import { startEndpointStandin } from '../standins/endpoint.js'
+import type { EndpointStandin } from '../standins/endpoint.js'
+import { createMemoryStore } from '../standins/store.js'
+import { BreakPoint, startBadEndpoint } from '../testing/badEndpoint.js'
+import { createEndpointPool } from './endpointPool.js'
+import { createRequestMetrics } from './requestMetrics.js'
+import { createRequestRouter } from './requestRouter.js'
+
+const rules = createRuleSet(parseRules(`
+priority high rank=10 # test
+priority low rank=90 # test
+request pickup path=/pickups repeatable=yes priority=high timeout-ms=3000 # test
+request slow path=/slow repeatable=yes priority=low timeout-ms=3000 # test
+request hasty path=/hasty repeatable=yes priority=low timeout-ms=60 # test
+request refund path=/refunds repeatable=no priority=high timeout-ms=1000 # test
+`).rules, 1)
+
+const toClose: (() => Promise<unknown>)[] = []
+
+afterEach(async () => {
+  for (const close of toClose.splice(0)) await close()
+})
+
+function toListed (id: string, address: string, slots = 8): ListedHost {
+  return { id, kind: HostKind.Endpoint, address, domain: 'harju', region: 'harju', isLeaving: false, slots }
+}
+
+async function startRouter (endpoints: readonly ListedHost[], store = createMemoryStore()): Promise<HttpListener> {
+  const pool = createEndpointPool({
+    domain: 'harju',
+    region: 'harju',
+    random: createRandom(1),
+    getEndpoints: () => endpoints,
+    isDraining: () => false,
+    getFarBytesPerSecond: () => 1_000_000,
+    onLeaving: () => {}
+  })
+  const claims = createClaims(store, () => 60_000)
+  const router = createRequestRouter({ pool, claims, metrics: createRequestMetrics(() => ({})), logger: silentLogger, getRules: () => rules })
+  const listener = await listenHttp({ host: '127.0.0.1', port: 0 }, router.handle)
+  toClose.push(listener.destroy, router.close, async () => claims.stop())
+  return listener
+}
+
+async function startGoodEndpoint (serviceMs = 2, slots = 8): Promise<EndpointStandin> {
+  const endpoint = await startEndpointStandin({ host: '127.0.0.1', port: 0 }, { name: 'good', slots, serviceMs })
+  toClose.push(endpoint.close)
+  return endpoint
+}
+
+interface Told {
+  readonly status: number
+  readonly outcome: string
+  readonly body: string
+}
+
+async function send (listener: HttpListener, path: string, headers: Record<string, string> = {}, body = 'hello'): Promise<Told> {
+  try {
+    const response = await sendRequest(`http://${listener.address}${path}`, { method: 'POST', body, headers })
+    const text = await response.body.text()
+    return { status: response.statusCode, outcome: String(response.headers['sassafrasford-outcome'] ?? 'answered'), body: text }
+  } catch {
+    return { status: 0, outcome: 'unknown', body: '' }
+  }
+}
+
+describe.each(Object.values(BreakPoint).filter(point => point !== BreakPoint.Never))('an endpoint that breaks %s', breakPoint => {
+  test('a repeatable request is answered whole by another endpoint', async () => {
+    const bad = await startBadEndpoint(breakPoint)
+    toClose.push(bad.close)
+    const good = await startGoodEndpoint()
+    const listener = await startRouter([toListed('bad', bad.address), toListed('good', good.address)])
+    for (let index = 0; index < 6; index++) {
+      const told = await send(listener, '/pickups/1', { 'x-request-id': `p${index}` })
+      const isBroken = breakPoint === BreakPoint.MidLargeAnswer && told.status === 0
+      if (!isBroken) expect(told).toMatchObject({ status: 200, outcome: 'answered' })
+      if (!isBroken) expect(told.body).toContain(`"id":"p${index}"`)
+    }
+  })
+
+  test('a non-repeatable request is never sent twice, and "not run" is true', async () => {
+    const bad = await startBadEndpoint(breakPoint)
+    const other = await startBadEndpoint(breakPoint)
+    toClose.push(bad.close, other.close)
+    const listener = await startRouter([toListed('bad', bad.address), toListed('other', other.address)])
+    const told = await send(listener, '/refunds', { 'idempotency-key': 'k1' })
+    const runCount = bad.getRunCount() + other.getRunCount()
+    expect(runCount).toBeLessThanOrEqual(1)
+    if (told.outcome === 'not-run') expect(runCount).toBe(0)
+    if (runCount === 1) expect(told.outcome).toBe('unknown')
+    const again = await send(listener, '/refunds', { 'idempotency-key': 'k1' })
+    expect(bad.getRunCount() + other.getRunCount()).toBeLessThanOrEqual(1)
+    if (again.outcome === 'not-run') expect(bad.getRunCount() + other.getRunCount()).toBe(0)
+  })
+})
+
+test('repeats of one refund on many hosts at once run once, also when claims lose their answers', async () => {
+  const store = createMemoryStore()
+  const endpoint = await startGoodEndpoint()
+  const listeners = await Promise.all(Array.from({ length: 6 }, () => startRouter([toListed('good', endpoint.address)], store)))
+  for (let index = 0; index < 10; index++) {
+    const headers = { 'idempotency-key': `refund-${index}`, 'x-request-id': `refund-${index}` }
+    const told = await Promise.all(listeners.map(listener => send(listener, '/refunds', headers)))
+    expect(endpoint.runs.get(`refund-${index}`)).toBe(1)
+    expect(told.filter(answer => answer.status === 200).length).toBe(1)
+    expect(told.filter(answer => answer.status === 409).length).toBe(5)
+  }
+})
+
+test('with the store out, a keyed refund is refused as not run and a booking is served', async () => {
+  const store = createMemoryStore()
+  const out = { ...store, get: async () => await Promise.reject(new Error('out')), put: async () => await Promise.reject(new Error('out')) }
+  const endpoint = await startGoodEndpoint()
+  const listener = await startRouter([toListed('good', endpoint.address)], out)
+  const told = await send(listener, '/refunds', { 'idempotency-key': 'k', 'x-request-id': 'r' })
+  expect(told.status).toBeGreaterThanOrEqual(500)
+  expect(endpoint.runs.size).toBe(0)
+  expect((await send(listener, '/pickups', {})).status).toBe(200)
+})
+
+test('under overload, every refusal says not run and is true, and high priority is served', async () => {
+  const endpoint = await startGoodEndpoint(20, 2)
+  const listener = await startRouter([toListed('good', endpoint.address, 2)])
+  const kinds = Array.from({ length: 120 }, (_, index) => index % 4 === 0 ? '/pickups' : '/hasty')
+  const told = await Promise.all(kinds.map((path, index) => send(listener, path, { 'x-request-id': `${index}` })))
+  told.forEach((answer, index) => {
+    const runCount = endpoint.runs.get(`${index}`) ?? 0
+    if (answer.outcome === 'not-run') expect(runCount).toBe(0)
+    if (answer.status === 200) expect(runCount).toBe(1)
+    if (kinds[index] === '/pickups') expect(answer.status).toBe(200)
+  })
+  expect(told.some(answer => answer.outcome === 'not-run')).toBe(true)
+})
+
+test('large bodies stream both ways, headers and methods pass, bad input is refused clearly', async () => {
+  const endpoint = await startGoodEndpoint()
+  const listener = await startRouter([toListed('good', endpoint.address)])
+  const large = await send(listener, '/pickups', {}, 'x'.repeat(2_000_000))
+  expect(JSON.parse(large.body)).toMatchObject({ bytes: 2_000_000 })
+  const answer = await send(listener, '/pickups', { 'x-answer-bytes': '3000000' })
+  expect(answer.body.length).toBe(3_000_000)
+  expect(await send(listener, '/nothing')).toMatchObject({ status: 404, outcome: 'not-run' })
+  expect(await send(listener, '/refunds', { 'idempotency-key': 'x'.repeat(300) })).toMatchObject({ status: 400, outcome: 'not-run' })
+  expect((await sendRequest(`http://${listener.address}/pickups?x=1`, { method: 'GET' })).statusCode).toBe(200)
+})
+
+test('a leaving endpoint gets no new work after its own signal', async () => {
+  const leaving = await startGoodEndpoint()
+  const staying = await startGoodEndpoint()
+  const listener = await startRouter([toListed('leaving', leaving.address), toListed('staying', staying.address)])
+  await Promise.all(Array.from({ length: 20 }, () => send(listener, '/pickups')))
+  leaving.leave()
+  const told = await Promise.all(Array.from({ length: 20 }, () => send(listener, '/pickups')))
+  expect(told.every(answer => answer.status === 200)).toBe(true)
+  const before = leaving.getRunCount()
+  await delay(10)
+  await Promise.all(Array.from({ length: 20 }, () => send(listener, '/pickups')))
+  expect(leaving.getRunCount()).toBe(before)
+})
--- /dev/null
+++ b/src/rules/rules.test.ts
@@ -0,0 +1,186 @@
+/** Rules: the grammar, merges, and that an accepted edit is neither lost nor taken back. */
+import { expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import { createRandom } from '../common/random.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createMemoryStore } from '../standins/store.js'
+import type { Store } from '../store/store.js'
+import { diffRules, mergeRules } from './ruleEdit.js'
+import { createRuleEditor } from './ruleEditor.js'
+import type { RuleEditor } from './ruleEditor.js'
+import { createRuleLog, segmentSize } from './ruleLog.js'
+import { createRuleReplica } from './ruleReplica.js'
+import type { RuleReplica } from './ruleReplica.js'
+import { formatRules, parseRules } from './ruleSyntax.js'
+import type { Rule } from './ruleSyntax.js'
+
+const nameArbitrary = fc.stringMatching(/^[a-z][a-z0-9_-]{0,10}$/)
+const commentArbitrary = fc.stringMatching(/^[A-Za-z][A-Za-z0-9 ,.]{0,20}[a-z]$/)
+const lineArbitrary = fc.oneof(
+  fc.tuple(nameArbitrary, commentArbitrary).map(([name, comment]) => `organisation ${name} # ${comment}`),
+  fc.tuple(nameArbitrary, fc.nat({ max: 999 }), commentArbitrary).map(([name, count, comment]) => `quota ${name} accelerators=${count} # ${comment}`),
+  fc.tuple(nameArbitrary, fc.nat({ max: 99 }), commentArbitrary).map(([name, rank, comment]) => `priority ${name} rank=${rank} # ${comment}`),
+  fc.tuple(nameArbitrary, commentArbitrary).map(([name, comment]) => `drain worker/${name} # ${comment}`)
+)
+const rulesArbitrary = fc.array(lineArbitrary, { maxLength: 8 }).map(lines => parseRules(lines.join('\n')).rules)
+
+test('a printed file reads back as the same rules', () => {
+  fc.assert(fc.property(rulesArbitrary, fc.nat(), (rules, revision) => {
+    const parsed = parseRules(formatRules(rules.values(), revision))
+    expect(parsed.diagnostics).toEqual([])
+    expect(parsed.baseRevision).toBe(revision)
+    expect(diffRules(rules, parsed.rules)).toEqual([])
+  }))
+})
+
+test('any text is parsed or refused with a place, never with an exception', () => {
+  fc.assert(fc.property(fc.string({ unit: 'binary', maxLength: 200 }), text => {
+    for (const diagnostic of parseRules(text).diagnostics) {
+      expect(diagnostic.line).toBeGreaterThan(0)
+      expect(diagnostic.column).toBeGreaterThan(0)
+    }
+  }))
+})
+
+test('a merge keeps every accepted change of others, and carries over each change or reports it', () => {
+  fc.assert(fc.property(rulesArbitrary, rulesArbitrary, rulesArbitrary, (base, theirs, head) => {
+    const { merged, conflicts } = mergeRules(base, theirs, head)
+    const wanted = new Set(diffRules(base, theirs).map(change => change.identity))
+    const conflicting = new Set(conflicts.map(conflict => conflict.identity))
+    for (const change of diffRules(head, merged)) expect(wanted.has(change.identity)).toBe(true)
+    for (const identity of wanted) {
+      const isDone = diffRules(pick(theirs, identity), pick(merged, identity)).length === 0
+      expect(isDone || conflicting.has(identity)).toBe(true)
+    }
+  }))
+})
+
+function pick (rules: ReadonlyMap<string, Rule>, identity: string): Map<string, Rule> {
+  const rule = rules.get(identity)
+  return rule === undefined ? new Map() : new Map([[identity, rule]])
+}
+
+interface TestHost {
+  readonly replica: RuleReplica
+  readonly editor: RuleEditor
+}
+
+function createHost (store: Store): TestHost {
+  const replica = createRuleReplica()
+  const log = createRuleLog(store)
+  return { replica, editor: createRuleEditor({ log, replica, checkGuarantees: () => [] }) }
+}
+
+/** A store that loses some answers after the write took effect, and is sometimes out. */
+function createBadStore (store: Store, seed: number): Store {
+  const random = createRandom(seed)
+  return {
+    ...store,
+    put: async write => {
+      if (random() < 0.15) throw createError(ErrorKind.StoreUnavailable, 'out')
+      const revision = await store.put(write)
+      if (random() < 0.3) throw createError(ErrorKind.AnswerLost, 'lost')
+      return revision
+    },
+    get: async key => {
+      if (random() < 0.1) throw createError(ErrorKind.StoreUnavailable, 'out')
+      return await store.get(key)
+    }
+  }
+}
+
+test.each([1, 2, 3, 4, 5, 6, 7, 8])('ten editors race over a bad store: no accepted edit is lost (seed %i)', async seed => {
+  const store = createMemoryStore()
+  const hosts = Array.from({ length: 10 }, (_, index) => createHost(createBadStore(store, seed * 100 + index)))
+  const accepted: string[] = []
+  await Promise.all(hosts.map(async ({ editor, replica }, index) => {
+    for (let round = 0; round < 5; round++) {
+      const own = `organisation org${index}-${round} # asked by ${index}`
+      const shared = `priority shared rank=${index} # asked by ${index}`
+      const text = `${replica.getSnapshot().text}${own}\n${round === 0 ? shared : ''}`
+      const editId = `${index}-${round}`
+      for (let tries = 0; tries < 30; tries++) {
+        try {
+          await editor.apply({ text: round === 0 && tries > 15 ? text.replace(shared, '') : text, author: `a${index}`, askedBy: 'x', editId })
+          accepted.push(`organisation org${index}-${round}`)
+          break
+        } catch (error) {
+          expect((error as { kind: ErrorKind }).kind).not.toBe(ErrorKind.Internal)
+        }
+      }
+    }
+  }))
+  const reader = createHost(store)
+  reader.replica.adopt(await createRuleLog(store).readSince(0))
+  expect(accepted.length).toBe(50)
+  for (const identity of accepted) expect(reader.replica.getRuleSet().rules.has(identity)).toBe(true)
+  const edits = reader.replica.getRecentEntries().map(entry => entry.editId)
+  expect(new Set(edits).size).toBe(edits.length)
+})
+
+test('a true conflict names both authors, and a stale file takes nothing back', async () => {
+  const { editor, replica } = createHost(createMemoryStore())
+  const edit = (text: string, author: string, baseRevision?: number): Promise<unknown> => editor.apply({ text, author, askedBy: 'x', baseRevision })
+  await edit('priority high rank=1 # a\norganisation mill # b\n', 'malee', 0)
+  const stale = replica.getSnapshot().text
+  await edit(stale.replace('rank=1', 'rank=2'), 'niran')
+  await edit(stale.replace('organisation mill # b\n', ''), 'somchai')
+  expect(replica.getRuleSet().priorityRanks.get('high')).toBe(2)
+  await edit(stale, 'malee')
+  expect(replica.getRuleSet().priorityRanks.get('high')).toBe(2)
+  expect(replica.getRuleSet().organisations.size).toBe(0)
+  await expect(edit(stale.replace('rank=1', 'rank=3'), 'malee')).rejects.toThrow(/changed by niran since revision 1, and differently by malee/)
+  await expect(edit('organisation x # y', 'malee')).rejects.toThrow(/first line should be "# revision N"/)
+})
+
+test('the audit trail survives compaction, and a host that was away catches up', async () => {
+  const store = createMemoryStore()
+  const { editor, replica } = createHost(store)
+  const away = createHost(store)
+  const log = createRuleLog(store)
+  for (let index = 0; index < segmentSize * 2 + 10; index++) {
+    await editor.apply({ text: `${replica.getSnapshot().text}organisation org${index} # asked ${index}\n`, author: 'malee', askedBy: `a${index}` })
+  }
+  await Promise.all([log.compact(replica.getSnapshot()), log.compact(replica.getSnapshot())])
+  await log.compact(replica.getSnapshot())
+  const history = await log.readHistory()
+  expect(history.map(entry => entry.revision)).toEqual(Array.from({ length: segmentSize * 2 + 10 }, (_, index) => index + 1))
+  expect(history[3]).toMatchObject({ author: 'malee', askedBy: 'a3', changes: [{ identity: 'organisation org3', after: 'organisation org3 # asked 3' }] })
+  expect((await store.range('rules/log/')).length).toBe(segmentSize + 10)
+  away.replica.adopt(await log.readSince(0))
+  expect(away.replica.getRuleSet().rules.size).toBe(replica.getRuleSet().rules.size)
+})
+
+test('a host adopts higher revisions only, from whoever has them', async () => {
+  const { editor, replica } = createHost(createMemoryStore())
+  const older = createRuleReplica()
+  await editor.apply({ text: 'organisation a # x', author: 'm', askedBy: 'x', baseRevision: 0 })
+  older.adopt(replica.getUpdateSince(0))
+  const old = older.getSnapshot()
+  await editor.apply({ text: `${replica.getSnapshot().text}organisation b # x`, author: 'm', askedBy: 'x' })
+  replica.adopt({ entries: [], snapshot: old })
+  replica.adopt(older.getUpdateSince(0))
+  expect(replica.getRuleSet().revision).toBe(2)
+  expect(older.adopt({ entries: replica.getRecentEntries().slice(1) })).toBe(true)
+  expect(older.getRuleSet().rules.has('organisation b')).toBe(true)
+  const blank = createRuleReplica()
+  expect(blank.adopt({ entries: replica.getRecentEntries().slice(1) })).toBe(false)
+  expect(blank.getRuleSet().revision).toBe(0)
+})
+
+test('every example of a wrong line has its number, line and column', () => {
+  const check = (line: string): string | undefined => {
+    const [found] = parseRules(`\n${line}`).diagnostics
+    return found && `${found.code} ${found.line}:${found.column}`
+  }
+  expect(check('organization mill # x')).toBe('1001 2:1')
+  expect(check('organisation mill')).toBe('1002 2:18')
+  expect(check('quota mill # x')).toBe('1003 2:7')
+  expect(check('quota mill accelerators=1 size=2 # x')).toBe('1004 2:27')
+  expect(check('quota mill accelerators=many # x')).toBe('1005 2:25')
+  expect(check('guarantee mill/a domain=d accelerators=3 cells=1 # x')).toBe('1005 2:40')
+  expect(check('drain rack/r1 # x')).toBe('1005 2:7')
+  expect(check('priority # x')).toBe('1009 2:1')
+  expect(check(`priority a rank=1 # ${'x'.repeat(600)}`)).toBe('1008 2:500')
+  expect(check('organisation a<b # x')).toBe('1012 2:14')
+})
--- /dev/null
+++ b/src/scheduling/domainCells.test.ts
@@ -0,0 +1,179 @@
+/** Properties of placement: the reserve always holds, and every guarantee can be reclaimed, all at once. */
+import { expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import { createSpec } from '../testing/schedulerRig.js'
+import { createBlockIndex, maxBlockSize, maxLevel } from './blockIndex.js'
+import { createDomainCells } from './domainCells.js'
+import type { DomainCells } from './domainCells.js'
+import { Adjacency } from './jobTypes.js'
+import type { JobSpec } from './jobTypes.js'
+import type { Guarantee } from '../rules/ruleSet.js'
+import type { WorkerInfo } from './workerTypes.js'
+
+const organisations = ['mill', 'haul', 'plan']
+
+function createWorkers (count: number, accelerators: (index: number) => number): WorkerInfo[] {
+  return Array.from({ length: count }, (_, index) => ({
+    workerId: `w${String(index).padStart(3, '0')}`,
+    address: '',
+    domain: 'harju',
+    rack: `r${Math.floor(index / 8)}`,
+    processors: 64,
+    memoryBytes: 2 ** 38,
+    accelerators: accelerators(index),
+    isLeaving: false
+  }))
+}
+
+const guaranteeArbitrary = fc.record({
+  organisation: fc.constantFrom(...organisations),
+  acceleratorsPerCell: fc.constantFrom(1, 2, 4, 8, 16, 32, 64),
+  cells: fc.integer({ min: 0, max: 3 })
+})
+
+const guaranteesArbitrary = fc.array(guaranteeArbitrary, { maxLength: 4 }).map(items =>
+  items.map((item, index): Guarantee => ({ ...item, id: `${item.organisation}/${index}`, domain: 'harju' })))
+
+const shapeArbitrary = fc.record({
+  organisation: fc.constantFrom(...organisations),
+  members: fc.integer({ min: 1, max: 9 }),
+  acceleratorsPerMember: fc.constantFrom(1, 2, 3, 4, 8),
+  adjacency: fc.constantFrom(Adjacency.Adjacent, Adjacency.Anywhere)
+})
+
+enum Step { Guaranteed, Borrowed, Preempting, Vacate, Lose, Return, Rules }
+
+const stepArbitrary = fc.record({
+  step: fc.constantFrom(Step.Guaranteed, Step.Guaranteed, Step.Borrowed, Step.Borrowed, Step.Preempting, Step.Vacate, Step.Vacate, Step.Lose, Step.Return, Step.Rules),
+  shape: shapeArbitrary,
+  pick: fc.nat(),
+  guarantees: guaranteesArbitrary
+})
+
+interface Model {
+  readonly cells: DomainCells
+  readonly placed: Map<string, JobSpec>
+  nextId: number
+}
+
+function place (model: Model, spec: JobSpec, isGuaranteed: boolean, mayPreempt: boolean): boolean {
+  const cost = (): number => 1
+  const placement = isGuaranteed ? model.cells.tryPlaceGuaranteed(spec, cost) : model.cells.tryPlaceBorrowed(spec, mayPreempt ? cost : undefined)
+  if (placement === undefined) return false
+  expect(placement.members.length).toBe(spec.members)
+  for (const victim of placement.victims) {
+    expect(model.cells.isGuaranteed(victim)).toBe(false)
+    model.cells.vacate(victim)
+    model.placed.delete(victim)
+  }
+  model.placed.set(spec.jobId, spec)
+  return true
+}
+
+/** Every organisation asks for all of its guarantee at once: whole cells, on top of what it has. */
+function assertAllReclaimable (model: Model): void {
+  const shortages = model.cells.getShortages().reduce((sum, shortage) => sum + shortage.missingCells, 0)
+  let missed = 0
+  for (const organisation of organisations) {
+    const unbound = model.cells.getCellsOf(organisation).filter(cell => cell.block === undefined).map(cell => 1 << cell.level)
+    unbound.sort((left, right) => right - left)
+    for (const size of unbound) {
+      const spec = createSpec(`reclaim-${model.nextId++}`, { organisation, members: size, acceleratorsPerMember: 1, processorsPerMember: 0 })
+      if (!place(model, spec, true, true)) missed++
+    }
+  }
+  expect(missed).toBeLessThanOrEqual(shortages)
+}
+
+test('after any sequence of steps every guarantee that is not reported missing can be reclaimed at once', () => {
+  const workerArbitrary = fc.array(fc.constantFrom(8, 8, 8, 8, 4, 2, 1, 0), { minLength: 4, maxLength: 20 })
+  fc.assert(fc.property(workerArbitrary, guaranteesArbitrary, fc.array(stepArbitrary, { maxLength: 40 }), (sizes, guarantees, steps) => {
+    const model: Model = { cells: createDomainCells(), placed: new Map(), nextId: 0 }
+    const workers = createWorkers(sizes.length, index => sizes[index] ?? 8)
+    model.cells.addWorkers(workers)
+    model.cells.setGuarantees(guarantees)
+    for (const step of steps) {
+      runStep(model, step, workers)
+      model.cells.verify()
+    }
+    assertAllReclaimable(model)
+    model.cells.verify()
+  }), { numRuns: 300 })
+})
+
+function runStep (model: Model, { step, shape, pick, guarantees }: { step: Step, shape: Partial<JobSpec>, pick: number, guarantees: Guarantee[] }, workers: readonly WorkerInfo[]): void {
+  const spec = createSpec(`job-${model.nextId++}`, { ...shape, processorsPerMember: 0 })
+  const jobId = [...model.placed.keys()][pick % Math.max(1, model.placed.size)]
+  const workerId = workers[pick % workers.length]?.workerId ?? ''
+  switch (step) {
+    case Step.Guaranteed:
+      place(model, spec, true, true)
+      return
+    case Step.Borrowed:
+      place(model, spec, false, false)
+      return
+    case Step.Preempting:
+      place(model, spec, false, true)
+      return
+    case Step.Vacate:
+      if (jobId !== undefined) model.cells.vacate(jobId)
+      model.placed.delete(jobId ?? '')
+      return
+    case Step.Lose:
+      model.cells.setUsable(workerId, false)
+      return
+    case Step.Return:
+      model.cells.setUsable(workerId, true)
+      return
+    case Step.Rules:
+      model.cells.setGuarantees(guarantees)
+  }
+}
+
+test('the block index agrees with a plain count', () => {
+  fc.assert(fc.property(fc.array(fc.nat({ max: 2 * maxBlockSize - 1 }), { maxLength: 200 }), leaves => {
+    const index = createBlockIndex()
+    index.grow(2 * maxBlockSize)
+    const blocked = Array<boolean>(2 * maxBlockSize).fill(true)
+    for (let leaf = 0; leaf < blocked.length; leaf += 1 + leaf % 3) {
+      index.unblock(leaf)
+      blocked[leaf] = false
+    }
+    for (const leaf of leaves) {
+      if (blocked[leaf] === true) index.unblock(leaf)
+      else index.block(leaf)
+      blocked[leaf] = !(blocked[leaf] ?? false)
+    }
+    for (let level = 0; level <= maxLevel; level++) {
+      let free = 0
+      for (let block = 0; block < blocked.length >> level; block++) {
+        const isFree = blocked.slice(block << level, (block + 1) << level).every(isBlocked => !isBlocked)
+        if (isFree) free++
+      }
+      expect(index.getFreeCount(level)).toBe(free)
+    }
+  }), { numRuns: 30 })
+})
+
+test('a guarantee of a whole rack survives any borrowed work, and small guarantees beside it', () => {
+  const cells = createDomainCells()
+  cells.addWorkers(createWorkers(16, () => 8))
+  cells.setGuarantees([
+    { id: 'mill/rack', organisation: 'mill', domain: 'harju', acceleratorsPerCell: 64, cells: 1 },
+    { id: 'haul/small', organisation: 'haul', domain: 'harju', acceleratorsPerCell: 1, cells: 64 }
+  ])
+  expect(cells.getShortages()).toEqual([])
+  for (let index = 0; index < 128; index++) {
+    const spec = createSpec(`borrowed-${index}`, { organisation: 'plan', acceleratorsPerMember: 1, processorsPerMember: 0 })
+    expect(cells.tryPlaceBorrowed(spec)).toBeDefined()
+  }
+  for (let index = 0; index < 64; index++) {
+    const placement = cells.tryPlaceGuaranteed(createSpec(`small-${index}`, { organisation: 'haul', acceleratorsPerMember: 1, processorsPerMember: 0 }), () => 1)
+    placement?.victims.forEach(cells.vacate)
+    expect(placement?.guaranteeId).toBe('haul/small')
+  }
+  const rack = cells.tryPlaceGuaranteed(createSpec('rack', { members: 8, processorsPerMember: 0 }), () => 1)
+  expect(rack?.members.length).toBe(8)
+  rack?.victims.forEach(cells.vacate)
+  cells.verify()
+})
