--- /dev/null
+++ b/src/measure/policyBaselines.ts
@@ -0,0 +1,86 @@
+/** The baselines that the policy is measured against, and the lower bound. */
+import { JobPhase } from '../scheduling/decider.js'
+import type { DecidedJob } from '../scheduling/decider.js'
+import { FitChoice } from '../scheduling/domainCells.js'
+import { getAcceleratorCount } from '../scheduling/jobTypes.js'
+import type { Policy, PolicyJob } from '../scheduling/policy.js'
+import type { TraceJob } from './policyWorkload.js'
+
+/** A way to order jobs, for comparison. */
+export interface Baseline {
+  readonly name: string
+  readonly fit: FitChoice
+  createPolicy (getJobs: () => Iterable<DecidedJob>): Policy
+}
+
+/** The baselines. None of them preempts, but for guarantees. */
+export const baselines: readonly Baseline[] = [
+  { name: 'FIFO, first fit', fit: FitChoice.First, createPolicy: () => createArrivalPolicy(() => false) },
+  { name: 'first fit, backfill by declared times', fit: FitChoice.First, createPolicy: createBackfillPolicy },
+  { name: 'best fit, no ageing', fit: FitChoice.Best, createPolicy: () => createArrivalPolicy(() => true) }
+]
+
+function createArrivalPolicy (mayOvertake: Policy['mayOvertake']): Policy {
+  return {
+    getValue: job => job.waitingSinceMs,
+    getPreemptionCost: () => undefined,
+    mayOvertake,
+    learn: () => {}
+  }
+}
+
+/** A later job may start if, by the declared times, it ends before the first blocked job could start. */
+function createBackfillPolicy (getJobs: () => Iterable<DecidedJob>): Policy {
+  return createArrivalPolicy((job, blocked, nowMs) => nowMs + job.spec.declaredRunMs <= getDeclaredStartMs(blocked, getJobs(), nowMs))
+}
+
+function getDeclaredStartMs (blocked: PolicyJob, jobs: Iterable<DecidedJob>, nowMs: number): number {
+  const running = [...jobs].filter(job => job.phase === JobPhase.Placed)
+    .map(job => ({ endsAtMs: Math.max(nowMs, (job.startedAtMs ?? nowMs) + job.spec.declaredRunMs), size: getAcceleratorCount(job.spec) }))
+    .sort((left, right) => left.endsAtMs - right.endsAtMs)
+  let free = 0
+  for (const job of running) {
+    free += job.size
+    if (free >= getAcceleratorCount(blocked.spec)) return job.endsAtMs
+  }
+  return nowMs
+}
+
+/**
+ * A lower bound of the mean completion time, in ms: no job ends faster than its run time, and no order beats
+ * shortest-remaining-work-first with perfect knowledge on one machine that divides all work without loss.
+ */
+export function getLowerBoundMs (trace: readonly TraceJob[], accelerators: number): number {
+  const jobs = trace.filter(job => job.cancelAtMs === undefined)
+  const meanRunMs = jobs.reduce((sum, job) => sum + job.runMs, 0) / jobs.length
+  return Math.max(meanRunMs, getDivisibleMeanMs(jobs, accelerators))
+}
+
+function getDivisibleMeanMs (jobs: readonly TraceJob[], accelerators: number): number {
+  const active: { remaining: number, arrivedAtMs: number }[] = []
+  let nowMs = 0
+  let sum = 0
+  const runUntil = (untilMs: number): void => {
+    while (active.length > 0 && nowMs < untilMs) {
+      let shortest = 0
+      active.forEach((job, index) => { if (job.remaining < (active[shortest]?.remaining ?? 0)) shortest = index })
+      const job = active[shortest] as { remaining: number, arrivedAtMs: number }
+      const endsAtMs = nowMs + job.remaining / accelerators
+      if (endsAtMs > untilMs) {
+        job.remaining -= (untilMs - nowMs) * accelerators
+        nowMs = untilMs
+        return
+      }
+      nowMs = endsAtMs
+      sum += nowMs - job.arrivedAtMs
+      active.splice(shortest, 1)
+    }
+    if (Number.isFinite(untilMs)) nowMs = untilMs
+  }
+  for (const job of jobs) {
+    runUntil(job.spec.submittedAtMs)
+    active.push({ remaining: job.runMs * getAcceleratorCount(job.spec), arrivedAtMs: job.spec.submittedAtMs })
+  }
+  runUntil(Infinity)
+  return sum / jobs.length
+}
--- /dev/null
+++ b/src/measure/policySim.ts
@@ -0,0 +1,304 @@
+/**
+ * Runs the real decision code against a fake set of workers, with a clock that jumps from event to event.
+ * Baselines share the cells, and differ in the order of jobs and in what they may preempt.
+ */
+import type { RuleSet } from '../rules/ruleSet.js'
+import { createDecider, JobPhase } from '../scheduling/decider.js'
+import type { DecidedJob, Decider } from '../scheduling/decider.js'
+import { createDomainCells } from '../scheduling/domainCells.js'
+import type { FitChoice } from '../scheduling/domainCells.js'
+import { getAcceleratorCount } from '../scheduling/jobTypes.js'
+import type { Policy } from '../scheduling/policy.js'
+import type { WorkerInfo } from '../scheduling/workerTypes.js'
+import type { TraceJob } from './policyWorkload.js'
+
+/** What happened to one job. */
+export interface JobOutcome {
+  readonly job: TraceJob
+  readonly startedAtMs: number | undefined
+  readonly endedAtMs: number | undefined
+  readonly isCancelled: boolean
+  readonly preemptions: number
+}
+
+/** What a run gave. */
+export interface SimResult {
+  readonly outcomes: readonly JobOutcome[]
+  /** Share of accelerator time that was idle while a job waited. */
+  readonly idleWhileWaiting: number
+  /** Accelerator time lost by preemption, as a share of the work done. */
+  readonly lostShare: number
+  readonly maxGuaranteeWaitMs: number
+}
+
+/** How to run. */
+export interface SimOptions {
+  readonly trace: readonly TraceJob[]
+  readonly workers: readonly WorkerInfo[]
+  readonly rules: RuleSet
+  createPolicy (getJobs: () => Iterable<DecidedJob>): Policy
+  readonly fit: FitChoice
+  /** A worker is lost and comes back, if given. */
+  readonly failures?: readonly { readonly atMs: number, readonly workerId: string, readonly returnsAtMs: number }[]
+}
+
+/** A checkpoint takes as long as the rule allows; a restart repeats some work. */
+export const checkpointMs = 1_500
+const restartMs = 20_000
+const tickMs = 10_000
+
+enum EventKind { Arrive, Cancel, End, Tick, Lose, Return }
+
+interface Event {
+  readonly atMs: number
+  readonly kind: EventKind
+  readonly index: number
+  readonly attempt: number
+}
+
+interface SimJob {
+  readonly trace: TraceJob
+  remainingMs: number
+  attempt: number
+  runningSinceMs: number | undefined
+  startedAtMs: number | undefined
+  endedAtMs: number | undefined
+  isCancelled: boolean
+  preemptions: number
+  /** At its arrival a guaranteed cell was unused. */
+  hasGuarantee: boolean
+}
+
+/** Runs a trace to its end. The clock of the runtime is replaced while it runs. */
+export function runSimulation (options: SimOptions): SimResult {
+  const realNow = Date.now
+  let nowMs = 0
+  Date.now = () => nowMs
+  try {
+    return simulate(options, time => { nowMs = time }, () => nowMs)
+  } finally {
+    Date.now = realNow
+  }
+}
+
+function simulate (options: SimOptions, setNow: (nowMs: number) => void, getNow: () => number): SimResult {
+  const cells = createDomainCells(options.fit)
+  cells.addWorkers(options.workers)
+  cells.setGuarantees(options.rules.guarantees)
+  const policy: Policy = options.createPolicy(() => decider.getJobs())
+  const decider: Decider = createDecider({ cells, policy, getRules: () => options.rules })
+  const jobs: SimJob[] = options.trace.map(createSimJob)
+  const indexOf = new Map(options.trace.map((job, index) => [job.spec.jobId, index]))
+  const queue = createEventQueue()
+  const capacity = options.workers.reduce((sum, worker) => sum + worker.accelerators, 0)
+  let usable = capacity
+  let inUse = 0
+  const totals = { idleWhileWaiting: 0, capacity: 0, lost: 0, done: 0, maxGuaranteeWaitMs: 0, lastMs: 0 }
+  options.trace.forEach((job, index) => {
+    queue.push({ atMs: job.spec.submittedAtMs, kind: EventKind.Arrive, index, attempt: 0 })
+    if (job.cancelAtMs !== undefined) queue.push({ atMs: job.cancelAtMs, kind: EventKind.Cancel, index, attempt: 0 })
+  })
+  options.failures?.forEach((failure, index) => {
+    queue.push({ atMs: failure.atMs, kind: EventKind.Lose, index, attempt: 0 })
+    queue.push({ atMs: failure.returnsAtMs, kind: EventKind.Return, index, attempt: 0 })
+  })
+  queue.push({ atMs: tickMs, kind: EventKind.Tick, index: 0, attempt: 0 })
+
+  for (let event = queue.pop(); event !== undefined; event = queue.pop()) {
+    noteTime(event.atMs)
+    setNow(event.atMs)
+    handle(event)
+    if (queue.peek()?.atMs === event.atMs) continue
+    startPlaced()
+  }
+  return {
+    outcomes: jobs.map(job => ({ job: job.trace, startedAtMs: job.startedAtMs, endedAtMs: job.endedAtMs, isCancelled: job.isCancelled, preemptions: job.preemptions })),
+    idleWhileWaiting: totals.idleWhileWaiting / Math.max(1, totals.capacity),
+    lostShare: totals.lost / Math.max(1, totals.done),
+    maxGuaranteeWaitMs: totals.maxGuaranteeWaitMs
+  }
+
+  function handle (event: Event): void {
+    const job = jobs[event.index] as SimJob
+    switch (event.kind) {
+      case EventKind.Arrive:
+        if (cells.getImpossibleReason(job.trace.spec) !== undefined) return
+        job.hasGuarantee = hasUnusedGuarantee(job.trace)
+        decider.addWaiting(job.trace.spec, { waitingSinceMs: getNow() })
+        return
+      case EventKind.Cancel:
+        if (job.endedAtMs === undefined) endJob(job, true)
+        return
+      case EventKind.End:
+        if (job.attempt === event.attempt && job.runningSinceMs !== undefined) endJob(job, false)
+        return
+      case EventKind.Lose:
+      case EventKind.Return:
+        changeWorker(event)
+        return
+      default:
+        if (queue.hasOtherThanTicks()) queue.push({ atMs: event.atMs + tickMs, kind: EventKind.Tick, index: 0, attempt: 0 })
+    }
+  }
+
+  /** The job's organisation has a guarantee for it that nothing of its own uses. */
+  function hasUnusedGuarantee (trace: TraceJob): boolean {
+    const size = getAcceleratorCount(trace.spec)
+    const isAlone = ![...decider.getJobs()].some(job => job.spec.organisation === trace.spec.organisation && job.phase === JobPhase.Waiting)
+    return isAlone && cells.getCellsOf(trace.spec.organisation).some(cell => cell.block === undefined && !cell.isMissing && 1 << cell.level >= size)
+  }
+
+  function changeWorker (event: Event): void {
+    const failure = options.failures?.[event.index]
+    if (failure === undefined) return
+    if (event.kind === EventKind.Lose) {
+      for (const job of jobs) if (job.runningSinceMs !== undefined && job.trace.workers?.has(failure.workerId) === true) preempt(job, true)
+    }
+    cells.setUsable(failure.workerId, event.kind === EventKind.Return)
+    usable = cells.getUsage().usable
+    decider.invalidate()
+  }
+
+  function endJob (job: SimJob, isCancelled: boolean): void {
+    if (job.runningSinceMs !== undefined && !isCancelled) {
+      totals.done += job.trace.runMs * getAcceleratorCount(job.trace.spec)
+      policy.learn(job.trace.spec, job.trace.runMs)
+    }
+    if (job.runningSinceMs !== undefined) inUse -= getAcceleratorCount(job.trace.spec)
+    job.runningSinceMs = undefined
+    job.endedAtMs = getNow()
+    job.isCancelled = isCancelled
+    decider.remove(job.trace.spec.jobId)
+  }
+
+  function startPlaced (): void {
+    for (const placement of decider.decide()) {
+      const job = jobs[indexOf.get(placement.jobId) as number] as SimJob
+      let delayMs = 0
+      for (const victim of placement.victims) {
+        preempt(jobs[indexOf.get(victim) as number] as SimJob, false)
+        delayMs = checkpointMs
+      }
+      job.attempt++
+      job.runningSinceMs = getNow() + delayMs
+      job.startedAtMs ??= job.runningSinceMs
+      inUse += getAcceleratorCount(job.trace.spec)
+      if (job.hasGuarantee && job.attempt === 1) {
+        totals.maxGuaranteeWaitMs = Math.max(totals.maxGuaranteeWaitMs, job.runningSinceMs - job.trace.spec.submittedAtMs)
+      }
+      job.trace.workers = new Set(placement.members.map(member => member.workerId))
+      decider.markStarted(placement.jobId)
+      queue.push({ atMs: job.runningSinceMs + job.remainingMs, kind: EventKind.End, index: indexOf.get(placement.jobId) as number, attempt: job.attempt })
+    }
+  }
+
+  function preempt (job: SimJob, isLost: boolean): void {
+    if (job.runningSinceMs === undefined) return
+    const ranMs = Math.max(0, getNow() - job.runningSinceMs)
+    const accelerators = getAcceleratorCount(job.trace.spec)
+    const ignoresCheckpoint = job.trace.ignoresCheckpoint || isLost
+    const keptMs = ignoresCheckpoint ? 0 : Math.max(0, ranMs - restartMs)
+    inUse -= accelerators
+    totals.lost += (ranMs - keptMs) * accelerators
+    job.remainingMs -= keptMs
+    job.runningSinceMs = undefined
+    job.attempt++
+    job.preemptions++
+    const { jobId } = job.trace.spec
+    const known = decider.get(jobId)
+    decider.requeue(jobId, {
+      waitingSinceMs: known?.waitingSinceMs,
+      attainedMs: (known?.attainedMs ?? 0) + ranMs * accelerators,
+      preemptions: job.preemptions,
+      isCheckpointIgnored: (known?.isCheckpointIgnored ?? false) || job.trace.ignoresCheckpoint
+    })
+  }
+
+  function noteTime (atMs: number): void {
+    const spanMs = atMs - totals.lastMs
+    totals.lastMs = atMs
+    totals.capacity += usable * spanMs
+    if (decider.countWaiting() > 0) totals.idleWhileWaiting += Math.max(0, usable - inUse) * spanMs
+  }
+}
+
+function createSimJob (trace: TraceJob): SimJob {
+  return {
+    trace,
+    remainingMs: trace.runMs,
+    attempt: 0,
+    runningSinceMs: undefined,
+    startedAtMs: undefined,
+    endedAtMs: undefined,
+    isCancelled: false,
+    preemptions: 0,
+    hasGuarantee: false
+  }
+}
+
+interface EventQueue {
+  push (event: Event): void
+  pop (): Event | undefined
+  peek (): Event | undefined
+  hasOtherThanTicks (): boolean
+}
+
+/** A binary heap by time. */
+function createEventQueue (): EventQueue {
+  const heap: Event[] = []
+  let tickCount = 0
+
+  return {
+    push,
+    pop,
+    peek: () => heap[0],
+    hasOtherThanTicks: () => heap.length > tickCount
+  }
+
+  function push (event: Event): void {
+    if (event.kind === EventKind.Tick) tickCount++
+    heap.push(event)
+    let index = heap.length - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (isBefore(heap[parent] as Event, heap[index] as Event)) return
+      swap(parent, index)
+      index = parent
+    }
+  }
+
+  function pop (): Event | undefined {
+    const first = heap[0]
+    const last = heap.pop()
+    if (first === undefined || last === undefined) return undefined
+    if (first.kind === EventKind.Tick) tickCount--
+    if (heap.length > 0) {
+      heap[0] = last
+      sink()
+    }
+    return first
+  }
+
+  function sink (): void {
+    let index = 0
+    while (true) {
+      let least = index
+      for (const child of [2 * index + 1, 2 * index + 2]) {
+        if (child < heap.length && isBefore(heap[child] as Event, heap[least] as Event)) least = child
+      }
+      if (least === index) return
+      swap(least, index)
+      index = least
+    }
+  }
+
+  function swap (left: number, right: number): void {
+    const held = heap[left] as Event
+    heap[left] = heap[right] as Event
+    heap[right] = held
+  }
+}
+
+function isBefore (left: Event, right: Event): boolean {
+  return left.atMs - right.atMs < 0 || (left.atMs === right.atMs && left.kind <= right.kind)
+}
--- a/src/scheduling/decider.ts
+++ b/src/scheduling/decider.ts
@@ -277,12 +277,14 @@
     const nowMs = Date.now()
     const queues = [...classes.values()].filter(shape => shape.jobs.size > 0).map(shape => createCursor(shape, nowMs))
     let smallestFullLevel = Infinity
+    let blocked: Entry | undefined
     while (placements.length < maxStartsPerDecision) {
       const cursor = pickFirst(queues)
       if (cursor === undefined) return
       const entry = cursor.current as Entry
       const isHopeless = cursor.level >= smallestFullLevel
-      if (isOverQuota(entry)) {
+      const mustWait = blocked !== undefined && !policy.mayOvertake(entry, blocked, nowMs)
+      if (mustWait || isOverQuota(entry)) {
         cursor.skip()
         continue
       }
@@ -290,6 +292,7 @@
       if (free === undefined && cursor.level >= 0 && entry.avoid.size === 0) smallestFullLevel = Math.min(smallestFullLevel, cursor.level)
       const placement = free ?? cells.tryPlaceBorrowed(entry.spec, createCost(entry, nowMs), entry.avoid)
       if (placement === undefined) {
+        blocked ??= entry
         cursor.close()
         continue
       }
--- a/src/scheduling/domainCells.ts
+++ b/src/scheduling/domainCells.ts
@@ -81,8 +81,16 @@
 const maxCandidates = 48
 const noWorkers: ReadonlySet<string> = new Set()
 
+/** How free blocks are chosen. */
+export enum FitChoice {
+  /** The smallest free block that holds the gang, beside the fullest neighbours. */
+  Best = 'best',
+  /** The first free block. */
+  First = 'first'
+}
+
 /** Creates a domain without workers. */
-export function createDomainCells (): DomainCells {
+export function createDomainCells (fit = FitChoice.Best): DomainCells {
   const topology = createTopology()
   const occupancy = createBlockIndex()
   const reserve = createBlockIndex()
@@ -330,6 +338,7 @@
   /** Best fit: the smallest free block that holds the gang, beside the fullest neighbours. */
   function findFreeGang (spec: JobSpec, size: number): readonly number[] | undefined {
     const level = getGangLevel(spec, size)
+    if (fit === FitChoice.First) return findFirstFree(spec, size, level)
     for (let maximal = level; maximal <= maxLevel; maximal++) {
       let best: readonly number[] | undefined
       let bestFullness = -1
@@ -346,6 +355,14 @@
     return findInPartlyFreeBlock(spec, size, level)
   }
 
+  function findFirstFree (spec: JobSpec, size: number, level: number): readonly number[] | undefined {
+    for (let block = 0; block < topology.getLeafCount() >> level; block++) {
+      const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
+      if (starts.length === spec.members) return starts
+    }
+    return undefined
+  }
+
   /** A gang that does not fill its block can share the block with others. */
   function findInPartlyFreeBlock (spec: JobSpec, size: number, level: number): readonly number[] | undefined {
     const total = spec.members * size
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -32,6 +32,8 @@
   getValue (job: PolicyJob, nowMs: number): number
   /** What it costs to preempt `running` for `waiting`; undefined forbids it. */
   getPreemptionCost (waiting: PolicyJob, running: PolicyJob, nowMs: number): number | undefined
+  /** Whether a job may start although `blocked`, which goes before it, finds no room. */
+  mayOvertake (job: PolicyJob, blocked: PolicyJob, nowMs: number): boolean
   /** Learns from a job that has ended by itself. */
   learn (spec: JobSpec, ranMs: number): void
 }
@@ -50,7 +52,7 @@
   /** Mean logarithm of actual over declared run time, by organisation. */
   const bias = new Map<string, number>()
 
-  return { getValue, getPreemptionCost, learn }
+  return { getValue, getPreemptionCost, mayOvertake: () => true, learn }
 
   function getValue (job: PolicyJob, nowMs: number): number {
     const work = Math.log2(1 + getServiceValueMs(job, nowMs) / baseWorkMs)
