--- a/src/scheduling/domainCells.ts
+++ b/src/scheduling/domainCells.ts
@@ -79,6 +79,8 @@
 }
 
 const maxCandidates = 48
+/** Binding a cell inside a large free block spoils that block for large gangs. */
+const splitCostPerLeaf = 0.25
 const noWorkers: ReadonlySet<string> = new Set()
 
 /** How free blocks are chosen. */
@@ -283,12 +285,11 @@
     for (let level = cell.level; level <= maxLevel; level++) {
       if (reserve.getMaximalBlocks(level).size === 0 || !cells.isBindable(cell, level)) continue
       for (const block of sampleSubBlocks(reserve, level, cell.level)) {
-        const price = getBlockCost(cell.level, block, cost)
+        const price = getBlockCost(cell.level, block, cost) + splitCostPerLeaf * (1 << level)
         if (price >= bestCost) continue
         best = block
         bestCost = price
       }
-      if (bestCost === 0) return best
     }
     return best
   }
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -40,10 +40,12 @@
 
 const baseWorkMs = 60_000
 const ranksPerDoubling = 10
-const ageUnitMs = 600_000
+const ageUnitMs = 1_800_000
 const largeGangAccelerators = 32
-const minRunMs = 60_000
-const preemptionMargin = 1
+const largeGangAgeing = 3
+const minRunMs = 300_000
+const minPreemptionMargin = 0.8
+const fragmentationMargin = 1.5
 const maxPreemptions = 12
 const learningRate = 0.1
 
@@ -73,14 +75,14 @@
     const end = job.startedAtMs ?? nowMs
     const waited = Math.log2(1 + Math.max(0, end - job.waitingSinceMs) / ageUnitMs)
     const isLarge = getAcceleratorCount(job.spec) >= largeGangAccelerators
-    return waited * (isLarge ? 1 + 4 * fragmentation : 1)
+    return waited * (isLarge ? 1 + largeGangAgeing * fragmentation : 1)
   }
 
   function getPreemptionCost (waiting: PolicyJob, running: PolicyJob, nowMs: number): number | undefined {
     if (!running.spec.repeatable || running.isCheckpointIgnored || running.preemptions >= maxPreemptions) return undefined
     if (running.startedAtMs === undefined || nowMs - running.startedAtMs < minRunMs) return undefined
     const gain = getValue(running, nowMs) - getValue(waiting, nowMs)
-    if (gain < preemptionMargin) return undefined
+    if (gain < minPreemptionMargin + fragmentationMargin * getWeights().fragmentation) return undefined
     return getAcceleratorCount(running.spec) / gain
   }
 
