--- a/src/measure/policy.ts
+++ b/src/measure/policy.ts
@@ -1,7 +1,7 @@
 /** `npm run measure:policy`: the policy against the baselines, for both users, at several loads, by seed. */
 import { createRuleSet } from '../rules/ruleSet.js'
 import { parseRules } from '../rules/ruleSyntax.js'
-import { FitChoice } from '../scheduling/domainCells.js'
+import { FitChoice } from '../scheduling/placementSearch.js'
 import { getAcceleratorCount } from '../scheduling/jobTypes.js'
 import { createPolicy } from '../scheduling/policy.js'
 import { formatTable } from '../cli/formatJob.js'
--- a/src/measure/policyBaselines.ts
+++ b/src/measure/policyBaselines.ts
@@ -1,7 +1,7 @@
 /** The baselines that the policy is measured against, and the lower bound. */
 import { JobPhase } from '../scheduling/decider.js'
 import type { DecidedJob } from '../scheduling/decider.js'
-import { FitChoice } from '../scheduling/domainCells.js'
+import { FitChoice } from '../scheduling/placementSearch.js'
 import { getAcceleratorCount } from '../scheduling/jobTypes.js'
 import type { Policy, PolicyJob } from '../scheduling/policy.js'
 import type { TraceJob } from './policyWorkload.js'
--- /dev/null
+++ b/src/measure/schedulerBench.ts
@@ -0,0 +1,220 @@
+/**
+ * `npm run measure:scheduler`: what scheduling one failure domain costs, at several sizes. The real scheduler
+ * runs on workers and a store in memory; traffic is the length of the messages plus the usual HTTP heads.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { formatTable } from '../cli/formatJob.js'
+import { silentLogger } from '../common/logger.js'
+import { createRandom } from '../common/random.js'
+import { createRuleSet } from '../rules/ruleSet.js'
+import { parseRules } from '../rules/ruleSyntax.js'
+import { createDecider } from '../scheduling/decider.js'
+import { createDomainCells } from '../scheduling/domainCells.js'
+import { Adjacency } from '../scheduling/jobTypes.js'
+import type { JobSpec } from '../scheduling/jobTypes.js'
+import { createPolicy } from '../scheduling/policy.js'
+import { createScheduler } from '../scheduling/scheduler.js'
+import type { Scheduler } from '../scheduling/scheduler.js'
+import { getWorkerTiming } from '../scheduling/workerTiming.js'
+import type { WorkerInfo, WorkerPort } from '../scheduling/workerTypes.js'
+import { createMemoryStore } from '../standins/store.js'
+import { createMemoryWorker } from '../standins/worker.js'
+import type { MemoryWorker } from '../standins/worker.js'
+
+const sizes = (process.env.SIZES ?? '30,300,1125,4500').split(',').map(Number)
+const domain = 'site'
+const tasksPerWorker = 13_000 / 1_125
+const waitingPerWorker = 2_000 / 1_125
+const acceleratorsEvery = [1, 1, 1, 2, 1, 1, 1, 2]
+const decisions = 2_000
+const httpHeadBytes = 420
+const observeMs = 20_000
+const organisationCount = 260
+
+interface Bench {
+  readonly workers: number
+  readonly tasks: number
+  readonly decisionP50Ms: number
+  readonly decisionP99Ms: number
+  readonly takeoverMs: number
+  readonly residentMb: number
+  readonly messagesPerSecond: number
+  readonly bytesPerSecond: number
+  readonly processorShare: number
+}
+
+interface Traffic {
+  messages: number
+  bytes: number
+}
+
+function createWorkers (count: number): WorkerInfo[] {
+  return Array.from({ length: count }, (_, index) => ({
+    workerId: `w${String(index).padStart(5, '0')}`,
+    address: '',
+    domain,
+    rack: `r${Math.floor(index / 8)}`,
+    processors: 64,
+    memoryBytes: 2 ** 38,
+    accelerators: acceleratorsEvery[index % 8] ?? 1,
+    isLeaving: false
+  }))
+}
+
+/** Half of the organisations have a guarantee of one to eight accelerators; together a third of the domain. */
+function createRules (workers: number): ReturnType<typeof createRuleSet> {
+  const lines = Array.from({ length: organisationCount }, (_, index) => `organisation o${index} # x`)
+  const guaranteed = Math.max(1, Math.min(organisationCount / 2, Math.floor(workers / 12)))
+  for (let index = 0; index < guaranteed; index++) {
+    lines.push(`guarantee o${index}/g domain=${domain} accelerators=${[1, 2, 1, 8][index % 4]} cells=1 # x`)
+  }
+  return createRuleSet(parseRules(lines.join('\n')).rules, 1)
+}
+
+function createSpec (index: number, random: () => number, isOnProcessors: boolean): JobSpec {
+  const members = isOnProcessors ? 1 + Math.floor(random() * 24) : 2 ** Math.floor(random() * 6)
+  return {
+    jobId: `${domain}:${index}`,
+    organisation: `o${Math.floor(random() * organisationCount)}`,
+    domain,
+    submittedAtMs: Date.now(),
+    name: 'job',
+    members,
+    acceleratorsPerMember: isOnProcessors ? 0 : 1,
+    adjacency: isOnProcessors ? Adjacency.Anywhere : Adjacency.Adjacent,
+    processorsPerMember: isOnProcessors ? 4 : 1,
+    memoryBytesPerMember: 2 ** 30,
+    declaredRunMs: 3_600_000,
+    priority: 'normal',
+    repeatable: true,
+    urgent: false,
+    command: ['run', '36000000']
+  }
+}
+
+/** Decisions alone: a job ends, another is submitted, and the decider looks for what can start. */
+function measureDecisions (workers: number): { readonly p50Ms: number, readonly p99Ms: number } {
+  const rules = createRules(workers)
+  const cells = createDomainCells()
+  cells.addWorkers(createWorkers(workers))
+  cells.setGuarantees(rules.guarantees)
+  const decider = createDecider({ cells, policy: createPolicy(() => rules.weights), getRules: () => rules })
+  const random = createRandom(workers)
+  const placed: string[] = []
+  let nextId = 0
+  const submit = (): void => decider.addWaiting(createSpec(nextId++, random, random() < 0.5))
+  const decide = (): void => { for (const placement of decider.decide()) placed.push(placement.jobId) }
+  while (decider.countWaiting() < waitingPerWorker * workers) {
+    for (let index = 0; index < 50; index++) submit()
+    decide()
+  }
+  const times: number[] = []
+  for (let index = 0; index < decisions; index++) {
+    const [jobId = ''] = placed.splice(Math.floor(random() * placed.length), 1)
+    const startedAtMs = performance.now()
+    decider.remove(jobId)
+    submit()
+    decide()
+    times.push(performance.now() - startedAtMs)
+  }
+  times.sort((left, right) => left - right)
+  return { p50Ms: times[Math.floor(decisions * 0.5)] ?? 0, p99Ms: times[Math.floor(decisions * 0.99)] ?? 0 }
+}
+
+async function measureScheduler (workerCount: number): Promise<Omit<Bench, 'decisionP50Ms' | 'decisionP99Ms'>> {
+  const infos = createWorkers(workerCount)
+  const workers = new Map(infos.map(info => [info.workerId, createMemoryWorker({ accelerators: info.accelerators })]))
+  const store = createMemoryStore()
+  const rules = createRules(workerCount)
+  const traffic: Traffic = { messages: 0, bytes: 0 }
+  const start = (epoch: number): Scheduler => createScheduler({
+    domain,
+    epoch,
+    store,
+    isStoreReachable: () => true,
+    logger: silentLogger,
+    random: createRandom(epoch),
+    getRules: () => rules,
+    getWorkers: () => infos,
+    connect: info => countTraffic(workers.get(info.workerId) as MemoryWorker, traffic),
+    timing: getWorkerTiming(workerCount),
+    carriedRecords: [],
+    onDeposed: () => {}
+  })
+  const first = start(1)
+  await first.whenRecovered()
+  const random = createRandom(workerCount)
+  let tasks = 0
+  for (let index = 0; tasks < tasksPerWorker * workerCount; index++) {
+    const spec = createSpec(index, random, index % 8 !== 0)
+    tasks += spec.members
+    await first.submit(spec)
+  }
+  await sleep(3_000)
+  first.stop()
+  globalThis.gc?.()
+  const baseMb = process.memoryUsage().rss / 2 ** 20
+  const startedAtMs = performance.now()
+  const second = start(2)
+  await second.whenRecovered()
+  const takeoverMs = performance.now() - startedAtMs
+  await sleep(1_000)
+  traffic.messages = 0
+  traffic.bytes = 0
+  const before = process.cpuUsage()
+  await sleep(observeMs)
+  const used = process.cpuUsage(before)
+  globalThis.gc?.()
+  const residentMb = process.memoryUsage().rss / 2 ** 20
+  second.stop()
+  return {
+    workers: workerCount,
+    tasks,
+    takeoverMs,
+    residentMb: Math.max(residentMb, baseMb),
+    messagesPerSecond: traffic.messages / (observeMs / 1_000),
+    bytesPerSecond: traffic.bytes / (observeMs / 1_000),
+    processorShare: (used.user + used.system) / 1_000 / observeMs
+  }
+}
+
+function countTraffic (worker: MemoryWorker, traffic: Traffic): WorkerPort {
+  const count = async <T>(params: unknown, call: Promise<T>): Promise<T> => {
+    const result = await call
+    traffic.messages++
+    traffic.bytes += httpHeadBytes + JSON.stringify(params).length + JSON.stringify(result ?? true).length
+    return result
+  }
+  return {
+    prepare: (epoch, task, leaseMs) => count({ epoch, task, leaseMs }, worker.prepare(epoch, task, leaseMs)),
+    commit: (epoch, taskIds) => count({ epoch, taskIds }, worker.commit(epoch, taskIds)),
+    release: (epoch, taskIds) => count({ epoch, taskIds }, worker.release(epoch, taskIds)),
+    stop: (epoch, taskIds) => count({ epoch, taskIds }, worker.stop(epoch, taskIds)),
+    checkpoint: (epoch, taskIds) => count({ epoch, taskIds }, worker.checkpoint(epoch, taskIds)),
+    renew: request => count(request, worker.renew(request))
+  }
+}
+
+const rows: string[][] = []
+for (const size of sizes) {
+  const { p50Ms, p99Ms } = measureDecisions(size)
+  const bench: Bench = { ...await measureScheduler(size), decisionP50Ms: p50Ms, decisionP99Ms: p99Ms }
+  rows.push([
+    `| ${bench.workers}`,
+    `| ${bench.tasks}`,
+    `| ${bench.decisionP50Ms.toFixed(3)}`,
+    `| ${bench.decisionP99Ms.toFixed(3)}`,
+    `| ${bench.takeoverMs.toFixed(0)}`,
+    `| ${bench.residentMb.toFixed(0)}`,
+    `| ${bench.messagesPerSecond.toFixed(1)}`,
+    `| ${bench.bytesPerSecond.toFixed(0)}`,
+    `| ${(bench.processorShare * 100).toFixed(2)} |`
+  ])
+}
+console.log(formatTable([
+  ['| workers', '| tasks', '| decision p50 ms', '| p99 ms', '| takeover ms', '| resident MB*', '| messages/s', '| bytes/s', '| processor % |'],
+  ['|---', '|---', '|---', '|---', '|---', '|---', '|---', '|---', '|---|'],
+  ...rows
+]))
+console.log('* of the whole process: the scheduler, and the workers and the store in memory.')
+process.exit(0)
--- a/src/scheduling/domainCells.ts
+++ b/src/scheduling/domainCells.ts
@@ -2,11 +2,12 @@
 import { assert } from '../common/debug.js'
 import type { Guarantee } from '../rules/ruleSet.js'
 import { createBlockIndex, getLevelOf, maxLevel } from './blockIndex.js'
-import type { BlockIndex } from './blockIndex.js'
 import { createGuaranteeCells } from './guaranteeCells.js'
 import type { GuaranteeCell, GuaranteeShortage } from './guaranteeCells.js'
 import { Adjacency } from './jobTypes.js'
 import type { JobSpec } from './jobTypes.js'
+import { createPlacementSearch, FitChoice, getGangLevel } from './placementSearch.js'
+import type { PreemptionCost } from './placementSearch.js'
 import { createProcessorPool, sharedPart } from './processorPool.js'
 import { createTopology } from './topology.js'
 import type { WorkerLeaves } from './topology.js'
@@ -27,11 +28,6 @@
   readonly victims: readonly string[]
 }
 
-/**
- * What it costs to preempt a job. Undefined forbids it.
- */
-export type PreemptionCost = (jobId: string) => number | undefined
-
 /** The accelerators of one failure domain. */
 export interface DomainCells {
   addWorkers (workers: readonly WorkerInfo[]): void
@@ -78,19 +74,10 @@
   readonly members: readonly MemberPlacement[]
 }
 
-const maxCandidates = 48
 /** Binding a cell inside a large free block spoils that block for large gangs. */
 const splitCostPerLeaf = 0.25
 const noWorkers: ReadonlySet<string> = new Set()
 
-/** How free blocks are chosen. */
-export enum FitChoice {
-  /** The smallest free block that holds the gang, beside the fullest neighbours. */
-  Best = 'best',
-  /** The first free block. */
-  First = 'first'
-}
-
 /** Creates a domain without workers. */
 export function createDomainCells (fit = FitChoice.Best): DomainCells {
   const topology = createTopology()
@@ -98,6 +85,14 @@
   const reserve = createBlockIndex()
   const cells = createGuaranteeCells(reserve)
   const processors = createProcessorPool()
+  const search = createPlacementSearch({
+    topology,
+    occupancy,
+    fit,
+    getJobsAt: leaf => jobsAt[leaf] ?? [],
+    isAvoided: leaf => avoided.size > 0 && avoided.has(topology.getAt(leaf)?.info.workerId ?? ''),
+    isTakeable: isOpenForGuarantee
+  })
   const allocations = new Map<string, Allocation>()
   const unusable = new Set<string>()
   const gone = new Set<string>()
@@ -106,7 +101,6 @@
   let acceleratorCount = 0
   let minProcessorsPerAccelerator = Infinity
   let minMemoryPerAccelerator = Infinity
-  let nextCandidate = 0
   /** Workers on which the job that is being placed has failed before. */
   let avoided = noWorkers
 
@@ -198,7 +192,7 @@
       return countMemberBlocks(size) >= spec.members ? undefined : `the domain has too few accelerators for ${spec.members} members`
     }
     for (let block = 0; block < topology.getLeafCount() >> level; block++) {
-      if (findMemberBlocks(level, block, size, spec.members, isPresent).length === spec.members) return undefined
+      if (search.findMemberBlocks(level, block, size, spec.members, isPresent).length === spec.members) return undefined
     }
     return `the domain has no ${spec.members * spec.acceleratorsPerMember} adjacent accelerators`
   }
@@ -256,9 +250,9 @@
     let best: readonly number[] = []
     let bestCost = Infinity
     for (let block = first; block < first + (1 << (cell.level - level)); block++) {
-      const starts = findMemberBlocks(level, block, size, wanted, isTakeable, cost)
+      const starts = search.findMemberBlocks(level, block, size, wanted, isTakeable, cost)
       if (starts.length === 0 || (isWhole && starts.length < wanted)) continue
-      const price = getPreemptionCost(starts, size, cost)
+      const price = search.getPreemptionCost(starts, size, cost)
       if (starts.length < best.length || price >= bestCost) continue
       best = starts
       bestCost = price
@@ -268,10 +262,6 @@
     return leaves
   }
 
-  function isFreeLeaf (leaf: number): boolean {
-    return occupancy.isLeafFree(leaf) && (avoided.size === 0 || !avoided.has(topology.getAt(leaf)?.info.workerId ?? ''))
-  }
-
   function isOpenForGuarantee (leaf: number, cost: PreemptionCost): boolean {
     const workerId = topology.getAt(leaf)?.info.workerId ?? ''
     if (!isReal(leaf) || avoided.has(workerId) || unusable.has(workerId)) return false
@@ -284,7 +274,7 @@
     let bestCost = Infinity
     for (let level = cell.level; level <= maxLevel; level++) {
       if (reserve.getMaximalBlocks(level).size === 0 || !cells.isBindable(cell, level)) continue
-      for (const block of sampleSubBlocks(reserve, level, cell.level)) {
+      for (const block of search.sampleSubBlocks(reserve, level, cell.level)) {
         const price = getBlockCost(cell.level, block, cost) + splitCostPerLeaf * (1 << level)
         if (price >= bestCost) continue
         best = block
@@ -297,22 +287,7 @@
   function getBlockCost (level: number, block: number, cost: PreemptionCost): number {
     if (occupancy.getBlockedCount(level, block) === 0) return 0
     const start = block << level
-    return getPreemptionCost([start], 1 << level, cost)
-  }
-
-  function getPreemptionCost (starts: readonly number[], size: number, cost: PreemptionCost): number {
-    const seen = new Set<string>()
-    let sum = 0
-    for (const start of starts) {
-      for (let leaf = start; leaf < start + size; leaf++) {
-        for (const jobId of jobsAt[leaf] ?? []) {
-          if (seen.has(jobId)) continue
-          seen.add(jobId)
-          sum += cost(jobId) ?? Infinity
-        }
-      }
-    }
-    return sum
+    return search.getPreemptionCost([start], 1 << level, cost)
   }
 
   function tryPlaceBorrowed (spec: JobSpec, cost?: PreemptionCost, avoid: ReadonlySet<string> = noWorkers): Placement | undefined {
@@ -320,10 +295,10 @@
     if (spec.acceleratorsPerMember === 0) return placeOnProcessors(spec)
     const size = getMemberSize(spec)
     if (size === undefined) return undefined
-    const free = spec.adjacency === Adjacency.Adjacent ? findFreeGang(spec, size) : findFreeMembers(spec.members, size)
+    const free = spec.adjacency === Adjacency.Adjacent ? search.findFreeGang(spec, size) : search.findFreeMembers(spec.members, size)
     if (free !== undefined) return allocate(spec, expand(free, size), size, undefined)
     if (cost === undefined || spec.adjacency === Adjacency.Anywhere) return undefined
-    const taken = findPreemptibleGang(spec, size, cost)
+    const taken = search.findPreemptibleGang(spec, size, cost)
     return taken && allocate(spec, expand(taken, size), size, undefined)
   }
 
@@ -336,121 +311,6 @@
     return { jobId: spec.jobId, members, victims: [] }
   }
 
-  /** Best fit: the smallest free block that holds the gang, beside the fullest neighbours. */
-  function findFreeGang (spec: JobSpec, size: number): readonly number[] | undefined {
-    const level = getGangLevel(spec, size)
-    if (fit === FitChoice.First) return findFirstFree(spec, size, level)
-    for (let maximal = level; maximal <= maxLevel; maximal++) {
-      let best: readonly number[] | undefined
-      let bestFullness = -1
-      for (const block of sampleSubBlocks(occupancy, maximal, level)) {
-        const fullness = getFullness(level, block)
-        if (fullness <= bestFullness) continue
-        const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
-        if (starts.length < spec.members) continue
-        best = starts
-        bestFullness = fullness
-      }
-      if (best !== undefined) return best
-    }
-    return findInPartlyFreeBlock(spec, size, level)
-  }
-
-  function findFirstFree (spec: JobSpec, size: number, level: number): readonly number[] | undefined {
-    for (let block = 0; block < topology.getLeafCount() >> level; block++) {
-      const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
-      if (starts.length === spec.members) return starts
-    }
-    return undefined
-  }
-
-  /** A gang that does not fill its block can share the block with others. */
-  function findInPartlyFreeBlock (spec: JobSpec, size: number, level: number): readonly number[] | undefined {
-    const total = spec.members * size
-    if (total === 1 << level || level > maxLevel) return undefined
-    for (const block of rotateBlocks(level)) {
-      if ((1 << level) - occupancy.getBlockedCount(level, block) < total) continue
-      const starts = findMemberBlocks(level, block, size, spec.members, isFreeLeaf)
-      if (starts.length === spec.members) return starts
-    }
-    return undefined
-  }
-
-  function findFreeMembers (members: number, size: number): readonly number[] | undefined {
-    const starts: number[] = []
-    const memberLevel = getLevelOf(size)
-    for (let maximal = memberLevel; maximal <= maxLevel && starts.length < members; maximal++) {
-      for (const block of occupancy.getMaximalBlocks(maximal)) {
-        starts.push(...findMemberBlocks(maximal, block, size, members - starts.length, isFreeLeaf))
-        if (starts.length === members) return starts
-      }
-    }
-    return undefined
-  }
-
-  function findPreemptibleGang (spec: JobSpec, size: number, cost: PreemptionCost): readonly number[] | undefined {
-    const level = getGangLevel(spec, size)
-    const isTakeable = (leaf: number): boolean => isOpenForGuarantee(leaf, cost)
-    let best: readonly number[] | undefined
-    let bestCost = Infinity
-    for (const block of rotateBlocks(level)) {
-      const starts = findMemberBlocks(level, block, size, spec.members, isTakeable, cost)
-      if (starts.length < spec.members) continue
-      const price = getPreemptionCost(starts, size, cost)
-      if (price >= bestCost) continue
-      best = starts
-      bestCost = price
-    }
-    return best
-  }
-
-  /** Some blocks of a level, starting elsewhere at each call, so that the cost of a decision is bounded. */
-  function * rotateBlocks (level: number): Generator<number> {
-    if (level > maxLevel) return
-    const count = topology.getLeafCount() >> level
-    nextCandidate = (nextCandidate + maxCandidates) % Math.max(1, count)
-    for (let index = 0; index < Math.min(count, maxCandidates * 4); index++) yield (nextCandidate + index) % count
-  }
-
-  /** Some blocks of `level` inside the maximal free blocks of `maximalLevel`. */
-  function * sampleSubBlocks (index: BlockIndex, maximalLevel: number, level: number): Generator<number> {
-    let count = 0
-    const inner = 1 << (maximalLevel - level)
-    for (const maximal of index.getMaximalBlocks(maximalLevel)) {
-      for (let offset = 0; offset < inner; offset++) {
-        yield maximal * inner + offset
-        if (++count >= maxCandidates) return
-      }
-    }
-  }
-
-  function getFullness (level: number, block: number): number {
-    let fullness = 0
-    for (let outer = level + 1; outer <= Math.min(maxLevel, level + 3); outer++) {
-      fullness += occupancy.getBlockedCount(outer, block >> (outer - level)) / (1 << outer)
-    }
-    return fullness
-  }
-
-  /** The first leaves of up to `wanted` members inside a block; cheap places first where a cost is given. */
-  function findMemberBlocks (
-    level: number, block: number, size: number, wanted: number, isUsableLeaf: (leaf: number) => boolean, cost?: PreemptionCost
-  ): number[] {
-    const start = block << level
-    const starts: number[] = []
-    for (let first = start; first < start + (1 << level); first += size) {
-      if ((topology.getAt(first)?.span ?? 0) < size) continue
-      let offset = 0
-      while (offset < size && isUsableLeaf(first + offset)) offset++
-      if (offset === size) starts.push(first)
-      if (cost === undefined && starts.length === wanted) return starts
-    }
-    if (cost !== undefined && starts.length > wanted) {
-      starts.sort((left, right) => getPreemptionCost([left], size, cost) - getPreemptionCost([right], size, cost) || left - right)
-    }
-    return starts.slice(0, wanted)
-  }
-
   function allocate (spec: JobSpec, leaves: readonly number[], size: number, guaranteeId: string | undefined): Placement {
     const victims = new Set<string>()
     for (const leaf of leaves) {
@@ -560,10 +420,6 @@
     return size > 8 ? undefined : size
   }
 
-  function getGangLevel (spec: JobSpec, size: number): number {
-    return getLevelOf(spec.members * size)
-  }
-
   function isReal (leaf: number): boolean {
     const worker = topology.getAt(leaf)
     return worker !== undefined && leaf - worker.start < worker.info.accelerators
