Keep unwritten job records with the domain's other hosts, and never call a job not run that may be on record

Ruled out: more copies on workers, since a worker runs tasks only. Changed: changes the store does not have are given to the peers as hints (a successor's store record wins); a job that is not accepted is neither written nor shared; a non-repeatable one is shared from its release on; workers are avoided for 30 s.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -27,6 +27,7 @@
 import { createDomainLease } from '../scheduling/domainLease.js'
 import type { DomainLease } from '../scheduling/domainLease.js'
 import { checkGuarantees } from '../scheduling/guaranteeCheck.js'
+import { createRecordHints } from '../scheduling/recordHints.js'
 import { createScheduler } from '../scheduling/scheduler.js'
 import type { Scheduler } from '../scheduling/scheduler.js'
 import { createWorkerClient } from '../scheduling/workerClient.js'
@@ -124,6 +125,7 @@
     },
     getDomains: () => [...new Set([settings.domain, ...membership.getPeers().map(peer => peer.domain)])]
   })
+  const hints = createRecordHints(() => membership.getDomainPeers(settings.domain).map(peer => membership.connect(peer.address)))
   const operatorMethods = createOperatorMethods({
     hostId: settings.hostId,
     replica,
@@ -137,7 +139,7 @@
 
   handlers.callers = createCallersInterface({ authenticate, jobs, router, metrics, isReady, getStatus })
   handlers.peers = createRpcHandler(
-    [...membership.methods, ...distribution.methods, ...jobs.methods, ...operatorMethods],
+    [...membership.methods, ...distribution.methods, ...jobs.methods, ...hints.methods, ...operatorMethods],
     createAuthorize(authenticate, operatorMethods)
   )
   duties.lease = createDomainLease({
@@ -171,7 +173,7 @@
   // Scheduling
 
   function startScheduling (epoch: number): void {
-    const carriedRecords = scheduler?.getUnwrittenRecords() ?? []
+    const carriedRecords = [...hints.get(), ...scheduler?.getUnwrittenRecords() ?? []]
     scheduler?.stop()
     highestEpoch = Math.max(highestEpoch, epoch)
     const timing = getWorkerTiming(hostList.getWorkers(settings.domain).length)
@@ -187,6 +189,7 @@
       connect: info => createWorkerClient(info.address, settings.hostId),
       timing,
       carriedRecords,
+      shareUnwritten: records => hints.share(epoch, records),
       onDeposed: seenEpoch => {
         highestEpoch = Math.max(highestEpoch, seenEpoch)
         scheduler = undefined
--- a/src/measure/schedulerBench.ts
+++ b/src/measure/schedulerBench.ts
@@ -142,6 +142,7 @@
     connect: info => countTraffic(workers.get(info.workerId) as MemoryWorker, traffic),
     timing: getWorkerTiming(workerCount),
     carriedRecords: [],
+    shareUnwritten: async () => {},
     onDeposed: () => {}
   })
   const first = start(1)
--- a/src/scheduling/decider.ts
+++ b/src/scheduling/decider.ts
@@ -82,6 +82,8 @@
   isCheckpointIgnored: boolean
   waitingSinceMs: number
   avoid: ReadonlySet<string>
+  /** From then on the job takes any worker again: it may fit nowhere else. */
+  avoidUntilMs: number
   /** The policy's value at the last ordering. */
   value: number
 }
@@ -99,6 +101,8 @@
 const orderLifetimeMs = 5_000
 const preemptionPauseMs = 5_000
 const maxSkippedPerClass = 64
+const avoidMs = 30_000
+const noWorkers: ReadonlySet<string> = new Set()
 const maxStartsPerDecision = 64
 const processorClassLevel = -1
 const scatteredClassLevel = -2
@@ -158,7 +162,8 @@
       attainedMs: history.attainedMs ?? 0,
       preemptions: history.preemptions ?? 0,
       isCheckpointIgnored: history.isCheckpointIgnored ?? false,
-      avoid: history.avoid ?? new Set(),
+      avoid: history.avoid ?? noWorkers,
+      avoidUntilMs: Date.now() + avoidMs,
       startedAtMs: undefined,
       guaranteeId: undefined,
       value: 0
@@ -196,7 +201,7 @@
     const entry = entries.get(jobId)
     if (entry === undefined || entry.phase === JobPhase.Waiting) return
     freePlace(entry)
-    Object.assign(entry, { phase: JobPhase.Waiting, startedAtMs: undefined, guaranteeId: undefined, ...history })
+    Object.assign(entry, { phase: JobPhase.Waiting, startedAtMs: undefined, guaranteeId: undefined, avoidUntilMs: Date.now() + avoidMs, ...history })
     fileWaiting(entry)
   }
 
@@ -265,7 +270,7 @@
       for (const entry of waiting) {
         const size = getAcceleratorCount(entry.spec)
         if (size >= smallestFailed || isOverQuota(entry)) continue
-        const placement = cells.tryPlaceGuaranteed(entry.spec, getReclaimCost, entry.avoid)
+        const placement = cells.tryPlaceGuaranteed(entry.spec, getReclaimCost, getAvoided(entry))
         if (placement === undefined) smallestFailed = size
         else startEntry(entry, placement, placements)
       }
@@ -305,8 +310,8 @@
         cursor.skip()
         continue
       }
-      const free = isHopeless ? undefined : cells.tryPlaceBorrowed(entry.spec, undefined, entry.avoid)
-      if (free === undefined && cursor.level >= 0 && entry.avoid.size === 0) smallestFullLevel = Math.min(smallestFullLevel, cursor.level)
+      const free = isHopeless ? undefined : cells.tryPlaceBorrowed(entry.spec, undefined, getAvoided(entry))
+      if (free === undefined && cursor.level >= 0 && getAvoided(entry).size === 0) smallestFullLevel = Math.min(smallestFullLevel, cursor.level)
       const placement = free ?? tryPreempt(entry, nowMs)
       if (placement === undefined) {
         blocked ??= entry
@@ -321,7 +326,7 @@
   function tryPreempt (entry: Entry, nowMs: number): Placement | undefined {
     const shape = getClass(entry.spec)
     if (nowMs < shape.preemptsFromMs) return undefined
-    const placement = cells.tryPlaceBorrowed(entry.spec, createCost(entry, nowMs), entry.avoid)
+    const placement = cells.tryPlaceBorrowed(entry.spec, createCost(entry, nowMs), getAvoided(entry))
     if (placement === undefined) shape.preemptsFromMs = nowMs + preemptionPauseMs
     return placement
   }
@@ -411,6 +416,10 @@
   close (): void
 }
 
+function getAvoided (entry: Entry): ReadonlySet<string> {
+  return Date.now() < entry.avoidUntilMs ? entry.avoid : noWorkers
+}
+
 function isWaitingIn (shape: ShapeClass, entry: Entry): boolean {
   return entry.phase === JobPhase.Waiting && shape.jobs.has(entry)
 }
--- a/src/scheduling/gangRun.ts
+++ b/src/scheduling/gangRun.ts
@@ -222,7 +222,8 @@
     if (!spec.repeatable && !host.records.isUnrecorded(spec.jobId)) return false
     if (!await commitAll()) return false
     host.records.writeLater(spec.jobId, patch)
-    return true
+    await host.records.share()
+    return !isDeposed
   }
 
   async function commitAll (): Promise<boolean> {
--- a/src/scheduling/jobRecords.ts
+++ b/src/scheduling/jobRecords.ts
@@ -21,6 +21,11 @@
   create (spec: JobSpec): Promise<JobRecord>
   /** Keeps a job that the store does not know yet; it is written when the store answers. */
   keepUnrecorded (spec: JobSpec, patch: JobPatch): JobRecord
+  /** Keeps a job that is not accepted yet. It is neither written nor shared until then. */
+  keepPending (spec: JobSpec): JobRecord
+  accept (jobId: string): void
+  /** Tells whether a record of the job may have reached the store. */
+  mayBeStored (jobId: string): boolean
   /** Writes a change now. Errors: as for `create`, and `stale-epoch` when another scheduler wrote a newer state. */
   write (jobId: string, patch: JobPatch): Promise<JobRecord>
   /** Changes the record here at once, and writes it as soon as the store answers. */
@@ -32,6 +37,8 @@
   /** Calls back when a change has reached the store. */
   onWritten (listener: (jobId: string) => void): void
   countUnwritten (): number
+  /** Gives the changes that the store does not have to other hosts of the domain, for a successor. */
+  share (): Promise<void>
   /** Changes that the store does not have yet. */
   getUnwritten (): readonly JobRecord[]
   /** Takes over a change that an earlier scheduler on this host could not write. */
@@ -43,25 +50,32 @@
   stop (): void
 }
 
+/** Gives the changes that the store does not have to other hosts of the domain; an empty list takes them back. */
+export type ShareUnwritten = (records: readonly JobRecord[]) => Promise<void>
+
 interface Held {
   record: JobRecord
   revision: number
   isDirty: boolean
   isWriting: boolean
+  isPending: boolean
+  mayBeStored: boolean
 }
 
 const retryMs = 500
 const maxWritesAtOnce = 16
+const maxShared = 2_000
 const stateRanks: Readonly<Record<JobState, number>> = { [JobState.Queued]: 0, [JobState.Released]: 1, [JobState.Ended]: 2 }
 
 /** Creates the access to the records of a domain, for the scheduler with this epoch. */
-export function createJobRecords (store: Store, domain: string, getEpoch: () => number, logger: Logger): JobRecords {
+export function createJobRecords (store: Store, domain: string, getEpoch: () => number, logger: Logger, share: ShareUnwritten): JobRecords {
   const prefix = `jobs/${domain}/`
   const held = new Map<string, Held>()
   const dirty = new Set<string>()
   const listeners: ((jobId: string) => void)[] = []
   let isStopped = false
   let isFlushing = false
+  let hasShared = false
 
   return {
     load,
@@ -69,6 +83,9 @@
     getAll: () => [...held.values()].map(entry => entry.record),
     create,
     keepUnrecorded,
+    keepPending,
+    accept,
+    mayBeStored: jobId => held.get(jobId)?.mayBeStored ?? false,
     write,
     writeLater,
     forget: jobId => {
@@ -79,6 +96,7 @@
     onWritten: listener => { listeners.push(listener) },
     countUnwritten: () => dirty.size,
     getUnwritten: () => [...dirty].map(jobId => getHeld(jobId).record),
+    share: shareUnwritten,
     carryOver,
     isUnrecorded: jobId => held.get(jobId)?.revision === 0,
     prune,
@@ -91,7 +109,7 @@
       const record = JSON.parse(entry.value) as JobRecord
       const own = held.get(record.spec.jobId)
       if (own === undefined || (!own.isDirty && own.revision < entry.revision)) {
-        held.set(record.spec.jobId, { record, revision: entry.revision, isDirty: false, isWriting: false })
+        held.set(record.spec.jobId, createHeld(record, entry.revision))
       }
     }
     return entries.map(entry => JSON.parse(entry.value) as JobRecord)
@@ -100,18 +118,38 @@
   async function create (spec: JobSpec): Promise<JobRecord> {
     const record = createRecord(spec, {})
     const revision = await putConfirmed(store, { key: prefix + spec.jobId, value: JSON.stringify(record), expectedRevision: 0 })
-    held.set(spec.jobId, { record, revision, isDirty: false, isWriting: false })
+    held.set(spec.jobId, createHeld(record, revision))
     return record
   }
 
   function keepUnrecorded (spec: JobSpec, patch: JobPatch): JobRecord {
     const record = createRecord(spec, patch)
-    held.set(spec.jobId, { record, revision: 0, isDirty: true, isWriting: false })
-    dirty.add(spec.jobId)
-    void flushLoop()
+    held.set(spec.jobId, createHeld(record, 0))
+    markDirty(spec.jobId)
+    return record
+  }
+
+  function keepPending (spec: JobSpec): JobRecord {
+    const record = createRecord(spec, {})
+    held.set(spec.jobId, { ...createHeld(record, 0), isPending: true })
     return record
   }
 
+  function accept (jobId: string): void {
+    const own = getHeld(jobId)
+    if (!own.isPending) return
+    own.isPending = false
+    if (own.isDirty || own.revision === 0) markDirty(jobId)
+  }
+
+  function markDirty (jobId: string): void {
+    const own = getHeld(jobId)
+    own.isDirty = true
+    if (own.isPending) return
+    dirty.add(jobId)
+    void flushLoop()
+  }
+
   function carryOver (record: JobRecord): void {
     const { spec, epoch, writeId, ...patch } = record
     const own = held.get(spec.jobId)
@@ -142,9 +180,7 @@
   function writeLater (jobId: string, patch: JobPatch): void {
     const own = getHeld(jobId)
     own.record = patchRecord(own.record, patch)
-    own.isDirty = true
-    dirty.add(jobId)
-    void flushLoop()
+    markDirty(jobId)
   }
 
   async function flush (): Promise<void> {
@@ -160,9 +196,20 @@
     while (dirty.size > 0 && !isStopped) {
       const batch = [...dirty].slice(0, maxWritesAtOnce)
       const results = await Promise.all(batch.map(writeDirty))
-      if (results.includes(false)) await delay(retryMs)
+      if (!results.includes(false)) continue
+      await shareUnwritten()
+      await delay(retryMs)
     }
+    if (hasShared && dirty.size === 0) await shareUnwritten()
     isFlushing = false
+    if (dirty.size > 0 && !isStopped) void flushLoop()
+  }
+
+  /** A job that must not run twice is shared only from its release on, so that no successor starts it again. */
+  async function shareUnwritten (): Promise<void> {
+    const records = [...dirty].map(jobId => getHeld(jobId).record).filter(record => record.spec.repeatable || record.state !== JobState.Queued)
+    hasShared = records.length > 0
+    await share(records.slice(0, maxShared))
   }
 
   async function writeDirty (jobId: string): Promise<boolean> {
@@ -197,9 +244,12 @@
   /** Writes over an older state of the record only: by epoch, then by attempt and state. */
   async function putOver (own: Held, next: JobRecord): Promise<number> {
     const key = prefix + next.spec.jobId
+    const wasStored = own.mayBeStored
+    own.mayBeStored = true
     try {
       return await putConfirmed(store, { key, value: JSON.stringify(next), expectedRevision: own.revision })
     } catch (error) {
+      if (isErrorOfKind(error, ErrorKind.StoreUnavailable)) own.mayBeStored = wasStored
       if (!isErrorOfKind(error, ErrorKind.Conflict)) throw error
     }
     const current = await store.get(key)
@@ -230,6 +280,10 @@
   }
 }
 
+function createHeld (record: JobRecord, revision: number): Held {
+  return { record, revision, isDirty: false, isWriting: false, isPending: false, mayBeStored: revision > 0 }
+}
+
 /** A job's states only move forward: by attempt, then by state. An older epoch never overwrites a newer one. */
 export function isNewer (next: JobRecord, current: JobRecord): boolean {
   if (next.epoch !== current.epoch) return next.epoch > current.epoch && current.state !== JobState.Ended
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -12,11 +12,13 @@
 import { createGangRun, GangOutcome } from './gangRun.js'
 import type { GangEnd, GangRun, GangRunHost } from './gangRun.js'
 import { createJobRecords } from './jobRecords.js'
+import type { ShareUnwritten } from './jobRecords.js'
 import { createJobView, getLargestWaiting } from './jobViews.js'
 import type { JobView, SchedulerStatus } from './jobViews.js'
 import { getAcceleratorCount, JobResult, JobState } from './jobTypes.js'
 import type { JobRecord, JobSpec } from './jobTypes.js'
 import { createPolicy } from './policy.js'
+import { createSubmission } from './submission.js'
 import { createTakeover } from './takeover.js'
 import type { ReportedTask } from './takeover.js'
 import { createWorkerHealth } from './workerHealth.js'
@@ -40,6 +42,8 @@
   readonly timing: WorkerTiming
   /** Changes of records that the scheduler before this one on the same host could not write. */
   readonly carriedRecords: readonly JobRecord[]
+  /** Gives changes of records that the store does not have to other hosts of the domain. */
+  readonly shareUnwritten: ShareUnwritten
   /** Another scheduler has a higher epoch; `seenEpoch` is 0 where it is not known. */
   readonly onDeposed: (seenEpoch: number) => void
 }
@@ -69,7 +73,6 @@
 const settlePollMs = 50
 const tickMs = 1_000
 const reloadMs = 2_000
-const unrecordedStartMs = 4_000
 const retryPauseMs = 500
 const maxFailuresOfJob = 3
 const prunePeriodMs = 600_000
@@ -81,7 +84,7 @@
   const cells = createDomainCells()
   const policy = createPolicy(() => host.getRules().weights)
   const decider = createDecider({ cells, policy, getRules: host.getRules })
-  const records = createJobRecords(host.store, host.domain, () => host.epoch, host.logger)
+  const records = createJobRecords(host.store, host.domain, () => host.epoch, host.logger, host.shareUnwritten)
   const health = createWorkerHealth(() => workers.size)
   const changed = createSignal()
   const runs = new Map<string, GangRun>()
@@ -141,6 +144,21 @@
     scheduleDecision,
     isStopped: () => isStopped
   })
+  const submit = createSubmission({
+    domain: host.domain,
+    records,
+    decider,
+    cells,
+    runs,
+    changed,
+    getRules: host.getRules,
+    countWorkers: () => workers.size,
+    scheduleDecision,
+    reconcileRecords: () => takeover.reconcileRecords(),
+    reloadRecords,
+    isStopped: () => isStopped,
+    toView
+  })
   records.onWritten(acknowledgeEnds)
   const recovered = recover()
   void tickLoop()
@@ -432,78 +450,6 @@
 
   // Callers
 
-  async function submit (spec: JobSpec): Promise<JobView> {
-    const known = records.get(spec.jobId)
-    if (known !== undefined) return toView(known)
-    assertAcceptable(spec)
-    try {
-      await records.create(spec)
-    } catch (error) {
-      if (isErrorOfKind(error, ErrorKind.Conflict)) return await readExisting(spec, error)
-      if (isErrorOfKind(error, ErrorKind.StoreUnavailable)) return await submitUnrecorded(spec)
-      if (isErrorOfKind(error, ErrorKind.AnswerLost)) reloadRecords()
-      throw error
-    }
-    if (isStopped) throw createError(ErrorKind.AnswerLost, 'the scheduler has changed; ask for the job by its id')
-    if (decider.get(spec.jobId) === undefined && !runs.has(spec.jobId)) decider.addWaiting(spec, { waitingSinceMs: spec.submittedAtMs })
-    scheduleDecision()
-    return toView(records.get(spec.jobId) as JobRecord)
-  }
-
-  async function readExisting (spec: JobSpec, error: unknown): Promise<JobView> {
-    await records.load()
-    const record = records.get(spec.jobId)
-    if (record === undefined) throw error
-    takeover.reconcileRecords()
-    return toView(record)
-  }
-
-  /** With the store out, a job is accepted only if it starts now: the workers then hold its descriptor. */
-  async function submitUnrecorded (spec: JobSpec): Promise<JobView> {
-    records.keepUnrecorded(spec, {})
-    decider.addWaiting(spec, { waitingSinceMs: spec.submittedAtMs })
-    scheduleDecision()
-    const deadlineMs = Date.now() + unrecordedStartMs
-    while (Date.now() < deadlineMs && !isStopped) {
-      if (runs.get(spec.jobId)?.isReleased() === true || records.get(spec.jobId)?.state === JobState.Ended) return toView(records.get(spec.jobId) as JobRecord)
-      if (!records.isUnrecorded(spec.jobId)) return toView(records.get(spec.jobId) as JobRecord)
-      await changed.wait(settlePollMs)
-    }
-    await withdraw(spec.jobId)
-    throw createError(ErrorKind.StoreUnavailable, 'the store is out and the job cannot start now; it was not run')
-  }
-
-  async function withdraw (jobId: string): Promise<void> {
-    const run = runs.get(jobId)
-    records.writeLater(jobId, { isCancelRequested: true })
-    run?.cancel()
-    while (!isStopped && runs.get(jobId) === run && run !== undefined && !run.isReleased()) await changed.wait(settlePollMs)
-    if (run?.isReleased() === true) throw createError(ErrorKind.AnswerLost, 'the job was being started while it was withdrawn')
-    if (records.get(jobId)?.state !== JobState.Ended) endJob(jobId, JobResult.NotRun, 'the store was out')
-  }
-
-  function assertAcceptable (spec: JobSpec): void {
-    const rules = host.getRules()
-    if (!rules.organisations.has(spec.organisation)) throw createError(ErrorKind.Forbidden, `there is no rule for the organisation "${spec.organisation}"`)
-    if (workers.size === 0) throw createError(ErrorKind.NoScheduler, `no worker of the domain ${host.domain} is known yet`)
-    const quota = rules.quotas.get(spec.organisation)
-    if (quota !== undefined && getAcceleratorCount(spec) > quota.accelerators) {
-      throw createError(ErrorKind.JobImpossible, `the job needs ${getAcceleratorCount(spec)} accelerators, more than the quota of ${quota.accelerators}`)
-    }
-    if (quota?.jobs !== undefined && countJobsOf(spec.organisation) >= quota.jobs) {
-      throw createError(ErrorKind.QuotaExceeded, `the organisation has ${quota.jobs} jobs already, its quota`)
-    }
-    const reason = cells.getImpossibleReason(spec)
-    if (reason !== undefined) throw createError(ErrorKind.JobImpossible, reason)
-    if (decider.countWaiting() >= rules.getLimit('queue-jobs')) throw createError(ErrorKind.Overloaded, 'too many jobs wait already')
-  }
-
-  function countJobsOf (organisation: string): number {
-    let count = 0
-    for (const job of decider.getJobs()) if (job.spec.organisation === organisation) count++
-    return count
-  }
-
   async function cancel (jobId: string): Promise<JobView> {
     const record = records.get(jobId)
     if (record === undefined) throw createError(ErrorKind.NotFound, `there is no job ${jobId}`)
--- a/src/testing/gate.ts
+++ b/src/testing/gate.ts
@@ -18,6 +18,8 @@
   /** The names of all calls so far. */
   readonly calls: readonly string[]
   hasStruck (): boolean
+  /** Lets the fault strike at the next call. */
+  strikeNow (): void
   thaw (): void
 }
 
@@ -27,11 +29,13 @@
   const frozen: (() => void)[] = []
   let isStruck = false
   let isThawed = false
+  let nextStrike = strikeAt
 
   return {
     pass,
     calls,
     hasStruck: () => isStruck,
+    strikeNow: () => { nextStrike = calls.length },
     thaw: () => {
       isThawed = true
       for (const go of frozen) go()
@@ -42,7 +46,7 @@
     const isCrash = fault === GateFault.CrashBefore || fault === GateFault.CrashAfter
     if (isStruck && isCrash) return await new Promise<T>(() => {})
     if (isStruck && fault === GateFault.Freeze && !isThawed) await new Promise<void>(resolve => frozen.push(resolve))
-    const isHere = calls.push(name) - 1 === strikeAt
+    const isHere = calls.push(name) - 1 === nextStrike
     if (!isHere) return await call()
     isStruck = true
     onStrike()
--- a/src/testing/schedulerRig.ts
+++ b/src/testing/schedulerRig.ts
@@ -6,7 +6,7 @@
 import type { RuleSet } from '../rules/ruleSet.js'
 import { parseRules } from '../rules/ruleSyntax.js'
 import { Adjacency } from '../scheduling/jobTypes.js'
-import type { JobSpec } from '../scheduling/jobTypes.js'
+import type { JobRecord, JobSpec } from '../scheduling/jobTypes.js'
 import type { JobView } from '../scheduling/jobViews.js'
 import { createScheduler } from '../scheduling/scheduler.js'
 import type { Scheduler } from '../scheduling/scheduler.js'
@@ -26,13 +26,18 @@
   /** Starts a scheduler with the next epoch. All its calls go through the gate, if one is given. */
   startScheduler (gate?: Gate): Scheduler
   setStoreDown (isDown: boolean): void
+  /** So many of the store's next answers are lost after the call took effect. */
+  loseStoreAnswers (count: number): void
   /** Cuts a worker off from every scheduler. */
   setCutOff (workerId: string, isCutOff: boolean): void
   setRules (text: string): void
   /** How many members of a job run at this moment. */
   countRunning (jobId: string): number
+  /** How many members of a job have ended and are still known to their workers. */
+  countEnded (jobId: string): number
   /** How often the members of a job were released; one number a member. */
   getReleases (jobId: string): readonly number[]
+  getJobIds (): ReadonlySet<string>
   /** Tasks that have not ended, on all workers. */
   countLiveTasks (): number
   getDeposedCount (): number
@@ -50,6 +55,9 @@
   const infos: WorkerInfo[] = []
   const cutOff = new Set<string>()
   let isStoreDown = false
+  let lostAnswers = 0
+  /** What other hosts of the domain hold for a successor. */
+  let sharedRecords: readonly JobRecord[] = []
   let rules: RuleSet = toRuleSet(rulesText, 1)
   let epoch = 0
   let deposedCount = 0
@@ -64,13 +72,16 @@
     workers,
     startScheduler,
     setStoreDown: isDown => { isStoreDown = isDown },
+    loseStoreAnswers: count => { lostAnswers = count },
     setCutOff: (workerId, isCutOff) => {
       if (isCutOff) cutOff.add(workerId)
       else cutOff.delete(workerId)
     },
     setRules: text => { rules = toRuleSet(text, rules.revision + 1) },
     countRunning: jobId => countTasks(jobId, state => state === TaskState.Running),
+    countEnded: jobId => countTasks(jobId, state => state === TaskState.Ended),
     getReleases,
+    getJobIds,
     countLiveTasks: () => countTasks(undefined, state => state !== TaskState.Ended),
     getDeposedCount: () => deposedCount
   }
@@ -88,7 +99,11 @@
       getWorkers: () => infos,
       connect: info => createGatedWorker(info.workerId, gate),
       timing: { renewMs: 1_000, leaseMs: 6_000, suspectMs: 3_000, lossMarginMs: 500 },
-      carriedRecords: [],
+      carriedRecords: sharedRecords,
+      shareUnwritten: async records => {
+        const share = async (): Promise<void> => { sharedRecords = records }
+        await (gate === undefined ? share() : gate.pass('share', share))
+      },
       onDeposed: () => { deposedCount++ }
     })
   }
@@ -97,7 +112,10 @@
     const call = async <T>(name: string, run: () => Promise<T>): Promise<T> => {
       const guarded = async (): Promise<T> => {
         if (isStoreDown) throw createError(ErrorKind.StoreUnavailable, 'down')
-        return await run()
+        const result = await run()
+        if (lostAnswers === 0) return result
+        lostAnswers--
+        throw createError(name === 'put' ? ErrorKind.AnswerLost : ErrorKind.StoreUnavailable, 'lost')
       }
       return await (gate === undefined ? guarded() : gate.pass(name, guarded))
     }
@@ -142,6 +160,15 @@
     return count
   }
 
+  /** Jobs that workers know a task of. */
+  function getJobIds (): ReadonlySet<string> {
+    const jobIds = new Set<string>()
+    for (const worker of workers.values()) {
+      for (const task of worker.getTasks()) if (task.descriptor !== undefined) jobIds.add(task.descriptor.spec.jobId)
+    }
+    return jobIds
+  }
+
   function getReleases (jobId: string): readonly number[] {
     const counts: number[] = []
     for (const worker of workers.values()) {
