Add the soak of the whole system over loopback (npm run soak)

Cause: failures were only brought about one at a time. Now hosts die or stop, workers and endpoints fail, the store is out, slow or loses answers, leases lapse and domains are cut off, together, while jobs, requests and edits go on; the end compares what callers were told with what ran.

--- a/src/common/rpc.ts
+++ b/src/common/rpc.ts
@@ -96,8 +96,18 @@
   }
 }
 
-/** Creates a client for the process at `address` (`host:port`). `from` names this process to the other. */
-export function createRpcClient (address: string, options: { token?: string, from?: string, timeoutMs?: number } = {}): RpcClient {
+/** How a client calls. */
+export interface RpcClientOptions {
+  readonly token?: string
+  /** Names this process to the other. */
+  readonly from?: string
+  readonly timeoutMs?: number
+  /** Tells that the network between the two is cut, in tests. */
+  readonly isCut?: (address: string) => boolean
+}
+
+/** Creates a client for the process at `address` (`host:port`). */
+export function createRpcClient (address: string, options: RpcClientOptions = {}): RpcClient {
   let nextId = 1
   return { call }
 
@@ -109,6 +119,7 @@
   }
 
   async function post (body: string, method: string, timeoutMs: number): Promise<JSONRPCResponse> {
+    if (options.isCut?.(address) === true) throw createError(ErrorKind.AnswerLost, `the network to ${address} is cut`)
     rpcTraffic.calls++
     rpcTraffic.bytesOut += body.length
     try {
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -46,6 +46,7 @@
   readonly peersAddress: string
   getScheduler (): Scheduler | undefined
   countPeers (): number
+  getRulesRevision (): number
   /** A planned stop: says so, serves on while the balancer catches up, hands over, finishes what is in flight. */
   stop (): Promise<void>
   /** Ends at once, as a crash does. */
@@ -55,8 +56,10 @@
 const refreshPollMs = 1_000
 const handOverMs = 2_000
 
-/** Starts an entry host. */
-export async function startEntryHost (settings: EntrySettings, rootLogger: Logger, random: () => number): Promise<EntryHost> {
+/** Starts an entry host. `isCut` cuts it off from peers, in tests. */
+export async function startEntryHost (
+  settings: EntrySettings, rootLogger: Logger, random: () => number, isCut?: (address: string) => boolean
+): Promise<EntryHost> {
   const logger = rootLogger.part('entry')
   const authenticate = createAuthenticate(settings)
   const store = createStoreClient(settings.store, settings.hostId)
@@ -84,6 +87,7 @@
     random,
     getState: getPeerState,
     getSeeds: () => [...settings.peers, ...hostList.get(HostKind.Entry).map(host => host.address)],
+    isCut,
     onPeer: peer => {
       if (peer.domain === settings.domain) highestEpoch = Math.max(highestEpoch, peer.highestEpoch, peer.schedulerEpoch)
       if (peer.rulesRevision > replica.getRuleSet().revision) distribution.pullFrom(membership.connect(peer.address))
@@ -166,6 +170,7 @@
     peersAddress: peersListener.address,
     getScheduler: () => scheduler,
     countPeers: () => membership.getPeers().length,
+    getRulesRevision: () => replica.getRuleSet().revision,
     stop,
     crash
   }
--- /dev/null
+++ b/src/measure/soak.ts
@@ -0,0 +1,333 @@
+/**
+ * `npm run soak -- --seed N --minutes M`: the real system over loopback, with jobs, requests and edits, while
+ * faults come at any moment. At the end everything is healed, and what callers were told is compared with what
+ * workers and endpoints ran.
+ */
+import { parseArgs } from 'node:util'
+import { getAssertionFailureCount, getLastAssertionFailure } from '../common/debug.js'
+import { createLogger } from '../common/logger.js'
+import { createRandom, pickRandom } from '../common/random.js'
+import { delay } from '../common/time.js'
+import { answered, createTrialClient } from '../demo/trialClient.js'
+import { OperatorMethod } from '../operators/operatorInterface.js'
+import type { RuleSnapshot } from '../rules/ruleReplica.js'
+import { JobResult } from '../scheduling/jobTypes.js'
+import type { JobView } from '../scheduling/jobViews.js'
+import { startLocalSystem } from '../standins/localSystem.js'
+import type { LocalSystem } from '../standins/localSystem.js'
+
+const domains = ['harju', 'tartu', 'parnu']
+const organisations = ['mill', 'haul']
+const hostsPerDomain = 2
+const workersPerDomain = 8
+const endpointsPerDomain = 3
+const jobEveryMs = 250
+const editEveryMs = 3_000
+const faultEveryMs = 1_500
+const senderCount = 6
+const healMs = 240_000
+const pollMs = 500
+const keptTrace = 80
+
+const rulesText = [
+  ...organisations.map(name => `organisation ${name} # soak`),
+  'guarantee mill/plan domain=harju accelerators=32 cells=1 # soak',
+  'guarantee haul/day domain=tartu accelerators=16 cells=2 # soak',
+  'priority normal rank=50 # soak',
+  'request pickup path=/pickups repeatable=yes priority=normal timeout-ms=4000 # soak',
+  'request refund path=/refunds repeatable=no priority=normal timeout-ms=4000 # soak'
+].join('\n')
+
+interface SentRequest {
+  readonly id: string
+  readonly key: string | undefined
+  readonly outcome: string
+  readonly status: number
+  readonly isWhole: boolean
+}
+
+interface SentJob {
+  readonly organisation: string
+  readonly members: number
+  readonly isRepeatable: boolean
+  view: JobView | undefined
+  answer: 'accepted' | 'not-run' | 'unknown'
+}
+
+const { values } = parseArgs({ options: { seed: { type: 'string', default: '1' }, minutes: { type: 'string', default: '1' }, log: { type: 'string', default: 'silent' } } })
+const seed = Number(values.seed)
+const random = createRandom(seed)
+const requests: SentRequest[] = []
+const jobs: SentJob[] = []
+const acceptedEdits: string[] = []
+const trace: string[] = []
+const startedAtMs = Date.now()
+let faults = 0
+let isRunning = true
+
+const system = await startLocalSystem({
+  domains: domains.map(name => ({ name, workers: workersPerDomain, workersPerRack: 8, endpoints: endpointsPerDomain, hosts: hostsPerDomain })),
+  organisations,
+  logger: createLogger({ level: values.log === 'debug' ? 'debug' : values.log === 'info' ? 'info' : 'silent' }),
+  serviceMs: 8,
+  leaveNoticeMs: 500,
+  seed
+})
+const client = createTrialClient(system, random)
+await applyFirstRules()
+const endsAtMs = Date.now() + Number(values.minutes) * 60_000
+await Promise.all([
+  submitJobs(),
+  editRules(),
+  strikeFaults(),
+  ...Array.from({ length: senderCount }, (_, sender) => sendRequests(sender)),
+  delay(endsAtMs - Date.now()).then(() => { isRunning = false })
+])
+await heal()
+const violations = await compareLedger()
+report(violations)
+await system.stop()
+process.exit(violations.length === 0 ? 0 : 1)
+
+async function applyFirstRules (): Promise<void> {
+  while (true) {
+    try {
+      await operator().call(OperatorMethod.ApplyRules, { text: rulesText, baseRevision: 0, askedBy: 'soak' })
+      return
+    } catch {
+      await delay(200)
+    }
+  }
+}
+
+function operator (): ReturnType<LocalSystem['connectOperator']> {
+  return system.connectOperator()
+}
+
+async function submitJobs (): Promise<void> {
+  for (let index = 0; isRunning; index++) {
+    void submitOne(index)
+    if (random() < 0.15) void cancelOne()
+    await delay(jobEveryMs)
+  }
+}
+
+async function submitOne (index: number): Promise<void> {
+  const organisation = pickRandom(organisations, random) ?? ''
+  const members = pickRandom([1, 1, 2, 4, 8], random) ?? 1
+  const isRepeatable = random() < 0.7
+  const job: SentJob = { organisation, members, isRepeatable, view: undefined, answer: 'unknown' }
+  jobs.push(job)
+  const request = {
+    name: `j${index}`,
+    members,
+    acceleratorsPerMember: pickRandom([1, 2, 4, 8], random),
+    domain: pickRandom(domains, random),
+    repeatable: isRepeatable,
+    urgent: random() < 0.1,
+    command: [random() < 0.05 ? 'fail' : 'run', String(Math.floor(random() * 8_000)), random() < 0.1 ? 'ignore-checkpoint' : '']
+  }
+  try {
+    job.view = await client.submit(organisation, request, `key-${seed}-${index}`)
+    job.answer = 'accepted'
+  } catch (error) {
+    const text = String(error)
+    job.answer = text.includes('"not-run"') || text.includes('ECONNREFUSED') ? 'not-run' : 'unknown'
+  }
+}
+
+async function cancelOne (): Promise<void> {
+  const job = pickRandom(jobs.filter(candidate => candidate.view !== undefined), random)
+  if (job?.view !== undefined) await client.cancel(job.organisation, job.view.jobId).catch(() => {})
+}
+
+async function sendRequests (sender: number): Promise<void> {
+  for (let index = 0; isRunning; index++) {
+    if (random() < 0.3) {
+      const key = `refund-${sender}-${index}`
+      await Promise.all(Array.from({ length: 1 + Math.floor(random() * 3) }, (_, repeat) => sendOne(`${key}-${repeat}`, key)))
+    } else {
+      await sendOne(`pickup-${sender}-${index}`, undefined)
+    }
+    await delay(random() * 30)
+  }
+}
+
+async function sendOne (id: string, key: string | undefined): Promise<void> {
+  const answer = await client.send(key === undefined ? '/pickups' : '/refunds', { id, key, body: 'x'.repeat(Math.floor(random() * 2_000)) })
+  const isWhole = answer.outcome !== answered || answer.status !== 200 || answer.body.includes(`"id":"${id}"`)
+  requests.push({ id, key, outcome: answer.outcome, status: answer.status, isWhole })
+}
+
+async function editRules (): Promise<void> {
+  for (let index = 0; isRunning; index++) {
+    await delay(editEveryMs * random())
+    const name = `organisation edit-${index}`
+    try {
+      const snapshot = await operator().call<RuleSnapshot>(OperatorMethod.ShowRules, {})
+      await operator().call(OperatorMethod.ApplyRules, { text: `${snapshot.text}${name} # soak\n`, askedBy: 'soak' })
+      acceptedEdits.push(name)
+    } catch {
+      // The edit was refused, or its outcome is unknown: no promise was made.
+    }
+  }
+}
+
+async function strikeFaults (): Promise<void> {
+  const actions: readonly (readonly [string, () => Promise<void> | void])[] = [
+    ['a host dies and another starts', replaceHost],
+    ['a host is stopped and another starts', stopHost],
+    ['a worker restarts', () => pickRandom([...system.workers.values()], random)?.worker.restart()],
+    ['a worker is cut off', () => pickRandom([...system.workers.values()], random)?.faults.set({ isDown: true })],
+    ['workers answer again', () => system.workers.forEach(worker => worker.faults.set({ isDown: false, failEverything: false, loseAnswers: 0 }))],
+    ['a worker fails everything', () => pickRandom([...system.workers.values()], random)?.faults.set({ failEverything: true })],
+    ['a worker loses answers', () => pickRandom([...system.workers.values()], random)?.faults.set({ loseAnswers: 3 })],
+    ['the store is out', () => system.store.faults.set({ isDown: true })],
+    ['the store answers', () => system.store.faults.set({ isDown: false, slowMs: 0 })],
+    ['the store is slow', () => system.store.faults.set({ slowMs: 400 })],
+    ['the store loses answers', () => system.store.faults.set({ loseAnswers: 4 })],
+    ['all leases lapse', () => system.store.store.lapseLeases()],
+    ['an endpoint fails everything', () => pickRandom([...system.endpoints.values()], random)?.faults.set({ failEverything: true })],
+    ['an endpoint is down', () => pickRandom([...system.endpoints.values()], random)?.faults.set({ isDown: true })],
+    ['endpoints answer again', () => system.endpoints.forEach(endpoint => endpoint.faults.set({ isDown: false, failEverything: false }))],
+    ['a domain is cut off', () => system.setCutOff(pickRandom(domains, random) ?? '', true)],
+    ['domains are joined', () => domains.forEach(domain => system.setCutOff(domain, false))]
+  ]
+  while (isRunning) {
+    await delay(faultEveryMs * 2 * random())
+    const [text, act] = pickRandom(actions, random) as readonly [string, () => Promise<void> | void]
+    faults++
+    note(text)
+    await act()
+  }
+}
+
+async function replaceHost (): Promise<void> {
+  const hostId = pickRandom([...system.hosts.keys()], random) ?? ''
+  const domain = hostId.split('-')[0] ?? ''
+  await system.crashHost(hostId)
+  await delay(random() * 4_000)
+  await system.startHost(`${domain}-n${faults}`, domain)
+}
+
+async function stopHost (): Promise<void> {
+  const hostId = pickRandom([...system.hosts.keys()], random) ?? ''
+  const domain = hostId.split('-')[0] ?? ''
+  const host = system.hosts.get(hostId)
+  system.hosts.delete(hostId)
+  system.hostList.remove(hostId)
+  await system.startHost(`${domain}-n${faults}`, domain)
+  await host?.stop()
+}
+
+async function heal (): Promise<void> {
+  note('everything is healed')
+  domains.forEach(domain => system.setCutOff(domain, false))
+  system.store.faults.set({ isDown: false, slowMs: 0, loseAnswers: 0 })
+  system.workers.forEach(worker => worker.faults.set({ isDown: false, failEverything: false, loseAnswers: 0 }))
+  system.endpoints.forEach(endpoint => endpoint.faults.set({ isDown: false, failEverything: false }))
+  const untilMs = Date.now() + healMs
+  while (Date.now() < untilMs) {
+    await delay(pollMs)
+    await refreshViews()
+    if (jobs.every(job => job.answer !== 'accepted' || job.view?.state === 'ended')) return
+  }
+}
+
+async function refreshViews (): Promise<void> {
+  await Promise.all(jobs.filter(job => job.view !== undefined && job.view.state !== 'ended').map(async job => {
+    job.view = await client.waitForState(job.organisation, job.view?.jobId ?? '', ['waiting', 'starting', 'running', 'leaving', 'ended'], 2_000).catch(() => job.view)
+  }))
+}
+
+async function compareLedger (): Promise<readonly string[]> {
+  const found: string[] = []
+  for (const request of requests) {
+    const runs = countRuns(request.id)
+    if (!request.isWhole) found.push(`${request.id}: the answer belongs to another request`)
+    if (request.outcome === 'not-run' && runs > 0) found.push(`${request.id}: refused as not run, and ran`)
+    if (request.status === 200 && runs === 0) found.push(`${request.id}: answered, and did not run`)
+    if (request.outcome === answered && request.status === 0) found.push(`${request.id}: no answer counts as answered`)
+  }
+  for (const key of new Set(requests.map(request => request.key))) {
+    if (key === undefined) continue
+    const runs = requests.filter(request => request.key === key).reduce((sum, request) => sum + countRuns(request.id), 0)
+    if (runs > 1) found.push(`${key}: a non-repeatable request ran ${runs} times`)
+  }
+  for (const job of jobs) found.push(...checkJob(job))
+  await waitForLiveTasks()
+  const live = countLiveTasks()
+  if (live > 0) found.push(`${live} tasks are left over`)
+  found.push(...await checkRules())
+  if (getAssertionFailureCount() > 0) found.push(`invariants: ${getAssertionFailureCount()} violated, last: ${getLastAssertionFailure()}`)
+  return found
+}
+
+function checkJob (job: SentJob): string[] {
+  const found: string[] = []
+  const { view } = job
+  if (view === undefined) return found
+  const releases = getReleases(view.jobId)
+  const text = `${view.jobId} (${job.members} members, repeatable ${job.isRepeatable}, ${view.state} ${view.result ?? ''} ${view.reason ?? ''}, releases ${releases.join(',')})`
+  if (view.state !== 'ended') found.push(`${text}: an accepted job has not ended`)
+  if (!job.isRepeatable && releases.some(count => count > 1)) found.push(`${text}: a non-repeatable job ran twice`)
+  if (view.result === JobResult.Succeeded && releases.filter(count => count > 0).length < job.members) found.push(`${text}: succeeded without all members`)
+  if (view.result === JobResult.NotRun && releases.length > 0) found.push(`${text}: ended as not run, and ran`)
+  return found
+}
+
+async function checkRules (): Promise<string[]> {
+  const found: string[] = []
+  const untilMs = Date.now() + 20_000
+  while (Date.now() < untilMs && new Set([...system.hosts.values()].map(host => host.getRulesRevision())).size > 1) await delay(pollMs)
+  const revisions = [...system.hosts.values()].map(host => host.getRulesRevision())
+  if (new Set(revisions).size > 1) found.push(`hosts have revisions ${revisions.join(', ')}`)
+  const snapshot = await operator().call<RuleSnapshot>(OperatorMethod.ShowRules, {})
+  for (const edit of acceptedEdits) if (!snapshot.text.includes(`${edit} `)) found.push(`the accepted edit "${edit}" is lost`)
+  return found
+}
+
+function countRuns (id: string): number {
+  let count = 0
+  for (const endpoint of system.endpoints.values()) count += endpoint.runs.get(id) ?? 0
+  return count
+}
+
+function getReleases (jobId: string): number[] {
+  const counts: number[] = []
+  for (const { worker } of system.workers.values()) {
+    for (const [key, count] of worker.releases) {
+      if (!key.startsWith(`${jobId}.`)) continue
+      const member = Number(key.slice(jobId.length + 1))
+      counts[member] = (counts[member] ?? 0) + count
+    }
+  }
+  return counts
+}
+
+async function waitForLiveTasks (): Promise<void> {
+  const untilMs = Date.now() + 20_000
+  while (Date.now() < untilMs && countLiveTasks() > 0) await delay(pollMs)
+}
+
+function countLiveTasks (): number {
+  let count = 0
+  for (const { worker } of system.workers.values()) count += worker.getTasks().filter(task => task.state !== 'ended').length
+  return count
+}
+
+function note (text: string): void {
+  trace.push(`${((Date.now() - startedAtMs) / 1_000).toFixed(1)} s ${text}`)
+  if (trace.length > keptTrace) trace.shift()
+}
+
+function report (found: readonly string[]): void {
+  const count = (outcome: string): number => requests.filter(request => request.outcome === outcome).length
+  const accepted = jobs.filter(job => job.answer === 'accepted')
+  const results = new Map<string, number>()
+  for (const job of accepted) results.set(job.view?.result ?? 'none', (results.get(job.view?.result ?? 'none') ?? 0) + 1)
+  if (found.length > 0) console.log([...found, ...trace].join('\n'))
+  console.log(`seed ${seed}: ${requests.length} requests (${count(answered)} answered, ${count('not-run')} not run, ${count('unknown')} unknown), ` +
+    `${jobs.length} jobs (${accepted.length} accepted: ${[...results].map(([result, number]) => `${number} ${result}`).join(', ')}), ` +
+    `${acceptedEdits.length} edits, ${faults} faults, ${found.length} violations`)
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -49,6 +49,7 @@
   /** Addresses of entry hosts to try, from the settings and the platform's list. */
   readonly getSeeds: () => readonly string[]
   readonly onPeer: (peer: PeerInfo) => void
+  readonly isCut?: (address: string) => boolean
 }
 
 /** The living entry hosts, as this host knows them. */
@@ -180,7 +181,7 @@
   function connect (address: string): RpcClient {
     const existing = clients.get(address)
     if (existing !== undefined) return existing
-    const client = createRpcClient(address, { token: host.peerToken, from: host.hostId })
+    const client = createRpcClient(address, { token: host.peerToken, from: host.hostId, isCut: host.isCut })
     clients.set(address, client)
     return client
   }
--- a/src/standins/localSystem.ts
+++ b/src/standins/localSystem.ts
@@ -46,6 +46,8 @@
   readonly endpoints: ReadonlyMap<string, EndpointStandin>
   readonly hosts: Map<string, EntryHost>
   startHost (hostId: string, domain: string): Promise<EntryHost>
+  /** Cuts a failure domain off from all others and the platform, or joins it again. */
+  setCutOff (domain: string, isCutOff: boolean): void
   /** Ends an entry host at once. */
   crashHost (hostId: string): Promise<void>
   /** Callers' addresses of the hosts that the balancer sends to. */
@@ -70,6 +72,9 @@
   const endpoints = new Map<string, EndpointStandin>()
   const hosts = new Map<string, EntryHost>()
   const leaving = new Set<string>()
+  const domainOf = new Map<string, string>()
+  const hostIds = new Map<string, string>()
+  const cutOff = new Set<string>()
   let hostCount = 0
 
   for (const domain of options.domains) await startDomain(domain)
@@ -81,6 +86,7 @@
     endpoints,
     hosts,
     startHost,
+    setCutOff,
     crashHost,
     getAddresses: () => [...hosts.values()].filter(host => !leaving.has(host.hostId)).map(host => host.callersAddress),
     connectOperator: () => {
@@ -123,7 +129,10 @@
   }
 
   async function startHost (hostId: string, domain: string): Promise<EntryHost> {
-    const host = await startEntryHost(createSettings(hostId, domain), options.logger, createRandom((options.seed ?? 1) * 1_000 + hostCount++))
+    const host = await startEntryHost(createSettings(hostId, domain), options.logger, createRandom((options.seed ?? 1) * 1_000 + hostCount++), address => isCut(domain, address))
+    domainOf.set(host.peersAddress, domain)
+    hostIds.set(hostId, domain)
+    updateCuts()
     hosts.set(hostId, host)
     hostList.set({ id: hostId, kind: HostKind.Entry, address: host.peersAddress, domain, region: domain, isLeaving: false })
     return host
@@ -146,6 +155,23 @@
     })
   }
 
+  function isCut (domain: string, address: string): boolean {
+    const other = domainOf.get(address)
+    return other !== undefined && other !== domain && (cutOff.has(domain) || cutOff.has(other))
+  }
+
+  function setCutOff (domain: string, isCutOff: boolean): void {
+    if (isCutOff) cutOff.add(domain)
+    else cutOff.delete(domain)
+    updateCuts()
+  }
+
+  function updateCuts (): void {
+    const cutOffFrom = [...hostIds].filter(([, domain]) => cutOff.has(domain)).map(([hostId]) => hostId)
+    store.faults.set({ cutOffFrom })
+    hostList.faults.set({ cutOffFrom })
+  }
+
   async function crashHost (hostId: string): Promise<void> {
     const host = hosts.get(hostId)
     hosts.delete(hostId)
