--- a/src/routing/endpointPool.ts
+++ b/src/routing/endpointPool.ts
@@ -5,6 +5,8 @@
 import type { ListedHost } from '../membership/hostList.js'
 import type { Random } from '../common/random.js'
 import { createEjection } from './ejection.js'
+import { adaptiveSharing } from './slotSharing.js'
+import type { SlotSharing } from './slotSharing.js'
 
 /** A slot of an endpoint, taken for one request. */
 export interface Slot {
@@ -71,7 +73,6 @@
 
 const defaultSlots = 8
 const fullPauseMs = 5
-const limitDecrease = 0.7
 const leavingMemoryMs = 60_000
 const budgetBurstSeconds = 2
 
@@ -84,7 +85,7 @@
 }
 
 /** Creates the pool of a host. */
-export function createEndpointPool (host: EndpointPoolHost): EndpointPool {
+export function createEndpointPool (host: EndpointPoolHost, sharing: SlotSharing = adaptiveSharing): EndpointPool {
   const endpoints = new Map<string, Endpoint>()
   const leavingSinceMs = new Map<string, number>()
   const ejection = createEjection(() => endpoints.size)
@@ -134,14 +135,14 @@
     const { id, slots = defaultSlots } = endpoint.listed
     switch (outcome) {
       case SlotOutcome.Answered:
-        endpoint.limit = Math.min(slots, endpoint.limit + 1 / endpoint.limit)
+        endpoint.limit = sharing.grow(endpoint.limit, slots)
         ejection.noteOutcome(id, false)
         return
       case SlotOutcome.Failed:
         ejection.noteOutcome(id, true)
         return
       case SlotOutcome.Full:
-        endpoint.limit = Math.max(1, Math.min(endpoint.limit, endpoint.inFlight + 1) * limitDecrease)
+        endpoint.limit = sharing.shrink(endpoint.limit, endpoint.inFlight)
         endpoint.fullUntilMs = Date.now() + fullPauseMs
         return
       case SlotOutcome.Leaving:
@@ -196,7 +197,7 @@
       const slots = item.slots ?? defaultSlots
       endpoints.set(item.id, known !== undefined && known.listed.address === item.address
         ? Object.assign(known, { listed: item })
-        : { listed: item, inFlight: 0, limit: slots, fullUntilMs: 0 })
+        : { listed: item, inFlight: 0, limit: sharing.getFirst(slots), fullUntilMs: 0 })
     }
   }
 
