Take members for lost only by a full report, and let leases end by the worker's own clock

A worker that restarted before its first answer to a new scheduler: its members counted as running for ever. 2. A restart noticed late took members that had been placed since for lost; they ran on beside the next attempt. 3. By reasoning: a renewal delayed on its way could prolong a lease that its sender had given up; a scheduler's death lasted longer (9 s) than the leases of its workers (6 s), so running jobs were started again. Changed: a full report tells which members are lost; leases end at an absolute time of the worker's clock; leases last 15 s at least.

--- a/src/scheduling/gangRun.ts
+++ b/src/scheduling/gangRun.ts
@@ -57,6 +57,8 @@
   ranMs: number
   progressMs: number
   isLost: boolean
+  /** When the worker is known to have held the task, in ms since the epoch. */
+  heldAtMs: number
 }
 
 /** What an attempt starts from. */
@@ -92,6 +94,8 @@
   addMember (workerId: string, taskId: string, member: number): void
   onReport (report: TaskReport): void
   onWorkerLost (workerId: string): void
+  /** The worker has no other tasks than these: members that it had before are lost. */
+  onFullReport (workerId: string, taskIds: ReadonlySet<string>, sentAtMs: number): void
   /** Looks at the workers again, after one of them has settled. */
   poke (): void
   cancel (): void
@@ -125,6 +129,7 @@
     addMember,
     onReport,
     onWorkerLost,
+    onFullReport,
     poke: changed.notify,
     cancel: () => {
       isCancelled = true
@@ -197,6 +202,7 @@
       try {
         await getPort(member).prepare(host.getEpoch(), task, host.getLeaseMs())
         member.state ??= TaskState.Held
+        member.heldAtMs = Date.now()
         return undefined
       } catch (error) {
         noteError(error)
@@ -328,7 +334,7 @@
 
   function addMember (workerId: string, taskId: string, member: number): void {
     if (members.some(known => known.taskId === taskId)) return
-    members.push({ member, workerId, taskId, state: undefined, end: undefined, ranMs: 0, progressMs: start.progressMs, isLost: false })
+    members.push({ member, workerId, taskId, state: undefined, end: undefined, ranMs: 0, progressMs: start.progressMs, isLost: false, heldAtMs: Infinity })
     changed.notify()
   }
 
@@ -336,6 +342,7 @@
     const member = members.find(known => known.taskId === report.taskId)
     if (member === undefined || member.state === TaskState.Ended) return
     member.ranMs = report.ranMs
+    member.heldAtMs = Math.min(member.heldAtMs, Date.now())
     member.progressMs = report.progressMs
     const isStale = member.state === TaskState.Running && report.state !== TaskState.Ended
     if (!isStale) {
@@ -352,6 +359,14 @@
     changed.notify()
   }
 
+  function onFullReport (workerId: string, taskIds: ReadonlySet<string>, sentAtMs: number): void {
+    for (const member of members) {
+      const isGone = member.workerId === workerId && member.heldAtMs < sentAtMs && !taskIds.has(member.taskId)
+      if (isGone && member.state !== TaskState.Ended) member.isLost = true
+    }
+    changed.notify()
+  }
+
   async function evict (workerIds: ReadonlySet<string>): Promise<void> {
     isEvicted = true
     changed.notify()
--- a/src/scheduling/jobRecords.ts
+++ b/src/scheduling/jobRecords.ts
@@ -209,7 +209,7 @@
   async function shareUnwritten (): Promise<void> {
     const records = [...dirty].map(jobId => getHeld(jobId).record).filter(record => record.spec.repeatable || record.state !== JobState.Queued)
     hasShared = records.length > 0
-    await share(records.slice(0, maxShared))
+    await share(records.slice(0, maxShared)).catch(() => {})
   }
 
   async function writeDirty (jobId: string): Promise<boolean> {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -108,6 +108,7 @@
     connect: host.connect,
     getTiming: () => host.timing,
     onReport,
+    onFullReport,
     onReachable: (workerId, isReachable) => {
       if (isReachable) unreachable.delete(workerId)
       else unreachable.add(workerId)
@@ -313,6 +314,12 @@
     }
   }
 
+  function onFullReport (workerId: string, taskIds: ReadonlySet<string>, sentAtMs: number): void {
+    for (const run of runs.values()) run.onFullReport(workerId, taskIds, sentAtMs)
+    for (const [taskId, task] of reported) if (task.workerId === workerId && !taskIds.has(taskId)) reported.delete(taskId)
+    scheduleDecision()
+  }
+
   function onWorkerLost (workerId: string): void {
     for (const run of runs.values()) run.onWorkerLost(workerId)
     for (const [taskId, task] of reported) if (task.workerId === workerId) reported.delete(taskId)
--- a/src/scheduling/schedulerCrash.test.ts
+++ b/src/scheduling/schedulerCrash.test.ts
@@ -90,7 +90,10 @@
   expect(rig.countRunning(spec.jobId)).toBe(members)
   const [workerId = ''] = (await scheduler.get(spec.jobId, 0))?.workers ?? []
   rig.setCutOff(workerId, true)
-  await jest.advanceTimersByTimeAsync(12_000)
+  for (let step = 0; step < 120; step++) {
+    await jest.advanceTimersByTimeAsync(100)
+    expect(rig.getRunningAttempts(spec.jobId).size).toBeLessThanOrEqual(1)
+  }
   expect([0, members]).toContain(rig.countRunning(spec.jobId))
   await jest.advanceTimersByTimeAsync(30_000)
   expect((await scheduler.get(spec.jobId, 0))?.result).toBe(JobResult.Succeeded)
--- a/src/scheduling/workerLinks.ts
+++ b/src/scheduling/workerLinks.ts
@@ -25,6 +25,8 @@
   readonly getTiming: () => WorkerTiming
   /** A report of one task; `isNewInstance` says that the worker has restarted since the last one. */
   readonly onReport: (workerId: string, reports: readonly TaskReport[]) => void
+  /** The worker has reported every task that it had when the renewal was sent. */
+  readonly onFullReport: (workerId: string, taskIds: ReadonlySet<string>, sentAtMs: number) => void
   /** The worker answers, or has stopped answering; in the second case no new work may go there. */
   readonly onReachable: (workerId: string, isReachable: boolean) => void
   /** Every task that ran on the worker before has surely ended. */
@@ -59,6 +61,8 @@
   isSettled: boolean
   isRemoved: boolean
   lastAnswerMs: number
+  /** The worker's clock at its last answer, in ms; undefined before the first. */
+  clockMs: number | undefined
   /** When the last renewal was sent that may have reached the worker. */
   lastRenewalMs: number
 }
@@ -93,6 +97,7 @@
       isSettled: false,
       isRemoved: false,
       lastAnswerMs: Date.now(),
+      clockMs: undefined,
       lastRenewalMs: Date.now()
     }
     links.set(info.workerId, link)
@@ -130,7 +135,7 @@
       const report = await link.port.renew({
         domain: host.domain,
         epoch: host.getEpoch(),
-        leaseMs: host.getTiming().leaseMs,
+        leaseUntilMs: link.clockMs === undefined ? 0 : link.clockMs + host.getTiming().leaseMs,
         seenSequence: link.seenSequence,
         ackedSequence: getAckedSequence(link),
         isFull
@@ -140,7 +145,12 @@
         noteRestart(link)
         return
       }
+      const isFirstClock = link.clockMs === undefined
+      link.clockMs = report.clockMs
       noteAnswer(link, report.instanceId, report.sequence, report.tasks)
+      // The first renewal could not prolong any lease.
+      if (isFirstClock) void renewOnce(link)
+      if (isFull) host.onFullReport(workerId, new Set(report.tasks.map(task => task.taskId)), sentAtMs)
     } catch (error) {
       if (isStopped || link.isRemoved) return
       if (isErrorOfKind(error, ErrorKind.StaleEpoch)) host.onDeposed(Number(error.details.seenEpoch ?? 0))
@@ -165,12 +175,11 @@
     host.onReport(workerId, tasks)
   }
 
-  /** A restarted worker has lost every task. */
+  /** A restarted worker has lost its tasks, but for those that it got since: the next full report tells them apart. */
   function noteRestart (link: Link): void {
     host.logger.warn(`worker ${link.info.workerId} has restarted`)
     forgetInstance(link)
-    host.onLost(link.info.workerId)
-    link.wake.notify()
+    void renewOnce(link)
   }
 
   function noteSilence (link: Link, workerId: string): void {
@@ -197,6 +206,7 @@
 
   function forgetInstance (link: Link): void {
     link.instanceId = undefined
+    link.clockMs = undefined
     link.seenSequence = 0
     link.unrecorded.clear()
     link.isSettled = true
--- a/src/scheduling/workerTiming.ts
+++ b/src/scheduling/workerTiming.ts
@@ -6,7 +6,8 @@
 const renewBytes = 700
 const budgetBytesPerSecond = 10_000
 const leaseRenewals = 4
-const minLeaseMs = 6_000
+/** Longer than a takeover takes, so that tasks outlive their scheduler. */
+const minLeaseMs = 15_000
 const suspectRenewals = 2
 const minSuspectMs = 3_000
 const lossMarginMs = 500
--- a/src/scheduling/workerTypes.ts
+++ b/src/scheduling/workerTypes.ts
@@ -71,6 +71,8 @@
   /** Changes when the worker restarts; a restarted worker has no tasks. */
   readonly instanceId: string
   readonly sequence: number
+  /** The worker's clock, in ms. */
+  readonly clockMs: number
   readonly tasks: readonly TaskReport[]
 }
 
@@ -78,7 +80,11 @@
 export interface RenewRequest {
   readonly domain: string
   readonly epoch: number
-  readonly leaseMs: number
+  /**
+   * When the leases end, by the worker's own clock in ms, or 0 to leave them. An absolute time keeps a renewal
+   * that was delayed on its way from prolonging a lease that its sender has given up.
+   */
+  readonly leaseUntilMs: number
   /** Changes up to this number are known to the scheduler and are left out. */
   readonly seenSequence: number
   /** Ended tasks up to this number are recorded, and can be forgotten by the worker. */
--- a/src/standins/worker.ts
+++ b/src/standins/worker.ts
@@ -142,12 +142,12 @@
     const reports: TaskReport[] = []
     let visibleSequence = request.seenSequence
     for (const task of tasks.values()) {
-      if (task.state === TaskState.Running) task.expiresAtMs = Math.max(task.expiresAtMs, Date.now() + request.leaseMs)
+      if (task.state === TaskState.Running) task.expiresAtMs = Math.max(task.expiresAtMs, request.leaseUntilMs)
       if (!request.isFull && (task.sequence <= request.seenSequence || task.changedAtMs > visibleBeforeMs)) continue
       visibleSequence = Math.max(visibleSequence, task.sequence)
       reports.push(toReport(task, request.isFull))
     }
-    return { instanceId, sequence: visibleSequence, tasks: reports }
+    return { instanceId, sequence: visibleSequence, clockMs: Date.now(), tasks: reports }
   }
 
   function restart (): void {
@@ -284,7 +284,7 @@
   const renewSchema = z.strictObject({
     domain: z.string(),
     epoch,
-    leaseMs: z.number().positive(),
+    leaseUntilMs: z.number().min(0),
     seenSequence: z.number(),
     ackedSequence: z.number(),
     isFull: z.boolean()
--- a/src/testing/schedulerRig.ts
+++ b/src/testing/schedulerRig.ts
@@ -31,8 +31,16 @@
   /** Cuts a worker off from every scheduler. */
   setCutOff (workerId: string, isCutOff: boolean): void
   setRules (text: string): void
+  /** Every renewal is lost on its way. */
+  holdRenewals (isHeld: boolean): void
+  /** The other hosts of the domain forget what the scheduler has given them. */
+  loseSharedRecords (): void
   /** How many members of a job run at this moment. */
   countRunning (jobId: string): number
+  /** The attempts of a job of which a member runs at this moment. */
+  getRunningAttempts (jobId: string): ReadonlySet<number>
+  /** The tasks of a job on all workers, for a trace. */
+  describeTasks (jobId: string): string
   /** How many members of a job have ended and are still known to their workers. */
   countEnded (jobId: string): number
   /** How often the members of a job were released; one number a member. */
@@ -56,6 +64,7 @@
   const cutOff = new Set<string>()
   let isStoreDown = false
   let lostAnswers = 0
+  let areRenewalsHeld = false
   /** What other hosts of the domain hold for a successor. */
   let sharedRecords: readonly JobRecord[] = []
   let rules: RuleSet = toRuleSet(rulesText, 1)
@@ -77,8 +86,12 @@
       if (isCutOff) cutOff.add(workerId)
       else cutOff.delete(workerId)
     },
+    holdRenewals: isHeld => { areRenewalsHeld = isHeld },
+    loseSharedRecords: () => { sharedRecords = [] },
     setRules: text => { rules = toRuleSet(text, rules.revision + 1) },
     countRunning: jobId => countTasks(jobId, state => state === TaskState.Running),
+    getRunningAttempts,
+    describeTasks,
     countEnded: jobId => countTasks(jobId, state => state === TaskState.Ended),
     getReleases,
     getJobIds,
@@ -135,7 +148,7 @@
     const worker = workers.get(workerId) as MemoryWorker
     const call = async <T>(name: string, run: () => Promise<T>): Promise<T> => {
       const guarded = async (): Promise<T> => {
-        if (cutOff.has(workerId)) throw createError(ErrorKind.AnswerLost, 'cut off')
+        if (cutOff.has(workerId) || (name === 'renew' && areRenewalsHeld)) throw createError(ErrorKind.AnswerLost, 'cut off')
         return await run()
       }
       return await (gate === undefined ? guarded() : gate.pass(name, guarded))
@@ -160,6 +173,26 @@
     return count
   }
 
+  function getRunningAttempts (jobId: string): ReadonlySet<number> {
+    const attempts = new Set<number>()
+    for (const worker of workers.values()) {
+      for (const { descriptor, state } of worker.getTasks()) {
+        if (descriptor?.spec.jobId === jobId && state === TaskState.Running) attempts.add(descriptor.attempt)
+      }
+    }
+    return attempts
+  }
+
+  function describeTasks (jobId: string): string {
+    const parts: string[] = []
+    for (const [workerId, worker] of workers) {
+      for (const { descriptor, state, ranMs, end } of worker.getTasks()) {
+        if (descriptor?.spec.jobId === jobId) parts.push(`${workerId}${cutOff.has(workerId) ? ' (cut off)' : ''} attempt ${descriptor.attempt} member ${descriptor.member} ${state} ${end ?? ''} for ${ranMs} ms`)
+      }
+    }
+    return parts.join('; ')
+  }
+
   /** Jobs that workers know a task of. */
   function getJobIds (): ReadonlySet<string> {
     const jobIds = new Set<string>()
--- a/src/testing/schedulerSoak.ts
+++ b/src/testing/schedulerSoak.ts
@@ -132,6 +132,7 @@
   /** No gang may run in part for longer than it takes to notice and to stop it. */
   function checkGangs (): void {
     for (const jobId of rig.getJobIds()) {
+      if (rig.getRunningAttempts(jobId).size > 1) violations.push(`${Date.now()} ${jobId}: two attempts run at once: ${rig.describeTasks(jobId)}`)
       const running = rig.countRunning(jobId)
       const members = told.get(jobId)?.spec.members ?? 0
       if (running === 0 || running === members) {
