--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -137,6 +137,7 @@
     log,
     getPeers: membership.getPeers,
     push: distribution.push,
+    connect: membership.connect,
     explain: (changes, next) => explainChanges(changes, next, { jobs: scheduler?.list(undefined) ?? [], head: replica.getRuleSet() }),
     getStatus
   })
--- /dev/null
+++ b/src/measure/hosts.ts
@@ -0,0 +1,129 @@
+/**
+ * `npm run measure:hosts`: what membership and rules cost a host as the fleet grows, and what claims cost the
+ * store. All hosts run in one process over loopback; each figure is for one host.
+ */
+import { createClaims } from '../claims/claims.js'
+import { formatTable } from '../cli/formatJob.js'
+import { silentLogger } from '../common/logger.js'
+import { rpcTraffic } from '../common/rpc.js'
+import { delay } from '../common/time.js'
+import { OperatorMethod } from '../operators/operatorInterface.js'
+import type { Confirmations } from '../operators/operatorInterface.js'
+import type { RuleEditResult } from '../rules/ruleEditor.js'
+import type { RuleSnapshot } from '../rules/ruleReplica.js'
+import { startLocalSystem } from '../standins/localSystem.js'
+import type { LocalSystem } from '../standins/localSystem.js'
+import { createMemoryStore } from '../standins/store.js'
+
+const fleets = [{ domains: 2, hosts: 4 }, { domains: 6, hosts: 5 }, { domains: 15, hosts: 8 }]
+const observeMs = 20_000
+const editCount = 10
+const forceBoundMs = 9_000
+const httpHeadBytes = 420
+const claimRates = [50, 500, 5_000]
+const claimHosts = 8
+const claimSeconds = 4
+const storeLatencyMs = 4
+
+async function measureFleet (fleet: { readonly domains: number, readonly hosts: number }): Promise<string[]> {
+  const domains = Array.from({ length: fleet.domains }, (_, index) => ({ name: `d${index}`, workers: 0, workersPerRack: 8, endpoints: 0, hosts: fleet.hosts }))
+  const system = await startLocalSystem({ domains, organisations: ['mill'], logger: silentLogger })
+  const count = fleet.domains * fleet.hosts
+  while (![...system.hosts.values()].every(host => host.countPeers() === count - 1)) await delay(200)
+  await system.connectOperator().call(OperatorMethod.ApplyRules, { text: 'organisation mill # measure\n', baseRevision: 0, askedBy: 'measure' })
+  await delay(3_000)
+  const calls = { ...system.store.store.calls }
+  rpcTraffic.calls = rpcTraffic.bytesIn = rpcTraffic.bytesOut = 0
+  const before = process.cpuUsage()
+  await delay(observeMs)
+  const used = process.cpuUsage(before)
+  const seconds = observeMs / 1_000
+  const after = system.store.store.calls
+  const storeCalls = (after.reads + after.writes + after.watches - calls.reads - calls.writes - calls.watches) / seconds
+  const bytes = (rpcTraffic.bytesIn + rpcTraffic.bytesOut + rpcTraffic.calls * httpHeadBytes) / seconds / count
+  const times = await measureEdits(system)
+  await system.stop()
+  return [
+    `| ${count}`,
+    `| ${fleet.domains}`,
+    `| ${(rpcTraffic.calls / seconds / count).toFixed(1)}`,
+    `| ${bytes.toFixed(0)}`,
+    `| ${((used.user + used.system) / 10_000 / seconds / count).toFixed(2)}`,
+    `| ${storeCalls.toFixed(1)}`,
+    `| ${Math.round(times[Math.floor(times.length / 2)] ?? 0)}`,
+    `| ${Math.round(times.at(-1) ?? 0)} |`
+  ]
+}
+
+/** Times from the edit until every host has adopted it, sorted. */
+async function measureEdits (system: LocalSystem): Promise<number[]> {
+  const times: number[] = []
+  for (let index = 0; index < editCount; index++) {
+    const operator = system.connectOperator()
+    const snapshot = await operator.call<RuleSnapshot>(OperatorMethod.ShowRules, {})
+    const startedAtMs = performance.now()
+    const result = await operator.call<RuleEditResult>(OperatorMethod.ApplyRules, { text: `${snapshot.text}organisation o${index} # measure\n`, askedBy: 'measure' })
+    while ([...system.hosts.values()].some(host => host.getRulesRevision() < result.revision)) await delay(5)
+    times.push(performance.now() - startedAtMs)
+    await operator.call<Confirmations>(OperatorMethod.Confirmations, { revision: result.revision, waitMs: forceBoundMs })
+  }
+  return times.sort((left, right) => left - right)
+}
+
+async function measureClaims (ratePerSecond: number): Promise<string[]> {
+  const store = createMemoryStore()
+  const slow = {
+    ...store,
+    get: async (key: string) => {
+      await delay(storeLatencyMs)
+      return await store.get(key)
+    },
+    put: async (write: Parameters<typeof store.put>[0]) => {
+      await delay(storeLatencyMs)
+      return await store.put(write)
+    }
+  }
+  const hosts = Array.from({ length: claimHosts }, () => createClaims(slow, () => 60_000))
+  const times: number[] = []
+  let failed = 0
+  const open: Promise<void>[] = []
+  const startedAtMs = performance.now()
+  for (let index = 0; index < ratePerSecond * claimSeconds; index++) {
+    const atMs = startedAtMs + index * 1_000 / ratePerSecond
+    if (atMs > performance.now()) await delay(atMs - performance.now())
+    const sentAtMs = performance.now()
+    const host = hosts[index % claimHosts]
+    open.push((host?.claim(`key-${index}`, `request-${index}`) ?? Promise.reject(new Error())).then(
+      () => { times.push(performance.now() - sentAtMs) },
+      () => { failed++ }))
+  }
+  await Promise.all(open)
+  const seconds = (performance.now() - startedAtMs) / 1_000
+  hosts.forEach(host => host.stop())
+  times.sort((left, right) => left - right)
+  return [
+    `| ${ratePerSecond}`,
+    `| ${(store.calls.writes / seconds).toFixed(0)}`,
+    `| ${(store.calls.reads / seconds).toFixed(0)}`,
+    `| ${(times[Math.floor(times.length / 2)] ?? 0).toFixed(0)}`,
+    `| ${(times[Math.floor(times.length * 0.99)] ?? 0).toFixed(0)}`,
+    `| ${failed} |`
+  ]
+}
+
+const fleetRows: string[][] = []
+for (const fleet of fleets) fleetRows.push(await measureFleet(fleet))
+console.log(formatTable([
+  ['| hosts', '| domains', '| calls/s a host', '| bytes/s a host', '| core % a host', '| store calls/s, all', '| edit in force p50 ms', '| max ms |'],
+  ['|---', '|---', '|---', '|---', '|---', '|---', '|---', '|---|'],
+  ...fleetRows
+]))
+const claimRows: string[][] = []
+for (const rate of claimRates) claimRows.push(await measureClaims(rate))
+console.log('')
+console.log(formatTable([
+  ['| claims/s', '| store writes/s', '| store reads/s', '| claim p50 ms', '| p99 ms', '| failed |'],
+  ['|---', '|---', '|---', '|---', '|---', '|---|'],
+  ...claimRows
+]))
+process.exit(0)
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -67,6 +67,15 @@
   stop (): void
 }
 
+/** Whose reports an exchange carries. */
+enum Reach {
+  /** Those of the own domain. */
+  Domain,
+  /** The own domain's, and those of the hosts that schedule the others. */
+  Wide,
+  All
+}
+
 interface KnownPeer {
   info: PeerInfo
   lastSeenMs: number
@@ -74,10 +83,15 @@
 
 const heartbeatMs = 500
 const heartbeatJitter = 0.3
-const farHeartbeatEvery = 4
+const wideHeartbeatEvery = 4
+const minFarPeriodMs = 2_000
+const farBytesPerSecond = 4_000
+const reportBytes = 250
+/** An exchange takes so many periods to reach every host, at most. */
+const farTimeoutPeriods = 10
 const domainTimeoutMs = 3_000
-const farTimeoutMs = 15_000
-const forgetMs = 120_000
+const minFarTimeoutMs = 15_000
+const forgetMs = 300_000
 const exchangeMethod = 'peer.exchange'
 const exchangeTimeoutMs = 1_000
 const exchangeSchema = z.strictObject({ peers: z.array(peerInfoSchema).max(10_000) })
@@ -90,13 +104,14 @@
   const stopped = createSignal()
   const incarnation = Date.now()
   let counter = 0
+  let lastFarMs = 0
   let isStopped = false
   void beat()
 
   const methods = [defineMethod(exchangeMethod, exchangeSchema, async params => {
     params.peers.forEach(merge)
-    const isNear = params.peers.every(peer => peer.domain === host.domain)
-    return { peers: getReports(isNear) }
+    const isNear = params.peers[0]?.domain === host.domain
+    return { peers: getReports(isNear ? Reach.Wide : Reach.All) }
   })]
 
   return { changed, methods, getPeers, getDomainPeers, tryGetScheduler, connect, announce, stop }
@@ -107,16 +122,23 @@
       if (isStopped) return
       counter++
       forgetOld()
-      const isFar = round % farHeartbeatEvery === 0
-      void exchangeWithOne(getPeers().filter(peer => peer.domain === host.domain), true)
-      if (isFar) void exchangeWithOne(getPeers().filter(peer => peer.domain !== host.domain), false)
-      if (isFar) void contactSeed()
+      const isWide = round % wideHeartbeatEvery === 0
+      void exchangeWithOne(getDomainPeers(host.domain), isWide ? Reach.Wide : Reach.Domain)
+      if (isWide) void contactSeed()
+      if (Date.now() - lastFarMs < getFarPeriodMs()) continue
+      lastFarMs = Date.now()
+      void exchangeWithOne(getPeers().filter(peer => peer.domain !== host.domain), Reach.All)
     }
   }
 
-  async function exchangeWithOne (peers: readonly PeerInfo[], isNear: boolean): Promise<void> {
+  /** Longer in a larger fleet, since a far exchange carries a report of every host. */
+  function getFarPeriodMs (): number {
+    return Math.max(minFarPeriodMs, known.size * reportBytes * 2 / farBytesPerSecond * 1_000)
+  }
+
+  async function exchangeWithOne (peers: readonly PeerInfo[], reach: Reach): Promise<void> {
     const peer = pickRandom(peers, host.random)
-    if (peer !== undefined) await exchange(peer.address, isNear)
+    if (peer !== undefined) await exchange(peer.address, reach)
   }
 
   /** Hosts that are on the list but silent are tried now and then, so that two halves find each other again. */
@@ -124,20 +146,20 @@
     const living = new Set(getPeers().map(peer => peer.address))
     const silent = host.getSeeds().filter(address => address !== host.address && !living.has(address))
     const address = pickRandom(silent, host.random)
-    if (address !== undefined) await exchange(address, false)
+    if (address !== undefined) await exchange(address, Reach.All)
   }
 
-  async function exchange (address: string, isNear: boolean): Promise<void> {
+  async function exchange (address: string, reach: Reach): Promise<void> {
     try {
-      const answer = await connect(address).call<{ peers: PeerInfo[] }>(exchangeMethod, { peers: getReports(isNear) }, exchangeTimeoutMs)
+      const answer = await connect(address).call<{ peers: PeerInfo[] }>(exchangeMethod, { peers: getReports(reach) }, exchangeTimeoutMs)
       if (!isStopped) exchangeSchema.parse(answer).peers.forEach(merge)
     } catch (error) {
       host.logger.debug(`no heartbeat from ${address}`, { error: String(error) })
     }
   }
 
-  function getReports (isNear: boolean): PeerInfo[] {
-    const peers = getPeers().filter(peer => !isNear || peer.domain === host.domain)
+  function getReports (reach: Reach): PeerInfo[] {
+    const peers = getPeers().filter(peer => peer.domain === host.domain || reach === Reach.All || (reach === Reach.Wide && peer.schedulerEpoch > 0))
     return [getSelf(), ...peers]
   }
 
@@ -158,6 +180,7 @@
 
   function getPeers (): readonly PeerInfo[] {
     const nowMs = Date.now()
+    const farTimeoutMs = Math.max(minFarTimeoutMs, getFarPeriodMs() * farTimeoutPeriods)
     const living: PeerInfo[] = []
     for (const peer of known.values()) {
       const timeoutMs = peer.info.domain === host.domain ? domainTimeoutMs : farTimeoutMs
@@ -190,7 +213,7 @@
     counter++
     const domains = new Set<string>()
     const targets = getPeers().filter(peer => peer.domain === host.domain || (!domains.has(peer.domain) && domains.add(peer.domain)))
-    await Promise.all(targets.map(peer => exchange(peer.address, peer.domain === host.domain)))
+    await Promise.all(targets.map(peer => exchange(peer.address, peer.domain === host.domain ? Reach.Wide : Reach.Domain)))
   }
 
   function forgetOld (): void {
--- a/src/operators/operatorInterface.ts
+++ b/src/operators/operatorInterface.ts
@@ -2,9 +2,10 @@
 import { z } from 'zod'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { defineMethod } from '../common/rpc.js'
-import type { RpcMethod } from '../common/rpc.js'
+import type { RpcClient, RpcMethod } from '../common/rpc.js'
 import { delay } from '../common/time.js'
 import type { PeerInfo } from '../membership/membership.js'
+import { revisionMethod } from '../rules/ruleDistribution.js'
 import type { RuleChange, RuleEntry } from '../rules/ruleEdit.js'
 import type { RuleEditor } from '../rules/ruleEditor.js'
 import type { RuleLog } from '../rules/ruleLog.js'
@@ -41,6 +42,7 @@
   readonly log: RuleLog
   readonly getPeers: () => readonly PeerInfo[]
   readonly push: (revision: number) => void
+  readonly connect: (address: string) => RpcClient
   readonly explain: (changes: readonly RuleChange[], next: RuleSet) => readonly string[]
   readonly getStatus: () => Promise<unknown>
 }
@@ -54,6 +56,7 @@
 const historySchema = z.strictObject({ identity: z.string().optional(), limit: z.number().int().min(1).max(10_000).default(100) })
 const confirmSchema = z.strictObject({ revision: z.number().int(), waitMs: z.number().min(0).max(30_000) })
 const confirmPollMs = 50
+const confirmTimeoutMs = 1_000
 
 /** Creates the operators' methods. */
 export function createOperatorMethods (host: OperatorInterfaceHost): RpcMethod[] {
@@ -94,15 +97,24 @@
 
   async function waitForConfirmations (revision: number, waitMs: number): Promise<Confirmations> {
     const untilMs = Date.now() + waitMs
+    const confirmed = new Set<string>()
     while (true) {
-      const hosts = [
-        { hostId: host.hostId, rulesRevision: host.replica.getRuleSet().revision },
-        ...host.getPeers()
-      ]
-      const missing = hosts.filter(peer => peer.rulesRevision < revision).map(peer => peer.hostId)
-      const confirmed = hosts.filter(peer => peer.rulesRevision >= revision).map(peer => peer.hostId)
-      if (missing.length === 0 || Date.now() >= untilMs) return { confirmed, missing }
+      if (host.replica.getRuleSet().revision >= revision) confirmed.add(host.hostId)
+      await Promise.all(host.getPeers().map(peer => confirmPeer(peer, revision, confirmed)))
+      const missing = [host.hostId, ...host.getPeers().map(peer => peer.hostId)].filter(hostId => !confirmed.has(hostId))
+      if (missing.length === 0 || Date.now() >= untilMs) return { confirmed: [...confirmed], missing }
       await delay(confirmPollMs)
     }
   }
+
+  /** Asks a host itself, since heartbeats tell its revision late. */
+  async function confirmPeer (peer: PeerInfo, revision: number, confirmed: Set<string>): Promise<void> {
+    if (confirmed.has(peer.hostId)) return
+    try {
+      const known = peer.rulesRevision >= revision ? peer.rulesRevision : await host.connect(peer.address).call<number>(revisionMethod, {}, confirmTimeoutMs)
+      if (known >= revision) confirmed.add(peer.hostId)
+    } catch {
+      // A host that does not answer stays among the missing.
+    }
+  }
 }
--- a/src/rules/ruleDistribution.ts
+++ b/src/rules/ruleDistribution.ts
@@ -40,6 +40,9 @@
 const sinceMethod = 'rules.since'
 const pushMethod = 'rules.push'
 
+/** Asks a host for its revision. */
+export const revisionMethod = 'rules.revision'
+
 const changeSchema = z.strictObject({ identity: z.string(), before: z.string().optional(), after: z.string().optional() })
 const entrySchema = z.strictObject({
   revision: z.number().int(),
@@ -68,6 +71,7 @@
   function createMethods (): RpcMethod[] {
     return [
       defineMethod(sinceMethod, z.strictObject({ revision: z.number() }), async params => replica.getUpdateSince(params.revision)),
+      defineMethod(revisionMethod, z.strictObject({}), async () => replica.getRuleSet().revision),
       defineMethod(pushMethod, updateSchema, async update => {
         const before = replica.getRuleSet().revision
         const isComplete = replica.adopt(update)
