Never let two renewals of one worker overlap

The renewal that follows a restart ran beside the periodic one; an answer of the new instance to the old instance's sequence number hid the changes below that number. Changed: renewals of one worker follow each other.

--- a/src/scheduling/workerLinks.ts
+++ b/src/scheduling/workerLinks.ts
@@ -60,6 +60,8 @@
   isReachable: boolean
   isSettled: boolean
   isRemoved: boolean
+  /** The next renewal follows at once. Renewals of one worker never overlap, since each builds on the last answer. */
+  isRenewalDue: boolean
   lastAnswerMs: number
   /** The worker's clock at its last answer, in ms; undefined before the first. */
   clockMs: number | undefined
@@ -96,6 +98,7 @@
       isReachable: true,
       isSettled: false,
       isRemoved: false,
+      isRenewalDue: false,
       lastAnswerMs: Date.now(),
       clockMs: undefined,
       lastRenewalMs: Date.now()
@@ -119,8 +122,10 @@
 
   async function runLink (link: Link): Promise<void> {
     while (!isStopped && !link.isRemoved) {
+      link.isRenewalDue = false
       await renewOnce(link)
       if (isStopped || link.isRemoved) return
+      if (link.isRenewalDue) continue
       await link.wake.wait(jitter(host.getTiming().renewMs, renewJitter, host.random))
     }
   }
@@ -149,7 +154,7 @@
       link.clockMs = report.clockMs
       noteAnswer(link, report.instanceId, report.sequence, report.tasks)
       // The first renewal could not prolong any lease.
-      if (isFirstClock) void renewOnce(link)
+      if (isFirstClock) link.isRenewalDue = true
       if (isFull) host.onFullReport(workerId, new Set(report.tasks.map(task => task.taskId)), sentAtMs)
     } catch (error) {
       if (isStopped || link.isRemoved) return
@@ -179,7 +184,7 @@
   function noteRestart (link: Link): void {
     host.logger.warn(`worker ${link.info.workerId} has restarted`)
     forgetInstance(link)
-    void renewOnce(link)
+    link.isRenewalDue = true
   }
 
   function noteSilence (link: Link, workerId: string): void {
--- a/src/standins/worker.ts
+++ b/src/standins/worker.ts
@@ -140,7 +140,7 @@
     forgetAcknowledged(request.ackedSequence)
     const visibleBeforeMs = Date.now() - (options.reportLagMs ?? 0)
     const reports: TaskReport[] = []
-    let visibleSequence = request.seenSequence
+    let visibleSequence = Math.min(request.seenSequence, sequence)
     for (const task of tasks.values()) {
       if (task.state === TaskState.Running) task.expiresAtMs = Math.max(task.expiresAtMs, request.leaseUntilMs)
       if (!request.isFull && (task.sequence <= request.seenSequence || task.changedAtMs > visibleBeforeMs)) continue
