--- a/src/claims/claims.test.ts
+++ b/src/claims/claims.test.ts
@@ -1,31 +1,13 @@
 /** Claims: at most one owner a key, over a store that loses answers, with few writes. */
 import { expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { createRandom } from '../common/random.js'
-import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { ErrorKind } from '../errors/errorKinds.js'
 import { createMemoryStore } from '../standins/store.js'
-import type { Store } from '../store/store.js'
+import { createBadStore } from '../testing/badStore.js'
 import { createClaims } from './claims.js'
 
 const retentionMs = 60_000
 
-function createBadStore (store: Store, seed: number): Store {
-  const random = createRandom(seed)
-  return {
-    ...store,
-    put: async write => {
-      if (random() < 0.1) throw createError(ErrorKind.StoreUnavailable, 'out')
-      const revision = await store.put(write)
-      if (random() < 0.3) throw createError(ErrorKind.AnswerLost, 'lost')
-      return revision
-    },
-    get: async key => {
-      if (random() < 0.1) throw createError(ErrorKind.StoreUnavailable, 'out')
-      return await store.get(key)
-    }
-  }
-}
-
 test('of all hosts that claim a key at once, one at most owns it', async () => {
   await fc.assert(fc.asyncProperty(fc.integer(), fc.array(fc.tuple(fc.nat({ max: 7 }), fc.nat({ max: 5 })), { minLength: 1, maxLength: 40 }), async (seed, repeats) => {
     const store = createMemoryStore()
--- a/src/rules/rules.test.ts
+++ b/src/rules/rules.test.ts
@@ -1,10 +1,10 @@
 /** Rules: the grammar, merges, and that an accepted edit is neither lost nor taken back. */
 import { expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { createRandom } from '../common/random.js'
-import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { ErrorKind } from '../errors/errorKinds.js'
 import { createMemoryStore } from '../standins/store.js'
 import type { Store } from '../store/store.js'
+import { createBadStore } from '../testing/badStore.js'
 import { diffRules, mergeRules } from './ruleEdit.js'
 import { createRuleEditor } from './ruleEditor.js'
 import type { RuleEditor } from './ruleEditor.js'
@@ -71,24 +71,6 @@
   return { replica, editor: createRuleEditor({ log, replica, checkGuarantees: () => [] }) }
 }
 
-/** A store that loses some answers after the write took effect, and is sometimes out. */
-function createBadStore (store: Store, seed: number): Store {
-  const random = createRandom(seed)
-  return {
-    ...store,
-    put: async write => {
-      if (random() < 0.15) throw createError(ErrorKind.StoreUnavailable, 'out')
-      const revision = await store.put(write)
-      if (random() < 0.3) throw createError(ErrorKind.AnswerLost, 'lost')
-      return revision
-    },
-    get: async key => {
-      if (random() < 0.1) throw createError(ErrorKind.StoreUnavailable, 'out')
-      return await store.get(key)
-    }
-  }
-}
-
 test.each([1, 2, 3, 4, 5, 6, 7, 8])('ten editors race over a bad store: no accepted edit is lost (seed %i)', async seed => {
   const store = createMemoryStore()
   const hosts = Array.from({ length: 10 }, (_, index) => createHost(createBadStore(store, seed * 100 + index)))
--- a/src/scheduling/schedulerCrash.test.ts
+++ b/src/scheduling/schedulerCrash.test.ts
@@ -99,3 +99,26 @@
   expect((await scheduler.get(spec.jobId, 0))?.result).toBe(JobResult.Succeeded)
   scheduler.stop()
 })
+
+test.each([true, false])('a member\'s worker restarts at every call: the gang ends whole or not at all (repeatable: %s)', async isRepeatable => {
+  for (let strikeAt = 0; strikeAt < callCount; strikeAt++) {
+    const rig = createSchedulerRig(8, guarantee)
+    const gate = createGate(strikeAt, GateFault.LoseAnswer, lost, () => rig.workers.get('w002')?.restart())
+    const scheduler = rig.startScheduler(gate)
+    await jest.advanceTimersByTimeAsync(200)
+    const spec = createSpec('gang', { members, repeatable: isRepeatable })
+    await scheduler.submit(spec).catch(() => {})
+    await jest.advanceTimersByTimeAsync(endMs)
+    const view = await scheduler.get(spec.jobId, 0)
+    const releases = rig.getReleases(spec.jobId)
+    const trace = `restart at call ${strikeAt} (${gate.calls[strikeAt]})`
+    expect([trace, view?.state]).toEqual([trace, 'ended'])
+    if (isRepeatable) expect([trace, view?.result]).toEqual([trace, JobResult.Succeeded])
+    else expect([trace, Math.max(0, ...releases) <= 1]).toEqual([trace, true])
+    if (view?.result === JobResult.Succeeded) expect([trace, releases.filter(count => count > 0).length]).toEqual([trace, members])
+    expect([trace, rig.countLiveTasks()]).toEqual([trace, 0])
+    scheduler.verify()
+    scheduler.stop()
+    await jest.advanceTimersByTimeAsync(1_000)
+  }
+})
--- a/src/testing/schedulerRig.ts
+++ b/src/testing/schedulerRig.ts
@@ -210,7 +210,7 @@
         if (id === jobId) counts[member] = (counts[member] ?? 0) + count
       }
     }
-    return counts
+    return Array.from(counts, count => count ?? 0)
   }
 }
 
