Take back the listeners of requests that waited, and count the traffic of hosts right

Cause: under overload each wait for a slot left a listener on its request (warnings of Node.js in measure:routing); measure:hosts counted the calls of the edits as heartbeats, and one side of each exchange only.

--- a/src/measure/hosts.ts
+++ b/src/measure/hosts.ts
@@ -41,13 +41,15 @@
   const seconds = observeMs / 1_000
   const after = system.store.store.calls
   const storeCalls = (after.reads + after.writes + after.watches - calls.reads - calls.writes - calls.watches) / seconds
-  const bytes = (rpcTraffic.bytesIn + rpcTraffic.bytesOut + rpcTraffic.calls * httpHeadBytes) / seconds / count
+  // Each exchange between hosts passes two of them, as client and as server.
+  const bytes = 2 * (rpcTraffic.bytesIn + rpcTraffic.bytesOut + rpcTraffic.calls * httpHeadBytes) / seconds / count
+  const callsPerSecond = rpcTraffic.calls / seconds / count
   const times = await measureEdits(system)
   await system.stop()
   return [
     `| ${count}`,
     `| ${fleet.domains}`,
-    `| ${(rpcTraffic.calls / seconds / count).toFixed(1)}`,
+    `| ${callsPerSecond.toFixed(1)}`,
     `| ${bytes.toFixed(0)}`,
     `| ${((used.user + used.system) / 10_000 / seconds / count).toFixed(2)}`,
     `| ${storeCalls.toFixed(1)}`,
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -31,7 +31,6 @@
 
 interface Entry<T> {
   readonly waiting: Waiting
-  readonly enteredAtMs: number
   resolve (slot: T): void
   reject (error: unknown): void
 }
@@ -56,9 +55,20 @@
       if (slot !== undefined) return Promise.resolve(slot)
     }
     return new Promise((resolve, reject) => {
-      const entry: Entry<T> = { waiting, enteredAtMs: Date.now(), resolve, reject }
+      const leave = (): void => refuse(entry, ErrorKind.Overloaded, 'the caller has gone')
+      const entry: Entry<T> = {
+        waiting,
+        resolve: slot => {
+          signal.removeEventListener('abort', leave)
+          resolve(slot)
+        },
+        reject: error => {
+          signal.removeEventListener('abort', leave)
+          reject(error)
+        }
+      }
       entries.add(entry)
-      signal.addEventListener('abort', () => refuse(entry, ErrorKind.Overloaded, 'the caller has gone'), { once: true })
+      signal.addEventListener('abort', leave, { once: true })
       refuseHopeless(entry)
       while (entries.size > host.getMaxWaiting()) refuseLast()
       wake()
