--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -25,10 +25,13 @@
 
 const maxHeaderBytes = 16 * 1024
 const headersTimeoutMs = 10_000
+const idleCheckMs = 50
 
 /** Starts an HTTP server and resolves when it listens. */
 export async function listenHttp (listen: ListenAddress, handler: HttpHandler): Promise<HttpListener> {
+  let isClosing = false
   const server = createServer({ maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs }, (request, response) => {
+    if (isClosing) response.setHeader('Connection', 'close')
     handler(request, response).catch(() => {
       if (!response.headersSent) response.writeHead(500)
       response.end()
@@ -39,7 +42,10 @@
   const { port } = server.address() as AddressInfo
   return {
     address: `${listen.host}:${port}`,
-    close: () => closeServer(server, false),
+    close: () => {
+      isClosing = true
+      return closeServer(server, false)
+    },
     destroy: () => closeServer(server, true)
   }
 }
@@ -72,7 +78,12 @@
 
 function closeServer (server: Server, isForced: boolean): Promise<void> {
   return new Promise(resolve => {
-    server.close(() => resolve())
+    // A connection that was busy at the close is closed when it falls idle.
+    const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs)
+    server.close(() => {
+      clearInterval(timer)
+      resolve()
+    })
     if (isForced) server.closeAllConnections()
     else server.closeIdleConnections()
   })
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -320,7 +320,8 @@
     await delay(settings.leaveNoticeMs)
     await router.whenIdle()
     endDuties()
-    await Promise.all([callersListener.close(), peersListener.close()])
+    // Calls between hosts are idempotent, and a peer that calls on would keep its connection busy for ever.
+    await Promise.all([callersListener.close(), peersListener.destroy()])
     await router.close()
     logger.info('this host has left')
   }
