--- a/src/commands/job/submit.ts
+++ b/src/commands/job/submit.ts
@@ -3,7 +3,7 @@
 import { fail } from '../../cli/fail.js'
 import { parseJob } from '../../entry/callersInterface.js'
 import type { JobView } from '../../scheduling/jobViews.js'
-import { readText } from '../../settings/settings.js'
+import { parseJson, readText } from '../../settings/settings.js'
 
 /** Submits a job. */
 export default class Submit extends Command {
@@ -15,6 +15,7 @@
     const { args, flags } = await this.parse(Submit)
     try {
       const text = readText(args.file === '-' ? '/dev/stdin' : args.file)
+      parseJson(args.file, text)
       parseJob(text)
       const job = await callEntry<JobView>(flags, 'POST', '/v1/jobs', text, flags.key)
       this.log(flags.json ? JSON.stringify(job) : job.jobId)
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -81,15 +81,15 @@
   lastSeenMs: number
 }
 
-const heartbeatMs = 500
+const heartbeatMs = 1_000
 const heartbeatJitter = 0.3
-const wideHeartbeatEvery = 4
+const wideHeartbeatEvery = 2
 const minFarPeriodMs = 2_000
 const farBytesPerSecond = 4_000
 const reportBytes = 250
 /** An exchange takes so many periods to reach every host, at most. */
 const farTimeoutPeriods = 10
-const domainTimeoutMs = 3_000
+const domainTimeoutMs = 4_000
 const minFarTimeoutMs = 15_000
 const forgetMs = 300_000
 const exchangeMethod = 'peer.exchange'
