Never call a job not run that has run, and take a worker off the list only when its tasks have surely ended

Cause: found by reading the change. A job that became impossible after it had run ended as not-run, which is a promise. The test for it found two more: a worker that left the list was forgotten after 3 s of silence, before its lease had passed, so its gangs counted as running for ever; and a job that became impossible while it was being stopped waited for ever. Changed: such a job ends as interrupted; a worker is forgotten only when it is lost; a job is checked again when it is requeued.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -187,7 +187,6 @@
       domain: settings.domain,
       epoch,
       store,
-      isStoreReachable: store.isReachable,
       logger: rootLogger.part('scheduler'),
       random,
       getRules: () => replica.getRuleSet(),
--- a/src/measure/schedulerBench.ts
+++ b/src/measure/schedulerBench.ts
@@ -134,7 +134,6 @@
     domain,
     epoch,
     store,
-    isStoreReachable: () => true,
     logger: silentLogger,
     random: createRandom(epoch),
     getRules: () => rules,
--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -56,7 +56,7 @@
   Cancelled = 'cancelled',
   /** Refused after acceptance, because it became impossible; it never ran. */
   NotRun = 'not-run',
-  /** A non-repeatable job was stopped after its release. */
+  /** It was stopped after its release, and is not started again: not repeatable, or impossible by now. */
   Interrupted = 'interrupted',
   /** A non-repeatable job was lost after its release; it may have finished. */
   Unknown = 'unknown'
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -32,7 +32,6 @@
   readonly domain: string
   readonly epoch: number
   readonly store: Store
-  readonly isStoreReachable: () => boolean
   readonly logger: Logger
   readonly random: () => number
   readonly getRules: () => RuleSet
@@ -230,7 +229,7 @@
     }
     const listedIds = new Set(listed.map(info => info.workerId))
     for (const workerId of workers.keys()) {
-      const isGone = !listedIds.has(workerId) && unreachable.has(workerId) && links.isSettled(workerId)
+      const isGone = !listedIds.has(workerId) && unreachable.has(workerId) && links.isLost(workerId)
       if (isGone) removeWorker(workerId)
       else updateUsable(workerId)
     }
@@ -258,12 +257,20 @@
 
   function refuseImpossible (): void {
     for (const job of [...decider.getJobs()]) {
-      if (runs.has(job.spec.jobId)) continue
-      const reason = cells.getImpossibleReason(job.spec)
-      if (reason !== undefined) endJob(job.spec.jobId, JobResult.NotRun, reason)
+      if (!runs.has(job.spec.jobId)) refuseIfImpossible(job.spec)
     }
   }
 
+  function refuseIfImpossible (spec: JobSpec): void {
+    const reason = cells.getImpossibleReason(spec)
+    if (reason !== undefined) endJob(spec.jobId, getImpossibleResult(spec.jobId), reason)
+  }
+
+  /** "Not run" is a promise, so it is not said of a job that an earlier attempt may have run. */
+  function getImpossibleResult (jobId: string): JobResult {
+    return records.get(jobId)?.startedAtMs === undefined ? JobResult.NotRun : JobResult.Interrupted
+  }
+
   function updateUsable (workerId: string): void {
     const info = workers.get(workerId)
     if (info === undefined) return
@@ -433,6 +440,7 @@
     const attempt = noteAttempt(jobId, run.start.attempt)
     records.writeLater(jobId, { state: JobState.Queued, attempt: attempt + 1, progressMs: end.progressMs, attainedMs })
     noteAttempt(jobId, attempt + 1)
+    refuseIfImpossible(run.start.spec)
     changed.notify()
   }
 
--- a/src/scheduling/schedulerFaults.test.ts
+++ b/src/scheduling/schedulerFaults.test.ts
@@ -263,3 +263,23 @@
   expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
   scheduler.stop()
 })
+
+test('a job that becomes impossible ends: as not run only if it has never run', async () => {
+  const rig = createSchedulerRig(4, 'guarantee mill/plan domain=harju accelerators=32 cells=1 # test')
+  const scheduler = await start(rig)
+  const ran = createSpec('ran', { members: 4, command: ['run', '60000'] })
+  await scheduler.submit(ran)
+  await jest.advanceTimersByTimeAsync(2_000)
+  const waits = createSpec('waits', { members: 4, organisation: 'haul' })
+  await scheduler.submit(waits)
+  expect(rig.countRunning(ran.jobId)).toBe(4)
+  rig.removeWorker('w001')
+  for (let second = 0; second < 30; second++) {
+    scheduler.refresh()
+    await jest.advanceTimersByTimeAsync(1_000)
+  }
+  expect((await getResult(scheduler, ran.jobId))?.result).toBe(JobResult.Interrupted)
+  expect((await getResult(scheduler, waits.jobId))?.result).toBe(JobResult.NotRun)
+  expect(rig.getReleases(waits.jobId)).toEqual([])
+  scheduler.stop()
+})
--- a/src/scheduling/workerLinks.ts
+++ b/src/scheduling/workerLinks.ts
@@ -42,6 +42,8 @@
   get (workerId: string): WorkerPort | undefined
   /** Tells whether the worker has answered since this scheduler took over, or is surely lost. */
   isSettled (workerId: string): boolean
+  /** Tells whether the worker is silent and every task that it had has surely ended. */
+  isLost (workerId: string): boolean
   /** Marks an ended task as recorded, so that the worker can forget it. */
   acknowledge (workerId: string, taskId: string): void
   /** Asks for the worker's next report at once. */
@@ -81,6 +83,10 @@
     remove,
     get: workerId => links.get(workerId)?.port,
     isSettled: workerId => links.get(workerId)?.isSettled ?? true,
+    isLost: workerId => {
+      const link = links.get(workerId)
+      return link === undefined || (!link.isReachable && link.isSettled && link.instanceId === undefined)
+    },
     acknowledge: (workerId, taskId) => { links.get(workerId)?.unrecorded.delete(taskId) },
     hurry: workerId => links.get(workerId)?.wake.notify(),
     stop
--- a/src/testing/schedulerRig.ts
+++ b/src/testing/schedulerRig.ts
@@ -30,6 +30,8 @@
   loseStoreAnswers (count: number): void
   /** Cuts a worker off from every scheduler. */
   setCutOff (workerId: string, isCutOff: boolean): void
+  /** Takes a worker off the platform's list, and off the network. */
+  removeWorker (workerId: string): void
   setRules (text: string): void
   /** Every renewal is lost on its way. */
   holdRenewals (isHeld: boolean): void
@@ -88,6 +90,10 @@
     },
     holdRenewals: isHeld => { areRenewalsHeld = isHeld },
     loseSharedRecords: () => { sharedRecords = [] },
+    removeWorker: workerId => {
+      cutOff.add(workerId)
+      infos.splice(infos.findIndex(info => info.workerId === workerId), 1)
+    },
     setRules: text => { rules = toRuleSet(text, rules.revision + 1) },
     countRunning: jobId => countTasks(jobId, state => state === TaskState.Running),
     getRunningAttempts,
@@ -105,7 +111,6 @@
       domain: rigDomain,
       epoch,
       store: createGatedStore(gate),
-      isStoreReachable: () => !isStoreDown,
       logger: silentLogger,
       random: createRandom(epoch),
       getRules: () => rules,
