--- a/src/cli/formatStatus.ts
+++ b/src/cli/formatStatus.ts
@@ -49,7 +49,7 @@
       `${usage.borrowed} lent out; ${domain.running} job(s) placed, ${domain.waiting} waiting`,
     ...domain.shortages.map(shortage =>
       `  GUARANTEE ${shortage.guaranteeId} of ${shortage.organisation}: ${shortage.missingCells} cell(s) of ${shortage.acceleratorsPerCell} are missing`),
-    ...domain.setAside.map(worker => `  worker ${worker.workerId} is set aside until ${formatTime(worker.untilMs)}: ${worker.failures} jobs failed on it`),
+    ...domain.quarantined.map(worker => `  worker ${worker.workerId} is quarantined until ${formatTime(worker.untilMs)}: ${worker.failures} jobs failed on it`),
     ...domain.unreachableWorkers.map(workerId => `  worker ${workerId} does not answer`),
     ...domain.largestWaiting.map(job => `  waits: ${job.jobId} for ${job.accelerators} accelerators since ${Math.round(job.waitedMs / 1_000)} s: ${job.reason}`)
   ]
--- a/src/scheduling/jobViews.ts
+++ b/src/scheduling/jobViews.ts
@@ -6,7 +6,7 @@
 import type { GuaranteeShortage } from './guaranteeCells.js'
 import { getAcceleratorCount, JobState } from './jobTypes.js'
 import type { JobRecord, JobResult } from './jobTypes.js'
-import type { SetAsideWorker } from './workerHealth.js'
+import type { QuarantinedWorker } from './workerHealth.js'
 
 /** A job as callers see it. */
 export interface JobView {
@@ -48,7 +48,7 @@
   readonly waiting: number
   readonly running: number
   readonly shortages: readonly GuaranteeShortage[]
-  readonly setAside: readonly SetAsideWorker[]
+  readonly quarantined: readonly QuarantinedWorker[]
   readonly unreachableWorkers: readonly string[]
   readonly largestWaiting: readonly WaitingGang[]
   readonly unwrittenRecords: number
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -276,7 +276,7 @@
     if (info === undefined) return
     const rules = host.getRules()
     const isDraining = info.isLeaving || rules.isDraining(DrainTarget.Worker, workerId) || rules.isDraining(DrainTarget.Domain, host.domain)
-    const isUsable = !isDraining && !unreachable.has(workerId) && !health.isSetAside(workerId)
+    const isUsable = !isDraining && !unreachable.has(workerId) && !health.isQuarantined(workerId)
     if (isUsable === cells.isUsable(workerId)) return
     cells.setUsable(workerId, isUsable)
     decider.invalidate()
@@ -414,7 +414,7 @@
     tried.add(workerId)
     const isJobToBlame = tried.size >= maxFailuresOfJob || !spec.repeatable || workers.size <= tried.size
     if (tried.size > 1) health.acquit(spec.jobId).forEach(updateUsable)
-    else if (health.noteFailure(workerId, spec.jobId)) host.logger.warn(`worker ${workerId} is set aside: every job fails on it`)
+    else if (health.noteFailure(workerId, spec.jobId)) host.logger.warn(`worker ${workerId} is quarantined: every job fails on it`)
     updateUsable(workerId)
     if (isJobToBlame) endJob(spec.jobId, JobResult.Failed, `it failed on ${[...tried].join(', ')}`)
     else requeue(run, end)
@@ -513,7 +513,7 @@
       waiting: decider.countWaiting(),
       running: runs.size,
       shortages: cells.getShortages(),
-      setAside: health.getSetAside(),
+      quarantined: health.getQuarantined(),
       unreachableWorkers: [...unreachable],
       largestWaiting: getLargestWaiting(decider),
       unwrittenRecords: records.countUnwritten()
--- a/src/scheduling/schedulerFaults.test.ts
+++ b/src/scheduling/schedulerFaults.test.ts
@@ -139,7 +139,7 @@
   second.stop()
 })
 
-test('a worker that fails everything is set aside, no job pays for it, and a bad job sets no worker aside', async () => {
+test('a worker that fails everything is quarantined, no job pays for it, and a bad job quarantines no worker', async () => {
   const rig = createSchedulerRig(8, '')
   const scheduler = await start(rig)
   rig.workers.get('w003')?.setFailEverything(true)
@@ -147,17 +147,17 @@
   for (const spec of good) await scheduler.submit(spec)
   await jest.advanceTimersByTimeAsync(40_000)
   for (const spec of good) expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Succeeded)
-  expect(scheduler.getStatus().setAside.map(worker => worker.workerId)).toEqual(['w003'])
+  expect(scheduler.getStatus().quarantined.map(worker => worker.workerId)).toEqual(['w003'])
   const bad = Array.from({ length: 40 }, (_, index) => createSpec(`bad${index}`, { acceleratorsPerMember: 2, command: ['fail', '500'] }))
   for (const spec of bad) await scheduler.submit(spec)
   for (let second = 0; second < 40; second++) {
     await jest.advanceTimersByTimeAsync(1_000)
-    expect(scheduler.getStatus().setAside.filter(worker => worker.workerId !== 'w003')).toEqual([])
+    expect(scheduler.getStatus().quarantined.filter(worker => worker.workerId !== 'w003')).toEqual([])
   }
   for (const spec of bad) expect((await getResult(scheduler, spec.jobId))?.result).toBe(JobResult.Failed)
   rig.workers.get('w003')?.setFailEverything(false)
   await jest.advanceTimersByTimeAsync(120_000)
-  expect(scheduler.getStatus().setAside).toEqual([])
+  expect(scheduler.getStatus().quarantined).toEqual([])
   scheduler.stop()
 })
 
