--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['src/**/*.ts'],
     plugins: { '@typescript-eslint': tseslint.plugin },
--- a/src/errors/errorKinds.ts
+++ b/src/errors/errorKinds.ts
@@ -44,6 +44,7 @@
   EndpointLost = 'endpoint-lost',
   PeerUnreachable = 'peer-unreachable',
   AnswerLost = 'answer-lost',
+  HistoryGone = 'history-gone',
   Internal = 'internal'
 }
 
@@ -83,6 +84,7 @@
   [ErrorKind.EndpointLost]: answer(502, Outcome.Unknown, RetryAdvice.AskOwner, -32024),
   [ErrorKind.PeerUnreachable]: answer(503, Outcome.NotRun, RetryAdvice.After, -32025),
   [ErrorKind.AnswerLost]: answer(504, Outcome.Unknown, RetryAdvice.SameKey, -32026),
+  [ErrorKind.HistoryGone]: answer(503, Outcome.NotRun, RetryAdvice.After, -32027),
   [ErrorKind.Internal]: answer(500, Outcome.Unknown, RetryAdvice.AskOwner, -32603)
 }
 
--- /dev/null
+++ b/src/jobs/jobIntake.ts
@@ -0,0 +1,142 @@
+/**
+ * Takes jobs, cancels and questions on any host, straight against the store, so that acceptance never depends on
+ * the scheduler being reachable.
+ */
+import type { Logger } from '../common/logger.js'
+import { delay } from '../common/time.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { MetadataStore } from '../store/metadataStore.js'
+import { decodeAccepted, encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
+import type { AcceptedRecord } from './jobKeys.js'
+import { JobState } from './jobModel.js'
+import type { JobSpec } from './jobModel.js'
+import { decodeState } from './trackedJob.js'
+
+/** What the intake needs from outside. */
+export interface JobIntakeHost {
+  readonly store: MetadataStore
+  readonly logger: Logger
+}
+
+/** Errors of all calls: `store-unavailable` when nothing was done, `answer-lost` when that is not known. */
+export interface JobIntake {
+  /** Resolves when the job is stored; the same job again is one job. */
+  submit (job: JobSpec, deadlineMs: number): Promise<void>
+  /** Resolves to false where there is no such job. */
+  cancel (jobId: string, deadlineMs: number): Promise<boolean>
+  getState (jobId: string, deadlineMs: number): Promise<JobState | undefined>
+  /** Jobs of a queue that have not begun; up to `pendingMaxAgeMs` old. */
+  countPending (queue: string): Promise<number>
+}
+
+/** Pause between tries at a store that turns the host away, in ms: a few tries fit into a caller's patience. */
+const retryPauseMs = 100
+/** A refused call is answered after so many tries, so that the caller can go to another host. */
+const maxRefusals = 3
+/** How old a count of waiting jobs may be, in ms. Source: callers may see counts that are 2 s old. */
+const pendingMaxAgeMs = 700
+
+/** Creates the intake of one host. */
+export function createJobIntake (host: JobIntakeHost): JobIntake {
+  const { store, logger } = host
+  let pending: { readonly counts: Readonly<Record<string, number>>, readonly readAtMs: number } | undefined
+  let reading: Promise<Readonly<Record<string, number>>> | undefined
+
+  return { submit, cancel, getState, countPending }
+
+  async function submit (job: JobSpec, deadlineMs: number): Promise<void> {
+    const key = getAcceptedKey(job.jobId)
+    const value = encodeAccepted({ isRefused: false, job })
+    const outcome = await createRecord(key, value, deadlineMs, { isRefused: false, job })
+    if (outcome === 'created' || outcome === 'exists') return
+    if (outcome === 'not-created') throw createError(ErrorKind.StoreUnavailable, 'the store takes no jobs from this host')
+    await refuseForGood(key, job, deadlineMs)
+  }
+
+  /**
+   * Creates a key. A write whose answer was lost may land later, so "not created" is only said when every
+   * write was refused by the store itself.
+   */
+  async function createRecord (key: string, value: string, deadlineMs: number, record: AcceptedRecord | undefined): Promise<'created' | 'exists' | 'not-created' | 'unknown'> {
+    let refusals = 0
+    let isUnknown = false
+    let expectedRevision = 0
+    while (Date.now() < deadlineMs && refusals < maxRefusals) {
+      try {
+        const result = await store.transact({ expected: [{ key, revision: expectedRevision }], writes: [{ key, value }] })
+        if (result.isCommitted) return 'created'
+        const found = result.items.find(item => item.key === key)
+        if (found === undefined) expectedRevision = 0
+        else if (record === undefined || !decodeAccepted(found.value).isRefused) return 'exists'
+        else expectedRevision = found.revision
+      } catch (error) {
+        if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
+        refusals++
+        logger.info('a write of a job is tried again', { key, refusals, isUnknown, error: String(error) })
+        await delay(retryPauseMs)
+      }
+    }
+    return isUnknown ? 'unknown' : 'not-created'
+  }
+
+  /** A late write of the job fails once a refusal stands under its key; only then it is true that it will not run. */
+  async function refuseForGood (key: string, job: JobSpec, deadlineMs: number): Promise<void> {
+    try {
+      if (Date.now() < deadlineMs) {
+        const result = await store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value: encodeAccepted({ isRefused: true }) }] })
+        if (result.isCommitted) throw createError(ErrorKind.StoreUnavailable, 'the store did not take the job in time')
+        const found = result.items.find(item => item.key === key)
+        if (found !== undefined && !decodeAccepted(found.value).isRefused) return
+      }
+    } catch (error) {
+      if (isErrorOfKind(error, ErrorKind.StoreUnavailable) && error.message.includes('in time')) throw error
+      logger.warn('a job cannot be refused for good', { jobId: job.jobId, error: String(error) })
+    }
+    throw createError(ErrorKind.AnswerLost, 'it is not known whether the job is stored')
+  }
+
+  async function cancel (jobId: string, deadlineMs: number): Promise<boolean> {
+    const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
+    if (item === undefined || decodeAccepted(item.value).isRefused) return false
+    const outcome = await createRecord(getCancelKey(jobId), '{}', deadlineMs, undefined)
+    if (outcome === 'created' || outcome === 'exists') return true
+    if (outcome === 'not-created') throw createError(ErrorKind.StoreUnavailable, 'the store takes no cancels from this host')
+    throw createError(ErrorKind.AnswerLost, 'it is not known whether the cancel is stored')
+  }
+
+  async function getState (jobId: string, deadlineMs: number): Promise<JobState | undefined> {
+    const progress = await retry(() => store.get(getProgressKey(jobId)), deadlineMs)
+    if (progress !== undefined) return decodeState(progress.value)
+    const accepted = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
+    if (accepted === undefined || decodeAccepted(accepted.value).isRefused) return undefined
+    return JobState.Queued
+  }
+
+  async function countPending (queue: string): Promise<number> {
+    if (pending === undefined || Date.now() - pending.readAtMs > pendingMaxAgeMs) {
+      reading ??= readPending().finally(() => { reading = undefined })
+      return (await reading)[queue] ?? 0
+    }
+    return pending.counts[queue] ?? 0
+  }
+
+  async function readPending (): Promise<Readonly<Record<string, number>>> {
+    const readAtMs = Date.now()
+    const item = await store.get(pendingCountsKey)
+    const counts = item === undefined ? {} : JSON.parse(item.value) as Record<string, number>
+    pending = { counts, readAtMs }
+    return counts
+  }
+
+  /** Repeats a read until it succeeds, the deadline passes or the store has refused it several times. */
+  async function retry<T> (read: () => Promise<T>, deadlineMs: number): Promise<T> {
+    for (let refusals = 1; ; refusals++) {
+      try {
+        return await read()
+      } catch (error) {
+        if (refusals >= maxRefusals || Date.now() + retryPauseMs >= deadlineMs) throw error
+        await delay(retryPauseMs)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/wireCallers.ts
@@ -0,0 +1,124 @@
+/** The callers' interface: PREFIX + ID for jobs, PREFIX for the count of waiting jobs. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { readBody } from '../common/http.js'
+import type { Logger } from '../common/logger.js'
+import { findOrganisation, findQueue } from '../configuration/configuration.js'
+import type { Configuration, QueueSettings } from '../configuration/configuration.js'
+import { createError, errorAnswers, ErrorKind, toAppError } from '../errors/errorKinds.js'
+import type { AppError } from '../errors/errorKinds.js'
+import type { JobIntake } from '../jobs/jobIntake.js'
+import { decodeJob, wireStates } from './wireJob.js'
+
+/** What the interface needs from outside. */
+export interface WireCallersHost {
+  readonly getConfiguration: () => Configuration | undefined
+  readonly intake: JobIntake
+  readonly logger: Logger
+  readonly isStopping: () => boolean
+}
+
+interface Reply {
+  readonly status: number
+  readonly body?: unknown
+  readonly retryAfterS?: number
+}
+
+/** A caller's patience where it does not say, in ms. */
+const defaultPatienceMs = 3_000
+/** The answer leaves so long before the caller's patience ends, in ms. */
+const answerMarginMs = 250
+/** When a caller comes back after a refusal that is not about load, in s: the smallest value of the header. */
+const retryAfterS = 1
+const jobIdPattern = /^[0-9a-f]{16}$/
+
+/** Creates the handler of the callers' listener. */
+export function createWireCallers (host: WireCallersHost): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+  const { logger } = host
+
+  return async (request, response) => {
+    const startedAtMs = performance.now()
+    let reply: Reply
+    try {
+      reply = await handle(request)
+    } catch (error) {
+      reply = toReply(toAppError(error))
+    }
+    log(request, reply, performance.now() - startedAtMs)
+    send(response, reply)
+  }
+
+  async function handle (request: IncomingMessage): Promise<Reply> {
+    const path = (request.url ?? '/').split('?')[0] as string
+    const configuration = host.getConfiguration()
+    if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
+    const queue = findQueue(configuration, getHostName(request), path)
+    if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue for ${path}`)
+    const organisation = authenticate(configuration, queue, request)
+    const deadlineMs = Date.now() + getPatienceMs(request) - answerMarginMs
+    const jobId = path.slice(queue.pathPrefix.length)
+    if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name) } }
+    if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is no job's id`)
+    switch (request.method) {
+      case 'POST':
+        return await submit(request, configuration, queue, organisation, jobId, deadlineMs)
+      case 'GET':
+        return await getState(jobId, deadlineMs)
+      case 'DELETE':
+        return { status: await host.intake.cancel(jobId, deadlineMs) ? 200 : 410 }
+      default:
+        throw createError(ErrorKind.BadRequest, `${request.method} is not possible here`)
+    }
+  }
+
+  async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
+    const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
+    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation })
+    await host.intake.submit(job, deadlineMs)
+    return { status: 200, body: {} }
+  }
+
+  async function getState (jobId: string, deadlineMs: number): Promise<Reply> {
+    const state = await host.intake.getState(jobId, deadlineMs)
+    return state === undefined ? { status: 410 } : { status: 200, body: { state: wireStates[state] } }
+  }
+
+  function log (request: IncomingMessage, reply: Reply, tookMs: number): void {
+    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, version: host.getConfiguration()?.version, tookMs: Math.round(tookMs) }
+    if (request.method === 'GET' && reply.status < 300) logger.debug('a question is answered', fields)
+    else logger.info('a call is answered', fields)
+  }
+
+  function send (response: ServerResponse, reply: Reply): void {
+    if (response.destroyed) return
+    const text = reply.body === undefined ? '' : JSON.stringify(reply.body)
+    response.writeHead(reply.status, {
+      'Content-Type': 'application/json',
+      'Content-Length': Buffer.byteLength(text),
+      ...(reply.retryAfterS === undefined ? {} : { 'Retry-After': String(reply.retryAfterS) }),
+      ...(host.isStopping() ? { Connection: 'close' } : {})
+    })
+    response.end(text)
+  }
+}
+
+function getHostName (request: IncomingMessage): string {
+  return (request.headers.host ?? '').replace(/:\d+$/, '')
+}
+
+function authenticate (configuration: Configuration, queue: QueueSettings, request: IncomingMessage): string {
+  const key = request.headers['api-key']
+  const organisation = typeof key === 'string' ? findOrganisation(configuration, key) : undefined
+  if (organisation === undefined && !queue.isPublic) throw createError(ErrorKind.Unauthorized, 'the key is not known')
+  return organisation?.name ?? ''
+}
+
+function getPatienceMs (request: IncomingMessage): number {
+  const patienceMs = Number(request.headers['deadline-ms'])
+  return Number.isFinite(patienceMs) && patienceMs > 0 ? patienceMs : defaultPatienceMs
+}
+
+function toReply (error: AppError): Reply {
+  const { status } = errorAnswers[error.kind]
+  const isTemporary = status === 429 || status === 503
+  return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS } : {}) }
+}
--- /dev/null
+++ b/src/platform/wireCalls.ts
@@ -0,0 +1,108 @@
+/** HTTP calls of the platform's protocols: JSON bodies, kept connections, a time-out for each call. */
+import { Agent, request as sendRequest } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+
+/** One call. `timeoutMs` covers connecting, sending and the whole answer. */
+export interface WireCall {
+  readonly method: string
+  readonly path: string
+  readonly body?: unknown
+  readonly headers?: Readonly<Record<string, string>>
+  readonly timeoutMs: number
+  readonly signal?: AbortSignal
+}
+
+/** An answer; the body is undefined where there is none or it is not JSON. */
+export interface WireAnswer {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** Calls one address. Errors: `peer-unreachable` when nothing was sent, `answer-lost` otherwise. */
+export interface WireClient {
+  call (call: WireCall): Promise<WireAnswer>
+  close (): void
+}
+
+/** Connections stay open so long without use, in ms: longer than the gap between two orders to a busy worker. */
+const keepAliveMs = 30_000
+
+/** Creates a client for `address` (`host:port`) with at most so many connections. */
+export function createWireClient (address: string, maxConnections: number): WireClient {
+  const [host = '', port = ''] = address.split(':')
+  let agent = createAgent()
+  return { call, close: () => { agent.destroy() } }
+
+  function createAgent (): Agent {
+    return new Agent({ keepAlive: true, keepAliveMsecs: keepAliveMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo' })
+  }
+
+  function call ({ method, path, body, headers, timeoutMs, signal }: WireCall): Promise<WireAnswer> {
+    return new Promise((resolve, reject) => {
+      const text = body === undefined ? undefined : JSON.stringify(body)
+      let isConnected = false
+      const usedAgent = agent
+      const request = sendRequest({
+        host,
+        port: Number(port),
+        method,
+        path,
+        agent: usedAgent,
+        headers: { ...headers, ...(text === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) }) }
+      })
+      const timer = setTimeout(() => { fail(createError(ErrorKind.AnswerLost, `no answer from ${address} in ${timeoutMs} ms`)) }, timeoutMs)
+      const onAbort = (): void => { fail(createError(ErrorKind.AnswerLost, 'the call was given up')) }
+      signal?.addEventListener('abort', onAbort, { once: true })
+      request.on('socket', socket => {
+        if (!socket.connecting) isConnected = true
+        else socket.once('connect', () => { isConnected = true })
+      })
+      request.on('error', fail)
+      request.on('response', response => {
+        readJson(response).then(answer => {
+          finish()
+          resolve(answer)
+        }, fail)
+      })
+      request.end(text)
+
+      function finish (): void {
+        clearTimeout(timer)
+        signal?.removeEventListener('abort', onAbort)
+      }
+
+      function fail (error: Error): void {
+        finish()
+        request.destroy()
+        if (signal?.aborted !== true) retire(usedAgent)
+        reject(toCallError(error, isConnected, address))
+      }
+    })
+  }
+
+  /** Connections that have fallen silent are not used again; those with a call under way end with it. */
+  function retire (failed: Agent): void {
+    if (agent !== failed) return
+    agent = createAgent()
+    for (const sockets of Object.values(failed.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+  }
+}
+
+async function readJson (response: IncomingMessage): Promise<WireAnswer> {
+  const chunks: Buffer[] = []
+  for await (const chunk of response) chunks.push(chunk as Buffer)
+  const status = response.statusCode ?? 0
+  if (chunks.length === 0) return { status, body: undefined }
+  try {
+    return { status, body: JSON.parse(Buffer.concat(chunks).toString()) }
+  } catch {
+    return { status, body: undefined }
+  }
+}
+
+/** Without a connection the call was not sent; afterwards it may be carried out, also later. */
+function toCallError (error: Error, isConnected: boolean, address: string): Error {
+  if (!isConnected) return createError(ErrorKind.PeerUnreachable, `no connection to ${address}: ${error.message}`)
+  return createError(ErrorKind.AnswerLost, error.message)
+}
--- /dev/null
+++ b/src/platform/wireConfiguration.ts
@@ -0,0 +1,74 @@
+/** The operators' configuration as it lies in the platform's store. */
+import * as z from 'zod/mini'
+import type { Configuration } from '../configuration/configuration.js'
+import { tryParseJson } from './wireWorkerList.js'
+
+/** Where the configuration lies. */
+export const configurationKey = 'op/config'
+
+const adviceSchema = z.object({ decideMs: z.number(), eachMs: z.number(), validMs: z.number() })
+const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  service: z.string(),
+  timeoutMs: z._default(z.number(), 3_000),
+  sloMs: z._default(z.number(), 0),
+  sloFactor: z._default(z.number(), 1),
+  priority: z._default(z.number(), 0),
+  attempts: z._default(z.number(), 1),
+  public: z._default(z.boolean(), false),
+  advice: z.optional(adviceSchema)
+})
+const serviceSchema = z.object({
+  name: z.string(),
+  healthPath: z._default(z.string(), '/healthz'),
+  maxConns: z._default(z.number(), 64),
+  admissionCheck: z._default(z.boolean(), false),
+  standby: z._default(z.boolean(), false)
+})
+const tenantSchema = z.object({ name: z.string(), keys: z.array(z.string()), guaranteed: z.optional(z.object({ gpu: z.optional(z.number()) })) })
+const configurationSchema = z.object({
+  version: z.number(),
+  routes: z._default(z.array(routeSchema), []),
+  services: z._default(z.array(serviceSchema), []),
+  tenants: z._default(z.array(tenantSchema), []),
+  limits: z._default(z.object({
+    maxHeaderBytes: z._default(z.number(), 16_384),
+    maxBodyBytes: z._default(z.number(), 262_144),
+    headerTimeoutMs: z._default(z.number(), 3_000),
+    idleTimeoutMs: z._default(z.number(), 15_000)
+  }), { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
+})
+
+/** Reads a configuration; undefined where it is malformed. */
+export function tryDecodeConfiguration (value: string): Configuration | undefined {
+  const parsed = configurationSchema.safeParse(tryParseJson(value))
+  if (!parsed.success) return undefined
+  const { version, routes, services, tenants, limits } = parsed.data
+  return {
+    version,
+    limits,
+    queues: routes.map(route => ({
+      name: route.name,
+      hostName: route.host,
+      pathPrefix: route.prefix,
+      service: route.service,
+      priority: route.priority,
+      attempts: route.attempts,
+      objectiveFactor: route.sloFactor,
+      objectiveMs: route.sloMs,
+      timeoutMs: route.timeoutMs,
+      isPublic: route.public,
+      ...(route.advice === undefined ? {} : { advice: { decideMs: route.advice.decideMs, perWorkerMs: route.advice.eachMs, validMs: route.advice.validMs } })
+    })),
+    pools: services.map(service => ({
+      name: service.name,
+      healthPath: service.healthPath,
+      maxConnections: service.maxConns,
+      hasAdmissionCheck: service.admissionCheck,
+      isStandby: service.standby
+    })),
+    organisations: tenants.map(tenant => ({ name: tenant.name, keys: tenant.keys, guaranteedAccelerators: tenant.guaranteed?.gpu ?? 0 }))
+  }
+}
--- /dev/null
+++ b/src/platform/wireSettings.ts
@@ -0,0 +1,87 @@
+/** The settings file that the platform gives each process. */
+import { readFileSync } from 'node:fs'
+import { parse } from 'smol-toml'
+import * as z from 'zod/mini'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+
+const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
+const settingsSchema = z.object({
+  node: z.string(),
+  zone: z.string(),
+  region: z._default(z.string(), ''),
+  listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
+  limits: z._default(z.object({ cpuShare: z._default(z.number(), 1) }), { cpuShare: 1 }),
+  bounds: z.object({
+    contactMs: z._default(z.number(), 4_000),
+    drainMs: z._default(z.number(), 2_500),
+    graceS: z._default(z.number(), 6),
+    configMs: z._default(z.number(), 2_500),
+    strictRevoke: z._default(z.boolean(), false),
+    revokeMs: z._default(z.number(), 5_000),
+    holdMaxMs: z._default(z.number(), 6_000),
+    stopMs: z._default(z.number(), 400),
+    gangMs: z._default(z.number(), 3_000),
+    early_ms: z._default(z.number(), 250),
+    status_s: z._default(z.number(), 120),
+    farFactor: z._default(z.number(), 3),
+    saveS: z._default(z.number(), 2),
+    restoreMs: z._default(z.number(), 600),
+    reclaimMs: z._default(z.number(), 2_900)
+  }),
+  platform: z.object({ addr: addressSchema }),
+  cloud: z.optional(z.object({ addr: addressSchema })),
+  advice: z.optional(z.string())
+})
+
+/** The settings of one process. Fields that are not known are ignored. */
+export interface PlatformSettings {
+  readonly hostId: string
+  readonly domain: string
+  readonly callersAddress: string | undefined
+  readonly readyAddress: string | undefined
+  readonly storeAddress: string
+  readonly cpuShare: number
+  readonly graceMs: number
+  readonly configMs: number
+  readonly maxLeaseMs: number
+  readonly retentionMs: number
+  readonly reclaimMs: number
+  /** Keys are refused when the configuration has not been confirmed for so long, in ms; undefined: never. */
+  readonly revokeMs: number | undefined
+  readonly farFactor: number
+  readonly stopMs: number
+  readonly checkpointPeriodMs: number
+  readonly restoreMs: number
+}
+
+/** The variable that names the settings file. */
+export const settingsVariable = 'SASSAFRASFORD_NODE_FILE'
+const defaultFile = '/etc/sassafrasford/node.toml'
+
+/** Reads the settings. Errors (`bad-request`) name the file and the field. */
+export function loadPlatformSettings (file = process.env[settingsVariable] ?? defaultFile): PlatformSettings {
+  const parsed = settingsSchema.safeParse(parse(readFileSync(file, 'utf8')))
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0]
+    throw createError(ErrorKind.BadRequest, `${file}: setting "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'malformed'}`)
+  }
+  const { node, zone, listen, limits, bounds, platform } = parsed.data
+  return {
+    hostId: node,
+    domain: zone,
+    callersAddress: listen.front,
+    readyAddress: listen.ready,
+    storeAddress: platform.addr,
+    cpuShare: limits.cpuShare,
+    graceMs: bounds.graceS * 1_000,
+    configMs: bounds.configMs,
+    maxLeaseMs: bounds.holdMaxMs,
+    retentionMs: bounds.status_s * 1_000,
+    reclaimMs: bounds.reclaimMs,
+    revokeMs: bounds.strictRevoke ? bounds.revokeMs : undefined,
+    farFactor: bounds.farFactor,
+    stopMs: bounds.stopMs,
+    checkpointPeriodMs: bounds.saveS * 1_000,
+    restoreMs: bounds.restoreMs
+  }
+}
--- /dev/null
+++ b/src/platform/wireStore.ts
@@ -0,0 +1,114 @@
+/** The platform's metadata store over HTTP. Wire names are decoded here and nowhere else. */
+import * as z from 'zod/mini'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import type { MetadataStore, StoreChange, StoredItem, StorePage, Transaction, TransactionResult } from '../store/metadataStore.js'
+import { createWireClient } from './wireCalls.js'
+import type { WireAnswer, WireCall } from './wireCalls.js'
+
+/** A call of the store ends after so long, in ms: ten times its slow answers would still end in a caller's patience. */
+const callTimeoutMs = 900
+/** A waiting call's answer may come so much later than its wait, in ms. */
+const watchGraceMs = 600
+const maxConnections = 12
+
+const itemSchema = z.object({ key: z.string(), value: z.string(), rev: z.number(), created: z.number() })
+const rangeSchema = z.object({ items: z.array(itemSchema), morePages: z.boolean(), currentRev: z.number() })
+const eventSchema = z.object({ key: z.string(), value: z.optional(z.string()), rev: z.number(), created: z.optional(z.number()), tombstone: z.optional(z.boolean()) })
+const watchSchema = z.object({ events: z.array(eventSchema), currentRev: z.number() })
+const committedSchema = z.object({ rev: z.number() })
+const conflictSchema = z.object({ items: z.array(z.object({ key: z.string(), value: z.optional(z.string()), rev: z.optional(z.number()), created: z.optional(z.number()) })) })
+const leaseSchema = z.object({ lease: z.number(), ttlMs: z.number() })
+
+/** Creates the client of the store at `address`. */
+export function createWireStore (address: string): MetadataStore {
+  const calls = createWireClient(address, maxConnections)
+  // Watches wait, so they get connections of their own.
+  const watches = createWireClient(address, maxConnections)
+
+  return { get, range, watch, transact, grantLease, keepLease, endLease }
+
+  async function send (call: Omit<WireCall, 'timeoutMs'>, ...accepted: readonly number[]): Promise<WireAnswer> {
+    const answer = await calls.call({ ...call, timeoutMs: callTimeoutMs })
+    return check(answer, call.path, accepted)
+  }
+
+  async function get (key: string): Promise<StoredItem | undefined> {
+    const answer = await send({ method: 'GET', path: `/sassafrasford/kv-key?key=${encodeURIComponent(key)}` }, 404)
+    return answer.status === 404 ? undefined : toItem(decode(itemSchema, answer.body))
+  }
+
+  async function range (prefix: string, after?: string): Promise<StorePage> {
+    const next = after === undefined ? '' : `&after=${encodeURIComponent(after)}`
+    const answer = await send({ method: 'GET', path: `/sassafrasford/kv-range?prefix=${encodeURIComponent(prefix)}${next}` })
+    const page = decode(rangeSchema, answer.body)
+    return { items: page.items.map(toItem), hasMore: page.morePages, revision: page.currentRev }
+  }
+
+  async function watch (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
+    const path = `/sassafrasford/kv-watch?prefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${waitMs}`
+    const answer = check(await watches.call({ method: 'GET', path, timeoutMs: waitMs + watchGraceMs, signal }), path, [410])
+    if (answer.status === 410) throw createError(ErrorKind.HistoryGone, `the store has no history after revision ${afterRevision}`)
+    const { events, currentRev } = decode(watchSchema, answer.body)
+    return { changes: events.map(toChange), revision: currentRev }
+  }
+
+  async function transact (transaction: Transaction): Promise<TransactionResult> {
+    const body = {
+      expected: transaction.expected.map(({ key, revision }) => ({ key, rev: revision })),
+      writes: transaction.writes.map(({ key, value, leaseId }) => ({ key, value: encodeValue(value), lease: leaseId ?? 0 })),
+      remove: transaction.removes ?? []
+    }
+    const answer = await send({ method: 'POST', path: '/sassafrasford/kv-txn', body }, 412, 404)
+    if (answer.status === 404) throw createError(ErrorKind.NotFound, 'the lease of a write has ended')
+    if (answer.status === 200) return { isCommitted: true, revision: decode(committedSchema, answer.body).rev }
+    const items = decode(conflictSchema, answer.body).items
+    // An expected key that does not exist is listed without a value or with revision 0.
+    const found = items.flatMap(item => item.value === undefined || !item.rev ? [] : [toItem({ key: item.key, value: item.value, rev: item.rev, created: item.created ?? 0 })])
+    return { isCommitted: false, items: found }
+  }
+
+  async function grantLease (ttlMs: number): Promise<{ readonly leaseId: number, readonly ttlMs: number }> {
+    const { lease, ttlMs: grantedMs } = decode(leaseSchema, (await send({ method: 'POST', path: '/sassafrasford/kv-lease', body: { ttlMs } })).body)
+    return { leaseId: lease, ttlMs: grantedMs }
+  }
+
+  async function keepLease (leaseId: number): Promise<void> {
+    const answer = await send({ method: 'POST', path: `/sassafrasford/kv-keep/${leaseId}` }, 404)
+    if (answer.status === 404) throw createError(ErrorKind.NotFound, 'the lease has ended')
+  }
+
+  async function endLease (leaseId: number): Promise<void> {
+    await send({ method: 'DELETE', path: `/sassafrasford/kv-lease-end/${leaseId}` }, 404)
+  }
+}
+
+/** Only 429 and 503 say that nothing was done. */
+function check (answer: WireAnswer, path: string, accepted: readonly number[]): WireAnswer {
+  const { status } = answer
+  if ((status >= 200 && status < 300) || accepted.includes(status)) return answer
+  if (status === 429 || status === 503) throw createError(ErrorKind.StoreUnavailable, `the store answers ${status}`)
+  throw createError(status >= 500 ? ErrorKind.AnswerLost : ErrorKind.Internal, `the store answers ${status} to ${path}`)
+}
+
+function decode<T> (schema: z.ZodMiniType<T>, body: unknown): T {
+  const parsed = schema.safeParse(body)
+  if (parsed.success) return parsed.data
+  throw createError(ErrorKind.AnswerLost, `the store's answer is malformed: ${parsed.error.message}`)
+}
+
+function toItem (item: z.infer<typeof itemSchema>): StoredItem {
+  return { key: item.key, value: decodeValue(item.value), revision: item.rev, createdRevision: item.created }
+}
+
+function toChange (event: z.infer<typeof eventSchema>): StoreChange {
+  if (event.tombstone === true || event.value === undefined) return { key: event.key }
+  return { key: event.key, item: toItem({ key: event.key, value: event.value, rev: event.rev, created: event.created ?? 0 }) }
+}
+
+function encodeValue (text: string): string {
+  return Buffer.from(text).toString('base64')
+}
+
+function decodeValue (value: string): string {
+  return Buffer.from(value, 'base64').toString()
+}
--- /dev/null
+++ b/src/platform/wireWorker.ts
@@ -0,0 +1,121 @@
+/** One worker over HTTP. */
+import * as z from 'zod/mini'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { EndKind } from '../jobs/jobModel.js'
+import { StartAnswer } from '../workers/workerPort.js'
+import type { ClockedAnswer, EndedRow, HoldOrder, ListedWorker, RunningRow, StartOrder, WorkerLook, WorkerPort } from '../workers/workerPort.js'
+import { createWireClient } from './wireCalls.js'
+import type { WireAnswer } from './wireCalls.js'
+
+/** An order's answer is awaited so long, in ms: ten round trips between regions. */
+const orderTimeoutMs = 450
+/** A waiting look's answer may come so much later than its wait, in ms. */
+const lookGraceMs = 500
+const orderConnections = 4
+
+const clockedSchema = z.object({ clockMs: z.optional(z.number()), reason: z.optional(z.string()) })
+const runningSchema = z.tuple([z.string(), z.number(), z.string(), z.number()], z.unknown())
+const endedSchema = z.tuple([z.number(), z.string(), z.number(), z.string(), z.string()], z.unknown())
+const lookSchema = z.object({ clockMs: z.number(), born: z.optional(z.number()), running: z.optional(z.array(runningSchema)), ended: z.optional(z.array(endedSchema)) })
+
+const startReasons: Readonly<Record<string, StartAnswer>> = {
+  fence: StartAnswer.StaleEpoch,
+  old: StartAnswer.OldRun,
+  late: StartAnswer.Late,
+  room: StartAnswer.NoRoom,
+  ticket: StartAnswer.BadTicket
+}
+
+const endKinds: Readonly<Record<string, EndKind>> = {
+  done: EndKind.Done,
+  failed: EndKind.Failed,
+  stopped: EndKind.Stopped,
+  lapsed: EndKind.Lapsed,
+  broken: EndKind.Broken,
+  alone: EndKind.Alone
+}
+
+/** Creates the client of one incarnation of a worker. */
+export function createWireWorker (info: ListedWorker): WorkerPort {
+  const orders = createWireClient(info.address, orderConnections)
+  const looks = createWireClient(info.address, 1)
+  const headers = { 'Expect-Instance': info.workerId }
+
+  return {
+    start,
+    stop,
+    hold,
+    pace,
+    close: () => {
+      orders.close()
+      looks.close()
+    }
+  }
+
+  async function order (path: string, body: object): Promise<WireAnswer> {
+    return await orders.call({ method: 'POST', path: `/sassafrasford/${path}`, body, headers, timeoutMs: orderTimeoutMs })
+  }
+
+  async function start (startOrder: StartOrder): Promise<ClockedAnswer<StartAnswer>> {
+    const { task, run, payload, checkpoint, leaseUntilMs, epoch, ticket } = startOrder
+    const answer = await order('run-start', {
+      task,
+      run,
+      spec: payload,
+      // The wire's "deadline" is the end of the lease of everything on the worker.
+      deadlineMs: leaseUntilMs,
+      fence: epoch,
+      ...(checkpoint === '' ? {} : { checkpointed: checkpoint }),
+      ...(ticket === undefined ? {} : { ticket })
+    })
+    const body = clockedSchema.safeParse(answer.body)
+    return { answer: getStartAnswer(answer, body.data?.reason), clockMs: body.data?.clockMs }
+  }
+
+  async function stop ({ task, run, epoch }: { readonly task: string, readonly run: number, readonly epoch: number }): Promise<void> {
+    checkOrder(await order('run-stop', { task, run, fence: epoch }))
+  }
+
+  async function pace ({ task, run, percent, epoch }: { readonly task: string, readonly run: number, readonly percent: number, readonly epoch: number }): Promise<void> {
+    checkOrder(await order('pace', { task, run, percent, fence: epoch }))
+  }
+
+  async function hold ({ epoch, seenUpTo, leaseUntilMs, waitMs }: HoldOrder): Promise<WorkerLook> {
+    const body = { fence: epoch, seenUpto: seenUpTo, ...(leaseUntilMs === undefined ? {} : { deadlineMs: leaseUntilMs }), ...(waitMs > 0 ? { waitMs } : {}) }
+    const answer = await looks.call({ method: 'POST', path: '/sassafrasford/hold', body, headers, timeoutMs: waitMs + lookGraceMs })
+    checkOrder(answer)
+    const look = lookSchema.safeParse(answer.body)
+    if (!look.success) throw createError(ErrorKind.AnswerLost, `the look of worker ${info.workerId} is malformed: ${look.error.message}`)
+    return {
+      clockMs: look.data.clockMs,
+      bornAtMs: look.data.born,
+      running: (look.data.running ?? []).map(toRunningRow),
+      ended: (look.data.ended ?? []).map(toEndedRow)
+    }
+  }
+}
+
+function getStartAnswer (answer: WireAnswer, reason: string | undefined): StartAnswer {
+  const { status } = answer
+  if (status >= 200 && status < 300) return StartAnswer.Started
+  if (status === 409) return startReasons[reason ?? ''] ?? StartAnswer.Invalid
+  if (status === 421) return StartAnswer.OtherInstance
+  if (status === 429 || status === 503) return StartAnswer.Unhealthy
+  if (status === 400) return StartAnswer.Invalid
+  throw createError(ErrorKind.AnswerLost, `the worker answers ${status}`)
+}
+
+function checkOrder ({ status, body }: WireAnswer): void {
+  if (status >= 200 && status < 300) return
+  if (status === 421) throw createError(ErrorKind.Conflict, 'another incarnation lives at the address')
+  if (status === 409 && clockedSchema.safeParse(body).data?.reason === 'fence') throw createError(ErrorKind.StaleEpoch, 'the worker has seen a higher epoch')
+  throw createError(ErrorKind.AnswerLost, `the worker answers ${status}`)
+}
+
+function toRunningRow ([task, run, checkpoint, progressPercent, usage]: readonly [string, number, string, number, ...unknown[]]): RunningRow {
+  return { task, run, checkpoint, progressPercent, usage: typeof usage === 'number' ? usage : undefined }
+}
+
+function toEndedRow ([sequence, task, run, how, checkpoint]: readonly [number, string, number, string, string, ...unknown[]]): EndedRow {
+  return { sequence, task, run, how: endKinds[how] ?? EndKind.Lapsed, checkpoint }
+}
--- /dev/null
+++ b/src/platform/wireWorkerList.ts
@@ -0,0 +1,49 @@
+/** The workers' entries in the platform's store. */
+import * as z from 'zod/mini'
+import type { ListedWorker } from '../workers/workerPort.js'
+
+/** The prefix of the entries. */
+export const workerListPrefix = 'servers/'
+
+const resourcesSchema = z.object({ cpu: z.optional(z.number()), memMb: z.optional(z.number()), gpu: z.optional(z.number()) })
+const entrySchema = z.object({
+  service: z.string(),
+  addr: z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/)),
+  zone: z.string(),
+  state: z.enum(['ready', 'draining']),
+  capacity: resourcesSchema,
+  labels: z.array(z.string()),
+  born: z.int(),
+  machine: z.optional(z.string()),
+  remainingMs: z.optional(z.number())
+})
+
+/** Reads an entry; undefined where another writer has left something that names no worker. */
+export function tryDecodeWorker (key: string, value: string): ListedWorker | undefined {
+  const entry = entrySchema.safeParse(tryParseJson(value))
+  if (!entry.success) return undefined
+  const { service, addr, zone, state, capacity, labels, born, machine, remainingMs } = entry.data
+  return {
+    workerId: key.slice(workerListPrefix.length),
+    address: addr,
+    service,
+    domain: zone,
+    bornAtMs: born,
+    isDraining: state === 'draining',
+    remainingMs,
+    capacity: { cpuMilli: capacity.cpu ?? 0, memoryMb: capacity.memMb ?? 0, accelerators: capacity.gpu ?? 0 },
+    labels,
+    // The labels are the worker's kind and its rack.
+    rack: labels[1] ?? '',
+    machineId: machine
+  }
+}
+
+/** Parses JSON; undefined where it is none. */
+export function tryParseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/runs/scheduler.ts
@@ -0,0 +1,274 @@
+/** Schedules all jobs while its host holds the term: follows workers, plans, preempts. */
+import type { Logger } from '../common/logger.js'
+import { delay } from '../common/time.js'
+import type { Term } from '../election/leaderElection.js'
+import { JobState } from '../jobs/jobModel.js'
+import type { Configuration, QueueSettings } from '../configuration/configuration.js'
+import { getUnits, hasBegun, isWaiting, MemberState } from '../jobs/trackedJob.js'
+import type { TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { tryPlace } from '../placement/placeUnit.js'
+import type { PlacementRules, Rooms } from '../placement/placeUnit.js'
+import { tryPreempt } from '../placement/preemption.js'
+import { compareUnits, getVictims } from '../placement/unitOrder.js'
+import type { MetadataStore } from '../store/metadataStore.js'
+import { createWorkerBook, getFreeRoom, isUsable } from '../workers/workerBook.js'
+import type { WorkerBook } from '../workers/workerBook.js'
+import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
+import { countPending, createJobTable } from './jobTable.js'
+import { createProgressWriter } from './progressWriter.js'
+import { createRunControl } from './runControl.js'
+import { createWorkerLink } from './workerLink.js'
+import type { WorkerLink } from './workerLink.js'
+
+/** The figures of the deployment that the scheduler keeps to. */
+export interface SchedulerBounds {
+  /** The longest lease that a worker grants, in ms. */
+  readonly maxLeaseMs: number
+  /** How long the state of an ended job can be read, in ms. */
+  readonly retentionMs: number
+  /** Jobs of priority 0 within their guarantee begin within this, in ms. */
+  readonly reclaimMs: number
+}
+
+/** What the scheduler needs from outside. */
+export interface SchedulerHost {
+  readonly term: Term
+  readonly store: MetadataStore
+  readonly logger: Logger
+  readonly bounds: SchedulerBounds
+  /** The platform's list of workers; undefined until it has been read. */
+  readonly getWorkers: () => readonly ListedWorker[] | undefined
+  readonly connect: (info: ListedWorker) => WorkerPort
+  readonly getConfiguration: () => Configuration | undefined
+}
+
+/** The scheduler of one term. */
+export interface Scheduler {
+  /** The list of workers or the configuration has changed. */
+  refresh (): void
+}
+
+/** The plan is looked at this often even when nothing happened, in ms; waits and occurrences are counted in it. */
+const tickMs = 100
+/** Planning starts when so much time has passed since the term's start, in ms, also if some workers have not answered. */
+const settleLimitMs = 700
+
+/** Starts to schedule; everything ends with the term. */
+export function createScheduler (host: SchedulerHost): Scheduler {
+  const { term, logger } = host
+  const books = new Map<string, WorkerBook>()
+  const links = new Map<string, WorkerLink>()
+  // Queues that have been taken away keep their last settings for the jobs that they have accepted.
+  const lastQueues = new Map<string, QueueSettings>()
+  const startedAtMs = performance.now()
+  let isLoaded = false
+  let isPlanDue = false
+
+  const writer = createProgressWriter({
+    store: host.store,
+    term,
+    logger,
+    onCancelFound: job => {
+      job.isCancelRequested = true
+      job.state = JobState.Cancelled
+    },
+    takePendingCounts: () => isLoaded ? JSON.stringify(countPending(table.getAll(), hasBegun)) : undefined
+  })
+  const table = createJobTable({
+    store: host.store,
+    term,
+    logger,
+    retentionMs: host.bounds.retentionMs,
+    onJobAdded: () => {
+      writer.touch()
+      schedulePlan()
+    },
+    onCancel: job => { control.cancelJob(job) },
+    onDue: schedulePlan
+  })
+  const control = createRunControl({
+    term,
+    logger,
+    getJob: table.get,
+    getBook: workerId => books.get(workerId),
+    getLink: workerId => links.get(workerId),
+    getAttemptLimit: job => getQueue(job)?.attempts ?? 1,
+    getTicket: () => undefined,
+    commit: writer.commit,
+    onChanged: schedulePlan,
+    onMemberEnded: () => {}
+  })
+  const rules: PlacementRules = { countOnWorker }
+  void start()
+  return { refresh }
+
+  async function start (): Promise<void> {
+    await table.load()
+    if (term.signal.aborted) return
+    for (const job of table.getAll()) addUnlistedWorkers(job)
+    refresh()
+    for (const job of table.getAll()) control.adopt(job)
+    while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !areWorkersSettled()) await delay(20)
+    isLoaded = true
+    logger.info('the scheduler has taken over', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: books.size, jobs: [...table.getAll()].length })
+    writer.touch()
+    while (!term.signal.aborted) {
+      table.addDue(Date.now())
+      schedulePlan()
+      await delay(tickMs, term.signal)
+    }
+    for (const link of links.values()) link.close()
+  }
+
+  function areWorkersSettled (): boolean {
+    return host.getWorkers() !== undefined && [...links.values()].every(link => link.isSettled())
+  }
+
+  // Workers
+
+  function refresh (): void {
+    const listed = host.getWorkers()
+    if (listed === undefined || term.signal.aborted) return
+    const listedIds = new Set(listed.map(info => info.workerId))
+    for (const info of listed) addOrUpdate(info)
+    for (const book of books.values()) if (!listedIds.has(book.info.workerId)) unlist(book)
+    schedulePlan()
+  }
+
+  function addOrUpdate (info: ListedWorker): void {
+    const book = books.get(info.workerId)
+    if (book === undefined || book.info.bornAtMs < info.bornAtMs) {
+      if (book !== undefined) replaceIncarnation(book)
+      addWorker(info)
+      return
+    }
+    if (book.info.bornAtMs > info.bornAtMs) return
+    if (book.info.isDraining !== info.isDraining) logger.info('a worker drains', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
+    book.info = info
+    book.isListed = true
+  }
+
+  function addWorker (info: ListedWorker): void {
+    const book = createWorkerBook(info)
+    books.set(info.workerId, book)
+    const link = createWorkerLink({
+      term,
+      logger,
+      info,
+      port: host.connect(info),
+      maxLeaseMs: host.bounds.maxLeaseMs,
+      isNeeded: () => book.bookings.size > 0 || control.getMembers(info.workerId).size > 0,
+      onLook: async (look, sentAtMs, isWhole) => { await control.onLook(book, look, sentAtMs, isWhole) },
+      onReachable: isReachable => {
+        book.isReachable = isReachable
+        schedulePlan()
+      },
+      onReborn: () => {
+        book.isReachable = false
+        control.onWorkerLost(book)
+      },
+      onLapsed: () => {
+        control.onWorkerLost(book)
+        if (!book.isListed) removeWorker(book)
+      }
+    })
+    links.set(info.workerId, link)
+  }
+
+  function replaceIncarnation (book: WorkerBook): void {
+    logger.info('a worker is listed as restarted', { workerId: book.info.workerId })
+    control.onWorkerLost(book)
+    removeWorker(book)
+  }
+
+  function removeWorker (book: WorkerBook): void {
+    links.get(book.info.workerId)?.close()
+    links.delete(book.info.workerId)
+    books.delete(book.info.workerId)
+  }
+
+  /** A worker that is not listed may still run what it has been told to. */
+  function unlist (book: WorkerBook): void {
+    if (book.isListed) logger.info('a worker has left the list', { workerId: book.info.workerId })
+    book.isListed = false
+    if (book.bookings.size === 0 && control.getMembers(book.info.workerId).size === 0) removeWorker(book)
+  }
+
+  /** Workers of stored attempts that the list does not name: their tasks may run until their leases end. */
+  function addUnlistedWorkers (job: TrackedJob): void {
+    const listedIds = new Set(host.getWorkers()?.map(info => info.workerId))
+    for (const unit of getUnits(job)) {
+      for (const member of unit.attempts.flatMap(attempt => attempt.members)) {
+        if (listedIds.has(member.workerId) || books.has(member.workerId)) continue
+        const none = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+        addWorker({ workerId: member.workerId, address: '', service: '', domain: '', bornAtMs: member.bornAtMs, isDraining: true, capacity: none, labels: [], rack: '' })
+      }
+    }
+  }
+
+  // Planning
+
+  function schedulePlan (): void {
+    if (isPlanDue || !isLoaded || term.signal.aborted) return
+    isPlanDue = true
+    setImmediate(() => {
+      isPlanDue = false
+      if (term.isValid()) plan()
+    })
+  }
+
+  function plan (): void {
+    control.releasePlanned()
+    const rooms: Rooms = new Map([...books.values()].filter(isUsable).map(book => [book, getFreeRoom(book)]))
+    const waiting = [...table.getAll()].flatMap(getUnits).filter(isWaiting)
+    waiting.sort((left, right) => compareUnits(left, right, getQueue))
+    for (const unit of waiting) {
+      const places = tryPlace(unit, rooms, rules)
+      if (places !== undefined) control.plan(unit, places.map(book => book.info.workerId))
+      else if (getQueue(unit.job)?.priority === 0) preemptFor(unit, rooms)
+    }
+  }
+
+  function preemptFor (unit: Unit, rooms: Rooms): void {
+    const victims = getVictims(unit, [...table.getAll()], getQueue)
+    const found = tryPreempt(unit, getRoomsAfterStops(rooms), victims, rules, workerId => books.get(workerId))
+    if (found === undefined) return
+    logger.info('room is made', { jobId: unit.job.spec.jobId, victims: found.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(found.cost) })
+    control.plan(unit, found.places.map(book => book.info.workerId))
+    for (const attempt of found.victims) control.stopAttempt(attempt, `room for ${unit.job.spec.jobId}`)
+    for (const book of rooms.keys()) rooms.set(book, getFreeRoom(book))
+  }
+
+  /** The rooms as they will be when everything that is being stopped has ended. */
+  function getRoomsAfterStops (rooms: Rooms): Rooms {
+    const later: Rooms = new Map(rooms)
+    for (const [book, room] of later) {
+      let { cpuMilli, memoryMb, accelerators } = room
+      for (const member of control.getMembers(book.info.workerId)) {
+        if (member.attempt.stopReason === undefined || member.state === MemberState.Ended) continue
+        const { request } = member.attempt.unit.spec
+        cpuMilli += request.cpuMilli
+        memoryMb += request.memoryMb
+        accelerators += request.accelerators
+      }
+      later.set(book, { cpuMilli, memoryMb, accelerators })
+    }
+    return later
+  }
+
+  function countOnWorker (unit: Unit, workerId: string): number {
+    if (unit.spec.spreadLimit === undefined) return 0
+    let count = 0
+    for (const member of control.getMembers(workerId)) {
+      const other = member.attempt.unit
+      if (other.job === unit.job && other.occurrence === unit.occurrence && other.step === unit.step) count++
+    }
+    return count
+  }
+
+  function getQueue (job: TrackedJob): QueueSettings | undefined {
+    const queue = host.getConfiguration()?.queues.find(candidate => candidate.name === job.spec.queue)
+    if (queue !== undefined) lastQueues.set(job.spec.queue, queue)
+    return queue ?? lastQueues.get(job.spec.queue)
+  }
+}
--- /dev/null
+++ b/src/runs/workerLink.ts
@@ -0,0 +1,153 @@
+/** The scheduler's task for one worker: keeps its lease alive while something runs there, and follows its ends. */
+import type { Logger } from '../common/logger.js'
+import { createSignal, delay } from '../common/time.js'
+import type { Term } from '../election/leaderElection.js'
+import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { isTerminalError } from './orderErrors.js'
+import { maxEndsInLook } from '../workers/workerPort.js'
+import type { ListedWorker, WorkerLook, WorkerPort } from '../workers/workerPort.js'
+
+/** What a link needs from outside. */
+export interface WorkerLinkHost {
+  readonly term: Term
+  readonly logger: Logger
+  readonly info: ListedWorker
+  readonly port: WorkerPort
+  /** The longest lease that a worker grants, in ms. */
+  readonly maxLeaseMs: number
+  /** Something is booked there, or an order is under way. */
+  readonly isNeeded: () => boolean
+  /** Resolves when every end of the look is stored. `isWhole` is false where more ends are to come. */
+  readonly onLook: (look: WorkerLook, sentAtMs: number, isWhole: boolean) => Promise<void>
+  readonly onReachable: (isReachable: boolean) => void
+  /** Another incarnation answers: whatever ran is gone. */
+  readonly onReborn: () => void
+  /** The worker does not answer, and its lease has ended by any clock. */
+  readonly onLapsed: () => void
+}
+
+/** The link to one incarnation of a worker. */
+export interface WorkerLink {
+  readonly port: WorkerPort
+  /** Looks again now if the link is idle. */
+  wake (): void
+  /** The end of a new lease on the worker's clock; undefined while its clock is not known. */
+  getLeaseUntilMs (): number | undefined
+  /** Notes that an order that extends the lease is being sent. */
+  noteExtension (): void
+  /** It has answered, or its lease has ended by any clock. */
+  isSettled (): boolean
+  close (): void
+}
+
+/** How long a look waits for an end, in ms: half of the shortest lease that the pages name, and a cut is seen in under 2 s. */
+const lookWaitMs = 1_500
+/** How long the answer of a look may take beyond its wait, in ms. */
+const retryPauseMs = 300
+/** A lease may run so much longer than asked, by a worker's clock that is 2 % slow. Source: the workers' protocol. */
+const slowClockFactor = 1.02
+/** Added to the end of a lease, in ms, for the estimate of the worker's clock. */
+const clockMarginMs = 150
+
+/** Creates the link and starts its task. */
+export function createWorkerLink (host: WorkerLinkHost): WorkerLink {
+  const { term, port, logger, info } = host
+  const changed = createSignal()
+  let seenUpTo = 0
+  let clock: { readonly workerMs: number, readonly readAtMs: number } | undefined
+  let hasAnswered = false
+  let isReachable = false
+  let hasLapsed = false
+  let isClosed = false
+  // Schedulers before this one may have extended the lease until their terms ended.
+  let leaseBoundMs = getLeaseBoundMs()
+  void follow()
+
+  return { port, wake: changed.notify, getLeaseUntilMs, noteExtension, isSettled: () => hasAnswered || hasLapsed, close }
+
+  function close (): void {
+    isClosed = true
+    changed.notify()
+    port.close()
+  }
+
+  function getLeaseBoundMs (): number {
+    return performance.now() + host.maxLeaseMs * slowClockFactor + clockMarginMs
+  }
+
+  function noteExtension (): void {
+    leaseBoundMs = getLeaseBoundMs()
+    hasLapsed = false
+  }
+
+  function getLeaseUntilMs (): number | undefined {
+    if (clock === undefined) return undefined
+    return Math.floor(clock.workerMs + (performance.now() - clock.readAtMs) + host.maxLeaseMs)
+  }
+
+  async function follow (): Promise<void> {
+    while (!isClosed && !term.signal.aborted) {
+      if (isReachable && !host.isNeeded()) await changed.wait()
+      else await lookOnce()
+    }
+  }
+
+  async function lookOnce (): Promise<void> {
+    if (!term.isValid()) {
+      await delay(retryPauseMs, term.signal)
+      return
+    }
+    const sentAtMs = performance.now()
+    // A worker that has not answered gets no longer lease: its answer may be lost while the order arrives.
+    const leaseUntilMs = isReachable ? getLeaseUntilMs() : undefined
+    if (leaseUntilMs !== undefined) noteExtension()
+    try {
+      const look = await port.hold({ epoch: term.epoch, seenUpTo, leaseUntilMs, waitMs: isReachable ? lookWaitMs : 0 })
+      if (!isClosed) await take(look, sentAtMs)
+    } catch (error) {
+      if (!isClosed && !term.signal.aborted) await onFailure(error)
+    }
+  }
+
+  async function take (look: WorkerLook, sentAtMs: number): Promise<void> {
+    clock = { workerMs: look.clockMs, readAtMs: performance.now() }
+    if (look.bornAtMs !== undefined && look.bornAtMs !== info.bornAtMs) {
+      logger.warn('a worker has been restarted', { workerId: info.workerId, bornAtMs: look.bornAtMs, knownBornAtMs: info.bornAtMs })
+      hasLapsed = true
+      host.onReborn()
+      await delay(retryPauseMs)
+      return
+    }
+    hasAnswered = true
+    hasLapsed = false
+    const isWhole = look.ended.length < maxEndsInLook
+    const stored = host.onLook(look, sentAtMs, isWhole)
+    if (!isReachable) {
+      isReachable = true
+      host.onReachable(true)
+    }
+    await stored
+    for (const end of look.ended) seenUpTo = Math.max(seenUpTo, end.sequence)
+  }
+
+  async function onFailure (error: unknown): Promise<void> {
+    if (isErrorOfKind(error, ErrorKind.StaleEpoch)) {
+      term.resign(`worker ${info.workerId} has seen a higher epoch`)
+      return
+    }
+    if (isReachable) {
+      logger.warn('a worker does not answer', { workerId: info.workerId, error: String(error) })
+      isReachable = false
+      host.onReachable(false)
+    }
+    if (isTerminalError(error) && !hasLapsed) {
+      hasLapsed = true
+      host.onReborn()
+    }
+    if (!hasLapsed && performance.now() > leaseBoundMs && term.isValid()) {
+      hasLapsed = true
+      host.onLapsed()
+    }
+    await Promise.race([delay(retryPauseMs, term.signal), changed.wait(retryPauseMs)])
+  }
+}
