--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -89,8 +89,19 @@
 function createUnits (job: TrackedJob, occurrence: number, step: number, spec: StepSpec, nowMs: number): readonly Unit[] {
   const unitCount = spec.isGang ? 1 : spec.count
   return Array.from({ length: unitCount }, (_, index) => ({
-    job, occurrence, step, index, size: spec.isGang ? spec.count : 1, spec,
-    isDone: false, run: 0, failedRuns: new Set<number>(), checkpoint: '', attempts: [], avoidedWorkers: new Set<string>(), waitingSinceMs: nowMs
+    job,
+    occurrence,
+    step,
+    index,
+    size: spec.isGang ? spec.count : 1,
+    spec,
+    isDone: false,
+    run: 0,
+    failedRuns: new Set<number>(),
+    checkpoint: '',
+    attempts: [],
+    avoidedWorkers: new Set<string>(),
+    waitingSinceMs: nowMs
   }))
 }
 
--- a/src/runs/runControl.ts
+++ b/src/runs/runControl.ts
@@ -88,8 +88,14 @@
     }
     if (unit.job.state === JobState.Queued) unit.job.state = JobState.Active
     logger.info('an attempt is planned', {
-      jobId: unit.job.spec.jobId, occurrence: unit.occurrence, step: unit.step, index: unit.index, run: attempt.run, workers: places,
-      waitedMs: Math.round(performance.now() - unit.waitingSinceMs), failedRuns: unit.failedRuns.size
+      jobId: unit.job.spec.jobId,
+      occurrence: unit.occurrence,
+      step: unit.step,
+      index: unit.index,
+      run: attempt.run,
+      workers: places,
+      waitedMs: Math.round(performance.now() - unit.waitingSinceMs),
+      failedRuns: unit.failedRuns.size
     })
     void host.commit(unit.job).then(() => {
       if (attempt.stopReason !== undefined) return
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -61,6 +61,7 @@
   // Queues that have been taken away keep their last settings for the jobs that they have accepted.
   const lastQueues = new Map<string, QueueSettings>()
   const startedAtMs = performance.now()
+  let isTakenOver = false
   let isLoaded = false
   let isPlanDue = false
 
@@ -104,9 +105,12 @@
 
   async function start (): Promise<void> {
     await table.load()
+    while (host.getWorkers() === undefined && !term.signal.aborted) await delay(20)
     if (term.signal.aborted) return
-    for (const job of table.getAll()) addUnlistedWorkers(job)
+    // No worker is looked at before the stored attempts are known: its ends would be taken for strangers' ends.
+    isTakenOver = true
     refresh()
+    for (const job of table.getAll()) addUnlistedWorkers(job)
     for (const job of table.getAll()) control.adopt(job)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !areWorkersSettled()) await delay(20)
     isLoaded = true
@@ -121,14 +125,14 @@
   }
 
   function areWorkersSettled (): boolean {
-    return host.getWorkers() !== undefined && [...links.values()].every(link => link.isSettled())
+    return [...links.values()].every(link => link.isSettled())
   }
 
   // Workers
 
   function refresh (): void {
     const listed = host.getWorkers()
-    if (listed === undefined || term.signal.aborted) return
+    if (listed === undefined || !isTakenOver || term.signal.aborted) return
     const listedIds = new Set(listed.map(info => info.workerId))
     for (const info of listed) addOrUpdate(info)
     for (const book of books.values()) if (!listedIds.has(book.info.workerId)) unlist(book)
