--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -11,6 +11,8 @@
 export interface PlacementRules {
   /** Tasks of the unit's step and occurrence on a worker. */
   readonly countOnWorker: (unit: Unit, workerId: string) => number
+  /** Tells whether a worker is kept for another unit that would have to wait for this one. */
+  readonly isKeptFromUnit: (unit: Unit, book: WorkerBook) => boolean
 }
 
 /** Finds places for all members of a unit, or none. Takes them off the rooms. */
@@ -42,9 +44,11 @@
   const { dataRack, isSameRack } = unit.spec
   const near = dataRack === undefined ? [] : candidates.filter(book => book.info.rack === dataRack)
   if (!isSameRack || unit.size === 1) return near.length > 0 ? [near, candidates] : [candidates]
-  const racks = groupByRack(candidates)
+  const racks = [...groupByRack(candidates).values()].filter(rack => canEverHold(unit, rack))
+  // A gang that no rack can hold works slowly, which is better than never.
+  if (racks.length === 0) return [candidates]
   // The rack with the least room that still fits keeps the others whole for larger gangs.
-  const byRoom = [...racks.values()].sort((left, right) => sumAccelerators(left, rooms) - sumAccelerators(right, rooms))
+  const byRoom = racks.sort((left, right) => sumAccelerators(left, rooms) - sumAccelerators(right, rooms))
   return near.length > 0 ? [near, ...byRoom] : byRoom
 }
 
@@ -55,6 +59,20 @@
   return requiredLabel === undefined || book.info.labels.includes(requiredLabel)
 }
 
+/** Tells whether the workers could hold the whole unit if nothing else ran on them. */
+function canEverHold (unit: Unit, books: readonly WorkerBook[]): boolean {
+  const { request, spreadLimit = Infinity } = unit.spec
+  let count = 0
+  for (const book of books) {
+    let room = book.info.capacity
+    for (let onWorker = 0; onWorker < spreadLimit && count < unit.size && fits(request, room); onWorker++) {
+      room = subtractResources(room, request)
+      count++
+    }
+  }
+  return count >= unit.size
+}
+
 function groupByRack (books: readonly WorkerBook[]): Map<string, WorkerBook[]> {
   const racks = new Map<string, WorkerBook[]>()
   for (const book of books) {
@@ -72,7 +90,7 @@
 function tryPlaceInGroup (unit: Unit, group: readonly WorkerBook[], rooms: Rooms, rules: PlacementRules): readonly WorkerBook[] | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerBook[] = []
-  const fitting = group.filter(book => fits(request, rooms.get(book) as Resources)).sort((left, right) => compareFit(unit, left, right, rooms))
+  const fitting = group.filter(book => fits(request, rooms.get(book) as Resources) && !rules.isKeptFromUnit(unit, book)).sort((left, right) => compareFit(unit, left, right, rooms))
   for (const book of fitting) {
     let room = rooms.get(book) as Resources
     let count = rules.countOnWorker(unit, book.info.workerId)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -9,6 +9,7 @@
 import { tryPlace } from '../placement/placeUnit.js'
 import type { PlacementRules, Rooms } from '../placement/placeUnit.js'
 import { tryPreempt } from '../placement/preemption.js'
+import { tryReserve } from '../placement/reservation.js'
 import { compareUnits, getVictims } from '../placement/unitOrder.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerBook, getFreeRoom, isUsable } from '../workers/workerBook.js'
@@ -99,7 +100,9 @@
     onChanged: schedulePlan,
     onMemberEnded: () => {}
   })
-  const rules: PlacementRules = { countOnWorker }
+  /** Workers that are kept for a blocked gang, with the time at which it is expected to start. */
+  const keptUntilMs = new Map<WorkerBook, number>()
+  const rules: PlacementRules = { countOnWorker, isKeptFromUnit }
   void start()
   return { refresh }
 
@@ -226,21 +229,37 @@
     const rooms: Rooms = new Map([...books.values()].filter(isUsable).map(book => [book, getFreeRoom(book)]))
     const waiting = [...table.getAll()].flatMap(getUnits).filter(isWaiting)
     waiting.sort((left, right) => compareUnits(left, right, getQueue))
+    keptUntilMs.clear()
     for (const unit of waiting) {
       const places = tryPlace(unit, rooms, rules)
       if (places !== undefined) control.plan(unit, places.map(book => book.info.workerId))
-      else if (getQueue(unit.job)?.priority === 0) preemptFor(unit, rooms)
+      else if (!tryPreemptFor(unit, rooms)) reserveFor(unit, rooms)
     }
   }
 
-  function preemptFor (unit: Unit, rooms: Rooms): void {
+  /** Keeps workers for a gang that waits, for a few gangs at a time: more would leave too much idle. */
+  function reserveFor (unit: Unit, rooms: Rooms): void {
+    if (keptUntilMs.size > 0) return
+    const reservation = tryReserve(unit, rooms, { getMembers: control.getMembers, nowMs: performance.now() })
+    reservation?.workers.forEach(book => keptUntilMs.set(book, reservation.startAtMs))
+  }
+
+  function isKeptFromUnit (unit: Unit, book: WorkerBook): boolean {
+    const untilMs = keptUntilMs.get(book)
+    return untilMs !== undefined && performance.now() + unit.spec.estimateMs > untilMs
+  }
+
+  /** Stops work of lower priority if that makes room for the unit. */
+  function tryPreemptFor (unit: Unit, rooms: Rooms): boolean {
     const victims = getVictims(unit, [...table.getAll()], getQueue)
+    if (victims.length === 0) return false
     const found = tryPreempt(unit, getRoomsAfterStops(rooms), victims, rules, workerId => books.get(workerId))
-    if (found === undefined) return
+    if (found === undefined) return false
     logger.info('room is made', { jobId: unit.job.spec.jobId, victims: found.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(found.cost) })
     control.plan(unit, found.places.map(book => book.info.workerId))
     for (const attempt of found.victims) control.stopAttempt(attempt, `room for ${unit.job.spec.jobId}`)
     for (const book of rooms.keys()) rooms.set(book, getFreeRoom(book))
+    return true
   }
 
   /** The rooms as they will be when everything that is being stopped has ended. */
