--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -150,6 +150,13 @@
       return
     }
     if (book.info.bornAtMs > info.bornAtMs) return
+    if (book.info.address !== info.address) {
+      // The worker was known by its stored attempts only.
+      links.get(info.workerId)?.close()
+      book.info = info
+      book.isReachable = false
+      addLink(book)
+    }
     if (book.info.isDraining !== info.isDraining) logger.info('a worker drains', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
     book.info = info
     book.isListed = true
@@ -158,6 +165,11 @@
   function addWorker (info: ListedWorker): void {
     const book = createWorkerBook(info)
     books.set(info.workerId, book)
+    addLink(book)
+  }
+
+  function addLink (book: WorkerBook): void {
+    const { info } = book
     const link = createWorkerLink({
       term,
       logger,
