--- a/src/runs/runControl.ts
+++ b/src/runs/runControl.ts
@@ -10,7 +10,7 @@
 import { EndKind, isTerminal, JobState, tryParseTaskName } from '../jobs/jobModel.js'
 import { createAttempt, findUnit, getTaskName, getUnits, hasBegun, isAttemptOver, isWholeJobDone, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { fits, getBookingKey, getRoomNow } from '../workers/workerBook.js'
+import { fits, getBookingKey, getRoomNow, isUsable } from '../workers/workerBook.js'
 import type { WorkerBook } from '../workers/workerBook.js'
 import { StartAnswer } from '../workers/workerPort.js'
 import type { EndedRow, RunningRow, WorkerLook } from '../workers/workerPort.js'
@@ -32,6 +32,8 @@
   /** Rooms, units or jobs have changed; a new plan may be possible. */
   readonly onChanged: () => void
   readonly onMemberEnded: (member: Member, how: MemberEnd) => void
+  /** A worker has refused a start as unhealthy. */
+  readonly onRefusal: (workerId: string) => void
 }
 
 /** How a member ended: as its worker says, or without having run. */
@@ -107,7 +109,15 @@
 
   function releasePlanned (): void {
     if (!term.isValid()) return
-    for (const attempt of planned) if (hasRoom(attempt)) release(attempt)
+    for (const attempt of planned) {
+      if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker can not be used any more')
+      else if (hasRoom(attempt)) release(attempt)
+    }
+  }
+
+  function isUsableWorker (workerId: string): boolean {
+    const book = host.getBook(workerId)
+    return book !== undefined && isUsable(book)
   }
 
   /** Several members may share a worker, so their requests are added up. */
@@ -207,6 +217,7 @@
         term.resign(`worker ${member.workerId} has seen a higher epoch`)
         return
       default:
+        if (answer === StartAnswer.Unhealthy) host.onRefusal(member.workerId)
         logger.info('a start was rejected', { task: getTaskName(member), run: member.attempt.run, workerId: member.workerId, answer })
         if (hasLostTry) stopAttempt(member.attempt, `a start was rejected: ${answer}`)
         else notStarted(member, answer)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -14,6 +14,7 @@
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerBook, getFreeRoom, isUsable } from '../workers/workerBook.js'
 import type { WorkerBook } from '../workers/workerBook.js'
+import { createWorkerHealth } from '../workers/workerHealth.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
 import { countPending, createJobTable } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
@@ -98,10 +99,14 @@
     getTicket: () => undefined,
     commit: writer.commit,
     onChanged: schedulePlan,
-    onMemberEnded: () => {}
+    onMemberEnded: (member, how) => {
+      if (how !== 'lost' && how !== 'not-started') health.onEnd(member, how, performance.now())
+    },
+    onRefusal: workerId => { health.onRefusal(workerId, performance.now()) }
   })
   /** Workers that are kept for a blocked gang, with the time at which it is expected to start. */
   const keptUntilMs = new Map<WorkerBook, number>()
+  const health = createWorkerHealth({ logger, countWorkers: () => books.size })
   const rules: PlacementRules = { countOnWorker, isKeptFromUnit }
   void start()
   return { refresh }
@@ -177,7 +182,11 @@
       port: host.connect(info),
       maxLeaseMs: host.bounds.maxLeaseMs,
       isNeeded: () => book.bookings.size > 0 || control.getMembers(info.workerId).size > 0,
-      onLook: async (look, sentAtMs, isWhole) => { await control.onLook(book, look, sentAtMs, isWhole) },
+      onLook: async (look, sentAtMs, isWhole) => {
+        const stored = control.onLook(book, look, sentAtMs, isWhole)
+        for (const attempt of health.onLook(info.workerId, control.getMembers(info.workerId), performance.now())) control.stopAttempt(attempt, 'it makes no progress on its worker')
+        await stored
+      },
       onReachable: isReachable => {
         book.isReachable = isReachable
         schedulePlan()
@@ -237,6 +246,8 @@
   }
 
   function plan (): void {
+    const nowMs = performance.now()
+    for (const book of books.values()) book.isQuarantined = health.isQuarantined(book.info.workerId, nowMs)
     control.releasePlanned()
     const rooms: Rooms = new Map([...books.values()].filter(isUsable).map(book => [book, getFreeRoom(book)]))
     const waiting = [...table.getAll()].flatMap(getUnits).filter(isWaiting)
--- a/src/workers/workerBook.ts
+++ b/src/workers/workerBook.ts
@@ -17,14 +17,13 @@
   isListed: boolean
   /** It has been looked at in this term and answers. */
   isReachable: boolean
+  /** It is held back because of what its runs did. */
   isQuarantined: boolean
-  /** Higher is worse; recent failures that its tasks' peers do not show. */
-  suspicion: number
 }
 
 /** Creates the book of a worker that has not been looked at. */
 export function createWorkerBook (info: ListedWorker): WorkerBook {
-  return { info, bookings: new Map(), isListed: true, isReachable: false, isQuarantined: false, suspicion: 0 }
+  return { info, bookings: new Map(), isListed: true, isReachable: false, isQuarantined: false }
 }
 
 /** Tells whether new work may be started on a worker. */
