--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -11,10 +11,18 @@
 export interface PlacementRules {
   /** Tasks of the unit's step and occurrence on a worker. */
   readonly countOnWorker: (unit: Unit, workerId: string) => number
+  /** Accelerators on a worker that work of the unit's queue uses, and that other work uses. */
+  readonly getOccupancy: (unit: Unit, book: WorkerBook) => Occupancy
   /** Tells whether a worker is kept for another unit that would have to wait for this one. */
   readonly isKeptFromUnit: (unit: Unit, book: WorkerBook) => boolean
 }
 
+/** Who uses a worker, in accelerators. */
+export interface Occupancy {
+  readonly same: number
+  readonly other: number
+}
+
 /** Finds places for all members of a unit, or none. Takes them off the rooms. */
 export function tryPlace (unit: Unit, rooms: Rooms, rules: PlacementRules): readonly WorkerBook[] | undefined {
   for (const group of getGroups(unit, rooms)) {
@@ -90,8 +98,8 @@
 function tryPlaceInGroup (unit: Unit, group: readonly WorkerBook[], rooms: Rooms, rules: PlacementRules): readonly WorkerBook[] | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerBook[] = []
-  const fitting = group.filter(book => fits(request, rooms.get(book) as Resources) && !rules.isKeptFromUnit(unit, book)).sort((left, right) => compareFit(unit, left, right, rooms))
-  for (const book of fitting) {
+  const fitting = group.filter(book => fits(request, rooms.get(book) as Resources) && !rules.isKeptFromUnit(unit, book))
+  for (const book of sortByFit(unit, fitting, rooms, rules)) {
     let room = rooms.get(book) as Resources
     let count = rules.countOnWorker(unit, book.info.workerId)
     while (places.length < unit.size && count < spreadLimit && fits(request, room)) {
@@ -104,11 +112,17 @@
   return undefined
 }
 
-/** Workers that failed the unit come last; among the others, the tightest fit keeps large shapes placeable. */
-function compareFit (unit: Unit, left: WorkerBook, right: WorkerBook, rooms: Rooms): number {
-  const avoided = Number(unit.avoidedWorkers.has(left.info.workerId)) - Number(unit.avoidedWorkers.has(right.info.workerId))
-  if (avoided !== 0) return avoided
-  return getSlack(left, rooms) - getSlack(right, rooms)
+/**
+ * Workers that failed the unit come last. Otherwise a worker that is shared with the unit's own queue is best: when one
+ * queue's short work ends, whole workers become free, and long work of another does not stand in their middle.
+ */
+function sortByFit (unit: Unit, books: readonly WorkerBook[], rooms: Rooms, rules: PlacementRules): readonly WorkerBook[] {
+  const ranked = books.map(book => {
+    const { same, other } = rules.getOccupancy(unit, book)
+    return { book, isAvoided: Number(unit.avoidedWorkers.has(book.info.workerId)), mix: Math.sign(other) - Math.sign(same), slack: getSlack(book, rooms) }
+  })
+  ranked.sort((left, right) => left.isAvoided - right.isAvoided || left.mix - right.mix || left.slack - right.slack)
+  return ranked.map(({ book }) => book)
 }
 
 /** The share of the worker that is left, by the resource of which most is left. */
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -10,6 +10,8 @@
 
 /** An accelerator counts as so many cores, for the value of work. Source: the pages' prices. */
 const coresPerAccelerator = 8
+/** What every stop and restart costs, in s. */
+const restartS = 0.4
 /** The queue's priority where it is not known. */
 const lowestPriority = 1_000
 
@@ -39,8 +41,9 @@
   const { spec, size } = attempt.unit
   const cores = spec.request.cpuMilli / 1_000 + spec.request.accelerators * coresPerAccelerator
   const elapsedS = (performance.now() - attempt.plannedAtMs) / 1_000
-  const lostS = spec.hasCheckpoints ? Math.min(elapsedS, 1) : elapsedS
-  return size * cores * (1 + lostS)
+  // A stop saves a checkpoint, so only the restart is lost.
+  const lostS = spec.hasCheckpoints ? 0 : elapsedS
+  return size * cores * (restartS + lostS)
 }
 
 function getPriority (job: TrackedJob, getQueue: GetQueue): number {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -2,14 +2,16 @@
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
-import { JobState } from '../jobs/jobModel.js'
+import { EndKind, JobState } from '../jobs/jobModel.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, hasBegun, isWaiting, MemberState } from '../jobs/trackedJob.js'
-import type { TrackedJob, Unit } from '../jobs/trackedJob.js'
+import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { getLatestStartMs } from '../placement/objective.js'
 import { tryPlace } from '../placement/placeUnit.js'
-import type { PlacementRules, Rooms } from '../placement/placeUnit.js'
+import type { Occupancy, PlacementRules, Rooms } from '../placement/placeUnit.js'
 import { tryPreempt } from '../placement/preemption.js'
 import { tryReserve } from '../placement/reservation.js'
+import { createRunTimes } from '../placement/runTimes.js'
 import { compareUnits, getVictims } from '../placement/unitOrder.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerBook, getFreeRoom, isUsable } from '../workers/workerBook.js'
@@ -52,6 +54,10 @@
 
 /** The plan is looked at this often even when nothing happened, in ms; waits and occurrences are counted in it. */
 const tickMs = 100
+/** Work of lower priority is stopped for a unit when so much time is left before its latest start, in ms: a stop takes half a second. */
+const preemptionLeadMs = 1_500
+/** A unit whose latest start has passed by so much stops no other work, in ms: it is late already. */
+const latePreemptionMs = 3_000
 /** Planning starts when so much time has passed since the term's start, in ms, also if some workers have not answered. */
 const settleLimitMs = 700
 
@@ -100,14 +106,17 @@
     commit: writer.commit,
     onChanged: schedulePlan,
     onMemberEnded: (member, how) => {
-      if (how !== 'lost' && how !== 'not-started') health.onEnd(member, how, performance.now())
+      if (how === 'lost' || how === 'not-started') return
+      health.onEnd(member, how, performance.now())
+      if (how === EndKind.Done) learnRunTime(member)
     },
     onRefusal: workerId => { health.onRefusal(workerId, performance.now()) }
   })
   /** Workers that are kept for a blocked gang, with the time at which it is expected to start. */
   const keptUntilMs = new Map<WorkerBook, number>()
-  const health = createWorkerHealth({ logger, countWorkers: () => books.size })
-  const rules: PlacementRules = { countOnWorker, isKeptFromUnit }
+  const runTimes = createRunTimes()
+  const health = createWorkerHealth({ logger, countWorkers: () => books.size, getMeanRunMs: runTimes.getMeanMs })
+  const rules: PlacementRules = { countOnWorker, getOccupancy, isKeptFromUnit }
   void start()
   return { refresh }
 
@@ -253,18 +262,32 @@
     const waiting = [...table.getAll()].flatMap(getUnits).filter(isWaiting)
     waiting.sort((left, right) => compareUnits(left, right, getQueue))
     keptUntilMs.clear()
+    // The tasks of one step are alike: where one finds no room, the others need not be tried.
+    const blocked = new Set<string>()
     for (const unit of waiting) {
+      const likeness = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
+      if (blocked.has(likeness)) continue
       const places = tryPlace(unit, rooms, rules)
       if (places !== undefined) control.plan(unit, places.map(book => book.info.workerId))
-      else if (!tryPreemptFor(unit, rooms)) reserveFor(unit, rooms)
+      else if (!tryMakeRoom(unit, rooms)) blocked.add(likeness)
     }
   }
 
-  /** Keeps workers for a gang that waits, for a few gangs at a time: more would leave too much idle. */
-  function reserveFor (unit: Unit, rooms: Rooms): void {
-    if (keptUntilMs.size > 0) return
+  /** Waits for work that ends in time for the unit's objective, and stops other work only where none does. */
+  function tryMakeRoom (unit: Unit, rooms: Rooms): boolean {
     const reservation = tryReserve(unit, rooms, { getMembers: control.getMembers, nowMs: performance.now() })
-    reservation?.workers.forEach(book => keptUntilMs.set(book, reservation.startAtMs))
+    const slackMs = getLatestStartMs(unit, getQueue(unit.job), runTimes) - Date.now()
+    const isInTime = reservation !== undefined && reservation.startAtMs - performance.now() < slackMs
+    const isDue = slackMs > -latePreemptionMs && (slackMs < preemptionLeadMs || getQueue(unit.job)?.priority === 0)
+    if (!isInTime && isDue && tryPreemptFor(unit, rooms)) return true
+    // More than one gang at a time would leave too much idle.
+    if (keptUntilMs.size === 0) reservation?.workers.forEach(book => keptUntilMs.set(book, reservation.startAtMs))
+    return false
+  }
+
+  function learnRunTime (member: Member): void {
+    const { unit } = member.attempt
+    if (unit.checkpoint === '') runTimes.learn(unit.job.spec.queue, unit.spec.estimateMs, performance.now() - member.presentSinceMs)
   }
 
   function isKeptFromUnit (unit: Unit, book: WorkerBook): boolean {
@@ -312,6 +335,17 @@
     return count
   }
 
+  function getOccupancy (unit: Unit, book: WorkerBook): Occupancy {
+    let same = 0
+    let other = 0
+    for (const { attempt } of control.getMembers(book.info.workerId)) {
+      const { job, spec } = attempt.unit
+      if (job.spec.queue === unit.job.spec.queue) same += spec.request.accelerators
+      else other += spec.request.accelerators
+    }
+    return { same, other }
+  }
+
   function getQueue (job: TrackedJob): QueueSettings | undefined {
     const queue = host.getConfiguration()?.queues.find(candidate => candidate.name === job.spec.queue)
     if (queue !== undefined) lastQueues.set(job.spec.queue, queue)
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -12,6 +12,8 @@
 export interface WorkerHealthHost {
   readonly logger: Logger
   readonly countWorkers: () => number
+  /** The usual time of a queue's runs, in ms. */
+  readonly getMeanRunMs: (queue: string) => number | undefined
 }
 
 /** The health of all workers of one term. Times are of the steady clock, in ms. */
@@ -41,8 +43,6 @@
 const estimateSlack = 4
 /** A worker is slow when its runs need so many times the usual time of their queue. */
 const slowFactor = 3.5
-/** Weight of a new run time in a queue's mean. */
-const learningRate = 0.15
 /** At most this share of the workers is held back. */
 const maxQuarantinedShare = 0.34
 /** Work of so much time is given up rather than awaited, in ms; standstills last some seconds. */
@@ -63,7 +63,6 @@
 export function createWorkerHealth (host: WorkerHealthHost): WorkerHealth {
   const records = new Map<string, WorkerRecord>()
   const samples = new WeakMap<Member, Sample>()
-  const meanRunMs = new Map<string, number>()
 
   return { onLook, onEnd, onRefusal, isQuarantined, getQuarantined }
 
@@ -108,7 +107,6 @@
     const { unit } = member.attempt
     if (how === EndKind.Done) {
       record.failures = 0
-      learn(unit.job.spec.queue, nowMs - member.presentSinceMs, unit.checkpoint === '')
       return
     }
     if (how !== EndKind.Failed) return
@@ -121,12 +119,6 @@
     }
   }
 
-  function learn (queue: string, runMs: number, isWholeRun: boolean): void {
-    if (!isWholeRun || !Number.isFinite(runMs)) return
-    const mean = meanRunMs.get(queue)
-    meanRunMs.set(queue, mean === undefined ? runMs : mean + learningRate * (runMs - mean))
-  }
-
   function onLook (workerId: string, members: Iterable<Member>, nowMs: number): readonly Attempt[] {
     const stalled: Member[] = []
     const slow: Member[] = []
@@ -154,12 +146,12 @@
   function shouldHaveProgressed (member: Member, elapsedMs: number): boolean {
     const { spec, job } = member.attempt.unit
     if (member.progressPercent >= 99) return false
-    const usualMs = Math.max(spec.estimateMs, meanRunMs.get(job.spec.queue) ?? spec.estimateMs * estimateSlack)
+    const usualMs = Math.max(spec.estimateMs, host.getMeanRunMs(job.spec.queue) ?? spec.estimateMs * estimateSlack)
     return 100 * elapsedMs / usualMs >= minExpectedPercent
   }
 
   function isSlow (member: Member, before: Sample, nowMs: number): boolean {
-    const mean = meanRunMs.get(member.attempt.unit.job.spec.queue)
+    const mean = host.getMeanRunMs(member.attempt.unit.job.spec.queue)
     if (mean === undefined) return false
     const wholeRunMs = 100 * (nowMs - before.atMs) / (member.progressPercent - before.percent)
     return wholeRunMs > slowFactor * Math.max(mean, member.attempt.unit.spec.estimateMs)
