--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -2,6 +2,7 @@
  * Elects the one host that schedules, by a key under a lease of the store. The fencing epoch is the revision of
  * the key's creation, so it grows with each term.
  */
+import { setMaxListeners } from 'node:events'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
@@ -126,6 +127,8 @@
 
   async function serve (epoch: number, leaseId: number, clock: LeaseClock): Promise<void> {
     const ending = new AbortController()
+    // Each link and each waiting call of the term listens for its end.
+    setMaxListeners(0, ending.signal)
     let endReason = ''
     const abort = (reason: string): void => {
       if (ending.signal.aborted) return
--- /dev/null
+++ b/src/runs/scheduler.test.ts
@@ -0,0 +1,158 @@
+/** The scheduler under failures: each test replays a fault that was found on the users' platform. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { EndKind, JobState } from '../jobs/jobModel.js'
+import { decodeState } from '../jobs/trackedJob.js'
+import { getProgressKey } from '../jobs/jobKeys.js'
+import { createPoolRig, makeJob, makeStep } from '../testing/poolRig.js'
+import type { PoolRig, PoolRigOptions } from '../testing/poolRig.js'
+
+let rig: PoolRig
+
+beforeEach(() => { jest.useFakeTimers() })
+
+afterEach(async () => {
+  const stopped = rig.stop()
+  await run(3_000)
+  await stopped
+  jest.useRealTimers()
+})
+
+async function run (ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 10) await jest.advanceTimersByTimeAsync(10)
+}
+
+async function startRig (options: PoolRigOptions, hosts = 2): Promise<void> {
+  rig = createPoolRig(options)
+  for (let index = 0; index < hosts; index++) {
+    rig.addHost(`host-${index}`)
+    await run(300)
+  }
+}
+
+async function submit (...jobs: Parameters<PoolRig['submit']>[0][]): Promise<void> {
+  for (const job of jobs) {
+    const submitted = rig.submit(job)
+    await run(20)
+    await submitted
+  }
+}
+
+function getState (jobId: string): JobState {
+  const value = rig.store.peek(getProgressKey(jobId))
+  return value === undefined ? JobState.Queued : decodeState(value)
+}
+
+function getLeader (): string {
+  return rig.store.peek('leader/scheduler') ?? ''
+}
+
+async function waitForState (jobId: string, state: JobState, limitMs: number): Promise<void> {
+  for (let passed = 0; passed < limitMs && getState(jobId) !== state; passed += 50) await run(50)
+  expect(getState(jobId)).toBe(state)
+}
+
+test('a job of two steps runs in order, each task once', async () => {
+  await startRig({ workers: 2 })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 3 }), makeStep({ count: 2, after: [0] })]))
+  await waitForState('a', JobState.Complete, 5_000)
+  expect([...rig.world.starts.values()]).toEqual([1, 1, 1, 1, 1])
+  expect(rig.world.violations).toEqual([])
+})
+
+test('ends that a dead scheduler has not stored are found by its successor before anything starts', async () => {
+  await startRig({ workers: 2, getRun: () => ({ workMs: 700, how: EndKind.Done }), maxLeaseMs: 6_000 })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 6 })]))
+  await run(400)
+  rig.hosts.get(getLeader())?.kill()
+  await waitForState('a', JobState.Complete, 8_000)
+  expect([...rig.world.starts.values()].every(starts => starts === 1)).toBe(true)
+  expect(rig.world.violations).toEqual([])
+})
+
+test('workers that the list forgets for a while are linked again after a takeover', async () => {
+  await startRig({ workers: 2, getRun: () => ({ workMs: 4_000, how: EndKind.Done }), maxLeaseMs: 6_000 })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 4 })]))
+  await run(300)
+  for (const workerId of rig.workers.keys()) rig.setListed(workerId, false)
+  rig.hosts.get(getLeader())?.kill()
+  await run(3_000)
+  for (const workerId of rig.workers.keys()) rig.setListed(workerId, true)
+  await waitForState('a', JobState.Complete, 8_000)
+  expect([...rig.world.starts.values()]).toEqual([1, 1, 1, 1])
+  await submit(makeJob('b', 'batch', [makeStep({ count: 4 })]))
+  await waitForState('b', JobState.Complete, 8_000)
+})
+
+test('an attempt that waits for room is not started on a worker that has begun to drain', async () => {
+  await startRig({ workers: 1, getRun: task => ({ workMs: task.startsWith('a') ? 5_000 : 300, how: EndKind.Done }) })
+  const whole = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await submit(makeJob('a', 'batch', [makeStep({ request: whole, estimateMs: 5_000 })]))
+  await run(200)
+  // The stop of the batch work is under way when the worker begins to drain.
+  rig.workers.get('worker-0')?.setCut(true)
+  await submit(makeJob('b', 'urgent', [makeStep({ request: whole, estimateMs: 300 })]))
+  rig.setDraining('worker-0', true)
+  rig.workers.get('worker-0')?.setCut(false)
+  await run(2_000)
+  expect(rig.world.starts.get('b.0.0.0')).toBeUndefined()
+  rig.setDraining('worker-0', false)
+  await waitForState('b', JobState.Complete, 5_000)
+})
+
+test('a gang that fits one rack only gets it, although small work keeps coming', async () => {
+  await startRig({ workers: 4, getRun: task => ({ workMs: task.startsWith('s') ? 900 : 500, how: EndKind.Done }) })
+  for (let index = 0; index < 12; index++) await submit(makeJob(`s${index}`, 'batch', [makeStep({ count: 2, estimateMs: 900 })]))
+  await submit(makeJob('gang', 'batch', [makeStep({ count: 4, isGang: true, isSameRack: true, request: { cpuMilli: 8_000, memoryMb: 8_000, accelerators: 8 } })]))
+  for (let index = 12; index < 30; index++) {
+    await submit(makeJob(`s${index}`, 'batch', [makeStep({ count: 2, estimateMs: 900 })]))
+    await run(150)
+  }
+  await waitForState('gang', JobState.Complete, 4_000)
+  expect(rig.world.violations).toEqual([])
+})
+
+test('a start that is carried out late takes no room that others have been given', async () => {
+  await startRig({ workers: 2, getRun: () => ({ workMs: 400, how: EndKind.Done }) })
+  const whole = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  for (const worker of rig.workers.values()) worker.delayStarts(4, 2_500)
+  await submit(...['a', 'b', 'c', 'd'].map(jobId => makeJob(jobId, 'batch', [makeStep({ request: whole })])))
+  for (const jobId of ['a', 'b', 'c', 'd']) await waitForState(jobId, JobState.Complete, 10_000)
+  expect(rig.world.violations).toEqual([])
+})
+
+test('a worker that is cut off keeps its tasks until its lease has ended by any clock', async () => {
+  await startRig({ workers: 2, getRun: () => ({ workMs: 2_500, how: EndKind.Done }), maxLeaseMs: 3_000 })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 4 })]))
+  await run(300)
+  rig.workers.get('worker-0')?.setCut(true)
+  await waitForState('a', JobState.Complete, 12_000)
+  expect(rig.world.violations).toEqual([])
+})
+
+test('a cancelled job is stopped, and no state but cancelled is shown', async () => {
+  await startRig({ workers: 1, getRun: () => ({ workMs: 5_000, how: EndKind.Done }) })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 3 })]))
+  const [host] = rig.hosts.values()
+  const cancelled = host?.intake.cancel('a', Date.now() + 3_000)
+  await run(50)
+  expect(await cancelled).toBe(true)
+  await run(1_000)
+  expect(getState('a')).toBe(JobState.Cancelled)
+  expect([...rig.world.running.values()].flat()).toEqual([])
+})
+
+test('a task that fails as often as its queue allows fails its job, and is not started again', async () => {
+  await startRig({ workers: 3, getRun: () => ({ workMs: 100, how: EndKind.Failed }) })
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await waitForState('a', JobState.Failed, 20_000)
+  expect(rig.world.starts.get('a.0.0.0')).toBe(3)
+})
+
+test('work on a worker that stands still is moved', async () => {
+  await startRig({ workers: 2, getRun: () => ({ workMs: 1_500, how: EndKind.Done }) })
+  rig.workers.get('worker-0')?.setStalled(true)
+  rig.workers.get('worker-1')?.setStalled(false)
+  await submit(makeJob('a', 'batch', [makeStep({ count: 10, estimateMs: 1_500 })]))
+  await waitForState('a', JobState.Complete, 12_000)
+  expect(rig.world.violations).toEqual([])
+})
--- /dev/null
+++ b/src/runs/schedulerSoak.test.ts
@@ -0,0 +1,102 @@
+/** Long randomised runs by seed: jobs, kills, cuts, restarts, late orders, outages; the promises are checked by the workers. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { EndKind, isTerminal, JobState } from '../jobs/jobModel.js'
+import { getProgressKey } from '../jobs/jobKeys.js'
+import { decodeState } from '../jobs/trackedJob.js'
+import { createPoolRig, makeJob, makeStep } from '../testing/poolRig.js'
+import type { PoolRig } from '../testing/poolRig.js'
+
+const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3,4,5,6').split(',').map(Number)
+const workerCount = 6
+const jobCount = 24
+const faultPeriodMs = 700
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+async function run (ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 10) await jest.advanceTimersByTimeAsync(10)
+}
+
+test.each(seeds)('seed %i: every job ends, none starts twice, no worker is overfull', async seed => {
+  const generator = xoroshiro128plus(seed)
+  const random = (limit: number): number => uniformInt(generator, 0, limit - 1)
+  const rig = createPoolRig({
+    workers: workerCount,
+    workersPerRack: 3,
+    maxLeaseMs: 3_000,
+    getRun: () => ({ workMs: 100 + 10 * random(120), how: random(20) === 0 ? EndKind.Failed : EndKind.Done })
+  })
+  let hostNumber = 0
+  for (; hostNumber < 3; hostNumber++) rig.addHost(`host-${hostNumber}`)
+  await run(500)
+  const jobIds: string[] = []
+  for (let index = 0; index < jobCount; index++) {
+    const jobId = `job${index}`
+    jobIds.push(jobId)
+    void rig.submit(makeRandomJob(jobId, random)).catch(() => { jobIds.splice(jobIds.indexOf(jobId), 1) })
+    await run(10 * random(60))
+    if (random(2) === 0) strike(rig, random)
+    while (rig.hosts.size < 3) rig.addHost(`host-${hostNumber++}`)
+    await run(faultPeriodMs * random(2))
+  }
+  heal(rig)
+  for (let passed = 0; passed < 60_000 && !areAllOver(rig, jobIds); passed += 500) await run(500)
+  expect(rig.world.violations).toEqual([])
+  expect(jobIds.filter(jobId => !isOver(rig, jobId))).toEqual([])
+  const stopped = rig.stop()
+  await run(3_000)
+  await stopped
+})
+
+function makeRandomJob (jobId: string, random: (limit: number) => number): ReturnType<typeof makeJob> {
+  const accelerators = [1, 2, 4, 8][random(4)] ?? 1
+  const isGang = random(2) === 0
+  const count = isGang ? 1 + random(3) : 1 + random(8)
+  const step = makeStep({ count, isGang, isSameRack: isGang && random(2) === 0, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators }, estimateMs: 100 + random(2_000) })
+  return makeJob(jobId, random(2) === 0 ? 'urgent' : 'batch', random(3) === 0 ? [step, makeStep({ count: 2, after: [0] })] : [step])
+}
+
+function strike (rig: PoolRig, random: (limit: number) => number): void {
+  const worker = [...rig.workers.values()][random(workerCount)]
+  const host = [...rig.hosts.values()][random(rig.hosts.size)]
+  if (worker === undefined || host === undefined) return
+  const leader = rig.store.peek('leader/scheduler') ?? ''
+  const faults: readonly (() => void)[] = [
+    () => { rig.hosts.get(leader)?.kill() },
+    () => { void host.stop() },
+    () => { runFault(1_500 + 100 * random(40), () => worker.setCut(true), () => worker.setCut(false)) },
+    () => { rig.restartWorker(worker.info.workerId) },
+    () => { worker.delayStarts(1 + random(4), 300 + 100 * random(40)) },
+    () => { runFault(500 + 100 * random(40), () => rig.store.setOut(true), () => rig.store.setOut(false)) },
+    () => { runFault(500 + 100 * random(40), () => rig.store.setOut(true, leader), () => rig.store.setOut(false, leader)) },
+    () => { rig.store.loseWrites(leader, 1 + random(3), 100 * random(30)) },
+    () => { rig.store.lapseLeases() },
+    () => { rig.store.compact() },
+    () => { runFault(1_000 + 100 * random(20), () => rig.setDraining(worker.info.workerId, true), () => rig.setDraining(worker.info.workerId, false)) },
+    () => { runFault(1_000 + 100 * random(20), () => rig.setListed(worker.info.workerId, false), () => rig.setListed(worker.info.workerId, true)) }
+  ]
+  faults[random(faults.length)]?.()
+}
+
+function runFault (ms: number, begin: () => void, end: () => void): void {
+  begin()
+  setTimeout(end, ms)
+}
+
+function heal (rig: PoolRig): void {
+  rig.store.setOut(false)
+  for (const hostId of rig.hosts.keys()) rig.store.setOut(false, hostId)
+  for (const worker of rig.workers.values()) worker.setCut(false)
+}
+
+function isOver (rig: PoolRig, jobId: string): boolean {
+  const value = rig.store.peek(getProgressKey(jobId))
+  return value !== undefined && isTerminal(decodeState(value) ?? JobState.Queued)
+}
+
+function areAllOver (rig: PoolRig, jobIds: readonly string[]): boolean {
+  return jobIds.every(jobId => isOver(rig, jobId))
+}
--- /dev/null
+++ b/src/testing/poolRig.ts
@@ -0,0 +1,224 @@
+/** A rig for tests: hosts with election and scheduler, the store's and the workers' stand-ins, one clock for all. */
+import { silentLogger } from '../common/logger.js'
+import type { Logger } from '../common/logger.js'
+import type { Configuration } from '../configuration/configuration.js'
+import { createLeaderElection } from '../election/leaderElection.js'
+import type { LeaderElection, Term } from '../election/leaderElection.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createJobIntake } from '../jobs/jobIntake.js'
+import type { JobIntake } from '../jobs/jobIntake.js'
+import { EndKind, tryParseTaskName } from '../jobs/jobModel.js'
+import type { JobSpec, StepSpec } from '../jobs/jobModel.js'
+import { createScheduler } from '../runs/scheduler.js'
+import type { Scheduler } from '../runs/scheduler.js'
+import { createMemoryStore } from '../standins/memoryStore.js'
+import type { MemoryStore } from '../standins/memoryStore.js'
+import { createPoolWorker } from '../standins/poolWorker.js'
+import type { PoolWorker, PoolWorld } from '../standins/poolWorker.js'
+import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
+
+/** One host of the rig. */
+export interface RigHost {
+  readonly hostId: string
+  readonly intake: JobIntake
+  /** The host's processes and network are gone, without a word to anyone. */
+  kill (): void
+  stop (): Promise<void>
+  getTerm (): Term | undefined
+}
+
+/** The rig. */
+export interface PoolRig {
+  readonly store: MemoryStore
+  readonly world: PoolWorld
+  readonly workers: Map<string, PoolWorker>
+  readonly hosts: Map<string, RigHost>
+  addHost (hostId: string): RigHost
+  /** Takes a worker off the list, or puts it on. */
+  setListed (workerId: string, isListed: boolean): void
+  setDraining (workerId: string, isDraining: boolean): void
+  restartWorker (workerId: string): void
+  submit (job: JobSpec): Promise<void>
+  stop (): Promise<void>
+}
+
+/** What the rig is built of. */
+export interface PoolRigOptions {
+  readonly workers: number
+  readonly workersPerRack?: number
+  readonly getRun?: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
+  readonly logger?: Logger
+  readonly maxLeaseMs?: number
+}
+
+/** Accelerators and cores of each worker of the rig. */
+export const rigCapacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
+
+const bornAtMs = 1_000
+
+/** The queues of the rig: urgent work of priority 0, and batch work of priority 2. */
+export const rigConfiguration: Configuration = {
+  version: 1,
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  pools: [{ name: 'pool', healthPath: '/healthz', maxConnections: 64, hasAdmissionCheck: false, isStandby: false }],
+  organisations: [{ name: 'mill', keys: ['key-of-mill'], guaranteedAccelerators: 16 }],
+  queues: [
+    { name: 'urgent', hostName: 'host', pathPrefix: '/urgent/', service: 'pool', priority: 0, attempts: 3, objectiveFactor: 1.5, objectiveMs: 500, timeoutMs: 3_000, isPublic: false },
+    { name: 'batch', hostName: 'host', pathPrefix: '/batch/', service: 'pool', priority: 2, attempts: 3, objectiveFactor: 3, objectiveMs: 3_000, timeoutMs: 3_000, isPublic: true }
+  ]
+}
+
+/** A step with the given fields; the rest is as small as it gets. */
+export function makeStep (fields: Partial<StepSpec> = {}): StepSpec {
+  return {
+    count: 1,
+    request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 1 },
+    estimateMs: 500,
+    after: [],
+    isGang: false,
+    isSameRack: false,
+    isSpeculative: false,
+    hasCheckpoints: false,
+    isService: false,
+    isFill: false,
+    ...fields
+  }
+}
+
+/** A job of one queue. */
+export function makeJob (jobId: string, queue: string, steps: readonly StepSpec[], fields: Partial<JobSpec> = {}): JobSpec {
+  return { jobId, queue, service: 'pool', organisation: 'mill', payload: `run ${jobId}`, steps, acceptedAtMs: Date.now(), ...fields }
+}
+
+/** Starts the workers; hosts are added by the test. */
+export function createPoolRig (options: PoolRigOptions): PoolRig {
+  const { logger = silentLogger, maxLeaseMs = 3_000, workersPerRack = 4 } = options
+  const store = createMemoryStore()
+  const jobs = new Map<string, JobSpec>()
+  const workers = new Map<string, PoolWorker>()
+  const hosts = new Map<string, RigHost>()
+  const listed = new Map<string, ListedWorker>()
+  const refreshes = new Set<() => void>()
+  const world: PoolWorld = {
+    getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
+    getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
+    getRequest: task => getStep(task)?.request ?? rigCapacity,
+    maxLeaseMs,
+    gangMs: 1_500,
+    stopMs: 50,
+    running: new Map(),
+    violations: [],
+    gangs: new Map(),
+    doneSeen: new Set(),
+    starts: new Map()
+  }
+  for (let index = 0; index < options.workers; index++) addWorker(index)
+
+  return { store, world, workers, hosts, addHost, setListed, setDraining, restartWorker, submit, stop }
+
+  function getStep (task: string): StepSpec | undefined {
+    const name = tryParseTaskName(task)
+    return name === undefined ? undefined : jobs.get(name.jobId)?.steps[name.step]
+  }
+
+  function addWorker (index: number): void {
+    const rack = `rack-${Math.floor(index / workersPerRack)}`
+    const info: ListedWorker = { workerId: `worker-${index}`, address: `worker-${index}:1`, service: 'pool', domain: 'a', bornAtMs, isDraining: false, capacity: rigCapacity, labels: ['a', rack], rack }
+    workers.set(info.workerId, createPoolWorker(world, info))
+    listed.set(info.workerId, info)
+  }
+
+  function setListed (workerId: string, isListed: boolean): void {
+    const worker = workers.get(workerId)
+    if (!isListed) listed.delete(workerId)
+    else if (worker !== undefined) listed.set(workerId, worker.info)
+    refreshAll()
+  }
+
+  function setDraining (workerId: string, isDraining: boolean): void {
+    const info = listed.get(workerId)
+    if (info !== undefined) listed.set(workerId, { ...info, isDraining })
+    refreshAll()
+  }
+
+  function restartWorker (workerId: string): void {
+    const info = workers.get(workerId)?.restart()
+    if (info !== undefined) listed.set(workerId, info)
+    refreshAll()
+  }
+
+  function refreshAll (): void {
+    for (const refresh of refreshes) refresh()
+  }
+
+  async function submit (job: JobSpec): Promise<void> {
+    jobs.set(job.jobId, job)
+    const [host] = hosts.values()
+    await host?.intake.submit(job, Date.now() + 3_000)
+  }
+
+  function addHost (hostId: string): RigHost {
+    const client = store.connect(hostId)
+    let isDead = false
+    let term: Term | undefined
+    let scheduler: Scheduler | undefined
+    const intake = createJobIntake({ store: client, logger })
+    const election: LeaderElection = createLeaderElection({
+      store: client,
+      hostId,
+      logger: logger.part(hostId),
+      random: () => 0.5,
+      onElected: elected => {
+        term = elected
+        scheduler = createScheduler({
+          term: elected,
+          store: client,
+          logger: logger.part(hostId),
+          bounds: { maxLeaseMs, retentionMs: 120_000, reclaimMs: 2_900 },
+          getWorkers: () => [...listed.values()],
+          connect: info => connect(info, () => isDead),
+          getConfiguration: () => rigConfiguration
+        })
+      }
+    })
+    refreshes.add(() => { scheduler?.refresh() })
+    const host: RigHost = {
+      hostId,
+      intake,
+      getTerm: () => term,
+      kill: () => {
+        isDead = true
+        store.setOut(true, hostId)
+        hosts.delete(hostId)
+      },
+      stop: async () => {
+        hosts.delete(hostId)
+        await election.stop()
+      }
+    }
+    hosts.set(hostId, host)
+    return host
+  }
+
+  function connect (info: ListedWorker, isDead: () => boolean): WorkerPort {
+    const port = workers.get(info.workerId)?.connect()
+    const guard = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
+      if (isDead() || port === undefined || info.address === '') throw createError(ErrorKind.AnswerLost, 'no answer')
+      const answer = await call(argument)
+      if (isDead()) throw createError(ErrorKind.AnswerLost, 'no answer')
+      return answer
+    }
+    return {
+      start: guard(order => (port as WorkerPort).start(order)),
+      stop: guard(order => (port as WorkerPort).stop(order)),
+      hold: guard(order => (port as WorkerPort).hold(order)),
+      pace: guard(order => (port as WorkerPort).pace(order)),
+      close: () => {}
+    }
+  }
+
+  async function stop (): Promise<void> {
+    for (const worker of workers.values()) worker.stop()
+    await Promise.all([...hosts.values()].map(host => host.stop()))
+  }
+}
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -83,7 +83,7 @@
   function quarantine (workerId: string, reason: string, nowMs: number, forMs: number): void {
     const record = getRecord(workerId)
     const isNew = !isQuarantined(workerId, nowMs)
-    if (isNew && getQuarantined(nowMs).length + 1 > host.countWorkers() * maxQuarantinedShare) {
+    if (isNew && getQuarantined(nowMs).length + 1 > Math.max(1, host.countWorkers() * maxQuarantinedShare)) {
       host.logger.warn('a worker is not held back, since too many are', { workerId, reason })
       return
     }
