--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -160,8 +160,11 @@
 })
 
 test('a scheduler that is cut off from most workers leaves them to another host', async () => {
-  await startRig({ workers: 4 })
+  await startRig({ workers: 4, getRun: () => ({ workMs: 20_000, how: EndKind.Done }) })
   const before = getLeader()
+  const whole = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await submit(makeJob('long', 'batch', [makeStep({ count: 4, request: whole, estimateMs: 20_000 })]))
+  await run(500)
   for (const worker of rig.workers.values()) worker.setCut(true)
   const leaders = new Set<string>()
   for (let passed = 0; passed < 7_000; passed += 100) {
@@ -172,6 +175,6 @@
   leaders.delete(before)
   leaders.delete('')
   expect(leaders.size).toBe(1)
-  await submit(makeJob('a', 'batch', [makeStep({ count: 3 })]))
-  await waitForState('a', JobState.Complete, 9_000)
+  await waitForState('long', JobState.Complete, 40_000)
+  expect(rig.world.violations).toEqual([])
 })
