Add advice with tickets, waves of upkeep, and the pace of fills

Tests: a wave with every second answer lost and a change of the scheduler never has more than two machines down; tickets are renewed; the pace never rises under pressure (property).

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -9,10 +9,12 @@
 import { createJobIntake } from '../jobs/jobIntake.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
+import { createUpkeepWaves } from '../upkeep/upkeepWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
 import { createWireCallers } from './wireCallers.js'
 import { configurationKey, tryDecodeConfiguration } from './wireConfiguration.js'
 import { loadPlatformSettings } from './wireSettings.js'
+import { createWireAdvice, createWireMachines, encodeWaveStatus, tryDecodeWave, wavePrefix, waveStatusPrefix } from './wireServices.js'
 import { createWireStore } from './wireStore.js'
 import { createWireWorker } from './wireWorker.js'
 import { tryDecodeWorker, workerListPrefix } from './wireWorkerList.js'
@@ -64,7 +66,24 @@
     bounds: settings,
     getWorkers,
     connect: createWireWorker,
-    getConfiguration: configuration.get
+    getConfiguration: configuration.get,
+    ...(settings.adviceAddress === undefined ? {} : { advice: createWireAdvice(settings.adviceAddress) })
+  })
+  if (settings.machinesAddress === undefined) return
+  const { tryEmpty, giveBack } = scheduler
+  createUpkeepWaves({
+    store,
+    term,
+    logger: logger.part('upkeep'),
+    hostId: settings.hostId,
+    machines: createWireMachines(settings.machinesAddress),
+    wavePrefix,
+    statusPrefix: waveStatusPrefix,
+    decodeWave: tryDecodeWave,
+    encodeStatus: encodeWaveStatus,
+    holderPauseMs: settings.holderPauseMs,
+    tryEmpty,
+    giveBack
   })
 }
 
--- /dev/null
+++ b/src/platform/wireServices.ts
@@ -0,0 +1,84 @@
+/** The platform's advice and machine services, and waves of upkeep. */
+import * as z from 'zod/mini'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import type { AdvicePort } from '../runs/adviceBook.js'
+import { MachineAnswer } from '../upkeep/upkeepWaves.js'
+import type { ListedMachine, MachinePort, Wave } from '../upkeep/upkeepWaves.js'
+import { createWireClient } from './wireCalls.js'
+import { tryParseJson } from './wireWorkerList.js'
+
+/** Where operators ask for waves. */
+export const wavePrefix = 'op/wave/'
+/** Where the state of a wave is told. */
+export const waveStatusPrefix = 'status/wave/'
+
+/** Calls to the machine service end after so long, in ms. */
+const machineTimeoutMs = 1_500
+const connections = 2
+
+const adviceSchema = z.object({ good: z.array(z.tuple([z.string(), z.string()], z.unknown())) })
+const machineSchema = z.object({ machine: z.string(), state: z.string(), id: z.optional(z.nullable(z.string())) })
+const machinesSchema = z.object({ machines: z.array(machineSchema), nextToken: z.optional(z.nullable(z.string())) })
+const waveSchema = z.object({ wave: z.number(), machines: z.array(z.string()), deadlineS: z.number(), cap: z.number() })
+const reasonSchema = z.object({ reason: z.optional(z.string()) })
+
+const machineReasons: Readonly<Record<string, MachineAnswer>> = {
+  fence: MachineAnswer.StaleEpoch,
+  busy: MachineAnswer.Busy,
+  wave: MachineAnswer.NotOfWave
+}
+
+/** Creates the client of the advice service. */
+export function createWireAdvice (address: string): AdvicePort {
+  const client = createWireClient(address, 1)
+  return { advise }
+
+  async function advise (step: string, workerIds: readonly string[], timeoutMs: number): Promise<readonly { readonly workerId: string, readonly ticket: string }[]> {
+    const answer = await client.call({ method: 'POST', path: '/sassafrasford/advise', body: { step, workers: workerIds }, timeoutMs })
+    const body = adviceSchema.safeParse(answer.body)
+    if (answer.status !== 200 || !body.success) throw createError(ErrorKind.Overloaded, `the advice service answers ${answer.status}`)
+    return body.data.good.map(([workerId, ticket]) => ({ workerId, ticket }))
+  }
+}
+
+/** Creates the client of the machine service. */
+export function createWireMachines (address: string): MachinePort {
+  const client = createWireClient(address, connections)
+  return { list, upkeep }
+
+  async function list (): Promise<readonly ListedMachine[]> {
+    const machines: ListedMachine[] = []
+    let token = ''
+    do {
+      const query = token === '' ? '' : `?pageToken=${encodeURIComponent(token)}`
+      const answer = await client.call({ method: 'GET', path: `/sassafrasford/machines${query}`, timeoutMs: machineTimeoutMs })
+      const page = machinesSchema.safeParse(answer.body)
+      if (answer.status !== 200 || !page.success) throw createError(ErrorKind.Overloaded, `the machine service answers ${answer.status}`)
+      machines.push(...page.data.machines.map(({ machine, state, id }) => ({ machineId: machine, isUp: state === 'up', workerId: id ?? undefined })))
+      token = page.data.nextToken ?? ''
+    } while (token !== '')
+    return machines
+  }
+
+  async function upkeep (machineId: string, wave: number, holder: string, epoch: number): Promise<MachineAnswer> {
+    const headers = { 'Duty-Holder': holder, 'Fence-Token': String(epoch) }
+    const { status, body } = await client.call({ method: 'POST', path: '/sassafrasford/machine-upkeep', body: { machine: machineId, wave }, headers, timeoutMs: machineTimeoutMs })
+    if (status >= 200 && status < 300) return MachineAnswer.Done
+    if (status === 409) return machineReasons[reasonSchema.safeParse(body).data?.reason ?? ''] ?? MachineAnswer.Busy
+    if (status === 400) return MachineAnswer.Invalid
+    throw createError(ErrorKind.AnswerLost, `the machine service answers ${status}`)
+  }
+}
+
+/** Reads a wave; undefined where it is malformed. */
+export function tryDecodeWave (value: string): Wave | undefined {
+  const parsed = waveSchema.safeParse(tryParseJson(value))
+  if (!parsed.success) return undefined
+  const { wave, machines, deadlineS, cap } = parsed.data
+  return { wave, machineIds: machines, deadlineMs: deadlineS * 1_000, maxDown: cap }
+}
+
+/** Writes the state of a wave. */
+export function encodeWaveStatus (isComplete: boolean): string {
+  return JSON.stringify({ state: isComplete ? 'complete' : 'active' })
+}
--- a/src/platform/wireSettings.ts
+++ b/src/platform/wireSettings.ts
@@ -26,7 +26,9 @@
     farFactor: z._default(z.number(), 3),
     saveS: z._default(z.number(), 2),
     restoreMs: z._default(z.number(), 600),
-    reclaimMs: z._default(z.number(), 2_900)
+    reclaimMs: z._default(z.number(), 2_900),
+    noticeMs: z._default(z.number(), 5_500),
+    leaseMs: z._default(z.number(), 3_000)
   }),
   platform: z.object({ addr: addressSchema }),
   cloud: z.optional(z.object({ addr: addressSchema })),
@@ -46,6 +48,11 @@
   readonly maxLeaseMs: number
   readonly retentionMs: number
   readonly reclaimMs: number
+  readonly noticeMs: number
+  /** Two holders of a machine's duty must not take turns within this, in ms. */
+  readonly holderPauseMs: number
+  readonly adviceAddress: string | undefined
+  readonly machinesAddress: string | undefined
   /** Keys are refused when the configuration has not been confirmed for so long, in ms; undefined: never. */
   readonly revokeMs: number | undefined
   readonly farFactor: number
@@ -65,7 +72,7 @@
     const issue = parsed.error.issues[0]
     throw createError(ErrorKind.BadRequest, `${file}: setting "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'malformed'}`)
   }
-  const { node, zone, listen, limits, bounds, platform } = parsed.data
+  const { node, zone, listen, limits, bounds, platform, cloud, advice } = parsed.data
   return {
     hostId: node,
     domain: zone,
@@ -78,6 +85,10 @@
     maxLeaseMs: bounds.holdMaxMs,
     retentionMs: bounds.status_s * 1_000,
     reclaimMs: bounds.reclaimMs,
+    noticeMs: bounds.noticeMs,
+    holderPauseMs: bounds.leaseMs,
+    adviceAddress: advice === undefined || advice === '' ? undefined : advice,
+    machinesAddress: cloud?.addr,
     revokeMs: bounds.strictRevoke ? bounds.revokeMs : undefined,
     farFactor: bounds.farFactor,
     stopMs: bounds.stopMs,
--- /dev/null
+++ b/src/runs/advisedRuns.test.ts
@@ -0,0 +1,58 @@
+/** Steps that only advised workers may run, and the pace of work that fills. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import fc from 'fast-check'
+import { silentLogger } from '../common/logger.js'
+import type { Term } from '../election/leaderElection.js'
+import { createTrackedJob, getUnits } from '../jobs/trackedJob.js'
+import { makeJob, makeStep } from '../testing/poolRig.js'
+import { createAdviceBook } from './adviceBook.js'
+import { getNextPercent } from './fillPacing.js'
+
+const settings = { decideMs: 20, perWorkerMs: 1, validMs: 2_000 }
+const workerIds = ['w1', 'w2', 'w3', 'w4']
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+test('only advised workers are permitted, a ticket is renewed before it ends, and an outage is waited out', async () => {
+  let isOut = true
+  let questions = 0
+  const ending = new AbortController()
+  const term: Term = { epoch: 1, leaderKey: '', leaderRevision: 1, isValid: () => true, resign: () => {}, signal: ending.signal }
+  const book = createAdviceBook({
+    term,
+    logger: silentLogger,
+    onChanged: () => {},
+    port: {
+      advise: async (step, asked) => {
+        questions++
+        if (isOut) throw new Error('out')
+        return asked.filter(workerId => workerId !== 'w2').map(workerId => ({ workerId, ticket: `${step}-${workerId}-${questions}` }))
+      }
+    }
+  })
+  const unit = getUnits(createTrackedJob(makeJob('a', 'batch', [makeStep()]), 0))[0]
+  if (unit === undefined) throw new Error('the job has a unit')
+  expect(book.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  await jest.advanceTimersByTimeAsync(500)
+  isOut = false
+  expect(book.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  await jest.advanceTimersByTimeAsync(100)
+  expect([...book.getPermitted(unit, settings, workerIds) ?? []]).toEqual(['w1', 'w3', 'w4'])
+  const ticket = book.getTicket(unit, 'w1')
+  await jest.advanceTimersByTimeAsync(settings.validMs)
+  expect(book.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  await jest.advanceTimersByTimeAsync(100)
+  expect(book.getPermitted(unit, settings, workerIds)?.has('w1')).toBe(true)
+  expect(book.getTicket(unit, 'w1')).not.toBe(ticket)
+})
+
+test('the pace stays between 0 and 100, never rises under pressure, and stands still near the goal', () => {
+  fc.assert(fc.property(fc.integer({ min: 0, max: 100 }), fc.double({ min: 0, max: 5, noNaN: true }), fc.integer({ min: 0, max: 10_000 }), (percent, pressure, sinceMs) => {
+    const next = getNextPercent(percent, pressure, sinceMs)
+    expect(next).toBeGreaterThanOrEqual(0)
+    expect(next).toBeLessThanOrEqual(100)
+    if (pressure > 0.5) expect(next).toBeLessThanOrEqual(percent)
+    if (pressure >= 0.95) expect(next).toBe(0)
+  }))
+})
--- a/src/runs/runControl.ts
+++ b/src/runs/runControl.ts
@@ -27,6 +27,7 @@
   /** Runs that may fail before the job has failed. */
   readonly getAttemptLimit: (job: TrackedJob) => number
   readonly getTicket: (member: Member) => string | undefined
+  readonly onBadTicket: (member: Member) => void
   /** Resolves when the progress of the job is stored. */
   readonly commit: (job: TrackedJob) => Promise<void>
   /** Rooms, units or jobs have changed; a new plan may be possible. */
@@ -217,6 +218,7 @@
         term.resign(`worker ${member.workerId} has seen a higher epoch`)
         return
       default:
+        if (answer === StartAnswer.BadTicket) host.onBadTicket(member)
         if (answer === StartAnswer.Unhealthy) host.onRefusal(member.workerId)
         logger.info('a start was rejected', { task: getTaskName(member), run: member.attempt.run, workerId: member.workerId, answer })
         if (hasLostTry) stopAttempt(member.attempt, `a start was rejected: ${answer}`)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -4,10 +4,10 @@
 import type { Term } from '../election/leaderElection.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
-import { getUnits, hasBegun, isWaiting, MemberState } from '../jobs/trackedJob.js'
+import { getUnits, hasBegun, getTaskName, isWaiting, MemberState } from '../jobs/trackedJob.js'
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { getLatestStartMs } from '../placement/objective.js'
-import { tryPlace } from '../placement/placeUnit.js'
+import { takeRooms, tryPlace } from '../placement/placeUnit.js'
 import type { Occupancy, PlacementRules, Rooms } from '../placement/placeUnit.js'
 import { tryPreempt } from '../placement/preemption.js'
 import { tryReserve } from '../placement/reservation.js'
@@ -18,6 +18,9 @@
 import type { WorkerBook } from '../workers/workerBook.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
+import { createAdviceBook } from './adviceBook.js'
+import type { AdvicePort } from './adviceBook.js'
+import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRunControl } from './runControl.js'
@@ -32,6 +35,8 @@
   readonly retentionMs: number
   /** Jobs of priority 0 within their guarantee begin within this, in ms. */
   readonly reclaimMs: number
+  /** A lasting task counts as away until it has been at work for so long, in ms. */
+  readonly noticeMs: number
 }
 
 /** What the scheduler needs from outside. */
@@ -44,12 +49,18 @@
   readonly getWorkers: () => readonly ListedWorker[] | undefined
   readonly connect: (info: ListedWorker) => WorkerPort
   readonly getConfiguration: () => Configuration | undefined
+  /** The advice service, where there is one. */
+  readonly advice?: AdvicePort
 }
 
 /** The scheduler of one term. */
 export interface Scheduler {
   /** The list of workers or the configuration has changed. */
   refresh (): void
+  /** Takes no new work on a worker and stops what may be moved; true when nothing runs there. */
+  tryEmpty (workerId: string, isUrgent: boolean): boolean
+  /** The worker may be used again. */
+  giveBack (workerId: string): void
 }
 
 /** The plan is looked at this often even when nothing happened, in ms; waits and occurrences are counted in it. */
@@ -109,7 +120,8 @@
     getBook: workerId => books.get(workerId),
     getLink: workerId => links.get(workerId),
     getAttemptLimit: job => getQueue(job)?.attempts ?? 1,
-    getTicket: () => undefined,
+    getTicket: member => advice?.getTicket(member.attempt.unit, member.workerId),
+    onBadTicket: member => { advice?.forget(member.attempt.unit, member.workerId) },
     commit: writer.commit,
     onChanged: schedulePlan,
     onMemberEnded: (member, how) => {
@@ -121,11 +133,13 @@
   })
   /** Workers that are kept for a blocked gang, with the time at which it is expected to start. */
   const keptUntilMs = new Map<WorkerBook, number>()
+  const advice = host.advice === undefined ? undefined : createAdviceBook({ port: host.advice, term, logger, onChanged: schedulePlan })
+  const adjustPace = createFillPacing({ logger, sendPace })
   const runTimes = createRunTimes()
   const health = createWorkerHealth({ logger, countWorkers: () => books.size, getMeanRunMs: runTimes.getMeanMs })
   const rules: PlacementRules = { countOnWorker, getOccupancy, isKeptFromUnit }
   void start()
-  return { refresh }
+  return { refresh, tryEmpty, giveBack }
 
   async function start (): Promise<void> {
     await table.load()
@@ -212,6 +226,7 @@
       onLook: async (look, sentAtMs, isWhole) => {
         const stored = control.onLook(book, look, sentAtMs, isWhole)
         for (const attempt of health.onLook(info.workerId, control.getMembers(info.workerId), performance.now())) control.stopAttempt(attempt, 'it makes no progress on its worker')
+        adjustPace(control.getMembers(info.workerId), look.running, performance.now())
         await stored
       },
       onReachable: isReachable => {
@@ -285,9 +300,13 @@
     for (const unit of waiting) {
       const likeness = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
       if (blocked.has(likeness)) continue
-      const places = tryPlace(unit, rooms, rules)
-      if (places !== undefined) control.plan(unit, places.map(book => book.info.workerId))
-      else if (!tryMakeRoom(unit, rooms)) blocked.add(likeness)
+      const permitted = getPermittedRooms(unit, rooms)
+      const places = permitted === undefined ? undefined : tryPlace(unit, permitted, rules)
+      if (places !== undefined) {
+        if (permitted !== rooms) takeRooms(rooms, places, unit.spec.request)
+        control.plan(unit, places.map(book => book.info.workerId))
+      } else if (permitted === undefined || !tryMakeRoom(unit, permitted)) blocked.add(likeness)
+      else if (permitted !== rooms) refreshRooms(rooms)
     }
   }
 
@@ -322,10 +341,59 @@
     logger.info('room is made', { jobId: unit.job.spec.jobId, victims: found.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(found.cost) })
     control.plan(unit, found.places.map(book => book.info.workerId))
     for (const attempt of found.victims) control.stopAttempt(attempt, `room for ${unit.job.spec.jobId}`)
-    for (const book of rooms.keys()) rooms.set(book, getFreeRoom(book))
+    refreshRooms(rooms)
     return true
   }
 
+  function refreshRooms (rooms: Rooms): void {
+    for (const book of rooms.keys()) rooms.set(book, getFreeRoom(book))
+  }
+
+  /** The rooms of the workers that may run the unit by its queue's policy; undefined while the advice service is being asked. */
+  function getPermittedRooms (unit: Unit, rooms: Rooms): Rooms | undefined {
+    const settings = getQueue(unit.job)?.advice
+    if (settings === undefined || advice === undefined) return rooms
+    const permitted = advice.getPermitted(unit, settings, [...rooms.keys()].map(book => book.info.workerId))
+    return permitted === undefined ? undefined : new Map([...rooms].filter(([book]) => permitted.has(book.info.workerId)))
+  }
+
+  async function sendPace (member: Member, percent: number): Promise<void> {
+    const link = links.get(member.workerId)
+    if (link === undefined || !term.isValid()) return
+    await link.port.pace({ task: getTaskName(member), run: member.attempt.run, percent, epoch: term.epoch })
+  }
+
+  // Upkeep
+
+  function tryEmpty (workerId: string, isUrgent: boolean): boolean {
+    const book = books.get(workerId)
+    if (book === undefined) return true
+    book.isInUpkeep = true
+    for (const member of control.getMembers(workerId)) {
+      const { attempt } = member
+      const { spec } = attempt.unit
+      if (attempt.stopReason !== undefined) continue
+      if (spec.isService ? canMiss(attempt.unit) : spec.hasCheckpoints || isUrgent) control.stopAttempt(attempt, 'its machine goes down for upkeep')
+    }
+    return control.getMembers(workerId).size === 0
+  }
+
+  /** Tells whether one more task of a lasting step may be away. */
+  function canMiss (unit: Unit): boolean {
+    const others = unit.job.occurrences.get(unit.occurrence)?.[unit.step]?.filter(other => other !== unit) ?? []
+    const away = others.filter(other => !other.attempts.some(attempt => attempt.members.every(isAtWork))).length
+    return away < (unit.spec.allowedUnavailable ?? 0)
+  }
+
+  function isAtWork (member: Member): boolean {
+    return member.state === MemberState.Running && member.progressPercent >= 100 && performance.now() - member.progressedAtMs >= host.bounds.noticeMs
+  }
+
+  function giveBack (workerId: string): void {
+    const book = books.get(workerId)
+    if (book !== undefined) book.isInUpkeep = false
+  }
+
   /** The rooms as they will be when everything that is being stopped has ended. */
   function getRoomsAfterStops (rooms: Rooms): Rooms {
     const later: Rooms = new Map(rooms)
--- a/src/testing/poolRig.ts
+++ b/src/testing/poolRig.ts
@@ -176,7 +176,7 @@
           term: elected,
           store: client,
           logger: logger.part(hostId),
-          bounds: { maxLeaseMs, retentionMs: 120_000, reclaimMs: 2_900 },
+          bounds: { maxLeaseMs, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
           getWorkers: () => [...listed.values()],
           connect: info => connect(info, () => isDead),
           getConfiguration: () => rigConfiguration
--- /dev/null
+++ b/src/upkeep/upkeepWaves.test.ts
@@ -0,0 +1,79 @@
+/** Waves of upkeep: never more machines down than allowed, also over a change of the scheduler and lost answers. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { silentLogger } from '../common/logger.js'
+import { delay } from '../common/time.js'
+import type { Term } from '../election/leaderElection.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createMemoryStore } from '../standins/memoryStore.js'
+import { createUpkeepWaves, MachineAnswer } from './upkeepWaves.js'
+import type { MachinePort, Wave } from './upkeepWaves.js'
+
+const wave: Wave = { wave: 1, machineIds: ['m1', 'm2', 'm3', 'm4', 'm5'], deadlineMs: 60_000, maxDown: 2 }
+const upkeepMs = 2_000
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+async function run (ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 50) await jest.advanceTimersByTimeAsync(50)
+}
+
+function createMachines (loseEvery: number): { readonly port: MachinePort, readonly done: Set<string>, getMostDown: () => number } {
+  const down = new Set<string>()
+  const done = new Set<string>()
+  let mostDown = 0
+  let calls = 0
+  return { port: { list, upkeep }, done, getMostDown: () => mostDown }
+
+  async function list (): Promise<{ machineId: string, isUp: boolean, workerId: string }[]> {
+    await delay(5)
+    return wave.machineIds.map(machineId => ({ machineId, isUp: !down.has(machineId), workerId: `worker-of-${machineId}` }))
+  }
+
+  async function upkeep (machineId: string): Promise<MachineAnswer> {
+    await delay(5)
+    if (!done.has(machineId)) {
+      done.add(machineId)
+      down.add(machineId)
+      mostDown = Math.max(mostDown, down.size)
+      setTimeout(() => { down.delete(machineId) }, upkeepMs)
+    }
+    if (++calls % loseEvery === 0) throw createError(ErrorKind.AnswerLost, 'the answer is lost')
+    return MachineAnswer.Done
+  }
+}
+
+function createTerm (epoch: number, ending: AbortController): Term {
+  return { epoch, leaderKey: 'leader/scheduler', leaderRevision: epoch, isValid: () => !ending.signal.aborted, resign: () => { ending.abort() }, signal: ending.signal }
+}
+
+test.each([1_000, 3, 2])('a wave is completed with every %i-th answer lost, and a new scheduler goes on', async loseEvery => {
+  const store = createMemoryStore()
+  const machines = createMachines(loseEvery)
+  store.write('op/wave/1', JSON.stringify(wave))
+  for (const hostId of ['host-0', 'host-1']) {
+    store.write('leader/scheduler', hostId)
+    const leader = await store.connect(hostId).get('leader/scheduler')
+    const ending = new AbortController()
+    createUpkeepWaves({
+      store: store.connect(hostId),
+      term: createTerm(leader?.revision ?? 0, ending),
+      logger: silentLogger,
+      hostId,
+      machines: machines.port,
+      wavePrefix: 'op/wave/',
+      statusPrefix: 'status/wave/',
+      decodeWave: value => JSON.parse(value) as Wave,
+      encodeStatus: isComplete => isComplete ? 'complete' : 'active',
+      holderPauseMs: 1_000,
+      tryEmpty: () => true,
+      giveBack: () => {}
+    })
+    await run(hostId === 'host-0' ? 4_000 : 30_000)
+    expect(machines.getMostDown()).toBeLessThanOrEqual(wave.maxDown)
+    ending.abort()
+    await run(2_000)
+  }
+  expect([...machines.done].sort()).toEqual(wave.machineIds)
+  expect(store.peek('status/wave/1')).toBe('complete')
+})
--- a/src/workers/workerBook.ts
+++ b/src/workers/workerBook.ts
@@ -19,16 +19,18 @@
   isReachable: boolean
   /** It is held back because of what its runs did. */
   isQuarantined: boolean
+  /** It is being emptied for its upkeep. */
+  isInUpkeep: boolean
 }
 
 /** Creates the book of a worker that has not been looked at. */
 export function createWorkerBook (info: ListedWorker): WorkerBook {
-  return { info, bookings: new Map(), isListed: true, isReachable: false, isQuarantined: false }
+  return { info, bookings: new Map(), isListed: true, isReachable: false, isQuarantined: false, isInUpkeep: false }
 }
 
 /** Tells whether new work may be started on a worker. */
 export function isUsable (book: WorkerBook): boolean {
-  return book.isListed && book.isReachable && !book.isQuarantined && !book.info.isDraining
+  return book.isListed && book.isReachable && !book.isQuarantined && !book.isInUpkeep && !book.info.isDraining
 }
 
 /** The key of a run's booking. */
