--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -43,7 +43,8 @@
   const elapsedS = (performance.now() - attempt.plannedAtMs) / 1_000
   // A stop saves a checkpoint, so only the restart is lost.
   const lostS = spec.hasCheckpoints ? 0 : elapsedS
-  return size * cores * (restartS + lostS)
+  // Work that has been stopped before is spared, so that none is stopped again and again.
+  return size * cores * (restartS + lostS) * Math.max(1, attempt.run)
 }
 
 function getPriority (job: TrackedJob, getQueue: GetQueue): number {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -310,15 +310,19 @@
     }
   }
 
-  /** Waits for work that ends in time for the unit's objective, and stops other work only where none does. */
+  /**
+   * The urgent queue stops other work at once: estimates are too far off to wait for ends that may not come in time.
+   * Others wait for work that ends in time, and stop some only when their latest start is near.
+   */
   function tryMakeRoom (unit: Unit, rooms: Rooms): boolean {
-    const reservation = tryReserve(unit, rooms, { getMembers: control.getMembers, nowMs: performance.now() })
     const slackMs = getLatestStartMs(unit, getQueue(unit.job), runTimes) - Date.now()
-    const isInTime = reservation !== undefined && reservation.startAtMs - performance.now() < slackMs
-    const isDue = slackMs > -latePreemptionMs && (slackMs < preemptionLeadMs || getQueue(unit.job)?.priority === 0)
-    if (!isInTime && isDue && tryPreemptFor(unit, rooms)) return true
+    const isUrgent = getQueue(unit.job)?.priority === 0
+    const isDue = slackMs > -latePreemptionMs && (isUrgent || slackMs < preemptionLeadMs)
+    if (isDue && tryPreemptFor(unit, rooms)) return true
     // More than one gang at a time would leave too much idle.
-    if (keptUntilMs.size === 0) reservation?.workers.forEach(book => keptUntilMs.set(book, reservation.startAtMs))
+    if (keptUntilMs.size > 0) return false
+    const reservation = tryReserve(unit, rooms, { getMembers: control.getMembers, nowMs: performance.now() })
+    reservation?.workers.forEach(book => keptUntilMs.set(book, reservation.startAtMs))
     return false
   }
 
