--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -7,7 +7,6 @@
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { decodeAccepted, encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
-import type { AcceptedRecord } from './jobKeys.js'
 import { JobState } from './jobModel.js'
 import type { JobSpec } from './jobModel.js'
 import { decodeState } from './trackedJob.js'
@@ -29,6 +28,14 @@
   countPending (queue: string): Promise<number>
 }
 
+/** What is known of a key that was to be created. */
+enum Creation {
+  /** It stands, by this write or an earlier one. */
+  Stored = 'stored',
+  NotStored = 'not-stored',
+  Unknown = 'unknown'
+}
+
 /** Pause between tries at a store that turns the host away, in ms: a few tries fit into a caller's patience. */
 const retryPauseMs = 100
 /** A refused call is answered after so many tries, so that the caller can go to another host. */
@@ -46,29 +53,28 @@
 
   async function submit (job: JobSpec, deadlineMs: number): Promise<void> {
     const key = getAcceptedKey(job.jobId)
-    const value = encodeAccepted({ isRefused: false, job })
-    const outcome = await createRecord(key, value, deadlineMs, { isRefused: false, job })
-    if (outcome === 'created' || outcome === 'exists') return
-    if (outcome === 'not-created') throw createError(ErrorKind.StoreUnavailable, 'the store takes no jobs from this host')
-    await refuseForGood(key, job, deadlineMs)
+    const created = await createRecord(key, encodeAccepted({ isRefused: false, job }), deadlineMs, true)
+    if (created === Creation.Stored) return
+    if (created === Creation.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store takes no jobs from this host')
+    if (await tryRefuseForGood(key, deadlineMs)) throw createError(ErrorKind.StoreUnavailable, 'the store did not take the job in time')
+    throw createError(ErrorKind.AnswerLost, 'it is not known whether the job is stored')
   }
 
   /**
-   * Creates a key. A write whose answer was lost may land later, so "not created" is only said when every
-   * write was refused by the store itself.
+   * Creates a key. A write whose answer was lost may land later, so "not stored" is only said when every write was
+   * refused by the store itself; otherwise the write is tried until the caller's patience ends.
    */
-  async function createRecord (key: string, value: string, deadlineMs: number, record: AcceptedRecord | undefined): Promise<'created' | 'exists' | 'not-created' | 'unknown'> {
+  async function createRecord (key: string, value: string, deadlineMs: number, isRefusalReplaced: boolean): Promise<Creation> {
     let refusals = 0
     let isUnknown = false
     let expectedRevision = 0
-    while (Date.now() < deadlineMs && refusals < maxRefusals) {
+    while (Date.now() < deadlineMs && (isUnknown || refusals < maxRefusals)) {
       try {
-        const result = await store.transact({ expected: [{ key, revision: expectedRevision }], writes: [{ key, value }] })
-        if (result.isCommitted) return 'created'
+        const result = await withDeadline(store.transact({ expected: [{ key, revision: expectedRevision }], writes: [{ key, value }] }), deadlineMs)
+        if (result.isCommitted) return Creation.Stored
         const found = result.items.find(item => item.key === key)
-        if (found === undefined) expectedRevision = 0
-        else if (record === undefined || !decodeAccepted(found.value).isRefused) return 'exists'
-        else expectedRevision = found.revision
+        if (found !== undefined && !(isRefusalReplaced && decodeAccepted(found.value).isRefused)) return Creation.Stored
+        expectedRevision = found?.revision ?? 0
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
@@ -76,31 +82,27 @@
         await delay(retryPauseMs)
       }
     }
-    return isUnknown ? 'unknown' : 'not-created'
+    return isUnknown ? Creation.Unknown : Creation.NotStored
   }
 
   /** A late write of the job fails once a refusal stands under its key; only then it is true that it will not run. */
-  async function refuseForGood (key: string, job: JobSpec, deadlineMs: number): Promise<void> {
+  async function tryRefuseForGood (key: string, deadlineMs: number): Promise<boolean> {
     try {
-      if (Date.now() < deadlineMs) {
-        const result = await store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value: encodeAccepted({ isRefused: true }) }] })
-        if (result.isCommitted) throw createError(ErrorKind.StoreUnavailable, 'the store did not take the job in time')
-        const found = result.items.find(item => item.key === key)
-        if (found !== undefined && !decodeAccepted(found.value).isRefused) return
-      }
+      const value = encodeAccepted({ isRefused: true })
+      const result = await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
+      return result.isCommitted
     } catch (error) {
-      if (isErrorOfKind(error, ErrorKind.StoreUnavailable) && error.message.includes('in time')) throw error
-      logger.warn('a job cannot be refused for good', { jobId: job.jobId, error: String(error) })
+      logger.warn('a job cannot be refused for good', { key, error: String(error) })
+      return false
     }
-    throw createError(ErrorKind.AnswerLost, 'it is not known whether the job is stored')
   }
 
   async function cancel (jobId: string, deadlineMs: number): Promise<boolean> {
     const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
     if (item === undefined || decodeAccepted(item.value).isRefused) return false
-    const outcome = await createRecord(getCancelKey(jobId), '{}', deadlineMs, undefined)
-    if (outcome === 'created' || outcome === 'exists') return true
-    if (outcome === 'not-created') throw createError(ErrorKind.StoreUnavailable, 'the store takes no cancels from this host')
+    const created = await createRecord(getCancelKey(jobId), '{}', deadlineMs, false)
+    if (created === Creation.Stored) return true
+    if (created === Creation.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store takes no cancels from this host')
     throw createError(ErrorKind.AnswerLost, 'it is not known whether the cancel is stored')
   }
 
@@ -132,7 +134,7 @@
   async function retry<T> (read: () => Promise<T>, deadlineMs: number): Promise<T> {
     for (let refusals = 1; ; refusals++) {
       try {
-        return await read()
+        return await withDeadline(read(), deadlineMs)
       } catch (error) {
         if (refusals >= maxRefusals || Date.now() + retryPauseMs >= deadlineMs) throw error
         await delay(retryPauseMs)
@@ -140,3 +142,17 @@
     }
   }
 }
+
+/** Gives a call up when the caller's patience ends; what it does then is not known. */
+async function withDeadline<T> (call: Promise<T>, deadlineMs: number): Promise<T> {
+  const giveUp = new AbortController()
+  const late = delay(Math.max(0, deadlineMs - Date.now()), giveUp.signal).then(() => {
+    throw createError(ErrorKind.AnswerLost, 'no answer in the time that the caller waits')
+  })
+  try {
+    return await Promise.race([call, late])
+  } finally {
+    late.catch(() => {})
+    giveUp.abort()
+  }
+}
