Add the metrics address, bounded logs written in the background, and the reload on SIGHUP

Cause: logs had no bound and blocked on a stalled reader; a silent listen error would have ended the process.

--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -28,6 +28,15 @@
   return wrapLogger(pino(options, createDestination({ dest: 2, sync: true })), '')
 }
 
+/** Creates the logger of a daemon on the platform: JSON lines to standard output, written in the background. */
+export function createDaemonLogger (bindings: object): Logger {
+  const target = createDestination({ dest: 1, sync: false, maxLength: maxBufferedBytes })
+  return wrapLogger(pino({ level: 'info', base: bindings }, target), '')
+}
+
+/** What a stalled reader may hold back, in bytes; later lines are dropped. */
+const maxBufferedBytes = 4_000_000
+
 /** A logger that writes nothing, for tests. */
 export const silentLogger: Logger = createLogger({ level: 'silent' })
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,7 +1,9 @@
 /** The daemon of one host on the platform: reads the settings and puts the parts together. */
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
-import { createLogger } from '../common/logger.js'
+import { createBoundedLogger } from '../common/boundedLogger.js'
+import { createHostMetrics } from '../common/hostMetrics.js'
+import { createDaemonLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { createConfigurationReplica } from '../configuration/configurationReplica.js'
 import { createLeaderElection } from '../election/leaderElection.js'
@@ -19,13 +21,16 @@
 import { createWireWorker } from './wireWorker.js'
 import { tryDecodeWorker, workerListPrefix } from './wireWorkerList.js'
 
+/** The metrics' port on every host; `deploy/system.toml` names it too. */
+const metricsPort = 7_014
 /** The host serves on for so long after it has said that it leaves, in ms: the platform notices two misses, 1 s apart. */
 const leaveNoticeMs = 2_600
 /** It ends so long before the platform kills it, in ms. */
 const killMarginMs = 1_200
 
 const settings = loadPlatformSettings()
-const logger = createLogger({ level: 'info' }, { host: settings.hostId })
+const logger = createBoundedLogger(createDaemonLogger({ host: settings.hostId }))
+const metrics = createHostMetrics()
 const stopping = new AbortController()
 const store = createWireStore(settings.storeAddress)
 let scheduler: Scheduler | undefined
@@ -40,14 +45,20 @@
 })
 const intake = createJobIntake({ store, logger: logger.part('jobs') })
 const election = createLeaderElection({ store, hostId: settings.hostId, logger: logger.part('election'), random: Math.random, onElected: startTerm })
-const handle = createWireCallers({ getConfiguration: configuration.get, intake, logger: logger.part('callers'), isStopping: () => stopping.signal.aborted })
+const handle = createWireCallers({ getConfiguration: configuration.get, intake, logger: logger.part('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const callers = listen(settings.callersAddress, createServer((request, response) => { void handle(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
   const isReady = configuration.get() !== undefined && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }))
+listen(`${settings.ipAddress}:${metricsPort}`, createServer((_request, response) => {
+  metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
+  metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
+  metrics.setGauge('is_scheduler', election.getLeader() === settings.hostId ? 1 : 0)
+  response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(metrics.getText())
+}))
 process.on('SIGTERM', () => { void stop() })
-process.on('SIGHUP', () => { logger.info('the settings are read again') })
+process.on('SIGHUP', reloadSettings)
 logger.info('the host has started', { ...settings, upMs: Math.round(process.uptime() * 1_000) })
 
 function startTerm (term: Term): void {
@@ -87,9 +98,20 @@
   })
 }
 
+/** The settings in use are those of the start; a change is reported, since addresses and names stay with a host's life. */
+function reloadSettings (): void {
+  try {
+    const changed = JSON.stringify(loadPlatformSettings()) !== JSON.stringify(settings)
+    logger.info('the settings have been read again', { changed })
+  } catch (error) {
+    logger.error('the settings cannot be read again', { error: String(error) })
+  }
+}
+
 function listen (address: string | undefined, server: Server): Server {
   const [host, port] = (address ?? '').split(':')
   server.keepAliveTimeout = 60_000
+  server.on('error', error => { logger.error('an address cannot be listened on', { address, error: String(error) }) })
   if (address !== undefined) server.listen(Number(port), host)
   return server
 }
--- a/src/platform/wireCallers.ts
+++ b/src/platform/wireCallers.ts
@@ -1,6 +1,7 @@
 /** The callers' interface: PREFIX + ID for jobs, PREFIX for the count of waiting jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readBody } from '../common/http.js'
+import type { HostMetrics } from '../common/hostMetrics.js'
 import type { Logger } from '../common/logger.js'
 import { findOrganisation, findQueue } from '../configuration/configuration.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
@@ -14,6 +15,7 @@
   readonly getConfiguration: () => Configuration | undefined
   readonly intake: JobIntake
   readonly logger: Logger
+  readonly metrics: HostMetrics
   readonly isStopping: () => boolean
 }
 
@@ -43,7 +45,10 @@
     } catch (error) {
       reply = toReply(toAppError(error))
     }
-    log(request, reply, performance.now() - startedAtMs)
+    const tookMs = performance.now() - startedAtMs
+    host.metrics.count('calls', `${request.method ?? ''} ${reply.status}`)
+    host.metrics.record('call', tookMs, request.method)
+    log(request, reply, tookMs)
     send(response, reply)
   }
 
--- a/src/platform/wireSettings.ts
+++ b/src/platform/wireSettings.ts
@@ -7,6 +7,7 @@
 const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
 const settingsSchema = z.object({
   node: z.string(),
+  ip: z._default(z.string(), '127.0.0.1'),
   zone: z.string(),
   region: z._default(z.string(), ''),
   listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
@@ -39,6 +40,7 @@
 export interface PlatformSettings {
   readonly hostId: string
   readonly domain: string
+  readonly ipAddress: string
   readonly callersAddress: string | undefined
   readonly readyAddress: string | undefined
   readonly storeAddress: string
@@ -72,10 +74,11 @@
     const issue = parsed.error.issues[0]
     throw createError(ErrorKind.BadRequest, `${file}: setting "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'malformed'}`)
   }
-  const { node, zone, listen, limits, bounds, platform, cloud, advice } = parsed.data
+  const { node, ip, zone, listen, limits, bounds, platform, cloud, advice } = parsed.data
   return {
     hostId: node,
     domain: zone,
+    ipAddress: ip,
     callersAddress: listen.front,
     readyAddress: listen.ready,
     storeAddress: platform.addr,
