--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -55,7 +55,8 @@
     const key = getAcceptedKey(job.jobId)
     const created = await createRecord(key, encodeAccepted({ isRefused: false, job }), deadlineMs, true)
     if (created === Creation.Stored) return
-    if (created === Creation.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store takes no jobs from this host')
+    // This may be the repeat of a job that another host has accepted; without the store that is not known.
+    if (created === Creation.NotStored) throw createError(ErrorKind.AnswerLost, 'the store takes no jobs from this host, and does not say whether it has this one')
     if (await tryRefuseForGood(key, deadlineMs)) throw createError(ErrorKind.StoreUnavailable, 'the store did not take the job in time')
     throw createError(ErrorKind.AnswerLost, 'it is not known whether the job is stored')
   }
--- a/src/platform/wireCallers.ts
+++ b/src/platform/wireCallers.ts
@@ -124,6 +124,6 @@
 
 function toReply (error: AppError): Reply {
   const { status } = errorAnswers[error.kind]
-  const isTemporary = status === 429 || status === 503
+  const isTemporary = status === 429 || status === 503 || status === 504
   return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS } : {}) }
 }
