Spare work that is almost done after a takeover

Cause: attempts taken over counted as just begun, so the work that had run longest was stopped first for urgent gangs. Ruled out: the handover itself (0.23 s, nothing lost by it).

--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -40,7 +40,9 @@
 function getLoss (attempt: Attempt): number {
   const { spec, size } = attempt.unit
   const cores = spec.request.cpuMilli / 1_000 + spec.request.accelerators * coresPerAccelerator
-  const elapsedS = (performance.now() - attempt.plannedAtMs) / 1_000
+  // After a takeover only the progress says how long the attempt has run.
+  const progressShare = Math.max(0, ...attempt.members.map(member => member.progressPercent)) / 100
+  const elapsedS = Math.max(performance.now() - attempt.plannedAtMs, progressShare * spec.estimateMs) / 1_000
   // A stop saves a checkpoint, so only the restart is lost.
   const lostS = spec.hasCheckpoints ? 0 : elapsedS
   // Work that has been stopped before is spared, so that none is stopped again and again.
