--- a/src/jobs/jobModel.ts
+++ b/src/jobs/jobModel.ts
@@ -57,6 +57,8 @@
   readonly payload: string
   readonly steps: readonly StepSpec[]
   readonly recurrence?: Recurrence
+  /** Runs of a task that may fail, as the queue said at the acceptance; the queue's newest word goes first. */
+  readonly attemptLimit: number
   /** The acceptance, by the accepting host's clock. */
   readonly acceptedAtMs: number
 }
--- a/src/platform/wireCallers.ts
+++ b/src/platform/wireCallers.ts
@@ -77,7 +77,7 @@
 
   async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
     const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
-    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation })
+    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts })
     await host.intake.submit(job, deadlineMs)
     return { status: 200, body: {} }
   }
--- a/src/platform/wireJob.ts
+++ b/src/platform/wireJob.ts
@@ -41,6 +41,7 @@
   readonly queue: string
   readonly service: string
   readonly organisation: string
+  readonly attemptLimit: number
 }
 
 /** Reads a submission. Errors (`bad-request`) name the field. */
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -3,7 +3,7 @@
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { decodeState } from '../jobs/trackedJob.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
-import { createPoolRig, makeJob, makeStep } from '../testing/poolRig.js'
+import { createPoolRig, makeJob, makeStep, rigConfiguration } from '../testing/poolRig.js'
 import type { PoolRig, PoolRigOptions } from '../testing/poolRig.js'
 
 let rig: PoolRig
@@ -178,3 +178,21 @@
   await waitForState('long', JobState.Complete, 40_000)
   expect(rig.world.violations).toEqual([])
 })
+
+test('a scheduler that has no configuration yet does not end jobs by a limit that it does not know', async () => {
+  const configured = new Set(['host-0'])
+  await startRig({
+    workers: 2,
+    maxLeaseMs: 6_000,
+    getConfiguration: hostId => configured.has(hostId) ? rigConfiguration : undefined,
+    getRun: (_task, run) => ({ workMs: 800, how: run === 1 ? EndKind.Failed : EndKind.Done })
+  })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 2 })], { attemptLimit: 1 }))
+  await run(400)
+  expect(getLeader()).toBe('host-0')
+  rig.hosts.get('host-0')?.kill()
+  await run(4_000)
+  expect(getState('a')).toBe(JobState.Active)
+  configured.add('host-1')
+  await waitForState('a', JobState.Complete, 8_000)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -119,7 +119,7 @@
     getJob: table.get,
     getBook: workerId => books.get(workerId),
     getLink: workerId => links.get(workerId),
-    getAttemptLimit: job => getQueue(job)?.attempts ?? 1,
+    getAttemptLimit: job => getQueue(job)?.attempts ?? job.spec.attemptLimit,
     getTicket: member => advice?.getTicket(member.attempt.unit, member.workerId),
     onBadTicket: member => { advice?.forget(member.attempt.unit, member.workerId) },
     commit: writer.commit,
@@ -143,7 +143,8 @@
 
   async function start (): Promise<void> {
     await table.load()
-    while (host.getWorkers() === undefined && !term.signal.aborted) await delay(20)
+    // Without the configuration a queue's attempts are not known, and one failure would end its jobs.
+    while ((host.getWorkers() === undefined || host.getConfiguration() === undefined) && !term.signal.aborted) await delay(20)
     if (term.signal.aborted) return
     // No worker is looked at before the stored attempts are known: its ends would be taken for strangers' ends.
     isTakenOver = true
--- a/src/testing/poolRig.ts
+++ b/src/testing/poolRig.ts
@@ -50,6 +50,8 @@
   readonly getRun?: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
   readonly logger?: Logger
   readonly maxLeaseMs?: number
+  /** Each host's configuration; undefined until it has one. */
+  readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
 
 /** Accelerators and cores of each worker of the rig. */
@@ -88,7 +90,7 @@
 
 /** A job of one queue. */
 export function makeJob (jobId: string, queue: string, steps: readonly StepSpec[], fields: Partial<JobSpec> = {}): JobSpec {
-  return { jobId, queue, service: 'pool', organisation: 'mill', payload: `run ${jobId}`, steps, acceptedAtMs: Date.now(), ...fields }
+  return { jobId, queue, service: 'pool', organisation: 'mill', payload: `run ${jobId}`, steps, attemptLimit: 3, acceptedAtMs: Date.now(), ...fields }
 }
 
 /** Starts the workers; hosts are added by the test. */
@@ -179,7 +181,7 @@
           bounds: { maxLeaseMs, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
           getWorkers: () => [...listed.values()],
           connect: info => connect(info, () => isDead),
-          getConfiguration: () => rigConfiguration
+          getConfiguration: () => options.getConfiguration === undefined ? rigConfiguration : options.getConfiguration(hostId)
         })
       }
     })
