--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -8,7 +8,7 @@
 /** Looks up the settings of a job's queue. */
 export type GetQueue = (job: TrackedJob) => QueueSettings | undefined
 
-/** An accelerator counts as so many cores, for the value of work. Source: the pages' prices. */
+/** An accelerator counts as so many cores, for the value of work. Source: the users' price list. */
 const coresPerAccelerator = 8
 /** What every stop and restart costs, in s. */
 const restartS = 0.4
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -42,7 +42,7 @@
 
 /** How long a look waits for an end, in ms: half of the shortest lease that the pages name, and a cut is seen in under 2 s. */
 const lookWaitMs = 1_500
-/** How long the answer of a look may take beyond its wait, in ms. */
+/** Pause after a look that failed, in ms: a cut of a moment is noticed as over within it. */
 const retryPauseMs = 300
 /** A lease may run so much longer than asked, by a worker's clock that is 2 % slow. Source: the workers' protocol. */
 const slowClockFactor = 1.02
