Judge slow workers by the peers of a step, or by two jobs

A run was measured against the mean of its queue, whose first samples are the shortest runs; jobs differ by more than that (work spread, data elsewhere). Now: a run is slow against the median pace of its step's other tasks on other workers; where it has no peers, against the queue's mean from 12 runs on, and then two jobs must say so, with no usual run beside them.

--- a/src/placement/runTimes.ts
+++ b/src/placement/runTimes.ts
@@ -10,7 +10,7 @@
   learn (queue: string, estimateMs: number, runMs: number): void
   /** The expected time of one run of a step, in ms. */
   getExpectedMs (queue: string, step: StepSpec): number
-  /** The mean time of the queue's runs, in ms; undefined before the first. */
+  /** The mean time of the queue's runs, in ms; undefined while too few have ended, since the shortest end first. */
   getMeanMs (queue: string): number | undefined
   /** The expected time of the job's longest chain of steps, in ms. */
   getChainMs (job: JobSpec): number
@@ -19,7 +19,11 @@
 /** Weight of a new run in a queue's means. */
 const learningRate = 0.12
 
+/** So many runs tell the usual time of a queue. */
+const minRuns = 12
+
 interface QueueTimes {
+  count: number
   meanMs: number
   /** Mean of the logarithm of run time against estimate. */
   logRatio: number
@@ -28,20 +32,26 @@
 /** Creates the memory of one term. */
 export function createRunTimes (): RunTimes {
   const times = new Map<string, QueueTimes>()
-  return { learn, getExpectedMs, getMeanMs: queue => times.get(queue)?.meanMs, getChainMs }
+  return { learn, getExpectedMs, getMeanMs, getChainMs }
 
   function learn (queue: string, estimateMs: number, runMs: number): void {
     if (!Number.isFinite(runMs) || runMs <= 0) return
     const logRatio = Math.log(runMs / Math.max(1, estimateMs))
     const known = times.get(queue)
     if (known === undefined) {
-      times.set(queue, { meanMs: runMs, logRatio })
+      times.set(queue, { count: 1, meanMs: runMs, logRatio })
       return
     }
+    known.count++
     known.meanMs += learningRate * (runMs - known.meanMs)
     known.logRatio += learningRate * (logRatio - known.logRatio)
   }
 
+  function getMeanMs (queue: string): number | undefined {
+    const known = times.get(queue)
+    return known === undefined || known.count < minRuns ? undefined : known.meanMs
+  }
+
   function getExpectedMs (queue: string, step: StepSpec): number {
     const known = times.get(queue)
     if (known === undefined) return step.estimateMs
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -41,8 +41,12 @@
 const minExpectedPercent = 5
 /** Estimates may be so many times too low. */
 const estimateSlack = 4
-/** A worker is slow when its runs need so many times the usual time of their queue. */
+/** A run is slow when its peers, or the usual run of its queue, are so many times faster. */
 const slowFactor = 3.5
+/** The pace of fewer tasks of the same step on other workers is no measure. */
+const minPeers = 2
+/** A worker is slow when runs of so many jobs say so: jobs differ by more than workers do. */
+const minSlowJobs = 2
 /** At most this share of the workers is held back. */
 const maxQuarantinedShare = 0.34
 /** Work of so much time is given up rather than awaited, in ms; standstills last some seconds. */
@@ -51,6 +55,8 @@
 interface Sample {
   readonly percent: number
   readonly atMs: number
+  /** Percent a second since the sample before; undefined for the first. */
+  readonly pace?: number
 }
 
 interface WorkerRecord {
@@ -123,6 +129,7 @@
     const stalled: Member[] = []
     const slow: Member[] = []
     let hasProgress = false
+    let isAnyUsual = false
     for (const member of members) {
       if (member.state !== MemberState.Running || member.attempt.unit.spec.isService) continue
       const before = samples.get(member)
@@ -130,15 +137,17 @@
         if (member.progressPercent > before.percent) hasProgress = true
         continue
       }
-      samples.set(member, { percent: member.progressPercent, atMs: nowMs })
-      if (before === undefined) continue
-      if (member.progressPercent > before.percent) {
+      const pace = before === undefined ? undefined : 1_000 * (member.progressPercent - before.percent) / (nowMs - before.atMs)
+      samples.set(member, { percent: member.progressPercent, atMs: nowMs, pace })
+      if (before === undefined || pace === undefined) continue
+      if (pace > 0) {
         hasProgress = true
-        if (isSlow(member, before, nowMs)) slow.push(member)
+        if (isSlow(member, pace)) slow.push(member)
+        else isAnyUsual = true
       } else if (shouldHaveProgressed(member, nowMs - before.atMs)) stalled.push(member)
     }
     if (stalled.length > 0 && !hasProgress) return onStandstill(workerId, stalled, nowMs)
-    if (slow.length > 0) return onSlow(workerId, slow, nowMs)
+    if (!isAnyUsual && isWorkerSlow(slow)) return onSlow(workerId, slow, nowMs)
     if (hasProgress && getRecord(workerId).reason === standstillReason) release(workerId, nowMs)
     return []
   }
@@ -150,11 +159,27 @@
     return 100 * elapsedMs / usualMs >= minExpectedPercent
   }
 
-  function isSlow (member: Member, before: Sample, nowMs: number): boolean {
-    const mean = host.getMeanRunMs(member.attempt.unit.job.spec.queue)
-    if (mean === undefined) return false
-    const wholeRunMs = 100 * (nowMs - before.atMs) / (member.progressPercent - before.percent)
-    return wholeRunMs > slowFactor * Math.max(mean, member.attempt.unit.spec.estimateMs)
+  /** Tells whether a run falls behind its peers, or, where it has none, behind the usual run of its queue. */
+  function isSlow (member: Member, pace: number): boolean {
+    const { spec, job } = member.attempt.unit
+    const peers = getPeerPaces(member)
+    if (peers.length >= minPeers) return pace * slowFactor < getMedian(peers)
+    const mean = host.getMeanRunMs(job.spec.queue)
+    return mean !== undefined && 100_000 / pace > slowFactor * Math.max(mean, spec.estimateMs)
+  }
+
+  /** The paces of the other tasks of the step on other workers; a gang's members share one pace and are no peers. */
+  function getPeerPaces (member: Member): readonly number[] {
+    const { unit } = member.attempt
+    const units = unit.job.occurrences.get(unit.occurrence)?.[unit.step] ?? []
+    const peers = units.filter(other => other !== unit).flatMap(other => other.attempts).flatMap(attempt => attempt.members)
+    return peers.filter(peer => peer.workerId !== member.workerId).flatMap(peer => samples.get(peer)?.pace ?? [])
+  }
+
+  /** One slow job may be slow by itself, so it takes several, or one whose peers run faster elsewhere. */
+  function isWorkerSlow (slow: readonly Member[]): boolean {
+    if (slow.some(member => getPeerPaces(member).length >= minPeers)) return true
+    return new Set(slow.map(member => member.attempt.unit.job)).size >= minSlowJobs
   }
 
   function onStandstill (workerId: string, stalled: readonly Member[], nowMs: number): readonly Attempt[] {
@@ -175,6 +200,11 @@
 
 const standstillReason = 'its runs stand still'
 
+function getMedian (values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right)
+  return sorted[Math.floor(sorted.length / 2)] ?? 0
+}
+
 function getAttempts (members: readonly Member[]): readonly Attempt[] {
   return [...new Set(members.map(member => member.attempt))].filter(attempt => attempt.stopReason === undefined)
 }
