--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -13,6 +13,9 @@
   readonly cost: number
 }
 
+/** The victims on one worker, cheapest first, with their members there. */
+export type VictimsByWorker = ReadonlyMap<string, readonly { readonly victim: Victim, readonly count: number }[]>
+
 /** Where an urgent unit goes, and what is stopped for it. */
 export interface PreemptionPlan {
   readonly places: readonly WorkerBook[]
@@ -20,8 +23,24 @@
   readonly cost: number
 }
 
+/** Sorts victims by worker, so that a search does not go through all of them for each worker. */
+export function indexVictims (victims: readonly Victim[]): VictimsByWorker {
+  const index = new Map<string, { readonly victim: Victim, count: number }[]>()
+  for (const victim of victims) {
+    for (const { workerId, state } of victim.attempt.members) {
+      if (state === MemberState.Ended) continue
+      const entries = index.get(workerId)
+      const last = entries?.at(-1)
+      if (entries === undefined) index.set(workerId, [{ victim, count: 1 }])
+      else if (last?.victim === victim) last.count++
+      else entries.push({ victim, count: 1 })
+    }
+  }
+  return index
+}
+
 /** Finds the cheapest way to make room for a unit. Changes no rooms. */
-export function tryPreempt (unit: Unit, rooms: Rooms, victims: readonly Victim[], rules: PlacementRules, getBook: (workerId: string) => WorkerBook | undefined): PreemptionPlan | undefined {
+export function tryPreempt (unit: Unit, rooms: Rooms, victims: VictimsByWorker, rules: PlacementRules, getBook: (workerId: string) => WorkerBook | undefined): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
   for (const group of getGroups(unit, rooms)) {
     const plan = tryGroup(unit, group, new Map(rooms), victims, rules, getBook)
@@ -30,7 +49,7 @@
   return best
 }
 
-function tryGroup (unit: Unit, group: readonly WorkerBook[], rooms: Rooms, victims: readonly Victim[], rules: PlacementRules, getBook: (workerId: string) => WorkerBook | undefined): PreemptionPlan | undefined {
+function tryGroup (unit: Unit, group: readonly WorkerBook[], rooms: Rooms, victims: VictimsByWorker, rules: PlacementRules, getBook: (workerId: string) => WorkerBook | undefined): PreemptionPlan | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerBook[] = []
   const chosen = new Set<Attempt>()
@@ -40,7 +59,7 @@
     let best: { readonly book: WorkerBook, readonly victims: readonly Victim[], readonly cost: number } | undefined
     for (const book of group) {
       if ((counts.get(book) ?? 0) >= spreadLimit) continue
-      const needed = getVictimsFor(book, request, rooms.get(book) as Resources, victims, chosen)
+      const needed = getVictimsFor(request, rooms.get(book) as Resources, victims.get(book.info.workerId) ?? [], chosen)
       const neededCost = needed?.reduce((sum, victim) => sum + victim.cost, 0) ?? Infinity
       if (needed !== undefined && neededCost < (best?.cost ?? Infinity)) best = { book, victims: needed, cost: neededCost }
     }
@@ -58,14 +77,12 @@
 }
 
 /** The cheapest victims on one worker whose room, with what is free, fits the request; undefined where none do. */
-function getVictimsFor (book: WorkerBook, request: Resources, room: Resources, victims: readonly Victim[], chosen: ReadonlySet<Attempt>): readonly Victim[] | undefined {
+function getVictimsFor (request: Resources, room: Resources, onWorker: readonly { readonly victim: Victim, readonly count: number }[], chosen: ReadonlySet<Attempt>): readonly Victim[] | undefined {
   const taken: Victim[] = []
   let free = room
   if (fits(request, free)) return taken
-  for (const victim of victims) {
+  for (const { victim, count } of onWorker) {
     if (chosen.has(victim.attempt)) continue
-    const count = countMembers(victim.attempt, book)
-    if (count === 0) continue
     free = subtractResources(free, scale(victim.attempt.unit.spec.request, -count))
     taken.push(victim)
     if (fits(request, free)) return taken
@@ -80,10 +97,6 @@
   }
 }
 
-function countMembers (attempt: Attempt, book: WorkerBook): number {
-  return attempt.members.filter(member => member.workerId === book.info.workerId && member.state !== MemberState.Ended).length
-}
-
 function scale (resources: Resources, factor: number): Resources {
   return { cpuMilli: resources.cpuMilli * factor, memoryMb: resources.memoryMb * factor, accelerators: resources.accelerators * factor }
 }
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -23,7 +23,7 @@
 }
 
 /** The attempts that may give way to a unit, cheapest first. */
-export function getVictims (unit: Unit, jobs: readonly TrackedJob[], getQueue: GetQueue): readonly Victim[] {
+export function getVictims (unit: Unit, jobs: Iterable<TrackedJob>, getQueue: GetQueue): readonly Victim[] {
   const priority = getPriority(unit.job, getQueue)
   const victims: Victim[] = []
   for (const job of jobs) {
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -29,6 +29,8 @@
   load (): Promise<void>
   get (jobId: string): TrackedJob | undefined
   getAll (): Iterable<TrackedJob>
+  /** Jobs that are not over. */
+  getUnfinished (): Iterable<TrackedJob>
   /** Adds the occurrences that are due. */
   addDue (nowMs: number): void
 }
@@ -48,9 +50,10 @@
 export function createJobTable (host: JobTableHost): JobTable {
   const { store, term, logger } = host
   const jobs = new Map<string, TrackedJob>()
+  const unfinished = new Set<TrackedJob>()
   let isLoaded = false
 
-  return { load, get: jobId => jobs.get(jobId), getAll: () => jobs.values(), addDue }
+  return { load, get: jobId => jobs.get(jobId), getAll: () => jobs.values(), getUnfinished, addDue }
 
   async function load (): Promise<void> {
     while (!term.signal.aborted) {
@@ -78,10 +81,17 @@
     const job = createTrackedJob(record.job, performance.now())
     if (progress !== undefined) restoreProgress(job, progress.value, progress.revision, performance.now())
     jobs.set(jobId, job)
+    unfinished.add(job)
     if (isLoaded) logger.info('a job is taken', { jobId, queue: record.job.queue, organisation: record.job.organisation, steps: record.job.steps.length, ageMs: Date.now() - record.job.acceptedAtMs })
     host.onJobAdded(job)
   }
 
+  /** Ended jobs are dropped here, so that a plan does not go through all that the retention keeps. */
+  function getUnfinished (): Iterable<TrackedJob> {
+    for (const job of unfinished) if (isTerminal(job.state)) unfinished.delete(job)
+    return unfinished
+  }
+
   function takeCancel (key: string): void {
     const { jobId, isCancel } = parseAcceptedKey(key)
     const job = jobs.get(jobId)
@@ -157,11 +167,11 @@
 }
 
 /** Counts the jobs of each queue that have not begun. */
-export function countPending (jobs: Iterable<TrackedJob>, hasBegun: (job: TrackedJob) => boolean): Record<string, number> {
+export function countPending (unfinishedJobs: Iterable<TrackedJob>): Record<string, number> {
   const counts: Record<string, number> = {}
-  for (const job of jobs) {
-    if (job.state !== JobState.Queued && job.state !== JobState.Active) continue
-    if (!job.isCancelRequested && !hasBegun(job)) counts[job.spec.queue] = (counts[job.spec.queue] ?? 0) + 1
+  for (const job of unfinishedJobs) {
+    const isPending = job.state === JobState.Queued && !job.isCancelRequested
+    if (isPending) counts[job.spec.queue] = (counts[job.spec.queue] ?? 0) + 1
   }
   return counts
 }
