Weigh what a preemption throws away against the unit's worth, and honour guarantees against equals

A job within its organisation's guarantee comes first, is never preempted, and from 1.6 s before its bound stops whatever is not guaranteed. Tests: runs/scheduler.test.ts, two new ones, both failed before.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -3,18 +3,19 @@
  * workers are kept for it. Plans on the books as they are; no waiting and no messages.
  */
 import type { Logger } from '../common/logger.js'
-import type { QueueSettings } from '../configuration/configuration.js'
+import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isWaiting, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { getFreeRoom, isUsable } from '../workers/workerBook.js'
 import type { WorkerBook } from '../workers/workerBook.js'
+import { getOrganisationsWithinGuarantee } from './guarantees.js'
 import { getLatestStartMs } from './objective.js'
 import { takeRooms, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, Rooms } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareUnits, getVictims } from './unitOrder.js'
+import { compareUnits, getMaxLoss, getVictims } from './unitOrder.js'
 
 /** What the planner needs from outside. */
 export interface PlannerHost {
@@ -23,7 +24,10 @@
   readonly books: ReadonlyMap<string, WorkerBook>
   readonly getMembers: (workerId: string) => ReadonlySet<Member>
   readonly getQueue: (job: TrackedJob) => QueueSettings | undefined
+  readonly getOrganisations: () => readonly OrganisationSettings[]
   readonly runTimes: RunTimes
+  /** Urgent jobs within their organisation's guarantee begin within this, in ms. */
+  readonly reclaimMs: number
   /** The workers that may run the unit by its queue's policy; undefined while that is being asked. */
   readonly getPermittedWorkers: (unit: Unit, workerIds: readonly string[]) => ReadonlySet<string> | 'all' | undefined
   /** Books the places and starts the unit there as soon as there is room. */
@@ -39,6 +43,8 @@
 
 /** Work of lower priority is stopped for a unit when so much time is left before its latest start, in ms: a stop takes half a second. */
 const preemptionLeadMs = 1_500
+/** A guaranteed job that has not begun stops whatever it takes so long before it must have begun, in ms: two stops and their looks. */
+const reclaimLeadMs = 1_600
 /** A unit whose latest start has passed by so much stops no other work, in ms: it is late already. */
 const latePreemptionMs = 3_000
 
@@ -49,6 +55,8 @@
   const keptUntilMs = new Map<WorkerBook, number>()
   /** Accelerators in use by queue on each worker, counted once a plan. */
   let usage = new Map<WorkerBook, Map<string, number>>()
+  /** Organisations that ask for no more than their guarantee, found once a plan. */
+  let withinGuarantee: ReadonlySet<string> = new Set()
   const rules: PlacementRules = { countOnWorker, getOccupancy, isKeptFromUnit }
 
   return { plan }
@@ -56,7 +64,8 @@
   function plan (): void {
     const waiting = [...host.getUnfinishedJobs()].flatMap(getUnits).filter(isWaiting)
     if (waiting.length === 0) return
-    waiting.sort((left, right) => compareUnits(left, right, getQueue))
+    withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
+    waiting.sort((left, right) => compareUnits(left, right, getQueue, isGuaranteed))
     const rooms: Rooms = new Map([...books.values()].filter(isUsable).map(book => [book, getFreeRoom(book)]))
     keptUntilMs.clear()
     usage = new Map()
@@ -91,14 +100,14 @@
   }
 
   /**
-   * The urgent queue stops other work at once: estimates are too far off to wait for ends that may not come in time.
-   * Others wait for work that ends in time, and stop some only when their latest start is near.
+   * The urgent queue stops other work at once: estimates are too far off to wait for ends that may not come in time. Where its
+   * guarantee is due, it stops whatever is not guaranteed, at any cost. Others wait for work that ends in time, and stop some only when their latest start is near.
    */
   function tryMakeRoom (unit: Unit, permitted: Rooms, rooms: Rooms): boolean {
     const slackMs = getLatestStartMs(unit, getQueue(unit.job), host.runTimes) - Date.now()
     const isUrgent = getQueue(unit.job)?.priority === 0
     const isDue = slackMs > -latePreemptionMs && (isUrgent || slackMs < preemptionLeadMs)
-    if (isDue && tryPreemptFor(unit, permitted)) {
+    if ((isDue || isReclaimDue(unit)) && tryPreemptFor(unit, permitted, isUrgent)) {
       for (const book of rooms.keys()) rooms.set(book, getFreeRoom(book))
       return true
     }
@@ -109,13 +118,14 @@
     return false
   }
 
-  /** Stops work of lower priority if that makes room for the unit. */
-  function tryPreemptFor (unit: Unit, rooms: Rooms): boolean {
-    const victims = getVictims(unit, host.getUnfinishedJobs(), getQueue)
+  /** Stops work of lower priority if that makes room for the unit and does not throw away more than the unit is worth. */
+  function tryPreemptFor (unit: Unit, rooms: Rooms, isUrgent: boolean): boolean {
+    const victims = getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit))
     if (victims.length === 0) return false
     const found = tryPreempt(unit, getRoomsAfterStops(rooms), indexVictims(victims), rules, workerId => books.get(workerId))
-    if (found === undefined) return false
-    logger.info('room is made', { jobId: unit.job.spec.jobId, victims: found.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(found.cost) })
+    const maxLoss = isReclaimDue(unit) ? Infinity : getMaxLoss(unit, host.runTimes.getExpectedMs(unit.job.spec.queue, unit.spec), isUrgent)
+    if (found === undefined || found.cost > maxLoss) return false
+    logger.info('room is made', { jobId: unit.job.spec.jobId, victims: found.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(found.cost), maxLoss: Number.isFinite(maxLoss) ? Math.round(maxLoss) : 'guaranteed' })
     startAttempt(unit, found.places)
     for (const attempt of found.victims) host.stopAttempt(attempt, `room for ${unit.job.spec.jobId}`)
     return true
@@ -138,6 +148,15 @@
     return later
   }
 
+  function isGuaranteed (job: TrackedJob): boolean {
+    return getQueue(job)?.priority === 0 && withinGuarantee.has(job.spec.organisation)
+  }
+
+  /** Tells whether a guaranteed job has waited so long that its start cannot be left to chance. */
+  function isReclaimDue ({ job }: Unit): boolean {
+    return isGuaranteed(job) && Date.now() - job.spec.acceptedAtMs > host.reclaimMs - reclaimLeadMs
+  }
+
   function isKeptFromUnit (unit: Unit, book: WorkerBook): boolean {
     const untilMs = keptUntilMs.get(book)
     return untilMs !== undefined && performance.now() + unit.spec.estimateMs > untilMs
--- a/src/placement/unitOrder.test.ts
+++ b/src/placement/unitOrder.test.ts
@@ -18,6 +18,6 @@
 test('after a takeover the work that is almost done is spared, and a checkpoint makes a stop cheap', () => {
   const jobs = [start('almost-done', 90), start('begun', 10), start('saved', 95, true)]
   const urgent = getUnits(createTrackedJob(makeJob('urgent', 'urgent', [makeStep()]), 0))[0] as Unit
-  const victims = getVictims(urgent, jobs, job => rigConfiguration.queues.find(queue => queue.name === job.spec.queue))
+  const victims = getVictims(urgent, jobs, job => rigConfiguration.queues.find(queue => queue.name === job.spec.queue), () => false, false)
   expect(victims.map(({ attempt }) => attempt.unit.job.spec.jobId)).toEqual(['saved', 'begun', 'almost-done'])
 })
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -196,3 +196,29 @@
   configured.add('host-1')
   await waitForState('a', JobState.Complete, 8_000)
 })
+
+test('an urgent job within its organisation\'s guarantee starts at once, although urgent work of another holds all workers', async () => {
+  const whole = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await startRig({ workers: 4, getRun: task => ({ workMs: task.startsWith('wide') ? 20_000 : 500, how: EndKind.Done }) })
+  await submit(makeJob('wide', 'urgent', [makeStep({ count: 4, request: whole, estimateMs: 20_000 })], { organisation: 'yard' }))
+  await run(1_000)
+  await submit(makeJob('reclaims', 'urgent', [makeStep({ count: 2, isGang: true, request: whole })]))
+  await run(2_900)
+  expect(rig.world.starts.get('reclaims.0.0.1')).toBe(1)
+  // What is beyond its own guarantee is not reclaimed from others by equals.
+  await submit(makeJob('more', 'urgent', [makeStep({ count: 3, isGang: true, request: whole })]))
+  await run(300)
+  expect(rig.world.starts.get('more.0.0.0')).toBeUndefined()
+  expect(rig.world.violations).toEqual([])
+})
+
+test('work that would throw away far more than it is worth waits instead', async () => {
+  const whole = { cpuMilli: 64_000, memoryMb: 8_000, accelerators: 8 }
+  await startRig({ workers: 1, getRun: task => ({ workMs: task.startsWith('long') ? 14_000 : 300, how: EndKind.Done }) })
+  await submit(makeJob('long', 'batch', [makeStep({ request: whole, estimateMs: 14_000 })]))
+  await run(11_000)
+  await submit(makeJob('small', 'urgent', [makeStep({ estimateMs: 300 })], { organisation: 'yard' }))
+  await waitForState('long', JobState.Complete, 5_000)
+  expect(rig.world.starts.get('long.0.0.0')).toBe(1)
+  await waitForState('small', JobState.Complete, 2_000)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -132,7 +132,9 @@
     books: pool.books,
     getMembers: control.getMembers,
     getQueue,
+    getOrganisations: () => host.getConfiguration()?.organisations ?? [],
     runTimes,
+    reclaimMs: host.bounds.reclaimMs,
     getPermittedWorkers,
     startAttempt: control.plan,
     stopAttempt: control.stopAttempt
