Watch from the store's revision, so that old history costs no calls

The configuration was polled (615 calls); the counts of waiting jobs had 62 writes of their own. Now: leader and configuration are read with the store's revision and watched from there; counts go with progress or after 0.6 s. Test: election/leaderElection.test.ts (242 calls in 30 s before, and a change of the configuration was missed for 100 ms).

--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -2,7 +2,7 @@
 import { assert } from '../common/debug.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
-import type { MetadataStore } from '../store/metadataStore.js'
+import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
 import type { Configuration } from './configuration.js'
 
 /** What the replica needs from outside. */
@@ -24,8 +24,8 @@
   isStoreReached (): boolean
 }
 
-/** The store is asked so often, in ms: two reads in a row may fail before a change is due (2.5 s). */
-const pollPeriodMs = 750
+/** How long one watch waits for a change, in ms: with its time-out and a read, a silent connection costs less than the 2.5 s after which a change is due. */
+const watchWaitMs = 1_200
 /** Pause after a failed read, in ms. */
 const retryPauseMs = 250
 /** The store counts as out of reach after so many failed reads in a row. */
@@ -37,7 +37,7 @@
   let revision = 0
   let confirmedAtMs = -Infinity
   let failures = 0
-  void poll()
+  void follow()
 
   return {
     get: () => current,
@@ -45,27 +45,51 @@
     isStoreReached: () => failures < maxFailures && confirmedAtMs > -Infinity
   }
 
-  async function poll (): Promise<void> {
+  async function follow (): Promise<void> {
+    let watchedRevision: number | undefined
     while (!host.signal.aborted) {
-      const isRead = await readOnce()
-      await delay(isRead ? pollPeriodMs : retryPauseMs, host.signal)
+      try {
+        watchedRevision = watchedRevision === undefined ? await read() : await watch(watchedRevision)
+      } catch (error) {
+        // A watch that was cut says little about the store; the read that follows it does.
+        if (watchedRevision === undefined) {
+          noteFailure(error)
+          await delay(retryPauseMs, host.signal)
+        }
+        watchedRevision = undefined
+      }
     }
   }
 
-  async function readOnce (): Promise<boolean> {
+  /** Returns the store's revision, from which changes are watched: the history since the copy's own is soon gone. */
+  async function read (): Promise<number> {
     const sentAtMs = performance.now()
-    try {
-      const item = await host.store.get(host.key)
-      if (failures >= maxFailures) host.logger.info('the store is reached again', { failures })
-      failures = 0
-      confirmedAtMs = sentAtMs
-      if (item !== undefined && item.revision > revision) adopt(item.value, item.revision)
-      return true
-    } catch (error) {
-      failures++
-      if (failures === maxFailures) host.logger.warn('the store is out of reach', { error: String(error), configurationAgeMs: Math.round(sentAtMs - confirmedAtMs) })
-      return false
-    }
+    const { items, revision } = await host.store.range(host.key)
+    noteSuccess(sentAtMs)
+    for (const item of items) take(item)
+    return revision
+  }
+
+  async function watch (fromRevision: number): Promise<number> {
+    const { changes, revision } = await host.store.watch(host.key, fromRevision, watchWaitMs, host.signal)
+    noteSuccess(performance.now())
+    for (const { item } of changes) if (item !== undefined) take(item)
+    return revision
+  }
+
+  function noteSuccess (sentAtMs: number): void {
+    if (failures >= maxFailures) host.logger.info('the store is reached again', { failures })
+    failures = 0
+    confirmedAtMs = sentAtMs
+  }
+
+  function noteFailure (error: unknown): void {
+    failures++
+    if (failures === maxFailures) host.logger.warn('the store is out of reach', { error: String(error), configurationAgeMs: Math.round(performance.now() - confirmedAtMs) })
+  }
+
+  function take (item: StoredItem): void {
+    if (item.key === host.key && item.revision > revision) adopt(item.value, item.revision)
   }
 
   function adopt (value: string, newRevision: number): void {
--- /dev/null
+++ b/src/election/leaderElection.test.ts
@@ -0,0 +1,87 @@
+/** The election and the configuration's copy against a store that forgets its history: few calls, and no change missed. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { silentLogger } from '../common/logger.js'
+import { createConfigurationReplica } from '../configuration/configurationReplica.js'
+import { createMemoryStore } from '../standins/memoryStore.js'
+import type { MemoryStore } from '../standins/memoryStore.js'
+import type { MetadataStore } from '../store/metadataStore.js'
+import { rigConfiguration } from '../testing/poolRig.js'
+import { createLeaderElection, leaderKey } from './leaderElection.js'
+import type { LeaderElection } from './leaderElection.js'
+
+const configurationKey = 'configuration'
+const idleMs = 30_000
+
+let store: MemoryStore
+
+beforeEach(() => {
+  jest.useFakeTimers()
+  store = createMemoryStore()
+})
+afterEach(() => { jest.useRealTimers() })
+
+async function run (ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 10) await jest.advanceTimersByTimeAsync(10)
+}
+
+/** Counts what a host asks of the store. */
+function countCalls (hostId: string): { readonly client: MetadataStore, getCalls (): number } {
+  let calls = 0
+  const client = new Proxy(store.connect(hostId), {
+    get: (target, name: keyof MetadataStore) => {
+      calls++
+      return target[name]
+    }
+  })
+  return { client, getCalls: () => calls }
+}
+
+function stand (hostId: string, client: MetadataStore): LeaderElection {
+  return createLeaderElection({ store: client, hostId, logger: silentLogger, random: () => 0.5, onElected: () => {} })
+}
+
+/** Other keys change every second, and every five seconds the store forgets what was before. */
+async function idle (): Promise<void> {
+  for (let passed = 0; passed < idleMs; passed += 1_000) {
+    store.write('other', String(passed))
+    if (passed % 5_000 === 0) store.compact()
+    await run(1_000)
+  }
+}
+
+test('a candidate asks the store every few seconds while the leader lives, also when old history is gone', async () => {
+  const leader = stand('host-0', store.connect('host-0'))
+  await run(500)
+  const { client, getCalls } = countCalls('host-1')
+  const candidate = stand('host-1', client)
+  await idle()
+  expect(getCalls()).toBeLessThan(idleMs / 1_000)
+  const stopped = leader.stop()
+  await run(1_500)
+  await stopped
+  expect(store.peek(leaderKey)).toBe('host-1')
+  const stoppedToo = candidate.stop()
+  await run(1_500)
+  await stoppedToo
+})
+
+test('a new configuration is in force at once, with about a call a second, also when old history is gone', async () => {
+  const stopping = new AbortController()
+  const { client, getCalls } = countCalls('host-1')
+  store.write(configurationKey, '1')
+  const replica = createConfigurationReplica({
+    store: client,
+    logger: silentLogger,
+    key: configurationKey,
+    decode: value => ({ ...rigConfiguration, version: Number(value) }),
+    onChanged: () => {},
+    signal: stopping.signal
+  })
+  await idle()
+  expect(getCalls()).toBeLessThan(2.2 * idleMs / 1_000)
+  store.write(configurationKey, '2')
+  await run(100)
+  expect(replica.get()?.version).toBe(2)
+  stopping.abort()
+  await run(1_500)
+})
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -48,8 +48,8 @@
 const renewPeriodMs = 500
 /** A term ends so long before its lease can, in ms, for the difference between this host's and the store's clocks. */
 const safetyMarginMs = 150
-/** How long one look for a vacancy waits at the store, in ms. */
-const vacancyWaitMs = 2_000
+/** How long one look for a vacancy waits at the store, in ms: a call every 4 s a host, and a vacancy ends it at once. */
+const vacancyWaitMs = 4_000
 /** Pause after a failed call, in ms. */
 const retryPauseMs = 250
 /** A candidate waits so many times its own round trip to the store, so that near hosts come first. */
@@ -80,9 +80,9 @@
   async function run (): Promise<void> {
     while (!stopping.signal.aborted) {
       try {
-        const found = await readLeader()
+        const { found, revision } = await readLeader()
         if (found === undefined) await stand()
-        else await waitForVacancy(found)
+        else await waitForChange(revision)
       } catch (error) {
         logger.warn('the election cannot reach the store', { error: String(error) })
         await delay(retryPauseMs * (1 + host.random()), stopping.signal)
@@ -90,26 +90,33 @@
     }
   }
 
-  async function readLeader (): Promise<StoredItem | undefined> {
+  async function readLeader (): Promise<{ readonly found: StoredItem | undefined, readonly revision: number }> {
     const startedAtMs = performance.now()
-    const found = await store.get(leaderKey)
+    const { items, revision } = await store.range(leaderKey)
     roundTripMs = performance.now() - startedAtMs
+    const found = items.find(item => item.key === leaderKey)
     leader = found?.value
-    return found
+    return { found, revision }
   }
 
-  async function waitForVacancy (found: StoredItem): Promise<void> {
-    await store.watch(leaderKey, found.revision, vacancyWaitMs, stopping.signal).catch(async error => {
-      if (!isErrorOfKind(error, ErrorKind.HistoryGone)) throw error
-      await delay(retryPauseMs)
-    })
+  /** Follows from the store's revision, which moves on: the history since the leader's own revision is soon gone. */
+  async function waitForChange (fromRevision: number): Promise<void> {
+    let revision = fromRevision
+    while (!stopping.signal.aborted) {
+      const result = await store.watch(leaderKey, revision, vacancyWaitMs, stopping.signal).catch(error => {
+        if (!isErrorOfKind(error, ErrorKind.HistoryGone)) throw error
+        return undefined
+      })
+      if (result === undefined || result.changes.length > 0) return
+      revision = result.revision
+    }
   }
 
   async function stand (): Promise<void> {
     const distanceMs = Math.min(maxDistanceWaitMs, roundTripMs * distanceFactor) + candidateSpreadMs * host.random()
     const waitMs = Math.max(distanceMs, asideUntilMs - performance.now())
     await delay(waitMs, stopping.signal)
-    if (stopping.signal.aborted || await readLeader() !== undefined) return
+    if (stopping.signal.aborted || (await readLeader()).found !== undefined) return
     const clock = createLeaseClock()
     const lease = await store.grantLease(leaseTtlMs)
     clock.renewed(clock.read(), lease.ttlMs)
--- a/src/runs/progressWriter.ts
+++ b/src/runs/progressWriter.ts
@@ -36,6 +36,8 @@
 /** The leader's condition and the counts. */
 const fixedEntries = 2
 const maxJobsPerWrite = Math.floor((maxTransactionEntries - fixedEntries) / entriesPerJob)
+/** The counts of waiting jobs are written so long after a change at the latest, in ms; callers may see them 2 s old. */
+const countsDelayMs = 600
 /** Most characters of progress in one transaction; the store takes 1 MB a value, and a small link carries this in 0.1 s. */
 const maxCharactersPerWrite = 200_000
 
@@ -44,6 +46,7 @@
   const dirty = new Map<TrackedJob, (() => void)[]>()
   let isWriting = false
   let areCountsDue = false
+  let countsTimer: NodeJS.Timeout | undefined
   let writtenCounts: string | undefined
 
   return { commit, touch }
@@ -57,9 +60,13 @@
     })
   }
 
+  /** Progress that is written meanwhile carries the counts with it. */
   function touch (): void {
-    areCountsDue = true
-    startWriting()
+    countsTimer ??= setTimeout(() => {
+      countsTimer = undefined
+      areCountsDue = true
+      startWriting()
+    }, countsDelayMs)
   }
 
   function startWriting (): void {
