Try a write that the store refuses for a second before the caller is told

Now: refused calls are repeated for 1 s; five tries reach over some seconds, and the answer leaves as soon as the store is back. A pause that went past the caller's patience is mended.

--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -37,9 +37,12 @@
 }
 
 /** Pause between tries at a store that turns the host away, in ms: a few tries fit into a caller's patience. */
-const retryPauseMs = 100
-/** A refused call is answered after so many tries, so that the caller can go to another host. */
-const maxRefusals = 3
+const retryPauseMs = 150
+/**
+ * A call that the store refuses is tried for so long, in ms: a caller has a few tries, which then reach over an outage of some
+ * seconds, and it is still told soon enough to go to another host.
+ */
+const refusalPatienceMs = 1_000
 /** How old a count of waiting jobs may be, in ms. Source: callers may see counts that are 2 s old. */
 const pendingMaxAgeMs = 700
 
@@ -66,10 +69,11 @@
    * refused by the store itself; otherwise the write is tried until the caller's patience ends.
    */
   async function createRecord (key: string, value: string, deadlineMs: number, isRefusalReplaced: boolean): Promise<Creation> {
+    const refusedUntilMs = Date.now() + refusalPatienceMs
     let refusals = 0
     let isUnknown = false
     let expectedRevision = 0
-    while (Date.now() < deadlineMs && (isUnknown || refusals < maxRefusals)) {
+    while (Date.now() < deadlineMs && (isUnknown || Date.now() < refusedUntilMs)) {
       try {
         const result = await withDeadline(store.transact({ expected: [{ key, revision: expectedRevision }], writes: [{ key, value }] }), deadlineMs)
         if (result.isCommitted) return Creation.Stored
@@ -80,7 +84,7 @@
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
         logger.info('a write of a job is tried again', { key, refusals, isUnknown, error: String(error) })
-        await delay(retryPauseMs)
+        await delay(Math.min(retryPauseMs, Math.max(0, deadlineMs - Date.now())))
       }
     }
     return isUnknown ? Creation.Unknown : Creation.NotStored
@@ -131,13 +135,14 @@
     return counts
   }
 
-  /** Repeats a read until it succeeds, the deadline passes or the store has refused it several times. */
+  /** Repeats a read until it succeeds, the deadline passes or the store has refused it for a while. */
   async function retry<T> (read: () => Promise<T>, deadlineMs: number): Promise<T> {
-    for (let refusals = 1; ; refusals++) {
+    const untilMs = Math.min(deadlineMs, Date.now() + refusalPatienceMs) - retryPauseMs
+    while (true) {
       try {
         return await withDeadline(read(), deadlineMs)
       } catch (error) {
-        if (refusals >= maxRefusals || Date.now() + retryPauseMs >= deadlineMs) throw error
+        if (Date.now() >= untilMs) throw error
         await delay(retryPauseMs)
       }
     }
