Look at a worker from the moment that an order is sent to it

An idle worker is not looked at; its link was woken only by an order's answer. Orders to two idle workers that were cut off and never came back had none, so nobody found their leases to have ended, and the gang's attempt stood for ever. Now: sending an order wakes the link. Test: runs/scheduler.test.ts, 'a gang whose orders are lost on an idle worker ...', failed before.

--- /dev/null
+++ b/src/platform/emulator/emulatedHttp.ts
@@ -0,0 +1,56 @@
+/** What the emulator's servers share: JSON over HTTP on a loopback address, with answers that can be lost. */
+import { createServer } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { readBody } from '../../common/http.js'
+import { ErrorKind, isErrorOfKind } from '../../errors/errorKinds.js'
+
+/** An answer; without a status the connection is cut, as when an answer is lost. */
+export interface EmulatedAnswer {
+  readonly status?: number
+  readonly body?: unknown
+}
+
+/** Answers one call. A rejection of kind `answer-lost` cuts the connection. */
+export type EmulatedHandler = (method: string, url: URL, body: Record<string, unknown>, headers: IncomingMessage['headers']) => Promise<EmulatedAnswer>
+
+/** A running server. */
+export interface EmulatedServer {
+  readonly address: string
+  close (): void
+}
+
+const maxBodyBytes = 2 * 1024 * 1024
+
+/** Listens on a free loopback port. */
+export async function listenEmulated (handle: EmulatedHandler): Promise<EmulatedServer> {
+  const server = createServer((request, response) => {
+    void answer().catch(() => { response.destroy() })
+
+    async function answer (): Promise<void> {
+      const text = (await readBody(request, maxBodyBytes)).toString()
+      const url = new URL(request.url ?? '/', 'http://emulator')
+      const { status, body } = await handle(request.method ?? '', url, text === '' ? {} : JSON.parse(text) as Record<string, unknown>, request.headers).catch(toAnswer)
+      if (status === undefined) response.destroy()
+      else response.writeHead(status, { 'Content-Type': 'application/json' }).end(body === undefined ? '' : JSON.stringify(body))
+    }
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+function toAnswer (error: unknown): EmulatedAnswer {
+  if (isErrorOfKind(error, ErrorKind.StoreUnavailable)) return { status: 503 }
+  if (isErrorOfKind(error, ErrorKind.NotFound)) return { status: 404 }
+  if (isErrorOfKind(error, ErrorKind.HistoryGone)) return { status: 410 }
+  if (isErrorOfKind(error, ErrorKind.Conflict)) return { status: 421 }
+  if (isErrorOfKind(error, ErrorKind.BadRequest)) return { status: 400 }
+  if (isErrorOfKind(error, ErrorKind.StaleEpoch)) return { status: 409, body: { clockMs: Math.floor(performance.now()), reason: 'fence' } }
+  return {}
+}
--- /dev/null
+++ b/src/platform/emulator/emulatedWorker.ts
@@ -0,0 +1,66 @@
+/** One worker over HTTP, on the stand-in of a pool's worker. */
+import { createError, ErrorKind } from '../../errors/errorKinds.js'
+import type { PoolWorker } from '../../standins/poolWorker.js'
+import { StartAnswer } from '../../workers/workerPort.js'
+import type { EmulatedAnswer, EmulatedHandler } from './emulatedHttp.js'
+
+const startReasons: Readonly<Partial<Record<StartAnswer, string>>> = {
+  [StartAnswer.StaleEpoch]: 'fence',
+  [StartAnswer.OldRun]: 'old',
+  [StartAnswer.Late]: 'late',
+  [StartAnswer.NoRoom]: 'room',
+  [StartAnswer.BadTicket]: 'ticket'
+}
+
+interface WireOrder {
+  readonly task: string
+  readonly run: number
+  readonly spec?: string
+  readonly fence?: number
+  readonly deadlineMs?: number
+  readonly checkpointed?: string
+  readonly seenUpto?: number
+  readonly waitMs?: number
+  readonly percent?: number
+}
+
+/** Creates the handler of one worker's calls. */
+export function createEmulatedWorker (worker: PoolWorker): EmulatedHandler {
+  return async (_method, url, body, headers) => {
+    if (headers['expect-instance'] !== undefined && headers['expect-instance'] !== worker.info.workerId) throw createError(ErrorKind.Conflict, 'another worker')
+    const order = body as unknown as WireOrder
+    const port = worker.connect()
+    const epoch = order.fence ?? 0
+    switch (url.pathname.replace('/sassafrasford/', '')) {
+      case 'run-start': {
+        const { answer, clockMs } = await port.start({ task: order.task, run: order.run, payload: order.spec ?? '', checkpoint: order.checkpointed ?? '', leaseUntilMs: order.deadlineMs ?? 0, epoch })
+        return toStartAnswer(answer, clockMs)
+      }
+      case 'run-stop':
+        await port.stop({ task: order.task, run: order.run, epoch })
+        return { status: 200, body: { clockMs: Math.floor(performance.now()) } }
+      case 'pace':
+        await port.pace({ task: order.task, run: order.run, percent: order.percent ?? 100, epoch })
+        return { status: 200, body: { clockMs: Math.floor(performance.now()) } }
+      case 'hold': {
+        const look = await port.hold({ epoch, seenUpTo: order.seenUpto ?? 0, leaseUntilMs: order.deadlineMs, waitMs: order.waitMs ?? 0 })
+        return {
+          status: 200,
+          body: {
+            clockMs: look.clockMs,
+            born: look.bornAtMs,
+            running: look.running.map(row => [row.task, row.run, row.checkpoint, row.progressPercent]),
+            ended: look.ended.map(row => [row.sequence, row.task, row.run, row.how, row.checkpoint])
+          }
+        }
+      }
+      default:
+        return { status: 404 }
+    }
+  }
+}
+
+function toStartAnswer (answer: StartAnswer, clockMs: number | undefined): EmulatedAnswer {
+  if (answer === StartAnswer.Started) return { status: 200, body: { clockMs } }
+  return { status: 409, body: { clockMs, reason: startReasons[answer] } }
+}
--- /dev/null
+++ b/src/platform/emulator/platformEmulator.ts
@@ -0,0 +1,124 @@
+/** An emulator of the platform on loopback: the store, a pool of workers and their list, for the real programs. */
+import type { EndKind, JobSpec, Resources } from '../../jobs/jobModel.js'
+import { tryParseTaskName } from '../../jobs/jobModel.js'
+import { createMemoryStore } from '../../standins/memoryStore.js'
+import type { MemoryStore } from '../../standins/memoryStore.js'
+import { createPoolWorker } from '../../standins/poolWorker.js'
+import type { PoolWorker, PoolWorld } from '../../standins/poolWorker.js'
+import { configurationKey } from '../wireConfiguration.js'
+import { workerListPrefix } from '../wireWorkerList.js'
+import { listenEmulated } from './emulatedHttp.js'
+import { createEmulatedStore } from './emulatedStore.js'
+import { createEmulatedWorker } from './emulatedWorker.js'
+
+/** What the emulator is built of. */
+export interface PlatformEmulatorOptions {
+  readonly workers: number
+  readonly workersPerRack: number
+  readonly capacity: Resources
+  readonly maxLeaseMs: number
+  /** How long a run of the task takes, in ms, and how it ends. */
+  readonly getRun: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
+}
+
+/** The running emulator. */
+export interface PlatformEmulator {
+  readonly store: MemoryStore
+  readonly storeAddress: string
+  readonly world: PoolWorld
+  readonly workers: readonly PoolWorker[]
+  /** Makes a job's steps known to the workers, which have only its payload on the wire. */
+  know (job: JobSpec): void
+  setDraining (worker: PoolWorker, isDraining: boolean): void
+  /** The worker crashes and lives again. */
+  restart (worker: PoolWorker): void
+  configure (configuration: object): void
+  stop (): void
+}
+
+/** The name under which the emulated store knows all its callers; faults of single hosts are put on their way to it. */
+export const storeClientId = 'any'
+
+const emulatedService = 'pool'
+
+/** Starts the emulator. */
+export async function startPlatformEmulator (options: PlatformEmulatorOptions): Promise<PlatformEmulator> {
+  const { capacity } = options
+  const store = createMemoryStore()
+  const jobs = new Map<string, JobSpec>()
+  const draining = new Set<PoolWorker>()
+  const world: PoolWorld = {
+    getRun: options.getRun,
+    getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
+    getRequest: task => getStep(task)?.request ?? capacity,
+    maxLeaseMs: options.maxLeaseMs,
+    gangMs: 2_000,
+    stopMs: 100,
+    running: new Map(),
+    violations: [],
+    aloneEnds: [],
+    gangs: new Map(),
+    doneSeen: new Set(),
+    starts: new Map()
+  }
+  const storeServer = await listenEmulated(createEmulatedStore(store.connect(storeClientId)))
+  const workers: PoolWorker[] = []
+  const servers = [storeServer]
+  for (let index = 0; index < options.workers; index++) await addWorker(index)
+
+  return { store, storeAddress: storeServer.address, world, workers, know: job => { jobs.set(job.jobId, job) }, setDraining, restart, configure, stop }
+
+  function getStep (task: string): JobSpec['steps'][number] | undefined {
+    const name = tryParseTaskName(task)
+    return name === undefined ? undefined : jobs.get(name.jobId)?.steps[name.step]
+  }
+
+  async function addWorker (index: number): Promise<void> {
+    const rack = `rack-${Math.floor(index / options.workersPerRack)}`
+    const known = { workerId: `i-${index}`, service: emulatedService, domain: 'a', bornAtMs: Date.now(), isDraining: false, capacity, labels: ['a', rack], rack }
+    const worker: PoolWorker = createPoolWorker(world, { ...known, address: '' })
+    const server = await listenEmulated(createEmulatedWorker(worker))
+    servers.push(server)
+    workers.push(worker)
+    addresses.set(worker, server.address)
+    list(worker)
+  }
+
+  function list (worker: PoolWorker): void {
+    const { workerId, service, domain, bornAtMs, labels } = worker.info
+    store.write(workerListPrefix + workerId, JSON.stringify({
+      service,
+      addr: addresses.get(worker),
+      zone: domain,
+      version: 'v1',
+      slots: 8,
+      state: draining.has(worker) ? 'draining' : 'ready',
+      capacity: { cpu: capacity.cpuMilli, memMb: capacity.memoryMb, gpu: capacity.accelerators },
+      labels,
+      born: bornAtMs,
+      seq: 1
+    }))
+  }
+
+  function setDraining (worker: PoolWorker, isDraining: boolean): void {
+    if (isDraining) draining.add(worker)
+    else draining.delete(worker)
+    list(worker)
+  }
+
+  function restart (worker: PoolWorker): void {
+    worker.restart()
+    list(worker)
+  }
+
+  function configure (configuration: object): void {
+    store.write(configurationKey, JSON.stringify(configuration))
+  }
+
+  function stop (): void {
+    for (const worker of workers) worker.stop()
+    for (const server of servers) server.close()
+  }
+}
+
+const addresses = new WeakMap<PoolWorker, string>()
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -222,3 +222,16 @@
   expect(rig.world.starts.get('long.0.0.0')).toBe(1)
   await waitForState('small', JobState.Complete, 2_000)
 })
+
+test('a gang whose orders are lost on an idle worker that is cut off and never comes back runs elsewhere', async () => {
+  await startRig({ workers: 3 })
+  await submit(makeJob('before', 'batch', [makeStep({ count: 3, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 } })]))
+  await waitForState('before', JobState.Complete, 3_000)
+  await run(2_000)
+  rig.workers.get('worker-0')?.setCut(true)
+  await submit(makeJob('gang', 'batch', [makeStep({ count: 2, isGang: true, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 } })]))
+  await run(1_000)
+  rig.setListed('worker-0', false)
+  await waitForState('gang', JobState.Complete, 10_000)
+  expect(rig.world.violations).toEqual([])
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -78,6 +78,8 @@
   function noteExtension (): void {
     leaseBoundMs = getLeaseBoundMs()
     hasLapsed = false
+    // From now on only looks tell what became of the order, also when its answer never comes.
+    changed.notify()
   }
 
   function getLeaseUntilMs (): number | undefined {
