Add the loopback soak of the real daemons, and keep a host serving after a fault of the program

Soak: the daemons as processes against the emulator over HTTP; kills, SIGTERM, freezes, reloads, cuts, lost and late writes, lapsed leases, forgotten history, workers cut, restarted, stalled, drained, late orders, in series and overlapping by seed; what callers were told is compared with what workers ran. Now it is logged with its stack, the term is given up and callers are served on.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -33,6 +33,9 @@
 /** It ends so long before the platform kills it, in ms. */
 const killMarginMs = 1_200
 
+/** After a fault a host does not stand as scheduler for so long, in ms: others have been elected by then. */
+const faultAsideMs = 5_000
+
 const settings = loadPlatformSettings()
 const logger = createBoundedLogger(createDaemonLogger({ host: settings.hostId }))
 const metrics = createHostMetrics()
@@ -48,6 +51,7 @@
 })
 const reachableStore = createRelayedStore({ direct: store, logger: logger.part('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
 let scheduler: Scheduler | undefined
+let currentTerm: Term | undefined
 
 const configuration = createConfigurationReplica({
   store: reachableStore,
@@ -75,9 +79,12 @@
 }))
 process.on('SIGTERM', () => { void stop() })
 process.on('SIGHUP', reloadSettings)
+process.on('uncaughtException', onFault)
+process.on('unhandledRejection', onFault)
 logger.info('the host has started', { ...settings, upMs: Math.round(process.uptime() * 1_000) })
 
 function startTerm (term: Term): void {
+  currentTerm = term
   const getWorkers = createWorkerList({
     store,
     logger: logger.part('workers'),
@@ -114,6 +121,16 @@
   })
 }
 
+/**
+ * A fault of the program. The scheduler's state may be wrong, so another host starts from what is stored; callers are served on,
+ * since that part keeps nothing between two calls.
+ */
+function onFault (error: unknown): void {
+  metrics.count('faults')
+  logger.error('the program has a fault', { error: error instanceof Error ? error.stack : String(error), isScheduler: currentTerm?.isValid() ?? false })
+  currentTerm?.resign('the program has a fault', faultAsideMs)
+}
+
 /** The settings in use are those of the start; a change is reported, since addresses and names stay with a host's life. */
 function reloadSettings (): void {
   try {
--- /dev/null
+++ b/src/platform/soak/platformSoak.ts
@@ -0,0 +1,238 @@
+/**
+ * `npm run soak:platform -- --seeds 1,2,3 --seconds 15`: the real daemons as processes against the emulator on loopback, with
+ * faults by seed that come in series and overlap. What workers ran is compared with what callers were told.
+ */
+import { parseArgs } from 'node:util'
+import { createRandom, pickOne } from '../../common/random.js'
+import { delay } from '../../common/time.js'
+import { EndKind } from '../../jobs/jobModel.js'
+import type { JobSpec } from '../../jobs/jobModel.js'
+import { startPlatformEmulator, storeClientId } from '../emulator/platformEmulator.js'
+import type { PlatformEmulator } from '../emulator/platformEmulator.js'
+import { startEntryProcesses } from './entryProcesses.js'
+import type { EntryProcess, EntryProcesses } from './entryProcesses.js'
+import { LinkFault } from '../../testing/faultProxy.js'
+import { createSoakCaller, isCertain, SubmissionOutcome } from './soakCaller.js'
+import type { SoakCaller, SoakJob } from './soakCaller.js'
+
+/** What one seed showed. */
+export interface SoakReport {
+  readonly seed: number
+  readonly jobs: number
+  readonly accepted: number
+  readonly rejected: number
+  readonly unknown: number
+  readonly cancelled: number
+  readonly complete: number
+  readonly starts: number
+  readonly faults: readonly string[]
+  /** Broken promises, in words; none where all is well. */
+  readonly broken: readonly string[]
+}
+
+const hostCount = 4
+const workerCount = 8
+const capacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
+const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900 }
+const jobPauseMs = 160
+const faultPauseMs = 900
+/** After the last fault is healed, all jobs end within this, in ms: some leases, then the rest of the work. */
+const settleMs = 45_000
+const pollMs = 250
+/** Cancelled jobs start nothing so long after the cancel's acknowledgement, in ms. */
+const cancelMs = 3_000
+
+/** Plays one seed. */
+export async function runPlatformSoak (seed: number, seconds: number): Promise<SoakReport> {
+  const random = createRandom(seed)
+  const emulator = await startPlatformEmulator({
+    workers: workerCount,
+    workersPerRack: 4,
+    capacity,
+    maxLeaseMs: bounds.holdMaxMs,
+    getRun: () => ({ workMs: 100 + Math.floor(1_400 * random()), how: random() < 0.04 ? EndKind.Failed : EndKind.Done })
+  })
+  const names = { service: 'pool', hostName: 'soak.example', key: 'soak-key' }
+  emulator.configure(createConfiguration(1, names))
+  const entries = await startEntryProcesses(hostCount, getNetwork(seed), emulator.storeAddress, bounds)
+  const caller = createSoakCaller({ addresses: entries.hosts.map(host => host.callersAddress), hostName: names.hostName, key: names.key, random })
+  const faults: string[] = []
+  const broken: string[] = []
+  const jobs: SoakJob[] = []
+  try {
+    await delay(1_500)
+    const endsAtMs = Date.now() + seconds * 1_000
+    await Promise.all([submitJobs(), strikeAgain()])
+    await heal(emulator, entries)
+    await settle(caller, jobs)
+    broken.push(...emulator.world.violations, ...judge(jobs, emulator))
+
+    async function submitJobs (): Promise<void> {
+      const running: Promise<void>[] = []
+      for (let index = 0; Date.now() < endsAtMs; index++) {
+        const job = caller.createJob(index, seed)
+        emulator.know(job.spec)
+        jobs.push(job)
+        running.push(caller.submit(job))
+        if (random() < 0.1) running.push(delay(400).then(async () => { await caller.cancel(job) }))
+        await delay(jobPauseMs)
+      }
+      await Promise.all(running)
+    }
+
+    async function strikeAgain (): Promise<void> {
+      const running: Promise<void>[] = []
+      while (Date.now() < endsAtMs) {
+        await delay(faultPauseMs * (0.5 + random()))
+        running.push(strike(emulator, entries, random, faults, broken))
+      }
+      await Promise.all(running)
+    }
+  } finally {
+    await entries.stop()
+    emulator.stop()
+  }
+  const count = (outcome: SubmissionOutcome): number => jobs.filter(job => job.outcome === outcome).length
+  return {
+    seed,
+    jobs: jobs.length,
+    accepted: count(SubmissionOutcome.Accepted),
+    rejected: count(SubmissionOutcome.Rejected),
+    unknown: count(SubmissionOutcome.Unknown),
+    cancelled: jobs.filter(job => job.cancelledAtMs !== undefined).length,
+    complete: jobs.filter(job => job.state === 'complete').length,
+    starts: [...emulator.world.starts.values()].reduce((sum, starts) => sum + starts, 0),
+    faults,
+    broken
+  }
+}
+
+/** Soaks beside each other use loopback networks of their own. */
+function getNetwork (seed: number): string {
+  return `127.${1 + process.pid % 250}.${1 + seed % 250}`
+}
+
+function createConfiguration (version: number, { service, hostName, key }: { readonly service: string, readonly hostName: string, readonly key: string }): object {
+  const route = { host: hostName, service, attempts: 4, timeoutMs: 3_000 }
+  return {
+    version,
+    routes: [
+      { ...route, name: 'urgent', prefix: '/urgent/', priority: 0, sloFactor: 1.5, sloMs: 500 },
+      { ...route, name: 'batch', prefix: '/batch/', priority: 2, sloFactor: 3, sloMs: 3_000 }
+    ],
+    services: [{ name: service }],
+    tenants: [{ name: 'soak', keys: [key], guaranteed: { gpu: 16 } }]
+  }
+}
+
+/** One fault; resolves when it is over. */
+async function strike (emulator: PlatformEmulator, entries: EntryProcesses, random: () => number, faults: string[], broken: string[]): Promise<void> {
+  const host = pickOne(entries.hosts, random)
+  const leaderName = emulator.store.peek('leader/scheduler')
+  const leader = entries.hosts.find(({ name }) => name === leaderName) ?? host
+  const worker = pickOne(emulator.workers, random)
+  const forMs = 500 + 3_500 * random()
+  const kinds: Readonly<Record<string, () => Promise<void>>> = {
+    'kill-leader': () => restartAfter(leader, () => leader.kill(), 300),
+    'kill-host': () => restartAfter(host, () => host.kill(), 300),
+    'terminate-host': () => restartAfter(host, async () => {
+      if (!host.isUp()) return
+      const { code, livedMs } = await host.terminate()
+      if (code !== 0) broken.push(`${host.name} exited with ${code} after SIGTERM, ${Math.round(livedMs)} ms after its start`)
+    }, 100),
+    'freeze-leader': () => leader.freeze(forMs),
+    'reload-host': async () => { host.reload() },
+    'cut-leader-from-store': () => during(forMs, () => { leader.store.setFault(LinkFault.Silent) }, () => { leader.store.setFault(LinkFault.None) }),
+    'cut-host-from-store': () => during(forMs, () => { host.store.setFault(LinkFault.Reset) }, () => { host.store.setFault(LinkFault.None) }),
+    'lose-answers-of-store': () => during(forMs, () => { host.store.setFault(LinkFault.OneWay) }, () => { host.store.setFault(LinkFault.None) }),
+    'slow-store': () => during(forMs, () => { host.store.setFault(LinkFault.Delay) }, () => { host.store.setFault(LinkFault.None) }),
+    'store-out': () => during(forMs, () => { emulator.store.setOut(true) }, () => { emulator.store.setOut(false) }),
+    'late-writes': async () => { emulator.store.loseWrites(storeClientId, 3, 1_500 * random()) },
+    'lapse-leases': async () => { emulator.store.lapseLeases() },
+    'forget-history': async () => { emulator.store.compact() },
+    'cut-worker': () => during(forMs, () => { worker.setCut(true) }, () => { worker.setCut(false) }),
+    'restart-worker': async () => { emulator.restart(worker) },
+    'late-orders': async () => { worker.delayStarts(3, 300 + 3_000 * random()) },
+    'stall-worker': () => during(forMs, () => { worker.setStalled(true) }, () => { worker.setStalled(false) }),
+    'drain-worker': () => during(forMs, () => { emulator.setDraining(worker, true) }, () => { emulator.setDraining(worker, false) })
+  }
+  const name = pickOne(Object.keys(kinds), random)
+  faults.push(name)
+  await kinds[name]?.()
+}
+
+async function during (forMs: number, begin: () => void, end: () => void): Promise<void> {
+  begin()
+  await delay(forMs)
+  end()
+}
+
+async function restartAfter (host: EntryProcess, stop: () => Promise<void>, pauseMs: number): Promise<void> {
+  if (!host.isUp()) return
+  await stop()
+  await delay(pauseMs)
+  if (!host.isUp()) host.start()
+}
+
+async function heal (emulator: PlatformEmulator, entries: EntryProcesses): Promise<void> {
+  emulator.store.setOut(false)
+  emulator.store.loseWrites(storeClientId, 0, 0)
+  for (const host of entries.hosts) {
+    host.store.setFault(LinkFault.None)
+    if (!host.isUp()) host.start()
+  }
+  for (const worker of emulator.workers) {
+    worker.setCut(false)
+    worker.setStalled(false)
+    emulator.setDraining(worker, false)
+  }
+  await delay(1_000)
+}
+
+async function settle (caller: SoakCaller, jobs: readonly SoakJob[]): Promise<void> {
+  const untilMs = Date.now() + settleMs
+  let open = jobs.filter(isCertain)
+  while (open.length > 0 && Date.now() < untilMs) {
+    await Promise.all(open.map(async job => { await caller.ask(job) }))
+    open = open.filter(({ state }) => state === undefined || state === 'queued' || state === 'active')
+    await delay(pollMs)
+  }
+}
+
+/** Compares what callers were told with what the workers ran. */
+function judge (jobs: readonly SoakJob[], emulator: PlatformEmulator): readonly string[] {
+  const broken: string[] = []
+  for (const job of jobs) {
+    const { jobId } = job.spec
+    const starts = [...emulator.world.starts].filter(([task]) => task.startsWith(jobId)).length
+    if (job.outcome === SubmissionOutcome.Rejected && starts > 0) broken.push(`${jobId} was rejected at every try and has run`)
+    if (job.outcome !== SubmissionOutcome.Accepted) continue
+    const isCancelled = job.cancelledAtMs !== undefined
+    if (job.isGone) broken.push(`${jobId} was accepted and is not known`)
+    if (!isCancelled && job.state !== 'complete' && !hasFailed(job.spec, emulator)) broken.push(`${jobId} was accepted and is "${job.state}" at the end`)
+    if (isCancelled && job.state !== 'canceled' && job.state !== 'complete' && job.state !== 'failed') broken.push(`${jobId} was cancelled and is "${job.state}" at the end`)
+    if (isCancelled && isAtWork(job.spec, emulator) && Date.now() - (job.cancelledAtMs ?? 0) > cancelMs) broken.push(`${jobId} was cancelled and still runs`)
+  }
+  return broken
+}
+
+function isAtWork ({ jobId }: JobSpec, { world }: PlatformEmulator): boolean {
+  return [...world.running].some(([task, places]) => task.startsWith(jobId) && places.length > 0)
+}
+
+/** A job may fail when one of its tasks was started as often as its queue allows. */
+function hasFailed ({ jobId }: JobSpec, { world }: PlatformEmulator): boolean {
+  return [...world.starts].some(([task, starts]) => task.startsWith(jobId) && starts >= 4)
+}
+
+const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1' }, seconds: { type: 'string', default: '15' } }, strict: false })
+const isMain = process.argv[1]?.endsWith('platformSoak.js') === true
+if (isMain) {
+  let failed = 0
+  for (const seed of String(values.seeds).split(',').map(Number)) {
+    const report = await runPlatformSoak(seed, Number(values.seconds))
+    if (report.broken.length > 0) failed++
+    console.log(JSON.stringify({ ...report, faults: report.broken.length > 0 ? report.faults : report.faults.length }))
+  }
+  process.exit(failed === 0 ? 0 : 1)
+}
--- /dev/null
+++ b/src/platform/soak/soakCaller.ts
@@ -0,0 +1,123 @@
+/** A caller of the soak: hands jobs in, repeats after lost answers as callers do, cancels and asks. */
+import { request as sendRequest } from 'node:http'
+import { pickOne } from '../../common/random.js'
+import { delay } from '../../common/time.js'
+import type { JobSpec } from '../../jobs/jobModel.js'
+import { decodeJob } from '../wireJob.js'
+
+/** What all tries of a submission together say. */
+export enum SubmissionOutcome {
+  Pending = 'pending',
+  Accepted = 'accepted',
+  /** Every try was answered "not accepted". */
+  Rejected = 'rejected',
+  Unknown = 'unknown'
+}
+
+/** One job as its caller knows it. */
+export interface SoakJob {
+  readonly path: string
+  readonly body: string
+  readonly spec: JobSpec
+  outcome: SubmissionOutcome
+  cancelledAtMs?: number
+  state?: string
+  /** An accepted job was answered "gone". */
+  isGone: boolean
+}
+
+/** What a caller needs. */
+export interface SoakCallerHost {
+  readonly addresses: readonly string[]
+  readonly hostName: string
+  readonly key: string
+  readonly random: () => number
+}
+
+/** The caller. */
+export interface SoakCaller {
+  createJob (index: number, seed: number): SoakJob
+  submit (job: SoakJob): Promise<void>
+  cancel (job: SoakJob): Promise<void>
+  ask (job: SoakJob): Promise<void>
+}
+
+const maxTries = 6
+const timeoutMs = 3_000
+const retryPauseMs = 300
+const notAccepted: readonly number[] = [429, 503, 404]
+const accelerators = [1, 2, 4, 8]
+
+/** Tells whether the job stands, as far as its caller knows. */
+export function isCertain (job: SoakJob): boolean {
+  return job.outcome === SubmissionOutcome.Accepted
+}
+
+/** Creates a caller that picks a host at random for each call. */
+export function createSoakCaller (host: SoakCallerHost): SoakCaller {
+  const { random } = host
+  return { createJob, submit, cancel, ask }
+
+  function createJob (index: number, seed: number): SoakJob {
+    const jobId = (seed * 100_000 + index).toString(16).padStart(16, '0')
+    const queue = random() < 0.4 ? 'urgent' : 'batch'
+    const isGang = random() < 0.5
+    const step = {
+      count: 1 + Math.floor((isGang ? 3 : 8) * random()),
+      cpu: 4_000,
+      memMb: 8_000,
+      gpu: pickOne(accelerators, random),
+      estimateMs: 100 + Math.floor(1_500 * random()),
+      gang: isGang,
+      sameRack: isGang && random() < 0.5
+    }
+    const body = JSON.stringify({ spec: `job ${index}`, phases: random() < 0.3 ? [step, { count: 2, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, after: [0] }] : [step] })
+    const spec = decodeJob(body, { jobId, queue, service: 'pool', organisation: 'soak', attemptLimit: 4 })
+    return { path: `/${queue}/${jobId}`, body, spec, outcome: SubmissionOutcome.Pending, isGone: false }
+  }
+
+  async function submit (job: SoakJob): Promise<void> {
+    let isUnknown = false
+    for (let tries = 0; tries < maxTries; tries++) {
+      const answer = await call('POST', job.path, job.body)
+      if (answer !== undefined && answer.status < 300) {
+        job.outcome = SubmissionOutcome.Accepted
+        return
+      }
+      if (answer === undefined || !notAccepted.includes(answer.status)) isUnknown = true
+      await delay(retryPauseMs * (1 + random()))
+    }
+    job.outcome = isUnknown ? SubmissionOutcome.Unknown : SubmissionOutcome.Rejected
+  }
+
+  async function cancel (job: SoakJob): Promise<void> {
+    for (let tries = 0; tries < maxTries; tries++) {
+      const answer = await call('DELETE', job.path)
+      if (answer?.status === 200) job.cancelledAtMs = Date.now()
+      if (answer?.status === 200 || answer?.status === 410) return
+      await delay(retryPauseMs)
+    }
+  }
+
+  async function ask (job: SoakJob): Promise<void> {
+    const answer = await call('GET', job.path)
+    if (answer?.status === 410) job.isGone = true
+    if (answer?.status === 200) job.state = (JSON.parse(answer.text) as { readonly state: string }).state
+  }
+
+  function call (method: string, path: string, body = ''): Promise<{ readonly status: number, readonly text: string } | undefined> {
+    const [address = '', port = ''] = pickOne(host.addresses, random).split(':')
+    const headers = { Host: host.hostName, 'Api-Key': host.key, 'Deadline-Ms': String(timeoutMs), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
+    return new Promise(resolve => {
+      const request = sendRequest({ host: address, port: Number(port), method, path, headers, timeout: timeoutMs, agent: false }, response => {
+        let text = ''
+        response.on('data', chunk => { text += String(chunk) })
+        response.on('end', () => { resolve({ status: response.statusCode ?? 0, text }) })
+        response.on('error', () => { resolve(undefined) })
+      })
+      request.on('timeout', () => { request.destroy() })
+      request.on('error', () => { resolve(undefined) })
+      request.end(body)
+    })
+  }
+}
