Give the lease back as soon as the store returns

Now: a lease that cannot be given back is given back again every 0.25 s for 20 s, which makes way at once. Test: election/leaderElection.test.ts, 'after an outage in which leases stand still', failed before.

--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -85,3 +85,25 @@
   stopping.abort()
   await run(1_500)
 })
+
+test('after an outage in which leases stand still, a scheduler is elected as soon as the store is back', async () => {
+  const elections = ['host-0', 'host-1'].map(hostId => stand(hostId, store.connect(hostId)))
+  await run(1_000)
+  const before = store.peek(leaderKey)
+  store.pause(true)
+  await run(4_000)
+  expect(store.peek(leaderKey)).toBe(before)
+  store.pause(false)
+  await run(900)
+  expect(elections.filter(election => election.getLeader() !== undefined).length).toBeGreaterThan(0)
+  const revision = (await settle(store.connect('observer').range(leaderKey))).items[0]?.createdRevision
+  expect(revision).toBeGreaterThan(3)
+  const stopped = Promise.all(elections.map(async election => { await election.stop() }))
+  await run(2_500)
+  await stopped
+})
+
+async function settle<T> (promise: Promise<T>): Promise<T> {
+  await run(10)
+  return await promise
+}
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -52,6 +52,8 @@
 const vacancyWaitMs = 4_000
 /** Pause after a failed call, in ms. */
 const retryPauseMs = 250
+/** A lease that cannot be given back for so long is left to its own end, in ms: longer than most outages. */
+const releaseLimitMs = 20_000
 /** A candidate waits so many times its own round trip to the store, so that near hosts come first. */
 const distanceFactor = 6
 /** The longest wait for the distance, in ms. */
@@ -165,7 +167,22 @@
     term = undefined
     leader = undefined
     logger.warn('this host schedules no longer', { epoch, reason: endReason })
-    await store.endLease(leaseId).catch(error => { logger.warn('the lease could not be given back', { leaseId, error: String(error) }) })
+    const released = release(leaseId)
+    if (stopping.signal.aborted) await released
+  }
+
+  /** Leases may stand still while the store is out; one that is given back as soon as the store returns makes way at once. */
+  async function release (leaseId: number): Promise<void> {
+    const untilMs = performance.now() + releaseLimitMs
+    while (performance.now() < untilMs) {
+      try {
+        await store.endLease(leaseId)
+        return
+      } catch (error) {
+        logger.info('the lease could not be given back', { leaseId, error: String(error) })
+        await delay(retryPauseMs)
+      }
+    }
   }
 
   async function renew (leaseId: number, clock: LeaseClock, abort: (reason: string) => void): Promise<void> {
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -9,6 +9,8 @@
   connect (hostId: string): MetadataStore
   /** Turns every call of a host, or of all, away without doing anything. */
   setOut (isOut: boolean, hostId?: string): void
+  /** Turns all calls away; leases stand still meanwhile. */
+  pause (isPaused: boolean): void
   /** The next so many writes of a host are done after `lateMs`, and not answered. */
   loseWrites (hostId: string, count: number, lateMs: number): void
   /** Ends all leases at once, with their keys. */
@@ -41,11 +43,12 @@
   const outHosts = new Set<string>()
   const lostWrites = new Map<string, { left: number, lateMs: number }>()
   let isOut = false
+  let pausedAtMs = 0
   let revision = 1
   let firstRevision = 1
   let nextLease = 1
 
-  return { connect, setOut, loseWrites, lapseLeases, compact, peek: key => items.get(key)?.value, write }
+  return { connect, setOut, pause, loseWrites, lapseLeases, compact, peek: key => items.get(key)?.value, write }
 
   function setOut (isOutNow: boolean, hostId?: string): void {
     if (hostId === undefined) isOut = isOutNow
@@ -53,6 +56,12 @@
     else outHosts.delete(hostId)
   }
 
+  function pause (isPaused: boolean): void {
+    if (isPaused) pausedAtMs = Date.now()
+    else for (const lease of leases.values()) lease.endsAtMs += Date.now() - pausedAtMs
+    isOut = isPaused
+  }
+
   function loseWrites (hostId: string, count: number, lateMs: number): void {
     lostWrites.set(hostId, { left: count, lateMs })
   }
