Drop the refusal record that could never be written, and test what mutations showed as unchecked

Cause: 14 mutations of the new path were tried; 6 were not caught. One showed dead code: the record that makes 'not accepted' true was only written when the caller's patience had ended, so the call was given up at once and the answer was 504 in any case. One is equivalent (workers that have not been looked at take no work, whether or not the first plan waits for them).

--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -6,7 +6,7 @@
 import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
-import { decodeAccepted, encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
+import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
 import { JobState } from './jobModel.js'
 import type { JobSpec } from './jobModel.js'
 import { decodeState } from './trackedJob.js'
@@ -55,12 +55,10 @@
   return { submit, cancel, getState, countPending }
 
   async function submit (job: JobSpec, deadlineMs: number): Promise<void> {
-    const key = getAcceptedKey(job.jobId)
-    const created = await createRecord(key, encodeAccepted({ isRefused: false, job }), deadlineMs, true)
+    const created = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs)
     if (created === Creation.Stored) return
     // This may be the repeat of a job that another host has accepted; without the store that is not known.
     if (created === Creation.NotStored) throw createError(ErrorKind.AnswerLost, 'the store takes no jobs from this host, and does not say whether it has this one')
-    if (await tryRefuseForGood(key, deadlineMs)) throw createError(ErrorKind.StoreUnavailable, 'the store did not take the job in time')
     throw createError(ErrorKind.AnswerLost, 'it is not known whether the job is stored')
   }
 
@@ -68,18 +66,15 @@
    * Creates a key. A write whose answer was lost may land later, so "not stored" is only said when every write was
    * refused by the store itself; otherwise the write is tried until the caller's patience ends.
    */
-  async function createRecord (key: string, value: string, deadlineMs: number, isRefusalReplaced: boolean): Promise<Creation> {
+  async function createRecord (key: string, value: string, deadlineMs: number): Promise<Creation> {
     const refusedUntilMs = Date.now() + refusalPatienceMs
     let refusals = 0
     let isUnknown = false
-    let expectedRevision = 0
     while (Date.now() < deadlineMs && (isUnknown || Date.now() < refusedUntilMs)) {
       try {
-        const result = await withDeadline(store.transact({ expected: [{ key, revision: expectedRevision }], writes: [{ key, value }] }), deadlineMs)
-        if (result.isCommitted) return Creation.Stored
-        const found = result.items.find(item => item.key === key)
-        if (found !== undefined && !(isRefusalReplaced && decodeAccepted(found.value).isRefused)) return Creation.Stored
-        expectedRevision = found?.revision ?? 0
+        // A condition that fails says that the key stands, by an earlier write of this host or of another.
+        await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
+        return Creation.Stored
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
@@ -90,22 +85,10 @@
     return isUnknown ? Creation.Unknown : Creation.NotStored
   }
 
-  /** A late write of the job fails once a refusal stands under its key; only then it is true that it will not run. */
-  async function tryRefuseForGood (key: string, deadlineMs: number): Promise<boolean> {
-    try {
-      const value = encodeAccepted({ isRefused: true })
-      const result = await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
-      return result.isCommitted
-    } catch (error) {
-      logger.warn('a job cannot be refused for good', { key, error: String(error) })
-      return false
-    }
-  }
-
   async function cancel (jobId: string, deadlineMs: number): Promise<boolean> {
     const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
-    if (item === undefined || decodeAccepted(item.value).isRefused) return false
-    const created = await createRecord(getCancelKey(jobId), '{}', deadlineMs, false)
+    if (item === undefined) return false
+    const created = await createRecord(getCancelKey(jobId), '{}', deadlineMs)
     if (created === Creation.Stored) return true
     if (created === Creation.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store takes no cancels from this host')
     throw createError(ErrorKind.AnswerLost, 'it is not known whether the cancel is stored')
@@ -115,8 +98,7 @@
     const progress = await retry(() => store.get(getProgressKey(jobId)), deadlineMs)
     if (progress !== undefined) return decodeState(progress.value)
     const accepted = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
-    if (accepted === undefined || decodeAccepted(accepted.value).isRefused) return undefined
-    return JobState.Queued
+    return accepted === undefined ? undefined : JobState.Queued
   }
 
   async function countPending (queue: string): Promise<number> {
--- a/src/jobs/jobKeys.ts
+++ b/src/jobs/jobKeys.ts
@@ -34,17 +34,12 @@
   return { jobId: isCancel ? rest.slice(0, -cancelSuffix.length) : rest, isCancel }
 }
 
-/** What lies at a job's key: the job, or a refusal that keeps a late write of the job from taking effect. */
-export type AcceptedRecord =
-  | { readonly isRefused: false, readonly job: JobSpec }
-  | { readonly isRefused: true }
-
-/** Writes a record as the store keeps it. */
-export function encodeAccepted (record: AcceptedRecord): string {
-  return JSON.stringify(record)
+/** Writes an accepted job as the store keeps it. */
+export function encodeAccepted (job: JobSpec): string {
+  return JSON.stringify(job)
 }
 
-/** Reads a record; the keys are written by this product only. */
-export function decodeAccepted (value: string): AcceptedRecord {
-  return JSON.parse(value) as AcceptedRecord
+/** Reads an accepted job; the keys are written by this product only. */
+export function decodeAccepted (value: string): JobSpec {
+  return JSON.parse(value) as JobSpec
 }
--- a/src/peers/relayedStore.test.ts
+++ b/src/peers/relayedStore.test.ts
@@ -89,6 +89,16 @@
   expect(store.peek(getAcceptedKey('job'))).toContain('run job')
 })
 
+test('"nothing was done" is only said when every way says so', async () => {
+  store.setOut(true, 'host-0')
+  lostAnswers = 1_000
+  const relay = relays.get('host-0') as RelayedStore
+  expect(await settle(relay.transact({ expected: [], writes: [{ key: 'key', value: 'value' }] }))).toBe(ErrorKind.AnswerLost)
+  lostAnswers = 0
+  store.setOut(true)
+  expect(await settle(relay.transact({ expected: [], writes: [{ key: 'key', value: 'value' }] }))).toBe(ErrorKind.StoreUnavailable)
+})
+
 test('the configuration reaches a host that the store turns away', async () => {
   store.write('configuration', '1')
   const replica = createConfigurationReplica({
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -76,13 +76,12 @@
   function take (key: string, value: string, progress?: { readonly value: string, readonly revision: number }): void {
     const { jobId, isCancel } = parseAcceptedKey(key)
     if (isCancel || jobs.has(jobId)) return
-    const record = decodeAccepted(value)
-    if (record.isRefused) return
-    const job = createTrackedJob(record.job, performance.now())
+    const spec = decodeAccepted(value)
+    const job = createTrackedJob(spec, performance.now())
     if (progress !== undefined) restoreProgress(job, progress.value, progress.revision, performance.now())
     jobs.set(jobId, job)
     unfinished.add(job)
-    if (isLoaded) logger.info('a job is taken', { jobId, queue: record.job.queue, organisation: record.job.organisation, steps: record.job.steps.length, ageMs: Date.now() - record.job.acceptedAtMs })
+    if (isLoaded) logger.info('a job is taken', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
     host.onJobAdded(job)
   }
 
