Try a call once, however little patience its caller has left

Cause: the second and third tries of a caller whose first had been held were answered 504 within 1 ms: their patience was under the 250 ms that the answer keeps free, so the store was not asked at all, and the answer said that it takes nothing. Now: each call is tried once for 100 ms at least; repeats stop as before.

--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -43,6 +43,8 @@
  * seconds, and it is still told soon enough to go to another host.
  */
 const refusalPatienceMs = 1_000
+/** Each call is tried once, however little patience its caller has left, for so long, in ms: the store answers in far less. */
+const minTryMs = 100
 /** How old a count of waiting jobs may be, in ms. Source: callers may see counts that are 2 s old. */
 const pendingMaxAgeMs = 700
 
@@ -54,7 +56,8 @@
 
   return { submit, cancel, getState, countPending }
 
-  async function submit (job: JobSpec, deadlineMs: number): Promise<void> {
+  async function submit (job: JobSpec, callerDeadlineMs: number): Promise<void> {
+    const deadlineMs = getDeadline(callerDeadlineMs)
     const created = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs)
     if (created === Creation.Stored) return
     // This may be the repeat of a job that another host has accepted; without the store that is not known.
@@ -85,7 +88,8 @@
     return isUnknown ? Creation.Unknown : Creation.NotStored
   }
 
-  async function cancel (jobId: string, deadlineMs: number): Promise<boolean> {
+  async function cancel (jobId: string, callerDeadlineMs: number): Promise<boolean> {
+    const deadlineMs = getDeadline(callerDeadlineMs)
     const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
     if (item === undefined) return false
     const created = await createRecord(getCancelKey(jobId), '{}', deadlineMs)
@@ -94,7 +98,8 @@
     throw createError(ErrorKind.AnswerLost, 'it is not known whether the cancel is stored')
   }
 
-  async function getState (jobId: string, deadlineMs: number): Promise<JobState | undefined> {
+  async function getState (jobId: string, callerDeadlineMs: number): Promise<JobState | undefined> {
+    const deadlineMs = getDeadline(callerDeadlineMs)
     const progress = await retry(() => store.get(getProgressKey(jobId)), deadlineMs)
     if (progress !== undefined) return decodeState(progress.value)
     const accepted = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
@@ -131,6 +136,10 @@
   }
 }
 
+function getDeadline (callerDeadlineMs: number): number {
+  return Math.max(callerDeadlineMs, Date.now() + minTryMs)
+}
+
 /** Gives a call up when the caller's patience ends; what it does then is not known. */
 async function withDeadline<T> (call: Promise<T>, deadlineMs: number): Promise<T> {
   const giveUp = new AbortController()
