--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -32,7 +32,6 @@
 const leaveNoticeMs = 2_600
 /** It ends so long before the platform kills it, in ms. */
 const killMarginMs = 1_200
-
 /** After a fault a host does not stand as scheduler for so long, in ms: others have been elected by then. */
 const faultAsideMs = 5_000
 
@@ -71,11 +70,9 @@
 }))
 const servePeers = createRpcHandler(createPeerStoreMethods({ direct: store, isDirectOut: reachableStore.isDirectOut }))
 listen(peersAddress, createServer((request, response) => { void servePeers(request, response) }))
-listen(`${settings.ipAddress}:${metricsPort}`, createServer((_request, response) => {
-  metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
-  metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
-  metrics.setGauge('is_scheduler', election.getLeader() === settings.hostId ? 1 : 0)
-  response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(metrics.getText())
+listen(`${settings.ipAddress}:${metricsPort}`, createServer((request, response) => {
+  if (request.url === '/status') response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(getStatus()))
+  else response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(getMetrics())
 }))
 process.on('SIGTERM', () => { void stop() })
 process.on('SIGHUP', reloadSettings)
@@ -121,6 +118,27 @@
   })
 }
 
+function getMetrics (): string {
+  metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
+  metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
+  metrics.setGauge('is_scheduler', currentTerm?.isValid() === true ? 1 : 0)
+  return metrics.getText()
+}
+
+/** What operators see of this host; the host that schedules also says what it does. */
+function getStatus (): object {
+  return {
+    host: settings.hostId,
+    scheduler: election.getLeader(),
+    configurationVersion: configuration.get()?.version,
+    configurationAgeMs: Math.round(configuration.getAgeMs()),
+    isStoreReached: configuration.isStoreReached(),
+    isStoreReachedThroughPeers: reachableStore.isDirectOut() && configuration.isStoreReached(),
+    peers: directory.getPeers().map(({ hostId }) => hostId),
+    ...(currentTerm?.isValid() === true ? { scheduling: scheduler?.getStatus() } : {})
+  }
+}
+
 /**
  * A fault of the program. The scheduler's state may be wrong, so another host starts from what is stored; callers are served on,
  * since that part keeps nothing between two calls.
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -235,3 +235,18 @@
   await waitForState('gang', JobState.Complete, 10_000)
   expect(rig.world.violations).toEqual([])
 })
+
+test('the status names the term, the workers, what waits, and guarantees lent out', async () => {
+  const whole = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await startRig({ workers: 3, getRun: () => ({ workMs: 4_000, how: EndKind.Done }) })
+  rig.setDraining('worker-2', true)
+  await submit(makeJob('mill-urgent', 'urgent', [makeStep({ request: whole, estimateMs: 4_000 })]))
+  await submit(makeJob('long', 'batch', [makeStep({ count: 3, request: whole, estimateMs: 4_000 })]))
+  await run(1_000)
+  const status = rig.hosts.get(getLeader())?.getScheduler()?.getStatus()
+  expect(status?.epoch).toBe(rig.hosts.get(getLeader())?.getTerm()?.epoch)
+  expect(status?.workers).toEqual({ listed: 3, reachable: 3, draining: 1, heldBack: [] })
+  expect(status?.waiting).toEqual([{ queue: 'batch', units: 2, oldestWaitMs: expect.any(Number) }])
+  expect(status?.waiting[0]?.oldestWaitMs).toBeGreaterThan(900)
+  expect(status?.guarantees).toEqual([{ organisation: 'mill', guaranteed: 16, usedByUrgentWork: 8, lentOut: 8 }])
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -20,6 +20,8 @@
 import { countPending, createJobTable } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRunControl } from './runControl.js'
+import { describeScheduler } from './schedulerStatus.js'
+import type { SchedulerStatus } from './schedulerStatus.js'
 import { createWorkerPool } from './workerPool.js'
 
 /** The figures of the deployment that the scheduler keeps to. */
@@ -52,6 +54,7 @@
 export interface Scheduler extends Evacuation {
   /** The list of workers or the configuration has changed. */
   refresh (): void
+  getStatus (): SchedulerStatus
 }
 
 /** The plan is looked at this often even when nothing happened, in ms; waits and occurrences are counted in it. */
@@ -141,7 +144,7 @@
   })
   const evacuation = createEvacuation({ getBook: workerId => pool.books.get(workerId), getMembers: control.getMembers, stopAttempt: control.stopAttempt, noticeMs: host.bounds.noticeMs })
   void start()
-  return { refresh, ...evacuation }
+  return { refresh, getStatus, ...evacuation }
 
   async function start (): Promise<void> {
     await table.load()
@@ -173,6 +176,18 @@
     schedulePlan()
   }
 
+  function getStatus (): SchedulerStatus {
+    return describeScheduler({
+      epoch: term.epoch,
+      startedAtMs,
+      books: pool.books.values(),
+      unfinishedJobs: table.getUnfinished(),
+      heldBack: health.getQuarantined(performance.now()),
+      organisations: host.getConfiguration()?.organisations ?? [],
+      getQueue
+    })
+  }
+
   async function onLook (book: WorkerBook, look: WorkerLook, sentAtMs: number, isWhole: boolean): Promise<void> {
     const stored = control.onLook(book, look, sentAtMs, isWhole)
     const members = control.getMembers(book.info.workerId)
--- /dev/null
+++ b/src/runs/schedulerStatus.ts
@@ -0,0 +1,68 @@
+/** What operators ask of the scheduling host: its term, the workers that it does not use and why, what waits, and guarantees lent out. */
+import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
+import { getUnits, isWaiting } from '../jobs/trackedJob.js'
+import type { TrackedJob } from '../jobs/trackedJob.js'
+import type { WorkerBook } from '../workers/workerBook.js'
+
+/** Times are in ms. */
+export interface SchedulerStatus {
+  readonly epoch: number
+  readonly scheduledForMs: number
+  readonly workers: {
+    readonly listed: number
+    readonly reachable: number
+    readonly draining: number
+    readonly heldBack: readonly { readonly workerId: string, readonly reason: string }[]
+  }
+  /** Queues with work that waits. */
+  readonly waiting: readonly { readonly queue: string, readonly units: number, readonly oldestWaitMs: number }[]
+  /** Accelerators by organisation; what is guaranteed and not used is lent to others. */
+  readonly guarantees: readonly { readonly organisation: string, readonly guaranteed: number, readonly usedByUrgentWork: number, readonly lentOut: number }[]
+}
+
+/** What the status is made of. */
+export interface SchedulerStatusHost {
+  readonly epoch: number
+  readonly startedAtMs: number
+  readonly books: Iterable<WorkerBook>
+  readonly unfinishedJobs: Iterable<TrackedJob>
+  readonly heldBack: SchedulerStatus['workers']['heldBack']
+  readonly organisations: readonly OrganisationSettings[]
+  readonly getQueue: (job: TrackedJob) => QueueSettings | undefined
+}
+
+/** Describes the scheduler as it stands. */
+export function describeScheduler (host: SchedulerStatusHost): SchedulerStatus {
+  const nowMs = performance.now()
+  const books = [...host.books]
+  const jobs = [...host.unfinishedJobs]
+  return {
+    epoch: host.epoch,
+    scheduledForMs: Math.round(nowMs - host.startedAtMs),
+    workers: {
+      listed: books.filter(book => book.isListed).length,
+      reachable: books.filter(book => book.isReachable).length,
+      draining: books.filter(book => book.isListed && book.info.isDraining).length,
+      heldBack: host.heldBack
+    },
+    waiting: getWaiting(jobs, nowMs),
+    guarantees: host.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0).map(organisation => getGuarantee(organisation, jobs, host))
+  }
+}
+
+function getWaiting (jobs: readonly TrackedJob[], nowMs: number): SchedulerStatus['waiting'] {
+  const byQueue = new Map<string, { units: number, oldestWaitMs: number }>()
+  for (const unit of jobs.flatMap(getUnits).filter(isWaiting)) {
+    const { queue } = unit.job.spec
+    const known = byQueue.get(queue) ?? { units: 0, oldestWaitMs: 0 }
+    byQueue.set(queue, { units: known.units + 1, oldestWaitMs: Math.max(known.oldestWaitMs, Math.round(nowMs - unit.waitingSinceMs)) })
+  }
+  return [...byQueue].map(([queue, counts]) => ({ queue, ...counts }))
+}
+
+function getGuarantee ({ name, guaranteedAccelerators }: OrganisationSettings, jobs: readonly TrackedJob[], host: SchedulerStatusHost): SchedulerStatus['guarantees'][number] {
+  const urgent = jobs.filter(job => job.spec.organisation === name && host.getQueue(job)?.priority === 0)
+  const attempts = urgent.flatMap(getUnits).flatMap(unit => unit.attempts)
+  const used = attempts.reduce((sum, { unit }) => sum + unit.size * unit.spec.request.accelerators, 0)
+  return { organisation: name, guaranteed: guaranteedAccelerators, usedByUrgentWork: used, lentOut: Math.max(0, guaranteedAccelerators - used) }
+}
--- a/src/testing/poolRig.ts
+++ b/src/testing/poolRig.ts
@@ -26,6 +26,8 @@
   kill (): void
   stop (): Promise<void>
   getTerm (): Term | undefined
+  /** The scheduler of the host's last term. */
+  getScheduler (): Scheduler | undefined
 }
 
 /** The rig. */
@@ -190,6 +192,7 @@
       hostId,
       intake,
       getTerm: () => term,
+      getScheduler: () => scheduler,
       kill: () => {
         isDead = true
         hosts.delete(hostId)
