Leave the term to another host when the takeover is not done in 6 s, and let larger hosts stand first

After all hosts had lost power nothing was served, and cancelled work ran on. 33 of the 40 hosts have links of 7 Mbit/s, on which a page of 1 MB takes 1.2 s; each call of the store ended after 0.9 s, so such a host, once elected, could never read what is stored, and kept its lease. Now: lists may take 3.5 s; a host that has not taken over after 6 s resigns and does not stand for 20 s; hosts under half a core or 50 Mbit/s stand 0.25 s later. Test: runs/scheduler.test.ts, 'a host that cannot read what is stored', failed before; election/leaderElection.test.ts.

--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -36,8 +36,8 @@
   return { client, getCalls: () => calls }
 }
 
-function stand (hostId: string, client: MetadataStore): LeaderElection {
-  return createLeaderElection({ store: client, hostId, logger: silentLogger, random: () => 0.5, onElected: () => {} })
+function stand (hostId: string, client: MetadataStore, isSmall = false): LeaderElection {
+  return createLeaderElection({ store: client, hostId, logger: silentLogger, random: () => 0.5, isSmall, onElected: () => {} })
 }
 
 /** Other keys change every second, and every five seconds the store forgets what was before. */
@@ -86,6 +86,15 @@
   await run(1_500)
 })
 
+test('a large host is elected before a small one that stands as early', async () => {
+  const elections = [stand('small', store.connect('small'), true), stand('large', store.connect('large'))]
+  await run(1_000)
+  expect(store.peek(leaderKey)).toBe('large')
+  const stopped = Promise.all(elections.map(async election => { await election.stop() }))
+  await run(2_500)
+  await stopped
+})
+
 test('after an outage in which leases stand still, a scheduler is elected as soon as the store is back', async () => {
   const elections = ['host-0', 'host-1'].map(hostId => stand(hostId, store.connect(hostId)))
   await run(1_000)
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -14,6 +14,8 @@
   readonly hostId: string
   readonly logger: Logger
   readonly random: () => number
+  /** A host that is small for the duty lets larger ones come first. */
+  readonly isSmall: boolean
   /** Runs the term; called once for each. */
   readonly onElected: (term: Term) => void
 }
@@ -58,6 +60,8 @@
 const distanceFactor = 6
 /** The longest wait for the distance, in ms. */
 const maxDistanceWaitMs = 400
+/** A small host waits so much longer, in ms: larger ones in any region have stood by then. */
+const smallHostWaitMs = 250
 /** Spread of the candidates' first calls, in ms. */
 const candidateSpreadMs = 40
 
@@ -116,7 +120,7 @@
 
   async function stand (): Promise<void> {
     const distanceMs = Math.min(maxDistanceWaitMs, roundTripMs * distanceFactor) + candidateSpreadMs * host.random()
-    const waitMs = Math.max(distanceMs, asideUntilMs - performance.now())
+    const waitMs = Math.max(distanceMs + (host.isSmall ? smallHostWaitMs : 0), asideUntilMs - performance.now())
     await delay(waitMs, stopping.signal)
     if (stopping.signal.aborted || (await readLeader()).found !== undefined) return
     const clock = createLeaseClock()
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -32,6 +32,9 @@
 const leaveNoticeMs = 2_600
 /** It ends so long before the platform kills it, in ms. */
 const killMarginMs = 1_200
+/** Hosts below these are small for scheduling: at 246 workers it took up to 0.43 of a core and 3 Mbit/s, and reads of 1 MB. */
+const smallCpuShare = 0.5
+const smallLinkMbps = 50
 /** After a fault a host does not stand as scheduler for so long, in ms: others have been elected by then. */
 const faultAsideMs = 5_000
 
@@ -61,7 +64,14 @@
   signal: stopping.signal
 })
 const intake = createJobIntake({ store: reachableStore, logger: logger.part('jobs') })
-const election = createLeaderElection({ store, hostId: settings.hostId, logger: logger.part('election'), random: Math.random, onElected: startTerm })
+const election = createLeaderElection({
+  store,
+  hostId: settings.hostId,
+  logger: logger.part('election'),
+  random: Math.random,
+  isSmall: settings.cpuShare < smallCpuShare || settings.linkMbps < smallLinkMbps,
+  onElected: startTerm
+})
 const handle = createWireCallers({ getConfiguration: configuration.get, intake, logger: logger.part('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const callers = listen(settings.callersAddress, createServer((request, response) => { void handle(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
--- a/src/platform/wireSettings.ts
+++ b/src/platform/wireSettings.ts
@@ -12,7 +12,7 @@
   region: z._default(z.string(), ''),
   portRange: z._default(z.tuple([z.int(), z.int()]), [7_000, 7_015]),
   listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
-  limits: z._default(z.object({ cpuShare: z._default(z.number(), 1) }), { cpuShare: 1 }),
+  limits: z._default(z.object({ cpuShare: z._default(z.number(), 1), linkMbps: z._default(z.number(), 1_000) }), { cpuShare: 1, linkMbps: 1_000 }),
   bounds: z.object({
     contactMs: z._default(z.number(), 4_000),
     drainMs: z._default(z.number(), 2_500),
@@ -48,6 +48,7 @@
   /** Where this host takes calls of its peers. */
   readonly peersPort: number
   readonly cpuShare: number
+  readonly linkMbps: number
   readonly graceMs: number
   readonly configMs: number
   readonly maxLeaseMs: number
@@ -87,6 +88,7 @@
     storeAddress: platform.addr,
     peersPort: portRange[1],
     cpuShare: limits.cpuShare,
+    linkMbps: limits.linkMbps,
     graceMs: bounds.graceS * 1_000,
     configMs: bounds.configMs,
     maxLeaseMs: bounds.holdMaxMs,
--- a/src/platform/wireStore.ts
+++ b/src/platform/wireStore.ts
@@ -7,6 +7,8 @@
 
 /** A call of the store ends after so long, in ms: ten times its slow answers would still end in a caller's patience. */
 const callTimeoutMs = 900
+/** A page of 1 MB takes over a second on a link of 7 Mbit/s, so a range may take longer, in ms. */
+const rangeTimeoutMs = 3_500
 /** A waiting call's answer may come so much later than its wait, in ms. */
 const watchGraceMs = 600
 const maxConnections = 12
@@ -27,8 +29,8 @@
 
   return { get, range, watch, transact, grantLease, keepLease, endLease }
 
-  async function send (call: Omit<WireCall, 'timeoutMs'>, ...accepted: readonly number[]): Promise<WireAnswer> {
-    const answer = await calls.call({ ...call, timeoutMs: callTimeoutMs })
+  async function send (call: Omit<WireCall, 'timeoutMs'> & { readonly timeoutMs?: number }, ...accepted: readonly number[]): Promise<WireAnswer> {
+    const answer = await calls.call({ ...call, timeoutMs: call.timeoutMs ?? callTimeoutMs })
     return check(answer, call.path, accepted)
   }
 
@@ -39,7 +41,7 @@
 
   async function range (prefix: string, after?: string): Promise<StorePage> {
     const next = after === undefined ? '' : `&after=${encodeURIComponent(after)}`
-    const answer = await send({ method: 'GET', path: `/sassafrasford/kv-range?prefix=${encodeURIComponent(prefix)}${next}` })
+    const answer = await send({ method: 'GET', path: `/sassafrasford/kv-range?prefix=${encodeURIComponent(prefix)}${next}`, timeoutMs: isList(prefix) ? rangeTimeoutMs : callTimeoutMs })
     const page = decode(rangeSchema, answer.body)
     return { items: page.items.map(toItem), hasMore: page.morePages, revision: page.currentRev }
   }
@@ -82,6 +84,11 @@
   }
 }
 
+/** A prefix that ends like a folder lists many keys; others name one. */
+function isList (prefix: string): boolean {
+  return prefix.endsWith('/')
+}
+
 /** Only 429 and 503 say that nothing was done. */
 function check (answer: WireAnswer, path: string, accepted: readonly number[]): WireAnswer {
   const { status } = answer
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -250,3 +250,18 @@
   expect(status?.waiting[0]?.oldestWaitMs).toBeGreaterThan(900)
   expect(status?.guarantees).toEqual([{ organisation: 'mill', guaranteed: 16, usedByUrgentWork: 8, lentOut: 8 }])
 })
+
+test('a host that cannot read what is stored leaves the term to one that can', async () => {
+  await startRig({ workers: 2 }, 3)
+  const leader = getLeader()
+  const [slow, ...others] = [...rig.hosts.keys()].filter(hostId => hostId !== leader)
+  rig.store.setListsOut(slow ?? '', true)
+  rig.hosts.get(leader)?.kill()
+  for (const hostId of others) rig.store.setOut(true, hostId)
+  await run(3_500)
+  expect(getLeader()).toBe(slow)
+  for (const hostId of others) rig.store.setOut(false, hostId)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await waitForState('a', JobState.Complete, 12_000)
+  expect(others).toContain(getLeader())
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -61,6 +61,13 @@
 const tickMs = 100
 /** After a plan the next one waits so many times as long as it took, so that planning leaves time for orders and looks. */
 const planRestFactor = 2
+/**
+ * A host that has not taken over after so long leaves it to another, in ms: its link may be too slow for what is stored.
+ * Longer than any read of the store may take.
+ */
+const takeoverLimitMs = 6_000
+/** It does not stand again for so long, in ms: others have had their turn. */
+const takeoverAsideMs = 20_000
 /** Planning starts when so much time has passed since the term's start, in ms, also if some workers have not answered. */
 const settleLimitMs = 700
 
@@ -147,6 +154,9 @@
   return { refresh, getStatus, ...evacuation }
 
   async function start (): Promise<void> {
+    void delay(takeoverLimitMs, term.signal).then(() => {
+      if (!isLoaded) term.resign(`the takeover is not done after ${takeoverLimitMs} ms`, takeoverAsideMs)
+    })
     await table.load()
     // Without the configuration a queue's attempts are not known, and one failure would end its jobs.
     while ((host.getWorkers() === undefined || host.getConfiguration() === undefined) && !term.signal.aborted) await delay(20)
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -40,7 +40,7 @@
   close (): void
 }
 
-/** How long a look waits for an end, in ms: half of the shortest lease that the pages name, and a cut is seen in under 2 s. */
+/** How long a look waits for an end, in ms: a quarter of the shortest lease of today's workers, and a cut is seen in under 2 s. */
 const lookWaitMs = 1_500
 /** Pause after a look that failed, in ms: a cut of a moment is noticed as over within it. */
 const retryPauseMs = 300
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -9,6 +9,8 @@
   connect (hostId: string): MetadataStore
   /** Turns every call of a host, or of all, away without doing anything. */
   setOut (isOut: boolean, hostId?: string): void
+  /** Lists are never answered in time to a host, as on a slow link. */
+  setListsOut (hostId: string, isOut: boolean): void
   /** Turns all calls away; leases stand still meanwhile. */
   pause (isPaused: boolean): void
   /** The next so many writes of a host are done after `lateMs`, and not answered. */
@@ -41,6 +43,7 @@
   const leases = new Map<number, Lease>()
   const history: Change[] = []
   const outHosts = new Set<string>()
+  const listsOutHosts = new Set<string>()
   const lostWrites = new Map<string, { left: number, lateMs: number }>()
   let isOut = false
   let pausedAtMs = 0
@@ -48,7 +51,7 @@
   let firstRevision = 1
   let nextLease = 1
 
-  return { connect, setOut, pause, loseWrites, lapseLeases, compact, peek: key => items.get(key)?.value, write }
+  return { connect, setOut, setListsOut, pause, loseWrites, lapseLeases, compact, peek: key => items.get(key)?.value, write }
 
   function setOut (isOutNow: boolean, hostId?: string): void {
     if (hostId === undefined) isOut = isOutNow
@@ -56,6 +59,11 @@
     else outHosts.delete(hostId)
   }
 
+  function setListsOut (hostId: string, isOutNow: boolean): void {
+    if (isOutNow) listsOutHosts.add(hostId)
+    else listsOutHosts.delete(hostId)
+  }
+
   function pause (isPaused: boolean): void {
     if (isPaused) pausedAtMs = Date.now()
     else for (const lease of leases.values()) lease.endsAtMs += Date.now() - pausedAtMs
@@ -118,6 +126,7 @@
 
     async function range (prefix: string, after = ''): Promise<{ items: readonly StoredItem[], hasMore: boolean, revision: number }> {
       await enter()
+      if (prefix.endsWith('/') && listsOutHosts.has(hostId)) throw createError(ErrorKind.AnswerLost, 'the list takes too long')
       const found = [...items.values()].filter(item => item.key.startsWith(prefix) && item.key > after).sort((left, right) => left.key < right.key ? -1 : 1)
       return { items: found.slice(0, maxItemsOfPage), hasMore: found.length > maxItemsOfPage, revision }
     }
--- a/src/testing/poolRig.ts
+++ b/src/testing/poolRig.ts
@@ -174,6 +174,7 @@
       hostId,
       logger: logger.part(hostId),
       random: () => 0.5,
+      isSmall: false,
       onElected: elected => {
         term = elected
         scheduler = createScheduler({
