--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -47,6 +47,7 @@
   const store = createMemoryStore()
   const jobs = new Map<string, JobSpec>()
   const draining = new Set<PoolWorker>()
+  const addresses = new Map<PoolWorker, string>()
   const world: PoolWorld = {
     getRun: options.getRun,
     getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
@@ -120,5 +121,3 @@
     for (const server of servers) server.close()
   }
 }
-
-const addresses = new WeakMap<PoolWorker, string>()
