Let the report of a worker's new incarnation decide which of its runs are lost

Cause: a worker that starts anew under its id is shown by its next status report or by the list. Change: the report is applied as any other: runs that were listed and are not any more are lost, those with a start request under way stay until an answer, a report or a stop excludes the start. Reports of an earlier life are ignored; a worker whose new life the list does not describe yet gets no new work. Ends are acknowledged only within 1 s of the last report: the numbers of ends begin anew, so the first poll after an idle time could have made a new life forget ends that nobody had read.

--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -236,6 +236,61 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+test('a run that starts on a worker which has restarted since it was planned is not started elsewhere', async () => {
+  await startHarness({ workers: 2, getRun: () => ({ workMs: 2_000, how: EndKind.Done }) })
+  await run(1_000)
+  // The list still shows the old incarnations; their links are idle, so no poll has failed.
+  for (const worker of harness.workers.values()) worker.restart()
+  await submit(makeJob('a', 'batch', [makeStep({ count: 4, estimateMs: 2_000 })]))
+  await run(500)
+  for (const workerId of harness.workers.keys()) harness.setListed(workerId, true)
+  await waitForState('a', JobState.Complete, 4_000)
+  expect([...harness.poolState.starts.values()]).toEqual([1, 1, 1, 1])
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('the list of workers alone does not end a run that has reached the new incarnation', async () => {
+  await startHarness({ workers: 2, getRun: () => ({ workMs: 2_000, how: EndKind.Done }) })
+  await run(1_000)
+  for (const worker of harness.workers.values()) worker.restart()
+  const submitted = harness.submit(makeJob('a', 'batch', [makeStep({ count: 4, estimateMs: 2_000 })]))
+  for (let elapsedMs = 0; elapsedMs < 500 && harness.poolState.starts.size < 4; elapsedMs += 1) await jest.advanceTimersByTimeAsync(1)
+  for (const workerId of harness.workers.keys()) harness.setListed(workerId, true)
+  await submitted
+  await waitForState('a', JobState.Complete, 4_000)
+  expect([...harness.poolState.starts.values()]).toEqual([1, 1, 1, 1])
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('runs of a worker that restarts under its id run again, also while the list shows its old incarnation', async () => {
+  await startHarness({ workers: 2, getRun: () => ({ workMs: 2_000, how: EndKind.Done }) })
+  await submit(makeJob('a', 'batch', [makeStep({ count: 2, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }, estimateMs: 2_000 })]))
+  await run(1_000)
+  const before = harness.poolState.starts.size
+  harness.workers.get('worker-0')?.restart()
+  await run(1_000)
+  harness.setListed('worker-0', true)
+  await waitForState('a', JobState.Complete, 6_000)
+  expect(before).toBe(2)
+  expect([...harness.poolState.starts.values()].sort()).toEqual([1, 2])
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('ends of a new incarnation are not acknowledged before they have been read', async () => {
+  await startHarness({ workers: 1, getRun: () => ({ workMs: 100, how: EndKind.Done }) })
+  for (const jobId of ['a', 'b', 'c']) {
+    await submit(makeJob(jobId, 'batch', [makeStep({ estimateMs: 100 })]))
+    await waitForState(jobId, JobState.Complete, 2_000)
+  }
+  await run(2_000)
+  harness.workers.get('worker-0')?.restart()
+  harness.workers.get('worker-0')?.losePolls(400)
+  await submit(makeJob('d', 'batch', [makeStep({ estimateMs: 100 })]))
+  await waitForState('d', JobState.Complete, 3_000)
+  expect(harness.poolState.starts.get('d.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 test('the status shows the term, the workers, waiting units and lent guarantees', async () => {
   const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
   await startHarness({ workers: 3, getRun: () => ({ workMs: 4_000, how: EndKind.Done }) })
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -20,8 +20,10 @@
   /** Resolves when every end in the report is stored. `isComplete` is false when the worker has more ends to report. */
   readonly onReport: (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   readonly onReachable: (isReachable: boolean) => void
-  /** Called when another incarnation has answered: the runs of this one are gone. */
-  readonly onRestarted: () => void
+  /** Called when the worker reports that it has started anew under its id. The report is applied afterwards: it decides which runs are lost. */
+  readonly onRestarted: (bornAtMs: number) => void
+  /** Called when a worker with another id answers at the address: the runs of this one are gone. */
+  readonly onReplaced: () => void
   /** Called when the worker does not answer and its lease has certainly expired, allowing for clock differences. */
   readonly onLeaseExpired: () => void
 }
@@ -35,6 +37,8 @@
   getLeaseUntilMs (): number | undefined
   /** Records that a request that extends the lease is being sent. */
   recordLeaseExtension (): void
+  /** Records that the worker has started anew under its id; reports of earlier incarnations are then ignored. */
+  expectIncarnation (bornAtMs: number): void
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
   close (): void
@@ -44,6 +48,11 @@
 const pollWaitMs = 1_500
 /** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
 const retryPauseMs = 300
+/**
+ * Ends are acknowledged only to a worker that has reported within this, in ms: one that has started anew since numbers its ends anew,
+ * and would forget ends that were never read.
+ */
+const acknowledgementValidityMs = 1_000
 /** Factor by which a lease may outlast its requested length, as the workers' protocol allows clocks that are 2 % slow. */
 const slowClockFactor = 1.02
 /** Added to the end of a lease, in ms, for the error in the estimate of the worker's clock. */
@@ -53,7 +62,9 @@
 export function createWorkerLink (host: WorkerLinkHost): WorkerLink {
   const { term, port, logger, info } = host
   const changed = createSignal()
+  let { bornAtMs } = info
   let storedSequence = 0
+  let reportedAtMs = -Infinity
   let clock: { readonly workerMs: number, readonly readAtMs: number } | undefined
   let hasAnswered = false
   let isReachable = false
@@ -63,7 +74,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, getLeaseUntilMs, recordLeaseExtension, isSettled: () => hasAnswered || isLeaseOver, close }
+  return { port, wake: changed.notify, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, isSettled: () => hasAnswered || isLeaseOver, close }
 
   function close (): void {
     isClosed = true
@@ -71,6 +82,13 @@
     port.close()
   }
 
+  function expectIncarnation (newBornAtMs: number): void {
+    if (newBornAtMs <= bornAtMs) return
+    bornAtMs = newBornAtMs
+    storedSequence = 0
+    changed.notify()
+  }
+
   function getLatestLeaseEndMs (): number {
     return performance.now() + host.maxLeaseMs * slowClockFactor + clockMarginMs
   }
@@ -104,7 +122,8 @@
     const leaseUntilMs = isReachable ? getLeaseUntilMs() : undefined
     if (leaseUntilMs !== undefined) recordLeaseExtension()
     try {
-      const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence: storedSequence, leaseUntilMs, waitMs: isReachable ? pollWaitMs : 0 })
+      const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
+      const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs: isReachable ? pollWaitMs : 0 })
       if (!isClosed) await applyReport(report, sentAtMs)
     } catch (error) {
       if (!isClosed && !term.signal.aborted) await onFailure(error)
@@ -112,14 +131,18 @@
   }
 
   async function applyReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
-    clock = { workerMs: report.clockMs, readAtMs: performance.now() }
-    if (report.bornAtMs !== undefined && report.bornAtMs !== info.bornAtMs) {
-      logger.warn('worker restarted', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: info.bornAtMs })
-      isLeaseOver = true
-      host.onRestarted()
+    if (report.bornAtMs !== undefined && report.bornAtMs < bornAtMs) {
+      logger.info('report of an earlier incarnation ignored', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: bornAtMs })
       await delay(retryPauseMs)
       return
     }
+    if (report.bornAtMs !== undefined && report.bornAtMs > bornAtMs) {
+      logger.warn('worker restarted', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: bornAtMs })
+      expectIncarnation(report.bornAtMs)
+      host.onRestarted(report.bornAtMs)
+    }
+    reportedAtMs = performance.now()
+    clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
     hasAnswered = true
     isLeaseOver = false
     const isComplete = report.ended.length < maxEndsPerReport
@@ -128,7 +151,9 @@
       isReachable = true
       host.onReachable(true)
     }
+    const reportingBornAtMs = bornAtMs
     await stored
+    if (bornAtMs !== reportingBornAtMs) return
     for (const end of report.ended) storedSequence = Math.max(storedSequence, end.sequence)
   }
 
@@ -144,7 +169,7 @@
     }
     if (isOtherIncarnation(error) && !isLeaseOver) {
       isLeaseOver = true
-      host.onRestarted()
+      host.onReplaced()
     }
     if (!isLeaseOver && performance.now() > latestLeaseEndMs && term.isValid()) {
       isLeaseOver = true
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -82,12 +82,12 @@
 
   function addOrUpdate (info: ListedWorker): void {
     const worker = workers.get(info.workerId)
-    if (worker === undefined || worker.info.bornAtMs < info.bornAtMs) {
-      if (worker !== undefined) replaceIncarnation(worker)
+    if (worker === undefined) {
       addWorker(info)
       return
     }
     if (worker.info.bornAtMs > info.bornAtMs) return
+    if (worker.info.bornAtMs < info.bornAtMs) logger.info('worker listed with a new incarnation', { workerId: info.workerId, bornAtMs: info.bornAtMs })
     if (worker.info.address !== info.address) {
       // Its address was unknown, because the worker was only known from stored attempts, or it has changed.
       links.get(info.workerId)?.close()
@@ -95,6 +95,9 @@
       worker.isReachable = false
       addLink(worker)
     }
+    // Start requests may have reached the new incarnation, so its report decides which runs are lost.
+    links.get(info.workerId)?.expectIncarnation(info.bornAtMs)
+    if (info.bornAtMs >= worker.reportedBornAtMs) worker.isIncarnationListed = true
     if (worker.info.isDraining !== info.isDraining) logger.info('draining state of a worker changed', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
     worker.info = info
     worker.isListed = true
@@ -120,7 +123,11 @@
         worker.isReachable = isReachable
         host.onChanged()
       },
-      onRestarted: () => {
+      onRestarted: bornAtMs => {
+        worker.reportedBornAtMs = bornAtMs
+        worker.isIncarnationListed = worker.info.bornAtMs >= bornAtMs
+      },
+      onReplaced: () => {
         worker.isReachable = false
         host.onLost(worker)
       },
@@ -132,12 +139,6 @@
     links.set(info.workerId, link)
   }
 
-  function replaceIncarnation (worker: WorkerState): void {
-    logger.info('worker listed with a new incarnation', { workerId: worker.info.workerId })
-    host.onLost(worker)
-    removeWorker(worker)
-  }
-
   function removeWorker (worker: WorkerState): void {
     links.get(worker.info.workerId)?.close()
     links.delete(worker.info.workerId)
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -97,6 +97,10 @@
     }
   }
 
+  function areLeasesValid ({ writes }: Transaction): boolean {
+    return writes.every(({ leaseId }) => leaseId === undefined || leases.has(leaseId))
+  }
+
   function apply (transaction: Transaction): TransactionResult {
     const isExpectedState = transaction.expected.every(({ key, revision: expected }) => (items.get(key)?.revision ?? 0) === expected)
     if (!isExpectedState) return { isCommitted: false, items: transaction.expected.flatMap(({ key }) => items.get(key) ?? []) }
@@ -147,11 +151,14 @@
       await checkAvailable()
       const entries = transaction.expected.length + transaction.writes.length + (transaction.removes?.length ?? 0)
       if (entries > maxTransactionEntries) throw createError(ErrorKind.BadRequest, 'the transaction has too many entries')
-      if (transaction.writes.some(({ leaseId }) => leaseId !== undefined && !leases.has(leaseId))) throw createError(ErrorKind.NotFound, 'the lease does not exist or has expired')
+      if (!areLeasesValid(transaction)) throw createError(ErrorKind.NotFound, 'the lease does not exist or has expired')
       const writeFault = writeFaults.get(hostId)
       if (writeFault === undefined || writeFault.left === 0) return apply(transaction)
       writeFault.left--
-      setTimeout(() => { apply(transaction) }, writeFault.lateMs)
+      setTimeout(() => {
+        removeExpiredLeases()
+        if (areLeasesValid(transaction)) apply(transaction)
+      }, writeFault.lateMs)
       throw createError(ErrorKind.AnswerLost, 'the response of the transaction was lost')
     }
 
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -38,6 +38,8 @@
   delayStarts (count: number, lateMs: number): void
   /** Drops all runs and state, as a restart does; the worker continues with a higher `bornAtMs`. */
   restart (): ListedWorker
+  /** Polls get no response for `forMs` and are not executed; other calls are. */
+  losePolls (forMs: number): void
   /** Suspends the progress of all runs. */
   setStalled (isStalled: boolean): void
   stop (): void
@@ -66,6 +68,7 @@
   let ended: EndedRun[] = []
   let sequence = 0
   let epoch = 0
+  let pollsLostUntilMs = -Infinity
   let leaseUntilMs = 0
   let leaseExpiredAtMs = -Infinity
   const endedAtMs = new Map<number, number>()
@@ -79,6 +82,7 @@
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs) => { delayedStarts = { left: count, lateMs } },
     restart,
+    losePolls: forMs => { pollsLostUntilMs = getClockMs() + forMs },
     setStalled: isStalledNow => { isStalled = isStalledNow },
     stop: () => { clearInterval(timer) }
   }
@@ -137,8 +141,7 @@
   }
 
   function connect (): WorkerPort {
-    const connectedBornAtMs = info.bornAtMs
-    return { start, stop, renewLease, pace: async () => { await checkReachable(connectedBornAtMs) }, close: () => {} }
+    return { start, stop, renewLease, pace: async () => { await checkReachable(info.bornAtMs) }, close: () => {} }
   }
 
   async function checkReachable (connectedBornAtMs: number): Promise<void> {
@@ -147,7 +150,7 @@
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the worker is not reachable')
     }
-    if (connectedBornAtMs !== info.bornAtMs) throw createError(ErrorKind.Conflict, 'the worker has restarted since the client connected')
+    if (connectedBornAtMs !== info.bornAtMs) throw createError(ErrorKind.AnswerLost, 'the worker has restarted since the call arrived')
   }
 
   async function start (startRequest: StartRequest): Promise<TimestampedResponse<StartResult>> {
@@ -216,6 +219,10 @@
   async function renewLease (renewal: LeaseRenewal): Promise<WorkerStatusReport> {
     const connectedBornAtMs = info.bornAtMs
     await checkReachable(connectedBornAtMs)
+    if (getClockMs() < pollsLostUntilMs) {
+      await delay(20)
+      throw createError(ErrorKind.AnswerLost, 'the poll got no response')
+    }
     if (renewal.epoch < epoch) throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
     epoch = renewal.epoch
     const nowMs = getClockMs()
--- a/src/workers/workerState.ts
+++ b/src/workers/workerState.ts
@@ -15,6 +15,10 @@
   /** Allocations by task and run. */
   readonly allocations: Map<string, Allocation>
   isListed: boolean
+  /** The latest incarnation that has reported, by its start as Unix time in ms; -Infinity before the first restart in this term. */
+  reportedBornAtMs: number
+  /** The list describes the incarnation that reports: one that has started anew may have another capacity. */
+  isIncarnationListed: boolean
   /** It has reported its state in this term and answers requests. */
   isReachable: boolean
   /** It gets no new work for a time because its runs failed, stalled or were slow, or because it refused a start as unhealthy. */
@@ -25,12 +29,12 @@
 
 /** Creates the record of a worker that has not yet reported its state. */
 export function createWorkerState (info: ListedWorker): WorkerState {
-  return { info, allocations: new Map(), isListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false }
+  return { info, allocations: new Map(), isListed: true, reportedBornAtMs: -Infinity, isIncarnationListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false }
 }
 
 /** Tells whether new work may be started on a worker. */
 export function isUsable (worker: WorkerState): boolean {
-  return worker.isListed && worker.isReachable && !worker.isQuarantined && !worker.isInMaintenance && !worker.info.isDraining
+  return worker.isListed && worker.isIncarnationListed && worker.isReachable && !worker.isQuarantined && !worker.isInMaintenance && !worker.info.isDraining
 }
 
 /** The key of a run's allocation. */
