--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -76,7 +76,7 @@
     expireLeases()
     if (Buffer.byteLength(write.value) > maxValueBytes) throw createError(ErrorKind.TooLarge, 'the value is larger than 1 MB')
     checkRevision(write.key, write.expectedRevision)
-    if (write.leaseId !== undefined) attachLease(write.key, write.leaseId)
+    attachLease(write.key, write.leaseId)
     revision++
     const entry = { key: write.key, value: write.value, revision }
     entries.set(write.key, entry)
@@ -141,17 +141,24 @@
     for (const key of lease?.keys ?? []) removeKey(key)
   }
 
-  function attachLease (key: string, leaseId: string): void {
-    const lease = leases.get(leaseId)
-    if (lease === undefined) throw createError(ErrorKind.NotFound, 'the lease does not exist or has expired')
-    lease.keys.add(key)
+  /** Attaches the key to the lease of its latest write, or to none. */
+  function attachLease (key: string, leaseId: string | undefined): void {
+    const lease = leaseId === undefined ? undefined : leases.get(leaseId)
+    if (leaseId !== undefined && lease === undefined) throw createError(ErrorKind.NotFound, 'the lease does not exist or has expired')
+    detachLease(key)
+    if (leaseId === undefined) return
+    lease?.keys.add(key)
     leaseIdsByKey.set(key, leaseId)
   }
 
-  function removeKey (key: string): void {
-    if (!entries.delete(key)) return
+  function detachLease (key: string): void {
     leases.get(leaseIdsByKey.get(key) ?? '')?.keys.delete(key)
     leaseIdsByKey.delete(key)
+  }
+
+  function removeKey (key: string): void {
+    if (!entries.delete(key)) return
+    detachLease(key)
     revision++
     appendEvent({ key, revision })
     file?.append({ key, revision })
