Handle SIGTERM before anything else is loaded, and let the platform soak tell its own faults from the program's

The soak counts an exit code only if the process handled SIGTERM when it was sent (the kernel's mask of caught signals) and if no other fault killed it afterwards.

--- /dev/null
+++ b/src/platform/daemon.ts
@@ -0,0 +1,191 @@
+/** The daemon of one host on the platform: reads the settings, and creates and connects the components when it is loaded. */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { createRateLimitedLogger } from '../common/rateLimitedLogger.js'
+import { createHostMetrics } from '../common/hostMetrics.js'
+import { createDaemonLogger } from '../common/logger.js'
+import { delay } from '../common/time.js'
+import { createConfigurationReplica } from '../configuration/configurationReplica.js'
+import { createLeaderElection } from '../election/leaderElection.js'
+import type { Term } from '../election/leaderElection.js'
+import { createJobIntake } from '../jobs/jobIntake.js'
+import { createHostDirectory } from '../peers/hostDirectory.js'
+import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
+import { createRelayedStore } from '../peers/relayedStore.js'
+import { createRpcHandler } from '../common/rpcServer.js'
+import { createScheduler } from '../runs/scheduler.js'
+import type { Scheduler } from '../runs/scheduler.js'
+import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
+import { createWorkerList } from '../workers/workerList.js'
+import { createPeerConnections } from './peerConnections.js'
+import { createJobApi } from './jobApi.js'
+import { configurationKey, tryDecodeConfiguration } from './platformConfiguration.js'
+import { loadPlatformSettings } from './platformSettings.js'
+import { createAdviceClient, createMachineClient, encodeWaveStatus, tryDecodeWave, wavePrefix, waveStatusPrefix } from './serviceClients.js'
+import { createHttpStore } from './httpStore.js'
+import { createHttpWorker } from './httpWorker.js'
+import { tryDecodeWorker, workerListPrefix } from './workerEntries.js'
+
+/** The metrics port of every host; `deploy/system.toml` contains it too. */
+const metricsPort = 7_014
+/** The host keeps serving this long after it reports not ready: the platform reacts after two failed probes, 1 s apart. */
+const leaveNoticeMs = 2_600
+/** The process exits this long before the platform would kill it. */
+const killMarginMs = 1_200
+/** Hosts below these limits count as small: scheduling 246 workers took up to 0.43 of a core, 3 Mbit/s, and reads of 1 MB. */
+const smallCpuShare = 0.5
+const smallLinkMbps = 50
+/** A host does not run for scheduler for this long after an uncaught error, so that another host is elected in the meantime. */
+const faultCandidacyPauseMs = 5_000
+
+const settings = loadPlatformSettings()
+const logger = createRateLimitedLogger(createDaemonLogger({ host: settings.hostId }))
+const metrics = createHostMetrics()
+const stopping = new AbortController()
+/** The direct store, used by the scheduler and the election. The job API uses `relayedStore`, which may also reach the store through peers. */
+const store = createHttpStore(settings.storeAddress)
+const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
+const directory = createHostDirectory({
+  store,
+  logger: logger.withPrefix('peers'),
+  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain },
+  signal: stopping.signal
+})
+const relayedStore = createRelayedStore({ direct: store, logger: logger.withPrefix('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
+let scheduler: Scheduler | undefined
+let currentTerm: Term | undefined
+
+const configuration = createConfigurationReplica({
+  store: relayedStore,
+  logger: logger.withPrefix('configuration'),
+  key: configurationKey,
+  decode: tryDecodeConfiguration,
+  onChanged: () => { scheduler?.refresh() },
+  signal: stopping.signal
+})
+const intake = createJobIntake({ store: relayedStore, logger: logger.withPrefix('jobs') })
+const election = createLeaderElection({
+  store,
+  hostId: settings.hostId,
+  logger: logger.withPrefix('election'),
+  random: Math.random,
+  isSmall: settings.cpuShare < smallCpuShare || settings.linkMbps < smallLinkMbps,
+  onElected: startTerm
+})
+const handleJobCall = createJobApi({ getConfiguration: configuration.get, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
+const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
+listen(settings.readyAddress, createServer((_request, response) => {
+  const isReady = configuration.get() !== undefined && configuration.isStoreReached() && !stopping.signal.aborted
+  response.writeHead(isReady ? 200 : 503).end()
+}))
+const servePeers = createRpcHandler(createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }))
+listen(peersAddress, createServer((request, response) => { void servePeers(request, response) }))
+listen(`${settings.ipAddress}:${metricsPort}`, createServer((request, response) => {
+  if (request.url === '/status') response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(getStatus()))
+  else response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(getMetrics())
+}))
+process.on('SIGHUP', reloadSettings)
+process.on('uncaughtException', onUncaughtError)
+process.on('unhandledRejection', onUncaughtError)
+logger.info('the host has started', { ...settings, upMs: Math.round(process.uptime() * 1_000) })
+
+function startTerm (term: Term): void {
+  currentTerm = term
+  const getWorkers = createWorkerList({
+    store,
+    logger: logger.withPrefix('workers'),
+    prefix: workerListPrefix,
+    decode: tryDecodeWorker,
+    onChanged: () => { scheduler?.refresh() },
+    signal: term.signal
+  })
+  scheduler = createScheduler({
+    term,
+    store,
+    logger: logger.withPrefix('scheduler'),
+    bounds: settings,
+    getListedWorkers: getWorkers,
+    connect: createHttpWorker,
+    getConfiguration: configuration.get,
+    ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
+  })
+  if (settings.machinesAddress === undefined) return
+  const { tryEvacuate, returnToService } = scheduler
+  createMaintenanceWaves({
+    store,
+    term,
+    logger: logger.withPrefix('upkeep'),
+    hostId: settings.hostId,
+    machines: createMachineClient(settings.machinesAddress),
+    wavePrefix,
+    statusPrefix: waveStatusPrefix,
+    decodeWave: tryDecodeWave,
+    encodeStatus: encodeWaveStatus,
+    holderPauseMs: settings.holderPauseMs,
+    tryEvacuate,
+    returnToService
+  })
+}
+
+function getMetrics (): string {
+  metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
+  metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
+  metrics.setGauge('is_scheduler', currentTerm?.isValid() === true ? 1 : 0)
+  return metrics.getText()
+}
+
+/** The body of `/status`; the host that is the scheduler includes its scheduling state. */
+function getStatus (): object {
+  return {
+    host: settings.hostId,
+    scheduler: election.getLeader(),
+    configurationVersion: configuration.get()?.version,
+    configurationAgeMs: Math.round(configuration.getAgeMs()),
+    isStoreReached: configuration.isStoreReached(),
+    isStoreReachedThroughPeers: relayedStore.isDirectUnavailable() && configuration.isStoreReached(),
+    peers: directory.getPeers().map(({ hostId }) => hostId),
+    ...(currentTerm?.isValid() === true ? { scheduling: scheduler?.getStatus() } : {})
+  }
+}
+
+/**
+ * Handles an uncaught error. The scheduler's state may be corrupt, so this host resigns and another one starts from the stored state.
+ * The job API keeps serving, since it holds no state between two calls.
+ */
+function onUncaughtError (error: unknown): void {
+  metrics.count('faults')
+  logger.error('uncaught error', { error: error instanceof Error ? error.stack : String(error), isScheduler: currentTerm?.isValid() ?? false })
+  currentTerm?.resign('uncaught error', faultCandidacyPauseMs)
+}
+
+/** Only reports whether the file has changed: addresses and names are fixed for the life of the process, so the settings in use stay. */
+function reloadSettings (): void {
+  try {
+    const changed = JSON.stringify(loadPlatformSettings()) !== JSON.stringify(settings)
+    logger.info('the settings file has been read again; changes apply after a restart', { changed })
+  } catch (error) {
+    logger.error('the settings file cannot be read again', { error: String(error) })
+  }
+}
+
+function listen (address: string | undefined, server: Server): Server {
+  const [host, port] = (address ?? '').split(':')
+  server.keepAliveTimeout = 60_000
+  server.on('error', error => { logger.error('cannot listen on the address', { address, error: String(error) }) })
+  if (address !== undefined) server.listen(Number(port), host)
+  return server
+}
+
+/** Stops gracefully: reports not ready, hands over the scheduler term, and serves callers until the platform routes them elsewhere. */
+export async function stop (): Promise<void> {
+  if (stopping.signal.aborted) return
+  logger.info('the host stops')
+  stopping.abort()
+  await election.stop()
+  await delay(leaveNoticeMs)
+  const closed = new Promise<void>(resolve => { jobApiServer.close(() => { resolve() }) })
+  jobApiServer.closeIdleConnections()
+  await Promise.race([closed, delay(settings.graceMs - leaveNoticeMs - killMarginMs)])
+  logger.info('the host has stopped')
+  process.exit(0)
+}
--- a/src/platform/soak/daemonProcesses.ts
+++ b/src/platform/soak/daemonProcesses.ts
@@ -1,8 +1,8 @@
 /** Starts the platform's daemon as separate processes on loopback, each with its own proxy to the store. */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
-import { tmpdir } from 'node:os'
+import { closeSync, mkdtempSync, openSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
+import { constants, tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { delay } from '../../common/time.js'
@@ -18,22 +18,40 @@
   start (): void
   /** Sends SIGKILL; resolves when the process has exited. */
   kill (): Promise<void>
-  /** Sends SIGTERM; resolves to the exit code and the process's uptime at the signal. */
-  terminate (): Promise<{ readonly code: number | null, readonly uptimeMs: number }>
+  /** Sends SIGTERM; resolves when the process has exited. */
+  terminate (): Promise<Termination>
   /** Suspends the process for `forMs`, as if the machine were suspended. */
   freeze (forMs: number): Promise<void>
   reload (): void
 }
 
+/** How a process ended after SIGTERM. */
+export interface Termination {
+  readonly code: number | null
+  readonly uptimeMs: number
+  /** The process handled SIGTERM when the signal was sent: before that, no program can end in any other way than by the signal. */
+  readonly hadHandler: boolean
+  /** Another fault killed the process while it was stopping. */
+  readonly wasKilled: boolean
+}
+
+/** The daemons of one soak. */
 export interface DaemonProcesses {
   readonly hosts: readonly DaemonProcess[]
   stop (): Promise<void>
+  /** The lines of the daemons' logs that mention any of the words, in the order of their times. */
+  findLogLines (words: readonly string[]): readonly string[]
+  /** Removes the settings files and the logs. */
+  removeFiles (): void
+  /** The folder of the settings files and the logs. */
+  readonly folder: string
 }
 
 const program = fileURLToPath(new URL('../main.js', import.meta.url))
 const callersPort = 8_261
 const readyPort = 8_264
 const peersPort = 7_015
+const logSuffix = '.log'
 
 /** Starts `count` daemons, each on its own loopback address (`<network>.N`). */
 export async function startDaemonProcesses (count: number, network: string, storeAddress: string, bounds: Readonly<Record<string, number>>): Promise<DaemonProcesses> {
@@ -41,10 +59,11 @@
   const hosts: DaemonProcess[] = []
   const children = new Map<string, ChildProcess>()
   const startedAtMs = new Map<string, number>()
+  const killed = new WeakSet<ChildProcess>()
   for (let index = 0; index < count; index++) hosts.push(await createHost(index))
   for (const host of hosts) host.start()
 
-  return { hosts, stop }
+  return { hosts, stop, findLogLines, removeFiles, folder }
 
   async function createHost (index: number): Promise<DaemonProcess> {
     const name = `edge-${index}`
@@ -60,8 +79,11 @@
       start: () => { start(name, file) },
       kill: async () => { await signalAndWait(name, 'SIGKILL') },
       terminate: async () => {
+        const child = children.get(name)
         const uptimeMs = performance.now() - (startedAtMs.get(name) ?? -Infinity)
-        return { code: await signalAndWait(name, 'SIGTERM'), uptimeMs }
+        const hadHandler = isSigtermHandled(child?.pid)
+        const code = await signalAndWait(name, 'SIGTERM')
+        return { code, uptimeMs, hadHandler, wasKilled: child !== undefined && killed.has(child) }
       },
       freeze: async forMs => {
         children.get(name)?.kill('SIGSTOP')
@@ -73,9 +95,9 @@
   }
 
   function start (name: string, file: string): void {
-    const logFolder = process.env.SASSAFRASFORD_SOAK_LOGS
-    const output = logFolder === undefined ? 'ignore' : openSync(join(logFolder, `${name}.log`), 'a')
+    const output = openSync(join(folder, `${name}${logSuffix}`), 'a')
     const child = spawn(process.execPath, [program], { env: { ...process.env, SASSAFRASFORD_NODE_FILE: file }, stdio: ['ignore', output, output] })
+    closeSync(output)
     children.set(name, child)
     startedAtMs.set(name, performance.now())
     child.once('exit', () => { if (children.get(name) === child) children.delete(name) })
@@ -84,6 +106,7 @@
   async function signalAndWait (name: string, signal: NodeJS.Signals): Promise<number | null> {
     const child = children.get(name)
     if (child === undefined) return null
+    if (signal === 'SIGKILL') killed.add(child)
     return await new Promise(resolve => {
       child.once('exit', resolve)
       child.kill(signal)
@@ -96,10 +119,29 @@
       store.setFault(LinkFault.None)
       store.close()
     }
+  }
+
+  function findLogLines (words: readonly string[]): readonly string[] {
+    const lines = readdirSync(folder).filter(file => file.endsWith(logSuffix)).flatMap(file => readFileSync(join(folder, file), 'utf8').split('\n'))
+    return lines.filter(line => words.some(word => line.includes(word))).sort((left, right) => getLogTimeMs(left) - getLogTimeMs(right))
+  }
+
+  function removeFiles (): void {
     rmSync(folder, { recursive: true, force: true })
   }
 }
 
+function getLogTimeMs (line: string): number {
+  return Number(/"time":(\d+)/.exec(line)?.[1] ?? 0)
+}
+
+/** Tells whether the process has set a handler for SIGTERM, by the kernel's mask of its caught signals. */
+function isSigtermHandled (pid: number | undefined): boolean {
+  if (pid === undefined) return false
+  const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
+  return (BigInt(`0x${mask}`) >> BigInt(constants.signals.SIGTERM - 1) & 1n) === 1n
+}
+
 function formatSettings (name: string, ip: string, storeAddress: string, bounds: Readonly<Record<string, number>>): string {
   return [
     `node = "${name}"`,
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -28,6 +28,10 @@
   readonly faults: readonly string[]
   /** Descriptions of violated guarantees; empty on success. */
   readonly broken: readonly string[]
+  /** Lines of the hosts' logs about the jobs of the violated guarantees; empty on success. */
+  readonly trace: readonly string[]
+  /** The folder with all logs; only if a guarantee was violated. */
+  readonly logFolder?: string
 }
 
 const hostCount = 4
@@ -39,6 +43,7 @@
 /** All jobs end within this time after the last fault is cleared: some leases have to expire, then the remaining work runs. */
 const settleTimeoutMs = 45_000
 const pollMs = 250
+const maxTraceLines = 200
 /** A cancelled job must not be running this long after its cancellation was acknowledged. */
 const cancelGraceMs = 3_000
 
@@ -103,10 +108,21 @@
     complete: jobs.filter(job => job.state === 'complete').length,
     starts: [...emulator.poolState.starts.values()].reduce((sum, starts) => sum + starts, 0),
     faults,
-    broken
+    broken,
+    ...collectTrace(daemons, broken)
   }
 }
 
+/** Keeps the logs of a run that violated a guarantee, and removes those of any other. */
+function collectTrace (daemons: DaemonProcesses, broken: readonly string[]): { readonly trace: readonly string[], readonly logFolder?: string } {
+  if (broken.length === 0) {
+    daemons.removeFiles()
+    return { trace: [] }
+  }
+  const jobIds = broken.flatMap(violation => /\b[0-9a-f]{16}\b/.exec(violation)?.[0] ?? [])
+  return { trace: daemons.findLogLines(jobIds).slice(0, maxTraceLines), logFolder: daemons.folder }
+}
+
 /** Concurrent soaks use separate loopback networks. */
 function getNetwork (seed: number): string {
   return `127.${1 + process.pid % 250}.${1 + seed % 250}`
@@ -137,8 +153,8 @@
     'kill-host': () => restartAfter(host, () => host.kill(), 300),
     'terminate-host': () => restartAfter(host, async () => {
       if (!host.isUp()) return
-      const { code, uptimeMs } = await host.terminate()
-      if (code !== 0) broken.push(`${host.name} exited with ${code} after SIGTERM, ${Math.round(uptimeMs)} ms after its start`)
+      const { code, uptimeMs, hadHandler, wasKilled } = await host.terminate()
+      if (code !== 0 && hadHandler && !wasKilled) broken.push(`${host.name} exited with ${code} after SIGTERM, ${Math.round(uptimeMs)} ms after its start`)
     }, 100),
     'freeze-leader': () => leader.freeze(forMs),
     'reload-host': async () => { host.reload() },
