--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -7,7 +7,7 @@
 import type { MetadataStore } from '../store/metadataStore.js'
 import { harnessConfiguration } from '../testing/poolHarness.js'
 import { createLeaderElection, leaderKey } from './leaderElection.js'
-import type { LeaderElection } from './leaderElection.js'
+import type { LeaderElection, Term } from './leaderElection.js'
 
 const configurationKey = 'configuration'
 const idleMs = 30_000
@@ -36,8 +36,8 @@
   return { client, getCalls: () => calls }
 }
 
-function startElection (hostId: string, client: MetadataStore, isSmall = false): LeaderElection {
-  return createLeaderElection({ store: client, hostId, logger: silentLogger, random: () => 0.5, isSmall, onElected: () => {} })
+function startElection (hostId: string, client: MetadataStore, isSmall = false, onElected: (term: Term) => void = () => {}): LeaderElection {
+  return createLeaderElection({ store: client, hostId, logger: silentLogger, random: () => 0.5, isSmall, onElected })
 }
 
 /** Advances the clock while other keys change every second and the store compacts its history every five seconds. */
@@ -95,6 +95,21 @@
   await stopped
 })
 
+test('a second resignation without a pause does not shorten the pause of the first', async () => {
+  const terms: Term[] = []
+  const election = startElection('host-0', store.connect('host-0'), false, term => { terms.push(term) })
+  await run(500)
+  terms[0]?.resign('a fault', 5_000)
+  terms[0]?.resign('its consequence')
+  await run(4_000)
+  expect(terms).toHaveLength(1)
+  await run(2_000)
+  expect(terms).toHaveLength(2)
+  const stopped = election.stop()
+  await run(1_500)
+  await stopped
+})
+
 test('after an outage of the store in which leases do not expire, a leader is elected as soon as the store is back', async () => {
   const elections = ['host-0', 'host-1'].map(hostId => startElection(hostId, store.connect(hostId)))
   await run(1_000)
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -158,7 +158,7 @@
       leaderRevision: epoch,
       isValid: () => !ending.signal.aborted && clock.isValid(),
       resign: (reason, candidacyPauseMs = 0) => {
-        candidacyPausedUntilMs = performance.now() + candidacyPauseMs
+        candidacyPausedUntilMs = Math.max(candidacyPausedUntilMs, performance.now() + candidacyPauseMs)
         abort(reason)
       },
       signal: ending.signal
--- a/src/entry/badInput.test.ts
+++ b/src/entry/badInput.test.ts
@@ -39,7 +39,10 @@
 
 afterAll(async () => { await system.stop() })
 
-async function call (method: 'GET' | 'POST' | 'PUT', path: string, options: { token?: string, body?: string } = {}): Promise<{ status: number, kind: string, outcome: unknown, message: string }> {
+/** A wrong id or domain is answered at once: waiting for a scheduler would take several seconds. */
+const answerLimitMs = 2_000
+
+async function call (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, options: { token?: string, body?: string } = {}): Promise<{ status: number, kind: string, outcome: unknown, message: string }> {
   const headers: Record<string, string> = options.token === undefined ? {} : { authorization: `Bearer ${options.token}` }
   const response = await sendRequest(`http://${callersAddress}${path}`, { method, headers, body: options.body })
   const body = await response.body.json() as { kind?: string, message?: string }
@@ -56,12 +59,19 @@
   ['a job of another organisation', 'POST', '/v1/jobs', { token: 'token-of-mill', body: '{"command":["run"],"organisation":"haul"}' }, ErrorKind.Forbidden],
   ['an oversized body', 'POST', '/v1/jobs', { token: 'token-of-mill', body: JSON.stringify({ name: 'x'.repeat(100_000) }) }, ErrorKind.TooLarge],
   ['an unknown job', 'GET', '/v1/jobs/harju:nothing', { token: 'token-of-mill' }, ErrorKind.NotFound],
+  ['an id that no domain gives', 'GET', '/v1/jobs/nothing', { token: 'token-of-mill' }, ErrorKind.NotFound],
+  ['an id of an unknown domain', 'GET', '/v1/jobs/nowhere:nothing', { token: 'token-of-mill' }, ErrorKind.NoScheduler],
+  ['a cancellation in an unknown domain', 'DELETE', '/v1/jobs/nowhere:nothing', { token: 'token-of-mill' }, ErrorKind.NoScheduler],
+  ['a malformed escape in an id', 'GET', '/v1/jobs/harju%ZZ', { token: 'token-of-mill' }, ErrorKind.BadRequest],
+  ['a malformed path', 'GET', '//', { token: 'token-of-mill' }, ErrorKind.BadRequest],
   ['an invalid wait time', 'GET', '/v1/jobs/harju:nothing?waitMs=long', { token: 'token-of-mill' }, ErrorKind.BadRequest],
   ['an unsupported method', 'PUT', '/v1/jobs', { token: 'token-of-mill', body: '{}' }, ErrorKind.BadRequest],
   ['an unknown path of the API', 'GET', '/v1/nothing', {}, ErrorKind.NotFound],
   ['a path without a request kind', 'GET', '/nothing', {}, ErrorKind.NoRequestKind]
 ] as const)('callers: %s', async (_, method, path, options, kind) => {
+  const sentAtMs = performance.now()
   expect(await call(method, path, options)).toMatchObject({ kind, outcome: 'not-run' })
+  expect(performance.now() - sentAtMs).toBeLessThan(answerLimitMs)
 })
 
 test('an organisation does not see the jobs of another', async () => {
--- a/src/entry/callersInterface.ts
+++ b/src/entry/callersInterface.ts
@@ -25,11 +25,16 @@
 const maxJobBytes = 64 * 1024
 const maxWaitMs = 60_000
 const jobsPath = '/v1/jobs'
+const baseUrl = 'http://callers'
 
 /** Creates the request handler of the listener for callers. */
 export function createCallersInterface (host: CallersInterfaceHost): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   return async (request, response) => {
-    const url = new URL(request.url ?? '/', 'http://callers')
+    const url = tryParseUrl(request.url ?? '/')
+    if (url === undefined) {
+      sendError(response, createError(ErrorKind.BadRequest, 'the path of the request is malformed'))
+      return
+    }
     const isApiPath = url.pathname.startsWith('/v1/') || ['/healthz', '/readyz', '/metrics'].includes(url.pathname)
     if (!isApiPath) {
       await host.router.handle(request, response)
@@ -60,7 +65,7 @@
   async function handleJobs (request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
     const identity = host.authenticate(getBearerToken(request))
     const viewer = getViewer(identity)
-    const jobId = decodeURIComponent(url.pathname.slice(jobsPath.length + 1))
+    const jobId = decodeJobId(url.pathname.slice(jobsPath.length + 1))
     const operation = `${request.method} ${jobId === '' ? 'jobs' : 'job'}`
     switch (operation) {
       case 'POST jobs':
@@ -89,6 +94,18 @@
   }
 }
 
+function tryParseUrl (path: string): URL | undefined {
+  return URL.canParse(path, baseUrl) ? new URL(path, baseUrl) : undefined
+}
+
+function decodeJobId (segment: string): string {
+  try {
+    return decodeURIComponent(segment)
+  } catch {
+    throw createError(ErrorKind.BadRequest, `the job id "${segment}" contains a malformed escape`)
+  }
+}
+
 /** Parses the body of a job submission. Errors name the invalid field. */
 export function parseJob (text: string): JobRequest {
   let value: unknown
--- a/src/jobs/jobGateway.ts
+++ b/src/jobs/jobGateway.ts
@@ -85,14 +85,17 @@
 
   async function get (jobId: string, organisation: string | undefined, waitMs: number): Promise<JobView> {
     const domain = getDomainOf(jobId)
+    if (domain === undefined) throw createError(ErrorKind.NotFound, `job ${jobId} not found`)
+    // Waiting would not help: unlike a scheduler that has just died, a domain without any known host does not return within a call.
+    if (!host.getDomains().includes(domain)) throw createError(ErrorKind.NoScheduler, `no host of the domain ${domain} is known`)
     const view = await callScheduler(domain, async scheduler => (await scheduler.get(jobId, waitMs)) ?? null, getMethod, { jobId, waitMs }, waitMs + callMarginMs)
     if (view === null || !isVisible(view, organisation)) throw createError(ErrorKind.NotFound, `job ${jobId} not found`)
     return view
   }
 
   async function cancel (jobId: string, organisation: string | undefined): Promise<JobView> {
-    await get(jobId, organisation, 0)
-    return await callScheduler(getDomainOf(jobId), scheduler => scheduler.cancel(jobId), cancelMethod, { jobId }, callMarginMs)
+    const { domain } = await get(jobId, organisation, 0)
+    return await callScheduler(domain, scheduler => scheduler.cancel(jobId), cancelMethod, { jobId }, callMarginMs)
   }
 
   async function list (organisation: string | undefined): Promise<readonly JobView[]> {
@@ -145,9 +148,10 @@
   return `${domain}:k${digest.slice(0, digestDigits)}`
 }
 
-function getDomainOf (jobId: string): string {
-  const [domain = ''] = jobId.split(':')
-  return domain
+/** The domain that has accepted the job; undefined if no domain gives such ids. */
+function getDomainOf (jobId: string): string | undefined {
+  const end = jobId.indexOf(':')
+  return end > 0 ? jobId.slice(0, end) : undefined
 }
 
 function isVisible (view: JobView, organisation: string | undefined): boolean {
--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -84,7 +84,8 @@
   const errors: unknown[] = []
   void unresponsiveIntake.submit(makeJob('a', 'batch', [makeStep()]), Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
   void unresponsiveIntake.getState('a', Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
+  void unresponsiveIntake.countPending('batch', Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
   await jest.advanceTimersByTimeAsync(callerTimeoutMs + 150)
   expect(errors.every(error => isErrorOfKind(error, ErrorKind.AnswerLost))).toBe(true)
-  expect(errors).toHaveLength(2)
+  expect(errors).toHaveLength(3)
 })
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -25,7 +25,7 @@
   cancel (jobId: string, deadlineMs: number): Promise<boolean>
   getState (jobId: string, deadlineMs: number): Promise<JobState | undefined>
   /** Counts the jobs of a queue that have not started. The count may be up to `pendingCountsMaxAgeMs` old. */
-  countPending (queue: string): Promise<number>
+  countPending (queue: string, deadlineMs: number): Promise<number>
 }
 
 /** Outcome of an attempt to create a key. */
@@ -106,16 +106,18 @@
     return accepted === undefined ? undefined : JobState.Queued
   }
 
-  async function countPending (queue: string): Promise<number> {
-    if (cachedPending === undefined || Date.now() - cachedPending.readAtMs > pendingCountsMaxAgeMs) {
+  async function countPending (queue: string, callerDeadlineMs: number): Promise<number> {
+    if (cachedPending !== undefined && performance.now() - cachedPending.readAtMs <= pendingCountsMaxAgeMs) return cachedPending.counts[queue] ?? 0
+    const deadlineMs = getDeadline(callerDeadlineMs)
+    const counts = await retry(() => {
       ongoingRead ??= readPending().finally(() => { ongoingRead = undefined })
-      return (await ongoingRead)[queue] ?? 0
-    }
-    return cachedPending.counts[queue] ?? 0
+      return ongoingRead
+    }, deadlineMs)
+    return counts[queue] ?? 0
   }
 
   async function readPending (): Promise<Readonly<Record<string, number>>> {
-    const readAtMs = Date.now()
+    const readAtMs = performance.now()
     const item = await store.get(pendingCountsKey)
     const counts = item === undefined ? {} : JSON.parse(item.value) as Record<string, number>
     cachedPending = { counts, readAtMs }
--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -43,6 +43,90 @@
   }
 }
 
+test('a machine that leaves or goes down by itself while it is drained gives up its slot, and its worker returns to service', async () => {
+  const store = createMemoryStore()
+  store.write('op/wave/1', JSON.stringify({ ...wave, machineIds: ['m1', 'm2', 'm3', 'm4'], maxDown: 1 }))
+  store.write('leader/scheduler', 'host-0')
+  const leader = await store.connect('host-0').get('leader/scheduler')
+  const listed = new Map(['m1', 'm2', 'm3', 'm4'].map(machineId => [machineId, { machineId, isUp: true, workerId: `worker-of-${machineId}` }]))
+  const inMaintenance = new Set<string>()
+  const done: string[] = []
+  const termEnd = new AbortController()
+  createMaintenanceWaves({
+    store: store.connect('host-0'),
+    term: createTerm(leader?.revision ?? 0, termEnd),
+    logger: silentLogger,
+    hostId: 'host-0',
+    machines: {
+      list: async () => [...listed.values()],
+      requestMaintenance: async machineId => {
+        if (!done.includes(machineId)) done.push(machineId)
+        return MaintenanceResult.Done
+      }
+    },
+    wavePrefix: 'op/wave/',
+    statusPrefix: 'status/wave/',
+    decodeWave: value => JSON.parse(value) as Wave,
+    encodeStatus: isComplete => isComplete ? 'complete' : 'active',
+    holderPauseMs: 1_000,
+    // Work that cannot move keeps the first two machines from being emptied.
+    tryEvacuate: workerId => {
+      inMaintenance.add(workerId)
+      return workerId !== 'worker-of-m1' && workerId !== 'worker-of-m2'
+    },
+    returnToService: workerId => { inMaintenance.delete(workerId) }
+  })
+  await advanceTime(4_000)
+  expect([...inMaintenance]).toEqual(['worker-of-m1'])
+  listed.delete('m1')
+  await advanceTime(4_000)
+  expect([...inMaintenance]).toEqual(['worker-of-m2'])
+  listed.set('m2', { machineId: 'm2', isUp: false, workerId: 'worker-of-m2' })
+  await advanceTime(10_000)
+  expect(done).toEqual(['m3', 'm4'])
+  expect([...inMaintenance]).toEqual([])
+  termEnd.abort()
+  await advanceTime(2_000)
+})
+
+test('a worker whose machine leaves the list during its maintenance returns to service', async () => {
+  const store = createMemoryStore()
+  store.write('op/wave/1', JSON.stringify({ ...wave, machineIds: ['m1'], maxDown: 1 }))
+  store.write('leader/scheduler', 'host-0')
+  const leader = await store.connect('host-0').get('leader/scheduler')
+  const listed = new Map([['m1', { machineId: 'm1', isUp: true, workerId: 'worker-of-m1' }]])
+  const inMaintenance = new Set<string>()
+  const termEnd = new AbortController()
+  createMaintenanceWaves({
+    store: store.connect('host-0'),
+    term: createTerm(leader?.revision ?? 0, termEnd),
+    logger: silentLogger,
+    hostId: 'host-0',
+    machines: {
+      list: async () => [...listed.values()],
+      requestMaintenance: async () => {
+        listed.delete('m1')
+        return MaintenanceResult.Done
+      }
+    },
+    wavePrefix: 'op/wave/',
+    statusPrefix: 'status/wave/',
+    decodeWave: value => JSON.parse(value) as Wave,
+    encodeStatus: isComplete => isComplete ? 'complete' : 'active',
+    holderPauseMs: 1_000,
+    tryEvacuate: workerId => {
+      inMaintenance.add(workerId)
+      return true
+    },
+    returnToService: workerId => { inMaintenance.delete(workerId) }
+  })
+  await advanceTime(8_000)
+  expect(store.peek('status/wave/1')).toBe('complete')
+  expect([...inMaintenance]).toEqual([])
+  termEnd.abort()
+  await advanceTime(2_000)
+})
+
 function createTerm (epoch: number, termEnd: AbortController): Term {
   return { epoch, leaderKey: 'leader/scheduler', leaderRevision: epoch, isValid: () => !termEnd.signal.aborted, resign: () => { termEnd.abort() }, signal: termEnd.signal }
 }
--- a/src/maintenance/maintenanceWaves.ts
+++ b/src/maintenance/maintenanceWaves.ts
@@ -78,7 +78,8 @@
   progress: WaveProgress
   revision: number
   statusWritten?: boolean
-  readonly draining: Set<string>
+  /** The workers of the machines that are being drained or are down for the wave, by machine; undefined for a machine without a worker. */
+  readonly drained: Map<string, string | undefined>
 }
 
 /** Starts to carry out maintenance waves; stops when the leader's term ends. */
@@ -114,13 +115,14 @@
     if (state !== undefined) return state
     const item = await store.get(progressPrefix + wave.wave)
     const progress = item === undefined ? { startedAtMs: Date.now(), begun: [], done: [], isComplete: false } : JSON.parse(item.value) as WaveProgress
-    state = { progress, revision: item?.revision ?? 0, draining: new Set() }
+    state = { progress, revision: item?.revision ?? 0, drained: new Map() }
     states.set(wave.wave, state)
     return state
   }
 
   async function advanceWave (wave: Wave, state: WaveState, machines: ReadonlyMap<string, ListedMachine>): Promise<void> {
     if (state.statusWritten !== true) await writeStatus(wave, state, false)
+    releaseUnavailable(state, machines)
     for (const machineId of state.progress.begun) await tryFinishMachine(wave, state, machineId, machines)
     for (const machineId of wave.machineIds) {
       const { begun, done } = state.progress
@@ -136,15 +138,31 @@
     await writeStatus(wave, state, true)
   }
 
+  /** A machine that has left the list or is down for another reason no longer counts as drained for the wave. */
+  function releaseUnavailable (state: WaveState, machines: ReadonlyMap<string, ListedMachine>): void {
+    for (const machineId of state.drained.keys()) {
+      if (state.progress.begun.includes(machineId) || machines.get(machineId)?.isUp === true) continue
+      logger.info('a machine that was being drained is no longer up', { machineId, isListed: machines.has(machineId) })
+      release(state, machineId)
+    }
+  }
+
+  function release (state: WaveState, machineId: string): void {
+    const workerId = state.drained.get(machineId)
+    state.drained.delete(machineId)
+    if (workerId !== undefined) host.returnToService(workerId)
+  }
+
   async function tryStartMachine (wave: Wave, state: WaveState, machine: ListedMachine): Promise<void> {
     const isUrgent = Date.now() - state.progress.startedAtMs > wave.deadlineMs * urgentTimeFraction
     // Drains at most as many machines as may be down, so that the others keep working.
-    if (!state.draining.has(machine.machineId) && state.draining.size + state.progress.begun.length >= wave.maxDown) return
-    state.draining.add(machine.machineId)
+    const isDrained = state.drained.has(machine.machineId)
+    if (!isDrained && new Set([...state.drained.keys(), ...state.progress.begun]).size >= wave.maxDown) return
+    if (isDrained && state.drained.get(machine.machineId) !== machine.workerId) release(state, machine.machineId)
+    state.drained.set(machine.machineId, machine.workerId)
     if (machine.workerId !== undefined && !host.tryEvacuate(machine.workerId, isUrgent)) return
     await saveProgress(wave, state, { ...state.progress, begun: [...state.progress.begun, machine.machineId] })
     assert(state.progress.begun.length <= wave.maxDown, 'at most maxDown machines of a wave may be down')
-    state.draining.delete(machine.machineId)
     await requestMaintenance(wave, machine.machineId)
   }
 
@@ -171,6 +189,7 @@
     if (listedMachine !== undefined && !listedMachine.isUp) return
     const { begun, done } = state.progress
     await saveProgress(wave, state, { ...state.progress, begun: begun.filter(other => other !== machineId), done: [...done, machineId] })
+    release(state, machineId)
     if (machine?.workerId !== undefined) host.returnToService(machine.workerId)
   }
 
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -60,7 +60,7 @@
     const organisation = authenticate(configuration, queue, request)
     const deadlineMs = Date.now() + getCallerTimeoutMs(request) - answerMarginMs
     const jobId = path.slice(queue.pathPrefix.length)
-    if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name) } }
+    if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name, deadlineMs) } }
     if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
     switch (request.method) {
       case 'POST':
