Measure ages, objectives and deadlines by the monotonic clock

The scheduler compared its own time of day with that of the host that had accepted a job: with a clock 5 s ahead a guarantee was reclaimed 5 s late (RECLAIM), and after a jump back of the scheduling host new jobs came before older ones. The intake measured callers' deadlines by the time of day. Change: a job's age is taken once, when the scheduler first sees it (at most 2 s if the watch shows it), and goes on by the monotonic clock; deadlines of callers are monotonic. The time of day remains for occurrences, the records' retention and the age at a takeover. Tests: three in scheduler.test.ts, two fail on the code before.

--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -23,7 +23,7 @@
 /** Submits a job; resolves to undefined if it was accepted, otherwise to the kind of error. */
 async function submit (jobId: string): Promise<ErrorKind | undefined> {
   let kind: ErrorKind | undefined
-  const submitted = intake.submit(makeJob(jobId, 'batch', [makeStep()]), Date.now() + callerTimeoutMs).catch(error => {
+  const submitted = intake.submit(makeJob(jobId, 'batch', [makeStep()]), performance.now() + callerTimeoutMs).catch(error => {
     kind = Object.values(ErrorKind).find(candidate => isErrorOfKind(error, candidate))
   })
   await jest.advanceTimersByTimeAsync(callerTimeoutMs + 100)
@@ -52,7 +52,7 @@
   store.setUnavailable(true)
   let answeredAtMs = Infinity
   const startedAtMs = Date.now()
-  void intake.submit(makeJob('a', 'batch', [makeStep()]), Date.now() + callerTimeoutMs).catch(() => { answeredAtMs = Date.now() })
+  void intake.submit(makeJob('a', 'batch', [makeStep()]), performance.now() + callerTimeoutMs).catch(() => { answeredAtMs = Date.now() })
   await jest.advanceTimersByTimeAsync(callerTimeoutMs)
   expect(answeredAtMs - startedAtMs).toBeLessThan(1_200)
   store.setUnavailable(false)
@@ -82,9 +82,9 @@
 test('calls are rejected by the caller\'s deadline if the store does not respond', async () => {
   const unresponsiveIntake = createJobIntake({ store: { ...store.connect('host'), get: async () => await new Promise(() => {}), transact: async () => await new Promise(() => {}) }, logger: silentLogger })
   const errors: unknown[] = []
-  void unresponsiveIntake.submit(makeJob('a', 'batch', [makeStep()]), Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
-  void unresponsiveIntake.getState('a', Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
-  void unresponsiveIntake.countPending('batch', Date.now() + callerTimeoutMs).catch(error => { errors.push(error) })
+  void unresponsiveIntake.submit(makeJob('a', 'batch', [makeStep()]), performance.now() + callerTimeoutMs).catch(error => { errors.push(error) })
+  void unresponsiveIntake.getState('a', performance.now() + callerTimeoutMs).catch(error => { errors.push(error) })
+  void unresponsiveIntake.countPending('batch', performance.now() + callerTimeoutMs).catch(error => { errors.push(error) })
   await jest.advanceTimersByTimeAsync(callerTimeoutMs + 150)
   expect(errors.every(error => isErrorOfKind(error, ErrorKind.AnswerLost))).toBe(true)
   expect(errors).toHaveLength(3)
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -17,7 +17,7 @@
   readonly logger: Logger
 }
 
-/** A call that fails rejects with `store-unavailable` if it certainly had no effect, and with `answer-lost` if that is unknown. */
+/** Deadlines are by the monotonic clock, in ms. A call that fails rejects with `store-unavailable` if it certainly had no effect, and with `answer-lost` if that is unknown. */
 export interface JobIntake {
   /** Resolves when the job is stored. Idempotent by job id. */
   submit (job: JobSpec, deadlineMs: number): Promise<void>
@@ -70,10 +70,10 @@
    * refused every write; otherwise the write is retried until the deadline.
    */
   async function createRecord (key: string, value: string, deadlineMs: number): Promise<CreateResult> {
-    const retryUntilMs = Date.now() + refusalRetryMs
+    const retryUntilMs = performance.now() + refusalRetryMs
     let refusals = 0
     let isUnknown = false
-    while (Date.now() < deadlineMs && (isUnknown || Date.now() < retryUntilMs)) {
+    while (performance.now() < deadlineMs && (isUnknown || performance.now() < retryUntilMs)) {
       try {
         // If the condition fails, the key already exists, from an earlier write by this host or another.
         await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
@@ -82,7 +82,7 @@
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
         logger.info('failed to write a key of a job', { key, refusals, isUnknown, error: String(error) })
-        await delay(Math.min(retryDelayMs, Math.max(0, deadlineMs - Date.now())))
+        await delay(Math.min(retryDelayMs, Math.max(0, deadlineMs - performance.now())))
       }
     }
     return isUnknown ? CreateResult.Unknown : CreateResult.NotStored
@@ -126,12 +126,12 @@
 
   /** Retries a read until it succeeds, the deadline passes or `refusalRetryMs` have passed. */
   async function retry<T> (read: () => Promise<T>, deadlineMs: number): Promise<T> {
-    const retryUntilMs = Math.min(deadlineMs, Date.now() + refusalRetryMs) - retryDelayMs
+    const retryUntilMs = Math.min(deadlineMs, performance.now() + refusalRetryMs) - retryDelayMs
     while (true) {
       try {
         return await withDeadline(read(), deadlineMs)
       } catch (error) {
-        if (Date.now() >= retryUntilMs) throw error
+        if (performance.now() >= retryUntilMs) throw error
         await delay(retryDelayMs)
       }
     }
@@ -139,13 +139,13 @@
 }
 
 function getDeadline (callerDeadlineMs: number): number {
-  return Math.max(callerDeadlineMs, Date.now() + minAttemptMs)
+  return Math.max(callerDeadlineMs, performance.now() + minAttemptMs)
 }
 
 /** Rejects with `answer-lost` at the deadline; the call itself goes on, and its effect is unknown. */
 async function withDeadline<T> (call: Promise<T>, deadlineMs: number): Promise<T> {
   const timeoutController = new AbortController()
-  const timeout = delay(Math.max(0, deadlineMs - Date.now()), timeoutController.signal).then(() => {
+  const timeout = delay(Math.max(0, deadlineMs - performance.now()), timeoutController.signal).then(() => {
     throw createError(ErrorKind.AnswerLost, 'the store did not answer before the caller\'s deadline')
   })
   try {
--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -59,11 +59,15 @@
   readonly attempts: Attempt[]
   readonly avoidedWorkers: Set<string>
   waitingSinceMs: number
+  /** The time from which the objective is measured, by the monotonic clock: when the job was accepted or, if it recurs, when the occurrence was due. */
+  readonly dueAtMs: number
 }
 
 /** A job that the scheduler manages. */
 export interface TrackedJob {
   readonly spec: JobSpec
+  /** When the job was accepted, by this host's monotonic clock: the hosts' clocks differ and may jump. */
+  readonly acceptedAtMs: number
   state: JobState
   isCancelRequested: boolean
   endedAtMs?: number
@@ -73,20 +77,21 @@
   progressRevision: number
 }
 
-/** Creates the state of a job that has not started. */
-export function createTrackedJob (spec: JobSpec, nowMs: number): TrackedJob {
-  const job: TrackedJob = { spec, state: JobState.Queued, isCancelRequested: false, occurrences: new Map(), progressRevision: 0 }
+/** Creates the state of a job that was accepted `ageMs` ago and has not started. */
+export function createTrackedJob (spec: JobSpec, nowMs: number, ageMs = 0): TrackedJob {
+  const job: TrackedJob = { spec, acceptedAtMs: nowMs - ageMs, state: JobState.Queued, isCancelRequested: false, occurrences: new Map(), progressRevision: 0 }
   if (spec.recurrence === undefined) addOccurrence(job, 0, nowMs)
   return job
 }
 
-/** Adds the units of an occurrence, unless they exist already. */
-export function addOccurrence (job: TrackedJob, occurrence: number, nowMs: number): void {
+/** Adds the units of an occurrence, unless they exist already. If the job recurs, the occurrence was due `overdueMs` ago. */
+export function addOccurrence (job: TrackedJob, occurrence: number, nowMs: number, overdueMs = 0): void {
   if (job.occurrences.has(occurrence)) return
-  job.occurrences.set(occurrence, job.spec.steps.map((spec, step) => createUnits(job, occurrence, step, spec, nowMs)))
+  const dueAtMs = job.spec.recurrence === undefined ? job.acceptedAtMs : nowMs - overdueMs
+  job.occurrences.set(occurrence, job.spec.steps.map((spec, step) => createUnits(job, occurrence, step, spec, nowMs, dueAtMs)))
 }
 
-function createUnits (job: TrackedJob, occurrence: number, step: number, spec: StepSpec, nowMs: number): readonly Unit[] {
+function createUnits (job: TrackedJob, occurrence: number, step: number, spec: StepSpec, nowMs: number, dueAtMs: number): readonly Unit[] {
   const unitCount = spec.isGang ? 1 : spec.count
   return Array.from({ length: unitCount }, (_, index) => ({
     job,
@@ -101,7 +106,8 @@
     checkpoint: '',
     attempts: [],
     avoidedWorkers: new Set<string>(),
-    waitingSinceMs: nowMs
+    waitingSinceMs: nowMs,
+    dueAtMs
   }))
 }
 
@@ -217,21 +223,28 @@
 }
 
 /** Restores stored progress into a newly created job. Members are `StartSent` until their workers have reported what is running. */
-export function restoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number): void {
+export function restoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number, unixNowMs: number): void {
   const record = JSON.parse(value) as ProgressRecord
   job.progressRevision = revision
   job.state = record.state
   job.endedAtMs = record.endedAtMs
   for (const [stepKey, bitmap] of Object.entries(record.done)) {
     const [occurrence = 0, step = 0] = stepKey.split('.').map(Number)
-    addOccurrence(job, occurrence, nowMs)
+    addOccurrence(job, occurrence, nowMs, getOverdueMs(job.spec, occurrence, unixNowMs))
     job.occurrences.get(occurrence)?.[step]?.forEach((unit, index) => { unit.isDone = isBitSet(bitmap, index) })
   }
-  for (const unitRecord of record.units) restoreUnit(job, unitRecord, nowMs)
+  for (const unitRecord of record.units) {
+    addOccurrence(job, unitRecord[0], nowMs, getOverdueMs(job.spec, unitRecord[0], unixNowMs))
+    restoreUnit(job, unitRecord, nowMs)
+  }
+}
+
+/** How long ago an occurrence was due, in ms, by the time of day; 0 if the job does not recur. */
+export function getOverdueMs ({ recurrence }: JobSpec, occurrence: number, unixNowMs: number): number {
+  return recurrence === undefined ? 0 : Math.max(0, unixNowMs - recurrence.firstAtMs - occurrence * recurrence.intervalMs)
 }
 
 function restoreUnit (job: TrackedJob, [occurrence, step, index, run, failedRuns, checkpoint, attempts]: UnitRecord, nowMs: number): void {
-  addOccurrence(job, occurrence, nowMs)
   const unit = findUnit(job, occurrence, step, index)
   assert(unit !== undefined, 'a progress record must refer only to units of its job')
   unit.run = run
--- a/src/placement/objective.ts
+++ b/src/placement/objective.ts
@@ -3,18 +3,12 @@
 import type { Unit } from '../jobs/trackedJob.js'
 import type { RunTimes } from './runTimes.js'
 
-/** The latest start of a unit that still meets the objective, as Unix time in ms, computed from expected run times. */
+/** The latest start of a unit that still meets the objective, by the monotonic clock in ms, computed from expected run times. */
 export function getLatestStartMs (unit: Unit, queue: QueueSettings | undefined, runTimes: RunTimes): number {
   const { spec } = unit.job
   const criticalPathMs = runTimes.getCriticalPathMs(spec)
   const objectiveMs = (queue?.objectiveFactor ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0)
-  return getObjectiveStartMs(unit) + objectiveMs - getRemainingPathMs(unit, runTimes)
-}
-
-/** The time from which the objective is measured, as Unix time in ms: when the job was accepted or, if it recurs, when the occurrence is due. */
-function getObjectiveStartMs (unit: Unit): number {
-  const { recurrence, acceptedAtMs } = unit.job.spec
-  return recurrence === undefined ? acceptedAtMs : recurrence.firstAtMs + unit.occurrence * recurrence.intervalMs
+  return unit.dueAtMs + objectiveMs - getRemainingPathMs(unit, runTimes)
 }
 
 /** The expected time from the start of the unit's step to the end of the longest chain of steps that begins with it. */
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -105,7 +105,7 @@
    * nor a service, at any cost. Other units wait for running work to end, and preempt only when their latest start is near.
    */
   function tryPreemptOrReserve (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
-    const slackMs = getLatestStartMs(unit, getQueue(unit.job), host.runTimes) - Date.now()
+    const slackMs = getLatestStartMs(unit, getQueue(unit.job), host.runTimes) - performance.now()
     const isUrgent = getQueue(unit.job)?.priority === 0
     const isPreemptionDue = slackMs > -maxPreemptionDelayMs && (isUrgent || slackMs < preemptionLeadMs)
     if ((isPreemptionDue || isReclaimDue(unit)) && tryPreemptFor(unit, permitted, isUrgent)) {
@@ -155,7 +155,7 @@
 
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
   function isReclaimDue ({ job }: Unit): boolean {
-    return isGuaranteed(job) && Date.now() - job.spec.acceptedAtMs > host.reclaimMs - reclaimLeadMs
+    return isGuaranteed(job) && performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -30,7 +30,7 @@
   if (byGuarantee !== 0) return byGuarantee
   const byPriority = getPriority(left.job, getQueue) - getPriority(right.job, getQueue)
   if (byPriority !== 0) return byPriority
-  return left.job.spec.acceptedAtMs - right.job.spec.acceptedAtMs
+  return left.job.acceptedAtMs - right.job.acceptedAtMs
 }
 
 /**
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -58,7 +58,7 @@
     const queue = findQueue(configuration, getHostName(request), path)
     if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${path} under the requested host name`)
     const organisation = authenticate(configuration, queue, request)
-    const deadlineMs = Date.now() + getCallerTimeoutMs(request) - answerMarginMs
+    const deadlineMs = performance.now() + getCallerTimeoutMs(request) - answerMarginMs
     const jobId = path.slice(queue.pathPrefix.length)
     if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name, deadlineMs) } }
     if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -5,7 +5,7 @@
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { acceptedPrefix, decodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, parseAcceptedKey, progressPrefix } from '../jobs/jobKeys.js'
 import { isTerminal, JobState } from '../jobs/jobModel.js'
-import { addOccurrence, createTrackedJob, restoreProgress } from '../jobs/trackedJob.js'
+import { addOccurrence, createTrackedJob, getOverdueMs, restoreProgress } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoreChange } from '../store/metadataStore.js'
@@ -37,6 +37,8 @@
 
 /** How long one watch call waits for changes, in ms: a dead connection is detected within this plus the call's time-out. */
 const watchWaitMs = 1_000
+/** A job that the watch shows was accepted at most this long ago, in ms; an older time of acceptance is due to a difference between clocks. */
+const maxWatchDelayMs = 2_000
 /** Interval between full reads, in ms, in case a watch misses changes. */
 const rereadPeriodMs = 10_000
 /** Pause after a failed call, in ms. */
@@ -77,8 +79,9 @@
     const { jobId, isCancel } = parseAcceptedKey(key)
     if (isCancel || jobs.has(jobId)) return
     const spec = decodeAccepted(value)
-    const job = createTrackedJob(spec, performance.now())
-    if (progress !== undefined) restoreProgress(job, progress.value, progress.revision, performance.now())
+    const ageMs = Math.max(0, Date.now() - spec.acceptedAtMs)
+    const job = createTrackedJob(spec, performance.now(), isLoaded ? Math.min(ageMs, maxWatchDelayMs) : ageMs)
+    if (progress !== undefined) restoreProgress(job, progress.value, progress.revision, performance.now(), Date.now())
     jobs.set(jobId, job)
     unfinished.add(job)
     if (isLoaded) logger.info('job added', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
@@ -138,7 +141,7 @@
       for (let occurrence = 0; occurrence < recurrence.times; occurrence++) {
         if (recurrence.firstAtMs + occurrence * recurrence.intervalMs > nowMs) break
         if (job.occurrences.has(occurrence)) continue
-        addOccurrence(job, occurrence, performance.now())
+        addOccurrence(job, occurrence, performance.now(), Math.min(getOverdueMs(job.spec, occurrence, nowMs), maxWatchDelayMs))
         host.onOccurrenceDue()
       }
     }
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -135,7 +135,7 @@
   await startHarness({ workers: 1, getRun: () => ({ workMs: 5_000, how: EndKind.Done }) })
   await submit(makeJob('a', 'batch', [makeStep({ count: 3 })]))
   const [host] = harness.hosts.values()
-  const cancelled = host?.intake.cancel('a', Date.now() + 3_000)
+  const cancelled = host?.intake.cancel('a', performance.now() + 3_000)
   await run(50)
   expect(await cancelled).toBe(true)
   await run(1_000)
@@ -212,6 +212,30 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+test.each([5_000, -5_000])('a guarantee is reclaimed in time although the clock of the accepting host is %i ms ahead', async aheadMs => {
+  const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await startHarness({ workers: 4, getRun: task => ({ workMs: task.startsWith('wide') ? 20_000 : 500, how: EndKind.Done }) })
+  await submit(makeJob('wide', 'urgent', [makeStep({ count: 4, request: wholeWorker, estimateMs: 20_000 })], { organisation: 'yard' }))
+  await run(1_000)
+  await submit(makeJob('reclaims', 'urgent', [makeStep({ count: 2, isGang: true, request: wholeWorker })], { acceptedAtMs: Date.now() + aheadMs }))
+  await run(2_900)
+  expect(harness.poolState.starts.get('reclaims.0.0.1')).toBe(1)
+})
+
+test('a jump of the scheduling host\'s time of day makes no job look late or early', async () => {
+  const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await startHarness({ workers: 1, getRun: () => ({ workMs: 3_000, how: EndKind.Done }) })
+  await submit(makeJob('first', 'batch', [makeStep({ request: wholeWorker, estimateMs: 3_000 })]))
+  await submit(makeJob('second', 'batch', [makeStep({ request: wholeWorker, estimateMs: 3_000 })]))
+  await run(500)
+  jest.setSystemTime(Date.now() - 7_000)
+  await submit(makeJob('third', 'batch', [makeStep({ request: wholeWorker, estimateMs: 3_000 })]))
+  await waitForState('first', JobState.Complete, 6_000)
+  await run(500)
+  expect([...harness.poolState.starts.keys()]).toEqual(['first.0.0.0', 'second.0.0.0'])
+  await waitForState('third', JobState.Complete, 9_000)
+})
+
 test('a job waits when preempting for it would discard far more work than it needs', async () => {
   const wholeWorker = { cpuMilli: 64_000, memoryMb: 8_000, accelerators: 8 }
   await startHarness({ workers: 1, getRun: task => ({ workMs: task.startsWith('long') ? 14_000 : 300, how: EndKind.Done }) })
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -160,7 +160,7 @@
   async function submit (job: JobSpec): Promise<void> {
     jobs.set(job.jobId, job)
     const [host] = hosts.values()
-    await host?.intake.submit(job, Date.now() + 3_000)
+    await host?.intake.submit(job, performance.now() + 3_000)
   }
 
   function addHost (hostId: string): HarnessHost {
