Estimate remaining times from progress in this term, and let only the probe decide about an ejected endpoint

The remaining time now follows the rate since the first report. Runs of an earlier term are not learnt as short, and not restarted as young. - A probe that ended as full, leaving or abandoned kept its endpoint ejected for good; a request sent before the ejection could decide the probe; records of endpoints that had left counted against the share that may be ejected (five tests).

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -29,6 +29,8 @@
   progressPercent: number
   /** When `progressPercent` last increased, by the monotonic clock. */
   progressedAtMs: number
+  /** The progress that the first report in this term showed, and its time: a run may resume from a checkpoint, or be older than the term. */
+  firstProgress?: { readonly percent: number, readonly atMs: number }
 }
 
 /** One attempt to run a unit. All members share its run number. */
@@ -36,7 +38,10 @@
   readonly unit: Unit
   readonly run: number
   readonly members: Member[]
+  /** When it was planned or, if `isRestored`, when this term restored it; by the monotonic clock. */
   readonly plannedAtMs: number
+  /** A scheduler of an earlier term has planned it. */
+  readonly isRestored: boolean
   /** The start requests may be sent: the plan is stored, and the workers have free capacity for all members. */
   isDispatched: boolean
   stopReason?: string
@@ -141,7 +146,7 @@
   assert(places.length === unit.size, 'an attempt must have a worker for every member of its unit')
   assert(run > unit.run, 'run numbers must increase')
   unit.run = run
-  const attempt: Attempt = { unit, run, members: [], plannedAtMs: nowMs, isDispatched: false }
+  const attempt: Attempt = { unit, run, members: [], plannedAtMs: nowMs, isRestored: false, isDispatched: false }
   places.forEach((place, offset) => {
     attempt.members.push(createMember(attempt, unit.index + offset, place.workerId, place.bornAtMs, MemberState.Planned, nowMs))
   })
@@ -251,7 +256,7 @@
   unit.checkpoint = checkpoint
   failedRuns.forEach(failedRun => unit.failedRuns.add(failedRun))
   for (const [attemptRun, members] of attempts) {
-    const attempt: Attempt = { unit, run: attemptRun, members: [], plannedAtMs: nowMs, isDispatched: true }
+    const attempt: Attempt = { unit, run: attemptRun, members: [], plannedAtMs: nowMs, isRestored: true, isDispatched: true }
     for (const [memberIndex, workerId, bornAtMs] of members) attempt.members.push(createMember(attempt, memberIndex, workerId, bornAtMs, MemberState.StartSent, nowMs))
     unit.attempts.push(attempt)
   }
--- a/src/placement/reservation.ts
+++ b/src/placement/reservation.ts
@@ -23,7 +23,7 @@
   readonly nowMs: number
 }
 
-/** Below this progress, in percent, the remaining time of a run is taken from its estimate. */
+/** While a run has progressed by less than this since its first report, in percent, its remaining time is taken from its estimate. */
 const minReliableProgressPercent = 10
 
 /** Finds the workers on which the unit can start first; undefined if it would not fit even after all work except services has ended. */
@@ -36,13 +36,14 @@
   return best
 }
 
-/** The remaining time of a run, in ms, by its progress or, while there is too little, by its estimate, which is less accurate. */
+/** The remaining time of a run, in ms, by the rate of its progress or, while there is too little, by its estimate, which is less accurate. */
 export function getRemainingMs (member: Member, nowMs: number): number {
   const { spec } = member.attempt.unit
-  const elapsedMs = nowMs - member.attempt.plannedAtMs
   if (spec.isService) return Infinity
-  if (member.progressPercent < minReliableProgressPercent) return Math.max(0, spec.estimateMs - elapsedMs)
-  return elapsedMs * (100 - member.progressPercent) / member.progressPercent
+  const { firstProgress: first, progressPercent, progressedAtMs } = member
+  const progressed = first === undefined ? 0 : progressPercent - first.percent
+  const msPerPercent = first !== undefined && progressed >= minReliableProgressPercent ? (progressedAtMs - first.atMs) / progressed : spec.estimateMs / 100
+  return Math.max(0, msPerPercent * (100 - progressPercent) - (nowMs - progressedAtMs))
 }
 
 function estimateStart (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, host: ReservationHost): Reservation | undefined {
--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -7,13 +7,26 @@
 
 /** Tracks which endpoints are temporarily ejected. */
 export interface Ejection {
+  /** Counts the outcome of an ordinary request. Those sent before an ejection do not count for the probe. */
   recordOutcome (endpointId: string, isFailure: boolean): void
   isEjected (endpointId: string): boolean
   /** Reserves the single probe request of an ejected endpoint; false while its back-off or an earlier probe is still running. */
   tryTakeProbe (endpointId: string): boolean
+  /** Records how the probe ended. An inconclusive one leaves the endpoint ejected and lets the next request be a probe. */
+  finishProbe (endpointId: string, result: ProbeResult): void
+  /** Forgets all endpoints but the given ones. */
+  retain (endpointIds: ReadonlySet<string>): void
   getEjected (): readonly string[]
 }
 
+/** How the probe of an ejected endpoint ended. */
+export enum ProbeResult {
+  Succeeded = 'succeeded',
+  Failed = 'failed',
+  /** The endpoint was full or leaving, or the caller closed the connection. */
+  Inconclusive = 'inconclusive'
+}
+
 const windowMs = 1_000
 const minOutcomes = 4
 const minFailureShare = 0.8
@@ -39,15 +52,14 @@
     recordOutcome,
     isEjected: endpointId => records.get(endpointId)?.ejectedUntilMs !== undefined,
     tryTakeProbe,
+    finishProbe,
+    retain,
     getEjected
   }
 
   function recordOutcome (endpointId: string, isFailure: boolean): void {
     const record = getRecord(endpointId)
-    if (record.ejectedUntilMs !== undefined) {
-      finishProbe(record, isFailure)
-      return
-    }
+    if (record.ejectedUntilMs !== undefined) return
     resetExpiredWindow(record)
     record.outcomes++
     if (isFailure) record.failures++
@@ -62,10 +74,12 @@
     record.isProbing = false
   }
 
-  function finishProbe (record: EndpointRecord, isFailure: boolean): void {
-    if (!record.isProbing) return
+  function finishProbe (endpointId: string, result: ProbeResult): void {
+    const record = records.get(endpointId)
+    if (record?.isProbing !== true) return
     record.isProbing = false
-    if (isFailure) {
+    if (result === ProbeResult.Inconclusive) return
+    if (result === ProbeResult.Failed) {
       record.backoffMs = Math.min(maxBackoffMs, record.backoffMs * 2)
       record.ejectedUntilMs = Date.now() + record.backoffMs
       return
@@ -84,6 +98,10 @@
     return true
   }
 
+  function retain (endpointIds: ReadonlySet<string>): void {
+    for (const endpointId of records.keys()) if (!endpointIds.has(endpointId)) records.delete(endpointId)
+  }
+
   function getEjected (): readonly string[] {
     return [...records].filter(([, record]) => record.ejectedUntilMs !== undefined).map(([endpointId]) => endpointId)
   }
--- a/src/routing/endpointPool.ts
+++ b/src/routing/endpointPool.ts
@@ -4,7 +4,7 @@
  */
 import type { ListedHost } from '../membership/hostList.js'
 import type { Random } from '../common/random.js'
-import { createEjection } from './ejection.js'
+import { createEjection, ProbeResult } from './ejection.js'
 import { adaptiveSharing } from './slotSharing.js'
 import type { SlotSharing } from './slotSharing.js'
 
@@ -99,18 +99,18 @@
   function tryTake (service: string, tried: ReadonlySet<string>): Slot | undefined {
     const candidates = getActive(service).filter(endpoint => !tried.has(endpoint.listed.id))
     const probe = candidates.find(endpoint => ejection.isEjected(endpoint.listed.id) && ejection.tryTakeProbe(endpoint.listed.id))
-    if (probe !== undefined) return take(probe)
+    if (probe !== undefined) return take(probe, true)
     const available = candidates.filter(hasFreeSlot)
     for (const distance of [Distance.Domain, Distance.Region, Distance.Far]) {
       if (distance === Distance.Far && !hasFarBudget()) return undefined
       const atDistance = available.filter(endpoint => getDistance(endpoint) === distance)
       const chosen = pickLessLoadedOfTwo(atDistance)
-      if (chosen !== undefined) return take(chosen)
+      if (chosen !== undefined) return take(chosen, false)
     }
     return undefined
   }
 
-  function take (endpoint: Endpoint): Slot {
+  function take (endpoint: Endpoint, isProbe: boolean): Slot {
     const { id, address } = endpoint.listed
     endpoint.inFlight++
     inFlight++
@@ -126,20 +126,21 @@
         endpoint.inFlight--
         inFlight--
         if (distance === Distance.Far) farTokens -= bytes
-        recordOutcome(endpoint, outcome)
+        if (isProbe) ejection.finishProbe(id, getProbeResult(outcome))
+        recordOutcome(endpoint, outcome, isProbe)
       }
     }
   }
 
-  function recordOutcome (endpoint: Endpoint, outcome: SlotOutcome): void {
+  function recordOutcome (endpoint: Endpoint, outcome: SlotOutcome, isProbe: boolean): void {
     const { id, slots = defaultSlots } = endpoint.listed
     switch (outcome) {
       case SlotOutcome.Answered:
         endpoint.limit = sharing.grow(endpoint.limit, slots)
-        ejection.recordOutcome(id, false)
+        if (!isProbe) ejection.recordOutcome(id, false)
         return
       case SlotOutcome.Failed:
-        ejection.recordOutcome(id, true)
+        if (!isProbe) ejection.recordOutcome(id, true)
         return
       case SlotOutcome.Full:
         endpoint.limit = sharing.shrink(endpoint.limit, endpoint.inFlight)
@@ -192,6 +193,7 @@
     lastListed = listed
     const ids = new Set(listed.map(item => item.id))
     for (const id of endpoints.keys()) if (!ids.has(id)) endpoints.delete(id)
+    ejection.retain(ids)
     for (const item of listed) {
       const known = endpoints.get(item.id)
       const slots = item.slots ?? defaultSlots
@@ -229,6 +231,17 @@
   }
 }
 
+function getProbeResult (outcome: SlotOutcome): ProbeResult {
+  switch (outcome) {
+    case SlotOutcome.Answered:
+      return ProbeResult.Succeeded
+    case SlotOutcome.Failed:
+      return ProbeResult.Failed
+    default:
+      return ProbeResult.Inconclusive
+  }
+}
+
 function getLoad (endpoint: Endpoint): number {
   return endpoint.inFlight / Math.max(1, endpoint.limit)
 }
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -334,6 +334,7 @@
       if (member.attempt.stopReason === undefined) member.startExcludedAtMs = undefined
     }
     if (reported.checkpoint !== '') member.attempt.unit.checkpoint = reported.checkpoint
+    member.firstProgress ??= { percent: reported.progressPercent, atMs: performance.now() }
     if (reported.progressPercent > member.progressPercent) member.progressedAtMs = performance.now()
     member.progressPercent = reported.progressPercent
   }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -226,8 +226,8 @@
   }
 
   function recordRunTime (member: Member): void {
-    const { unit } = member.attempt
-    if (unit.checkpoint === '') runTimes.recordRun(unit.job.spec.queue, unit.spec.estimateMs, performance.now() - member.runningSinceMs)
+    const { unit, isRestored } = member.attempt
+    if (unit.checkpoint === '' && !isRestored) runTimes.recordRun(unit.job.spec.queue, unit.spec.estimateMs, performance.now() - member.runningSinceMs)
   }
 
   function getPermittedWorkers (unit: Unit, workerIds: readonly string[]): ReadonlySet<string> | 'all' | undefined {
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -194,7 +194,8 @@
 
   function isCheapToRestart (attempt: Attempt, nowMs: number): boolean {
     if (attempt.unit.spec.hasCheckpoints) return true
-    return nowMs - attempt.plannedAtMs < cheapRestartMs || attempt.members.every(member => member.progressPercent < 50)
+    const isYoung = !attempt.isRestored && nowMs - attempt.plannedAtMs < cheapRestartMs
+    return isYoung || attempt.members.every(member => member.progressPercent < 50)
   }
 }
 
