Apply the bound on stops, and decode no setting that is applied nowhere

A route's timeout is the default for callers without Deadline-Ms. No longer decoded: revokeMs, strictRevoke, configMs, farFactor, saveS, restoreMs, contactMs, drainMs, gangMs, early_ms, the limits on headers and idle connections, and all fields of services (healthPath, maxConns, admissionCheck, standby), which wait for the parts that would use them.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -1,4 +1,4 @@
-/** The operators' configuration: queues, organisations and worker pools. */
+/** The operators' configuration: queues and organisations. */
 
 /** A queue: where callers submit jobs, and how its jobs are scheduled. */
 export interface QueueSettings {
@@ -13,6 +13,7 @@
   /** Objective for a job's completion time: this factor times its critical path, plus `objectiveMs`. */
   readonly objectiveFactor: number
   readonly objectiveMs: number
+  /** How long a caller without a time-out of its own waits for a response, in ms. */
   readonly timeoutMs: number
   /** Callers need no API key. */
   readonly isPublic: boolean
@@ -35,29 +36,15 @@
   readonly guaranteedAccelerators: number
 }
 
-/** A pool of workers. */
-export interface PoolSettings {
-  readonly name: string
-  readonly healthPath: string
-  readonly maxConnections: number
-  /** The workers reject tasks that exceed their free capacity. */
-  readonly hasAdmissionCheck: boolean
-  readonly isStandby: boolean
-}
-
 /** Limits on the requests of callers. */
 export interface CallerLimits {
-  readonly maxHeaderBytes: number
   readonly maxBodyBytes: number
-  readonly headerTimeoutMs: number
-  readonly idleTimeoutMs: number
 }
 
 /** One version of the operators' configuration. */
 export interface Configuration {
   readonly version: number
   readonly queues: readonly QueueSettings[]
-  readonly pools: readonly PoolSettings[]
   readonly organisations: readonly OrganisationSettings[]
   readonly limits: CallerLimits
 }
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -28,6 +28,8 @@
   readonly runTimes: RunTimes
   /** Urgent jobs within their organisation's guarantee start within this time, in ms. */
   readonly reclaimMs: number
+  /** The longest time that a worker takes to stop a run, in ms. */
+  readonly stopMs: number
   /** The workers that may run the unit by its queue's policy; undefined while none is known. */
   readonly getPermittedWorkers: (unit: Unit, workerIds: readonly string[]) => ReadonlySet<string> | 'all' | undefined
   /** Allocates resources on the workers and starts the unit there as soon as these resources are free. */
@@ -41,10 +43,10 @@
   plan (): void
 }
 
-/** How long before its latest start a unit that is not urgent may begin to preempt other work, in ms: a stop takes half a second. */
-const preemptionLeadMs = 1_500
-/** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms: enough for two stops and their reports. */
-const reclaimLeadMs = 1_600
+/** How long before its latest start a unit that is not urgent may begin to preempt other work, in ms, besides the time of a stop. */
+const preemptionLeadMs = 1_100
+/** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms, besides the time of two stops. */
+const reclaimLeadMs = 800
 /** A unit whose latest start passed longer ago than this, in ms, preempts only for a guarantee: it misses its objective anyway. */
 const maxPreemptionDelayMs = 3_000
 
@@ -107,7 +109,7 @@
   function tryPreemptOrReserve (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
     const slackMs = getLatestStartMs(unit, getQueue(unit.job), host.runTimes) - performance.now()
     const isUrgent = getQueue(unit.job)?.priority === 0
-    const isPreemptionDue = slackMs > -maxPreemptionDelayMs && (isUrgent || slackMs < preemptionLeadMs)
+    const isPreemptionDue = slackMs > -maxPreemptionDelayMs && (isUrgent || slackMs < preemptionLeadMs + host.stopMs)
     if ((isPreemptionDue || isReclaimDue(unit)) && tryPreemptFor(unit, permitted, isUrgent)) {
       for (const worker of freeCapacity.keys()) freeCapacity.set(worker, getFreeCapacity(worker))
       return true
@@ -155,7 +157,7 @@
 
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
   function isReclaimDue ({ job }: Unit): boolean {
-    return isGuaranteed(job) && performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs
+    return isGuaranteed(job) && performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -24,8 +24,6 @@
   readonly retryAfterS?: number
 }
 
-/** Caller time-out when the request has no `Deadline-Ms` header. */
-const defaultCallerTimeoutMs = 3_000
 /** The response is due this long before the caller's time-out expires. */
 const answerMarginMs = 250
 /** `Retry-After` of temporary errors: since they are not caused by load, the smallest value that the header allows. */
@@ -58,7 +56,7 @@
     const queue = findQueue(configuration, getHostName(request), path)
     if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${path} under the requested host name`)
     const organisation = authenticate(configuration, queue, request)
-    const deadlineMs = performance.now() + getCallerTimeoutMs(request) - answerMarginMs
+    const deadlineMs = performance.now() + getCallerTimeoutMs(request, queue) - answerMarginMs
     const jobId = path.slice(queue.pathPrefix.length)
     if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name, deadlineMs) } }
     if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
@@ -116,9 +114,9 @@
   return organisation?.name ?? ''
 }
 
-function getCallerTimeoutMs (request: IncomingMessage): number {
+function getCallerTimeoutMs (request: IncomingMessage, queue: QueueSettings): number {
   const timeoutMs = Number(request.headers['deadline-ms'])
-  return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : defaultCallerTimeoutMs
+  return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : queue.timeoutMs
 }
 
 function toReply (error: AppError): Reply {
--- a/src/platform/platformConfiguration.ts
+++ b/src/platform/platformConfiguration.ts
@@ -20,32 +20,19 @@
   public: z._default(z.boolean(), false),
   advice: z.optional(adviceSchema)
 })
-const serviceSchema = z.object({
-  name: z.string(),
-  healthPath: z._default(z.string(), '/healthz'),
-  maxConns: z._default(z.number(), 64),
-  admissionCheck: z._default(z.boolean(), false),
-  standby: z._default(z.boolean(), false)
-})
 const tenantSchema = z.object({ name: z.string(), keys: z.array(z.string()), guaranteed: z.optional(z.object({ gpu: z.optional(z.number()) })) })
 const configurationSchema = z.object({
   version: z.number(),
   routes: z._default(z.array(routeSchema), []),
-  services: z._default(z.array(serviceSchema), []),
   tenants: z._default(z.array(tenantSchema), []),
-  limits: z._default(z.object({
-    maxHeaderBytes: z._default(z.number(), 16_384),
-    maxBodyBytes: z._default(z.number(), 262_144),
-    headerTimeoutMs: z._default(z.number(), 3_000),
-    idleTimeoutMs: z._default(z.number(), 15_000)
-  }), { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 })
+  limits: z._default(z.object({ maxBodyBytes: z._default(z.number(), 262_144) }), { maxBodyBytes: 262_144 })
 })
 
 /** Decodes a configuration; undefined if it is malformed. */
 export function tryDecodeConfiguration (value: string): Configuration | undefined {
   const parsed = configurationSchema.safeParse(tryParseJson(value))
   if (!parsed.success) return undefined
-  const { version, routes, services, tenants, limits } = parsed.data
+  const { version, routes, tenants, limits } = parsed.data
   return {
     version,
     limits,
@@ -62,13 +49,6 @@
       isPublic: route.public,
       ...(route.advice === undefined ? {} : { advice: { decideMs: route.advice.decideMs, perWorkerMs: route.advice.eachMs, validMs: route.advice.validMs } })
     })),
-    pools: services.map(service => ({
-      name: service.name,
-      healthPath: service.healthPath,
-      maxConnections: service.maxConns,
-      hasAdmissionCheck: service.admissionCheck,
-      isStandby: service.standby
-    })),
     organisations: tenants.map(tenant => ({ name: tenant.name, keys: tenant.keys, guaranteedAccelerators: tenant.guaranteed?.gpu ?? 0 }))
   }
 }
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -14,20 +14,10 @@
   listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
   limits: z._default(z.object({ cpuShare: z._default(z.number(), 1), linkMbps: z._default(z.number(), 1_000) }), { cpuShare: 1, linkMbps: 1_000 }),
   bounds: z.object({
-    contactMs: z._default(z.number(), 4_000),
-    drainMs: z._default(z.number(), 2_500),
     graceS: z._default(z.number(), 6),
-    configMs: z._default(z.number(), 2_500),
-    strictRevoke: z._default(z.boolean(), false),
-    revokeMs: z._default(z.number(), 5_000),
     holdMaxMs: z._default(z.number(), 6_000),
     stopMs: z._default(z.number(), 400),
-    gangMs: z._default(z.number(), 3_000),
-    early_ms: z._default(z.number(), 250),
     status_s: z._default(z.number(), 120),
-    farFactor: z._default(z.number(), 3),
-    saveS: z._default(z.number(), 2),
-    restoreMs: z._default(z.number(), 600),
     reclaimMs: z._default(z.number(), 2_900),
     noticeMs: z._default(z.number(), 5_500),
     leaseMs: z._default(z.number(), 3_000)
@@ -50,8 +40,9 @@
   readonly cpuShare: number
   readonly linkMbps: number
   readonly graceMs: number
-  readonly configMs: number
   readonly maxLeaseMs: number
+  /** The longest time that a worker takes to stop a run, in ms. */
+  readonly stopMs: number
   readonly retentionMs: number
   readonly reclaimMs: number
   readonly noticeMs: number
@@ -59,12 +50,6 @@
   readonly holderPauseMs: number
   readonly adviceAddress: string | undefined
   readonly machinesAddress: string | undefined
-  /** Time without a confirmed configuration after which API keys should be refused; undefined: never. It is logged but not enforced. */
-  readonly revokeMs: number | undefined
-  readonly farFactor: number
-  readonly stopMs: number
-  readonly checkpointPeriodMs: number
-  readonly restoreMs: number
 }
 
 /** The environment variable with the path of the settings file. */
@@ -90,18 +75,13 @@
     cpuShare: limits.cpuShare,
     linkMbps: limits.linkMbps,
     graceMs: bounds.graceS * 1_000,
-    configMs: bounds.configMs,
     maxLeaseMs: bounds.holdMaxMs,
+    stopMs: bounds.stopMs,
     retentionMs: bounds.status_s * 1_000,
     reclaimMs: bounds.reclaimMs,
     noticeMs: bounds.noticeMs,
     holderPauseMs: bounds.leaseMs,
     adviceAddress: advice === undefined || advice === '' ? undefined : advice,
-    machinesAddress: cloud?.addr,
-    revokeMs: bounds.strictRevoke ? bounds.revokeMs : undefined,
-    farFactor: bounds.farFactor,
-    stopMs: bounds.stopMs,
-    checkpointPeriodMs: bounds.saveS * 1_000,
-    restoreMs: bounds.restoreMs
+    machinesAddress: cloud?.addr
   }
 }
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -30,6 +30,8 @@
   readonly onBadTicket: (member: Member) => void
   /** Resolves when the progress of the job is stored. */
   readonly commit: (job: TrackedJob) => Promise<void>
+  /** The longest time that a worker takes to stop a run, in ms. */
+  readonly stopMs: number
   /** Called when free capacity, units or jobs have changed, so that new placements may be possible. */
   readonly onChanged: () => void
   readonly onMemberEnded: (member: Member, how: MemberEnd) => void
@@ -59,8 +61,8 @@
 
 /** How many times a start request without an answer is sent: starts are idempotent, so a repeated one does no harm. */
 const maxStartTries = 3
-/** A stop is sent again when the end has not been reported within this, in ms: longer than any stop takes. */
-const stopRepeatMs = 1_200
+/** A stop is sent again when the end has not been reported within this, in ms, beyond the time that a stop may take. */
+const stopReportMs = 800
 /** Pause after a failed stop request, in ms. */
 const stopRetryPauseMs = 200
 
@@ -256,7 +258,7 @@
         await link.port.stop({ task: getTaskName(member), run: member.attempt.run, epoch: term.epoch })
         member.startExcludedAtMs ??= performance.now()
         link.wake()
-        await delay(stopRepeatMs, term.signal)
+        await delay(host.stopMs + stopReportMs, term.signal)
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.StaleEpoch)) term.resign(`worker ${member.workerId} has seen a higher epoch`)
         await delay(stopRetryPauseMs, term.signal)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -28,6 +28,8 @@
 export interface SchedulerBounds {
   /** The longest lease that a worker grants, in ms. */
   readonly maxLeaseMs: number
+  /** The longest time that a worker takes to stop a run, in ms. */
+  readonly stopMs: number
   /** How long the state of an ended job can be read, in ms. */
   readonly retentionMs: number
   /** Jobs of priority 0 within their organisation's guarantee must start within this, in ms. */
@@ -124,6 +126,7 @@
     getTicket: member => adviceCache?.getTicket(member.attempt.unit, member.workerId),
     onBadTicket: member => { adviceCache?.invalidate(member.attempt.unit, member.workerId) },
     commit: writer.commit,
+    stopMs: host.bounds.stopMs,
     onChanged: schedulePlan,
     onMemberEnded: (member, how) => {
       if (how === 'lost' || how === 'not-started') return
@@ -145,6 +148,7 @@
     getOrganisations: () => host.getConfiguration()?.organisations ?? [],
     runTimes,
     reclaimMs: host.bounds.reclaimMs,
+    stopMs: host.bounds.stopMs,
     getPermittedWorkers,
     startAttempt: controller.planAttempt,
     stopAttempt: controller.stopAttempt
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -64,8 +64,7 @@
 /** The configuration of the harness: a queue for urgent work of priority 0, and one for batch work of priority 2. */
 export const harnessConfiguration: Configuration = {
   version: 1,
-  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-  pools: [{ name: 'pool', healthPath: '/healthz', maxConnections: 64, hasAdmissionCheck: false, isStandby: false }],
+  limits: { maxBodyBytes: 262_144 },
   organisations: [{ name: 'mill', keys: ['key-of-mill'], guaranteedAccelerators: 16 }],
   queues: [
     { name: 'urgent', hostName: 'host', pathPrefix: '/urgent/', service: 'pool', priority: 0, attempts: 3, objectiveFactor: 1.5, objectiveMs: 500, timeoutMs: 3_000, isPublic: false },
@@ -181,7 +180,7 @@
           term: elected,
           store: client,
           logger: logger.withPrefix(hostId),
-          bounds: { maxLeaseMs, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
+          bounds: { maxLeaseMs, stopMs: 400, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
           getListedWorkers: () => [...listedWorkers.values()],
           connect: info => connect(info, () => hasCrashed),
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
