--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -15,7 +15,8 @@
 import { indexVictims, tryPreempt } from './preemption.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareUnits, getMaxLoss, getVictims } from './unitOrder.js'
+import { compareRanks, getMaxLoss, getPriority, getVictims } from './unitOrder.js'
+import type { UnitRank } from './unitOrder.js'
 
 /** What the planner needs from outside. */
 export interface PlannerHost {
@@ -67,18 +68,41 @@
     const waiting = [...host.getUnfinishedJobs()].flatMap(getUnits).filter(isReadyToPlace)
     if (waiting.length === 0) return
     withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
-    waiting.sort((left, right) => compareUnits(left, right, getQueue, isGuaranteed))
+    const ordered = order(waiting)
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     reservedUntilMs.clear()
     usageByWorker = new Map()
     // The tasks of one step have the same requirements: if one cannot be placed, the others need not be tried.
     const blocked = new Set<string>()
-    for (const unit of waiting) {
-      const stepKey = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
+    for (const unit of ordered) {
+      const stepKey = getStepKey(unit)
       if (!blocked.has(stepKey) && !tryStart(unit, freeCapacity)) blocked.add(stepKey)
     }
   }
 
+  /** The units in the order in which they get workers; the units of one step are alike. */
+  function order (waiting: readonly Unit[]): readonly Unit[] {
+    const nowMs = performance.now()
+    const ranks = new Map<string, UnitRank>()
+    const ranked = waiting.map(unit => {
+      const stepKey = getStepKey(unit)
+      let rank = ranks.get(stepKey)
+      if (rank === undefined) ranks.set(stepKey, rank = getRank(unit, nowMs))
+      return { unit, rank }
+    })
+    return ranked.sort((left, right) => compareRanks(left.rank, right.rank)).map(({ unit }) => unit)
+  }
+
+  function getRank (unit: Unit, nowMs: number): UnitRank {
+    const { job } = unit
+    return {
+      isGuaranteed: isGuaranteed(job),
+      priority: getPriority(job, getQueue),
+      isLate: getLatestStartMs(unit, getQueue(job), host.runTimes) < nowMs,
+      acceptedAtMs: job.acceptedAtMs
+    }
+  }
+
   function tryStart (unit: Unit, freeCapacity: FreeCapacity): boolean {
     const permitted = getPermittedCapacity(unit, freeCapacity)
     if (permitted === undefined) return false
@@ -196,3 +220,7 @@
     return byQueue
   }
 }
+
+function getStepKey ({ job, occurrence, step }: Unit): string {
+  return `${job.spec.jobId}.${occurrence}.${step}`
+}
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -24,13 +24,25 @@
 /** The priority of jobs whose queue is unknown; lower numbers come first. */
 const lowestPriority = 1_000
 
-/** Guaranteed jobs first, then by priority, then by the time of acceptance. */
-export function compareUnits (left: Unit, right: Unit, getQueue: GetQueue, isGuaranteed: (job: TrackedJob) => boolean): number {
-  const byGuarantee = Number(isGuaranteed(right.job)) - Number(isGuaranteed(left.job))
-  if (byGuarantee !== 0) return byGuarantee
-  const byPriority = getPriority(left.job, getQueue) - getPriority(right.job, getQueue)
-  if (byPriority !== 0) return byPriority
-  return left.job.acceptedAtMs - right.job.acceptedAtMs
+/** What decides the order of a unit; computed once for each step in a planning pass. */
+export interface UnitRank {
+  readonly isGuaranteed: boolean
+  readonly priority: number
+  /** Its latest start has passed: even if it starts now, its job misses its objective. */
+  readonly isLate: boolean
+  readonly acceptedAtMs: number
+}
+
+/**
+ * Guaranteed jobs first, then by priority, then those that can still meet their objective, then by the time of acceptance. Load: more
+ * work than there is room for. In the order of acceptance alone every job of a queue would wait until it is late, and each that starts
+ * would make the next one late too.
+ */
+export function compareRanks (left: UnitRank, right: UnitRank): number {
+  if (left.isGuaranteed !== right.isGuaranteed) return left.isGuaranteed ? -1 : 1
+  if (left.priority !== right.priority) return left.priority - right.priority
+  if (left.isLate !== right.isLate) return left.isLate ? 1 : -1
+  return left.acceptedAtMs - right.acceptedAtMs
 }
 
 /**
@@ -73,6 +85,7 @@
   return size * getCores(attempt.unit) * (restartCostS + lostRunS) * Math.max(1, attempt.run)
 }
 
-function getPriority (job: TrackedJob, getQueue: GetQueue): number {
+/** The priority of a job's queue; lower numbers come first. */
+export function getPriority (job: TrackedJob, getQueue: GetQueue): number {
   return getQueue(job)?.priority ?? lowestPriority
 }
--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -57,7 +57,9 @@
     incompleteGangEnds: [],
     gangs: new Map(),
     acknowledgedDone: new Set(),
-    starts: new Map()
+    starts: new Map(),
+    workedMs: new Map(),
+    wastedMs: new Map()
   }
   const storeServer = await listenEmulated(createEmulatedStore(store.connect(storeClientId)))
   const workers: PoolWorker[] = []
--- /dev/null
+++ b/src/runs/overload.test.ts
@@ -0,0 +1,56 @@
+/** The scheduler under more load than there is room for: it must not throw away its own work. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { isTerminal } from '../jobs/jobModel.js'
+import { getProgressKey } from '../jobs/jobKeys.js'
+import { decodeState } from '../jobs/trackedJob.js'
+import { createOverloadDay, evaluateOverloadDay, overloadConfiguration, overloadWorkers, overloadWorkersPerRack } from '../testing/overloadDay.js'
+import type { OverloadResult } from '../testing/overloadDay.js'
+import { createPoolHarness } from '../testing/poolHarness.js'
+
+const lengthMs = 34_000
+const settleMs = 20_000
+const loadFactor = Number(process.env.SASSAFRASFORD_OVERLOAD_FACTOR ?? 1.7)
+const seeds = (process.env.SASSAFRASFORD_OVERLOAD_SEEDS ?? '1').split(',').map(Number)
+const stepMs = 10
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+async function run (ms: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += stepMs) await jest.advanceTimersByTimeAsync(stepMs)
+}
+
+async function play (seed: number): Promise<OverloadResult> {
+  const day = createOverloadDay(seed, lengthMs, loadFactor)
+  const harness = createPoolHarness({ workers: overloadWorkers, workersPerRack: overloadWorkersPerRack, maxLeaseMs: 6_000, getRun: day.getRun, getConfiguration: () => overloadConfiguration })
+  harness.addHost('host-0')
+  await run(1_000)
+  const endedAtMs = new Map<string, number>()
+  const open = new Set<string>()
+  let next = 0
+  for (let elapsedMs = 0; elapsedMs < lengthMs + settleMs; elapsedMs += 50) {
+    for (; (day.arrivals[next]?.atMs ?? Infinity) <= elapsedMs; next++) {
+      const { job } = day.arrivals[next] as (typeof day.arrivals)[number]
+      void harness.submit({ ...job, acceptedAtMs: Date.now() })
+      open.add(job.jobId)
+    }
+    await run(50)
+    for (const jobId of open) {
+      const value = harness.store.peek(getProgressKey(jobId))
+      if (value === undefined || !isTerminal(decodeState(value))) continue
+      endedAtMs.set(jobId, elapsedMs)
+      open.delete(jobId)
+    }
+  }
+  expect(harness.poolState.violations).toEqual([])
+  const stopped = harness.stop()
+  await run(3_000)
+  await stopped
+  return evaluateOverloadDay(day, endedAtMs, harness.poolState)
+}
+
+test.each(seeds)('seed %i: under overload few runs are stopped, and no task again and again', async seed => {
+  const result = await play(seed)
+  if (process.env.SASSAFRASFORD_OVERLOAD_SEEDS !== undefined) process.stdout.write(`${JSON.stringify({ seed, ...result })}\n`)
+  expect(result.stoppedShare).toBeLessThan(0.05)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -76,6 +76,9 @@
 /** Creates the scheduler and starts it; it stops when the term ends. */
 export function createScheduler (host: SchedulerHost): Scheduler {
   const { term, logger } = host
+  // A configuration may have thousands of queues, and a planning pass looks up the queue of every job.
+  let indexedQueues: Configuration['queues'] | undefined
+  let queuesByName = new Map<string, QueueSettings>()
   // Removed queues keep their last settings for the jobs that they have accepted.
   const lastQueueSettings = new Map<string, QueueSettings>()
   const startedAtMs = performance.now()
@@ -246,7 +249,12 @@
   }
 
   function getQueue (job: TrackedJob): QueueSettings | undefined {
-    const queue = host.getConfiguration()?.queues.find(candidate => candidate.name === job.spec.queue)
+    const queues = host.getConfiguration()?.queues
+    if (queues !== indexedQueues) {
+      indexedQueues = queues
+      queuesByName = new Map(queues?.map(queue => [queue.name, queue]))
+    }
+    const queue = queuesByName.get(job.spec.queue)
     if (queue !== undefined) lastQueueSettings.set(job.spec.queue, queue)
     return queue ?? lastQueueSettings.get(job.spec.queue)
   }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -26,6 +26,9 @@
   /** Tasks that have ended as done and whose end has been acknowledged. */
   readonly acknowledgedDone: Set<string>
   readonly starts: Map<string, number>
+  /** The time that runs have worked, in ms, by task, and of it that of runs that did not end as done. */
+  readonly workedMs: Map<string, number>
+  readonly wastedMs: Map<string, number>
 }
 
 /** The stand-in, with fault injection. */
@@ -92,7 +95,10 @@
   }
 
   function restart (): ListedWorker {
-    for (const run of runs.values()) removeFromPool(run)
+    for (const run of runs.values()) {
+      recordWork(run, 'lost')
+      removeFromPool(run)
+    }
     runs = new Map()
     ended = []
     sequence = 0
@@ -124,6 +130,7 @@
 
   function endRun (run: Run, how: EndKind): void {
     if (how === EndKind.GangIncomplete) pool.incompleteGangEnds.push(`${run.task} run ${run.run}`)
+    recordWork(run, how)
     endedAtMs.set(sequence + 1, getClockMs())
     sequence++
     ended.push({ sequence, task: run.task, run: run.run, how, checkpoint: '' })
@@ -132,6 +139,12 @@
     removeFromPool(run)
   }
 
+  /** Adds the work of a run; of a run that did not end as done, all is thrown away. */
+  function recordWork (run: Run, how: EndKind | 'lost'): void {
+    pool.workedMs.set(run.task, (pool.workedMs.get(run.task) ?? 0) + run.workedMs)
+    if (how !== EndKind.Done && how !== EndKind.GangBroken) pool.wastedMs.set(run.task, (pool.wastedMs.get(run.task) ?? 0) + run.workedMs)
+  }
+
   function removeFromPool (run: Run): void {
     const locations = pool.running.get(run.task) ?? []
     pool.running.set(run.task, locations.filter(location => location.workerId !== info.workerId || location.run !== run.run))
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -115,7 +115,9 @@
     incompleteGangEnds: [],
     gangs: new Map(),
     acknowledgedDone: new Set(),
-    starts: new Map()
+    starts: new Map(),
+    workedMs: new Map(),
+    wastedMs: new Map()
   }
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
 
