--- a/src/placement/unitOrder.test.ts
+++ b/src/placement/unitOrder.test.ts
@@ -1,11 +1,13 @@
 /** Which running work is preempted for an urgent unit, and in which order. */
 import { expect, test } from '@jest/globals'
+import fc from 'fast-check'
 import type { QueueSettings } from '../configuration/configuration.js'
 import { JobState } from '../jobs/jobModel.js'
 import { createAttempt, createTrackedJob, getUnits } from '../jobs/trackedJob.js'
 import type { TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { makeJob, makeStep, harnessConfiguration } from '../testing/poolHarness.js'
-import { getVictims } from './unitOrder.js'
+import { compareRanks, getVictims } from './unitOrder.js'
+import type { UnitRank } from './unitOrder.js'
 
 function startJob (jobId: string, progressPercent: number, hasCheckpoints = false, queue = 'batch'): TrackedJob {
   const job = createTrackedJob(makeJob(jobId, queue, [makeStep({ estimateMs: 8_000, hasCheckpoints })]), 0)
@@ -35,3 +37,21 @@
   expect([...getNames(true)].sort()).toEqual(['batch', 'equal'])
   expect(getNames(false)).toEqual(['batch'])
 })
+
+const rankArbitrary = fc.record<UnitRank>({ isGuaranteed: fc.boolean(), priority: fc.nat(3), isLate: fc.boolean(), acceptedAtMs: fc.nat(5) })
+
+test('guarantees come first, then priority, then work that is not late, then the oldest; and the order is consistent', () => {
+  const rank = { isGuaranteed: false, priority: 1, isLate: false, acceptedAtMs: 10 }
+  const expected: readonly UnitRank[] = [
+    { ...rank, isGuaranteed: true, isLate: true, acceptedAtMs: 20 },
+    { ...rank, priority: 0, isLate: true, acceptedAtMs: 20 },
+    rank,
+    { ...rank, acceptedAtMs: 11 },
+    { ...rank, isLate: true, acceptedAtMs: 5 }
+  ]
+  expect([...expected].reverse().sort(compareRanks)).toEqual(expected)
+  fc.assert(fc.property(rankArbitrary, rankArbitrary, rankArbitrary, (a, b, c) => {
+    expect(Math.sign(compareRanks(a, b))).toBe(-Math.sign(compareRanks(b, a)) + 0)
+    if (compareRanks(a, b) <= 0 && compareRanks(b, c) <= 0) expect(compareRanks(a, c)).toBeLessThanOrEqual(0)
+  }))
+})
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -236,6 +236,18 @@
   await waitForState('third', JobState.Complete, 9_000)
 })
 
+test('a job that can still meet its objective starts before an older one of its queue that is late', async () => {
+  const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  // The objective of the batch queue is three times the run time and 3 s.
+  await startHarness({ workers: 1, getRun: () => ({ workMs: 2_000, how: EndKind.Done }) })
+  for (let index = 0; index < 6; index++) await submit(makeJob(`old${index}`, 'batch', [makeStep({ request: wholeWorker, estimateMs: 2_000 })]))
+  await run(7_500)
+  await submit(makeJob('new', 'batch', [makeStep({ request: wholeWorker, estimateMs: 2_000 })]))
+  await waitForState('new', JobState.Complete, 9_000)
+  expect(harness.poolState.starts.get('old5.0.0.0')).toBeUndefined()
+  await waitForState('old5', JobState.Complete, 6_000)
+})
+
 test('a job waits when preempting for it would discard far more work than it needs', async () => {
   const wholeWorker = { cpuMilli: 64_000, memoryMb: 8_000, accelerators: 8 }
   await startHarness({ workers: 1, getRun: task => ({ workMs: task.startsWith('long') ? 14_000 : 300, how: EndKind.Done }) })
