Bound the cost of a planning pass: tasks of a step together, victims once a pass

Each unit listed and sorted all running work, copied the free capacity once for each rack and ranked all workers, also the 39 tasks of one step one by one. Change: tasks of one step that are alike are placed with one ranking; victims and stopping work are collected once until a preemption changes them; the search for victims computes anew only what a choice has changed, copies only its rack, and gives up where the loss exceeds the limit.

--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -35,6 +35,29 @@
   return undefined
 }
 
+/**
+ * Finds workers for up to `count` single tasks like the unit, as many as fit, and subtracts their requests from the free capacity.
+ * Workers are ranked once: one that gets a task stays the best fit for the next until it is full.
+ */
+export function placeTasks (unit: Unit, count: number, freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] {
+  const { request, spreadLimit = Infinity } = unit.spec
+  const places: WorkerState[] = []
+  const placedCounts = new Map<WorkerState, number>()
+  for (const group of getGroups(unit, freeCapacity)) {
+    for (const worker of getFittingWorkers(unit, group, freeCapacity, rules)) {
+      let onWorker = rules.countStepTasks(unit, worker.info.workerId) + (placedCounts.get(worker) ?? 0)
+      while (places.length < count && onWorker < spreadLimit && fits(request, freeCapacity.get(worker) as Resources)) {
+        places.push(worker)
+        allocateCapacity(freeCapacity, [worker], request)
+        placedCounts.set(worker, (placedCounts.get(worker) ?? 0) + 1)
+        onWorker++
+      }
+      if (places.length === count) return places
+    }
+  }
+  return places
+}
+
 /** Subtracts one request from the free capacity for each place. */
 export function allocateCapacity (freeCapacity: FreeCapacity, places: readonly WorkerState[], request: Resources): void {
   for (const worker of places) freeCapacity.set(worker, subtractResources(freeCapacity.get(worker) ?? worker.info.capacity, request))
@@ -98,8 +121,7 @@
 function tryPlaceInGroup (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerState[] = []
-  const fitting = group.filter(worker => fits(request, freeCapacity.get(worker) as Resources) && !rules.isReservedForOther(unit, worker))
-  for (const worker of sortByFit(unit, fitting, freeCapacity, rules)) {
+  for (const worker of getFittingWorkers(unit, group, freeCapacity, rules)) {
     let free = freeCapacity.get(worker) as Resources
     let count = rules.countStepTasks(unit, worker.info.workerId)
     while (places.length < unit.size && count < spreadLimit && fits(request, free)) {
@@ -112,6 +134,12 @@
   return undefined
 }
 
+/** The workers of the group that have room for one task of the unit, best fit first. */
+function getFittingWorkers (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] {
+  const fitting = group.filter(worker => fits(unit.spec.request, freeCapacity.get(worker) as Resources) && !rules.isReservedForOther(unit, worker))
+  return sortByFit(unit, fitting, freeCapacity, rules)
+}
+
 /**
  * Workers to avoid, on which the unit has failed, come last. Among the others, workers that run only work of the unit's own queue
  * come first: when a queue's short work ends, whole workers become free, rather than stay partly occupied by another queue's long work.
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -3,16 +3,18 @@
  * fit, running work is preempted for it, or workers are reserved for it. Works on the state as it is and does no I/O itself.
  */
 import type { Logger } from '../common/logger.js'
+import type { Resources } from '../jobs/jobModel.js'
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { getFreeCapacity, isUsable } from '../workers/workerState.js'
+import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getOrganisationsWithinGuarantee } from './guarantees.js'
 import { getLatestStartMs } from './objective.js'
-import { allocateCapacity, tryPlace } from './placeUnit.js'
+import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
+import type { VictimsByWorker } from './preemption.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
 import { compareRanks, getMaxLoss, getPriority, getVictims } from './unitOrder.js'
@@ -60,6 +62,9 @@
   let usageByWorker = new Map<WorkerState, Map<string, number>>()
   /** Organisations that request no more than their guarantee; computed at the start of each planning pass. */
   let withinGuarantee: ReadonlySet<string> = new Set()
+  /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
+  const victimsByKind = new Map<string, VictimsByWorker>()
+  let stoppingByWorker: Map<WorkerState, Resources> | undefined
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther }
 
   return { plan }
@@ -72,12 +77,45 @@
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     reservedUntilMs.clear()
     usageByWorker = new Map()
-    // The tasks of one step have the same requirements: if one cannot be placed, the others need not be tried.
-    const blocked = new Set<string>()
-    for (const unit of ordered) {
-      const stepKey = getStepKey(unit)
-      if (!blocked.has(stepKey) && !tryStart(unit, freeCapacity)) blocked.add(stepKey)
+    forgetVictims()
+    const blockedSteps = new Set<string>()
+    for (const units of groupAlike(ordered)) {
+      const stepKey = getStepKey(units[0] as Unit)
+      if (!blockedSteps.has(stepKey) && !tryStart(units, freeCapacity)) blockedSteps.add(stepKey)
+    }
+  }
+
+  /** Starts the units, which are alike, in order, until one cannot be started: the others have the same requirements. Returns whether all have started. */
+  function tryStart (units: readonly Unit[], freeCapacity: FreeCapacity): boolean {
+    let next = 0
+    for (let unit = units[next]; unit !== undefined; unit = units[next]) {
+      const permitted = getPermittedCapacity(unit, freeCapacity)
+      if (permitted === undefined) return false
+      const placed = unit.size === 1 ? startTasks(units.slice(next), permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
+      if (placed === 0 && !tryPreemptOrReserve(unit, permitted, freeCapacity)) return false
+      next += Math.max(1, placed)
     }
+    return true
+  }
+
+  /** Starts as many of the tasks as there is room for, and returns their number. */
+  function startTasks (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
+    const places = placeTasks(units[0] as Unit, units.length, permitted, rules)
+    places.forEach((worker, index) => { startPlaced(units[index] as Unit, [worker], permitted, freeCapacity) })
+    return places.length
+  }
+
+  /** Returns 1 if the gang has started, otherwise 0. */
+  function startGang (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
+    const places = tryPlace(unit, permitted, rules)
+    if (places === undefined) return 0
+    startPlaced(unit, places, permitted, freeCapacity)
+    return 1
+  }
+
+  function startPlaced (unit: Unit, places: readonly WorkerState[], permitted: FreeCapacity, freeCapacity: FreeCapacity): void {
+    if (permitted !== freeCapacity) allocateCapacity(freeCapacity, places, unit.spec.request)
+    startAttempt(unit, places)
   }
 
   /** The units in the order in which they get workers; the units of one step are alike. */
@@ -103,16 +141,6 @@
     }
   }
 
-  function tryStart (unit: Unit, freeCapacity: FreeCapacity): boolean {
-    const permitted = getPermittedCapacity(unit, freeCapacity)
-    if (permitted === undefined) return false
-    const places = tryPlace(unit, permitted, rules)
-    if (places === undefined) return tryPreemptOrReserve(unit, permitted, freeCapacity)
-    if (permitted !== freeCapacity) allocateCapacity(freeCapacity, places, unit.spec.request)
-    startAttempt(unit, places)
-    return true
-  }
-
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
     for (const worker of places) usageByWorker.delete(worker)
     host.startAttempt(unit, places.map(worker => worker.info.workerId))
@@ -147,34 +175,55 @@
 
   /** Preempts work for the unit if the unit then fits and the work lost does not exceed the limit for it. Returns whether it did. */
   function tryPreemptFor (unit: Unit, freeCapacity: FreeCapacity, isUrgent: boolean): boolean {
-    const victims = getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit))
-    if (victims.length === 0) return false
-    const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), indexVictims(victims), rules, workerId => workers.get(workerId))
+    const victims = getVictimsByWorker(unit)
+    if (victims.size === 0) return false
     const maxLoss = isReclaimDue(unit) ? Infinity : getMaxLoss(unit, host.runTimes.getExpectedMs(unit.job.spec.queue, unit.spec), isUrgent)
-    if (preemption === undefined || preemption.cost > maxLoss) return false
+    const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, workerId => workers.get(workerId), maxLoss)
+    if (preemption === undefined) return false
     logger.info('preempting running work to start a job', { jobId: unit.job.spec.jobId, victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(preemption.cost), maxLoss: Number.isFinite(maxLoss) ? Math.round(maxLoss) : 'guaranteed' })
     startAttempt(unit, preemption.places)
     for (const attempt of preemption.victims) host.stopAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
+    forgetVictims()
     return true
   }
 
+  /** Units of the same priority have the same victims. Work that the pass itself has started is not among them. */
+  function getVictimsByWorker (unit: Unit): VictimsByWorker {
+    const kind = `${getPriority(unit.job, getQueue)}.${String(isReclaimDue(unit))}`
+    let victims = victimsByKind.get(kind)
+    if (victims === undefined) victimsByKind.set(kind, victims = indexVictims(getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit))))
+    return victims
+  }
+
+  function forgetVictims (): void {
+    victimsByKind.clear()
+    stoppingByWorker = undefined
+  }
+
   /** The free capacity after everything that is being stopped has ended. */
   function getCapacityAfterStops (freeCapacity: FreeCapacity): FreeCapacity {
+    stoppingByWorker ??= sumStopping()
     const freeLater: FreeCapacity = new Map(freeCapacity)
-    for (const [worker, free] of freeLater) {
-      let { cpuMilli, memoryMb, accelerators } = free
-      for (const member of getMembers(worker.info.workerId)) {
-        if (member.attempt.stopReason === undefined || member.state === MemberState.Ended) continue
-        const { request } = member.attempt.unit.spec
-        cpuMilli += request.cpuMilli
-        memoryMb += request.memoryMb
-        accelerators += request.accelerators
-      }
-      freeLater.set(worker, { cpuMilli, memoryMb, accelerators })
+    for (const [worker, stopping] of stoppingByWorker) {
+      const free = freeLater.get(worker)
+      if (free !== undefined) freeLater.set(worker, addResources(free, stopping))
     }
     return freeLater
   }
 
+  function sumStopping (): Map<WorkerState, Resources> {
+    const sums = new Map<WorkerState, Resources>()
+    for (const worker of workers.values()) {
+      for (const { attempt, state } of getMembers(worker.info.workerId)) {
+        if (attempt.stopReason === undefined || state === MemberState.Ended) continue
+        const { request } = attempt.unit.spec
+        const sum = sums.get(worker)
+        sums.set(worker, sum === undefined ? request : addResources(sum, request))
+      }
+    }
+    return sums
+  }
+
   function isGuaranteed (job: TrackedJob): boolean {
     return getQueue(job)?.priority === 0 && withinGuarantee.has(job.spec.organisation)
   }
@@ -221,6 +270,20 @@
   }
 }
 
+/** Splits ordered units into runs of units that are alike: tasks of one step that have not failed on any worker. */
+function groupAlike (units: readonly Unit[]): readonly (readonly Unit[])[] {
+  const groups: Unit[][] = []
+  let lastKey: string | undefined
+  for (const unit of units) {
+    const key = unit.avoidedWorkers.size === 0 ? getStepKey(unit) : undefined
+    const last = groups.at(-1)
+    if (key !== undefined && key === lastKey && last !== undefined) last.push(unit)
+    else groups.push([unit])
+    lastKey = key
+  }
+  return groups
+}
+
 function getStepKey ({ job, occurrence, step }: Unit): string {
   return `${job.spec.jobId}.${occurrence}.${step}`
 }
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -39,41 +39,78 @@
   return index
 }
 
-/** Finds the cheapest preemption that lets the unit start, of those found for each group of workers. Does not modify `freeCapacity`. */
-export function tryPreempt (unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined): PreemptionPlan | undefined {
+/** The victims whose stop makes room for one member on a worker, and the work lost. */
+interface WorkerNeed {
+  readonly victims: readonly Victim[]
+  readonly cost: number
+}
+
+/**
+ * Finds the cheapest preemption that lets the unit start, of those found for each group of workers; undefined if each would discard
+ * more than `maxLoss` core-seconds. Does not modify `freeCapacity`.
+ */
+export function tryPreempt (
+  unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number
+): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
   for (const group of getGroups(unit, freeCapacity)) {
-    const plan = tryPreemptInGroup(unit, group, new Map(freeCapacity), victims, rules, getWorker)
+    const plan = tryPreemptInGroup(unit, group, freeCapacity, victims, rules, getWorker, best?.cost ?? maxLoss)
     if (plan !== undefined && plan.cost < (best?.cost ?? Infinity)) best = plan
   }
   return best
 }
 
-function tryPreemptInGroup (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined): PreemptionPlan | undefined {
+/** Gives up as soon as the cost exceeds `maxCost`. What a worker needs is computed anew only after a choice has changed it. */
+function tryPreemptInGroup (
+  unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules,
+  getWorker: (workerId: string) => WorkerState | undefined, maxCost: number
+): PreemptionPlan | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerState[] = []
   const chosen = new Set<Attempt>()
+  const freeInGroup: FreeCapacity = new Map(group.map(worker => [worker, freeCapacity.get(worker) as Resources]))
   const counts = new Map(group.map(worker => [worker, rules.countStepTasks(unit, worker.info.workerId)]))
+  const needs = new Map<WorkerState, WorkerNeed | undefined>()
   let cost = 0
   while (places.length < unit.size) {
-    let best: { readonly worker: WorkerState, readonly victims: readonly Victim[], readonly cost: number } | undefined
+    let best: WorkerState | undefined
+    let bestNeed: WorkerNeed | undefined
     for (const worker of group) {
       if ((counts.get(worker) ?? 0) >= spreadLimit) continue
-      const needed = getVictimsFor(request, freeCapacity.get(worker) as Resources, victims.get(worker.info.workerId) ?? [], chosen)
-      const neededCost = needed?.reduce((sum, victim) => sum + victim.cost, 0) ?? Infinity
-      if (needed !== undefined && neededCost < (best?.cost ?? Infinity)) best = { worker, victims: needed, cost: neededCost }
-    }
-    if (best === undefined) return undefined
-    for (const { attempt } of best.victims) {
-      chosen.add(attempt)
-      releaseAttempt(attempt, freeCapacity, getWorker)
+      const need = getNeed(worker)
+      if (need === undefined || need.cost >= (bestNeed?.cost ?? Infinity)) continue
+      best = worker
+      bestNeed = need
+      if (need.cost === 0) break
     }
-    cost += best.cost
-    places.push(best.worker)
-    counts.set(best.worker, (counts.get(best.worker) ?? 0) + 1)
-    allocateCapacity(freeCapacity, [best.worker], request)
+    if (best === undefined || bestNeed === undefined) return undefined
+    cost += bestNeed.cost
+    if (cost > maxCost) return undefined
+    for (const { attempt } of bestNeed.victims) choose(attempt)
+    places.push(best)
+    counts.set(best, (counts.get(best) ?? 0) + 1)
+    allocateCapacity(freeInGroup, [best], request)
+    needs.delete(best)
   }
   return { places, victims: [...chosen], cost }
+
+  function getNeed (worker: WorkerState): WorkerNeed | undefined {
+    if (!needs.has(worker)) {
+      const needed = getVictimsFor(request, freeInGroup.get(worker) as Resources, victims.get(worker.info.workerId) ?? [], chosen)
+      needs.set(worker, needed && { victims: needed, cost: needed.reduce((sum, victim) => sum + victim.cost, 0) })
+    }
+    return needs.get(worker)
+  }
+
+  function choose (attempt: Attempt): void {
+    chosen.add(attempt)
+    for (const member of attempt.members) {
+      const worker = getWorker(member.workerId)
+      if (worker === undefined || member.state === MemberState.Ended) continue
+      releaseCapacity(freeInGroup, worker, attempt.unit.spec.request)
+      needs.delete(worker)
+    }
+  }
 }
 
 /** The cheapest victims on one worker that, once stopped, leave enough free capacity for the request; undefined if there are not enough. */
@@ -90,13 +127,6 @@
   return undefined
 }
 
-function releaseAttempt (attempt: Attempt, freeCapacity: FreeCapacity, getWorker: (workerId: string) => WorkerState | undefined): void {
-  for (const member of attempt.members) {
-    const worker = getWorker(member.workerId)
-    if (worker !== undefined && member.state !== MemberState.Ended) releaseCapacity(freeCapacity, worker, attempt.unit.spec.request)
-  }
-}
-
 function scale (resources: Resources, factor: number): Resources {
   return { cpuMilli: resources.cpuMilli * factor, memoryMb: resources.memoryMb * factor, accelerators: resources.accelerators * factor }
 }
