Move a slow run whose rest takes longer than a whole run elsewhere

Change: the rest at the pace of the slowest member is compared with a usual run, 1.5 times as long or more is moved. Test in workerHealth.test.ts, failed before. Ruled out: a takeover (none near), preemption (the gang was not stopped).

--- a/src/workers/workerHealth.test.ts
+++ b/src/workers/workerHealth.test.ts
@@ -63,3 +63,17 @@
   reportProgress(health, new Map([...gangs.map(member => [member, 6] as const), ...usual.map(member => [member, 40] as const)]), 3)
   expect(getQuarantinedIds(health, 2_000)).toEqual(['a'])
 })
+
+test.each([
+  { percent: 60, isMoved: true },
+  { percent: 90, isMoved: false }
+])('a run that has become slow at $percent percent is moved only if it ends earlier elsewhere', ({ percent, isMoved }) => {
+  const health = createHealth()
+  const slow = [...startJob('one', ['a']), ...startJob('two', ['a'])]
+  const moved = [percent - 40, percent, percent + 5].flatMap((progressPercent, report) => {
+    for (const member of slow) member.progressPercent = progressPercent
+    return health.onReport('a', slow, 4_000 + report * reportPeriodMs)
+  })
+  expect(getQuarantinedIds(health, 6_000)).toEqual(['a'])
+  expect(moved.length > 0).toBe(isMoved)
+})
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -51,6 +51,8 @@
 const maxQuarantinedShare = 0.34
 /** An attempt younger than this, in ms, is restarted elsewhere: a stall lasts some seconds, so waiting would cost more than a restart. */
 const cheapRestartMs = 3_000
+/** A slow attempt is restarted elsewhere if what remains of it takes longer than a whole run there by this factor. */
+const minRestartGain = 1.5
 
 interface Sample {
   readonly percent: number
@@ -189,7 +191,18 @@
 
   function onSlow (workerId: string, slow: readonly Member[], nowMs: number): readonly Attempt[] {
     quarantine(workerId, 'its runs are several times slower than usual', nowMs, quarantineMs)
-    return getAttempts(slow).filter(attempt => isCheapToRestart(attempt, nowMs))
+    return getAttempts(slow).filter(attempt => isCheapToRestart(attempt, nowMs) || isFasterElsewhere(attempt))
+  }
+
+  /** Compares the rest of the attempt, at the pace of its slowest member that progresses, with a whole run at the usual pace. */
+  function isFasterElsewhere (attempt: Attempt): boolean {
+    const { spec, job } = attempt.unit
+    const usualMs = Math.max(spec.estimateMs, host.getMeanRunMs(job.spec.queue) ?? spec.estimateMs)
+    const remainingMs = attempt.members.map(member => {
+      const progressRate = samples.get(member)?.progressRate ?? 0
+      return progressRate > 0 ? 1_000 * (100 - member.progressPercent) / progressRate : 0
+    })
+    return Math.max(...remainingMs) > minRestartGain * usualMs
   }
 
   function isCheapToRestart (attempt: Attempt, nowMs: number): boolean {
