--- a/src/peers/relayedStore.test.ts
+++ b/src/peers/relayedStore.test.ts
@@ -66,7 +66,7 @@
 
 function submit (): Promise<void> {
   const intake = createJobIntake({ store: relayedStores.get('host-0') as RelayedStore, logger: silentLogger })
-  return intake.submit(makeJob('job', 'batch', [makeStep()]), Date.now() + 2_750)
+  return intake.submit(makeJob('job', 'batch', [makeStep()]), performance.now() + 2_750)
 }
 
 test('a job submitted to a host that the store rejects is stored through a peer', async () => {
