--- a/src/runs/overload.test.ts
+++ b/src/runs/overload.test.ts
@@ -6,7 +6,7 @@
 import { isTerminal } from '../jobs/jobModel.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
 import { decodeState } from '../jobs/trackedJob.js'
-import { createOverloadDay, evaluateOverloadDay, overloadConfiguration, overloadWorkers, overloadWorkersPerRack } from '../testing/overloadDay.js'
+import { createOverloadDay, evaluateOverloadDay, overloadConfiguration, overloadStepMs, overloadWorkers, overloadWorkersPerRack } from '../testing/overloadDay.js'
 import type { OverloadResult } from '../testing/overloadDay.js'
 import { createPoolHarness } from '../testing/poolHarness.js'
 
@@ -38,13 +38,13 @@
   const endedAtMs = new Map<string, number>()
   const open = new Set<string>()
   let next = 0
-  for (let elapsedMs = 0; elapsedMs < lengthMs + settleMs && (elapsedMs < lengthMs || open.size > 0); elapsedMs += 50) {
+  for (let elapsedMs = 0; elapsedMs < lengthMs + settleMs && (elapsedMs < lengthMs || open.size > 0); elapsedMs += overloadStepMs) {
     for (; (day.arrivals[next]?.atMs ?? Infinity) <= elapsedMs; next++) {
       const { job } = day.arrivals[next] as (typeof day.arrivals)[number]
       void harness.submit({ ...job, acceptedAtMs: Date.now() })
       open.add(job.jobId)
     }
-    await run(50)
+    await run(overloadStepMs)
     for (const jobId of open) {
       const value = harness.store.peek(getProgressKey(jobId))
       if (value === undefined || !isTerminal(decodeState(value))) continue
--- a/src/testing/overloadDay.ts
+++ b/src/testing/overloadDay.ts
@@ -1,6 +1,7 @@
 /**
  * A load pattern for the scheduler: urgent gangs in bursts over gangs and single tasks of several seconds, with more demand for
- * accelerators than there is. Shapes and rates follow the users' deployments; the random numbers come from a seed.
+ * accelerators than there is. Shapes and rates follow the users' deployments; the random numbers come from a seed. The workers'
+ * stand-in starts a stopped run anew, also one with checkpoints, so more work is thrown away than on real workers.
  */
 import { createRandom, pickRandom } from '../common/random.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
@@ -63,7 +64,20 @@
 const burst = { fromMs: 8_000, toMs: 14_000, factor: 2.2 }
 /** A late job earns its smaller credit up to this multiple of its objective. */
 const lateFactor = 3
+/** The widest job of a kind, as a multiple of the mean width. */
 const maxWidthFactor = 6
+/** Standard deviations of the logarithms of run times and widths, and the largest relative error of an estimate. */
+const workSpread = 0.3
+const widthSpread = 0.8
+const maxEstimateError = 0.2
+const organisationCount = 4
+/** A job is worth this share of its kind's worth at any size, the rest grows with its work; at most `maxJobValue` times the kind's worth. */
+const fixedValueShare = 0.3
+const maxJobValue = 4
+/** Value of one accelerator in cores. Source: the users' price list. */
+const coresPerAccelerator = 8
+/** Jobs are looked at in these steps, in ms, so an end is known this exactly. */
+export const overloadStepMs = 50
 
 /** The number of workers for which the rates are meant, 20 in a rack. */
 export const overloadWorkers = 60
@@ -96,16 +110,16 @@
   }
 
   function createArrival (kind: JobKind, jobId: string, atMs: number): Arrival {
-    const workMs = Math.round(kind.workMs * drawFactor(0.3))
+    const workMs = Math.round(kind.workMs * drawFactor(workSpread))
     const step: StepSpec = makeStep({
-      count: Math.max(1, Math.min(Math.round(kind.width * maxWidthFactor), Math.round(kind.width * drawFactor(0.8)))),
+      count: Math.max(1, Math.min(Math.round(kind.width * maxWidthFactor), Math.round(kind.width * drawFactor(widthSpread)))),
       request: { cpuMilli: kind.cpuMilli, memoryMb: kind.memoryMb, accelerators: pickRandom(kind.accelerators, random) },
-      estimateMs: Math.round(workMs * (0.8 + 0.4 * random())),
+      estimateMs: Math.round(workMs * (1 + maxEstimateError * (2 * random() - 1))),
       isGang: kind.isGang,
       isSameRack: random() < kind.sameRackShare,
       hasCheckpoints: random() < kind.checkpointShare
     })
-    return { atMs, workMs, job: makeJob(jobId, kind.queue, [step], { organisation: `team-${Math.floor(4 * random())}` }) }
+    return { atMs, workMs, job: makeJob(jobId, kind.queue, [step], { organisation: `team-${Math.floor(organisationCount * random())}` }) }
   }
 
   /** A log-normal factor with mean 1. */
@@ -126,7 +140,7 @@
     let earned = 0
     let owed = 0
     for (const arrival of ofKind) {
-      const value = Math.min(4, 0.3 + 0.7 * getWork(arrival) / meanWork) * kind.worth
+      const value = Math.min(maxJobValue, fixedValueShare + (1 - fixedValueShare) * getWork(arrival) / meanWork) * kind.worth
       const tookMs = (endedAtMs.get(arrival.job.jobId) ?? Infinity) - arrival.atMs
       const objectiveMs = kind.objectiveFactor * arrival.workMs + kind.objectiveMs
       owed += value
@@ -148,7 +162,7 @@
 }
 
 function getCores ({ request }: StepSpec): number {
-  return request.cpuMilli / 1_000 + 8 * request.accelerators
+  return request.cpuMilli / 1_000 + coresPerAccelerator * request.accelerators
 }
 
 function getJobId (task: string): string {
