--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -1,9 +1,8 @@
 /** Emulates the platform on loopback for the real daemon: the store, a pool of workers and their entries in the store. */
 import type { EndKind, JobSpec, Resources } from '../../jobs/jobModel.js'
-import { tryParseTaskName } from '../../jobs/jobModel.js'
 import { createMemoryStore } from '../../standins/memoryStore.js'
 import type { MemoryStore } from '../../standins/memoryStore.js'
-import { createPoolWorker } from '../../standins/poolWorker.js'
+import { createPoolState, createPoolWorker } from '../../standins/poolWorker.js'
 import type { PoolWorker, PoolState } from '../../standins/poolWorker.js'
 import { configurationKey } from '../platformConfiguration.js'
 import { workerListPrefix } from '../workerEntries.js'
@@ -45,22 +44,14 @@
   const jobs = new Map<string, JobSpec>()
   const draining = new Set<PoolWorker>()
   const addresses = new Map<PoolWorker, string>()
-  const poolState: PoolState = {
+  const poolState = createPoolState({
+    jobs,
+    defaultRequest: capacity,
     getRun: options.getRun,
-    getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
-    getRequest: task => getStep(task)?.request ?? capacity,
     maxLeaseMs: options.maxLeaseMs,
     gangStartTimeoutMs: 2_000,
-    stopDelayMs: 100,
-    running: new Map(),
-    violations: [],
-    incompleteGangEnds: [],
-    gangs: new Map(),
-    acknowledgedDone: new Set(),
-    starts: new Map(),
-    workedMs: new Map(),
-    wastedMs: new Map()
-  }
+    stopDelayMs: 100
+  })
   const storeServer = await listenEmulated(createEmulatedStore(store.connect(storeClientId)))
   const workers: PoolWorker[] = []
   const servers = [storeServer]
@@ -68,11 +59,6 @@
 
   return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, restart, configure, stop }
 
-  function getStep (task: string): JobSpec['steps'][number] | undefined {
-    const name = tryParseTaskName(task)
-    return name === undefined ? undefined : jobs.get(name.jobId)?.steps[name.step]
-  }
-
   async function addWorker (index: number): Promise<void> {
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
     const info = { workerId: `i-${index}`, service: emulatedService, domain: 'a', bornAtMs: Date.now(), isDraining: false, capacity, labels: ['a', rack], rack }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -2,7 +2,7 @@
 import { delay } from '../common/time.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { EndKind, tryParseTaskName } from '../jobs/jobModel.js'
-import type { Resources } from '../jobs/jobModel.js'
+import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
 import { StartResult } from '../workers/workerPort.js'
 import type { TimestampedResponse, EndedRun, LeaseRenewal, ListedWorker, RunningRun, StartRequest, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 
@@ -31,6 +31,36 @@
   readonly wastedMs: Map<string, number>
 }
 
+/** How the workers of a stand-in pool behave. */
+export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
+  /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
+  readonly jobs: ReadonlyMap<string, JobSpec>
+  /** The request of a task of no known job. */
+  readonly defaultRequest: Resources
+}
+
+/** Creates the state of a pool in which nothing has run. */
+export function createPoolState ({ jobs, defaultRequest, ...timing }: PoolBehaviour): PoolState {
+  return {
+    ...timing,
+    getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
+    getRequest: task => getStep(task)?.request ?? defaultRequest,
+    running: new Map(),
+    violations: [],
+    incompleteGangEnds: [],
+    gangs: new Map(),
+    acknowledgedDone: new Set(),
+    starts: new Map(),
+    workedMs: new Map(),
+    wastedMs: new Map()
+  }
+
+  function getStep (task: string): StepSpec | undefined {
+    const name = tryParseTaskName(task)
+    return name === undefined ? undefined : jobs.get(name.jobId)?.steps[name.step]
+  }
+}
+
 /** The stand-in, with fault injection. */
 export interface PoolWorker {
   readonly info: ListedWorker
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -7,13 +7,13 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
-import { EndKind, tryParseTaskName } from '../jobs/jobModel.js'
+import { EndKind } from '../jobs/jobModel.js'
 import type { JobSpec, StepSpec } from '../jobs/jobModel.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
-import { createPoolWorker } from '../standins/poolWorker.js'
+import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState } from '../standins/poolWorker.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
@@ -103,31 +103,18 @@
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
   const refreshCallbacks = new Set<() => void>()
-  const poolState: PoolState = {
+  const poolState = createPoolState({
+    jobs,
+    defaultRequest: harnessCapacity,
     getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
-    getGangSize: task => getStep(task)?.isGang === true ? getStep(task)?.count ?? 1 : 1,
-    getRequest: task => getStep(task)?.request ?? harnessCapacity,
     maxLeaseMs,
     gangStartTimeoutMs: 1_500,
-    stopDelayMs: 50,
-    running: new Map(),
-    violations: [],
-    incompleteGangEnds: [],
-    gangs: new Map(),
-    acknowledgedDone: new Set(),
-    starts: new Map(),
-    workedMs: new Map(),
-    wastedMs: new Map()
-  }
+    stopDelayMs: 50
+  })
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
 
   return { store, poolState, workers, hosts, addHost, setListed, setDraining, restartWorker, submit, stop }
 
-  function getStep (task: string): StepSpec | undefined {
-    const name = tryParseTaskName(task)
-    return name === undefined ? undefined : jobs.get(name.jobId)?.steps[name.step]
-  }
-
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
     const info: ListedWorker = { workerId: `worker-${workerIndex}`, address: `worker-${workerIndex}:1`, service: 'pool', domain: 'a', bornAtMs, isDraining: false, capacity: harnessCapacity, labels: ['a', rack], rack }
