Log which configuration decided a call, and how far a response had come when it was given up

A call's line named the version at the time of its answer, not the one that decided it, and no age; a call that timed out looked the same whether the store was silent or half of the response had come; an applied configuration did not say by which way it came. Change: version and age when the call is decided, received and announced bytes of a call that timed out, source, size, waiting and decoding time of an applied configuration. No decision changes.

--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -69,14 +69,15 @@
     const sentAtMs = performance.now()
     const { items, revision } = await host.store.range(host.key)
     recordSuccess(sentAtMs)
-    for (const item of items) handleItem(item)
+    for (const item of items) handleItem(item, sentAtMs, 'read')
     return revision
   }
 
   async function watchChanges (fromRevision: number): Promise<number> {
+    const sentAtMs = performance.now()
     const { changes, revision } = await host.store.watch(host.key, fromRevision, watchWaitMs, host.signal)
     recordSuccess(performance.now())
-    for (const { item } of changes) if (item !== undefined) handleItem(item)
+    for (const { item } of changes) if (item !== undefined) handleItem(item, sentAtMs, 'watch')
     return revision
   }
 
@@ -91,11 +92,12 @@
     if (failures === unreachableAfterFailures) host.logger.warn('the store is unreachable; the configuration cannot be refreshed', { error: String(error), configurationAgeMs: Math.round(performance.now() - confirmedAtMs) })
   }
 
-  function handleItem (item: StoredItem): void {
-    if (item.key === host.key && item.revision > revision) applyValue(item.value, item.revision)
+  function handleItem (item: StoredItem, sentAtMs: number, source: string): void {
+    if (item.key === host.key && item.revision > revision) applyValue(item.value, item.revision, sentAtMs, source)
   }
 
-  function applyValue (value: string, newRevision: number): void {
+  function applyValue (value: string, newRevision: number, sentAtMs: number, source: string): void {
+    const receivedAtMs = performance.now()
     const next = host.decode(value)
     if (next === undefined) {
       host.logger.error('the stored configuration is malformed and was ignored', { revision: newRevision })
@@ -103,7 +105,7 @@
     }
     if (current !== undefined && next.version <= current.version) return
     assert(next.version > (current?.version ?? -Infinity), 'the configuration version must not decrease')
-    host.logger.info('a new configuration was applied', { version: next.version, before: current?.version, revision: newRevision, queues: next.queues.length })
+    host.logger.info('a new configuration was applied', { version: next.version, before: current?.version, revision: newRevision, queues: next.queues.length, source, characters: value.length, waitedMs: Math.round(receivedAtMs - sentAtMs), decodedMs: Math.round(performance.now() - receivedAtMs) })
     current = next
     revision = newRevision
     host.onChanged()
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -72,7 +72,7 @@
   isSmall: settings.cpuShare < smallCpuShare || settings.linkMbps < smallLinkMbps,
   onElected: startTerm
 })
-const handleJobCall = createJobApi({ getConfiguration: configuration.get, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
+const handleJobCall = createJobApi({ getConfiguration: configuration.get, getConfigurationAgeMs: configuration.getAgeMs, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
   const isReady = configuration.get() !== undefined && configuration.isStoreReached() && !stopping.signal.aborted
--- a/src/platform/httpClient.ts
+++ b/src/platform/httpClient.ts
@@ -42,6 +42,8 @@
     return new Promise((resolve, reject) => {
       const text = body === undefined ? undefined : JSON.stringify(body)
       let isConnected = false
+      let receivedBytes = 0
+      let announcedBytes: number | undefined
       const usedAgent = agent
       const request = sendRequest({
         host,
@@ -51,7 +53,7 @@
         agent: usedAgent,
         headers: { ...headers, ...(text === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) }) }
       })
-      const timer = setTimeout(() => { fail(createError(ErrorKind.AnswerLost, `no response from ${address} within ${timeoutMs} ms`)) }, timeoutMs)
+      const timer = setTimeout(() => { fail(createError(ErrorKind.AnswerLost, describeTimeout())) }, timeoutMs)
       const onAbort = (): void => { fail(createError(ErrorKind.AnswerLost, 'the call was aborted')) }
       signal?.addEventListener('abort', onAbort, { once: true })
       request.on('socket', socket => {
@@ -60,6 +62,8 @@
       })
       request.on('error', fail)
       request.on('response', response => {
+        announcedBytes = Number(response.headers['content-length'] ?? 0)
+        response.on('data', (chunk: Buffer) => { receivedBytes += chunk.length })
         readJson(response).then(answer => {
           finish()
           resolve(answer)
@@ -67,6 +71,11 @@
       })
       request.end(text)
 
+      function describeTimeout (): string {
+        const limit = `no response from ${address} within ${timeoutMs} ms`
+        return announcedBytes === undefined ? limit : `${limit}: received ${receivedBytes} of ${announcedBytes} bytes`
+      }
+
       function finish (): void {
         clearTimeout(timer)
         signal?.removeEventListener('abort', onAbort)
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -21,7 +21,7 @@
 
 async function listen (configuration: Configuration | undefined): Promise<number> {
   const intake = createJobIntake({ store: createMemoryStore().connect('host'), logger: silentLogger })
-  const handle = createJobApi({ getConfiguration: () => configuration, intake, logger: silentLogger, metrics: createHostMetrics(), isStopping: () => false })
+  const handle = createJobApi({ getConfiguration: () => configuration, getConfigurationAgeMs: () => 0, intake, logger: silentLogger, metrics: createHostMetrics(), isStopping: () => false })
   const listening = createServer((request, response) => { void handle(request, response) })
   server = listening
   await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -12,6 +12,8 @@
 
 export interface JobApiHost {
   readonly getConfiguration: () => Configuration | undefined
+  /** Time since the configuration was last known to be the newest, in ms. */
+  readonly getConfigurationAgeMs: () => number
   readonly intake: JobIntake
   readonly logger: Logger
   readonly metrics: HostMetrics
@@ -36,22 +38,24 @@
 
   return async (request, response) => {
     const startedAtMs = performance.now()
+    // The configuration that decides the call; a newer one may arrive before the call is answered.
+    const configuration = host.getConfiguration()
+    const decidedBy = { version: configuration?.version, configurationAgeMs: Math.round(host.getConfigurationAgeMs()) }
     let reply: Reply
     try {
-      reply = await handle(request)
+      reply = await handle(request, configuration)
     } catch (error) {
       reply = toReply(toAppError(error))
     }
     const tookMs = performance.now() - startedAtMs
     host.metrics.count('calls', `${request.method ?? ''} ${reply.status}`)
     host.metrics.record('call', tookMs, request.method)
-    log(request, reply, tookMs)
+    log(request, reply, tookMs, decidedBy)
     send(response, reply)
   }
 
-  async function handle (request: IncomingMessage): Promise<Reply> {
+  async function handle (request: IncomingMessage, configuration: Configuration | undefined): Promise<Reply> {
     const path = (request.url ?? '/').split('?')[0] as string
-    const configuration = host.getConfiguration()
     if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
     const queue = findQueue(configuration, getHostName(request), path)
     if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${path} under the requested host name`)
@@ -84,8 +88,8 @@
     return state === undefined ? { status: 410 } : { status: 200, body: { state: jobStateNames[state] } }
   }
 
-  function log (request: IncomingMessage, reply: Reply, tookMs: number): void {
-    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, version: host.getConfiguration()?.version, tookMs: Math.round(tookMs) }
+  function log (request: IncomingMessage, reply: Reply, tookMs: number, decidedBy: object): void {
+    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
     if (request.method === 'GET' && reply.status < 300) logger.debug('a query is answered', fields)
     else logger.info('a call is answered', fields)
   }
