--- a/src/platform/emulator/emulatedHttp.ts
+++ b/src/platform/emulator/emulatedHttp.ts
@@ -1,8 +1,9 @@
 /** HTTP server of the emulator: JSON bodies on a loopback address, with responses that can be dropped. */
 import { createServer } from 'node:http'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { readBody } from '../../common/http.js'
+import { delay } from '../../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../../errors/errorKinds.js'
 
 /** A response; without a status the connection is closed, as if the response were lost. */
@@ -21,9 +22,11 @@
 }
 
 const maxBodyBytes = 2 * 1024 * 1024
+/** Interval between two parts of a body that is sent at a limited rate, in ms. */
+const partPeriodMs = 20
 
-/** Listens on a free loopback port. */
-export async function listenEmulated (handle: EmulatedHandler): Promise<EmulatedServer> {
+/** Listens on a free loopback port. If `bytesPerS` is given, each response body is sent at that rate. */
+export async function listenEmulated (handle: EmulatedHandler, bytesPerS = Infinity): Promise<EmulatedServer> {
   const server = createServer((request, response) => {
     void answer().catch(() => { response.destroy() })
 
@@ -32,7 +35,7 @@
       const url = new URL(request.url ?? '/', 'http://emulator')
       const { status, body } = await handle(request.method ?? '', url, text === '' ? {} : JSON.parse(text) as Record<string, unknown>, request.headers).catch(toErrorResponse)
       if (status === undefined) response.destroy()
-      else response.writeHead(status, { 'Content-Type': 'application/json' }).end(body === undefined ? '' : JSON.stringify(body))
+      else await send(response, status, Buffer.from(body === undefined ? '' : JSON.stringify(body)))
     }
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
@@ -43,6 +46,18 @@
       server.closeAllConnections()
     }
   }
+
+  async function send (response: ServerResponse, status: number, body: Buffer): Promise<void> {
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': body.length })
+    const partBytes = Math.ceil(bytesPerS * partPeriodMs / 1_000)
+    let sentBytes = 0
+    while (body.length - sentBytes > partBytes && !response.destroyed) {
+      response.write(body.subarray(sentBytes, sentBytes + partBytes))
+      sentBytes += partBytes
+      await delay(partPeriodMs)
+    }
+    response.end(body.subarray(sentBytes))
+  }
 }
 
 function toErrorResponse (error: unknown): EmulatedResponse {
