Replicate the configuration between hosts, compressed, for hosts on slow links and those that the store rejects

Callers saw: with changes each 2.6 s under a burst after 4,000 routes, requests handled by a version that was replaced more than 4 s before. Cause: every host fetched every version whole from the store. On 7 Mbit/s one version of 1.05 MB takes 1.2 s of the link at best; a watch brings all versions since its revision one after the other, and the relayed copy that was asked for after 400 ms shared the link with the direct one. Hosts that the store rejected asked a peer for the whole value every 0.6 s, in 400 ms, which a large one never met. Change: a host on a slow link, or one that cannot read the store, follows the copy of a peer on a fast link: one long poll, answered at once when the peer has a newer version, with the value deflated. With it comes when the store last confirmed the peer's copy, so that the age is not made younger by the way it took; an older copy, a malformed answer, or one that the store has not confirmed for 2 s is not followed. Without a peer the host follows the store. After a large value the newest version is read alone, not all versions since; an answer from an older revision than one seen before confirms nothing. The relayed range reads and polled watches are gone.

--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -10,6 +10,8 @@
   readonly hostId: string
   readonly address: string
   readonly domain: string
+  /** Peers on slow links may follow the copies of this host. */
+  readonly hasFastLink: boolean
 }
 
 /** Dependencies of the directory. */
--- a/src/peers/peerStoreMethods.ts
+++ b/src/peers/peerStoreMethods.ts
@@ -7,7 +7,7 @@
 import type { MetadataStore } from '../store/metadataStore.js'
 
 /** Names of the RPC methods. */
-export const peerStoreMethods = { get: 'store.get', range: 'store.range', transact: 'store.transact' } as const
+export const peerStoreMethods = { get: 'store.get', transact: 'store.transact' } as const
 
 /** Dependencies of the methods. */
 export interface PeerStoreHost {
@@ -35,7 +35,6 @@
 
   return [
     defineMethod(peerStoreMethods.get, z.object({ key: keySchema }), async ({ key }) => (await serve(() => direct.get(key))) ?? null),
-    defineMethod(peerStoreMethods.range, z.object({ prefix: keySchema, after: z.optional(z.string()) }), ({ prefix, after }) => serve(() => direct.range(prefix, after))),
     defineMethod(peerStoreMethods.transact, transactionSchema, transaction => serve(() => direct.transact(transaction)))
   ]
 
--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -1,12 +1,13 @@
 /**
  * Access to the platform's store: direct, or relayed through a peer while the store rejects this host or is unreachable from
- * it. Reads and transactions are relayed; leases are not, since the host that schedules must reach the store itself.
+ * it. Reads of one key and transactions are relayed. Leases are not, since the host that schedules must reach the store itself; nor are
+ * range reads and watches: they follow the configuration, which has a replication of its own between hosts.
  */
 import type { Logger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
 import { delay } from '../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import type { MetadataStore, StoreChange, StoredItem, StorePage, Transaction, TransactionResult } from '../store/metadataStore.js'
+import type { MetadataStore, StoredItem, Transaction, TransactionResult } from '../store/metadataStore.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerStoreMethods } from './peerStoreMethods.js'
 
@@ -32,8 +33,6 @@
 const maxPeersTried = 3
 /** Time-out of a call to a peer; allows for a round trip between regions and a slow response of the store. */
 const peerTimeoutMs = 400
-/** While direct access is unavailable, a watch polls the store through a peer with this period. */
-const relayedWatchPeriodMs = 600
 
 /** Creates the store of one host. */
 export function createRelayedStore (host: RelayedStoreHost): RelayedStore {
@@ -44,8 +43,8 @@
 
   return {
     get: key => call(() => direct.get(key), async peer => (await peer.call<StoredItem | null>(peerStoreMethods.get, { key })) ?? undefined),
-    range,
-    watch,
+    range: (prefix, after) => callDirect(() => direct.range(prefix, after)),
+    watch: (prefix, afterRevision, waitMs, signal) => callDirect(() => direct.watch(prefix, afterRevision, waitMs, signal)),
     transact: transaction => call(() => direct.transact(transaction), peer => peer.call<TransactionResult>(peerStoreMethods.transact, toParameters(transaction))),
     grantLease: direct.grantLease,
     keepLeaseAlive: direct.keepLeaseAlive,
@@ -57,18 +56,6 @@
     return performance.now() < directUnavailableUntilMs
   }
 
-  function range (prefix: string, after?: string): Promise<StorePage> {
-    return call(() => direct.range(prefix, after), peer => peer.call<StorePage>(peerStoreMethods.range, { prefix, after }))
-  }
-
-  /** While direct access is unavailable, removed keys are not reported. */
-  async function watch (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
-    if (!isDirectUnavailable()) return await callDirect(() => direct.watch(prefix, afterRevision, waitMs, signal))
-    await delay(Math.min(waitMs, relayedWatchPeriodMs), signal)
-    const { items, revision } = await range(prefix)
-    return { changes: items.filter(item => item.revision > afterRevision).map(item => ({ key: item.key, item })), revision }
-  }
-
   /** The direct and the relayed call may both run: reads change nothing, and the conditions of a transaction make it safe to run twice. */
   async function call<T> (directCall: () => Promise<T>, peerCall: (peer: RpcClient) => Promise<T>): Promise<T> {
     const wasDirectUnavailable = isDirectUnavailable()
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -5,6 +5,7 @@
 import { createHostMetrics } from '../common/hostMetrics.js'
 import { createDaemonLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
+import { createConfigurationFollower, createFollowMethod } from '../configuration/configurationPeers.js'
 import { createConfigurationReplica } from '../configuration/configurationReplica.js'
 import { createLeaderElection } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
@@ -45,10 +46,11 @@
 /** The direct store, used by the scheduler and the election. The job API uses `relayedStore`, which may also reach the store through peers. */
 const store = createHttpStore(settings.storeAddress)
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
+const hasFastLink = settings.linkMbps >= smallLinkMbps
 const directory = createHostDirectory({
   store,
   logger: logger.withPrefix('peers'),
-  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain },
+  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain, hasFastLink },
   signal: stopping.signal
 })
 const relayedStore = createRelayedStore({ direct: store, logger: logger.withPrefix('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
@@ -57,6 +59,13 @@
 
 const configuration = createConfigurationReplica({
   store: relayedStore,
+  follower: createConfigurationFollower({
+    logger: logger.withPrefix('configuration'),
+    getPeers: () => directory.getPeers().filter(peer => peer.hasFastLink).map(({ address, domain }) => ({ address, isInOwnDomain: domain === settings.domain })),
+    connect: createPeerConnections(),
+    random: Math.random
+  }),
+  prefersPeers: !hasFastLink,
   logger: logger.withPrefix('configuration'),
   key: configurationKey,
   decode: tryDecodeConfiguration,
@@ -69,7 +78,7 @@
   hostId: settings.hostId,
   logger: logger.withPrefix('election'),
   random: Math.random,
-  isSmall: settings.cpuShare < smallCpuShare || settings.linkMbps < smallLinkMbps,
+  isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
   onElected: startTerm
 })
 const handleJobCall = createJobApi({ getConfiguration: configuration.get, getConfigurationAgeMs: configuration.getAgeMs, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
@@ -78,7 +87,7 @@
   const isReady = configuration.get() !== undefined && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }))
-const servePeers = createRpcHandler(createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }))
+const servePeers = createRpcHandler([...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }), createFollowMethod(configuration)])
 listen(peersAddress, createServer((request, response) => { void servePeers(request, response) }))
 listen(`${settings.ipAddress}:${metricsPort}`, createServer((request, response) => {
   if (request.url === '/status') response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(getStatus()))
--- a/src/platform/peerConnections.ts
+++ b/src/platform/peerConnections.ts
@@ -21,7 +21,7 @@
 function connect (address: string): RpcClient {
   const http = createHttpClient(address, connectionsPerPeer)
   return createTransportRpcClient(async (request, method, timeoutMs) => {
-    const { status, body } = await http.call({ method: 'POST', path: '/rpc', body: request, timeoutMs })
+    const { status, body } = await http.call({ method: 'POST', path: '/rpc', body: request, timeoutMs, stallTimeoutMs: peerCallTimeoutMs })
     if (status === 200 && typeof body === 'object' && body !== null) return body as JSONRPCResponse
     throw createError(ErrorKind.AnswerLost, `${address} answered with status ${status} to ${method}`)
   }, peerCallTimeoutMs)
