Decide no call by a configuration that cannot be confirmed to be the newest

Callers saw: 200 and 404 by version 4 for as long as a host could not refresh its copy; its log told an age of 4.6 s and more, which nothing acted on. Cause: the age of the copy was told in a log line and a metric only. A host whose refresh fails, for any reason, went on answering, and stayed ready. Class: acting on a permission that has run out. Change: a call is decided only by a copy that was confirmed within configMs of the settings, less 100 ms for clocks, so a version acknowledged longer ago than that is in it; by two clocks, as a suspension counts. Otherwise the call waits up to a second for the confirmation and is then answered 504, outcome unknown, since also a 401 or 404 would be decided by the old version; the host is not ready meanwhile. Tests: platform/jobApi.test.ts (before: 200, 401 and 404), configuration/configurationPeers.test.ts.

--- a/src/configuration/configurationPeers.test.ts
+++ b/src/configuration/configurationPeers.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
-import { advanceClock, createConfigurationHarness, harnessConfigurationKey } from '../testing/configurationHarness.js'
+import { advanceClock, createConfigurationHarness, harnessConfigurationKey, harnessMaxAgeMs } from '../testing/configurationHarness.js'
 import type { ConfigurationHarness } from '../testing/configurationHarness.js'
 
 let harness: ConfigurationHarness
@@ -183,3 +183,30 @@
   expect(replica.get()?.version).toBe(21)
   expect(getValues() - valuesAtFirst).toBeLessThanOrEqual(8)
 })
+
+test('a copy is current only as long as an acknowledged change could not have been missed for the permitted time', async () => {
+  const replica = harness.addHost('host')
+  await advanceClock(1_000)
+  expect(replica.isCurrent()).toBe(true)
+  harness.store.setUnavailable(true)
+  await advanceClock(harnessMaxAgeMs)
+  expect(replica.isCurrent()).toBe(false)
+  const isCurrentSoon = replica.waitUntilCurrent(1_000)
+  await advanceClock(1_010)
+  expect(await isCurrentSoon).toBe(false)
+  const isCurrentAgain = replica.waitUntilCurrent(1_000)
+  harness.store.setUnavailable(false)
+  writeVersion(2)
+  await advanceClock(400)
+  expect(await isCurrentAgain).toBe(true)
+  expect(replica.get()?.version).toBe(2)
+})
+
+test('a host that was suspended does not decide by a copy that it has not confirmed since', async () => {
+  const replica = harness.addHost('host')
+  await advanceClock(500)
+  jest.setSystemTime(Date.now() + harnessMaxAgeMs)
+  expect(replica.isCurrent()).toBe(false)
+  await advanceClock(1_300)
+  expect(replica.isCurrent()).toBe(true)
+})
--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -18,6 +18,8 @@
   readonly follower: ConfigurationFollower
   /** Peers are followed rather than the store, which is used if no peer can be followed. */
   readonly prefersPeers: boolean
+  /** Age up to which the copy may decide calls, in ms. */
+  readonly maxAgeMs: number
   readonly logger: Logger
   readonly key: string
   readonly decode: (value: string) => Configuration | undefined
@@ -30,6 +32,10 @@
   get (): Configuration | undefined
   /** Returns the time since the copy was last known to be the newest, in ms; infinite before the first confirmation. */
   getAgeMs (): number
+  /** Tells whether the copy may decide calls: a version that was confirmed to an operator longer ago than its age is in it. */
+  isCurrent (): boolean
+  /** Waits until the copy may decide calls, for at most `timeoutMs`. Resolves to `isCurrent`. */
+  waitUntilCurrent (timeoutMs: number): Promise<boolean>
   /** Tells whether the store counts as reached, itself or through a peer: it has been before, and the most recent attempts did not all fail. */
   isStoreReached (): boolean
 }
@@ -70,6 +76,8 @@
   return {
     get: () => current?.configuration,
     getAgeMs,
+    isCurrent,
+    waitUntilCurrent,
     isStoreReached: () => failures < unreachableAfterFailures && confirmedAt !== undefined,
     getCopy: () => current === undefined || confirmedAt === undefined ? undefined : { version: current.configuration.version, revision: current.revision, storeRevision, confirmedAt, value: current.value },
     waitForVersionAfter
@@ -79,10 +87,23 @@
     return confirmedAt === undefined ? Infinity : getElapsedMs(confirmedAt)
   }
 
-  async function waitForVersionAfter (version: number | undefined, timeoutMs: number): Promise<void> {
-    const startedAt = readClocks()
-    while (current === undefined || (version !== undefined && current.configuration.version <= version)) {
-      const leftMs = timeoutMs - getElapsedMs(startedAt)
+  function isCurrent (): boolean {
+    return getAgeMs() <= host.maxAgeMs
+  }
+
+  async function waitUntilCurrent (timeoutMs: number): Promise<boolean> {
+    await waitFor(isCurrent, timeoutMs)
+    return isCurrent()
+  }
+
+  function waitForVersionAfter (version: number | undefined, timeoutMs: number): Promise<void> {
+    return waitFor(() => current !== undefined && (version === undefined || current.configuration.version > version), timeoutMs)
+  }
+
+  async function waitFor (isMet: () => boolean, timeoutMs: number): Promise<void> {
+    const startedAtMs = performance.now()
+    while (!isMet()) {
+      const leftMs = startedAtMs + timeoutMs - performance.now()
       if (leftMs <= 0) return
       await changed.wait(leftMs)
     }
--- a/src/configuration/slowTransfer.test.ts
+++ b/src/configuration/slowTransfer.test.ts
@@ -8,7 +8,7 @@
 import { createHttpStore } from '../platform/httpStore.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
-import { decodeHarnessConfiguration, noFollower } from '../testing/configurationHarness.js'
+import { decodeHarnessConfiguration, harnessMaxAgeMs, noFollower } from '../testing/configurationHarness.js'
 import { createConfigurationReplica } from './configurationReplica.js'
 
 const key = 'configuration'
@@ -51,6 +51,7 @@
     store: createHttpStore(server.address),
     follower: noFollower,
     prefersPeers: false,
+    maxAgeMs: harnessMaxAgeMs,
     logger: silentLogger,
     key,
     decode: decodeHarnessConfiguration,
--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -5,7 +5,7 @@
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
-import { decodeHarnessConfiguration, noFollower } from '../testing/configurationHarness.js'
+import { decodeHarnessConfiguration, harnessMaxAgeMs, noFollower } from '../testing/configurationHarness.js'
 import { createLeaderElection, leaderKey } from './leaderElection.js'
 import type { LeaderElection, Term } from './leaderElection.js'
 
@@ -73,6 +73,7 @@
     store: client,
     follower: noFollower,
     prefersPeers: false,
+    maxAgeMs: harnessMaxAgeMs,
     logger: silentLogger,
     key: configurationKey,
     decode: decodeHarnessConfiguration,
--- a/src/errors/errorKinds.ts
+++ b/src/errors/errorKinds.ts
@@ -45,6 +45,7 @@
   PeerUnreachable = 'peer-unreachable',
   AnswerLost = 'answer-lost',
   HistoryGone = 'history-gone',
+  ConfigurationStale = 'configuration-stale',
   Internal = 'internal'
 }
 
@@ -85,6 +86,7 @@
   [ErrorKind.PeerUnreachable]: createResponse(503, Outcome.NotRun, RetryAdvice.AfterDelay, -32025),
   [ErrorKind.AnswerLost]: createResponse(504, Outcome.Unknown, RetryAdvice.WithSameKey, -32026),
   [ErrorKind.HistoryGone]: createResponse(503, Outcome.NotRun, RetryAdvice.AfterDelay, -32027),
+  [ErrorKind.ConfigurationStale]: createResponse(504, Outcome.Unknown, RetryAdvice.WithSameKey, -32028),
   [ErrorKind.Internal]: createResponse(500, Outcome.Unknown, RetryAdvice.CheckEffectFirst, -32603)
 }
 
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -36,6 +36,8 @@
 /** Hosts below these limits count as small: scheduling 246 workers took up to 0.43 of a core, 3 Mbit/s, and reads of 1 MB. */
 const smallCpuShare = 0.5
 const smallLinkMbps = 50
+/** Allowance for the differences between the clocks of hosts, in ms, in the age of a configuration that was confirmed through a peer. */
+const clockMarginMs = 100
 /** A host does not run for scheduler for this long after an uncaught error, so that another host is elected in the meantime. */
 const faultCandidacyPauseMs = 5_000
 
@@ -66,6 +68,7 @@
     random: Math.random
   }),
   prefersPeers: !hasFastLink,
+  maxAgeMs: settings.configurationBoundMs - clockMarginMs,
   logger: logger.withPrefix('configuration'),
   key: configurationKey,
   decode: tryDecodeConfiguration,
@@ -81,10 +84,10 @@
   isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
   onElected: startTerm
 })
-const handleJobCall = createJobApi({ getConfiguration: configuration.get, getConfigurationAgeMs: configuration.getAgeMs, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
+const handleJobCall = createJobApi({ configuration, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
-  const isReady = configuration.get() !== undefined && configuration.isStoreReached() && !stopping.signal.aborted
+  const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }))
 const servePeers = createRpcHandler([...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }), createFollowMethod(configuration)])
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -10,6 +10,7 @@
 import { createMemoryStore } from '../standins/memoryStore.js'
 import { harnessConfiguration } from '../testing/poolHarness.js'
 import { createJobApi } from './jobApi.js'
+import type { JobApiHost } from './jobApi.js'
 
 const jobId = '00000000000000a1'
 const body = JSON.stringify({ spec: 'text', phases: [{ count: 1, cpu: 100, memMb: 1, estimateMs: 10 }] })
@@ -19,9 +20,13 @@
 
 afterEach(() => { server?.close() })
 
-async function listen (configuration: Configuration | undefined): Promise<number> {
+function createCopy (configuration: Configuration | undefined, isCurrent: boolean): JobApiHost['configuration'] {
+  return { get: () => configuration, getAgeMs: () => isCurrent ? 0 : Infinity, waitUntilCurrent: () => Promise.resolve(isCurrent) }
+}
+
+async function listen (configuration: Configuration | undefined, isCurrent = true): Promise<number> {
   const intake = createJobIntake({ store: createMemoryStore().connect('host'), logger: silentLogger })
-  const handle = createJobApi({ getConfiguration: () => configuration, getConfigurationAgeMs: () => 0, intake, logger: silentLogger, metrics: createHostMetrics(), isStopping: () => false })
+  const handle = createJobApi({ configuration: createCopy(configuration, isCurrent), intake, logger: silentLogger, metrics: createHostMetrics(), isStopping: () => false })
   const listening = createServer((request, response) => { void handle(request, response) })
   server = listening
   await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
@@ -58,3 +63,10 @@
 test('a host without a configuration answers 503', async () => {
   expect(await call(await listen(undefined), 'POST', `/urgent/${jobId}`, { 'Api-Key': key }, body)).toBe(503)
 })
+
+test('a host that cannot confirm its configuration neither accepts nor refuses by it', async () => {
+  const port = await listen(harnessConfiguration, false)
+  expect(await call(port, 'POST', `/urgent/${jobId}`, { 'Api-Key': key }, body)).toBe(504)
+  expect(await call(port, 'POST', `/urgent/${jobId}`, { 'Api-Key': 'added-since' }, body)).toBe(504)
+  expect(await call(port, 'GET', `/added-since/${jobId}`, { 'Api-Key': key })).toBe(504)
+})
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -5,15 +5,14 @@
 import type { Logger } from '../common/logger.js'
 import { findOrganisation, findQueue } from '../configuration/configuration.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
+import type { ConfigurationReplica } from '../configuration/configurationReplica.js'
 import { createError, errorResponses, ErrorKind, toAppError } from '../errors/errorKinds.js'
 import type { AppError } from '../errors/errorKinds.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
 import { decodeJob, jobStateNames } from './jobSubmission.js'
 
 export interface JobApiHost {
-  readonly getConfiguration: () => Configuration | undefined
-  /** Time since the configuration was last known to be the newest, in ms. */
-  readonly getConfigurationAgeMs: () => number
+  readonly configuration: Pick<ConfigurationReplica, 'get' | 'getAgeMs' | 'waitUntilCurrent'>
   readonly intake: JobIntake
   readonly logger: Logger
   readonly metrics: HostMetrics
@@ -30,6 +29,8 @@
 const answerMarginMs = 250
 /** `Retry-After` of temporary errors: since they are not caused by load, the smallest value that the header allows. */
 const retryAfterS = 1
+/** How long a call waits for the configuration to be confirmed, in ms; then the caller still has time to try another host. */
+const maxConfirmationWaitMs = 1_000
 const jobIdPattern = /^[0-9a-f]{16}$/
 
 /** Creates the request handler of the job API. */
@@ -38,12 +39,16 @@
 
   return async (request, response) => {
     const startedAtMs = performance.now()
+    const isCurrent = await host.configuration.waitUntilCurrent(getConfirmationWaitMs(request))
     // The configuration that decides the call; a newer one may arrive before the call is answered.
-    const configuration = host.getConfiguration()
-    const decidedBy = { version: configuration?.version, configurationAgeMs: Math.round(host.getConfigurationAgeMs()) }
+    const configuration = host.configuration.get()
+    const decidedBy = { version: configuration?.version, configurationAgeMs: Math.round(host.configuration.getAgeMs()) }
     let reply: Reply
     try {
-      reply = await handle(request, configuration)
+      if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
+      // Also a refusal would be decided by the old version: the key or the queue may have been added, and the job may have been accepted elsewhere.
+      if (!isCurrent) throw createError(ErrorKind.ConfigurationStale, 'this host cannot confirm that its configuration is the newest; retry at another host')
+      reply = await handle(request, configuration, startedAtMs)
     } catch (error) {
       reply = toReply(toAppError(error))
     }
@@ -54,13 +59,12 @@
     send(response, reply)
   }
 
-  async function handle (request: IncomingMessage, configuration: Configuration | undefined): Promise<Reply> {
+  async function handle (request: IncomingMessage, configuration: Configuration, startedAtMs: number): Promise<Reply> {
     const path = (request.url ?? '/').split('?')[0] as string
-    if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
     const queue = findQueue(configuration, getHostName(request), path)
     if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${path} under the requested host name`)
     const organisation = authenticate(configuration, queue, request)
-    const deadlineMs = performance.now() + getCallerTimeoutMs(request, queue) - answerMarginMs
+    const deadlineMs = startedAtMs + (tryGetCallerTimeoutMs(request) ?? queue.timeoutMs) - answerMarginMs
     const jobId = path.slice(queue.pathPrefix.length)
     if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name, deadlineMs) } }
     if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
@@ -118,9 +122,13 @@
   return organisation?.name ?? ''
 }
 
-function getCallerTimeoutMs (request: IncomingMessage, queue: QueueSettings): number {
+function tryGetCallerTimeoutMs (request: IncomingMessage): number | undefined {
   const timeoutMs = Number(request.headers['deadline-ms'])
-  return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : queue.timeoutMs
+  return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : undefined
+}
+
+function getConfirmationWaitMs (request: IncomingMessage): number {
+  return Math.min(maxConfirmationWaitMs, Math.max(0, (tryGetCallerTimeoutMs(request) ?? Infinity) - answerMarginMs))
 }
 
 function toReply (error: AppError): Reply {
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -14,6 +14,7 @@
   listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
   limits: z._default(z.object({ cpuShare: z._default(z.number(), 1), linkMbps: z._default(z.number(), 1_000) }), { cpuShare: 1, linkMbps: 1_000 }),
   bounds: z.object({
+    configMs: z._default(z.number(), 2_500),
     graceS: z._default(z.number(), 6),
     holdMaxMs: z._default(z.number(), 6_000),
     stopMs: z._default(z.number(), 400),
@@ -39,6 +40,8 @@
   readonly peersPort: number
   readonly cpuShare: number
   readonly linkMbps: number
+  /** Time after which a configuration that the store has acknowledged is in force on every host, in ms. */
+  readonly configurationBoundMs: number
   readonly graceMs: number
   readonly maxLeaseMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
@@ -74,6 +77,7 @@
     peersPort: portRange[1],
     cpuShare: limits.cpuShare,
     linkMbps: limits.linkMbps,
+    configurationBoundMs: bounds.configMs,
     graceMs: bounds.graceS * 1_000,
     maxLeaseMs: bounds.holdMaxMs,
     stopMs: bounds.stopMs,
--- a/src/testing/configurationHarness.ts
+++ b/src/testing/configurationHarness.ts
@@ -16,6 +16,9 @@
 /** The key of the configuration in the harness; its value is the version, possibly padded with spaces. */
 export const harnessConfigurationKey = 'configuration'
 
+/** Age up to which a copy of the harness is current, in ms. */
+export const harnessMaxAgeMs = 2_400
+
 /** A follower without peers. */
 export const noFollower: ConfigurationFollower = { hasPeer: () => false, tryFollow: () => Promise.resolve(undefined) }
 
@@ -77,6 +80,7 @@
         random: () => 0
       }),
       prefersPeers,
+      maxAgeMs: harnessMaxAgeMs,
       logger: silentLogger,
       key: harnessConfigurationKey,
       decode: decodeHarnessConfiguration,
