Tests that fail: a task that crashes each worker that starts it is started without limit

Five of six tests fail on the present code (expected failed, received active); the sixth says that cuts, drains and departures are not crashes. The stand-in workers can crash under a run, leave the list and come back as a new life of their machine, under another id or the same; starts after three crashes are checked in the stand-in as the rule has them.

--- /dev/null
+++ b/src/runs/crashingTask.test.ts
@@ -0,0 +1,125 @@
+/** A task that crashes the workers that start it: it is given up after few crashes, and the work beside it is not. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { EndKind, JobState } from '../jobs/jobModel.js'
+import { getProgressKey } from '../jobs/jobKeys.js'
+import { decodeState } from '../jobs/trackedJob.js'
+import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
+import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+
+let harness: PoolHarness
+
+beforeEach(() => { jest.useFakeTimers() })
+
+afterEach(async () => {
+  const stopped = harness.stop()
+  await run(6_000)
+  await stopped
+  jest.useRealTimers()
+})
+
+async function run (ms: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
+}
+
+/** Tasks of jobs whose id starts with `deadly` crash their worker; all others take 2 s. */
+async function startHarness (options: Partial<PoolHarnessOptions> & { readonly crashAfterMs?: number } = {}): Promise<void> {
+  const { crashAfterMs = 10 } = options
+  harness = createPoolHarness({
+    workers: 12,
+    getRun: task => ({ workMs: 2_000, how: EndKind.Done, ...(task.startsWith('deadly') ? { crashAfterMs } : {}) }),
+    ...options
+  })
+  for (let index = 0; index < 2; index++) {
+    harness.addHost(`host-${index}`)
+    await run(300)
+  }
+}
+
+async function submit (...jobs: Parameters<PoolHarness['submit']>[0][]): Promise<void> {
+  for (const job of jobs) {
+    const submitted = harness.submit(job)
+    await run(20)
+    await submitted
+  }
+}
+
+function getState (jobId: string): JobState {
+  const value = harness.store.peek(getProgressKey(jobId))
+  return value === undefined ? JobState.Queued : decodeState(value)
+}
+
+async function waitForState (jobId: string, state: JobState, limitMs: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < limitMs && getState(jobId) !== state; elapsedMs += 50) await run(50)
+  expect(getState(jobId)).toBe(state)
+}
+
+const small = makeStep({ request: { cpuMilli: 1_000, memoryMb: 1_000, accelerators: 0 } })
+
+test.failing('a task that crashes every worker that starts it is given up', async () => {
+  await startHarness()
+  await submit(makeJob('deadly', 'batch', [small]))
+  await waitForState('deadly', JobState.Failed, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing('a task that crashes workers which come back under their ids is given up', async () => {
+  await startHarness({ crash: { awayMs: 4_000, keepsId: true } })
+  await submit(makeJob('deadly', 'batch', [small]))
+  await waitForState('deadly', JobState.Failed, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing('a task that crashes its worker late is given up, and the work beside it is not', async () => {
+  await startHarness({ crashAfterMs: 700 })
+  const others = Array.from({ length: 10 }, (_, index) => makeJob(`other-${index}`, 'batch', [{ ...small, count: 8 }]))
+  await submit(...others, makeJob('deadly', 'batch', [small]))
+  await waitForState('deadly', JobState.Failed, 60_000)
+  for (const { jobId } of others) await waitForState(jobId, JobState.Complete, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing('a gang that crashes its workers is given up', async () => {
+  await startHarness()
+  await submit(makeJob('deadly', 'batch', [makeStep({ count: 3, isGang: true, request: harnessCapacity })]))
+  await waitForState('deadly', JobState.Failed, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing('crashes under a task are remembered by the next scheduler', async () => {
+  await startHarness()
+  await submit(makeJob('deadly', 'batch', [small]))
+  for (let crashes = 1; crashes <= 3 && getState('deadly') !== JobState.Failed; crashes++) {
+    while ((harness.poolState.crashes.get('deadly.0.0.0') ?? 0) < crashes && getState('deadly') !== JobState.Failed) await run(50)
+    // The worker is back before the next scheduler starts.
+    await run(6_000)
+    const leader = harness.hosts.get(harness.store.peek('leader/scheduler') ?? '')
+    harness.addHost(`successor-${crashes}`)
+    leader?.crash()
+    await run(3_000)
+  }
+  await waitForState('deadly', JobState.Failed, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('a task whose workers are cut off, drained or taken away is not given up', async () => {
+  await startHarness({ getRun: () => ({ workMs: 4_000, how: EndKind.Done }) })
+  await submit(makeJob('job', 'batch', [small]))
+  for (let cuts = 1; cuts <= 4; cuts++) {
+    await run(500)
+    const workerId = harness.poolState.running.get('job.0.0.0')?.[0]?.workerId ?? ''
+    const worker = harness.workers.get(workerId)
+    worker?.setUnreachable(true)
+    await run(4_500)
+    harness.setListed(workerId, false)
+    await run(2_000)
+    worker?.setUnreachable(false)
+    harness.setListed(workerId, true)
+  }
+  await run(500)
+  const drained = harness.poolState.running.get('job.0.0.0')?.[0]?.workerId ?? ''
+  harness.setDraining(drained, true)
+  await run(300)
+  harness.crashWorker(drained)
+  await waitForState('job', JobState.Complete, 30_000)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -8,8 +8,7 @@
 
 /** State shared by all workers of a stand-in pool: the simulated behaviour of tasks, the gangs, and the invariant violations that were found. */
 export interface PoolState {
-  /** The duration of a run of the task, in ms, and how it ends. */
-  readonly getRun: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
+  readonly getRun: (task: string, run: number) => RunBehaviour
   /** The number of members of the task's gang; 1 for a task without a gang. */
   readonly getGangSize: (task: string) => number
   readonly getRequest: (task: string) => Resources
@@ -26,11 +25,21 @@
   /** Tasks that have ended as done and whose end has been acknowledged. */
   readonly acknowledgedDone: Set<string>
   readonly starts: Map<string, number>
+  /** The number of workers that have crashed under a task, and the number of its starts since the third. */
+  readonly crashes: Map<string, number>
+  readonly startsAfterCrashes: Map<string, number>
   /** The time that runs have worked, in ms, by task, and of it that of runs that did not end as done. */
   readonly workedMs: Map<string, number>
   readonly wastedMs: Map<string, number>
 }
 
+/** How a run behaves: its duration, in ms, and how it ends; or its worker crashes `crashAfterMs` after the start. */
+export interface RunBehaviour {
+  readonly workMs: number
+  readonly how: EndKind
+  readonly crashAfterMs?: number
+}
+
 /** How the workers of a stand-in pool behave. */
 export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
   /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
@@ -51,6 +60,8 @@
     gangs: new Map(),
     acknowledgedDone: new Set(),
     starts: new Map(),
+    crashes: new Map(),
+    startsAfterCrashes: new Map(),
     workedMs: new Map(),
     wastedMs: new Map()
   }
@@ -65,6 +76,8 @@
 export interface PoolWorker {
   readonly info: ListedWorker
   connect (): WorkerPort
+  /** Changes what the worker may hold; what runs there goes on. */
+  setCapacity (capacity: Resources): ListedWorker
   /** Cuts the worker off from the network: calls get no response, and its runs continue. */
   setUnreachable (isUnreachable: boolean): void
   /** Executes the next `count` start requests `lateMs` later, and sends no response to them. */
@@ -84,6 +97,7 @@
   readonly gang: string | undefined
   readonly workMs: number
   readonly how: EndKind
+  readonly crashAfterMs: number
   workedMs: number
   readonly begunAtMs: number
   stopAtMs?: number
@@ -91,8 +105,12 @@
 
 const tickMs = 10
 
-/** Creates a worker of the pool that shares the given state. */
-export function createPoolWorker (pool: PoolState, listed: ListedWorker): PoolWorker {
+/** Starts of a task after this many crashes under it are limited. Source: the platform's rules. */
+const maxCrashes = 3
+const maxStartsAfterCrashes = 2
+
+/** Creates a worker of the pool that shares the given state. `onCrash` is called when a run crashes it; by then it has dropped all of its runs. */
+export function createPoolWorker (pool: PoolState, listed: ListedWorker, onCrash: () => void = () => {}): PoolWorker {
   let info = listed
   let isUnreachable = false
   let isStalled = false
@@ -112,6 +130,7 @@
   return {
     get info () { return info },
     connect,
+    setCapacity: capacity => (info = { ...info, capacity }),
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs) => { delayedStarts = { left: count, lateMs } },
     restart,
@@ -144,6 +163,10 @@
     if (nowMs > leaseUntilMs) leaseExpiredAtMs = nowMs
     for (const run of [...runs.values()]) {
       const gang = run.gang === undefined ? undefined : pool.gangs.get(run.gang)
+      if (nowMs - run.begunAtMs >= run.crashAfterMs) {
+        crash(run)
+        return
+      }
       if (run.stopAtMs !== undefined && nowMs >= run.stopAtMs) endRun(run, EndKind.Stopped)
       else if (nowMs > leaseUntilMs) endRun(run, EndKind.LeaseExpired)
       else if (gang?.isOver === true) endRun(run, run.workedMs >= run.workMs ? run.how : EndKind.GangBroken)
@@ -152,6 +175,12 @@
     }
   }
 
+  function crash (cause: Run): void {
+    pool.crashes.set(cause.task, (pool.crashes.get(cause.task) ?? 0) + 1)
+    restart()
+    onCrash()
+  }
+
   function advance (run: Run, canProgress: boolean): void {
     if (!canProgress || isStalled) return
     run.workedMs += tickMs
@@ -223,9 +252,9 @@
   function beginRun (startRequest: StartRequest, nowMs: number): void {
     checkInvariants(startRequest)
     const size = pool.getGangSize(startRequest.task)
-    const { workMs, how } = pool.getRun(startRequest.task, startRequest.run)
+    const { workMs, how, crashAfterMs = Infinity } = pool.getRun(startRequest.task, startRequest.run)
     const gangName = size > 1 ? getGangName(startRequest.task, startRequest.run) : undefined
-    runs.set(startRequest.task, { task: startRequest.task, run: startRequest.run, gang: gangName, workMs, how, workedMs: 0, begunAtMs: nowMs })
+    runs.set(startRequest.task, { task: startRequest.task, run: startRequest.run, gang: gangName, workMs, how, crashAfterMs, workedMs: 0, begunAtMs: nowMs })
     pool.running.set(startRequest.task, [...pool.running.get(startRequest.task) ?? [], { workerId: info.workerId, run: startRequest.run }])
     pool.starts.set(startRequest.task, (pool.starts.get(startRequest.task) ?? 0) + 1)
     if (gangName === undefined) return
@@ -239,6 +268,11 @@
   function checkInvariants (startRequest: StartRequest): void {
     const otherRuns = pool.running.get(startRequest.task) ?? []
     if (otherRuns.length > 0) pool.violations.push(`${startRequest.task} run ${startRequest.run} starts on ${info.workerId} while run ${otherRuns[0]?.run} is in progress on ${otherRuns[0]?.workerId}`)
+    if ((pool.crashes.get(startRequest.task) ?? 0) >= maxCrashes) {
+      const starts = (pool.startsAfterCrashes.get(startRequest.task) ?? 0) + 1
+      pool.startsAfterCrashes.set(startRequest.task, starts)
+      if (starts > maxStartsAfterCrashes) pool.violations.push(`${startRequest.task} starts ${starts} times after ${maxCrashes} workers have crashed under it`)
+    }
     if (pool.acknowledgedDone.has(startRequest.task)) pool.violations.push(`${startRequest.task} run ${startRequest.run} starts after the end of a completed run was acknowledged`)
     const free = { ...info.capacity }
     for (const task of [...runs.keys(), startRequest.task]) {
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -8,13 +8,13 @@
 import { createJobIntake } from '../jobs/jobIntake.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
 import { EndKind } from '../jobs/jobModel.js'
-import type { JobSpec, StepSpec } from '../jobs/jobModel.js'
+import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
-import type { PoolWorker, PoolState } from '../standins/poolWorker.js'
+import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
 
@@ -41,6 +41,9 @@
   setListed (workerId: string, isListed: boolean): void
   setDraining (workerId: string, isDraining: boolean): void
   restartWorker (workerId: string): void
+  /** Crashes a worker: it is away, leaves the list after a while and comes back as a new life of its machine. */
+  crashWorker (workerId: string): void
+  setCapacity (workerId: string, capacity: Resources): void
   submit (job: JobSpec): Promise<void>
   stop (): Promise<void>
 }
@@ -49,7 +52,9 @@
 export interface PoolHarnessOptions {
   readonly workers: number
   readonly workersPerRack?: number
-  readonly getRun?: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
+  readonly getRun?: (task: string, run: number) => RunBehaviour
+  /** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
+  readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
   readonly logger?: Logger
   readonly maxLeaseMs?: number
   /** Returns the configuration of a host; undefined until the host has received one. */
@@ -60,6 +65,8 @@
 export const harnessCapacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
 
 const bornAtMs = 1_000
+/** A worker that is silent leaves the list after this time, in ms. */
+const listTimeoutMs = 4_500
 
 /** The configuration of the harness: a queue for urgent work of priority 0, and one for batch work of priority 2. */
 export const harnessConfiguration: Configuration = {
@@ -113,15 +120,44 @@
   })
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
 
-  return { store, poolState, workers, hosts, addHost, setListed, setDraining, restartWorker, submit, stop }
+  return { store, poolState, workers, hosts, addHost, setListed, setDraining, restartWorker, crashWorker, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
-    const info: ListedWorker = { workerId: `worker-${workerIndex}`, address: `worker-${workerIndex}:1`, service: 'pool', domain: 'a', bornAtMs, isDraining: false, capacity: harnessCapacity, labels: ['a', rack], rack }
-    workers.set(info.workerId, createPoolWorker(poolState, info))
+    const workerId = `worker-${workerIndex}`
+    addLife({ workerId, address: `${workerId}:1`, service: 'pool', domain: 'a', bornAtMs, isDraining: false, capacity: harnessCapacity, labels: ['a', rack], rack, machineId: `machine-${workerIndex}` })
+  }
+
+  function addLife (info: ListedWorker): void {
+    workers.set(info.workerId, createPoolWorker(poolState, info, () => { crashWorker(info.workerId) }))
     listedWorkers.set(info.workerId, info)
   }
 
+  function crashWorker (workerId: string): void {
+    const worker = workers.get(workerId)
+    if (worker === undefined) return
+    const { awayMs, keepsId } = options.crash ?? { awayMs: 5_000, keepsId: false }
+    worker.restart()
+    worker.setUnreachable(true)
+    setTimeout(() => { setListed(workerId, false) }, Math.min(awayMs, listTimeoutMs))
+    setTimeout(() => {
+      if (keepsId) {
+        worker.setUnreachable(false)
+        setListed(workerId, true)
+        return
+      }
+      const info = { ...worker.info, workerId: `${workerId}+`, address: `${workerId}+:1` }
+      addLife(info)
+      refreshSchedulers()
+    }, awayMs)
+  }
+
+  function setCapacity (workerId: string, capacity: Resources): void {
+    const info = workers.get(workerId)?.setCapacity(capacity)
+    if (info !== undefined) listedWorkers.set(workerId, info)
+    refreshSchedulers()
+  }
+
   function setListed (workerId: string, isListed: boolean): void {
     const worker = workers.get(workerId)
     if (!isListed) listedWorkers.delete(workerId)
