Place an attempt elsewhere when the worker that it is planned on has shrunk

Callers saw: nothing yet; found while writing tests for workers whose capacity shrinks and grows. LIMIT itself holds: starts go by the capacity that the worker last said of itself, and what is being stopped counts until its end is reported (test: 'a worker whose capacity shrinks ...', green before). Cause: an attempt planned on a worker waits there until its resources are free. If the worker shrinks meanwhile so that they can never be, the attempt stayed planned for ever, and its job never ran. Class: a reservation whose ground has gone. Change: a planned attempt is given back when what runs and is planned on one of its workers exceeds the capacity even after everything that is being stopped has ended. Test: runs/scheduler.test.ts, failed before (expected complete, received active).

--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -8,9 +8,10 @@
 import type { Term } from '../election/leaderElection.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { EndKind, isTerminal, JobState, tryParseTaskName } from '../jobs/jobModel.js'
+import type { Resources } from '../jobs/jobModel.js'
 import { createAttempt, findUnit, getTaskName, getUnits, hasStarted, isAttemptOver, areAllOccurrencesDone, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { fits, getAllocationKey, getUnusedCapacity, isUsable } from '../workers/workerState.js'
+import { fits, getAllocationKey, getUnusedCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { StartResult } from '../workers/workerPort.js'
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
@@ -66,6 +67,7 @@
 const maxStartTries = 3
 /** A stop is sent again when the end has not been reported within this, in ms, beyond the time that a stop may take. */
 const stopReportMs = 800
+const noResources: Resources = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
 /** Pause after a failed stop request, in ms. */
 const stopRetryPauseMs = 200
 
@@ -124,9 +126,19 @@
     for (const attempt of planned) {
       if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker is no longer usable')
       else if (hasCapacity(attempt)) dispatch(attempt)
+      else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) stopAttempt(attempt, 'the capacity of a planned worker has shrunk')
     }
   }
 
+  /** Tells whether what runs and is planned on a worker exceeds its capacity even when everything that is being stopped has ended. */
+  function isOvercommitted (workerId: string): boolean {
+    const worker = host.getWorker(workerId)
+    if (worker === undefined) return false
+    let free = worker.info.capacity
+    for (const { attempt } of getMembers(workerId)) if (attempt.stopReason === undefined) free = subtractResources(free, attempt.unit.spec.request)
+    return !fits(noResources, free)
+  }
+
   function isUsableWorker (workerId: string): boolean {
     const worker = host.getWorker(workerId)
     return worker !== undefined && isUsable(worker)
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -3,7 +3,7 @@
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { decodeState } from '../jobs/trackedJob.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
-import { createPoolHarness, makeJob, makeStep, harnessConfiguration } from '../testing/poolHarness.js'
+import { createPoolHarness, harnessCapacity, makeJob, makeStep, harnessConfiguration } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 
 let harness: PoolHarness
@@ -356,3 +356,33 @@
   await waitForState('a', JobState.Complete, 12_000)
   expect(others).toContain(getLeader())
 })
+
+test('a worker whose capacity shrinks gets no work beyond it, and all of it again when it grows', async () => {
+  await startHarness({ workers: 2, getRun: () => ({ workMs: 1_500, how: EndKind.Done }) })
+  const request = { cpuMilli: 16_000, memoryMb: 8_000, accelerators: 1 }
+  await submit(makeJob('before', 'batch', [makeStep({ count: 8, request })]))
+  await run(300)
+  for (const workerId of ['worker-0', 'worker-1']) harness.setCapacity(workerId, { ...harnessCapacity, cpuMilli: 20_000 })
+  await run(600)
+  await submit(makeJob('small', 'batch', [makeStep({ count: 8, request })]), makeJob('large', 'batch', [makeStep({ request: { ...request, cpuMilli: 60_000 } })]))
+  await waitForState('small', JobState.Complete, 12_000)
+  expect(getState('large')).toBe(JobState.Queued)
+  harness.setCapacity('worker-0', harnessCapacity)
+  await waitForState('large', JobState.Complete, 4_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('an attempt planned on a worker that has shrunk since is placed on another one', async () => {
+  const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await startHarness({ workers: 2, getRun: task => ({ workMs: task.startsWith('batch') ? 8_000 : 1_500, how: EndKind.Done }) })
+  await submit(makeJob('first', 'urgent', [makeStep({ request: wholeWorker, estimateMs: 1_500 })]))
+  await submit(makeJob('batch', 'batch', [makeStep({ request: wholeWorker, estimateMs: 8_000, hasCheckpoints: true })]))
+  await run(300)
+  const batchWorker = harness.poolState.running.get('batch.0.0.0')?.[0]?.workerId ?? ''
+  const submitted = harness.submit(makeJob('second', 'urgent', [makeStep({ request: wholeWorker, estimateMs: 1_500 })]))
+  await run(30)
+  await submitted
+  harness.setCapacity(batchWorker, { ...harnessCapacity, accelerators: 4 })
+  await waitForState('second', JobState.Complete, 6_000)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -104,6 +104,8 @@
 }
 
 const tickMs = 10
+/** A capacity that has shrunk counts after this time, in ms: until then, start requests sent by the larger one may arrive. */
+const shrinkGraceMs = 500
 
 /** Starts of a task after this many crashes under it are limited. Source: the platform's rules. */
 const maxCrashes = 3
@@ -112,6 +114,7 @@
 /** Creates a worker of the pool that shares the given state. `onCrash` is called when a run crashes it; by then it has dropped all of its runs. */
 export function createPoolWorker (pool: PoolState, listed: ListedWorker, onCrash: () => void = () => {}): PoolWorker {
   let info = listed
+  let largerCapacity = { capacity: listed.capacity, untilMs: -Infinity }
   let isUnreachable = false
   let isStalled = false
   let delayedStarts = { left: 0, lateMs: 0 }
@@ -130,7 +133,7 @@
   return {
     get info () { return info },
     connect,
-    setCapacity: capacity => (info = { ...info, capacity }),
+    setCapacity,
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs) => { delayedStarts = { left: count, lateMs } },
     restart,
@@ -143,6 +146,12 @@
     return Math.floor(performance.now())
   }
 
+  function setCapacity (capacity: Resources): ListedWorker {
+    largerCapacity = { capacity: info.capacity, untilMs: getClockMs() + shrinkGraceMs }
+    info = { ...info, capacity }
+    return info
+  }
+
   function restart (): ListedWorker {
     for (const run of runs.values()) {
       recordWork(run, 'lost')
@@ -274,7 +283,8 @@
       if (starts > maxStartsAfterCrashes) pool.violations.push(`${startRequest.task} starts ${starts} times after ${maxCrashes} workers have crashed under it`)
     }
     if (pool.acknowledgedDone.has(startRequest.task)) pool.violations.push(`${startRequest.task} run ${startRequest.run} starts after the end of a completed run was acknowledged`)
-    const free = { ...info.capacity }
+    const isShrinking = getClockMs() < largerCapacity.untilMs
+    const free = { ...isShrinking ? maxResources(info.capacity, largerCapacity.capacity) : info.capacity }
     for (const task of [...runs.keys(), startRequest.task]) {
       const request = pool.getRequest(task)
       free.cpuMilli -= request.cpuMilli
@@ -318,6 +328,14 @@
   }
 }
 
+function maxResources (left: Resources, right: Resources): Resources {
+  return {
+    cpuMilli: Math.max(left.cpuMilli, right.cpuMilli),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    accelerators: Math.max(left.accelerators, right.accelerators)
+  }
+}
+
 function getGangName (task: string, run: number): string {
   const name = tryParseTaskName(task)
   return name === undefined ? task : `${name.jobId}.${name.occurrence}.${name.step}#${run}`
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -110,6 +110,8 @@
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
   const refreshCallbacks = new Set<() => void>()
+  /** Workers that have crashed and are not back. */
+  const away = new Set<string>()
   const poolState = createPoolState({
     jobs,
     defaultRequest: harnessCapacity,
@@ -135,12 +137,15 @@
 
   function crashWorker (workerId: string): void {
     const worker = workers.get(workerId)
-    if (worker === undefined) return
+    if (worker === undefined || away.has(workerId)) return
+    away.add(workerId)
     const { awayMs, keepsId } = options.crash ?? { awayMs: 5_000, keepsId: false }
     worker.restart()
     worker.setUnreachable(true)
+    if (!keepsId) workers.delete(workerId)
     setTimeout(() => { setListed(workerId, false) }, Math.min(awayMs, listTimeoutMs))
     setTimeout(() => {
+      away.delete(workerId)
       if (keepsId) {
         worker.setUnreachable(false)
         setListed(workerId, true)
