Start nothing by a list of workers that is older than a drain may go unnoticed

Class: acting on a permission that has run out. A list has the time limit of the other reads until its response starts, since its transfer is limited by its gaps; the extra limit of 3.5 s is gone.

--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -38,6 +38,8 @@
 const smallLinkMbps = 50
 /** Allowance for the differences between the clocks of hosts, in ms, in the age of a configuration that was confirmed through a peer. */
 const clockMarginMs = 100
+/** Time for a start request to reach its worker, in ms, within the time in which a drain has to be known. */
+const startMarginMs = 300
 /** A host does not run for scheduler for this long after an uncaught error, so that another host is elected in the meantime. */
 const faultCandidacyPauseMs = 5_000
 
@@ -103,12 +105,13 @@
 
 function startTerm (term: Term): void {
   currentTerm = term
-  const getWorkers = createWorkerList({
+  const workerList = createWorkerList({
     store,
     logger: logger.withPrefix('workers'),
     prefix: workerListPrefix,
     decode: tryDecodeWorker,
     onChanged: () => { scheduler?.refresh() },
+    maxAgeMs: settings.drainNoticeMs - startMarginMs,
     signal: term.signal
   })
   scheduler = createScheduler({
@@ -116,7 +119,8 @@
     store,
     logger: logger.withPrefix('scheduler'),
     bounds: settings,
-    getListedWorkers: getWorkers,
+    getListedWorkers: workerList.get,
+    isWorkerListCurrent: workerList.isCurrent,
     connect: createHttpWorker,
     getConfiguration: configuration.get,
     ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
--- a/src/platform/httpStore.ts
+++ b/src/platform/httpStore.ts
@@ -7,8 +7,6 @@
 
 /** Time-out of a store call. It allows ten times the duration of the store's slow responses and still fits into a caller's time-out. */
 const callTimeoutMs = 900
-/** Time-out of a range read of many keys, until its response starts: the store collects a page of up to 1 MB. */
-const rangeTimeoutMs = 3_500
 /** Longest gap within the response to a read or a watch; a value of 1 MB takes 1.6 s on a link of 7 Mbit/s. */
 const stallTimeoutMs = 900
 /** Time allowed for the response to a watch beyond its wait time. */
@@ -43,7 +41,7 @@
 
   async function range (prefix: string, after?: string): Promise<StorePage> {
     const next = after === undefined ? '' : `&after=${encodeURIComponent(after)}`
-    const response = await send({ method: 'GET', path: `/sassafrasford/kv-range?prefix=${encodeURIComponent(prefix)}${next}`, timeoutMs: isListPrefix(prefix) ? rangeTimeoutMs : callTimeoutMs, stallTimeoutMs })
+    const response = await send({ method: 'GET', path: `/sassafrasford/kv-range?prefix=${encodeURIComponent(prefix)}${next}`, stallTimeoutMs })
     const page = decode(rangeSchema, response.body)
     return { items: page.items.map(toItem), hasMore: page.morePages, revision: page.currentRev }
   }
@@ -86,11 +84,6 @@
   }
 }
 
-/** A prefix that ends with a slash lists many keys; any other names a single key. */
-function isListPrefix (prefix: string): boolean {
-  return prefix.endsWith('/')
-}
-
 /** Only 429 and 503 guarantee that the request was not carried out. */
 function check (response: HttpResponse, path: string, accepted: readonly number[]): HttpResponse {
   const { status } = response
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -15,6 +15,7 @@
   limits: z._default(z.object({ cpuShare: z._default(z.number(), 1), linkMbps: z._default(z.number(), 1_000) }), { cpuShare: 1, linkMbps: 1_000 }),
   bounds: z.object({
     configMs: z._default(z.number(), 2_500),
+    drainMs: z._default(z.number(), 2_500),
     graceS: z._default(z.number(), 6),
     holdMaxMs: z._default(z.number(), 6_000),
     stopMs: z._default(z.number(), 400),
@@ -42,6 +43,8 @@
   readonly linkMbps: number
   /** Time after which a configuration that the store has acknowledged is in force on every host, in ms. */
   readonly configurationBoundMs: number
+  /** Time after which no work starts any more on a worker that has announced that it drains, in ms. */
+  readonly drainNoticeMs: number
   readonly graceMs: number
   readonly maxLeaseMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
@@ -78,6 +81,7 @@
     cpuShare: limits.cpuShare,
     linkMbps: limits.linkMbps,
     configurationBoundMs: bounds.configMs,
+    drainNoticeMs: bounds.drainMs,
     graceMs: bounds.graceS * 1_000,
     maxLeaseMs: bounds.holdMaxMs,
     stopMs: bounds.stopMs,
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -28,6 +28,8 @@
   readonly getLink: (workerId: string) => WorkerLink | undefined
   /** The number of failed runs of a unit at which its job fails. */
   readonly getAttemptLimit: (job: TrackedJob) => number
+  /** False while it is not known which workers are draining. */
+  readonly mayStart: () => boolean
   readonly getTicket: (member: Member) => string | undefined
   readonly onBadTicket: (member: Member) => void
   /** Resolves when the progress of the job is stored. */
@@ -122,7 +124,7 @@
   }
 
   function dispatchPlanned (): void {
-    if (!term.isValid()) return
+    if (!term.isValid() || !host.mayStart()) return
     for (const attempt of planned) {
       if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker is no longer usable')
       else if (hasCapacity(attempt)) dispatch(attempt)
@@ -203,7 +205,7 @@
     const { attempt } = member
     const link = host.getLink(member.workerId)
     const leaseUntilMs = link?.getLeaseUntilMs()
-    if (link === undefined || leaseUntilMs === undefined || !term.isValid()) return 'unsent'
+    if (link === undefined || leaseUntilMs === undefined || !term.isValid() || !host.mayStart()) return 'unsent'
     member.state = MemberState.StartSent
     link.recordLeaseExtension()
     try {
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -386,3 +386,13 @@
   await waitForState('second', JobState.Complete, 6_000)
   expect(harness.poolState.violations).toEqual([])
 })
+
+test('nothing starts by a list of workers that cannot be read any more', async () => {
+  await startHarness({ workers: 2 })
+  harness.setListStale(true)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(3_000)
+  expect(harness.poolState.starts.size).toBe(0)
+  harness.setListStale(false)
+  await waitForState('a', JobState.Complete, 2_000)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -46,6 +46,8 @@
   readonly bounds: SchedulerBounds
   /** The platform's list of workers; undefined until it has been read. */
   readonly getListedWorkers: () => readonly ListedWorker[] | undefined
+  /** Tells whether the list is recent enough to start work by it. */
+  readonly isWorkerListCurrent: () => boolean
   readonly connect: (info: ListedWorker) => WorkerPort
   readonly getConfiguration: () => Configuration | undefined
   /** The advice service, if the deployment has one. */
@@ -127,6 +129,7 @@
     getWorker: workerId => pool.workers.get(workerId),
     getLink: pool.getLink,
     getAttemptLimit: job => getQueue(job)?.attempts ?? job.spec.attemptLimit,
+    mayStart: host.isWorkerListCurrent,
     getTicket: member => adviceCache?.getTicket(member.attempt.unit, member.workerId),
     onBadTicket: member => { adviceCache?.invalidate(member.attempt.unit, member.workerId) },
     commit: writer.commit,
@@ -224,7 +227,7 @@
 
   function planNow (): void {
     isPlanScheduled = false
-    if (!term.isValid()) return
+    if (!term.isValid() || !host.isWorkerListCurrent()) return
     const passStartedAtMs = performance.now()
     for (const worker of pool.workers.values()) worker.isQuarantined = health.isQuarantined(worker.info.workerId, passStartedAtMs)
     controller.dispatchPlanned()
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -40,6 +40,8 @@
   /** Adds a worker to the list of workers, or removes it. */
   setListed (workerId: string, isListed: boolean): void
   setDraining (workerId: string, isDraining: boolean): void
+  /** While set, the hosts cannot read the list of workers. */
+  setListStale (isStale: boolean): void
   restartWorker (workerId: string): void
   /** Crashes a worker: it is away, leaves the list after a while and comes back as a new life of its machine. */
   crashWorker (workerId: string): void
@@ -112,6 +114,7 @@
   const refreshCallbacks = new Set<() => void>()
   /** Workers that have crashed and are not back. */
   const away = new Set<string>()
+  let isListStale = false
   const poolState = createPoolState({
     jobs,
     defaultRequest: harnessCapacity,
@@ -122,7 +125,7 @@
   })
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
 
-  return { store, poolState, workers, hosts, addHost, setListed, setDraining, restartWorker, crashWorker, setCapacity, submit, stop }
+  return { store, poolState, workers, hosts, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
@@ -212,6 +215,7 @@
           logger: logger.withPrefix(hostId),
           bounds: { maxLeaseMs, stopMs: 400, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
           getListedWorkers: () => [...listedWorkers.values()],
+          isWorkerListCurrent: () => !isListStale,
           connect: info => connect(info, () => hasCrashed),
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
