Do not ask a peer again at once for a version that cannot be decoded here

Found by a mutation run that did not end: a peer whose newest version this host cannot decode, as hosts of two releases may disagree, answers each follow call at once, so the follower asked again without a pause. Change: such an answer confirms nothing, and the store is asked after the usual delay.

--- a/src/configuration/configurationPeers.test.ts
+++ b/src/configuration/configurationPeers.test.ts
@@ -1,4 +1,5 @@
 /** Hosts keep a configuration that is in force and know its age, whichever way they follow it. */
+import { deflateSync } from 'node:zlib'
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
@@ -116,7 +117,7 @@
   harness.store.setUnavailable(true, 'slow')
   const answers = [undefined, { version: 'x' }, { version: 0, revision: 1, storeRevision: 1, confirmedAfterArrivalMs: 0 }, { version: 2, revision: 9, storeRevision: 9, confirmedAfterArrivalMs: 0, compressedValue: 'not compressed' }]
   for (const answer of answers) {
-    harness.setAnswer('fast', answer)
+    harness.setAnswer('fast', () => answer)
     await advanceClock(6_000)
     expect(replica.get()?.version).toBe(1)
     expect(replica.getAgeMs()).toBeGreaterThan(5_000)
@@ -210,3 +211,16 @@
   await advanceClock(1_300)
   expect(replica.isCurrent()).toBe(true)
 })
+
+test('a peer whose newest version cannot be decoded is not asked in a busy loop', async () => {
+  harness.addHost('fast')
+  const replica = harness.addHost('slow', { prefersPeers: true, peers: ['fast'] })
+  await advanceClock(1_000)
+  let calls = 0
+  const compressedValue = deflateSync('not a version').toString('base64')
+  // After many calls the answers are malformed, which ends a busy loop.
+  harness.setAnswer('fast', () => ++calls > 1_000 ? undefined : { version: 2, revision: 9, storeRevision: 9, confirmedAfterArrivalMs: 0, compressedValue })
+  await advanceClock(1_000)
+  expect(calls).toBeLessThanOrEqual(10)
+  expect(replica.get()?.version).toBe(1)
+})
--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -54,7 +54,7 @@
 const watchWaitMs = 600
 /** How long a watch waits that only has to confirm the copy after another source has failed, in ms. */
 const confirmingWatchWaitMs = 50
-/** Delay after a failed read, in ms. */
+/** Delay after a failed attempt, in ms. */
 const retryDelayMs = 250
 /** Number of consecutive failed attempts after which the store counts as unreachable. */
 const unreachableAfterFailures = 2
@@ -125,6 +125,11 @@
     const copy = await host.follower.tryFollow(current?.configuration.version)
     if (copy === undefined) return false
     if (copy.value !== undefined) applyValue(copy.value, copy.revision, sentAtMs, Source.Peer)
+    if (current?.configuration.version !== copy.version) {
+      // Its version cannot be decoded here; it would be answered again at once.
+      await delay(retryDelayMs, host.signal)
+      return false
+    }
     recordConfirmation(copy.confirmedAt, copy.storeRevision)
     return true
   }
--- a/src/testing/configurationHarness.ts
+++ b/src/testing/configurationHarness.ts
@@ -49,7 +49,7 @@
   /** While set, calls to the host fail. */
   setUnreachable (hostId: string, isUnreachable: boolean): void
   /** Replaces the answers of a host to its followers. */
-  setAnswer (hostId: string, answer: unknown): void
+  setAnswer (hostId: string, getAnswer: () => unknown): void
   stop (): void
 }
 
@@ -60,13 +60,13 @@
   const replicas = new Map<string, ConfigurationReplica>()
   const clients = new Map<string, RpcClient>()
   const unreachable = new Set<string>()
-  const answers = new Map<string, unknown>()
+  const answers = new Map<string, () => unknown>()
 
   return {
     store,
     addHost,
     setUnreachable: (hostId, isUnreachable) => { if (isUnreachable) unreachable.add(hostId); else unreachable.delete(hostId) },
-    setAnswer: (hostId, answer) => { answers.set(hostId, answer) },
+    setAnswer: (hostId, getAnswer) => { answers.set(hostId, getAnswer) },
     stop: () => { stopping.abort() }
   }
 
@@ -102,9 +102,9 @@
     return {
       call: async <T>(_name: string, params: unknown) => {
         if (unreachable.has(hostId)) throw createError(ErrorKind.PeerUnreachable, 'the host is unreachable')
-        const answered = method.handle(params, { from: '', identity: '' })
-        const result = answers.has(hostId) ? answers.get(hostId) : await answered
-        return JSON.parse(JSON.stringify(result)) as T
+        const getAnswer = answers.get(hostId)
+        const result = getAnswer === undefined ? await method.handle(params, { from: '', identity: '' }) : getAnswer()
+        return JSON.parse(JSON.stringify(result ?? null)) as T
       }
     }
   }
