Do not blame a run that was lost by a cut for a later crash of its worker

Callers would have seen: a job shown as failed though no task of it failed or crashed anything. Cause: runs that were treated as lost stay attributable to a crash for 60 s, also after their worker had come back from a cut as the same incarnation, which shows that the cut, not a crash, had ended them. Found by reading the change again. Change: a worker's report clears them. Test: runs/crashingTask.test.ts, 'a run that was lost while its worker was cut off ...': failed before (expected complete, received failed).

--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -21,6 +21,8 @@
 export interface CrashTracking {
   /** Records a run that was lost with its worker. */
   onRunLost (member: Member): void
+  /** The worker has reported again: the runs that were lost with this incarnation were lost by a cut, not by a crash. */
+  onReport (workerId: string): void
   /** The worker's machine, named by its id if it has one, has started anew: the incarnation before `bornAtMs` has crashed with everything that ran there. */
   onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void
 }
@@ -42,11 +44,10 @@
   const lostRuns = new Map<string, LostRun[]>()
   /** The start of the latest incarnation, by worker, whose predecessor's crash has been attributed. */
   const attributedBornAtMs = new Map<string, number>()
-
   /** The machines that have crashed in this term, with the units of their crashes. */
   const crashedMachines = new Map<string, Set<Unit>>()
 
-  return { onRunLost, onWorkerCrashed }
+  return { onRunLost, onReport: workerId => { lostRuns.delete(workerId) }, onWorkerCrashed }
 
   function onRunLost (member: Member): void {
     if (member.bornAtMs < (attributedBornAtMs.get(member.workerId) ?? -Infinity)) return
--- a/src/runs/crashingTask.test.ts
+++ b/src/runs/crashingTask.test.ts
@@ -135,3 +135,20 @@
   for (const { jobId } of jobs) await waitForState(jobId, JobState.Complete, 60_000)
   expect(harness.poolState.violations).toEqual([])
 })
+
+test('a run that was lost while its worker was cut off is not blamed for a later crash of that worker', async () => {
+  await startHarness({ workers: 2, getRun: () => ({ workMs: 12_000, how: EndKind.Done }) })
+  await submit(makeJob('job', 'batch', [small]))
+  for (let losses = 1; losses <= 3; losses++) {
+    await run(500)
+    const workerId = harness.poolState.running.get('job.0.0.0')?.[0]?.workerId ?? ''
+    harness.workers.get(workerId)?.setUnreachable(true)
+    await run(4_500)
+    harness.workers.get(workerId)?.setUnreachable(false)
+    await run(1_000)
+    harness.crashWorker(workerId)
+    await run(6_000)
+  }
+  await waitForState('job', JobState.Complete, 30_000)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -326,6 +326,7 @@
 
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const { workerId } = worker.info
+    crashTracking.onReport(workerId)
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
     const reportedKeys = new Set<string>()
