Evacuation of a failure domain: copy of the requests, planning and sending

Cause: operators need a way to have nothing more started in a failure domain while the work there ends, and the scheduler knew only drains of workers.

Workers of an evacuated domain are not usable. Before every try of a send the request and the age of the copy are checked again, and an attempt with an unsent member there is stopped as a whole. Nothing is planned or sent while the copy is older than evacMs less 300 ms. A read from before the start of the term is not accepted.

An attempt whose retry finds the list of workers too old is now stopped for this reason; before, the worker counted as unreachable and was avoided.

Not run yet: the whole suite, the soak against daemons.

--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -47,7 +47,7 @@
 interface WavesOptions {
   readonly wave: Wave
   readonly machines: MachinePort
-  readonly isEvacuated: (workerId: string) => boolean
+  readonly isDrained: (workerId: string) => boolean
 }
 
 interface StartedWaves {
@@ -63,9 +63,9 @@
   store.write('op/wave/1', JSON.stringify(options.wave))
   const inMaintenance = new Set<string>()
   const termEnd = await startTerm(store, 'host-0', options.machines, {
-    tryEvacuate: workerId => {
+    tryDrain: workerId => {
       inMaintenance.add(workerId)
-      return options.isEvacuated(workerId)
+      return options.isDrained(workerId)
     },
     returnToService: workerId => { inMaintenance.delete(workerId) }
   })
@@ -73,7 +73,7 @@
 }
 
 /** Makes the host the scheduler and starts its waves; they stop when the returned controller is aborted. */
-async function startTerm (store: MemoryStore, hostId: string, machines: MachinePort, evacuation: Pick<MaintenanceWavesHost, 'tryEvacuate' | 'returnToService'>): Promise<AbortController> {
+async function startTerm (store: MemoryStore, hostId: string, machines: MachinePort, drain: Pick<MaintenanceWavesHost, 'tryDrain' | 'returnToService'>): Promise<AbortController> {
   store.write('leader/scheduler', hostId)
   const leader = await store.connect(hostId).get('leader/scheduler')
   const termEnd = new AbortController()
@@ -88,7 +88,7 @@
     decodeWave: value => JSON.parse(value) as Wave,
     encodeStatus: isComplete => isComplete ? 'complete' : 'active',
     holderPauseMs: 1_000,
-    ...evacuation
+    ...drain
   })
   return termEnd
 }
@@ -111,7 +111,7 @@
       }
     },
     // Work that cannot move keeps the first two machines from being emptied.
-    isEvacuated: workerId => workerId !== 'worker-of-m1' && workerId !== 'worker-of-m2'
+    isDrained: workerId => workerId !== 'worker-of-m1' && workerId !== 'worker-of-m2'
   })
   await advanceTime(4_000)
   expect([...waves.inMaintenance]).toEqual(['worker-of-m1'])
@@ -136,7 +136,7 @@
         return MaintenanceResult.Done
       }
     },
-    isEvacuated: () => true
+    isDrained: () => true
   })
   await advanceTime(8_000)
   expect(waves.store.peek('status/wave/1')).toBe('complete')
@@ -153,7 +153,7 @@
   const machines = createMachines(loseEvery)
   store.write('op/wave/1', JSON.stringify(wave))
   for (const hostId of ['host-0', 'host-1']) {
-    const termEnd = await startTerm(store, hostId, machines.port, { tryEvacuate: () => true, returnToService: () => {} })
+    const termEnd = await startTerm(store, hostId, machines.port, { tryDrain: () => true, returnToService: () => {} })
     await advanceTime(hostId === 'host-0' ? 4_000 : 30_000)
     expect(machines.getMaxSeenDown()).toBeLessThanOrEqual(wave.maxDown)
     await endTerm(termEnd)
--- a/src/maintenance/maintenanceWaves.ts
+++ b/src/maintenance/maintenanceWaves.ts
@@ -56,7 +56,7 @@
   /** Minimum time between requests for a machine from different schedulers ("holders"), in ms. */
   readonly holderPauseMs: number
   /** Stops placing work on the worker and evicts the work that can move; returns false while some work has to stay. */
-  readonly tryEvacuate: (workerId: string, isUrgent: boolean) => boolean
+  readonly tryDrain: (workerId: string, isUrgent: boolean) => boolean
   /** Allows work to be placed on the worker again. */
   readonly returnToService: (workerId: string) => void
 }
@@ -160,7 +160,7 @@
     if (!isDrained && new Set([...state.drained.keys(), ...state.progress.begun]).size >= wave.maxDown) return
     if (isDrained && state.drained.get(machine.machineId) !== machine.workerId) release(state, machine.machineId)
     state.drained.set(machine.machineId, machine.workerId)
-    if (machine.workerId !== undefined && !host.tryEvacuate(machine.workerId, isUrgent)) return
+    if (machine.workerId !== undefined && !host.tryDrain(machine.workerId, isUrgent)) return
     await saveProgress(wave, state, { ...state.progress, begun: [...state.progress.begun, machine.machineId] })
     assert(state.progress.begun.length <= wave.maxDown, 'at most maxDown machines of a wave may be down')
     await requestMaintenance(wave, machine.machineId)
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -14,10 +14,13 @@
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
 import { createRpcHandler } from '../common/rpcServer.js'
+import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
+import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
+import { evacuationPrefix, tryDecodeEvacuationKey } from './evacuationKeys.js'
 import { createPeerConnections } from './peerConnections.js'
 import { createJobApi } from './jobApi.js'
 import { configurationKey, tryDecodeConfiguration } from './platformConfiguration.js'
@@ -38,7 +41,7 @@
 const smallLinkMbps = 50
 /** Allowance for the differences between the clocks of hosts, in ms, in the age of a configuration that was confirmed through a peer. */
 const clockMarginMs = 100
-/** Time for a start request to reach its worker, in ms, within the time in which a drain has to be known. */
+/** Time for a start request to reach its worker, in ms, within the time in which a drain or an evacuation has to be known. */
 const startMarginMs = 300
 /** A host does not run for scheduler for this long after an uncaught error, so that another host is elected in the meantime. */
 const faultCandidacyPauseMs = 5_000
@@ -60,6 +63,7 @@
 const relayedStore = createRelayedStore({ direct: store, logger: logger.withPrefix('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
 let scheduler: Scheduler | undefined
 let currentTerm: Term | undefined
+let evacuations: DomainEvacuations | undefined
 
 const configuration = createConfigurationReplica({
   store: relayedStore,
@@ -114,6 +118,7 @@
     maxAgeMs: settings.drainNoticeMs - startMarginMs,
     signal: term.signal
   })
+  evacuations = createEvacuations(term)
   scheduler = createScheduler({
     term,
     store,
@@ -123,10 +128,11 @@
     isWorkerListCurrent: workerList.isCurrent,
     connect: createHttpWorker,
     getConfiguration: configuration.get,
+    ...(evacuations === undefined ? {} : { evacuations }),
     ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
   })
   if (settings.machinesAddress === undefined) return
-  const { tryEvacuate, returnToService } = scheduler
+  const { tryDrain, returnToService } = scheduler
   createMaintenanceWaves({
     store,
     term,
@@ -138,11 +144,25 @@
     decodeWave: tryDecodeWave,
     encodeStatus: encodeWaveStatus,
     holderPauseMs: settings.holderPauseMs,
-    tryEvacuate,
+    tryDrain,
     returnToService
   })
 }
 
+function createEvacuations (term: Term): DomainEvacuations | undefined {
+  if (settings.evacuationBoundMs === undefined) return undefined
+  return createDomainEvacuations({
+    store,
+    logger: logger.withPrefix('evacuation'),
+    prefix: evacuationPrefix,
+    decodeDomain: tryDecodeEvacuationKey,
+    onRead: () => { scheduler?.refresh() },
+    maxAgeMs: settings.evacuationBoundMs - startMarginMs,
+    minRevision: term.epoch,
+    signal: term.signal
+  })
+}
+
 function getMetrics (): string {
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -61,7 +61,7 @@
 
   async function addWorker (index: number): Promise<void> {
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
-    const info = { workerId: `i-${index}`, service: emulatedService, domain: 'a', bornAtMs: Date.now(), isDraining: false, capacity, labels: ['a', rack], rack }
+    const info = { workerId: `i-${index}`, service: emulatedService, domain: 'a', bornAtMs: Date.now(), isDraining: false, coldLeftMs: 0, capacity, labels: ['a', rack], rack }
     const worker: PoolWorker = createPoolWorker(poolState, { ...info, address: '' })
     const server = await listenEmulated(createEmulatedWorker(worker))
     servers.push(server)
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -4,12 +4,18 @@
 import * as z from 'zod/mini'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 
+/** The least bound of an evacuation, in ms: with a shorter one, a single failed read of the store would interrupt all starts. */
+const minEvacuationBoundMs = 2_500
+/** The contract under which operators request evacuations of failure domains. */
+const evacuationContract = 'places'
+
 const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
 const settingsSchema = z.object({
   node: z.string(),
   ip: z._default(z.string(), '127.0.0.1'),
   zone: z.string(),
   region: z._default(z.string(), ''),
+  contracts: z._default(z.array(z.string()), []),
   portRange: z._default(z.tuple([z.int(), z.int()]), [7_000, 7_015]),
   listen: z.object({ front: z.optional(addressSchema), ready: z.optional(addressSchema), control: z.optional(addressSchema) }),
   limits: z._default(z.object({ cpuShare: z._default(z.number(), 1), linkMbps: z._default(z.number(), 1_000) }), { cpuShare: 1, linkMbps: 1_000 }),
@@ -22,7 +28,8 @@
     status_s: z._default(z.number(), 120),
     reclaimMs: z._default(z.number(), 2_900),
     noticeMs: z._default(z.number(), 5_500),
-    leaseMs: z._default(z.number(), 3_000)
+    leaseMs: z._default(z.number(), 3_000),
+    evacMs: z._default(z.number().check(z.gte(minEvacuationBoundMs)), 5_000)
   }),
   platform: z.object({ addr: addressSchema }),
   cloud: z.optional(z.object({ addr: addressSchema })),
@@ -45,6 +52,8 @@
   readonly configurationBoundMs: number
   /** Time after which no work starts any more on a worker that has announced that it drains, in ms. */
   readonly drainNoticeMs: number
+  /** Time after which no work starts any more in a failure domain whose evacuation the store has acknowledged, in ms; undefined if the deployment has no evacuations. */
+  readonly evacuationBoundMs: number | undefined
   readonly graceMs: number
   readonly maxLeaseMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
@@ -69,7 +78,7 @@
     const issue = parsed.error.issues[0]
     throw createError(ErrorKind.BadRequest, `${file}: setting "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'malformed'}`)
   }
-  const { node, ip, zone, portRange, listen, limits, bounds, platform, cloud, advice } = parsed.data
+  const { node, ip, zone, contracts, portRange, listen, limits, bounds, platform, cloud, advice } = parsed.data
   return {
     hostId: node,
     domain: zone,
@@ -82,6 +91,7 @@
     linkMbps: limits.linkMbps,
     configurationBoundMs: bounds.configMs,
     drainNoticeMs: bounds.drainMs,
+    evacuationBoundMs: contracts.includes(evacuationContract) ? bounds.evacMs : undefined,
     graceMs: bounds.graceS * 1_000,
     maxLeaseMs: bounds.holdMaxMs,
     stopMs: bounds.stopMs,
--- a/src/runs/evacuation.ts
+++ b/src/runs/maintenanceDrain.ts
@@ -1,10 +1,10 @@
-/** Evacuates workers whose machines go down for planned maintenance, within each service step's limit of unavailable tasks. */
+/** Drains workers whose machines go down for planned maintenance, within each service step's limit of unavailable tasks. */
 import { MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, Unit } from '../jobs/trackedJob.js'
 import type { WorkerState } from '../workers/workerState.js'
 
-/** Dependencies of the evacuation. */
-export interface EvacuationHost {
+/** Dependencies of the drain. */
+export interface MaintenanceDrainHost {
   readonly getWorker: (workerId: string) => WorkerState | undefined
   readonly getMembers: (workerId: string) => ReadonlySet<Member>
   readonly stopAttempt: (attempt: Attempt, reason: string) => void
@@ -12,19 +12,19 @@
   readonly noticeMs: number
 }
 
-/** Evacuates workers for maintenance. */
-export interface Evacuation {
+/** Drains workers for maintenance. */
+export interface MaintenanceDrain {
   /** Stops placing work on a worker and stops the attempts that may be moved; returns true when nothing runs there. */
-  tryEvacuate (workerId: string, isUrgent: boolean): boolean
+  tryDrain (workerId: string, isUrgent: boolean): boolean
   /** Makes the worker available for new work again. */
   returnToService (workerId: string): void
 }
 
-/** Creates the evacuation of one term. */
-export function createEvacuation (host: EvacuationHost): Evacuation {
-  return { tryEvacuate, returnToService }
+/** Creates the maintenance drain of one term. */
+export function createMaintenanceDrain (host: MaintenanceDrainHost): MaintenanceDrain {
+  return { tryDrain, returnToService }
 
-  function tryEvacuate (workerId: string, isUrgent: boolean): boolean {
+  function tryDrain (workerId: string, isUrgent: boolean): boolean {
     const worker = host.getWorker(workerId)
     if (worker === undefined) return true
     worker.isInMaintenance = true
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -28,8 +28,10 @@
   readonly getLink: (workerId: string) => WorkerLink | undefined
   /** The number of failed runs of a unit at which its job fails. */
   readonly getAttemptLimit: (job: TrackedJob) => number
-  /** False while it is not known which workers are draining. */
+  /** False while it is not known which workers are draining or which failure domains are evacuated. */
   readonly mayStart: () => boolean
+  /** The fields that describe the evacuation of a worker's failure domain in the log. */
+  readonly describeEvacuation: (workerId: string) => object
   readonly getTicket: (member: Member) => string | undefined
   readonly onBadTicket: (member: Member) => void
   /** Resolves when the progress of the job is stored. */
@@ -70,6 +72,7 @@
 /** A stop is sent again when the end has not been reported within this, in ms, beyond the time that a stop may take. */
 const stopReportMs = 800
 const noResources: Resources = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+const evacuatedReason = 'the failure domain of a planned worker is evacuated'
 /** Pause after a failed stop request, in ms. */
 const stopRetryPauseMs = 200
 
@@ -126,7 +129,9 @@
   function dispatchPlanned (): void {
     if (!term.isValid() || !host.mayStart()) return
     for (const attempt of planned) {
-      if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker is no longer usable')
+      const evacuated = attempt.members.find(({ workerId }) => isDomainEvacuated(workerId))
+      if (evacuated !== undefined) preventStart(evacuated, evacuatedReason)
+      else if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker is no longer usable')
       else if (hasCapacity(attempt)) dispatch(attempt)
       else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) stopAttempt(attempt, 'the capacity of a planned worker has shrunk')
     }
@@ -146,6 +151,23 @@
     return worker !== undefined && isUsable(worker)
   }
 
+  function isDomainEvacuated (workerId: string): boolean {
+    return host.getWorker(workerId)?.isDomainEvacuated === true
+  }
+
+  /** Returns why nothing may be sent to the worker now, if so. */
+  function getStartObstacle (workerId: string): string | undefined {
+    if (isDomainEvacuated(workerId)) return evacuatedReason
+    return host.mayStart() ? undefined : 'the list of workers or of evacuations is too old'
+  }
+
+  /** Stops the attempt of a member that must not be sent to its worker; a gang is stopped as a whole, since it cannot run without the member. */
+  function preventStart (member: Member, reason: string): void {
+    logger.info('a start was prevented', { reason, task: getTaskName(member), run: member.attempt.run, workerId: member.workerId, ...host.describeEvacuation(member.workerId) })
+    stopAttempt(member.attempt, reason)
+    void host.commit(member.attempt.unit.job)
+  }
+
   /** Members may share a worker, so their requests are summed per worker. */
   function hasCapacity (attempt: Attempt): boolean {
     const { request } = attempt.unit.spec
@@ -187,6 +209,14 @@
         return
       }
       if (member.state === MemberState.Ended || term.signal.aborted) return
+      // Time may have passed since planning and since the previous try.
+      const obstacle = getStartObstacle(member.workerId)
+      if (obstacle !== undefined) {
+        // Without a lost answer, no request has left this host, so there is nothing to stop on the worker.
+        if (!hasLostAnswer) member.state = MemberState.Planned
+        preventStart(member, obstacle)
+        return
+      }
       const answer = await sendStart(member)
       if (answer === 'lost') hasLostAnswer = true
       else if (answer !== 'unsent') {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -8,14 +8,16 @@
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { createPlanner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
+import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
+import { createEvacuatedWorkers } from '../evacuation/evacuatedWorkers.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
 import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { createAdviceCache } from './adviceCache.js'
 import type { AdvicePort } from './adviceCache.js'
-import { createEvacuation } from './evacuation.js'
-import type { Evacuation } from './evacuation.js'
+import { createMaintenanceDrain } from './maintenanceDrain.js'
+import type { MaintenanceDrain } from './maintenanceDrain.js'
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
@@ -50,12 +52,14 @@
   readonly isWorkerListCurrent: () => boolean
   readonly connect: (info: ListedWorker) => WorkerPort
   readonly getConfiguration: () => Configuration | undefined
+  /** The operators' requests to evacuate failure domains, if the deployment has them. */
+  readonly evacuations?: DomainEvacuations
   /** The advice service, if the deployment has one. */
   readonly advice?: AdvicePort
 }
 
 /** The scheduler of one term. */
-export interface Scheduler extends Evacuation {
+export interface Scheduler extends MaintenanceDrain {
   /** Must be called when the list of workers or the configuration has changed. */
   refresh (): void
   getStatus (): SchedulerStatus
@@ -129,7 +133,8 @@
     getWorker: workerId => pool.workers.get(workerId),
     getLink: pool.getLink,
     getAttemptLimit: job => getQueue(job)?.attempts ?? job.spec.attemptLimit,
-    mayStart: host.isWorkerListCurrent,
+    mayStart,
+    describeEvacuation: workerId => evacuatedWorkers.describeRequest(workerId),
     getTicket: member => adviceCache?.getTicket(member.attempt.unit, member.workerId),
     onBadTicket: member => { adviceCache?.invalidate(member.attempt.unit, member.workerId) },
     commit: writer.commit,
@@ -142,6 +147,7 @@
     },
     onRefusal: workerId => { health.onRefusal(workerId, performance.now()) }
   })
+  const evacuatedWorkers = createEvacuatedWorkers({ logger, evacuations: host.evacuations, workers: pool.workers, getMembers: controller.getMembers })
   const adviceCache = host.advice === undefined ? undefined : createAdviceCache({ port: host.advice, term, logger, onChanged: schedulePlan })
   const adjustPace = createFillPacing({ logger, sendPace })
   const runTimes = createRunTimes()
@@ -160,9 +166,9 @@
     startAttempt: controller.planAttempt,
     stopAttempt: controller.stopAttempt
   })
-  const evacuation = createEvacuation({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
+  const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
   void start()
-  return { refresh, getStatus, ...evacuation }
+  return { refresh, getStatus, ...maintenanceDrain }
 
   async function start (): Promise<void> {
     void delay(takeoverLimitMs, term.signal).then(() => {
@@ -194,9 +200,14 @@
     const listed = host.getListedWorkers()
     if (listed === undefined || !areJobsLoaded || term.signal.aborted) return
     pool.refresh(listed)
+    evacuatedWorkers.refresh()
     schedulePlan()
   }
 
+  function mayStart (): boolean {
+    return host.isWorkerListCurrent() && evacuatedWorkers.areRequestsCurrent()
+  }
+
   function getStatus (): SchedulerStatus {
     return describeScheduler({
       epoch: term.epoch,
@@ -227,7 +238,7 @@
 
   function planNow (): void {
     isPlanScheduled = false
-    if (!term.isValid() || !host.isWorkerListCurrent()) return
+    if (!term.isValid() || !mayStart()) return
     const passStartedAtMs = performance.now()
     for (const worker of pool.workers.values()) worker.isQuarantined = health.isQuarantined(worker.info.workerId, passStartedAtMs)
     controller.dispatchPlanned()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -170,7 +170,7 @@
     for (const member of getUnits(job).flatMap(unit => unit.attempts).flatMap(attempt => attempt.members)) {
       if (workers.has(member.workerId)) continue
       const none = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
-      addWorker({ workerId: member.workerId, address: '', service: '', domain: '', bornAtMs: member.bornAtMs, isDraining: true, capacity: none, labels: [], rack: '' })
+      addWorker({ workerId: member.workerId, address: '', service: '', domain: '', bornAtMs: member.bornAtMs, isDraining: true, coldLeftMs: 0, capacity: none, labels: [], rack: '' })
     }
   }
 }
--- a/src/testing/plannerHarness.ts
+++ b/src/testing/plannerHarness.ts
@@ -63,7 +63,7 @@
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
     const workerId = `worker-${index}`
     const labels = [rack, ...options.getLabels?.(index) ?? []]
-    const worker = createWorkerState({ workerId, address: workerId, service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, capacity: harnessCapacity, labels, rack })
+    const worker = createWorkerState({ workerId, address: workerId, service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity: harnessCapacity, labels, rack })
     worker.isReachable = true
     workers.set(workerId, worker)
     members.set(workerId, new Set())
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -7,6 +7,8 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
+import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
+import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
 import { EndKind } from '../jobs/jobModel.js'
 import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
 import { createScheduler } from '../runs/scheduler.js'
@@ -36,6 +38,8 @@
   readonly poolState: PoolState
   readonly workers: Map<string, PoolWorker>
   readonly hosts: Map<string, HarnessHost>
+  /** Issues the request to evacuate a failure domain, or withdraws it. */
+  setEvacuated (domain: string, isEvacuated: boolean): void
   addHost (hostId: string): HarnessHost
   /** Adds a worker to the list of workers, or removes it. */
   setListed (workerId: string, isListed: boolean): void
@@ -59,6 +63,10 @@
   readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
   readonly logger?: Logger
   readonly maxLeaseMs?: number
+  /** The age up to which a copy of the evacuation requests is current, in ms; without it the hosts know no evacuations. */
+  readonly evacuationMaxAgeMs?: number
+  /** The failure domain of a worker; `a` by default. */
+  readonly getDomain?: (workerIndex: number) => string
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -66,6 +74,9 @@
 /** The capacity of each worker of the harness. */
 export const harnessCapacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
 
+/** The key prefix of the evacuation requests in the harness. */
+export const harnessEvacuationPrefix = 'evacuations/'
+
 const bornAtMs = 1_000
 /** A worker that is silent leaves the list after this time, in ms. */
 const listTimeoutMs = 4_500
@@ -125,12 +136,14 @@
   })
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
 
-  return { store, poolState, workers, hosts, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
+  const setEvacuated = (domain: string, isEvacuated: boolean): void => { store.write(harnessEvacuationPrefix + domain, isEvacuated ? '{}' : undefined) }
+
+  return { store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
     const workerId = `worker-${workerIndex}`
-    addLife({ workerId, address: `${workerId}:1`, service: 'pool', domain: 'a', bornAtMs, isDraining: false, capacity: harnessCapacity, labels: ['a', rack], rack, machineId: `machine-${workerIndex}` })
+    addLife({ workerId, address: `${workerId}:1`, service: 'pool', domain: options.getDomain?.(workerIndex) ?? 'a', bornAtMs, isDraining: false, coldLeftMs: 0, capacity: harnessCapacity, labels: ['a', rack], rack, machineId: `machine-${workerIndex}` })
   }
 
   function addLife (info: ListedWorker): void {
@@ -209,6 +222,7 @@
       isSmall: false,
       onElected: elected => {
         term = elected
+        const evacuations = createEvacuations(elected, client, () => { scheduler?.refresh() })
         scheduler = createScheduler({
           term: elected,
           store: client,
@@ -217,6 +231,7 @@
           getListedWorkers: () => [...listedWorkers.values()],
           isWorkerListCurrent: () => !isListStale,
           connect: info => connect(info, () => hasCrashed),
+          ...(evacuations === undefined ? {} : { evacuations }),
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
       }
@@ -240,6 +255,20 @@
     return host
   }
 
+  function createEvacuations (term: Term, client: MetadataStore, onRead: () => void): DomainEvacuations | undefined {
+    if (options.evacuationMaxAgeMs === undefined) return undefined
+    return createDomainEvacuations({
+      store: client,
+      logger,
+      prefix: harnessEvacuationPrefix,
+      decodeDomain: key => key.slice(harnessEvacuationPrefix.length) || undefined,
+      onRead,
+      maxAgeMs: options.evacuationMaxAgeMs,
+      minRevision: term.epoch,
+      signal: term.signal
+    })
+  }
+
   function connect (info: ListedWorker, hasCrashed: () => boolean): WorkerPort {
     const port = workers.get(info.workerId)?.connect()
     const failAfterCrash = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
--- a/src/workers/workerPort.ts
+++ b/src/workers/workerPort.ts
@@ -12,6 +12,8 @@
   readonly isDraining: boolean
   /** While the worker drains: the least time that remains, in ms. */
   readonly remainingMs?: number
+  /** How long the worker still runs slower after its start because it is cold, in ms; 0 if it is not cold. */
+  readonly coldLeftMs: number
   readonly capacity: Resources
   readonly labels: readonly string[]
   readonly rack: string
--- a/src/workers/workerState.ts
+++ b/src/workers/workerState.ts
@@ -25,16 +25,18 @@
   isQuarantined: boolean
   /** It is being drained for maintenance. */
   isInMaintenance: boolean
+  /** The operators have requested that nothing more is started in its failure domain. */
+  isDomainEvacuated: boolean
 }
 
 /** Creates the record of a worker that has not yet reported its state. */
 export function createWorkerState (info: ListedWorker): WorkerState {
-  return { info, allocations: new Map(), isListed: true, reportedBornAtMs: -Infinity, isIncarnationListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false }
+  return { info, allocations: new Map(), isListed: true, reportedBornAtMs: -Infinity, isIncarnationListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false, isDomainEvacuated: false }
 }
 
 /** Tells whether new work may be started on a worker. */
 export function isUsable (worker: WorkerState): boolean {
-  return worker.isListed && worker.isIncarnationListed && worker.isReachable && !worker.isQuarantined && !worker.isInMaintenance && !worker.info.isDraining
+  return worker.isListed && worker.isIncarnationListed && worker.isReachable && !worker.isQuarantined && !worker.isInMaintenance && !worker.isDomainEvacuated && !worker.info.isDraining
 }
 
 /** The key of a run's allocation. */
