Election: leases of the store's minimum, concurrent renewals, no false takeovers

Cause: a term had a lease of 2 s, renewed every 500 ms by one call at a time, each of which could wait 900 ms. After a kill the successor waited up to 2 s for the lease alone. The validity of a granted lease was counted from the answer to the grant, not from the request: with answers of 400 ms the term counted as valid up to 250 ms after the lease could have expired. On SIGTERM the lease was released only after a renewal in flight had ended.

Change: leaseRenewal.ts sends six renewals in each time to live (twelve while the last confirmation is late), up to 12 in flight, on connections of their own. A late answer counts from the time its request was sent. A term whose answers are lost is invalid, so nothing is sent, but is aborted only 1.5 s later: if the lease exists, the next answer makes the term valid again. The time to live is the store's minimum (platform.ttlMinMs; 2 s if the settings do not name it), or four of the longest observed round trips and the margin. A candidate waits on a watch, not by a delay between two reads, which saves two round trips of a takeover. The planned stop releases the lease at once.

--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -3,10 +3,13 @@
  * key was created, so it grows with each term.
  */
 import { setMaxListeners } from 'node:events'
+import { readClocks } from '../common/elapsedTime.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
+import { createLeaseRenewal, leaseMarginMs } from './leaseRenewal.js'
+import type { LeaseRenewal } from './leaseRenewal.js'
 
 /** Dependencies of the election. */
 export interface LeaderElectionHost {
@@ -16,6 +19,8 @@
   readonly random: () => number
   /** A host with few resources waits longer before it runs for leader, so that larger hosts are preferred. */
   readonly isSmall: boolean
+  /** The shortest time to live of a lease that the store grants, in ms. */
+  readonly minTtlMs?: number | undefined
   /** Called once at the start of each term. */
   readonly onElected: (term: Term) => void
 }
@@ -26,7 +31,7 @@
   /** The leader key and its revision, as a condition for writes to the store. */
   readonly leaderKey: string
   readonly leaderRevision: number
-  /** False as soon as another host may have been elected. */
+  /** False as soon as another host may have been elected. Becomes true again if the store shows that none has been, unless `signal` is aborted. */
   isValid (): boolean
   /** Ends the term and releases the lease. The host does not run for leader again for `candidacyPauseMs`, 0 by default. */
   resign (reason: string, candidacyPauseMs?: number): void
@@ -37,6 +42,8 @@
 /** The running election. */
 export interface LeaderElection {
   getLeader (): string | undefined
+  /** The shortest of the latest round trips to the store, in ms; undefined before the first. */
+  getRoundTripMs (): number | undefined
   /** Releases the lease and leaves the election. */
   stop (): Promise<void>
 }
@@ -44,14 +51,18 @@
 /** The key that the elected host holds. */
 export const leaderKey = 'leader/scheduler'
 
-/** Time to live of the lease, in ms: the successor of a dead host starts within 3 s, and one lost renewal does not end a term. */
-const leaseTtlMs = 2_000
-/** Renewal interval, in ms: a quarter of the lease's time to live, so that two consecutive renewals may be lost. */
-const renewPeriodMs = 500
-/** A term ends this long before its lease can expire, in ms, to allow for the difference between the host's and the store's clocks. */
-const safetyMarginMs = 150
+/** Time to live of the lease, in ms, if the store's minimum is unknown. */
+const defaultMinTtlMs = 2_000
+/** Maximum of the time to live, in ms: a dead host is replaced within 3 s even when the store is very slow. */
+const maxTtlMs = 3_000
+/** Time to live as a multiple of the longest round trip observed: three renewals that are awaited in turn, and the one that grants the lease. */
+const ttlRoundTrips = 4
+/** Number of latest round trips that are taken into account. */
+const maxRoundTrips = 16
 /** How long one watch of the leader key waits, in ms: one call per host every 4 s; removal of the key ends the wait at once. */
 const leaderWatchWaitMs = 4_000
+/** A candidate measures its round trip after this many watches without a change: 12 s. */
+const watchesPerMeasurement = 3
 /** Pause after a failed call, in ms. */
 const retryPauseMs = 250
 /** Time limit for releasing a lease, in ms, after which it is left to expire: longer than most outages of the store. */
@@ -70,16 +81,17 @@
   const { store, logger } = host
   const stopping = new AbortController()
   let leader: string | undefined
-  let term: { readonly abort: (reason: string) => void, readonly leaseId: number } | undefined
-  let roundTripMs = 0
+  let abortTerm: ((reason: string) => void) | undefined
+  let roundTripsMs: readonly number[] = []
   let candidacyPausedUntilMs = -Infinity
   const finished = run()
 
-  return { getLeader: () => leader, stop }
+  return { getLeader: () => leader, getRoundTripMs, stop }
 
+  /** Gives up the lease before anything else, so that the successor does not wait for it to expire. */
   async function stop (): Promise<void> {
     stopping.abort()
-    term?.abort('the host is stopping')
+    abortTerm?.('the host is stopping')
     await Promise.race([finished, delay(1_000)])
   }
 
@@ -87,9 +99,10 @@
     while (!stopping.signal.aborted) {
       try {
         const { found, revision } = await readLeader()
-        if (found === undefined) await campaign()
+        if (found === undefined) await campaign(revision)
         else await waitForChange(revision)
       } catch (error) {
+        if (stopping.signal.aborted) return
         logger.warn('election call to the store failed', { error: String(error) })
         await delay(retryPauseMs * (1 + host.random()), stopping.signal)
       }
@@ -97,82 +110,114 @@
   }
 
   async function readLeader (): Promise<{ readonly found: StoredItem | undefined, readonly revision: number }> {
-    const startedAtMs = performance.now()
-    const { items, revision } = await store.range(leaderKey)
-    roundTripMs = performance.now() - startedAtMs
+    const { items, revision } = await measureRoundTrip(() => store.range(leaderKey))
     const found = items.find(item => item.key === leaderKey)
     leader = found?.value
     return { found, revision }
   }
 
+  async function measureRoundTrip<T> (call: () => Promise<T>): Promise<T> {
+    const startedAtMs = performance.now()
+    const result = await call()
+    recordRoundTrip(performance.now() - startedAtMs)
+    return result
+  }
+
+  function recordRoundTrip (roundTripMs: number): void {
+    roundTripsMs = [...roundTripsMs, roundTripMs].slice(-maxRoundTrips)
+  }
+
+  function getRoundTripMs (): number | undefined {
+    return roundTripsMs.length === 0 ? undefined : Math.min(...roundTripsMs)
+  }
+
+  /** The shortest that the store grants, unless its answers take so long that renewals could not be confirmed in time. */
+  function chooseTtlMs (): number {
+    const neededMs = Math.min(maxTtlMs, ttlRoundTrips * Math.max(0, ...roundTripsMs) + leaseMarginMs)
+    return Math.ceil(Math.max(host.minTtlMs ?? defaultMinTtlMs, neededMs))
+  }
+
   /** Watches from the store's latest revision, because the history since the revision of the leader key is soon compacted. */
   async function waitForChange (fromRevision: number): Promise<void> {
     let revision = fromRevision
-    while (!stopping.signal.aborted) {
-      const result = await store.watch(leaderKey, revision, leaderWatchWaitMs, stopping.signal).catch(error => {
-        if (!isErrorOfKind(error, ErrorKind.HistoryGone)) throw error
-        return undefined
-      })
-      if (result === undefined || result.changes.length > 0) return
+    for (let watches = 0; !stopping.signal.aborted && watches < watchesPerMeasurement; watches++) {
+      const result = await watchLeader(revision, leaderWatchWaitMs)
+      if (result === undefined) return
       revision = result.revision
+      const [last] = result.changes.slice(-1)
+      if (last === undefined) continue
+      leader = last.item?.value
+      if (leader === undefined) await campaign(revision)
+      return
     }
   }
 
-  async function campaign (): Promise<void> {
-    const latencyWaitMs = Math.min(maxLatencyWaitMs, roundTripMs * latencyFactor) + candidateSpreadMs * host.random()
-    const waitMs = Math.max(latencyWaitMs + (host.isSmall ? smallHostWaitMs : 0), candidacyPausedUntilMs - performance.now())
-    await delay(waitMs, stopping.signal)
-    if (stopping.signal.aborted || (await readLeader()).found !== undefined) return
-    const clock = createLeaseClock()
-    const lease = await store.grantLease(leaseTtlMs)
-    clock.recordRenewal(clock.read(), lease.ttlMs)
-    const result = await store.transact({ expected: [{ key: leaderKey, revision: 0 }], writes: [{ key: leaderKey, value: host.hostId, leaseId: lease.leaseId }] })
-      .catch(async error => {
-        // The write may have been applied or may still be; ending the lease removes the key.
-        await store.revokeLease(lease.leaseId).catch(() => { logger.warn('failed to release the lease after a failed write of the leader key') })
-        throw error
-      })
-    if (!result.isCommitted) {
-      await store.revokeLease(lease.leaseId)
-      return
-    }
-    leader = host.hostId
-    await runTerm(result.revision, lease.leaseId, clock)
+  /** Returns undefined if the history since the revision has been compacted. */
+  async function watchLeader (fromRevision: number, waitMs: number): Promise<Awaited<ReturnType<MetadataStore['watch']>> | undefined> {
+    return await store.watch(leaderKey, fromRevision, waitMs, stopping.signal).catch(error => {
+      if (!isErrorOfKind(error, ErrorKind.HistoryGone)) throw error
+      return undefined
+    })
   }
 
-  async function runTerm (epoch: number, leaseId: number, clock: LeaseClock): Promise<void> {
+  /** Runs for leader, unless another host is elected first. `fromRevision` is a revision of the store at which there was no leader. */
+  async function campaign (fromRevision: number): Promise<void> {
+    const pauseMs = candidacyPausedUntilMs - performance.now()
+    if (pauseMs > 0) {
+      await delay(pauseMs, stopping.signal)
+      return
+    }
+    const latencyWaitMs = Math.min(maxLatencyWaitMs, (getRoundTripMs() ?? 0) * latencyFactor) + candidateSpreadMs * host.random()
+    const observed = await watchLeader(fromRevision, Math.ceil(latencyWaitMs + (host.isSmall ? smallHostWaitMs : 0)))
+    if (stopping.signal.aborted || observed === undefined || observed.changes.length > 0) return
+    const grantSentAt = readClocks()
+    const lease = await measureRoundTrip(() => store.grantLease(chooseTtlMs()))
     const ending = new AbortController()
-    // Each worker link and each pending call of the term adds an abort listener.
-    setMaxListeners(0, ending.signal)
     let endReason = ''
     const abort = (reason: string): void => {
       if (ending.signal.aborted) return
       endReason = reason
       ending.abort()
     }
-    term = { abort, leaseId }
-    logger.info('term started: this host schedules', { epoch, leaseId })
+    // Renewals start before the leader key is written, because that write may take most of the time to live of the lease.
+    const renewal = createLeaseRenewal({ store, logger, ...lease, grantSentAt, onRoundTrip: recordRoundTrip, onEnded: abort })
+    try {
+      const result = await store.transact({ expected: [{ key: leaderKey, revision: 0 }], writes: [{ key: leaderKey, value: host.hostId, leaseId: lease.leaseId }] })
+      if (result.isCommitted) {
+        leader = host.hostId
+        abortTerm = abort
+        if (stopping.signal.aborted) abort('the host is stopping')
+        await runTerm(result.revision, lease, renewal, ending.signal, abort)
+        logger.warn('term ended: this host no longer schedules', { epoch: result.revision, reason: endReason })
+      }
+    } finally {
+      // The write may have been applied although it failed, or may still be; ending the lease removes the key.
+      renewal.stop()
+      abortTerm = undefined
+      const released = releaseLease(lease.leaseId)
+      if (stopping.signal.aborted) await released
+    }
+  }
+
+  async function runTerm (epoch: number, lease: { readonly leaseId: number, readonly ttlMs: number }, renewal: LeaseRenewal, signal: AbortSignal, abort: (reason: string) => void): Promise<void> {
+    // Each worker link and each pending call of the term adds an abort listener.
+    setMaxListeners(0, signal)
+    const ended = new Promise<void>(resolve => { signal.addEventListener('abort', () => { resolve() }, { once: true }) })
+    if (signal.aborted) return
+    logger.info('term started: this host schedules', { epoch, ...lease, longestRoundTripMs: Math.round(Math.max(0, ...roundTripsMs)) })
     host.onElected({
       epoch,
       leaderKey,
       leaderRevision: epoch,
-      isValid: () => !ending.signal.aborted && clock.isValid(),
+      isValid: () => !signal.aborted && renewal.isValid(),
       resign: (reason, candidacyPauseMs = 0) => {
         candidacyPausedUntilMs = Math.max(candidacyPausedUntilMs, performance.now() + candidacyPauseMs)
         abort(reason)
       },
-      signal: ending.signal
+      signal
     })
-    while (!ending.signal.aborted) {
-      if (!clock.isValid()) abort('the lease may have expired')
-      else await renew(leaseId, clock, abort)
-      await delay(renewPeriodMs, ending.signal)
-    }
-    term = undefined
+    await ended
     leader = undefined
-    logger.warn('term ended: this host no longer schedules', { epoch, reason: endReason })
-    const released = releaseLease(leaseId)
-    if (stopping.signal.aborted) await released
   }
 
   /** Leases may not expire while the store is unavailable; releasing the lease when the store is back allows an election at once. */
@@ -188,47 +233,4 @@
       }
     }
   }
-
-  async function renew (leaseId: number, clock: LeaseClock, abort: (reason: string) => void): Promise<void> {
-    const sentAt = clock.read()
-    try {
-      await store.keepLeaseAlive(leaseId)
-      clock.recordRenewal(sentAt, leaseTtlMs)
-    } catch (error) {
-      if (isErrorOfKind(error, ErrorKind.NotFound)) abort('the lease has expired')
-      else logger.warn('lease renewal failed', { leaseId, error: String(error) })
-    }
-  }
-}
-
-interface ClockReading {
-  readonly monotonicMs: number
-  readonly wallMs: number
-}
-
-/** Tells whether a lease is still valid, by two clocks: the monotonic one stops while the host is suspended, the wall clock does not. */
-interface LeaseClock {
-  read (): ClockReading
-  recordRenewal (sentAt: ClockReading, ttlMs: number): void
-  isValid (): boolean
-}
-
-function createLeaseClock (): LeaseClock {
-  let renewedAt: ClockReading = read()
-  let validForMs = 0
-  return { read, recordRenewal, isValid }
-
-  function read (): ClockReading {
-    return { monotonicMs: performance.now(), wallMs: Date.now() }
-  }
-
-  function recordRenewal (sentAt: ClockReading, ttlMs: number): void {
-    renewedAt = sentAt
-    validForMs = ttlMs - safetyMarginMs
-  }
-
-  function isValid (): boolean {
-    const now = read()
-    return now.monotonicMs - renewedAt.monotonicMs < validForMs && now.wallMs - renewedAt.wallMs < validForMs
-  }
 }
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -84,6 +84,7 @@
   logger: logger.withPrefix('election'),
   random: Math.random,
   isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
+  minTtlMs: settings.storeMinTtlMs,
   onElected: startTerm
 })
 const handleJobCall = createJobApi({ configuration, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
--- a/src/platform/httpStore.ts
+++ b/src/platform/httpStore.ts
@@ -12,6 +12,8 @@
 /** Time allowed for the response to a watch beyond its wait time. */
 const watchGraceMs = 600
 const maxConnections = 12
+/** Renewals of leases that may be unanswered at once, on connections of their own, so that lost answers do not block other calls. */
+const maxLeaseConnections = 12
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), rev: z.number(), created: z.number() })
 const rangeSchema = z.object({ items: z.array(itemSchema), morePages: z.boolean(), currentRev: z.number() })
@@ -26,6 +28,7 @@
   const callClient = createHttpClient(address, maxConnections)
   // Watches are long polls, so they use separate connections.
   const watchClient = createHttpClient(address, maxConnections)
+  const leaseClient = createHttpClient(address, maxLeaseConnections)
 
   return { get, range, watch, transact, grantLease, keepLeaseAlive, revokeLease }
 
@@ -75,7 +78,8 @@
   }
 
   async function keepLeaseAlive (leaseId: number): Promise<void> {
-    const response = await send({ method: 'POST', path: `/sassafrasford/kv-keep/${leaseId}` }, 404)
+    const path = `/sassafrasford/kv-keep/${leaseId}`
+    const response = check(await leaseClient.call({ method: 'POST', path, timeoutMs: callTimeoutMs }), path, [404])
     if (response.status === 404) throw createError(ErrorKind.NotFound, 'the lease has ended')
   }
 
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -24,7 +24,7 @@
     noticeMs: z._default(z.number(), 5_500),
     leaseMs: z._default(z.number(), 3_000)
   }),
-  platform: z.object({ addr: addressSchema }),
+  platform: z.object({ addr: addressSchema, ttlMinMs: z.optional(z.int().check(z.positive())) }),
   cloud: z.optional(z.object({ addr: addressSchema })),
   advice: z.optional(z.string())
 })
@@ -37,6 +37,8 @@
   readonly callersAddress: string | undefined
   readonly readyAddress: string | undefined
   readonly storeAddress: string
+  /** The shortest time to live of a lease that the store grants, in ms. */
+  readonly storeMinTtlMs: number | undefined
   /** The port on which this host accepts calls from its peers. */
   readonly peersPort: number
   readonly cpuShare: number
@@ -77,6 +79,7 @@
     callersAddress: listen.front,
     readyAddress: listen.ready,
     storeAddress: platform.addr,
+    storeMinTtlMs: platform.ttlMinMs,
     peersPort: portRange[1],
     cpuShare: limits.cpuShare,
     linkMbps: limits.linkMbps,
--- a/src/platform/soak/daemonProcesses.ts
+++ b/src/platform/soak/daemonProcesses.ts
@@ -153,6 +153,7 @@
     `ready = "${ip}:${readyPort}"`,
     '[platform]',
     `addr = "${storeAddress}"`,
+    'ttlMinMs = 1000',
     '[bounds]',
     ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`)
   ].join('\n')
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -207,6 +207,7 @@
       logger: logger.withPrefix(hostId),
       random: () => 0.5,
       isSmall: false,
+      minTtlMs: 1_000,
       onElected: elected => {
         term = elected
         scheduler = createScheduler({
