--- a/src/evacuation/evacuatedWorkers.ts
+++ b/src/evacuation/evacuatedWorkers.ts
@@ -19,10 +19,12 @@
   /** The store revision of the request. */
   readonly revision: number
   /** Time since this scheduler first read the request, in ms. */
-  readonly sinceMs: number
+  readonly seenForMs: number
   readonly workers: number
   /** Tasks on the workers of the domain that have not ended. */
   readonly runningTasks: number
+  /** The jobs of these tasks, at most `maxListedJobs`. */
+  readonly jobIds: readonly string[]
 }
 
 /** The workers of evacuated failure domains. */
@@ -37,6 +39,9 @@
   describe (): readonly EvacuatedDomain[] | undefined
 }
 
+/** Enough to find what holds up an evacuation; a domain may run thousands of jobs, and the status is read often. */
+const maxListedJobs = 20
+
 /** Creates the marking of one term. */
 export function createEvacuatedWorkers (host: EvacuatedWorkersHost): EvacuatedWorkers {
   const { evacuations, logger, workers } = host
@@ -63,7 +68,7 @@
   }
 
   function logChange (message: string, { domain, revision }: EvacuationRequest): void {
-    logger.info(message, { domain, revision, ageMs: getAgeMs(), workers: getWorkersOf(domain).length, runningTasks: countTasks(domain) })
+    logger.info(message, { domain, revision, ageMs: getAgeMs(), workers: getWorkersOf(domain).length, runningTasks: getTasksOf(domain).length })
   }
 
   function describeRequest (workerId: string): ReturnType<EvacuatedWorkers['describeRequest']> {
@@ -76,9 +81,10 @@
     return [...evacuations.getRequests().values()].map(({ domain, revision, seenAtMs }) => ({
       domain,
       revision,
-      sinceMs: Math.round(performance.now() - seenAtMs),
+      seenForMs: Math.round(performance.now() - seenAtMs),
       workers: getWorkersOf(domain).length,
-      runningTasks: countTasks(domain)
+      runningTasks: getTasksOf(domain).length,
+      jobIds: [...new Set(getTasksOf(domain).map(({ attempt }) => attempt.unit.job.spec.jobId))].slice(0, maxListedJobs)
     }))
   }
 
@@ -90,7 +96,7 @@
     return [...workers.values()].filter(({ info }) => info.domain === domain)
   }
 
-  function countTasks (domain: string): number {
-    return getWorkersOf(domain).reduce((sum, { info }) => sum + host.getMembers(info.workerId).size, 0)
+  function getTasksOf (domain: string): readonly Member[] {
+    return getWorkersOf(domain).flatMap(({ info }) => [...host.getMembers(info.workerId)])
   }
 }
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -167,6 +167,11 @@
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
   metrics.setGauge('is_scheduler', currentTerm?.isValid() === true ? 1 : 0)
+  if (settings.evacuationBoundMs !== undefined) {
+    const copy = currentTerm?.isValid() === true ? evacuations : undefined
+    metrics.setGauge('evacuated_domains', copy?.getRequests().size ?? 0)
+    metrics.setGauge('evacuations_age_ms', Math.round(copy?.getAgeMs() ?? 0))
+  }
   return metrics.getText()
 }
 
--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -4,21 +4,27 @@
 import type { MemoryStore } from '../../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../../standins/poolWorker.js'
 import type { PoolWorker, PoolState } from '../../standins/poolWorker.js'
+import { evacuationPrefix } from '../evacuationKeys.js'
 import { configurationKey } from '../platformConfiguration.js'
 import { workerListPrefix } from '../workerEntries.js'
 import { listenEmulated } from './emulatedHttp.js'
 import { createEmulatedStore } from './emulatedStore.js'
 import { createEmulatedWorker } from './emulatedWorker.js'
 
+/** The pool of the emulator and how its workers behave. */
 export interface PlatformEmulatorOptions {
   readonly workers: number
   readonly workersPerRack: number
   readonly capacity: Resources
   readonly maxLeaseMs: number
+  /** The failure domain of a worker; `a` by default. */
+  readonly getDomain?: (workerIndex: number) => string
+  readonly onStart?: PoolState['onStart']
   /** How long a run of the task takes, in ms, and how it ends. */
   readonly getRun: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
 }
 
+/** The running emulator. */
 export interface PlatformEmulator {
   readonly store: MemoryStore
   readonly storeAddress: string
@@ -27,6 +33,8 @@
   /** Registers a job's steps: the protocol passes only its payload to the workers. */
   addJob (job: JobSpec): void
   setDraining (worker: PoolWorker, isDraining: boolean): void
+  /** Issues the operators' request to evacuate a failure domain, or withdraws it. */
+  setEvacuated (domain: string, isEvacuated: boolean): void
   /** Crashes the worker and starts a new incarnation. */
   restart (worker: PoolWorker): void
   configure (configuration: object): void
@@ -38,6 +46,7 @@
 
 const emulatedService = 'pool'
 
+/** Starts the emulator. */
 export async function startPlatformEmulator (options: PlatformEmulatorOptions): Promise<PlatformEmulator> {
   const { capacity } = options
   const store = createMemoryStore()
@@ -48,6 +57,7 @@
     jobs,
     defaultRequest: capacity,
     getRun: options.getRun,
+    ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
     maxLeaseMs: options.maxLeaseMs,
     gangStartTimeoutMs: 2_000,
     stopDelayMs: 100
@@ -57,11 +67,11 @@
   const servers = [storeServer]
   for (let index = 0; index < options.workers; index++) await addWorker(index)
 
-  return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, restart, configure, stop }
+  return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, setEvacuated, restart, configure, stop }
 
   async function addWorker (index: number): Promise<void> {
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
-    const info = { workerId: `i-${index}`, service: emulatedService, domain: 'a', bornAtMs: Date.now(), isDraining: false, coldLeftMs: 0, capacity, labels: ['a', rack], rack }
+    const info = { workerId: `i-${index}`, service: emulatedService, domain: options.getDomain?.(index) ?? 'a', bornAtMs: Date.now(), isDraining: false, coldLeftMs: 0, capacity, labels: ['a', rack], rack }
     const worker: PoolWorker = createPoolWorker(poolState, { ...info, address: '' })
     const server = await listenEmulated(createEmulatedWorker(worker))
     servers.push(server)
@@ -92,6 +102,10 @@
     writeEntry(worker)
   }
 
+  function setEvacuated (domain: string, isEvacuated: boolean): void {
+    store.write(evacuationPrefix + domain, isEvacuated ? '{}' : undefined)
+  }
+
   function restart (worker: PoolWorker): void {
     worker.restart()
     writeEntry(worker)
--- a/src/platform/soak/daemonProcesses.ts
+++ b/src/platform/soak/daemonProcesses.ts
@@ -147,6 +147,7 @@
     `node = "${name}"`,
     `ip = "${ip}"`,
     'zone = "a"',
+    'contracts = ["places"]',
     `portRange = [7000, ${peersPort}]`,
     '[listen]',
     `front = "${ip}:${callersPort}"`,
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -10,6 +10,7 @@
 import { startPlatformEmulator, storeClientId } from '../emulator/platformEmulator.js'
 import type { PlatformEmulator } from '../emulator/platformEmulator.js'
 import { startDaemonProcesses } from './daemonProcesses.js'
+import type { ReceivedStart } from '../../standins/poolWorker.js'
 import type { DaemonProcess, DaemonProcesses } from './daemonProcesses.js'
 import { LinkFault } from '../../testing/faultProxy.js'
 import { createSoakCaller, isAccepted, SubmissionOutcome } from './soakCaller.js'
@@ -25,6 +26,7 @@
   readonly cancelled: number
   readonly complete: number
   readonly starts: number
+  readonly evacuations: number
   readonly faults: readonly string[]
   /** Descriptions of violated guarantees; empty on success. */
   readonly broken: readonly string[]
@@ -34,11 +36,25 @@
   readonly logFolder?: string
 }
 
+/** A request to evacuate a failure domain; times by the monotonic clock. */
+interface Evacuation {
+  readonly domain: string
+  readonly requestedAtMs: number
+  withdrawnAtMs: number
+}
+
 const hostCount = 4
 const workerCount = 8
 const capacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
-const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900 }
+const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900, evacMs: 3_000 }
 const jobPauseMs = 160
+const domains = ['a', 'b']
+const workersPerRack = 4
+/** An evacuation lasts this long beyond its bound, in ms, so that a late start would be seen. */
+const evacuationCheckMs = 3_000
+const evacuationPauseMs = 2_000
+/** Added to a seed for the evacuations, so that they do not change the series of the other faults. */
+const evacuationSeedOffset = 7_919
 const faultPauseMs = 900
 /** All jobs end within this time after the last fault is cleared: some leases have to expire, then the remaining work runs. */
 const settleTimeoutMs = 45_000
@@ -50,10 +66,14 @@
 /** Runs one seed. */
 export async function runPlatformSoak (seed: number, seconds: number): Promise<SoakReport> {
   const random = createRandom(seed)
+  const evacuations: Evacuation[] = []
+  const starts: ReceivedStart[] = []
   const emulator = await startPlatformEmulator({
     workers: workerCount,
-    workersPerRack: 4,
+    workersPerRack,
     capacity,
+    getDomain,
+    onStart: start => { starts.push(start) },
     maxLeaseMs: bounds.holdMaxMs,
     getRun: () => ({ workMs: 100 + Math.floor(1_400 * random()), how: random() < 0.04 ? EndKind.Failed : EndKind.Done })
   })
@@ -67,10 +87,10 @@
   try {
     await delay(1_500)
     const endsAtMs = Date.now() + seconds * 1_000
-    await Promise.all([submitJobs(), injectFaults()])
+    await Promise.all([submitJobs(), injectFaults(), evacuateDomains(createRandom(seed + evacuationSeedOffset))])
     await clearFaults(emulator, daemons)
     await waitForJobs(caller, jobs)
-    broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator))
+    broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator), ...findLateStarts(starts, evacuations))
 
     async function submitJobs (): Promise<void> {
       const running: Promise<void>[] = []
@@ -93,6 +113,19 @@
       }
       await Promise.all(running)
     }
+
+    async function evacuateDomains (randomEvacuation: () => number): Promise<void> {
+      while (Date.now() < endsAtMs) {
+        await delay(evacuationPauseMs * randomEvacuation())
+        const domain = pickRandom(domains, randomEvacuation)
+        emulator.setEvacuated(domain, true)
+        const evacuation: Evacuation = { domain, requestedAtMs: performance.now(), withdrawnAtMs: Infinity }
+        evacuations.push(evacuation)
+        await delay(bounds.evacMs + evacuationCheckMs * randomEvacuation())
+        evacuation.withdrawnAtMs = performance.now()
+        emulator.setEvacuated(domain, false)
+      }
+    }
   } finally {
     await daemons.stop()
     emulator.stop()
@@ -107,12 +140,25 @@
     cancelled: jobs.filter(job => job.cancelledAtMs !== undefined).length,
     complete: jobs.filter(job => job.state === 'complete').length,
     starts: [...emulator.poolState.starts.values()].reduce((sum, starts) => sum + starts, 0),
+    evacuations: evacuations.length,
     faults,
     broken,
     ...collectTrace(daemons, broken)
   }
 }
 
+function getDomain (workerIndex: number): string {
+  return domains[Math.floor(workerIndex / workersPerRack) % domains.length] ?? ''
+}
+
+/** A start request that arrived in a failure domain later than the bound after the domain's evacuation was requested. */
+function findLateStarts (starts: readonly ReceivedStart[], evacuations: readonly Evacuation[]): readonly string[] {
+  return evacuations.flatMap(({ domain, requestedAtMs, withdrawnAtMs }) => {
+    const late = starts.filter(({ workerId, receivedAtMs }) => getDomain(Number(workerId.slice('i-'.length))) === domain && receivedAtMs > requestedAtMs + bounds.evacMs && receivedAtMs < withdrawnAtMs)
+    return late.map(({ task, run, workerId, receivedAtMs }) => `${task} run ${run} was sent to ${workerId} ${Math.round(receivedAtMs - requestedAtMs)} ms after the evacuation of ${domain} was requested`)
+  })
+}
+
 /** Keeps the logs of a run that violated a guarantee, and removes those of any other. */
 function collectTrace (daemons: DaemonProcesses, broken: readonly string[]): { readonly trace: readonly string[], readonly logFolder?: string } {
   if (broken.length === 0) {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -215,6 +215,7 @@
       workers: pool.workers.values(),
       unfinishedJobs: table.getUnfinished(),
       quarantined: health.getQuarantined(performance.now()),
+      evacuations: evacuatedWorkers.describe(),
       organisations: host.getConfiguration()?.organisations ?? [],
       getQueue
     })
--- a/src/runs/schedulerStatus.ts
+++ b/src/runs/schedulerStatus.ts
@@ -1,5 +1,6 @@
 /** The scheduler's status for operators: its term, the quarantined workers and why, waiting work, and lent guarantees. */
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
+import type { EvacuatedDomain } from '../evacuation/evacuatedWorkers.js'
 import { getUnits, isReadyToPlace } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import type { WorkerState } from '../workers/workerState.js'
@@ -14,6 +15,8 @@
     readonly draining: number
     readonly heldBack: readonly { readonly workerId: string, readonly reason: string }[]
   }
+  /** The evacuated failure domains and what still runs there; undefined if the deployment has no evacuations. */
+  readonly evacuations: readonly EvacuatedDomain[] | undefined
   /** Queues with waiting units. */
   readonly waiting: readonly { readonly queue: string, readonly units: number, readonly oldestWaitMs: number }[]
   /** Accelerators by organisation; guaranteed accelerators that urgent work does not use are lent to others. */
@@ -27,6 +30,7 @@
   readonly workers: Iterable<WorkerState>
   readonly unfinishedJobs: Iterable<TrackedJob>
   readonly quarantined: SchedulerStatus['workers']['heldBack']
+  readonly evacuations: SchedulerStatus['evacuations']
   readonly organisations: readonly OrganisationSettings[]
   readonly getQueue: (job: TrackedJob) => QueueSettings | undefined
 }
@@ -45,6 +49,7 @@
       draining: workers.filter(worker => worker.isListed && worker.info.isDraining).length,
       heldBack: host.quarantined
     },
+    evacuations: host.evacuations,
     waiting: getWaiting(jobs, nowMs),
     guarantees: host.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0).map(organisation => getGuarantee(organisation, jobs, host))
   }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -9,6 +9,8 @@
 /** State shared by all workers of a stand-in pool: the simulated behaviour of tasks, the gangs, and the invariant violations that were found. */
 export interface PoolState {
   readonly getRun: (task: string, run: number) => RunBehaviour
+  /** Called when a worker begins a run; `receivedAtMs` is when its start request arrived, by the monotonic clock. */
+  readonly onStart?: (start: ReceivedStart) => void
   /** The number of members of the task's gang; 1 for a task without a gang. */
   readonly getGangSize: (task: string) => number
   readonly getRequest: (task: string) => Resources
@@ -40,8 +42,16 @@
   readonly crashAfterMs?: number
 }
 
+/** A start that a worker of the stand-in has carried out. */
+export interface ReceivedStart {
+  readonly task: string
+  readonly run: number
+  readonly workerId: string
+  readonly receivedAtMs: number
+}
+
 /** How the workers of a stand-in pool behave. */
-export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
+export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
   /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
   readonly jobs: ReadonlyMap<string, JobSpec>
   /** The request of a task of no known job. */
@@ -236,17 +246,18 @@
 
   async function start (startRequest: StartRequest): Promise<TimestampedResponse<StartResult>> {
     await checkReachable(info.bornAtMs)
+    const receivedAtMs = performance.now()
     if (delayedStarts.left > 0) {
       delayedStarts.left--
       const { bornAtMs } = info
       // A restart of the worker discards start requests that wait in it.
-      setTimeout(() => { if (info.bornAtMs === bornAtMs) executeStart(startRequest) }, delayedStarts.lateMs)
+      setTimeout(() => { if (info.bornAtMs === bornAtMs) executeStart(startRequest, receivedAtMs) }, delayedStarts.lateMs)
       throw createError(ErrorKind.AnswerLost, 'the start request got no response')
     }
-    return { answer: executeStart(startRequest), clockMs: getClockMs() }
+    return { answer: executeStart(startRequest, receivedAtMs), clockMs: getClockMs() }
   }
 
-  function executeStart (startRequest: StartRequest): StartResult {
+  function executeStart (startRequest: StartRequest, receivedAtMs: number): StartResult {
     const nowMs = getClockMs()
     if (startRequest.epoch < epoch) return StartResult.StaleEpoch
     epoch = startRequest.epoch
@@ -254,6 +265,7 @@
     leaseUntilMs = Math.max(leaseUntilMs, Math.min(startRequest.leaseUntilMs, nowMs + pool.maxLeaseMs))
     if (runs.get(startRequest.task)?.run === startRequest.run) return StartResult.Started
     if (startRequest.run <= (highestRuns.get(startRequest.task) ?? 0)) return StartResult.StaleRun
+    pool.onStart?.({ task: startRequest.task, run: startRequest.run, workerId: info.workerId, receivedAtMs })
     beginRun(startRequest, nowMs)
     return StartResult.Started
   }
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -1,5 +1,6 @@
 /** A test harness: hosts with leader election and a scheduler, and in-memory stand-ins for the store and the workers, all on one clock. */
 import { silentLogger } from '../common/logger.js'
+import { delay } from '../common/time.js'
 import type { Logger } from '../common/logger.js'
 import type { Configuration } from '../configuration/configuration.js'
 import { createLeaderElection } from '../election/leaderElection.js'
@@ -59,12 +60,15 @@
   readonly workers: number
   readonly workersPerRack?: number
   readonly getRun?: (task: string, run: number) => RunBehaviour
+  readonly onStart?: PoolState['onStart']
   /** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
   readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
   readonly logger?: Logger
   readonly maxLeaseMs?: number
   /** The age up to which a copy of the evacuation requests is current, in ms; without it the hosts know no evacuations. */
   readonly evacuationMaxAgeMs?: number
+  /** How long the answer to a read of the evacuation requests takes, in ms; 0 by default. */
+  readonly getEvacuationReadMs?: () => number
   /** The failure domain of a worker; `a` by default. */
   readonly getDomain?: (workerIndex: number) => string
   /** Returns the configuration of a host; undefined until the host has received one. */
@@ -130,6 +134,7 @@
     jobs,
     defaultRequest: harnessCapacity,
     getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
+    ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
     maxLeaseMs,
     gangStartTimeoutMs: 1_500,
     stopDelayMs: 50
@@ -258,7 +263,7 @@
   function createEvacuations (term: Term, client: MetadataStore, onRead: () => void): DomainEvacuations | undefined {
     if (options.evacuationMaxAgeMs === undefined) return undefined
     return createDomainEvacuations({
-      store: client,
+      store: { ...client, range: async (...parameters) => await delayAnswer(client.range(...parameters)) },
       logger,
       prefix: harnessEvacuationPrefix,
       decodeDomain: key => key.slice(harnessEvacuationPrefix.length) || undefined,
@@ -269,6 +274,13 @@
     })
   }
 
+  async function delayAnswer<T> (answer: Promise<T>): Promise<T> {
+    const value = await answer
+    const delayMs = options.getEvacuationReadMs?.() ?? 0
+    if (delayMs > 0) await delay(delayMs)
+    return value
+  }
+
   function connect (info: ListedWorker, hasCrashed: () => boolean): WorkerPort {
     const port = workers.get(info.workerId)?.connect()
     const failAfterCrash = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
