Refuse submissions by a published summary of the backlog; answer at once in a known outage

Cause: with insufficient capacity every submission is accepted, so that jobs wait until their completion has no value to the caller; in an outage each submission took a second of attempts and asked for a retry after 1 s, so that a caller's retries were over before the outage was. Change: admission/ computes, publishes and reads a summary of the backlog and decides by it; jobs/jobIntake.ts looks an id up before a refusal, and answers a refused write at once in a known outage, with a Retry-After of its length; a submission whose configuration cannot be confirmed in a known outage gets the same Retry-After. Settings: policy.refuseForLoad, policy.refusalMargin.

--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -4,8 +4,9 @@
  */
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
-import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { createOutageTracker, knownOutageMs, tryGetOutageRetryS } from '../store/outageTracker.js'
 import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
 import { JobState } from './jobModel.js'
 import type { JobSpec } from './jobModel.js'
@@ -15,12 +16,19 @@
 export interface JobIntakeHost {
   readonly store: MetadataStore
   readonly logger: Logger
+  /** How long the store is known from other calls to be unavailable on every way, in ms; 0 if it is not. */
+  readonly getKnownOutageMs?: () => number
 }
 
 /** Deadlines are by the monotonic clock, in ms. A call that fails rejects with `store-unavailable` if it certainly had no effect, and with `answer-lost` if that is unknown. */
 export interface JobIntake {
   /** Resolves when the job is stored. Idempotent by job id. */
   submit (job: JobSpec, deadlineMs: number): Promise<void>
+  /**
+   * Resolves to true if the job is certainly not stored, and no write of it by an earlier submission can still be applied as far as this
+   * host knows. Never rejects: without an answer of the store it is false.
+   */
+  isCertainlyNew (jobId: string, deadlineMs: number): Promise<boolean>
   /** Resolves to false if the job does not exist. */
   cancel (jobId: string, deadlineMs: number): Promise<boolean>
   getState (jobId: string, deadlineMs: number): Promise<JobState | undefined>
@@ -47,29 +55,85 @@
 const minAttemptMs = 100
 /** Maximum age of the cached counts of pending jobs, in ms. Counts shown to callers may be at most 2 s old. */
 const pendingCountsMaxAgeMs = 700
+/**
+ * For how long a write without a response may still be applied, in ms, and hence for how long after a failed call no job counts as
+ * certainly new: the same failure may have hit another host that wrote the job. The longest delay seen in the store's faults is 6 s.
+ */
+const lateWriteMs = 8_000
+/** Time limit of the look-up before a refusal, in ms: a store that is slower than this is not in a state to refuse by. */
+const lookupTimeoutMs = 400
 
 /** Creates the intake of one host. */
 export function createJobIntake (host: JobIntakeHost): JobIntake {
-  const { store, logger } = host
+  const { logger } = host
+  const store: Pick<MetadataStore, 'get' | 'transact'> = { get: key => observe(host.store.get(key)), transact: transaction => observe(host.store.transact(transaction)) }
+  const tracker = createOutageTracker()
+  /** The number of submissions under way, by job. */
+  const submitting = new Map<string, number>()
   let cachedPending: { readonly counts: Readonly<Record<string, number>>, readonly readAtMs: number } | undefined
   let ongoingRead: Promise<Readonly<Record<string, number>>> | undefined
 
-  return { submit, cancel, getState, countPending }
+  return { submit, isCertainlyNew, cancel, getState, countPending }
+
+  async function observe<T> (call: Promise<T>): Promise<T> {
+    try {
+      const result = await call
+      tracker.recordSuccess()
+      return result
+    } catch (error) {
+      tracker.recordFailure(error)
+      throw error
+    }
+  }
+
+  function getOutageMs (): number {
+    return Math.max(tracker.getOutageMs(), host.getKnownOutageMs?.() ?? 0)
+  }
+
+  async function isCertainlyNew (jobId: string, callerDeadlineMs: number): Promise<boolean> {
+    if (isWriteOpen(jobId)) return false
+    try {
+      // Half of the time is left for the write in case the job is not refused.
+      const timeoutMs = Math.min(lookupTimeoutMs, (getDeadline(callerDeadlineMs) - performance.now()) / 2)
+      const deadlineMs = performance.now() + timeoutMs
+      const item = await withDeadline(store.get(getAcceptedKey(jobId)), deadlineMs)
+      return item === undefined && !isWriteOpen(jobId)
+    } catch (error) {
+      logger.info('the accept record could not be looked up', { jobId, error: String(error) })
+      return false
+    }
+  }
+
+  /** Tells whether an earlier submission may still be writing the job. */
+  function isWriteOpen (jobId: string): boolean {
+    return submitting.has(jobId) || tracker.getMsSinceFailure() < lateWriteMs
+  }
 
   async function submit (job: JobSpec, callerDeadlineMs: number): Promise<void> {
     const deadlineMs = getDeadline(callerDeadlineMs)
-    const result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs)
+    submitting.set(job.jobId, (submitting.get(job.jobId) ?? 0) + 1)
+    let result
+    try {
+      result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs, true)
+    } finally {
+      const others = (submitting.get(job.jobId) ?? 1) - 1
+      if (others === 0) submitting.delete(job.jobId)
+      else submitting.set(job.jobId, others)
+    }
     if (result === CreateResult.Stored) return
     // No write of this call was applied, but an earlier request to any host may have stored the job, and the store cannot be asked.
-    if (result === CreateResult.NotStored) throw createError(ErrorKind.AnswerLost, 'the store refused the job, and it is unknown whether the job was stored by an earlier request')
+    if (result === CreateResult.NotStored) throw createError(ErrorKind.AnswerLost, 'the store refused the job, and it is unknown whether the job was stored by an earlier request', { retryAfterS: tryGetOutageRetryS(getOutageMs()) })
+    // Also a write that is still unanswered at the deadline may be applied late.
+    tracker.recordFailure(createError(ErrorKind.AnswerLost, 'the store did not answer before the deadline'))
     throw createError(ErrorKind.AnswerLost, 'it is unknown whether the job was stored')
   }
 
   /**
    * Creates a key. A write whose response was lost may still be applied later, so the result is `NotStored` only if the store itself
-   * refused every write; otherwise the write is retried until the deadline.
+   * refused every write; otherwise the write is retried until the deadline. In a known outage a refused write is not retried if
+   * `isAnsweredInOutage`.
    */
-  async function createRecord (key: string, value: string, deadlineMs: number): Promise<CreateResult> {
+  async function createRecord (key: string, value: string, deadlineMs: number, isAnsweredInOutage = false): Promise<CreateResult> {
     const retryUntilMs = performance.now() + refusalRetryMs
     let refusals = 0
     let isUnknown = false
@@ -81,7 +145,8 @@
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
-        logger.info('failed to write a key of a job', { key, refusals, isUnknown, error: String(error) })
+        logger.info('failed to write a key of a job', { key, refusals, isUnknown, outageMs: Math.round(getOutageMs()), error: String(error) })
+        if (isAnsweredInOutage && !isUnknown && isNotRun(error) && getOutageMs() >= knownOutageMs) return CreateResult.NotStored
         await delay(Math.min(retryDelayMs, Math.max(0, deadlineMs - performance.now())))
       }
     }
--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -8,6 +8,7 @@
 import { delay } from '../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import type { MetadataStore, StoredItem, Transaction, TransactionResult } from '../store/metadataStore.js'
+import { createOutageTracker } from '../store/outageTracker.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerStoreMethods } from './peerStoreMethods.js'
 
@@ -23,6 +24,8 @@
 export interface RelayedStore extends MetadataStore {
   /** True for a short time after a direct call failed, unless a later one succeeded. */
   isDirectUnavailable (): boolean
+  /** How long all direct calls have failed, in ms; 0 if the latest succeeded. */
+  getDirectOutageMs (): number
 }
 
 /** Delay after which an unanswered direct call is also made through a peer; longer than a slow response from another region takes. */
@@ -37,6 +40,7 @@
 /** Creates the store of one host. */
 export function createRelayedStore (host: RelayedStoreHost): RelayedStore {
   const { direct, logger } = host
+  const tracker = createOutageTracker()
   let directUnavailableUntilMs = -Infinity
   /** Address of the peer to try first; usually the one that answered last. */
   let preferredPeer: string | undefined
@@ -49,7 +53,8 @@
     grantLease: direct.grantLease,
     keepLeaseAlive: direct.keepLeaseAlive,
     revokeLease: direct.revokeLease,
-    isDirectUnavailable
+    isDirectUnavailable,
+    getDirectOutageMs: tracker.getOutageMs
   }
 
   function isDirectUnavailable (): boolean {
@@ -76,8 +81,10 @@
       const result = await directCall()
       if (directUnavailableUntilMs > -Infinity) logger.info('direct access to the store is available again')
       directUnavailableUntilMs = -Infinity
+      tracker.recordSuccess()
       return result
     } catch (error) {
+      tracker.recordFailure(error)
       if (isErrorOfKind(error, ErrorKind.StoreUnavailable, ErrorKind.AnswerLost, ErrorKind.PeerUnreachable)) {
         if (directUnavailableUntilMs === -Infinity) logger.warn('direct access to the store failed; calls are relayed through peers', { error: String(error), peers: host.getPeers().length })
         directUnavailableUntilMs = performance.now() + directUnavailableMs
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -1,6 +1,7 @@
 /** The daemon of one host on the platform: reads the settings, and creates and connects the components when it is loaded. */
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import { createAdmissionControl } from '../admission/admissionControl.js'
 import { createRateLimitedLogger } from '../common/rateLimitedLogger.js'
 import { createHostMetrics } from '../common/hostMetrics.js'
 import { createDaemonLogger } from '../common/logger.js'
@@ -77,7 +78,8 @@
   onChanged: () => { scheduler?.refresh() },
   signal: stopping.signal
 })
-const intake = createJobIntake({ store: relayedStore, logger: logger.withPrefix('jobs') })
+const intake = createJobIntake({ store: relayedStore, logger: logger.withPrefix('jobs'), getKnownOutageMs })
+const admission = settings.refusesForLoad ? createAdmissionControl({ store: relayedStore, logger: logger.withPrefix('admission'), random: Math.random, margin: settings.refusalMargin }) : undefined
 const election = createLeaderElection({
   store,
   hostId: settings.hostId,
@@ -86,7 +88,7 @@
   isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
   onElected: startTerm
 })
-const handleJobCall = createJobApi({ configuration, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
+const handleJobCall = createJobApi({ configuration, intake, admission, getKnownOutageMs, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
@@ -143,6 +145,11 @@
   })
 }
 
+/** How long the store has been unavailable to this host both directly and through peers, in ms. */
+function getKnownOutageMs (): number {
+  return configuration.isStoreReached() ? 0 : relayedStore.getDirectOutageMs()
+}
+
 function getMetrics (): string {
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -1,5 +1,6 @@
 /** The HTTP job API: a queue's path prefix followed by a job id addresses a job; GET on the prefix alone returns the number of waiting jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AdmissionControl } from '../admission/admissionControl.js'
 import { readBody } from '../common/http.js'
 import type { HostMetrics } from '../common/hostMetrics.js'
 import type { Logger } from '../common/logger.js'
@@ -9,11 +10,17 @@
 import { createError, errorResponses, ErrorKind, toAppError } from '../errors/errorKinds.js'
 import type { AppError } from '../errors/errorKinds.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
+import type { JobSpec } from '../jobs/jobModel.js'
+import { tryGetOutageRetryS } from '../store/outageTracker.js'
 import { decodeJob, jobStateNames } from './jobSubmission.js'
 
 export interface JobApiHost {
   readonly configuration: Pick<ConfigurationReplica, 'get' | 'getAgeMs' | 'waitUntilCurrent'>
   readonly intake: JobIntake
+  /** Refuses submissions for load; if absent, none is refused. */
+  readonly admission?: AdmissionControl | undefined
+  /** How long the store is known to be unavailable to this host on every way, in ms; 0 if it is not. */
+  readonly getKnownOutageMs?: () => number
   readonly logger: Logger
   readonly metrics: HostMetrics
   readonly isStopping: () => boolean
@@ -27,7 +34,7 @@
 
 /** The response is due this long before the caller's time-out expires. */
 const answerMarginMs = 250
-/** `Retry-After` of temporary errors: since they are not caused by load, the smallest value that the header allows. */
+/** `Retry-After` of errors that name no time themselves: since they are not caused by load, the smallest value that the header allows. */
 const retryAfterS = 1
 /** How long a call waits for the configuration to be confirmed, in ms; then the caller still has time to try another host. */
 const maxConfirmationWaitMs = 1_000
@@ -47,7 +54,7 @@
     try {
       if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
       // Also a refusal would be decided by the old version: the key or the queue may have been added, and the job may have been accepted elsewhere.
-      if (!isCurrent) throw createError(ErrorKind.ConfigurationStale, 'this host cannot confirm that its configuration is the newest; retry at another host')
+      if (!isCurrent) throw createError(ErrorKind.ConfigurationStale, 'this host cannot confirm that its configuration is the newest; retry at another host', { retryAfterS: tryGetOutageRetryS(host.getKnownOutageMs?.() ?? 0) })
       reply = await handle(request, configuration, startedAtMs)
     } catch (error) {
       reply = toReply(toAppError(error))
@@ -83,10 +90,21 @@
   async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
     const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
     const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts })
+    await refuseForLoad(job, queue, configuration, deadlineMs)
     await host.intake.submit(job, deadlineMs)
     return { status: 200, body: {} }
   }
 
+  /** Rejects if the job is refused. A refusal promises that the job will not run, so an id that may have been accepted before is not refused. */
+  async function refuseForLoad (job: JobSpec, queue: QueueSettings, configuration: Configuration, deadlineMs: number): Promise<void> {
+    const refusal = await host.admission?.tryRefuse(job, queue, configuration, deadlineMs)
+    if (refusal === undefined || !await host.intake.isCertainlyNew(job.jobId, deadlineMs)) return
+    host.metrics.count('refused_for_load')
+    logger.info('a job is refused for load', { jobId: job.jobId, queue: queue.name, priority: queue.priority, organisation: job.organisation, ...refusal })
+    const { retryAfterS } = refusal
+    throw createError(ErrorKind.Overloaded, `the job would complete too late at the present load; retry after ${retryAfterS} s`, { retryAfterS })
+  }
+
   async function getState (jobId: string, deadlineMs: number): Promise<Reply> {
     const state = await host.intake.getState(jobId, deadlineMs)
     return state === undefined ? { status: 410 } : { status: 200, body: { state: jobStateNames[state] } }
@@ -134,5 +152,6 @@
 function toReply (error: AppError): Reply {
   const { status } = errorResponses[error.kind]
   const isTemporary = status === 429 || status === 503 || status === 504
-  return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS } : {}) }
+  const { retryAfterS: requested } = error.details
+  return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS: typeof requested === 'number' ? requested : retryAfterS } : {}) }
 }
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -5,6 +5,8 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 
 const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
+/** Estimated waits are too long by up to a quarter, since run times are estimates; a refusal must not rest on that. */
+const defaultRefusalMargin = 1.25
 const settingsSchema = z.object({
   node: z.string(),
   ip: z._default(z.string(), '127.0.0.1'),
@@ -26,7 +28,11 @@
   }),
   platform: z.object({ addr: addressSchema }),
   cloud: z.optional(z.object({ addr: addressSchema })),
-  advice: z.optional(z.string())
+  advice: z.optional(z.string()),
+  policy: z._default(z.object({
+    refuseForLoad: z._default(z.boolean(), true),
+    refusalMargin: z._default(z.number().check(z.minimum(1), z.maximum(10)), defaultRefusalMargin)
+  }), { refuseForLoad: true, refusalMargin: defaultRefusalMargin })
 })
 
 /** The settings of one process. Unknown fields of the file are ignored. */
@@ -56,6 +62,10 @@
   readonly holderPauseMs: number
   readonly adviceAddress: string | undefined
   readonly machinesAddress: string | undefined
+  /** Submissions that would complete too late to have any value are refused. */
+  readonly refusesForLoad: boolean
+  /** The factor by which the estimated completion must exceed that time before a job is refused. */
+  readonly refusalMargin: number
 }
 
 /** The environment variable with the path of the settings file. */
@@ -69,7 +79,7 @@
     const issue = parsed.error.issues[0]
     throw createError(ErrorKind.BadRequest, `${file}: setting "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'malformed'}`)
   }
-  const { node, ip, zone, portRange, listen, limits, bounds, platform, cloud, advice } = parsed.data
+  const { node, ip, zone, portRange, listen, limits, bounds, platform, cloud, advice, policy } = parsed.data
   return {
     hostId: node,
     domain: zone,
@@ -90,6 +100,8 @@
     noticeMs: bounds.noticeMs,
     holderPauseMs: bounds.leaseMs,
     adviceAddress: advice === undefined || advice === '' ? undefined : advice,
-    machinesAddress: cloud?.addr
+    machinesAddress: cloud?.addr,
+    refusesForLoad: policy.refuseForLoad,
+    refusalMargin: policy.refusalMargin
   }
 }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -1,4 +1,7 @@
 /** Schedules all jobs during one term of its host; creates and connects the components of the scheduler. */
+import { createBacklogPublisher } from '../admission/backlogPublisher.js'
+import { summarizeBacklog } from '../admission/backlogSummary.js'
+import type { BacklogSummary } from '../admission/backlogSummary.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
@@ -161,6 +164,7 @@
     stopAttempt: controller.stopAttempt
   })
   const evacuation = createEvacuation({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
+  createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
   return { refresh, getStatus, ...evacuation }
 
@@ -209,6 +213,20 @@
     })
   }
 
+  function summarize (): BacklogSummary {
+    const guaranteed = host.getConfiguration()?.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0) ?? []
+    return summarizeBacklog({
+      epoch: term.epoch,
+      unfinishedJobs: table.getUnfinished(),
+      workers: pool.workers.values(),
+      getQueue,
+      guaranteedOrganisations: new Set(guaranteed.map(({ name }) => name)),
+      runTimes,
+      nowMs: performance.now(),
+      unixNowMs: Date.now()
+    })
+  }
+
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const stored = controller.onReport(worker, report, sentAtMs, isComplete)
     const members = controller.getMembers(worker.info.workerId)
