--- a/src/admission/admissionDecision.ts
+++ b/src/admission/admissionDecision.ts
@@ -62,12 +62,11 @@
 
 /**
  * The value of `Retry-After`: the time until the wait has fallen to the longest accepted one, spread by `random` (0 to 1) over the
- * time in which the rest drains, so that refused callers don't return together. The spread is at most the job's objective, as a
- * longer delay would cost the caller more than the wait.
+ * time in which the rest drains. Refused callers then don't return together, and the workers can do as much returning work as there is
+ * backlog.
  */
 export function getRetryAfterS (refusal: Refusal, random: number): number {
-  const spreadMs = Math.min(refusal.maxWaitMs, refusal.objectiveMs)
-  return Math.max(1, Math.ceil((refusal.waitMs - refusal.maxWaitMs + random * spreadMs) / 1_000))
+  return Math.max(1, Math.ceil((refusal.waitMs - refusal.maxWaitMs + random * refusal.maxWaitMs) / 1_000))
 }
 
 function hasUnusedGuarantee ({ job, queue, guaranteedAccelerators, summary }: AdmissionInput): boolean {
