--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -89,3 +89,111 @@
   expect(errors.every(error => isErrorOfKind(error, ErrorKind.AnswerLost))).toBe(true)
   expect(errors).toHaveLength(3)
 })
+
+/** Submits a job in the background; resolves to the error and the time that the answer took. */
+async function submitTimed (jobId: string): Promise<{ readonly error: unknown, readonly tookMs: number }> {
+  const startedAtMs = performance.now()
+  let outcome: { readonly error: unknown, readonly tookMs: number } | undefined
+  void intake.submit(makeJob(jobId, 'batch', [makeStep()]), performance.now() + callerTimeoutMs).then(
+    () => { outcome = { error: undefined, tookMs: performance.now() - startedAtMs } },
+    error => { outcome = { error, tookMs: performance.now() - startedAtMs } }
+  )
+  for (let elapsedMs = 0; elapsedMs < callerTimeoutMs + 200 && outcome === undefined; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
+  return outcome ?? { error: undefined, tookMs: Infinity }
+}
+
+function getRetryAfterS (error: unknown): unknown {
+  return isErrorOfKind(error, ErrorKind.AnswerLost) ? error.details.retryAfterS : 'another kind of error'
+}
+
+test('in a known outage a refused submission is answered at once, with the same kind of error and a Retry-After of its length', async () => {
+  store.setUnavailable(true)
+  const first = await submitTimed('a')
+  expect(first.tookMs).toBeGreaterThan(800)
+  expect(getRetryAfterS(first.error)).toBeUndefined()
+  await jest.advanceTimersByTimeAsync(1_500)
+  const second = await submitTimed('b')
+  expect(second.tookMs).toBeLessThan(50)
+  expect(getRetryAfterS(second.error)).toBe(3)
+  // The host keeps seeing the outage; the delay grows with it up to 8 s.
+  let last = second
+  for (let call = 0; call < 10; call++) {
+    await jest.advanceTimersByTimeAsync(1_500)
+    last = await submitTimed('c')
+    expect(last.tookMs).toBeLessThan(50)
+  }
+  expect(getRetryAfterS(last.error)).toBe(8)
+  store.setUnavailable(false)
+  expect((await submitTimed('d')).error).toBeUndefined()
+  for (const jobId of ['a', 'b', 'c']) expect(isAccepted(jobId)).toBe(false)
+})
+
+test('failures far apart are not a known outage, since the store may have been available in between', async () => {
+  store.setUnavailable(true)
+  await submitTimed('a')
+  await jest.advanceTimersByTimeAsync(10_000)
+  const later = await submitTimed('b')
+  expect(later.tookMs).toBeGreaterThan(800)
+  expect(getRetryAfterS(later.error)).toBeUndefined()
+})
+
+test('an outage known from other calls is known to a host without submissions too', async () => {
+  intake = createJobIntake({ store: store.connect('host'), logger: silentLogger, getKnownOutageMs: () => 5_300 })
+  store.setUnavailable(true)
+  const { error, tookMs } = await submitTimed('a')
+  expect(tookMs).toBeLessThan(50)
+  expect(getRetryAfterS(error)).toBe(6)
+})
+
+test('in a known outage a submission with a lost response is still tried until its deadline, since it may have been stored', async () => {
+  intake = createJobIntake({ store: store.connect('host'), logger: silentLogger, getKnownOutageMs: () => 5_000 })
+  store.delayWrites('host', 1, 500)
+  setTimeout(() => { store.setUnavailable(true) }, 50)
+  setTimeout(() => { store.setUnavailable(false) }, 1_500)
+  const { error, tookMs } = await submitTimed('a')
+  expect(error).toBeUndefined()
+  expect(tookMs).toBeGreaterThan(1_400)
+  expect(isAccepted('a')).toBe(true)
+})
+
+async function isCertainlyNew (jobId: string): Promise<boolean> {
+  const result = intake.isCertainlyNew(jobId, performance.now() + callerTimeoutMs)
+  await jest.advanceTimersByTimeAsync(600)
+  return await result
+}
+
+test('only an id without an accept record counts as new, and none while the record cannot be read', async () => {
+  expect(await isCertainlyNew('a')).toBe(true)
+  await submit('a')
+  expect(await isCertainlyNew('a')).toBe(false)
+  store.setUnavailable(true, 'host')
+  expect(await isCertainlyNew('b')).toBe(false)
+})
+
+test('an id whose write may still be applied late does not count as new', async () => {
+  for (const lateMs of [100, 2_500, 6_000]) {
+    const jobId = `job-${lateMs}`
+    store.delayWrites('host', 100, lateMs)
+    const submitted = intake.submit(makeJob(jobId, 'batch', [makeStep()]), performance.now() + 500).catch(() => {})
+    await jest.advanceTimersByTimeAsync(10)
+    expect(await isCertainlyNew(jobId)).toBe(false)
+    await jest.advanceTimersByTimeAsync(1_000)
+    await submitted
+    store.delayWrites('host', 0, 0)
+    for (let elapsedMs = 0; elapsedMs < lateMs; elapsedMs += 700) expect(await isCertainlyNew(jobId)).toBe(false)
+    await jest.advanceTimersByTimeAsync(10_000)
+    expect(isAccepted(jobId)).toBe(true)
+    expect(await isCertainlyNew('other')).toBe(true)
+  }
+})
+
+test('a look-up that is not answered takes at most half of the time to the deadline, and no job counts as new', async () => {
+  intake = createJobIntake({ store: { ...store.connect('host'), get: async () => await new Promise(() => {}) }, logger: silentLogger })
+  const results: boolean[] = []
+  void intake.isCertainlyNew('a', performance.now() + 2_000).then(isNew => { results.push(isNew) })
+  void intake.isCertainlyNew('a', performance.now() + 300).then(isNew => { results.push(isNew) })
+  await jest.advanceTimersByTimeAsync(160)
+  expect(results).toEqual([false])
+  await jest.advanceTimersByTimeAsync(250)
+  expect(results).toEqual([false, false])
+})
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -1,13 +1,19 @@
-/** The job API over a real listener: caller time-outs, API keys, and requests before a configuration is loaded. */
+/** The job API over a real listener: caller time-outs, API keys, requests before a configuration is loaded, and refusals for load. */
 import { createServer, request as sendRequest } from 'node:http'
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, expect, test } from '@jest/globals'
+import { createAdmissionControl } from '../admission/admissionControl.js'
+import { backlogKey, encodeBacklog } from '../admission/backlogCodec.js'
 import { createHostMetrics } from '../common/hostMetrics.js'
+import type { HostMetrics } from '../common/hostMetrics.js'
 import { silentLogger } from '../common/logger.js'
 import type { Configuration } from '../configuration/configuration.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
+import { getAcceptedKey } from '../jobs/jobKeys.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
+import type { MemoryStore } from '../standins/memoryStore.js'
 import { harnessConfiguration } from '../testing/poolHarness.js'
 import { createJobApi } from './jobApi.js'
 import type { JobApiHost } from './jobApi.js'
@@ -33,11 +39,37 @@
   return (listening.address() as AddressInfo).port
 }
 
-function call (port: number, method: string, path: string, headers: Readonly<Record<string, string>>, text = ''): Promise<number> {
+interface LoadedHost {
+  readonly port: number
+  readonly store: MemoryStore
+  readonly metrics: HostMetrics
+}
+
+/** A host whose published backlog makes every job too late that may be refused at all. */
+async function listenUnderLoad (options: Partial<JobApiHost> = {}): Promise<LoadedHost> {
+  const store = createMemoryStore()
+  const level = { priority: 0, acceleratorS: 1_000, coreS: 1_000, acceleratorWaitMs: 1_000_000, coreWaitMs: 1_000_000 }
+  store.write(backlogKey, encodeBacklog({ epoch: 1, atMs: Date.now(), services: [{ service: 'pool', accelerators: 8, cores: 8, levels: [level] }], urgentAccelerators: new Map([['mill', 16]]), meanRunMs: new Map() }))
+  const client = store.connect('host')
+  const metrics = createHostMetrics()
+  const intake = createJobIntake({ store: client, logger: silentLogger })
+  const admission = createAdmissionControl({ store: client, logger: silentLogger, random: () => 0, margin: 1.25 })
+  const handle = createJobApi({ configuration: createCopy(harnessConfiguration, true), intake, admission, logger: silentLogger, metrics, isStopping: () => false, ...options })
+  const listening = createServer((request, response) => { void handle(request, response) })
+  server = listening
+  await new Promise<void>(resolve => { listening.listen(0, '127.0.0.1', resolve) })
+  return { port: (listening.address() as AddressInfo).port, store, metrics }
+}
+
+async function call (port: number, method: string, path: string, headers: Readonly<Record<string, string>>, text = ''): Promise<number> {
+  return (await send(port, method, path, headers, text)).status
+}
+
+function send (port: number, method: string, path: string, headers: Readonly<Record<string, string>>, text = ''): Promise<{ readonly status: number, readonly retryAfterS: number }> {
   return new Promise((resolve, reject) => {
     const request = sendRequest({ host: '127.0.0.1', port, method, path, headers: { Host: 'host', ...headers }, agent: false }, response => {
       response.resume()
-      response.on('end', () => { resolve(response.statusCode ?? 0) })
+      response.on('end', () => { resolve({ status: response.statusCode ?? 0, retryAfterS: Number(response.headers['retry-after']) }) })
     })
     request.on('error', reject)
     request.end(text)
@@ -70,3 +102,61 @@
   expect(await call(port, 'POST', `/urgent/${jobId}`, { 'Api-Key': 'added-since' }, body)).toBe(504)
   expect(await call(port, 'GET', `/added-since/${jobId}`, { 'Api-Key': key })).toBe(504)
 })
+
+test('a job that would be too late is refused with 503 and Retry-After, nothing is stored, and the refusal is counted', async () => {
+  const { port, store, metrics } = await listenUnderLoad()
+  const { status, retryAfterS } = await send(port, 'POST', `/batch/${jobId}`, {}, body)
+  expect(status).toBe(503)
+  // 1,000 s of wait, less the longest wait that is accepted: 1.25 x 3 x (3 x 0.01 s + 3 s).
+  expect(retryAfterS).toBeGreaterThan(980)
+  expect(retryAfterS).toBeLessThanOrEqual(1_000)
+  expect(store.peek(getAcceptedKey(jobId))).toBeUndefined()
+  expect(metrics.getText()).toContain('sassafrasford_refused_for_load_total 1')
+})
+
+test('a repeat of an accepted job gets the response of the first submission, also when the load is high by then', async () => {
+  const { port, store } = await listenUnderLoad()
+  store.write(getAcceptedKey(jobId), '{}')
+  expect(await call(port, 'POST', `/batch/${jobId}`, {}, body)).toBe(200)
+  expect(store.peek(getAcceptedKey(jobId))).toBe('{}')
+})
+
+test('if the accept record cannot be looked up, the job is accepted as without a backlog', async () => {
+  const store = createMemoryStore()
+  const client = store.connect('host')
+  const get: typeof client.get = async key => {
+    if (key.startsWith('jobs/')) throw createError(ErrorKind.StoreUnavailable, 'the store is unavailable')
+    return await client.get(key)
+  }
+  const { port } = await listenUnderLoad({ intake: createJobIntake({ store: { ...client, get }, logger: silentLogger }) })
+  expect(await call(port, 'POST', `/batch/${jobId}`, {}, body)).toBe(200)
+  expect(store.peek(getAcceptedKey(jobId))).toBeDefined()
+})
+
+test('urgent jobs of an organisation with unused guarantee, recurring jobs and services are accepted under any load', async () => {
+  const { port, store } = await listenUnderLoad()
+  expect(await call(port, 'POST', `/urgent/${jobId}`, { 'Api-Key': key }, body)).toBe(503)
+  const step = { count: 1, cpu: 100, memMb: 1, estimateMs: 10 }
+  expect(await call(port, 'POST', '/batch/00000000000000a2', {}, JSON.stringify({ phases: [step], times: 2, startAtMs: 1, intervalMs: 1_000 }))).toBe(200)
+  expect(await call(port, 'POST', '/batch/00000000000000a3', {}, JSON.stringify({ phases: [{ ...step, serviceMode: true }] }))).toBe(200)
+  server?.close()
+  const unused = await listenUnderLoad({ configuration: createCopy({ ...harnessConfiguration, organisations: [{ name: 'mill', keys: [key], guaranteedAccelerators: 17 }] }, true) })
+  expect(await call(unused.port, 'POST', `/urgent/${jobId}`, { 'Api-Key': key }, body)).toBe(200)
+  expect(store.peek(getAcceptedKey(jobId))).toBeUndefined()
+})
+
+test('status requests and cancellations are served under any load', async () => {
+  const { port, store } = await listenUnderLoad()
+  store.write(getAcceptedKey(jobId), '{}')
+  expect(await call(port, 'GET', `/batch/${jobId}`, {})).toBe(200)
+  expect(await call(port, 'DELETE', `/batch/${jobId}`, {})).toBe(200)
+})
+
+test('in a known outage of the store, a host that cannot confirm its configuration asks for a retry after the length of the outage', async () => {
+  const stale = createCopy(harnessConfiguration, false)
+  const known = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => 4_200 })
+  expect(await send(known.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 504, retryAfterS: 5 })
+  server?.close()
+  const brief = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => 1_500 })
+  expect(await send(brief.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 504, retryAfterS: 1 })
+})
