--- a/src/peers/relayedStore.test.ts
+++ b/src/peers/relayedStore.test.ts
@@ -97,3 +97,22 @@
   store.setUnavailable(true)
   expect(await waitForResult(relayedStore.transact({ expected: [], writes: [{ key: 'key', value: 'value' }] }))).toBe(ErrorKind.StoreUnavailable)
 })
+
+test('the length of a direct outage grows while calls fail, and a relayed success does not end it; it is unknown after a time without calls', async () => {
+  const relayed = relayedStores.get('host-0') as RelayedStore
+  expect(relayed.getDirectOutageMs()).toBe(0)
+  store.setUnavailable(true, 'host-0')
+  for (let call = 0; call < 5; call++) {
+    void relayed.get('key').catch(() => {})
+    await advanceTime(1_000)
+  }
+  expect(relayed.getDirectOutageMs()).toBeGreaterThanOrEqual(4_900)
+  await advanceTime(3_100)
+  expect(relayed.getDirectOutageMs()).toBe(0)
+  void relayed.get('key').catch(() => {})
+  await advanceTime(500)
+  expect(relayed.getDirectOutageMs()).toBeLessThanOrEqual(500)
+  store.setUnavailable(false, 'host-0')
+  await waitForResult(relayed.get('key'))
+  expect(relayed.getDirectOutageMs()).toBe(0)
+})
