Weigh delays and stops by what they cost callers; patient work leaves headroom to urgent work

Change: delayCost.ts compares what a wait and a stop cost callers, by priority, objective and work, in place of limits from the users' price list. Work that could meet its objective even after one stop (patient) leaves free as much as more urgent work has lately used beyond its present use (headroom.ts), preempts nothing, and waits longer after each stop. Up to three waiting units keep workers from work of lower priority.

--- a/src/placement/objective.ts
+++ b/src/placement/objective.ts
@@ -1,14 +1,15 @@
 /** Computes when a unit must start so that its job still meets its completion-time objective. Does no I/O. */
 import type { QueueSettings } from '../configuration/configuration.js'
 import type { Unit } from '../jobs/trackedJob.js'
+import type { StartLimits } from './delayCost.js'
 import type { RunTimes } from './runTimes.js'
 
-/** The latest start of a unit that still meets the objective, by the monotonic clock in ms, computed from expected run times. */
-export function getLatestStartMs (unit: Unit, queue: QueueSettings | undefined, runTimes: RunTimes): number {
+/** When a unit has to start, by the monotonic clock, with its job's objective and its expected run time; all in ms, from expected run times. */
+export function getStartLimits (unit: Unit, queue: QueueSettings | undefined, runTimes: RunTimes): StartLimits {
   const { spec } = unit.job
-  const criticalPathMs = runTimes.getCriticalPathMs(spec)
-  const objectiveMs = (queue?.objectiveFactor ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0)
-  return unit.dueAtMs + objectiveMs - getRemainingPathMs(unit, runTimes)
+  const objectiveMs = (queue?.objectiveFactor ?? 1) * runTimes.getCriticalPathMs(spec) + (queue?.objectiveMs ?? 0)
+  const latestStartMs = unit.dueAtMs + objectiveMs - getRemainingPathMs(unit, runTimes)
+  return { latestStartMs, objectiveMs, expectedMs: runTimes.getExpectedMs(spec.queue, unit.spec) }
 }
 
 /** The expected time from the start of the unit's step to the end of the longest chain of steps that begins with it. */
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -10,7 +10,10 @@
 import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getOrganisationsWithinGuarantee } from './guarantees.js'
-import { getLatestStartMs } from './objective.js'
+import { defaultCostSettings, getDelayCost, getStopCost } from './delayCost.js'
+import type { StartLimits } from './delayCost.js'
+import { getStartLimits } from './objective.js'
+import { createHeadroom } from './headroom.js'
 import { isKeptApart, isSuspect } from './isolation.js'
 import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
@@ -18,7 +21,7 @@
 import type { VictimsByWorker } from './preemption.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareRanks, getMaxLoss, getPriority, getVictims } from './unitOrder.js'
+import { compareRanks, getPriority, getVictims } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
 
 /** What the planner needs from outside. */
@@ -47,18 +50,30 @@
   plan (): void
 }
 
-/** How long before its latest start a unit that is not urgent may begin to preempt other work, in ms, besides the time of a stop. */
-const preemptionLeadMs = 1_100
+/** How long a unit that has been preempted waits for each of its runs, in ms: about as long as a burst's urgent job runs. */
+const restartDelayMs = 1_000
+/** The most units for which workers are reserved at once: more cost planning time and would leave many workers idle. */
+const maxReservedUnits = 3
 /** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms, besides the time of two stops. */
 const reclaimLeadMs = 800
-/** A unit whose latest start passed longer ago than this, in ms, preempts only for a guarantee: it misses its objective anyway. */
-const maxPreemptionDelayMs = 3_000
+/** A unit that waits for a worker: its expected start by the monotonic clock, and its priority. */
+interface WorkerReservation {
+  readonly startAtMs: number
+  readonly priority: number
+  /** Only work of lower priority has to leave the worker to the unit. */
+  readonly bindsEqualPriority: boolean
+}
 
 /** Creates the planner of one scheduler term. */
 export function createPlanner (host: PlannerHost): Planner {
   const { logger, workers, getMembers, getQueue } = host
-  /** Workers that are reserved for a unit that does not fit yet, with its expected start by the monotonic clock. */
-  const reservedUntilMs = new Map<WorkerState, number>()
+  /** Workers that are reserved for units that do not fit yet. */
+  const reservations = new Map<WorkerState, WorkerReservation>()
+  let reservedUnits = 0
+  const headroom = createHeadroom()
+  /** Accelerators that are free, and that patient work of a priority may take in the pass. */
+  let freeAccelerators = 0
+  const limitsByStep = new Map<string, StartLimits>()
   /** Workers have crashed under a unit that is not finished; determined at the start of each planning pass. */
   let hasSuspects = false
   /** Accelerators in use on each worker by queue; computed on demand in each planning pass. */
@@ -73,14 +88,17 @@
   return { plan }
 
   function plan (): void {
+    limitsByStep.clear()
     const unfinished = [...host.getUnfinishedJobs()].flatMap(getUnits)
-    const waiting = unfinished.filter(isReadyToPlace)
+    const waiting = unfinished.filter(isReadyToPlace).filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = unfinished.some(isSuspect)
     withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
     const ordered = order(waiting)
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
-    reservedUntilMs.clear()
+    recordDemand(freeCapacity)
+    reservations.clear()
+    reservedUnits = 0
     usageByWorker = new Map()
     forgetVictims()
     const blockedSteps = new Set<string>()
@@ -105,14 +123,15 @@
 
   /** Starts as many of the tasks as there is room for, and returns their number. */
   function startTasks (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
-    const places = placeTasks(units[0] as Unit, units.length, permitted, rules)
+    const [first] = units as [Unit]
+    const places = placeTasks(first, Math.min(units.length, countPermitted(first)), permitted, rules)
     places.forEach((worker, index) => { startPlaced(units[index] as Unit, [worker], permitted, freeCapacity) })
     return places.length
   }
 
   /** Returns 1 if the gang has started, otherwise 0. */
   function startGang (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
-    const places = tryPlace(unit, permitted, rules)
+    const places = countPermitted(unit) < unit.size ? undefined : tryPlace(unit, permitted, rules)
     if (places === undefined) return 0
     startPlaced(unit, places, permitted, freeCapacity)
     return 1
@@ -123,6 +142,34 @@
     startAttempt(unit, places)
   }
 
+  /** The number of tasks of the unit's step that may start: patient work leaves the headroom of more urgent work free. */
+  function countPermitted (unit: Unit): number {
+    const { accelerators } = unit.spec.request
+    if (accelerators === 0 || !isPatient(unit)) return Infinity
+    return Math.max(0, Math.floor((freeAccelerators - headroom.getReserved(getPriority(unit.job, getQueue))) / accelerators))
+  }
+
+  /** A unit that is not urgent and could still meet its objective if it were stopped once: it leaves room to others and preempts nothing. */
+  function isPatient (unit: Unit): boolean {
+    if (getPriority(unit.job, getQueue) === 0 || isGuaranteed(unit.job)) return false
+    const { latestStartMs, expectedMs } = getLimits(unit)
+    return latestStartMs - performance.now() > expectedMs
+  }
+
+  function recordDemand (freeCapacity: FreeCapacity): void {
+    freeAccelerators = 0
+    for (const { accelerators } of freeCapacity.values()) freeAccelerators += accelerators
+    const usedByPriority = new Map<number, number>()
+    for (const worker of workers.values()) {
+      for (const { attempt: { unit, stopReason } } of getMembers(worker.info.workerId)) {
+        if (stopReason !== undefined) continue
+        const priority = getPriority(unit.job, getQueue)
+        usedByPriority.set(priority, (usedByPriority.get(priority) ?? 0) + unit.spec.request.accelerators)
+      }
+    }
+    headroom.record(usedByPriority, performance.now())
+  }
+
   /** The units in the order in which they get workers; the units of one step are alike. */
   function order (waiting: readonly Unit[]): readonly Unit[] {
     const nowMs = performance.now()
@@ -141,13 +188,14 @@
     return {
       isGuaranteed: isGuaranteed(job),
       priority: getPriority(job, getQueue),
-      isLate: getLatestStartMs(unit, getQueue(job), host.runTimes) < nowMs,
+      isLate: getLimits(unit).latestStartMs < nowMs,
       acceptedAtMs: job.acceptedAtMs
     }
   }
 
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
     for (const worker of places) usageByWorker.delete(worker)
+    freeAccelerators -= unit.size * unit.spec.request.accelerators
     host.startAttempt(unit, places.map(worker => worker.info.workerId))
   }
 
@@ -158,45 +206,68 @@
     return permitted === undefined ? undefined : new Map([...freeCapacity].filter(([worker]) => permitted.has(worker.info.workerId)))
   }
 
-  /**
-   * Preempts running work for a unit that does not fit, or reserves workers for it. Urgent units preempt at once: estimates are too
-   * inaccurate to rely on running work to end in time. Urgent units whose guarantee is due preempt any work that is neither guaranteed
-   * nor a service, at any cost. Other units wait for running work to end, and preempt only when their latest start is near.
-   */
+  /** Preempts running work for a unit that does not fit if callers lose less by that than by the unit's wait, or else reserves workers for it. */
   function tryPreemptOrReserve (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
-    const slackMs = getLatestStartMs(unit, getQueue(unit.job), host.runTimes) - performance.now()
-    const isUrgent = getQueue(unit.job)?.priority === 0
-    const isPreemptionDue = slackMs > -maxPreemptionDelayMs && (isUrgent || slackMs < preemptionLeadMs + host.stopMs)
-    if ((isPreemptionDue || isReclaimDue(unit)) && tryPreemptFor(unit, permitted, isUrgent)) {
+    if (tryPreemptFor(unit, permitted)) {
       for (const worker of freeCapacity.keys()) freeCapacity.set(worker, getFreeCapacity(worker))
       return true
     }
-    // Reserving for more than one unit at a time would leave too many workers idle.
-    if (reservedUntilMs.size > 0 || isSuspect(unit)) return false
-    const reservation = tryReserve(unit, permitted, { getMembers, nowMs: performance.now() })
-    reservation?.workers.forEach(worker => reservedUntilMs.set(worker, reservation.startAtMs))
+    if (!isSuspect(unit) && reservedUnits < maxReservedUnits) reserve(unit, permitted)
     return false
   }
 
-  /** Preempts work for the unit if the unit then fits and the work lost does not exceed the limit for it. Returns whether it did. */
-  function tryPreemptFor (unit: Unit, freeCapacity: FreeCapacity, isUrgent: boolean): boolean {
-    const victims = getVictimsByWorker(unit)
-    if (victims.size === 0) return false
-    const maxLoss = isReclaimDue(unit) ? Infinity : getMaxLoss(unit, host.runTimes.getExpectedMs(unit.job.spec.queue, unit.spec), isUrgent)
-    const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, workerId => workers.get(workerId), maxLoss)
+  /**
+   * Keeps workers for the unit. Only the first unit of a pass keeps them from work of its own priority, which otherwise would leave too many
+   * workers idle; from work of lower priority, each does, so that a waiting gang is not overtaken by small tasks that fit at once.
+   */
+  function reserve (unit: Unit, permitted: FreeCapacity): void {
+    const unreserved = reservations.size === 0 ? permitted : new Map([...permitted].filter(([worker]) => !reservations.has(worker)))
+    const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now() })
+    if (reservation === undefined) return
+    const priority = getPriority(unit.job, getQueue)
+    for (const worker of reservation.workers) reservations.set(worker, { startAtMs: reservation.startAtMs, priority, bindsEqualPriority: reservedUnits === 0 })
+    reservedUnits++
+  }
+
+  /** Preempts work for the unit if the unit then fits and its wait would cost callers more. Work whose guarantee is due preempts at any cost. */
+  function tryPreemptFor (unit: Unit, freeCapacity: FreeCapacity): boolean {
+    const nowMs = performance.now()
+    if (isPatient(unit)) return false
+    const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, defaultCostSettings)
+    const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
+    if (victims === undefined || victims.size === 0) return false
+    const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, workerId => workers.get(workerId), delayCost)
     if (preemption === undefined) return false
-    logger.info('preempting running work to start a job', { jobId: unit.job.spec.jobId, victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId), cost: Math.round(preemption.cost), maxLoss: Number.isFinite(maxLoss) ? Math.round(maxLoss) : 'guaranteed' })
+    logger.info('preempting running work to start a job', {
+      jobId: unit.job.spec.jobId,
+      victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId),
+      stopCost: preemption.cost,
+      delayCost: Number.isFinite(delayCost) ? delayCost : 'guaranteed',
+      slackMs: Math.round(getLimits(unit).latestStartMs - nowMs)
+    })
     startAttempt(unit, preemption.places)
     for (const attempt of preemption.victims) host.stopAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
     forgetVictims()
     return true
   }
 
+  /** Units of one step of an occurrence have the same limits, and a pass needs those of all victims. */
+  function getLimits (unit: Unit): StartLimits {
+    const key = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
+    let limits = limitsByStep.get(key)
+    if (limits === undefined) limitsByStep.set(key, limits = getStartLimits(unit, getQueue(unit.job), host.runTimes))
+    return limits
+  }
+
+  function getCostOfStop (attempt: Attempt): number {
+    return getStopCost(attempt, getPriority(attempt.unit.job, getQueue), getLimits(attempt.unit), performance.now(), defaultCostSettings)
+  }
+
   /** Units of the same priority have the same victims. Work that the pass itself has started is not among them. */
   function getVictimsByWorker (unit: Unit): VictimsByWorker {
     const kind = `${getPriority(unit.job, getQueue)}.${String(isReclaimDue(unit))}`
     let victims = victimsByKind.get(kind)
-    if (victims === undefined) victimsByKind.set(kind, victims = indexVictims(getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit))))
+    if (victims === undefined) victimsByKind.set(kind, victims = indexVictims(getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit), getCostOfStop)))
     return victims
   }
 
@@ -233,6 +304,15 @@
     return getQueue(job)?.priority === 0 && withinGuarantee.has(job.spec.organisation)
   }
 
+  /**
+   * Tells whether a unit that was preempted waits before it starts again: longer after each run, but only while it could be preempted once more
+   * and still meet its objective. Load: a burst of urgent gangs, each of which would stop the same small tasks that have just started anew.
+   */
+  function isHeldBack (unit: Unit): boolean {
+    if (unit.run === unit.failedRuns.size || !isPatient(unit)) return false
+    return performance.now() - unit.waitingSinceMs < restartDelayMs * (unit.run - unit.failedRuns.size)
+  }
+
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
   function isReclaimDue ({ job }: Unit): boolean {
     return isGuaranteed(job) && performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
@@ -240,8 +320,10 @@
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
     if (hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())) return true
-    const reservedStartMs = reservedUntilMs.get(worker)
-    return reservedStartMs !== undefined && performance.now() + unit.spec.estimateMs > reservedStartMs
+    const reservation = reservations.get(worker)
+    if (reservation === undefined) return false
+    if (!reservation.bindsEqualPriority && getPriority(unit.job, getQueue) <= reservation.priority) return false
+    return performance.now() + unit.spec.estimateMs > reservation.startAtMs
   }
 
   function countStepTasks (unit: Unit, workerId: string): number {
--- a/src/placement/unitOrder.test.ts
+++ b/src/placement/unitOrder.test.ts
@@ -4,8 +4,11 @@
 import type { QueueSettings } from '../configuration/configuration.js'
 import { JobState } from '../jobs/jobModel.js'
 import { createAttempt, createTrackedJob, getUnits } from '../jobs/trackedJob.js'
-import type { TrackedJob, Unit } from '../jobs/trackedJob.js'
+import type { Attempt, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { makeJob, makeStep, harnessConfiguration } from '../testing/poolHarness.js'
+import { defaultCostSettings, getStopCost } from './delayCost.js'
+import { getStartLimits } from './objective.js'
+import { createRunTimes } from './runTimes.js'
 import { compareRanks, getVictims } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
 
@@ -22,10 +25,15 @@
   return harnessConfiguration.queues.find(queue => queue.name === job.spec.queue)
 }
 
+function getCost (attempt: Attempt): number {
+  const { job } = attempt.unit
+  return getStopCost(attempt, getQueue(job)?.priority ?? 0, getStartLimits(attempt.unit, getQueue(job), createRunTimes()), performance.now(), defaultCostSettings)
+}
+
 test('after a takeover, nearly finished work is preempted last, and work with checkpoints first', () => {
   const jobs = [startJob('almost-done', 90), startJob('begun', 10), startJob('saved', 95, true)]
   const urgent = getUnits(createTrackedJob(makeJob('urgent', 'urgent', [makeStep()]), 0))[0] as Unit
-  const victims = getVictims(urgent, jobs, getQueue, () => false, false)
+  const victims = getVictims(urgent, jobs, getQueue, () => false, false, getCost)
   expect(victims.map(({ attempt }) => attempt.unit.job.spec.jobId)).toEqual(['saved', 'begun', 'almost-done'])
 })
 
@@ -33,7 +41,7 @@
   const jobs = [startJob('equal', 50, false, 'urgent'), startJob('guaranteed', 50, false, 'urgent'), startJob('batch', 50)]
   const urgent = getUnits(createTrackedJob(makeJob('urgent', 'urgent', [makeStep()]), 0))[0] as Unit
   const isGuaranteed = (job: TrackedJob): boolean => job.spec.jobId === 'guaranteed'
-  const getNames = (isReclaimDue: boolean): readonly string[] => getVictims(urgent, jobs, getQueue, isGuaranteed, isReclaimDue).map(({ attempt }) => attempt.unit.job.spec.jobId)
+  const getNames = (isReclaimDue: boolean): readonly string[] => getVictims(urgent, jobs, getQueue, isGuaranteed, isReclaimDue, getCost).map(({ attempt }) => attempt.unit.job.spec.jobId)
   expect([...getNames(true)].sort()).toEqual(['batch', 'equal'])
   expect(getNames(false)).toEqual(['batch'])
 })
