--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -49,6 +49,9 @@
   readonly limits: CallerLimits
 }
 
+/** The response to a caller is due this long before its time-out expires. */
+export const answerMarginMs = 250
+
 /** Finds the queue of a request by its host name and the longest matching path prefix. */
 export function findQueue (configuration: Configuration, hostName: string, path: string): QueueSettings | undefined {
   let best: QueueSettings | undefined
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -3,7 +3,7 @@
 import { readBody } from '../common/http.js'
 import type { HostMetrics } from '../common/hostMetrics.js'
 import type { Logger } from '../common/logger.js'
-import { findOrganisation, findQueue } from '../configuration/configuration.js'
+import { answerMarginMs, findOrganisation, findQueue } from '../configuration/configuration.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
 import type { ConfigurationReplica } from '../configuration/configurationReplica.js'
 import { createError, errorResponses, ErrorKind, toAppError } from '../errors/errorKinds.js'
@@ -25,8 +25,6 @@
   readonly retryAfterS?: number
 }
 
-/** The response is due this long before the caller's time-out expires. */
-const answerMarginMs = 250
 /** `Retry-After` of temporary errors: since they are not caused by load, the smallest value that the header allows. */
 const retryAfterS = 1
 /** How long a call waits for the configuration to be confirmed, in ms; then the caller still has time to try another host. */
--- a/src/platform/platformConfiguration.ts
+++ b/src/platform/platformConfiguration.ts
@@ -30,9 +30,28 @@
 
 /** Decodes a configuration; undefined if it is malformed. */
 export function tryDecodeConfiguration (value: string): Configuration | undefined {
-  const parsed = configurationSchema.safeParse(tryParseJson(value))
-  if (!parsed.success) return undefined
-  const { version, routes, tenants, limits } = parsed.data
+  return decodeParsedConfiguration(tryParseJson(value)).configuration
+}
+
+/** An entry that cannot be decoded, and the type that it must have. */
+export interface ConfigurationIssue {
+  readonly path: readonly (string | number)[]
+  readonly expected: string
+}
+
+/** Decodes a configuration from parsed JSON. The configuration is undefined exactly if there are issues. */
+export function decodeParsedConfiguration (value: unknown): { readonly configuration?: Configuration, readonly issues: readonly ConfigurationIssue[] } {
+  const parsed = configurationSchema.safeParse(value)
+  if (parsed.success) return { configuration: toConfiguration(parsed.data), issues: [] }
+  return {
+    issues: parsed.error.issues.map(issue => ({
+      path: issue.path.map(step => typeof step === 'number' ? step : String(step)),
+      expected: issue.code === 'invalid_type' ? issue.expected : issue.message
+    }))
+  }
+}
+
+function toConfiguration ({ version, routes, tenants, limits }: z.infer<typeof configurationSchema>): Configuration {
   return {
     version,
     limits,
