--- a/src/admission/backlogSummary.test.ts
+++ b/src/admission/backlogSummary.test.ts
@@ -60,6 +60,12 @@
   expect(summarize([makeTracked('batch', 9)]).services[0]?.levels[0]?.acceleratorWaitMs).toBe(4_500)
 })
 
+test('a step whose dependencies are not done is work, but needs no room yet', () => {
+  const step = makeStep({ count: 8, estimateMs: 4_000, request: { cpuMilli: 1_000, memoryMb: 1, accelerators: 1 } })
+  const chain = createTrackedJob(makeJob('chain', 'batch', [step, { ...step, after: [0] }]), 1_000)
+  expect(summarize([chain]).services[0]?.levels[0]).toMatchObject({ acceleratorS: 64, acceleratorWaitMs: 0 })
+})
+
 test('running work counts with what remains; finished, cancelled and not yet due work does not count', () => {
   const running = makeTracked('batch', 8)
   for (const unit of getUnits(running)) start(unit, 0)
--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -1,7 +1,7 @@
 /** Job acceptance over a store that refuses calls, loses responses or applies writes late: "not accepted" is reported only if it is true. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
-import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { makeJob, makeStep } from '../testing/poolHarness.js'
@@ -197,3 +197,25 @@
   await jest.advanceTimersByTimeAsync(250)
   expect(results).toEqual([false, false])
 })
+
+test('an id that is being submitted at this host does not count as new, also while nothing has failed', async () => {
+  intake = createJobIntake({ store: { ...store.connect('host'), transact: async () => await new Promise(() => {}) }, logger: silentLogger })
+  void intake.submit(makeJob('a', 'batch', [makeStep()]), performance.now() + callerTimeoutMs).catch(() => {})
+  expect(await isCertainlyNew('a')).toBe(false)
+  expect(await isCertainlyNew('b')).toBe(true)
+})
+
+test('a cancellation is tried for a second also in a known outage', async () => {
+  await submit('a')
+  const client = store.connect('host')
+  let isWriteRefused = true
+  const transact: typeof client.transact = async transaction => {
+    if (isWriteRefused) throw createError(ErrorKind.StoreUnavailable, 'the store is unavailable')
+    return await client.transact(transaction)
+  }
+  intake = createJobIntake({ store: { ...client, transact }, logger: silentLogger, getKnownOutageMs: () => 5_000 })
+  setTimeout(() => { isWriteRefused = false }, 700)
+  const cancelled = intake.cancel('a', performance.now() + callerTimeoutMs)
+  await jest.advanceTimersByTimeAsync(1_000)
+  expect(await cancelled).toBe(true)
+})
