--- a/src/admission/admissionDecision.ts
+++ b/src/admission/admissionDecision.ts
@@ -29,14 +29,14 @@
   readonly epoch: number
 }
 
-/** Maximum age of a usable summary, in ms: three times its write interval, so that one lost write does not end its use. */
+/** Maximum age of a usable summary, in ms: longer than its refresh interval of 2 s. Source: docs/design/scarcity-and-evacuation.md. */
 export const maxSummaryAgeMs = 3_000
-/** A completion later than this multiple of the objective has no value to the caller. Source: the users' price list. */
+/** A completion later than this multiple of the objective has no value to the caller. Source: docs/design/scarcity-and-evacuation.md. */
 const lateFactor = 3
 
 /**
  * Returns whether a job may be refused for load at all. Recurring jobs and services run for long or later, so the present backlog
- * says nothing about them; without an estimate a job's objective is not known.
+ * says nothing about them.
  */
 export function isRefusable ({ steps, recurrence }: JobSpec): boolean {
   return recurrence === undefined && steps.every(step => !step.isService)
--- a/src/admission/backlogReader.ts
+++ b/src/admission/backlogReader.ts
@@ -30,7 +30,7 @@
 
 /** Minimum interval between two reads, in ms. */
 const readPeriodMs = 1_000
-/** How long a submission waits for a read, in ms: ten round trips between regions, and still a small part of an urgent job's slack. */
+/** How long a submission waits for a read, in ms: a sixth of the slack of an urgent job, about 1.5 s. Slower reads are used by later submissions. */
 const maxReadWaitMs = 250
 /** The share of the time until the caller's deadline that a read may take, so that enough is left to write the job. */
 const maxReadWaitShare = 0.25
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -57,10 +57,10 @@
 const pendingCountsMaxAgeMs = 700
 /**
  * For how long a write without a response may still be applied, in ms, and hence for how long after a failed call no job counts as
- * certainly new: the same failure may have hit another host that wrote the job. The longest delay seen in the store's faults is 6 s.
+ * certainly new: the same failure may have hit another host that wrote the job. The store's stand-in delays writes by up to 6 s in tests.
  */
 const lateWriteMs = 8_000
-/** Time limit of the look-up before a refusal, in ms: a store that is slower than this is not in a state to refuse by. */
+/** Time limit of the look-up before a refusal, in ms, after which the job is accepted: with the summary's read, a submission is delayed by less than a second. */
 const lookupTimeoutMs = 400
 
 /** Creates the intake of one host. */
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -5,7 +5,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 
 const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
-/** Estimated waits are too long by up to a quarter, since run times are estimates; a refusal must not rest on that. */
+/** Run times and waits are estimates, and a refusal must not rest on their errors. The value is that of docs/design/scarcity-and-evacuation.md. */
 const defaultRefusalMargin = 1.25
 const settingsSchema = z.object({
   node: z.string(),
--- a/src/store/outageTracker.ts
+++ b/src/store/outageTracker.ts
@@ -12,11 +12,11 @@
   getMsSinceFailure (): number
 }
 
-/** From this outage time on, in ms, the store counts as known to be unavailable: shorter faults pass within the retries of one call. */
+/** From this outage time on, in ms, the store counts as known to be unavailable: twice the time for which one call retries. */
 export const knownOutageMs = 2_000
 /** Failures further apart than this, in ms, count as separate outages, since the store may have been available in between. */
 const maxFailureGapMs = 3_000
-/** The longest delay that callers are asked for during an outage, in s; longer than most outages. */
+/** The longest delay that callers are asked for during an outage, in s. Source: docs/design/scarcity-and-evacuation.md. */
 const maxRetryS = 8
 
 /** Creates a tracker of a store that has not been called. */
