Bound by how much earlier stops protect a task from another

Cause: the cost of a stop grew with the number of runs without bound, so after some stops single tasks of priority 2 cost more than whole gangs of priority 1 that had just started, and these were stopped instead. Change: a unit that has run before costs half as much again.

--- a/src/placement/delayCost.ts
+++ b/src/placement/delayCost.ts
@@ -24,6 +24,8 @@
 const restartCostS = 0.4
 /** The priority at whose weight lost work counts, whoever loses it: the capacity is missing to the work that waits, and urgent work seldom waits. */
 const ordinaryPriority = 1
+/** By how much a stop of a unit that has run before costs more. A larger factor made whole gangs cheaper victims than tasks of less urgent jobs. */
+const repeatedStopFactor = 1.5
 /** A late job is of no more use to its caller after this multiple of its objective. */
 const uselessAfterObjectives = 3
 
@@ -72,12 +74,12 @@
 
 /**
  * What callers lose when the attempt is stopped, in weighted core-seconds: the work to be done again and, if its unit started in time, the risk
- * that it misses its objective after all. The cost grows with the run number, so that the same work is not preempted again and again.
+ * that it misses its objective after all. A unit that has been stopped before costs more, so that stops are spread.
  */
 export function getStopCost (attempt: Attempt, priority: number, limits: StartLimits, nowMs: number, settings: CostSettings): number {
   const { unit, run } = attempt
   const lostCoreS = unit.size * getCoreEquivalent(unit.spec.request) * getLostRunS(attempt, nowMs)
-  const redoCost = getPriorityWeight(ordinaryPriority, settings) * lostCoreS * Math.max(1, run)
+  const redoCost = getPriorityWeight(ordinaryPriority, settings) * lostCoreS * (run > 1 ? repeatedStopFactor : 1)
   const wasInTime = attempt.plannedAtMs <= limits.latestStartMs
   const missChance = wasInTime ? getMissChance(limits.latestStartMs - nowMs, limits.expectedMs) : 0
   return redoCost + missedObjectiveShare * missChance * getValue(unit, priority, limits.expectedMs, settings)
