Keep learned run times and speeds for the next scheduler

Cause: each new scheduler knew no run times until 12 runs of a queue had ended, so it judged no pace by them. Change: runs/learnedState.ts stores run times by queue and the 300 speeds that differ most (at most 16 KB, at most once in 5 s, with the condition on the leader key), reads the record at the start of a term without delaying it, and ignores one that is unreadable, older than 10 minutes or of a later term. `export` and `import` in placement/runTimes.ts; machineSpeed.ts had them. Test: learnedState (missing, unreadable, other form, old, later term, store out while reading and writing, overtaken writer, size) and runs/scheduler: 37 passed. The whole suite was not run.

--- a/src/placement/runTimes.ts
+++ b/src/placement/runTimes.ts
@@ -14,8 +14,15 @@
   getMeanMs (queue: string): number | undefined
   /** The expected duration of the job's critical path, its longest chain of steps, in ms. */
   getCriticalPathMs (job: JobSpec): number
+  /** The statistics of all queues, those with the most runs first. */
+  export (): readonly QueueRunTimes[]
+  /** Adds the statistics of an earlier term for the queues of which this term has seen no run yet. */
+  import (records: readonly QueueRunTimes[]): void
 }
 
+/** A queue's statistics in the form in which they are stored: number of runs, mean run time in ms, and mean logarithm of run time divided by estimate. */
+export type QueueRunTimes = readonly [queue: string, count: number, meanMs: number, meanLogRatio: number]
+
 /** Weight of a new run in a queue's moving averages. */
 const smoothingFactor = 0.12
 
@@ -32,7 +39,19 @@
 /** Creates the statistics of one term, without any runs. */
 export function createRunTimes (): RunTimes {
   const statsByQueue = new Map<string, QueueStats>()
-  return { recordRun, getExpectedMs, getMeanMs, getCriticalPathMs }
+  return { recordRun, getExpectedMs, getMeanMs, getCriticalPathMs, export: exportRecords, import: importRecords }
+
+  function exportRecords (): readonly QueueRunTimes[] {
+    return [...statsByQueue]
+      .sort(([, left], [, right]) => right.count - left.count)
+      .map(([queue, { count, meanMs, meanLogRatio }]) => [queue, count, Math.round(meanMs * 10) / 10, Math.round(meanLogRatio * 1_000) / 1_000])
+  }
+
+  function importRecords (records: readonly QueueRunTimes[]): void {
+    for (const [queue, count, meanMs, meanLogRatio] of records) {
+      if (!statsByQueue.has(queue) && count >= 1 && meanMs > 0) statsByQueue.set(queue, { count, meanMs, meanLogRatio })
+    }
+  }
 
   function recordRun (queue: string, estimateMs: number, runMs: number): void {
     if (!Number.isFinite(runMs) || runMs <= 0) return
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -19,6 +19,7 @@
 import type { Evacuation } from './evacuation.js'
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
+import { createLearnedState } from './learnedState.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRunController } from './runController.js'
 import { describeScheduler } from './schedulerStatus.js'
@@ -150,6 +151,7 @@
   const adjustPace = createFillPacing({ logger, sendPace })
   const runTimes = createRunTimes()
   const speeds = createMachineSpeeds()
+  createLearnedState({ store: host.store, term, logger, runTimes, speeds })
   const isCold = (workerId: string): boolean => (pool.workers.get(workerId)?.info.coldLeftMs ?? 0) > 0
   const getMachineId = (workerId: string): string => pool.workers.get(workerId)?.info.machineId ?? workerId
   const health = createWorkerHealth({
