Tests of slow gangs, and of cold workers

Change: unit tests: a gang that turns slow is moved and nobody is blamed; the one worker without a usual run is blamed; cold workers and their gang peers are not.

--- a/src/workers/workerHealth.test.ts
+++ b/src/workers/workerHealth.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
 import { createAttempt, createTrackedJob, getUnits, MemberState } from '../jobs/trackedJob.js'
-import type { Member, TrackedJob } from '../jobs/trackedJob.js'
+import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { makeJob, makeStep } from '../testing/poolHarness.js'
 import { createWorkerHealth } from './workerHealth.js'
 import type { WorkerHealth } from './workerHealth.js'
@@ -77,3 +77,37 @@
   expect(getQuarantinedIds(health, 6_000)).toEqual(['a'])
   expect(moved.length > 0).toBe(isMoved)
 })
+
+test('a gang that turns slow is moved off its suspects, but none of them is quarantined while they cannot be told apart', () => {
+  const health = createHealth()
+  const gang = startJob('gang', ['a', 'b', 'c'], true)
+  const moved = [0, 40, 44].flatMap((percent, report) => {
+    for (const member of gang) member.progressPercent = percent
+    return ['a', 'b', 'c'].flatMap(workerId => health.onReport(workerId, gang.filter(member => member.workerId === workerId), 4_000 + report * reportPeriodMs))
+  })
+  const unit = gang[0]?.attempt.unit as Unit
+  expect(moved.length).toBeGreaterThan(0)
+  expect(getQuarantinedIds(health, 6_000)).toEqual([])
+  expect(['a', 'b', 'c'].map(workerId => health.isLeft(unit, workerId, 6_500))).toEqual([true, true, true])
+  expect(['a', 'b', 'c'].map(workerId => health.isLeft(unit, workerId, 9_000))).toEqual([false, false, false])
+})
+
+test('of a slow gang the worker is quarantined that no other run shows to be usual', () => {
+  const health = createHealth()
+  const gang = startJob('gang', ['a', 'b', 'c'], true)
+  const usual = [...startJob('two', ['b']), ...startJob('three', ['c'])]
+  const others = new Map(usual.map(member => [member, 30]))
+  for (const [report, percent] of [0, 40, 44].entries()) {
+    for (const member of gang) member.progressPercent = percent
+    for (const [member, rate] of others) member.progressPercent = rate * report
+    for (const workerId of ['a', 'b', 'c']) health.onReport(workerId, [...gang, ...usual].filter(member => member.workerId === workerId), 4_000 + report * reportPeriodMs)
+  }
+  expect(getQuarantinedIds(health, 6_000)).toEqual(['a'])
+})
+
+test('a cold worker is not quarantined for slow runs, nor are the other workers of its gangs', () => {
+  const health = createWorkerHealth({ logger: silentLogger, countWorkers: () => 10, getMeanRunMs: () => usualRunMs, isCold: workerId => workerId === 'a' })
+  const gangs = [...startJob('one', ['a', 'b'], true), ...startJob('two', ['a', 'c'], true), ...startJob('three', ['a'])]
+  reportProgress(health, new Map(gangs.map(member => [member, 6])), 4)
+  expect(getQuarantinedIds(health, 3_000)).toEqual([])
+})
