--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -33,6 +33,8 @@
   readonly getQueue: (job: TrackedJob) => QueueSettings | undefined
   readonly getOrganisations: () => readonly OrganisationSettings[]
   readonly runTimes: RunTimes
+  /** The expected speed of runs on a worker, relative to usual. */
+  readonly getSpeed?: PlacementRules['getSpeed']
   /** Urgent jobs within their organisation's guarantee start within this time, in ms. */
   readonly reclaimMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
@@ -83,7 +85,7 @@
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
   const victimsByKind = new Map<string, VictimsByWorker>()
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
-  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther }
+  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
 
   return { plan }
 
@@ -259,6 +261,11 @@
     return limits
   }
 
+  function getSlackShare (unit: Unit): number {
+    const { latestStartMs, expectedMs } = getLimits(unit)
+    return (latestStartMs - performance.now()) / Math.max(1, expectedMs)
+  }
+
   function getCostOfStop (attempt: Attempt): number {
     return getStopCost(attempt, getPriority(attempt.unit.job, getQueue), getLimits(attempt.unit), performance.now(), defaultCostSettings)
   }
