Takeover: standbys with a copy of the records, settling by stored attempts

Cause: after a kill the successor read all jobs, their progress and the list of workers in full, after two more reads of the leader key, and waited for the first report of every worker. A record that a takeover had not read would have been overwritten: the writer took any other revision of its record for its own write with a lost answer.

Change: up to three hosts that are not small and closest to the store (rank by the round trips in hosts/ID) follow jobs/, progress/ and the list by watch (store/prefixReplica.ts, runs/warmStandby.ts). The job table rejects reads from before the term. The progress writer resigns the term when it finds a record of an earlier term that was not read. Planning starts when the workers with stored attempts have answered; the others are waited for 100 ms at most. Standbys run for leader in the order of their ranks.

--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -21,6 +21,8 @@
   readonly isSmall: boolean
   /** The shortest time to live of a lease that the store grants, in ms. */
   readonly minTtlMs?: number | undefined
+  /** The rank of this host among those that follow the records of the scheduler; undefined if it does not follow them. */
+  readonly getStandbyRank?: () => number | undefined
   /** Called once at the start of each term. */
   readonly onElected: (term: Term) => void
 }
@@ -73,6 +75,11 @@
 const maxLatencyWaitMs = 400
 /** Additional wait of a small host, in ms: by then, larger hosts in any region have run for leader. */
 const smallHostWaitMs = 250
+/** Delay between two standbys in the order of their ranks, in ms and in round trips: the next runs when the one before should have been elected. */
+const standbyDelayMs = 30
+const standbyDelayRoundTrips = 3
+/** Additional wait of a host that would have to read all records, in ms: by then, the standbys have run for leader. */
+const coldHostWaitMs = 100
 /** Maximum random delay added to a candidate's wait, in ms, to spread the calls of the candidates. */
 const candidateSpreadMs = 40
 
@@ -167,8 +174,7 @@
       await delay(pauseMs, stopping.signal)
       return
     }
-    const latencyWaitMs = Math.min(maxLatencyWaitMs, (getRoundTripMs() ?? 0) * latencyFactor) + candidateSpreadMs * host.random()
-    const observed = await watchLeader(fromRevision, Math.ceil(latencyWaitMs + (host.isSmall ? smallHostWaitMs : 0)))
+    const observed = await watchLeader(fromRevision, Math.max(1, Math.ceil(getWaitMs())))
     if (stopping.signal.aborted || observed === undefined || observed.changes.length > 0) return
     const grantSentAt = readClocks()
     const lease = await measureRoundTrip(() => store.grantLease(chooseTtlMs()))
@@ -199,6 +205,13 @@
     }
   }
 
+  function getWaitMs (): number {
+    const rank = host.getStandbyRank?.()
+    if (rank !== undefined) return rank * Math.max(standbyDelayMs, (getRoundTripMs() ?? 0) * standbyDelayRoundTrips)
+    const latencyWaitMs = Math.min(maxLatencyWaitMs, (getRoundTripMs() ?? 0) * latencyFactor) + candidateSpreadMs * host.random()
+    return latencyWaitMs + (host.isSmall ? smallHostWaitMs : 0) + (host.getStandbyRank === undefined ? 0 : coldHostWaitMs)
+  }
+
   async function runTerm (epoch: number, lease: { readonly leaseId: number, readonly ttlMs: number }, renewal: LeaseRenewal, signal: AbortSignal, abort: (reason: string) => void): Promise<void> {
     // Each worker link and each pending call of the term adds an abort listener.
     setMaxListeners(0, signal)
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -12,6 +12,10 @@
   readonly domain: string
   /** Peers on slow links may follow the copies of this host. */
   readonly hasFastLink: boolean
+  /** Hosts with few resources are not preferred as schedulers. */
+  readonly isSmall?: boolean
+  /** The round trip to the store that the host has measured, in ms. */
+  readonly roundTripMs?: number
 }
 
 /** Dependencies of the directory. */
@@ -19,6 +23,8 @@
   readonly store: MetadataStore
   readonly logger: Logger
   readonly ownHost: KnownHost
+  /** The round trip of this host to the store, in ms; undefined while it is unknown. */
+  readonly getRoundTripMs?: () => number | undefined
   readonly signal: AbortSignal
 }
 
@@ -26,6 +32,8 @@
 export interface HostDirectory {
   /** The other hosts as of the last read, those of the own domain first. */
   getPeers (): readonly KnownHost[]
+  /** The number of hosts that are closer to the store than this one and not small. Undefined if this host is small, or not compared yet. */
+  getRank (): number | undefined
 }
 
 const hostsPrefix = 'hosts/'
@@ -37,6 +45,9 @@
 const readPeriodMs = 12_000
 /** Delay of the first read, so that hosts that start at the same time find each other's entries. */
 const firstReadDelayMs = 1_000
+/** The entry is written again when the round trip differs from the written one by more than this, in ms, and this factor. */
+const roundTripToleranceMs = 4
+const roundTripToleranceFactor = 1.5
 /** Delay after a failed call. */
 const retryDelayMs = 500
 
@@ -44,10 +55,19 @@
 export function createHostDirectory (host: HostDirectoryHost): HostDirectory {
   const { store, logger, ownHost } = host
   let peers: readonly KnownHost[] = []
+  /** The round trip in the entry of this host. */
+  let writtenRoundTripMs: number | undefined
   void maintainEntry()
   void pollEntries()
 
-  return { getPeers: () => peers }
+  return { getPeers: () => peers, getRank }
+
+  function getRank (): number | undefined {
+    if (ownHost.isSmall !== false || writtenRoundTripMs === undefined || peers.length === 0) return undefined
+    const ownRoundTripMs = writtenRoundTripMs
+    return peers.filter(({ isSmall, roundTripMs, hostId }) => isSmall === false && roundTripMs !== undefined &&
+      (roundTripMs < ownRoundTripMs || (roundTripMs === ownRoundTripMs && hostId < ownHost.hostId))).length
+  }
 
   async function maintainEntry (): Promise<void> {
     let leaseId: number | undefined
@@ -55,6 +75,7 @@
       try {
         if (leaseId === undefined) leaseId = await register()
         else await store.keepLeaseAlive(leaseId)
+        if (hasRoundTripChanged()) await writeEntry(leaseId)
         await delay(renewPeriodMs, host.signal)
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.NotFound)) leaseId = undefined
@@ -67,10 +88,29 @@
 
   async function register (): Promise<number> {
     const { leaseId } = await store.grantLease(entryTtlMs)
-    await store.transact({ expected: [], writes: [{ key: hostsPrefix + ownHost.hostId, value: JSON.stringify(ownHost), leaseId }] })
+    await writeEntry(leaseId)
     return leaseId
   }
 
+  async function writeEntry (leaseId: number): Promise<void> {
+    const roundTripMs = getRoundTripMs()
+    await store.transact({ expected: [], writes: [{ key: hostsPrefix + ownHost.hostId, value: JSON.stringify({ ...ownHost, roundTripMs }), leaseId }] })
+    writtenRoundTripMs = roundTripMs
+  }
+
+  function getRoundTripMs (): number | undefined {
+    const roundTripMs = host.getRoundTripMs?.()
+    return roundTripMs === undefined ? undefined : Math.round(roundTripMs * 10) / 10
+  }
+
+  function hasRoundTripChanged (): boolean {
+    const roundTripMs = getRoundTripMs()
+    if (roundTripMs === undefined) return false
+    if (writtenRoundTripMs === undefined) return true
+    const [low, high] = [Math.min(roundTripMs, writtenRoundTripMs), Math.max(roundTripMs, writtenRoundTripMs)]
+    return high - low > roundTripToleranceMs && high > low * roundTripToleranceFactor
+  }
+
   async function pollEntries (): Promise<void> {
     await delay(firstReadDelayMs, host.signal)
     while (!host.signal.aborted) {
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -10,12 +10,15 @@
 import { createLeaderElection } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
+import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { createHostDirectory } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
 import { createRpcHandler } from '../common/rpcServer.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
+import { createWarmStandby, maxStandbys } from '../runs/warmStandby.js'
+import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
 import { createPeerConnections } from './peerConnections.js'
@@ -51,10 +54,12 @@
 const store = createHttpStore(settings.storeAddress)
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
 const hasFastLink = settings.linkMbps >= smallLinkMbps
+const isSmall = settings.cpuShare < smallCpuShare || !hasFastLink
 const directory = createHostDirectory({
   store,
   logger: logger.withPrefix('peers'),
-  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain, hasFastLink },
+  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain, hasFastLink, isSmall },
+  getRoundTripMs: () => election.getRoundTripMs(),
   signal: stopping.signal
 })
 const relayedStore = createRelayedStore({ direct: store, logger: logger.withPrefix('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
@@ -83,10 +88,18 @@
   hostId: settings.hostId,
   logger: logger.withPrefix('election'),
   random: Math.random,
-  isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
+  isSmall,
   minTtlMs: settings.storeMinTtlMs,
+  getStandbyRank: () => standby.isWarm() ? directory.getRank() : undefined,
   onElected: startTerm
 })
+const standby = createWarmStandby({
+  store,
+  logger: logger.withPrefix('standby'),
+  prefixes: [acceptedPrefix, progressPrefix, workerListPrefix],
+  isStandby: () => (directory.getRank() ?? maxStandbys) < maxStandbys && (currentTerm === undefined || currentTerm.signal.aborted),
+  signal: stopping.signal
+})
 const handleJobCall = createJobApi({ configuration, intake, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
@@ -106,6 +119,7 @@
 
 function startTerm (term: Term): void {
   currentTerm = term
+  const readInitial = (prefix: string): Promise<PrefixSnapshot> => standby.read(prefix, term.epoch)
   const workerList = createWorkerList({
     store,
     logger: logger.withPrefix('workers'),
@@ -113,7 +127,8 @@
     decode: tryDecodeWorker,
     onChanged: () => { scheduler?.refresh() },
     maxAgeMs: settings.drainNoticeMs - startMarginMs,
-    signal: term.signal
+    signal: term.signal,
+    readInitial
   })
   scheduler = createScheduler({
     term,
@@ -124,6 +139,7 @@
     isWorkerListCurrent: workerList.isCurrent,
     connect: createHttpWorker,
     getConfiguration: configuration.get,
+    readInitial,
     ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
   })
   if (settings.machinesAddress === undefined) return
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -2,13 +2,14 @@
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
-import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { acceptedPrefix, decodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, parseAcceptedKey, progressPrefix } from '../jobs/jobKeys.js'
 import { isTerminal, JobState } from '../jobs/jobModel.js'
 import { addOccurrence, createTrackedJob, getOverdueMs, restoreProgress } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoreChange } from '../store/metadataStore.js'
+import type { PrefixSnapshot } from '../store/prefixReplica.js'
 
 /** Dependencies of the job table. */
 export interface JobTableHost {
@@ -21,6 +22,8 @@
   readonly onOccurrenceDue: () => void
   /** How long the state of an ended job can be read, in ms. */
   readonly retentionMs: number
+  /** Reads all items under a prefix as of the start of the term or later. Reads them from the store if it is not given. */
+  readonly readInitial?: ((prefix: string) => Promise<PrefixSnapshot>) | undefined
 }
 
 /** The jobs of one term. */
@@ -50,7 +53,7 @@
 
 /** Creates the table of one term. */
 export function createJobTable (host: JobTableHost): JobTable {
-  const { store, term, logger } = host
+  const { store, term, logger, readInitial = prefix => readAll(store, prefix) } = host
   const jobs = new Map<string, TrackedJob>()
   const unfinished = new Set<TrackedJob>()
   let isLoaded = false
@@ -60,7 +63,8 @@
   async function load (): Promise<void> {
     while (!term.signal.aborted) {
       try {
-        const [accepted, progress] = await Promise.all([readAll(store, acceptedPrefix), readAll(store, progressPrefix)])
+        const [accepted, progress] = await Promise.all([readInitial(acceptedPrefix), readInitial(progressPrefix)])
+        if (Math.min(accepted.revision, progress.revision) < term.epoch) throw createError(ErrorKind.StoreUnavailable, `the store answered from before the term: revisions ${accepted.revision} and ${progress.revision}`)
         const progressByKey = new Map(progress.items.map(item => [item.key, item]))
         for (const { key, value } of accepted.items) addJob(key, value, progressByKey.get(getProgressKey(parseAcceptedKey(key).jobId)))
         for (const { key } of accepted.items) applyCancel(key)
--- a/src/runs/progressWriter.test.ts
+++ b/src/runs/progressWriter.test.ts
@@ -52,3 +52,18 @@
   expect(store.peek(getProgressKey('job'))).toBeUndefined()
   expect(termController.signal.aborted).toBe(true)
 })
+
+test('a record of an earlier term that was not read is not overwritten, and the term ends', async () => {
+  store.write(getProgressKey('job'), 'of an earlier term')
+  store.write(leaderKey, 'host-1')
+  const epoch = (await store.connect('host-1').get(leaderKey))?.revision ?? 0
+  const ending = new AbortController()
+  const term: Term = { epoch, leaderKey, leaderRevision: epoch, isValid: () => !ending.signal.aborted, resign: () => { ending.abort() }, signal: ending.signal }
+  const successor = createProgressWriter({ store: store.connect('host-1'), term, logger: silentLogger, onCancelFound: () => {}, getPendingCounts: () => undefined })
+  let isStored = false
+  void successor.commit(job).then(() => { isStored = true })
+  await jest.advanceTimersByTimeAsync(500)
+  expect(ending.signal.aborted).toBe(true)
+  expect(isStored).toBe(false)
+  expect(store.peek(getProgressKey('job'))).toBe('of an earlier term')
+})
--- a/src/runs/progressWriter.ts
+++ b/src/runs/progressWriter.ts
@@ -143,6 +143,13 @@
       return
     }
     for (const job of jobs) {
+      // Only this term writes after its start. A record of an earlier term means that what was read at the start was incomplete.
+      const foundRevision = found.get(getProgressKey(job.spec.jobId))?.revision ?? 0
+      if (foundRevision > 0 && foundRevision < host.term.epoch && foundRevision !== job.progressRevision) {
+        host.logger.error('the progress of a job was read incompletely', { jobId: job.spec.jobId, foundRevision, knownRevision: job.progressRevision, epoch: host.term.epoch })
+        host.term.resign('the progress of a job was read incompletely')
+        return
+      }
       job.progressRevision = found.get(getProgressKey(job.spec.jobId))?.revision ?? 0
       if (found.has(getCancelKey(job.spec.jobId))) host.onCancelFound(job)
     }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -18,6 +18,7 @@
 import type { Evacuation } from './evacuation.js'
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
+import type { JobTableHost } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRunController } from './runController.js'
 import { describeScheduler } from './schedulerStatus.js'
@@ -52,6 +53,8 @@
   readonly getConfiguration: () => Configuration | undefined
   /** The advice service, if the deployment has one. */
   readonly advice?: AdvicePort
+  /** Reads all items under a prefix as of the start of the term or later; from the store if it is not given. */
+  readonly readInitial?: JobTableHost['readInitial']
 }
 
 /** The scheduler of one term. */
@@ -72,7 +75,7 @@
 const takeoverLimitMs = 6_000
 /** After such a resignation the host does not run for leader for this long, in ms, so that the other hosts get a chance. */
 const takeoverCandidacyPauseMs = 20_000
-/** Planning starts at the latest this long after the start of the term, in ms, even if some workers have not answered. */
+/** Planning starts at the latest this long after the start of the term, in ms, even if workers that hold stored attempts have not answered. */
 const settleLimitMs = 700
 
 /** Creates the scheduler and starts it; it stops when the term ends. */
@@ -104,6 +107,7 @@
     term,
     logger,
     retentionMs: host.bounds.retentionMs,
+    readInitial: host.readInitial,
     onJobAdded: () => {
       writer.scheduleCounts()
       schedulePlan()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -35,13 +35,18 @@
   refresh (listed: readonly ListedWorker[]): void
   /** Adds the workers of stored attempts that are not on the list: their tasks may run until their leases expire. */
   addUnlisted (job: TrackedJob): void
-  /** Tells whether every worker has answered or its lease has certainly expired. */
+  /**
+   * Tells whether every worker that holds members has answered or its lease has certainly expired, and whether all others have
+   * answered or have had `freeWorkerWaitMs` to do so since the first was connected. Workers that answer later join then.
+   */
   areSettled (): boolean
   /** Resigns the term when most workers have been unreachable for too long. */
   checkReachability (): void
   close (): void
 }
 
+/** How long workers without members are waited for at the start of a term, in ms: with the first of them alone, planning would preempt and spread needlessly. */
+const freeWorkerWaitMs = 100
 /** A scheduler that reaches fewer than two in five workers for `unreachableLimitMs` resigns its term. */
 const maxUnreachableShare = 0.6
 /** How long so many workers may be unreachable, in ms: longer than a restarted pool takes to answer again. */
@@ -57,6 +62,8 @@
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
   let unreachableSinceMs: number | undefined
+  /** When the first worker was connected. */
+  let connectedAtMs: number | undefined
 
   return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, checkReachability, close }
 
@@ -65,7 +72,8 @@
   }
 
   function areSettled (): boolean {
-    return [...links.values()].every(link => link.isSettled())
+    const areFreeWorkersAwaited = connectedAtMs === undefined || performance.now() - connectedAtMs < freeWorkerWaitMs
+    return [...links].every(([workerId, link]) => link.isSettled() || !(areFreeWorkersAwaited || host.hasMembers(workerId)))
   }
 
   /** A host that is disconnected from most workers lets another host, which may reach them, take over. */
@@ -124,6 +132,7 @@
 
   function addLink (worker: WorkerState): void {
     const { info } = worker
+    connectedAtMs ??= performance.now()
     const link = createWorkerLink({
       term,
       logger,
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -1,22 +1,27 @@
 /** A test harness: hosts with leader election and a scheduler, and in-memory stand-ins for the store and the workers, all on one clock. */
 import { silentLogger } from '../common/logger.js'
 import type { Logger } from '../common/logger.js'
+import { delay } from '../common/time.js'
 import type { Configuration } from '../configuration/configuration.js'
 import { createLeaderElection } from '../election/leaderElection.js'
 import type { LeaderElection, Term } from '../election/leaderElection.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
 import type { JobIntake } from '../jobs/jobIntake.js'
+import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { EndKind } from '../jobs/jobModel.js'
 import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
+import { createWarmStandby } from '../runs/warmStandby.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { createWorkerList } from '../workers/workerList.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
+import { createImpairedStore } from './impairedStore.js'
 
 /** One host of the harness. */
 export interface HarnessHost {
@@ -30,8 +35,19 @@
   getScheduler (): Scheduler | undefined
 }
 
+/** A start request, when it was sent. */
+export interface HarnessOrder {
+  readonly atMs: number
+  readonly hostId: string
+  readonly epoch: number
+  readonly task: string
+  readonly run: number
+}
+
 /** A running harness. */
 export interface PoolHarness {
+  /** The start requests of all hosts, in the order in which they were sent. */
+  readonly orders: readonly HarnessOrder[]
   readonly store: MemoryStore
   readonly poolState: PoolState
   readonly workers: Map<string, PoolWorker>
@@ -59,6 +75,15 @@
   readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
   readonly logger?: Logger
   readonly maxLeaseMs?: number
+  /** Round trips between hosts and the store and the workers, in ms; 0 by default. */
+  readonly storeRoundTripMs?: number
+  readonly workerRoundTripMs?: number
+  /** The list of workers is kept in the store, and every host polls it during its term. By default the hosts have it without a read. */
+  readonly isListStored?: boolean
+  /** The hosts are standbys in the order in which they were added. */
+  readonly hasStandbys?: boolean
+  /** Wraps the store client of a host. */
+  readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -67,6 +92,7 @@
 export const harnessCapacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
 
 const bornAtMs = 1_000
+const listPrefix = 'workers/'
 /** A worker that is silent leaves the list after this time, in ms. */
 const listTimeoutMs = 4_500
 
@@ -114,6 +140,8 @@
   const refreshCallbacks = new Set<() => void>()
   /** Workers that have crashed and are not back. */
   const away = new Set<string>()
+  const orders: HarnessOrder[] = []
+  const ranks = new Map<string, number>()
   let isListStale = false
   const poolState = createPoolState({
     jobs,
@@ -124,8 +152,9 @@
     stopDelayMs: 50
   })
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
+  storeList()
 
-  return { store, poolState, workers, hosts, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
+  return { orders, store, poolState, workers, hosts, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
@@ -185,7 +214,17 @@
     refreshSchedulers()
   }
 
+  function storeList (): void {
+    if (options.isListStored !== true) return
+    for (const info of listedWorkers.values()) {
+      const value = JSON.stringify(info)
+      if (store.peek(listPrefix + info.workerId) !== value) store.write(listPrefix + info.workerId, value)
+    }
+    for (const workerId of workers.keys()) if (!listedWorkers.has(workerId) && store.peek(listPrefix + workerId) !== undefined) store.write(listPrefix + workerId, undefined)
+  }
+
   function refreshSchedulers (): void {
+    storeList()
     for (const refresh of refreshCallbacks) refresh()
   }
 
@@ -197,9 +236,23 @@
 
   function addHost (hostId: string): HarnessHost {
     let hasCrashed = false
-    const client = failStoreAfterCrash(store.connect(hostId), () => hasCrashed)
+    const { storeRoundTripMs: roundTripMs } = options
+    const direct = store.connect(hostId)
+    const connected = roundTripMs === undefined ? direct : createImpairedStore(direct, { roundTripMs, lostAnswers: 0, lostPackets: 0 }, () => 1)
+    const client = failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed)
     let term: Term | undefined
     let scheduler: Scheduler | undefined
+    const rank = takeRank(hostId)
+    const leaving = new AbortController()
+    const standby = options.hasStandbys !== true
+      ? undefined
+      : createWarmStandby({
+        store: client,
+        logger: logger.withPrefix(hostId),
+        prefixes: [acceptedPrefix, progressPrefix, listPrefix],
+        isStandby: () => term === undefined || term.signal.aborted,
+        signal: leaving.signal
+      })
     const intake = createJobIntake({ store: client, logger })
     const election: LeaderElection = createLeaderElection({
       store: client,
@@ -208,16 +261,31 @@
       random: () => 0.5,
       isSmall: false,
       minTtlMs: 1_000,
+      ...(standby === undefined ? {} : { getStandbyRank: () => standby.isWarm() ? rank : undefined }),
       onElected: elected => {
         term = elected
+        const readInitial = standby === undefined ? undefined : (prefix: string) => standby.read(prefix, elected.epoch)
+        const list = options.isListStored !== true
+          ? { get: () => [...listedWorkers.values()], isCurrent: () => !isListStale }
+          : createWorkerList({
+            store: client,
+            logger: logger.withPrefix(hostId),
+            prefix: listPrefix,
+            decode: (_key, value) => JSON.parse(value) as ListedWorker,
+            onChanged: () => { scheduler?.refresh() },
+            maxAgeMs: 2_200,
+            signal: elected.signal,
+            readInitial
+          })
         scheduler = createScheduler({
           term: elected,
           store: client,
           logger: logger.withPrefix(hostId),
           bounds: { maxLeaseMs, stopMs: 400, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
-          getListedWorkers: () => [...listedWorkers.values()],
-          isWorkerListCurrent: () => !isListStale,
-          connect: info => connect(info, () => hasCrashed),
+          getListedWorkers: list.get,
+          isWorkerListCurrent: list.isCurrent,
+          readInitial,
+          connect: info => connect(hostId, info, () => hasCrashed),
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
       }
@@ -230,10 +298,12 @@
       getScheduler: () => scheduler,
       crash: () => {
         hasCrashed = true
+        leaving.abort()
         hosts.delete(hostId)
       },
       stop: async () => {
         hosts.delete(hostId)
+        leaving.abort()
         await election.stop()
       }
     }
@@ -241,16 +311,31 @@
     return host
   }
 
-  function connect (info: ListedWorker, hasCrashed: () => boolean): WorkerPort {
+  /** Returns the first rank that no living host has. */
+  function takeRank (hostId: string): number {
+    const taken = new Set([...hosts.keys()].map(name => ranks.get(name)))
+    let rank = 0
+    while (taken.has(rank)) rank++
+    ranks.set(hostId, rank)
+    return rank
+  }
+
+  function connect (hostId: string, info: ListedWorker, hasCrashed: () => boolean): WorkerPort {
     const port = workers.get(info.workerId)?.connect()
+    const halfTripMs = (options.workerRoundTripMs ?? 0) / 2
     const failAfterCrash = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
       if (hasCrashed() || port === undefined || info.address === '') throw createError(ErrorKind.AnswerLost, 'the worker did not respond')
+      if (halfTripMs > 0) await delay(halfTripMs)
       const response = await call(argument)
+      if (halfTripMs > 0) await delay(halfTripMs)
       if (hasCrashed()) throw createError(ErrorKind.AnswerLost, 'the worker did not respond')
       return response
     }
     return {
-      start: failAfterCrash(request => (port as WorkerPort).start(request)),
+      start: async request => {
+        if (!hasCrashed()) orders.push({ atMs: performance.now(), hostId, epoch: request.epoch, task: request.task, run: request.run })
+        return await failAfterCrash((argument: typeof request) => (port as WorkerPort).start(argument))(request)
+      },
       stop: failAfterCrash(request => (port as WorkerPort).stop(request)),
       renewLease: failAfterCrash(request => (port as WorkerPort).renewLease(request)),
       pace: failAfterCrash(request => (port as WorkerPort).pace(request)),
--- a/src/workers/workerList.ts
+++ b/src/workers/workerList.ts
@@ -6,6 +6,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import type { ListedWorker } from './workerPort.js'
 
 /** What the polling of the list needs from outside. */
@@ -19,6 +20,8 @@
   /** Age up to which work may be started by the list, in ms. */
   readonly maxAgeMs: number
   readonly signal: AbortSignal
+  /** Reads the list for the first time, as of the start of the term or later. Reads it from the store if it is not given. */
+  readonly readInitial?: ((prefix: string) => Promise<PrefixSnapshot>) | undefined
 }
 
 /** Interval between reads, in ms: a draining worker must get no more work after 2.5 s, even if one read fails. */
@@ -52,7 +55,7 @@
   async function readOnce (): Promise<boolean> {
     const sentAt = readClocks()
     try {
-      const { items, revision: readRevision } = await readAll(host.store, host.prefix)
+      const { items, revision: readRevision } = await (readAt === undefined && host.readInitial !== undefined ? host.readInitial(host.prefix) : readAll(host.store, host.prefix))
       if (readRevision < revision) throw createError(ErrorKind.StoreUnavailable, `the store answered from revision ${readRevision}, older than ${revision}`)
       revision = readRevision
       const decoded = items.map(item => host.decode(item.key, item.value))
