--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -11,6 +11,7 @@
 import { createLeaderElection } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
+import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { createHostDirectory } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
@@ -19,6 +20,8 @@
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
+import { createWarmStandby, maxStandbys } from '../runs/warmStandby.js'
+import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
 import { evacuationPrefix, tryDecodeEvacuationKey } from './evacuationKeys.js'
@@ -55,10 +58,12 @@
 const store = createHttpStore(settings.storeAddress)
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
 const hasFastLink = settings.linkMbps >= smallLinkMbps
+const isSmall = settings.cpuShare < smallCpuShare || !hasFastLink
 const directory = createHostDirectory({
   store,
   logger: logger.withPrefix('peers'),
-  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain, hasFastLink },
+  ownHost: { hostId: settings.hostId, address: peersAddress, domain: settings.domain, hasFastLink, isSmall },
+  getRoundTripMs: () => election.getRoundTripMs(),
   signal: stopping.signal
 })
 const relayedStore = createRelayedStore({ direct: store, logger: logger.withPrefix('peers'), getPeers: directory.getPeers, connect: createPeerConnections() })
@@ -89,10 +94,18 @@
   hostId: settings.hostId,
   logger: logger.withPrefix('election'),
   random: Math.random,
-  isSmall: settings.cpuShare < smallCpuShare || !hasFastLink,
+  isSmall,
   minTtlMs: settings.storeMinTtlMs,
+  getStandbyRank: () => standby.isWarm() ? directory.getRank() : undefined,
   onElected: startTerm
 })
+const standby = createWarmStandby({
+  store,
+  logger: logger.withPrefix('standby'),
+  prefixes: [acceptedPrefix, progressPrefix, workerListPrefix],
+  isStandby: () => (directory.getRank() ?? maxStandbys) < maxStandbys && (currentTerm === undefined || currentTerm.signal.aborted),
+  signal: stopping.signal
+})
 const handleJobCall = createJobApi({ configuration, intake, admission, getKnownOutageMs, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
@@ -112,6 +125,7 @@
 
 function startTerm (term: Term): void {
   currentTerm = term
+  const readInitial = (prefix: string): Promise<PrefixSnapshot> => standby.read(prefix, term.epoch)
   const workerList = createWorkerList({
     store,
     logger: logger.withPrefix('workers'),
@@ -119,7 +133,8 @@
     decode: tryDecodeWorker,
     onChanged: () => { scheduler?.refresh() },
     maxAgeMs: settings.drainNoticeMs - startMarginMs,
-    signal: term.signal
+    signal: term.signal,
+    readInitial
   })
   evacuations = createEvacuations(term)
   scheduler = createScheduler({
@@ -132,6 +147,7 @@
     connect: createHttpWorker,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
+    readInitial,
     ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
   })
   if (settings.machinesAddress === undefined) return
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -25,6 +25,7 @@
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
 import { createLearnedState } from './learnedState.js'
+import type { JobTableHost } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRunController } from './runController.js'
 import { describeScheduler } from './schedulerStatus.js'
@@ -61,6 +62,8 @@
   readonly evacuations?: DomainEvacuations
   /** The advice service, if the deployment has one. */
   readonly advice?: AdvicePort
+  /** Reads all items under a prefix as of the start of the term or later; from the store if it is not given. */
+  readonly readInitial?: JobTableHost['readInitial']
 }
 
 /** The scheduler of one term. */
@@ -83,7 +86,7 @@
 const takeoverCandidacyPauseMs = 20_000
 /** Weight of one measured pace in the estimate of a machine's speed: a run has several, and its end is the observation of weight 1. */
 const paceWeight = 0.3
-/** Planning starts at the latest this long after the start of the term, in ms, even if some workers have not answered. */
+/** Planning starts at the latest this long after the start of the term, in ms, even if workers that hold stored attempts have not answered. */
 const settleLimitMs = 700
 
 /** Creates the scheduler and starts it; it stops when the term ends. */
@@ -115,6 +118,7 @@
     term,
     logger,
     retentionMs: host.bounds.retentionMs,
+    readInitial: host.readInitial,
     onJobAdded: () => {
       writer.scheduleCounts()
       schedulePlan()
--- a/src/store/polledPrefix.ts
+++ b/src/store/polledPrefix.ts
@@ -6,6 +6,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { readAll } from './metadataStore.js'
 import type { MetadataStore, StoredItem } from './metadataStore.js'
+import type { PrefixSnapshot } from './prefixReplica.js'
 
 /** Dependencies of a polled prefix. */
 export interface PolledPrefixHost<T> {
@@ -23,6 +24,8 @@
   /** The least revision of the store from which a read is accepted; 0 by default. */
   readonly minRevision?: number
   readonly signal: AbortSignal
+  /** Makes the first read, as of the start of the term or later. Read from the store if it is not given. */
+  readonly readInitial?: ((prefix: string) => Promise<PrefixSnapshot>) | undefined
 }
 
 /** The copy of a polled prefix. */
@@ -67,7 +70,7 @@
   async function readOnce (): Promise<boolean> {
     const sentAt = readClocks()
     try {
-      const { items, revision: readRevision } = await readAll(host.store, host.prefix)
+      const { items, revision: readRevision } = await (readAt === undefined && host.readInitial !== undefined ? host.readInitial(host.prefix) : readAll(host.store, host.prefix))
       if (readRevision < revision) throw createError(ErrorKind.StoreUnavailable, `the store answered from revision ${readRevision}, older than ${revision}`)
       revision = readRevision
       const decoded = items.map(host.decode)
--- a/src/workers/workerList.ts
+++ b/src/workers/workerList.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../common/logger.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createPolledPrefix } from '../store/polledPrefix.js'
+import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import type { ListedWorker } from './workerPort.js'
 
 /** What the polling of the list needs from outside. */
@@ -15,6 +16,8 @@
   /** Age up to which work may be started by the list, in ms. */
   readonly maxAgeMs: number
   readonly signal: AbortSignal
+  /** Reads the list for the first time, as of the start of the term or later. Reads it from the store if it is not given. */
+  readonly readInitial?: ((prefix: string) => Promise<PrefixSnapshot>) | undefined
 }
 
 /** The list of workers, as one host last read it. */
@@ -35,6 +38,7 @@
     decode: ({ key, value }) => host.decode(key, value),
     onRead: host.onChanged,
     maxAgeMs: host.maxAgeMs,
-    signal: host.signal
+    signal: host.signal,
+    readInitial: host.readInitial
   })
 }
