--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -10,8 +10,8 @@
 import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getOrganisationsWithinGuarantee } from './guarantees.js'
-import { defaultCostSettings, getDelayCost, getStopCost } from './delayCost.js'
-import type { StartLimits } from './delayCost.js'
+import { getDelayCost, getStopCost } from './delayCost.js'
+import type { CostSettings, StartLimits } from './delayCost.js'
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
 import { isKeptApart, isSuspect } from './isolation.js'
@@ -39,6 +39,8 @@
   readonly reclaimMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
   readonly stopMs: number
+  /** How what callers lose by a delay is weighed. */
+  readonly costSettings: CostSettings
   /** The workers that may run the unit by its queue's policy; undefined while none is known. */
   readonly getPermittedWorkers: (unit: Unit, workerIds: readonly string[]) => ReadonlySet<string> | 'all' | undefined
   /** Allocates resources on the workers and starts the unit there as soon as these resources are free. */
@@ -92,10 +94,10 @@
   function plan (): void {
     limitsByStep.clear()
     const unfinished = [...host.getUnfinishedJobs()].flatMap(getUnits)
-    const waiting = unfinished.filter(isReadyToPlace).filter(unit => !isHeldBack(unit))
+    withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
+    const waiting = unfinished.filter(unit => isReadyToPlace(unit) && !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = unfinished.some(isSuspect)
-    withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
     const ordered = order(waiting)
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     recordDemand(freeCapacity)
@@ -235,7 +237,7 @@
   function tryPreemptFor (unit: Unit, freeCapacity: FreeCapacity): boolean {
     const nowMs = performance.now()
     if (isPatient(unit)) return false
-    const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, defaultCostSettings)
+    const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
     const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
     if (victims === undefined || victims.size === 0) return false
     const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, workerId => workers.get(workerId), delayCost)
@@ -267,7 +269,7 @@
   }
 
   function getCostOfStop (attempt: Attempt): number {
-    return getStopCost(attempt, getPriority(attempt.unit.job, getQueue), getLimits(attempt.unit), performance.now(), defaultCostSettings)
+    return getStopCost(attempt, getPriority(attempt.unit.job, getQueue), getLimits(attempt.unit), performance.now(), host.costSettings)
   }
 
   /** Units of the same priority have the same victims. Work that the pass itself has started is not among them. */
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -2,6 +2,8 @@
 import { readFileSync } from 'node:fs'
 import { parse } from 'smol-toml'
 import * as z from 'zod/mini'
+import { defaultCostSettings } from '../placement/delayCost.js'
+import type { CostSettings } from '../placement/delayCost.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 
 /** The least bound of an evacuation, in ms: with a shorter one, a single failed read of the store would interrupt all starts. */
@@ -38,8 +40,10 @@
   advice: z.optional(z.string()),
   policy: z._default(z.object({
     refuseForLoad: z._default(z.boolean(), true),
-    refusalMargin: z._default(z.number().check(z.minimum(1), z.maximum(10)), defaultRefusalMargin)
-  }), { refuseForLoad: true, refusalMargin: defaultRefusalMargin })
+    refusalMargin: z._default(z.number().check(z.minimum(1), z.maximum(10)), defaultRefusalMargin),
+    priorityRatio: z._default(z.number().check(z.minimum(1), z.maximum(100)), defaultCostSettings.priorityRatio),
+    baseValueCoreS: z._default(z.number().check(z.nonnegative()), defaultCostSettings.baseValueCoreS)
+  }), { refuseForLoad: true, refusalMargin: defaultRefusalMargin, ...defaultCostSettings })
 })
 
 /** The settings of one process. Unknown fields of the file are ignored. */
@@ -77,6 +81,8 @@
   readonly refusesForLoad: boolean
   /** The factor by which the estimated completion must exceed that time before a job is refused. */
   readonly refusalMargin: number
+  /** How what callers lose by a delay is weighed. */
+  readonly costSettings: CostSettings
 }
 
 /** The environment variable with the path of the settings file. */
@@ -115,6 +121,7 @@
     adviceAddress: advice === undefined || advice === '' ? undefined : advice,
     machinesAddress: cloud?.addr,
     refusesForLoad: policy.refuseForLoad,
-    refusalMargin: policy.refusalMargin
+    refusalMargin: policy.refusalMargin,
+    costSettings: { priorityRatio: policy.priorityRatio, baseValueCoreS: policy.baseValueCoreS }
   }
 }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -9,6 +9,8 @@
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
 import { getTaskName } from '../jobs/trackedJob.js'
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { defaultCostSettings } from '../placement/delayCost.js'
+import type { CostSettings } from '../placement/delayCost.js'
 import { createPlanner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
@@ -44,6 +46,8 @@
   readonly reclaimMs: number
   /** A service task counts as unavailable until it has been running at full progress for this long, in ms. */
   readonly noticeMs: number
+  /** How what callers lose by a delay is weighed; the defaults if it is not given. */
+  readonly costSettings?: CostSettings
 }
 
 /** Dependencies of the scheduler. */
@@ -186,6 +190,7 @@
     getSpeed: worker => speeds.getSpeed(getMachineId(worker.info.workerId), performance.now()),
     reclaimMs: host.bounds.reclaimMs,
     stopMs: host.bounds.stopMs,
+    costSettings: host.bounds.costSettings ?? defaultCostSettings,
     getPermittedWorkers,
     startAttempt: controller.planAttempt,
     stopAttempt: controller.stopAttempt
--- a/src/testing/plannerHarness.ts
+++ b/src/testing/plannerHarness.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '../configuration/configuration.js'
 import { createAttempt, getTaskName, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { defaultCostSettings } from '../placement/delayCost.js'
 import { createPlanner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
 import { createWorkerState, getAllocationKey } from '../workers/workerState.js'
@@ -46,6 +47,7 @@
     runTimes: createRunTimes(),
     reclaimMs: 2_900,
     stopMs: 400,
+    costSettings: defaultCostSettings,
     getPermittedWorkers: () => 'all',
     startAttempt,
     stopAttempt: attempt => {
