Bound how often a task is preempted

Change: a unit is preempted at most twice, except for a guarantee that is due, and is patient only while it could bear both.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -21,7 +21,7 @@
 import type { VictimsByWorker } from './preemption.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareRanks, getPriority, getVictims } from './unitOrder.js'
+import { compareRanks, getPriority, getVictims, maxPreemptions } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
 
 /** What the planner needs from outside. */
@@ -153,11 +153,11 @@
     return Math.max(0, Math.floor((freeAccelerators - headroom.getReserved(getPriority(unit.job, getQueue))) / accelerators))
   }
 
-  /** A unit that is not urgent and could still meet its objective if it were stopped once: it leaves room to others and preempts nothing. */
+  /** A unit that is not urgent and could still meet its objective after being stopped twice, as it may be: it leaves room to others and preempts nothing. */
   function isPatient (unit: Unit): boolean {
     if (getPriority(unit.job, getQueue) === 0 || isGuaranteed(unit.job)) return false
     const { latestStartMs, expectedMs } = getLimits(unit)
-    return latestStartMs - performance.now() > expectedMs
+    return latestStartMs - performance.now() > maxPreemptions * expectedMs
   }
 
   function recordDemand (freeCapacity: FreeCapacity): void {
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -8,6 +8,11 @@
 /** Looks up the settings of a job's queue. */
 export type GetQueue = (job: TrackedJob) => QueueSettings | undefined
 
+/**
+ * How often a unit may be preempted; then only a guarantee that is due stops it. Without a bound, the least urgent queue waits for as long as the
+ * others fill the workers.
+ */
+export const maxPreemptions = 2
 /** The priority of jobs whose queue is unknown; lower numbers come first. */
 const lowestPriority = 1_000
 
@@ -44,12 +49,18 @@
     if (isTerminal(job.state) || getPriority(job, getQueue) <= protectedPriority || isGuaranteed(job)) continue
     for (const other of getUnits(job)) {
       if (other.isDone || other.spec.isService) continue
+      if (!isReclaimDue && hasBeenPreempted(other)) continue
       for (const attempt of other.attempts) if (attempt.stopReason === undefined) victims.push({ attempt, cost: getCost(attempt) })
     }
   }
   return victims.sort((left, right) => left.cost - right.cost)
 }
 
+/** Tells whether so many runs of the unit have ended without a failure of its own that it is protected. */
+function hasBeenPreempted ({ run, failedRuns }: Unit): boolean {
+  return run - failedRuns.size > maxPreemptions
+}
+
 /** The priority of a job's queue; lower numbers come first. */
 export function getPriority (job: TrackedJob, getQueue: GetQueue): number {
   return getQueue(job)?.priority ?? lowestPriority
