--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -9,10 +9,11 @@
 export type GetQueue = (job: TrackedJob) => QueueSettings | undefined
 
 /**
- * How often a unit may be preempted; then only a guarantee that is due stops it. Without a bound, the least urgent queue waits for as long as the
- * others fill the workers.
+ * How often a unit may be preempted; then only a guarantee that is due, or urgent work up to the second bound, stops it. Without a bound, the least
+ * urgent queue waits for as long as the others fill the workers; with one bound for all, urgent work waited where every task had been stopped twice.
  */
 export const maxPreemptions = 2
+const maxPreemptionsByUrgent = 4
 /** The priority of jobs whose queue is unknown; lower numbers come first. */
 const lowestPriority = 1_000
 
@@ -49,7 +50,7 @@
     if (isTerminal(job.state) || getPriority(job, getQueue) <= protectedPriority || isGuaranteed(job)) continue
     for (const other of getUnits(job)) {
       if (other.isDone || other.spec.isService) continue
-      if (!isReclaimDue && hasBeenPreempted(other)) continue
+      if (!isReclaimDue && hasBeenPreempted(other, priority === 0 ? maxPreemptionsByUrgent : maxPreemptions)) continue
       for (const attempt of other.attempts) if (attempt.stopReason === undefined) victims.push({ attempt, cost: getCost(attempt) })
     }
   }
@@ -57,8 +58,8 @@
 }
 
 /** Tells whether so many runs of the unit have ended without a failure of its own that it is protected. */
-function hasBeenPreempted ({ run, failedRuns }: Unit): boolean {
-  return run - failedRuns.size > maxPreemptions
+function hasBeenPreempted ({ run, failedRuns }: Unit, limit: number): boolean {
+  return run - failedRuns.size > limit
 }
 
 /** The priority of a job's queue; lower numbers come first. */
