--- a/src/placement/delayCost.ts
+++ b/src/placement/delayCost.ts
@@ -13,7 +13,10 @@
   readonly baseValueCoreS: number
 }
 
-/** Weights of a deployment that sets none. Two levels apart, losing the whole of a job never pays for saving a tenth of it. */
+/**
+ * Weights of a deployment that sets none. An urgent job with its usual slack may discard about four times its own work, and another job at its latest
+ * start about 0.7 of it.
+ */
 export const defaultCostSettings: CostSettings = { priorityRatio: 9, baseValueCoreS: 200 }
 
 /** Processor cores that weigh as much as one accelerator: workers have this many for each accelerator, so that either resource fills them. */
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -60,11 +60,12 @@
 const maxReservedUnits = 3
 /** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms, besides the time of two stops. */
 const reclaimLeadMs = 800
-/** A unit that waits for a worker: its expected start by the monotonic clock, and its priority. */
+
+/** A worker's reservation for a unit that does not fit yet: the unit's expected start by the monotonic clock, and its priority. */
 interface WorkerReservation {
   readonly startAtMs: number
   readonly priority: number
-  /** Only work of lower priority has to leave the worker to the unit. */
+  /** Also work of the unit's own priority has to leave the worker to it; work of lower priority has to in any case. */
   readonly bindsEqualPriority: boolean
 }
 
@@ -153,7 +154,10 @@
     return Math.max(0, Math.floor((freeAccelerators - headroom.getReserved(getPriority(unit.job, getQueue))) / accelerators))
   }
 
-  /** A unit that is not urgent and could still meet its objective after being stopped twice, as it may be: it leaves room to others and preempts nothing. */
+  /**
+   * Tells whether a unit could still meet its objective after being stopped as often as it may be: it leaves capacity to others and preempts nothing.
+   * Urgent work is never patient: estimates are too inaccurate to rely on running work to end in time.
+   */
   function isPatient (unit: Unit): boolean {
     if (getPriority(unit.job, getQueue) === 0 || isGuaranteed(unit.job)) return false
     const { latestStartMs, expectedMs } = getLimits(unit)
