--- a/src/runs/crashingTask.test.ts
+++ b/src/runs/crashingTask.test.ts
@@ -1,12 +1,12 @@
 /** A task that crashes the workers that start it: it is given up after few crashes, and the work beside it is not. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { EndKind, JobState } from '../jobs/jobModel.js'
-import { getProgressKey } from '../jobs/jobKeys.js'
-import { decodeState } from '../jobs/trackedJob.js'
 import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import { createPoolSteps } from '../testing/poolSteps.js'
 
 let harness: PoolHarness
+const { run, submit, getState, waitForState } = createPoolSteps(() => harness)
 
 beforeEach(() => { jest.useFakeTimers() })
 
@@ -17,10 +17,6 @@
   jest.useRealTimers()
 })
 
-async function run (ms: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
-}
-
 /** Tasks of jobs whose id starts with `deadly` crash their worker; all others take 2 s. */
 async function startHarness (options: Partial<PoolHarnessOptions> & { readonly crashAfterMs?: number } = {}): Promise<void> {
   const { crashAfterMs = 10 } = options
@@ -35,24 +31,6 @@
   }
 }
 
-async function submit (...jobs: Parameters<PoolHarness['submit']>[0][]): Promise<void> {
-  for (const job of jobs) {
-    const submitted = harness.submit(job)
-    await run(20)
-    await submitted
-  }
-}
-
-function getState (jobId: string): JobState {
-  const value = harness.store.peek(getProgressKey(jobId))
-  return value === undefined ? JobState.Queued : decodeState(value)
-}
-
-async function waitForState (jobId: string, state: JobState, limitMs: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < limitMs && getState(jobId) !== state; elapsedMs += 50) await run(50)
-  expect(getState(jobId)).toBe(state)
-}
-
 const small = makeStep({ request: { cpuMilli: 1_000, memoryMb: 1_000, accelerators: 0 } })
 
 test('a task that crashes every worker that starts it is given up', async () => {
--- a/src/runs/domainEvacuation.test.ts
+++ b/src/runs/domainEvacuation.test.ts
@@ -1,13 +1,13 @@
 /** Evacuations of failure domains: no start in the domain later than the bound after the request, whatever happens in between. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
-import { getProgressKey } from '../jobs/jobKeys.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
-import { decodeState } from '../jobs/trackedJob.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { ReceivedStart } from '../standins/poolWorker.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import { createPoolSteps } from '../testing/poolSteps.js'
 
 let harness: PoolHarness
+const { run, submit, waitForState } = createPoolSteps(() => harness)
 
 /** The copy's greatest age by default settings, in ms: the bound of 5,000 less 300 for a start request to arrive. */
 const evacuationMaxAgeMs = 4_700
@@ -32,10 +32,6 @@
   jest.useRealTimers()
 })
 
-async function run (ms: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
-}
-
 /** Starts two hosts; the even workers are in domain `a`, the odd ones in domain `b`. */
 async function startHarness (options: PoolHarnessOptions): Promise<void> {
   harness = createPoolHarness({ evacuationMaxAgeMs, getDomain: index => index % 2 === 0 ? 'a' : 'b', onStart: start => { starts.push(start) }, ...options })
@@ -45,24 +41,6 @@
   }
 }
 
-async function submit (...jobs: Parameters<PoolHarness['submit']>[0][]): Promise<void> {
-  for (const job of jobs) {
-    const submitted = harness.submit(job)
-    await run(20)
-    await submitted
-  }
-}
-
-function getState (jobId: string): JobState {
-  const value = harness.store.peek(getProgressKey(jobId))
-  return value === undefined ? JobState.Queued : decodeState(value)
-}
-
-async function waitForState (jobId: string, state: JobState, limitMs: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < limitMs && getState(jobId) !== state; elapsedMs += 50) await run(50)
-  expect(getState(jobId)).toBe(state)
-}
-
 function getDomain (workerId: string): string {
   return harness.workers.get(workerId)?.info.domain ?? ''
 }
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -1,12 +1,12 @@
 /** The scheduler under failures: each test reproduces a fault that was found on the users' platform. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { EndKind, JobState } from '../jobs/jobModel.js'
-import { decodeState } from '../jobs/trackedJob.js'
-import { getProgressKey } from '../jobs/jobKeys.js'
 import { createPoolHarness, harnessCapacity, makeJob, makeStep, harnessConfiguration } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import { createPoolSteps } from '../testing/poolSteps.js'
 
 let harness: PoolHarness
+const { run, submit, getState, waitForState } = createPoolSteps(() => harness)
 
 beforeEach(() => { jest.useFakeTimers() })
 
@@ -17,10 +17,6 @@
   jest.useRealTimers()
 })
 
-async function run (ms: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
-}
-
 async function startHarness (options: PoolHarnessOptions, hosts = 2): Promise<void> {
   harness = createPoolHarness(options)
   for (let index = 0; index < hosts; index++) {
@@ -29,28 +25,10 @@
   }
 }
 
-async function submit (...jobs: Parameters<PoolHarness['submit']>[0][]): Promise<void> {
-  for (const job of jobs) {
-    const submitted = harness.submit(job)
-    await run(20)
-    await submitted
-  }
-}
-
-function getState (jobId: string): JobState {
-  const value = harness.store.peek(getProgressKey(jobId))
-  return value === undefined ? JobState.Queued : decodeState(value)
-}
-
 function getLeader (): string {
   return harness.store.peek('leader/scheduler') ?? ''
 }
 
-async function waitForState (jobId: string, state: JobState, limitMs: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < limitMs && getState(jobId) !== state; elapsedMs += 50) await run(50)
-  expect(getState(jobId)).toBe(state)
-}
-
 test('the steps of a job run in order, and each task runs once', async () => {
   await startHarness({ workers: 2 })
   await submit(makeJob('a', 'batch', [makeStep({ count: 3 }), makeStep({ count: 2, after: [0] })]))
