Log the evidence by which a run counts as ended

'run ended' and 'worker lost' now carry it, and a machine that comes back under another id is logged with both ids. No decision changes.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -76,6 +76,7 @@
       getLeaseUntilMs: () => Math.floor(performance.now()) + 30_000,
       recordLeaseExtension: () => {},
       expectIncarnation: () => {},
+      getBornAtMs: () => 0,
       isSettled: () => true,
       close: () => {}
     }),
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -16,6 +16,8 @@
 import { StartResult } from '../workers/workerPort.js'
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
+import { describeEvidence, EvidenceSource } from './endEvidence.js'
+import type { EndEvidence } from './endEvidence.js'
 import { isUnsent } from './workerErrors.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -60,8 +62,8 @@
   restoreAttempts (job: TrackedJob): void
   /** Updates members and allocations from a worker's report. Resolves when every reported end is stored. */
   onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void>
-  /** Ends all members on a worker whose runs are lost. */
-  onWorkerLost (worker: WorkerState): void
+  /** Ends all members on a worker whose runs are lost, by this evidence. */
+  onWorkerLost (worker: WorkerState, source: EvidenceSource): void
   /** Counts a crash under the runs that the worker had before it started anew at `bornAtMs`. */
   onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void
   getMembers (workerId: string): ReadonlySet<Member>
@@ -205,7 +207,7 @@
     let hasLostAnswer = false
     for (let tries = 1; ; tries++) {
       if (member.attempt.stopReason !== undefined && member.state === MemberState.Planned) {
-        endMember(member, 'not-started', '')
+        endMember(member, 'not-started', '', { source: EvidenceSource.NotSent })
         return
       }
       if (member.state === MemberState.Ended || term.signal.aborted) return
@@ -226,7 +228,7 @@
       if (member.state === MemberState.Running || member.attempt.stopReason !== undefined) return
       if (tries < maxStartTries) continue
       if (hasLostAnswer) stopAttempt(member.attempt, 'the answer to a start was lost')
-      else failStart(member, 'the worker is unreachable')
+      else failStart(member, 'the worker is unreachable', EvidenceSource.NotSent)
       return
     }
   }
@@ -278,13 +280,13 @@
         if (answer === StartResult.Unhealthy) host.onRefusal(member.workerId)
         logger.info('start rejected by the worker', { task: getTaskName(member), run: member.attempt.run, workerId: member.workerId, answer })
         if (hasLostAnswer) stopAttempt(member.attempt, `start rejected by a worker: ${answer}`)
-        else failStart(member, answer)
+        else failStart(member, answer, EvidenceSource.Refused)
     }
   }
 
-  function failStart (member: Member, reason: string): void {
+  function failStart (member: Member, reason: string, source: EvidenceSource): void {
     member.attempt.unit.avoidedWorkers.add(member.workerId)
-    endMember(member, 'not-started', '')
+    endMember(member, 'not-started', '', { source })
     if (!isAttemptOver(member.attempt)) stopAttempt(member.attempt, `a member failed to start: ${reason}`)
     void host.commit(member.attempt.unit.job)
   }
@@ -297,7 +299,7 @@
     planned.delete(attempt)
     logger.info('stopping an attempt', { jobId: attempt.unit.job.spec.jobId, step: attempt.unit.step, run: attempt.run, reason })
     for (const member of [...attempt.members]) {
-      if (member.state === MemberState.Planned) endMember(member, 'not-started', '')
+      if (member.state === MemberState.Planned) endMember(member, 'not-started', '', { source: EvidenceSource.NotSent })
       else void stopMember(member)
     }
   }
@@ -358,6 +360,7 @@
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const { workerId } = worker.info
     crashTracking.onReport(workerId)
+    const reportedBy = { atMs: sentAtMs, bornAtMs: host.getLink(workerId)?.getBornAtMs() }
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
     const reportedKeys = new Set<string>()
@@ -372,11 +375,11 @@
       const key = getAllocationKey(reported.task, reported.run)
       reportedKeys.add(key)
       worker.allocations.delete(key)
-      const job = applyEnded(members.get(key), reported)
+      const job = applyEnded(members.get(key), reported, { source: EvidenceSource.ListedAsEnded, ...reportedBy })
       if (job !== undefined) dirty.add(job)
     }
     if (isComplete) {
-      for (const [key, member] of members) if (!reportedKeys.has(key)) applyAbsent(member, sentAtMs, dirty)
+      for (const [key, member] of members) if (!reportedKeys.has(key)) applyAbsent(member, { source: EvidenceSource.Absent, ...reportedBy }, dirty)
       for (const key of worker.allocations.keys()) if (!reportedKeys.has(key) && !members.has(key)) worker.allocations.delete(key)
     }
     host.onChanged()
@@ -397,9 +400,9 @@
   }
 
   /** Returns the job whose progress must be stored before the end is acknowledged to the worker. */
-  function applyEnded (member: Member | undefined, reported: EndedRun): TrackedJob | undefined {
+  function applyEnded (member: Member | undefined, reported: EndedRun, evidence: EndEvidence): TrackedJob | undefined {
     if (member !== undefined) {
-      if (member.state !== MemberState.Ended) endMember(member, reported.how, reported.checkpoint)
+      if (member.state !== MemberState.Ended) endMember(member, reported.how, reported.checkpoint, evidence)
       return member.attempt.unit.job
     }
     // The run was treated as lost when the worker's lease had expired; only a failure still counts.
@@ -412,13 +415,14 @@
     return unit.job
   }
 
-  function applyAbsent (member: Member, sentAtMs: number, dirty: Set<TrackedJob>): void {
+  function applyAbsent (member: Member, evidence: EndEvidence & { readonly atMs: number }, dirty: Set<TrackedJob>): void {
+    const { atMs: sentAtMs } = evidence
     const hasVanished = member.state === MemberState.Running && member.runningSinceMs < sentAtMs
     const isStartExcluded = member.startExcludedAtMs !== undefined && member.startExcludedAtMs < sentAtMs
     if (member.state === MemberState.Ended || member.state === MemberState.Planned) return
     if (!hasVanished && !isStartExcluded) return
     dirty.add(member.attempt.unit.job)
-    endMember(member, hasVanished ? 'lost' : 'not-started', '')
+    endMember(member, hasVanished ? 'lost' : 'not-started', '', evidence)
   }
 
   /** Stops a run that belongs to no current attempt, since its job or its attempt has ended. */
@@ -437,11 +441,11 @@
     })
   }
 
-  function onWorkerLost (worker: WorkerState): void {
-    logger.warn('worker lost with all of its runs', { workerId: worker.info.workerId, members: getMembers(worker.info.workerId).size })
+  function onWorkerLost (worker: WorkerState, source: EvidenceSource): void {
+    logger.warn('worker lost with all of its runs', { workerId: worker.info.workerId, evidence: source, members: getMembers(worker.info.workerId).size })
     for (const member of [...getMembers(worker.info.workerId)]) {
       if (member.state === MemberState.Planned) stopAttempt(member.attempt, 'a planned worker is lost')
-      else endMember(member, 'lost', '')
+      else endMember(member, 'lost', '', { source })
       void host.commit(member.attempt.unit.job)
     }
     worker.allocations.clear()
@@ -450,7 +454,7 @@
 
   // Ending members
 
-  function endMember (member: Member, how: MemberEnd, checkpoint: string): void {
+  function endMember (member: Member, how: MemberEnd, checkpoint: string, evidence: EndEvidence): void {
     const { attempt } = member
     const { unit } = attempt
     if (member.state === MemberState.Ended) return
@@ -459,7 +463,7 @@
     getMembers(member.workerId).delete(member)
     host.getWorker(member.workerId)?.allocations.delete(getAllocationKey(getTaskName(member), attempt.run))
     if (checkpoint !== '') unit.checkpoint = checkpoint
-    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason })
+    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason, ...describeEvidence(member, evidence, performance.now()) })
     host.onMemberEnded(member, how)
     if (how === EndKind.Done && !unit.spec.isService) unit.isDone = true
     if (how === EndKind.Failed) {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -138,7 +138,7 @@
     hasMembers: workerId => controller.getMembers(workerId).size > 0,
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
     onReport,
-    onLost: worker => { controller.onWorkerLost(worker) },
+    onLost: (worker, source) => { controller.onWorkerLost(worker, source) },
     onCrashed: (workerId, machine, bornAtMs) => { controller.onWorkerCrashed(workerId, machine, bornAtMs) },
     onChanged: schedulePlan
   })
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -41,6 +41,8 @@
   recordLeaseExtension (): void
   /** Records that the worker has started anew under its id; reports of earlier incarnations are then ignored. */
   expectIncarnation (bornAtMs: number): void
+  /** The start of the latest incarnation that the worker's reports or the list have shown, as Unix time in ms. */
+  getBornAtMs (): number
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
   close (): void
@@ -76,7 +78,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, isSettled: () => hasAnswered || isLeaseOver, close }
+  return { port, wake: changed.notify, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, close }
 
   function close (): void {
     isClosed = true
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -6,6 +6,7 @@
 import { createWorkerState } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import { EvidenceSource } from './endEvidence.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -22,8 +23,8 @@
   readonly getPollWaitMs: (workerId: string) => number | undefined
   /** Resolves when every end in the report is stored. */
   readonly onReport: (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
-  /** Called when all runs on the worker have certainly ended. */
-  readonly onLost: (worker: WorkerState) => void
+  /** Called when all runs on the worker have certainly ended, by this evidence. */
+  readonly onLost: (worker: WorkerState, source: EvidenceSource) => void
   /** Called when a worker that was neither draining nor in maintenance turns out to have started anew, at `bornAtMs` on the same machine. */
   readonly onCrashed: (workerId: string, machine: string, bornAtMs: number) => void
   readonly onChanged: () => void
@@ -124,7 +125,10 @@
     addLink(worker)
     if (info.machineId === undefined) return
     const previous = lives.get(info.machineId)
-    if (previous !== undefined && previous.info.bornAtMs < info.bornAtMs) reportCrash(previous, info.bornAtMs)
+    if (previous !== undefined && previous.info.bornAtMs < info.bornAtMs) {
+      logger.info('machine listed with a new worker', { machine: info.machineId, previousWorkerId: previous.info.workerId, workerId: info.workerId, address: info.address, bornAtMs: info.bornAtMs })
+      reportCrash(previous, info.bornAtMs)
+    }
     if (previous === undefined || previous.info.bornAtMs < info.bornAtMs) lives.set(info.machineId, worker)
   }
 
@@ -155,10 +159,10 @@
       },
       onReplaced: () => {
         worker.isReachable = false
-        host.onLost(worker)
+        host.onLost(worker, EvidenceSource.Replaced)
       },
       onLeaseExpired: () => {
-        host.onLost(worker)
+        host.onLost(worker, EvidenceSource.LeaseExpired)
         if (!worker.isListed) removeWorker(worker)
       }
     })
