Acknowledge ends only over the connection on which they were reported

Callers would see TWICE: a task starts again after it has ended as done. Each incarnation of a worker numbers its ends anew, and an acknowledgement names no incarnation. A worker that starts anew within a second of its last report got the number of its predecessor's last end, and forgot ends that nobody had read; the runs were then absent from the report and counted as lost. Evidence: a server on loopback that starts anew on the same port got the acknowledgement 1 over the new connection (platform/httpWorker.test.ts fails on the code before: received 1, expected 0). Change: a poll acknowledges only over the connection on which the latest report came, else it acknowledges nothing; the next report repeats the ends. A connection does not outlive the process at its other end, so this holds however short the restart is.

--- a/src/platform/httpClient.ts
+++ b/src/platform/httpClient.ts
@@ -11,6 +11,8 @@
   readonly method: string
   readonly path: string
   readonly body?: unknown
+  /** Returns the body, instead of `body`, when the connection is known on which the request is sent. */
+  readonly getBody?: (connection: object) => unknown
   readonly headers?: Readonly<Record<string, string>>
   readonly timeoutMs: number
   readonly stallTimeoutMs?: number
@@ -45,7 +47,7 @@
     return new Agent({ keepAlive: true, keepAliveMsecs: keepAliveMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo' })
   }
 
-  function call ({ method, path, body, headers, timeoutMs, stallTimeoutMs, signal }: HttpCall): Promise<HttpResponse> {
+  function call ({ method, path, body, getBody, headers, timeoutMs, stallTimeoutMs, signal }: HttpCall): Promise<HttpResponse> {
     return new Promise((resolve, reject) => {
       const text = body === undefined ? undefined : JSON.stringify(body)
       let isConnected = false
@@ -82,7 +84,14 @@
           resolve(answer)
         }, fail)
       })
-      request.end(text)
+      if (getBody === undefined) request.end(text)
+      else request.once('socket', socket => { endWithBody(JSON.stringify(getBody(socket))) })
+
+      function endWithBody (bodyText: string): void {
+        request.setHeader('Content-Type', 'application/json')
+        request.setHeader('Content-Length', Buffer.byteLength(bodyText))
+        request.end(bodyText)
+      }
 
       function allowSlowTransfer (stallMs: number): void {
         clearTimeout(timer)
--- /dev/null
+++ b/src/platform/httpWorker.test.ts
@@ -0,0 +1,60 @@
+/** The HTTP client of a worker, against a server on loopback that starts anew on the same port. */
+import { afterEach, expect, test } from '@jest/globals'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { createHttpWorker } from './httpWorker.js'
+
+let server: Server
+let worker: WorkerPort
+/** The ends that each poll acknowledged, in the order of arrival. */
+let acknowledged: number[] = []
+
+afterEach(async () => {
+  worker.close()
+  await stopServer()
+})
+
+async function startServer (port: number, bornAtMs: number): Promise<number> {
+  server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => {
+      acknowledged.push((JSON.parse(Buffer.concat(chunks).toString()) as { seenUpto: number }).seenUpto)
+      response.end(JSON.stringify({ clockMs: 1, born: bornAtMs, running: [], ended: [[1, '0123456789abcdef.0.0.0', 1, 'done', '']] }))
+    })
+  })
+  server.listen(port, '127.0.0.1')
+  await once(server, 'listening')
+  return (server.address() as AddressInfo).port
+}
+
+async function stopServer (): Promise<void> {
+  const closed = once(server, 'close')
+  server.close()
+  server.closeAllConnections()
+  await closed
+}
+
+/** Polls until an answer arrives: the first poll after a restart may still use the broken connection. */
+async function poll (acknowledgedSequence: number): Promise<WorkerStatusReport> {
+  for (;;) {
+    const report = await worker.renewLease({ epoch: 1, acknowledgedSequence, waitMs: 0 }).catch(() => undefined)
+    if (report !== undefined) return report
+  }
+}
+
+test('ends are acknowledged only over the connection on which they were reported, never to a later incarnation', async () => {
+  acknowledged = []
+  const port = await startServer(0, 1_000)
+  worker = createHttpWorker({ workerId: 'i-1', address: `127.0.0.1:${port}`, service: '', domain: '', bornAtMs: 1_000, isDraining: false, coldLeftMs: 0, capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 }, labels: [], rack: '' })
+  await poll(0)
+  await poll(1)
+  await stopServer()
+  await startServer(port, 2_000)
+  expect((await poll(1)).bornAtMs).toBe(2_000)
+  await poll(1)
+  expect(acknowledged).toEqual([0, 1, 0, 1])
+})
--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -40,6 +40,8 @@
   const runClient = createHttpClient(info.address, runRequestConnections)
   const leaseClient = createHttpClient(info.address, 1)
   const headers = { 'Expect-Instance': info.workerId }
+  /** The connection over which the latest report came. */
+  let reportedOver: object | undefined
 
   return {
     start,
@@ -81,11 +83,21 @@
   }
 
   async function renewLease ({ epoch, acknowledgedSequence: seenUpTo, leaseUntilMs, waitMs }: LeaseRenewal): Promise<WorkerStatusReport> {
-    const body = { fence: epoch, seenUpto: seenUpTo, ...(leaseUntilMs === undefined ? {} : { deadlineMs: leaseUntilMs }), ...(waitMs > 0 ? { waitMs } : {}) }
-    const answer = await leaseClient.call({ method: 'POST', path: '/sassafrasford/hold', body, headers, timeoutMs: waitMs + renewalGraceMs })
+    let usedConnection: object | undefined
+    const getBody = (connection: object): object => {
+      usedConnection = connection
+      return {
+        fence: epoch,
+        seenUpto: connection === reportedOver ? seenUpTo : 0,
+        ...(leaseUntilMs === undefined ? {} : { deadlineMs: leaseUntilMs }),
+        ...(waitMs > 0 ? { waitMs } : {})
+      }
+    }
+    const answer = await leaseClient.call({ method: 'POST', path: '/sassafrasford/hold', getBody, headers, timeoutMs: waitMs + renewalGraceMs })
     checkResponse(answer)
     const parsed = holdSchema.safeParse(answer.body)
     if (!parsed.success) throw createError(ErrorKind.AnswerLost, `the response of worker ${info.workerId} to a lease renewal is malformed: ${parsed.error.message}`)
+    reportedOver = usedConnection
     return {
       clockMs: parsed.data.clockMs,
       bornAtMs: parsed.data.born,
--- a/src/workers/workerPort.ts
+++ b/src/workers/workerPort.ts
@@ -79,6 +79,10 @@
 /** A request that extends the lease of everything on the worker, acknowledges the ends that were reported, and asks for a report. */
 export interface LeaseRenewal {
   readonly epoch: number
+  /**
+   * Is sent only over the connection on which the latest report came, else 0: another connection may lead to a later incarnation, which numbers its
+   * ends anew and would forget ends that were never read.
+   */
   readonly acknowledgedSequence: number
   readonly leaseUntilMs?: number
   /** How long the worker may wait for a run to end before it responds, in ms; an integer. */
