Order the incarnations of a worker by when they are seen, not by their clocks

Callers would see a job that stays active for ever: a worker whose clock is set back before it starts again under its id has a smaller 'born' than before. Its reports were ignored as those of an earlier incarnation, while its start requests were answered and its lease was renewed. Evidence: runs/incarnations.test.ts, 'a worker whose clock was set back before it started again gets new work', fails on the code before: the job is 'active' after 15 s, expected 'complete'. The first test of the file passed before. Change: a link polls one request at a time, so a report that names another incarnation is later, unless the poll was sent before the list showed the present one. The list may lag, so an incarnation that a report has superseded does not come back by the list. reportedBornAtMs is gone.

--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -39,9 +39,9 @@
   getLeaseUntilMs (): number | undefined
   /** Records that a request that extends the lease is being sent. */
   recordLeaseExtension (): void
-  /** Records that the worker has started anew under its id; reports of earlier incarnations are then ignored. */
+  /** Records that the list shows an incarnation of the worker; reports of earlier ones that are under way are then ignored. */
   expectIncarnation (bornAtMs: number): void
-  /** The start of the latest incarnation that the worker's reports or the list have shown, as Unix time in ms. */
+  /** The latest incarnation that the worker's reports or the list have shown, by its start as Unix time in ms. */
   getBornAtMs (): number
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
@@ -67,6 +67,10 @@
   const { term, port, logger, info } = host
   const changed = createSignal()
   let { bornAtMs } = info
+  /** Incarnations are ordered by when they were seen, not by their starts: the worker's clock may have been set back. */
+  const earlierIncarnations = new Set<number>()
+  /** When the list has shown the latest incarnation before any report did, by the monotonic clock. */
+  let listedAtMs = -Infinity
   let storedSequence = 0
   let reportedAtMs = -Infinity
   let clock: { readonly workerMs: number, readonly readAtMs: number } | undefined
@@ -86,11 +90,19 @@
     port.close()
   }
 
-  function expectIncarnation (newBornAtMs: number): void {
-    if (newBornAtMs <= bornAtMs) return
+  function expectIncarnation (listedBornAtMs: number): void {
+    // The list may lag behind the reports.
+    if (listedBornAtMs === bornAtMs || earlierIncarnations.has(listedBornAtMs)) return
+    beginIncarnation(listedBornAtMs)
+    listedAtMs = performance.now()
+    changed.notify()
+  }
+
+  function beginIncarnation (newBornAtMs: number): void {
+    earlierIncarnations.add(bornAtMs)
+    earlierIncarnations.delete(newBornAtMs)
     bornAtMs = newBornAtMs
     storedSequence = 0
-    changed.notify()
   }
 
   function getLatestLeaseEndMs (): number {
@@ -135,14 +147,14 @@
   }
 
   async function applyReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
-    if (report.bornAtMs !== undefined && report.bornAtMs < bornAtMs) {
-      logger.info('report of an earlier incarnation ignored', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: bornAtMs })
-      await delay(retryPauseMs)
-      return
-    }
-    if (report.bornAtMs !== undefined && report.bornAtMs > bornAtMs) {
+    if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
+      if (earlierIncarnations.has(report.bornAtMs) && sentAtMs < listedAtMs) {
+        logger.info('report of an earlier incarnation ignored', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: bornAtMs })
+        await delay(retryPauseMs)
+        return
+      }
       logger.warn('worker restarted', { workerId: info.workerId, bornAtMs: report.bornAtMs, knownBornAtMs: bornAtMs })
-      expectIncarnation(report.bornAtMs)
+      beginIncarnation(report.bornAtMs)
       host.onRestarted(report.bornAtMs)
     }
     reportedAtMs = performance.now()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -103,8 +103,8 @@
       addWorker(info)
       return
     }
-    if (worker.info.bornAtMs > info.bornAtMs) return
-    if (worker.info.bornAtMs < info.bornAtMs) logger.info('worker listed with a new incarnation', { workerId: info.workerId, bornAtMs: info.bornAtMs })
+    const isNewIncarnation = worker.info.bornAtMs !== info.bornAtMs
+    if (isNewIncarnation) logger.info('worker listed with a new incarnation', { workerId: info.workerId, bornAtMs: info.bornAtMs })
     if (worker.info.address !== info.address) {
       // Its address was unknown, because the worker was only known from stored attempts, or it has changed.
       links.get(info.workerId)?.close()
@@ -113,9 +113,10 @@
       addLink(worker)
     }
     // Start requests may have reached the new incarnation, so its report decides which runs are lost.
-    links.get(info.workerId)?.expectIncarnation(info.bornAtMs)
-    if (worker.info.bornAtMs < info.bornAtMs) reportCrash(worker, info.bornAtMs)
-    if (info.bornAtMs >= worker.reportedBornAtMs) worker.isIncarnationListed = true
+    const link = links.get(info.workerId)
+    link?.expectIncarnation(info.bornAtMs)
+    if (isNewIncarnation) reportCrash(worker, info.bornAtMs)
+    worker.isIncarnationListed = link === undefined || link.getBornAtMs() === info.bornAtMs
     if (worker.info.isDraining !== info.isDraining) logger.info('draining state of a worker changed', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
     worker.info = info
     worker.isListed = true
@@ -156,8 +157,7 @@
       },
       onRestarted: bornAtMs => {
         reportCrash(worker, bornAtMs)
-        worker.reportedBornAtMs = bornAtMs
-        worker.isIncarnationListed = worker.info.bornAtMs >= bornAtMs
+        worker.isIncarnationListed = worker.info.bornAtMs === bornAtMs
       },
       onReplaced: () => {
         worker.isReachable = false
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -93,8 +93,8 @@
   setUnreachable (isUnreachable: boolean): void
   /** Executes the next `count` start requests `lateMs` later, and sends no response to them. By default a restart discards those that wait. */
   delayStarts (count: number, lateMs: number, surviveRestart?: boolean): void
-  /** Drops all runs and state, as a restart does; the worker continues with a higher `bornAtMs`. */
-  restart (): ListedWorker
+  /** Drops all runs and state, as a restart does; the worker continues with a `bornAtMs` that differs by `bornShiftMs`, 1 by default. */
+  restart (bornShiftMs?: number): ListedWorker
   /** Polls get no response for `forMs` and are not executed; other calls are. */
   losePolls (forMs: number): void
   /** Suspends the progress of all runs. */
@@ -167,7 +167,7 @@
     return info
   }
 
-  function restart (): ListedWorker {
+  function restart (bornShiftMs = 1): ListedWorker {
     for (const run of runs.values()) {
       recordWork(run, 'lost')
       removeFromPool(run)
@@ -178,7 +178,7 @@
     epoch = 0
     leaseUntilMs = 0
     highestRuns = new Map()
-    info = { ...info, bornAtMs: info.bornAtMs + 1 }
+    info = { ...info, bornAtMs: info.bornAtMs + bornShiftMs }
     return info
   }
 
--- a/src/workers/workerState.ts
+++ b/src/workers/workerState.ts
@@ -15,8 +15,6 @@
   /** Allocations by task and run. */
   readonly allocations: Map<string, Allocation>
   isListed: boolean
-  /** The latest incarnation that has reported, by its start as Unix time in ms; -Infinity before the first restart in this term. */
-  reportedBornAtMs: number
   /** The list describes the incarnation that reports: one that has started anew may have another capacity. */
   isIncarnationListed: boolean
   /** It has reported its state in this term and answers requests. */
@@ -31,7 +29,7 @@
 
 /** Creates the record of a worker that has not yet reported its state. */
 export function createWorkerState (info: ListedWorker): WorkerState {
-  return { info, allocations: new Map(), isListed: true, reportedBornAtMs: -Infinity, isIncarnationListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false, isDomainEvacuated: false }
+  return { info, allocations: new Map(), isListed: true, isIncarnationListed: true, isReachable: false, isQuarantined: false, isInMaintenance: false, isDomainEvacuated: false }
 }
 
 /** Tells whether new work may be started on a worker. */
