--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -9,8 +9,7 @@
 import type { JobIntake } from './jobIntake.js'
 import { getAcceptedKey } from './jobKeys.js'
 
-/** The time of a caller with a time limit of 3 s, less the margin of the answer. */
-const callerTimeoutMs = 2_750
+const callerTimeoutMs = 2_000
 let store: MemoryStore
 let intake: JobIntake
 
@@ -107,40 +106,28 @@
   return isErrorOfKind(error, ErrorKind.AnswerLost) ? error.details.retryAfterS : 'another kind of error'
 }
 
-test('in a known outage a refused submission is retried for a third of the caller\'s time, and answered with a Retry-After of the outage\'s length', async () => {
+test('in a known outage a refused submission is answered at once, with the same kind of error and a Retry-After of its length', async () => {
   store.setUnavailable(true)
   const first = await submitTimed('a')
   expect(first.tookMs).toBeGreaterThan(800)
   expect(getRetryAfterS(first.error)).toBeUndefined()
   await jest.advanceTimersByTimeAsync(1_500)
   const second = await submitTimed('b')
-  expect(second.tookMs).toBeGreaterThan(800)
-  expect(second.tookMs).toBeLessThan(950)
-  expect(getRetryAfterS(second.error)).toBe(4)
+  expect(second.tookMs).toBeLessThan(50)
+  expect(getRetryAfterS(second.error)).toBe(3)
   // The host keeps seeing the outage; the delay grows with it up to 8 s.
   let last = second
-  for (let call = 0; call < 5; call++) {
+  for (let call = 0; call < 10; call++) {
     await jest.advanceTimersByTimeAsync(1_500)
     last = await submitTimed('c')
-    expect(last.tookMs).toBeLessThan(950)
+    expect(last.tookMs).toBeLessThan(50)
   }
   expect(getRetryAfterS(last.error)).toBe(8)
-  // Callers that repeat at once would use up their tries within half a second: a recovery within the wait serves them.
-  setTimeout(() => { store.setUnavailable(false) }, 700)
+  store.setUnavailable(false)
   expect((await submitTimed('d')).error).toBeUndefined()
   for (const jobId of ['a', 'b', 'c']) expect(isAccepted(jobId)).toBe(false)
 })
 
-test('a refused submission is answered after one attempt if the outage is too old to end before the caller\'s deadline', async () => {
-  intake = createJobIntake({ store: store.connect('host'), logger: silentLogger, getKnownOutageMs: () => 26_000 })
-  store.setUnavailable(true)
-  const { error, tookMs } = await submitTimed('a')
-  expect(tookMs).toBeLessThan(50)
-  expect(getRetryAfterS(error)).toBe(8)
-  store.setUnavailable(false)
-  expect((await submitTimed('a')).error).toBeUndefined()
-})
-
 test('failures far apart are not a known outage, since the store may have been available in between', async () => {
   store.setUnavailable(true)
   await submitTimed('a')
@@ -154,44 +141,21 @@
   intake = createJobIntake({ store: store.connect('host'), logger: silentLogger, getKnownOutageMs: () => 5_300 })
   store.setUnavailable(true)
   const { error, tookMs } = await submitTimed('a')
-  expect(tookMs).toBeLessThan(950)
+  expect(tookMs).toBeLessThan(50)
   expect(getRetryAfterS(error)).toBe(6)
 })
 
-test('a submission with a lost response is tried for half of the caller\'s time, longer than a refused one, since it may have been stored', async () => {
+test('in a known outage a submission with a lost response is still tried until its deadline, since it may have been stored', async () => {
   intake = createJobIntake({ store: store.connect('host'), logger: silentLogger, getKnownOutageMs: () => 5_000 })
   store.delayWrites('host', 1, 500)
   setTimeout(() => { store.setUnavailable(true) }, 50)
-  setTimeout(() => { store.setUnavailable(false) }, 1_200)
+  setTimeout(() => { store.setUnavailable(false) }, 1_500)
   const { error, tookMs } = await submitTimed('a')
   expect(error).toBeUndefined()
-  expect(tookMs).toBeGreaterThan(1_150)
+  expect(tookMs).toBeGreaterThan(1_400)
   expect(isAccepted('a')).toBe(true)
 })
 
-test('a caller of a host that gets no answer from the store keeps half of its time for another host', async () => {
-  const unresponsive = createJobIntake({ store: { ...store.connect('host'), transact: async () => await new Promise(() => {}) }, logger: silentLogger })
-  intake = unresponsive
-  const { error, tookMs } = await submitTimed('a')
-  expect(getRetryAfterS(error)).toBeUndefined()
-  expect(tookMs).toBeGreaterThan(1_300)
-  expect(tookMs).toBeLessThan(1_450)
-  intake = createJobIntake({ store: store.connect('other-host'), logger: silentLogger })
-  expect((await submitTimed('a')).error).toBeUndefined()
-})
-
-test('the time counts from the arrival of the call, and a late write still gets one attempt', async () => {
-  store.setUnavailable(true)
-  const startedAtMs = performance.now()
-  let tookMs = Infinity
-  void intake.submit(makeJob('a', 'batch', [makeStep()]), startedAtMs + 1_500, startedAtMs - 1_250).catch(() => { tookMs = performance.now() - startedAtMs })
-  await jest.advanceTimersByTimeAsync(300)
-  expect(tookMs).toBeLessThan(150)
-  store.setUnavailable(false)
-  await intake.submit(makeJob('b', 'batch', [makeStep()]), performance.now() + 500, performance.now() - 2_250)
-  expect(isAccepted('b')).toBe(true)
-})
-
 async function isCertainlyNew (jobId: string): Promise<boolean> {
   const result = intake.isCertainlyNew(jobId, performance.now() + callerTimeoutMs)
   await jest.advanceTimersByTimeAsync(600)
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -2,13 +2,11 @@
  * Accepts job submissions, cancellations and status queries on any host. It reads and writes the store directly, so that acceptance
  * does not depend on the scheduler being reachable.
  */
-import { getRetryBudget, minAttemptMs } from '../admission/retryBudget.js'
-import type { RetryBudget } from '../admission/retryBudget.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
-import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
-import { createOutageTracker, tryGetOutageRetryS } from '../store/outageTracker.js'
+import { createOutageTracker, knownOutageMs, tryGetOutageRetryS } from '../store/outageTracker.js'
 import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
 import { JobState } from './jobModel.js'
 import type { JobSpec } from './jobModel.js'
@@ -24,8 +22,8 @@
 
 /** Deadlines are by the monotonic clock, in ms. A call that fails rejects with `store-unavailable` if it certainly had no effect, and with `answer-lost` if that is unknown. */
 export interface JobIntake {
-  /** Resolves when the job is stored. Idempotent by job id. The store is tried for a part of the time from `arrivedAtMs` to the deadline. */
-  submit (job: JobSpec, deadlineMs: number, arrivedAtMs?: number): Promise<void>
+  /** Resolves when the job is stored. Idempotent by job id. */
+  submit (job: JobSpec, deadlineMs: number): Promise<void>
   /**
    * Resolves to true if the job is certainly not stored, and no write of it by an earlier submission can still be applied as far as this
    * host knows. Never rejects: without an answer of the store it is false.
@@ -38,14 +36,6 @@
   countPending (queue: string, deadlineMs: number): Promise<number>
 }
 
-/** Until when a write is retried, by the monotonic clock, in ms. */
-interface WriteLimits {
-  /** While the store has refused every attempt. */
-  readonly refusedUntilMs: number
-  /** While an attempt may have had an effect; also the deadline of each attempt. */
-  readonly unansweredUntilMs: number
-}
-
 /** Outcome of an attempt to create a key. */
 enum CreateResult {
   /** The key exists, from this write or an earlier one. */
@@ -57,10 +47,12 @@
 /** Delay between the attempts of a store call, in ms: allows several attempts within a caller's deadline. */
 const retryDelayMs = 150
 /**
- * How long a failed read or a refused cancellation is retried, in ms. Callers retry as well, so that all attempts together span an outage of
+ * How long a failed read or a refused write is retried, in ms. Callers retry as well, so that all attempts together span an outage of
  * several seconds; this limit is short enough that the error reaches a caller in time to try another host.
  */
 const refusalRetryMs = 1_000
+/** Minimum time for a call, in ms, even if the caller's deadline is earlier: enough for one attempt, as the store answers in far less. */
+const minAttemptMs = 100
 /** Maximum age of the cached counts of pending jobs, in ms. Counts shown to callers may be at most 2 s old. */
 const pendingCountsMaxAgeMs = 700
 /**
@@ -117,50 +109,47 @@
     return submitting.has(jobId) || tracker.getMsSinceFailure() < lateWriteMs
   }
 
-  async function submit (job: JobSpec, callerDeadlineMs: number, arrivedAtMs = performance.now()): Promise<void> {
+  async function submit (job: JobSpec, callerDeadlineMs: number): Promise<void> {
     const deadlineMs = getDeadline(callerDeadlineMs)
-    const known = { leftMs: deadlineMs - arrivedAtMs, outageMs: getOutageMs() }
-    const budget = getRetryBudget(known)
     submitting.set(job.jobId, (submitting.get(job.jobId) ?? 0) + 1)
     let result
     try {
-      result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), getWriteLimits(budget, arrivedAtMs, deadlineMs))
+      result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs, true)
     } finally {
       const others = (submitting.get(job.jobId) ?? 1) - 1
       if (others === 0) submitting.delete(job.jobId)
       else submitting.set(job.jobId, others)
     }
     if (result === CreateResult.Stored) return
-    const retryAfterS = tryGetOutageRetryS(getOutageMs())
-    logger.info('a submission is given up', { jobId: job.jobId, result, tookMs: Math.round(performance.now() - arrivedAtMs), ...roundAll({ ...known, ...budget }), outageAtEndMs: Math.round(getOutageMs()), retryAfterS })
     // No write of this call was applied, but an earlier request to any host may have stored the job, and the store cannot be asked.
-    if (result === CreateResult.NotStored) throw createError(ErrorKind.AnswerLost, 'the store refused the job, and it is unknown whether the job was stored by an earlier request', { retryAfterS })
-    // Also a write that is still unanswered at the end may be applied late.
-    tracker.recordFailure(createError(ErrorKind.AnswerLost, 'the store did not answer in time'))
-    throw createError(ErrorKind.AnswerLost, 'it is unknown whether the job was stored', { retryAfterS })
+    if (result === CreateResult.NotStored) throw createError(ErrorKind.AnswerLost, 'the store refused the job, and it is unknown whether the job was stored by an earlier request', { retryAfterS: tryGetOutageRetryS(getOutageMs()) })
+    // Also a write that is still unanswered at the deadline may be applied late.
+    tracker.recordFailure(createError(ErrorKind.AnswerLost, 'the store did not answer before the deadline'))
+    throw createError(ErrorKind.AnswerLost, 'it is unknown whether the job was stored')
   }
 
   /**
    * Creates a key. A write whose response was lost may still be applied later, so the result is `NotStored` only if the store itself
-   * refused every write; otherwise the write is retried for longer.
+   * refused every write; otherwise the write is retried until the deadline. In a known outage a refused write is not retried if
+   * `isAnsweredInOutage`.
    */
-  async function createRecord (key: string, value: string, { refusedUntilMs, unansweredUntilMs }: WriteLimits): Promise<CreateResult> {
+  async function createRecord (key: string, value: string, deadlineMs: number, isAnsweredInOutage = false): Promise<CreateResult> {
+    const retryUntilMs = performance.now() + refusalRetryMs
     let refusals = 0
     let isUnknown = false
-    do {
+    while (performance.now() < deadlineMs && (isUnknown || performance.now() < retryUntilMs)) {
       try {
         // If the condition fails, the key already exists, from an earlier write by this host or another.
-        await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), unansweredUntilMs)
+        await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
         return CreateResult.Stored
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
         logger.info('failed to write a key of a job', { key, refusals, isUnknown, outageMs: Math.round(getOutageMs()), error: String(error) })
-        const leftMs = (isUnknown ? unansweredUntilMs : refusedUntilMs) - performance.now()
-        if (leftMs <= 0) break
-        await delay(Math.min(retryDelayMs, leftMs))
+        if (isAnsweredInOutage && !isUnknown && isNotRun(error) && getOutageMs() >= knownOutageMs) return CreateResult.NotStored
+        await delay(Math.min(retryDelayMs, Math.max(0, deadlineMs - performance.now())))
       }
-    } while (performance.now() < (isUnknown ? unansweredUntilMs : refusedUntilMs))
+    }
     return isUnknown ? CreateResult.Unknown : CreateResult.NotStored
   }
 
@@ -168,7 +157,7 @@
     const deadlineMs = getDeadline(callerDeadlineMs)
     const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
     if (item === undefined) return false
-    const result = await createRecord(getCancelKey(jobId), '{}', { refusedUntilMs: Math.min(deadlineMs, performance.now() + refusalRetryMs), unansweredUntilMs: deadlineMs })
+    const result = await createRecord(getCancelKey(jobId), '{}', deadlineMs)
     if (result === CreateResult.Stored) return true
     if (result === CreateResult.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store refused the cancellation')
     throw createError(ErrorKind.AnswerLost, 'it is unknown whether the cancellation was stored')
@@ -218,16 +207,6 @@
   return Math.max(callerDeadlineMs, performance.now() + minAttemptMs)
 }
 
-/** The first attempt may take `minAttemptMs` also if the time is over when the write begins. */
-function getWriteLimits ({ refusedMs, unansweredMs }: RetryBudget, arrivedAtMs: number, deadlineMs: number): WriteLimits {
-  const unansweredUntilMs = Math.min(deadlineMs, Math.max(arrivedAtMs + unansweredMs, performance.now() + minAttemptMs))
-  return { refusedUntilMs: Math.min(arrivedAtMs + refusedMs, unansweredUntilMs), unansweredUntilMs }
-}
-
-function roundAll (values: Readonly<Record<string, number>>): Record<string, number> {
-  return Object.fromEntries(Object.entries(values).map(([name, value]) => [name, Math.round(value)]))
-}
-
 /** Rejects with `answer-lost` at the deadline; the call itself goes on, and its effect is unknown. */
 async function withDeadline<T> (call: Promise<T>, deadlineMs: number): Promise<T> {
   const timeoutController = new AbortController()
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -160,29 +160,3 @@
   const brief = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => 1_500 })
   expect(await send(brief.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 504, retryAfterS: 1 })
 })
-
-test('the wait for the configuration is a third of the caller\'s time, and none in an outage that is too old to end in it', async () => {
-  const waitsMs: number[] = []
-  const stale: JobApiHost['configuration'] = { ...createCopy(harnessConfiguration, false), waitUntilCurrent: timeoutMs => { waitsMs.push(timeoutMs); return Promise.resolve(false) } }
-  let outageMs = 0
-  const { port } = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => outageMs })
-  for (const timeoutMs of ['3000', '1600', '100']) expect(await call(port, 'POST', `/batch/${jobId}`, { 'Deadline-Ms': timeoutMs }, body)).toBe(504)
-  outageMs = 4_000
-  expect(await send(port, 'GET', `/batch/${jobId}`, { 'Deadline-Ms': '3000' })).toEqual({ status: 504, retryAfterS: 4 })
-  outageMs = 30_000
-  expect(await send(port, 'POST', `/batch/${jobId}`, { 'Deadline-Ms': '3000' }, body)).toEqual({ status: 504, retryAfterS: 8 })
-  expect(waitsMs.map(Math.round)).toEqual([917, 450, 0, 917, 0])
-})
-
-test('a host without a configuration, and a cancellation that the store refused, name the outage\'s length in Retry-After', async () => {
-  const none = await listenUnderLoad({ configuration: createCopy(undefined, false), getKnownOutageMs: () => 4_200 })
-  expect(await send(none.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 503, retryAfterS: 5 })
-  server?.close()
-  const store = createMemoryStore()
-  store.write(getAcceptedKey(jobId), '{}')
-  const client = store.connect('host')
-  const transact: typeof client.transact = () => Promise.reject(createError(ErrorKind.StoreUnavailable, 'the store is unavailable'))
-  const refusing = await listenUnderLoad({ intake: createJobIntake({ store: { ...client, transact }, logger: silentLogger }), getKnownOutageMs: () => 4_200 })
-  expect(await send(refusing.port, 'DELETE', `/batch/${jobId}`, { 'Deadline-Ms': '3000' })).toEqual({ status: 503, retryAfterS: 5 })
-  expect(store.peek(getAcceptedKey(jobId))).toBeDefined()
-})
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -1,7 +1,6 @@
 /** The HTTP job API: a queue's path prefix followed by a job id addresses a job; GET on the prefix alone returns the number of waiting jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AdmissionControl } from '../admission/admissionControl.js'
-import { getRetryBudget } from '../admission/retryBudget.js'
 import { readBody } from '../common/http.js'
 import type { HostMetrics } from '../common/hostMetrics.js'
 import type { Logger } from '../common/logger.js'
@@ -33,10 +32,10 @@
   readonly retryAfterS?: number
 }
 
-/** `Retry-After` of errors that name no time themselves, without a known outage: since they are not caused by load, the smallest value that the header allows. */
+/** `Retry-After` of errors that name no time themselves: since they are not caused by load, the smallest value that the header allows. */
 const retryAfterS = 1
-/** How long a call without `Deadline-Ms` waits for the configuration to be confirmed, in ms: its queue, whose time-out would apply, is not known yet. */
-const defaultConfirmationWaitMs = 1_000
+/** How long a call waits for the configuration to be confirmed, in ms; then the caller still has time to try another host. */
+const maxConfirmationWaitMs = 1_000
 const jobIdPattern = /^[0-9a-f]{16}$/
 
 /** Creates the request handler of the job API. */
@@ -45,19 +44,18 @@
 
   return async (request, response) => {
     const startedAtMs = performance.now()
-    const storeOutageMs = getOutageMs()
-    const isCurrent = await host.configuration.waitUntilCurrent(getConfirmationWaitMs(request, storeOutageMs))
+    const isCurrent = await host.configuration.waitUntilCurrent(getConfirmationWaitMs(request))
     // The configuration that decides the call; a newer one may arrive before the call is answered.
     const configuration = host.configuration.get()
-    const decidedBy = { version: configuration?.version, configurationAgeMs: Math.round(host.configuration.getAgeMs()), storeOutageMs: Math.round(storeOutageMs), callerTimeoutMs: tryGetCallerTimeoutMs(request) }
+    const decidedBy = { version: configuration?.version, configurationAgeMs: Math.round(host.configuration.getAgeMs()) }
     let reply: Reply
     try {
       if (configuration === undefined) throw createError(ErrorKind.NoRulesYet, 'this host has no configuration yet')
       // Also a refusal would be decided by the old version: the key or the queue may have been added, and the job may have been accepted elsewhere.
-      if (!isCurrent) throw createError(ErrorKind.ConfigurationStale, 'this host cannot confirm that its configuration is the newest; retry at another host')
+      if (!isCurrent) throw createError(ErrorKind.ConfigurationStale, 'this host cannot confirm that its configuration is the newest; retry at another host', { retryAfterS: tryGetOutageRetryS(host.getKnownOutageMs?.() ?? 0) })
       reply = await handle(request, configuration, startedAtMs)
     } catch (error) {
-      reply = toReply(toAppError(error), tryGetOutageRetryS(getOutageMs()) ?? retryAfterS)
+      reply = toReply(toAppError(error))
     }
     const tookMs = performance.now() - startedAtMs
     host.metrics.count('calls', `${request.method ?? ''} ${reply.status}`)
@@ -66,10 +64,6 @@
     send(response, reply)
   }
 
-  function getOutageMs (): number {
-    return host.getKnownOutageMs?.() ?? 0
-  }
-
   async function handle (request: IncomingMessage, configuration: Configuration, startedAtMs: number): Promise<Reply> {
     const path = (request.url ?? '/').split('?')[0] as string
     const queue = findQueue(configuration, getHostName(request), path)
@@ -81,7 +75,7 @@
     if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
     switch (request.method) {
       case 'POST':
-        return await submit(request, configuration, queue, organisation, jobId, deadlineMs, startedAtMs)
+        return await submit(request, configuration, queue, organisation, jobId, deadlineMs)
       case 'GET':
         return await getState(jobId, deadlineMs)
       case 'DELETE':
@@ -91,11 +85,11 @@
     }
   }
 
-  async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number, arrivedAtMs: number): Promise<Reply> {
+  async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
     const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
     const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts })
     await refuseForLoad(job, queue, configuration, deadlineMs)
-    await host.intake.submit(job, deadlineMs, arrivedAtMs)
+    await host.intake.submit(job, deadlineMs)
     return { status: 200, body: {} }
   }
 
@@ -115,7 +109,7 @@
   }
 
   function log (request: IncomingMessage, reply: Reply, tookMs: number, decidedBy: object): void {
-    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, retryAfterS: reply.retryAfterS, ...decidedBy, tookMs: Math.round(tookMs) }
+    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
     if (request.method === 'GET' && reply.status < 300) logger.debug('a query is answered', fields)
     else logger.info('a call is answered', fields)
   }
@@ -149,14 +143,13 @@
   return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : undefined
 }
 
-function getConfirmationWaitMs (request: IncomingMessage, outageMs: number): number {
-  const timeoutMs = tryGetCallerTimeoutMs(request)
-  return timeoutMs === undefined ? defaultConfirmationWaitMs : getRetryBudget({ leftMs: Math.max(0, timeoutMs - answerMarginMs), outageMs }).refusedMs
+function getConfirmationWaitMs (request: IncomingMessage): number {
+  return Math.min(maxConfirmationWaitMs, Math.max(0, (tryGetCallerTimeoutMs(request) ?? Infinity) - answerMarginMs))
 }
 
-function toReply (error: AppError, defaultRetryAfterS: number): Reply {
+function toReply (error: AppError): Reply {
   const { status } = errorResponses[error.kind]
   const isTemporary = status === 429 || status === 503 || status === 504
   const { retryAfterS: requested } = error.details
-  return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS: typeof requested === 'number' ? requested : defaultRetryAfterS } : {}) }
+  return { status, body: { error: error.kind, message: error.message }, ...(isTemporary ? { retryAfterS: typeof requested === 'number' ? requested : retryAfterS } : {}) }
 }
