Fault soak: mass crashes of workers that start again under their ids

Two fifths to half of the workers now crash at the same moment: in view of all, behind a partition from the store (the list shows the new lives when it heals), behind one from the hosts, and twice within 1 to 4 s. Half of the seeds have 12 workers; gangs have up to 8 members.

In the harness the entry of a silent worker expires; a crashed one no longer vanishes from the list at the moment of its return.

--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -1,4 +1,7 @@
-/** Long randomised tests by seed: crashes, lost connections, restarts, late starts, store outages, capacities that change; the stand-ins record violations. */
+/**
+ * Long randomised tests by seed: crashes of single workers and of many at once, lost connections, restarts, late starts, store
+ * outages, capacities that change; the stand-ins record violations.
+ */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
@@ -10,11 +13,12 @@
 import type { PoolHarness } from '../testing/poolHarness.js'
 
 const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3,4,5,6').split(',').map(Number)
-const workerCount = 6
 const jobCount = 24
 const faultPeriodMs = 700
 /** The tasks of this job crash their workers. */
 const deadlyJobId = 'job7'
+/** The same-rack gangs of the test fit into one rack. */
+const workersPerRack = 3
 const shrunkCapacity = { ...harnessCapacity, accelerators: 3 }
 
 beforeEach(() => { jest.useFakeTimers() })
@@ -28,8 +32,9 @@
   const generator = xoroshiro128plus(seed)
   const random = (limit: number): number => uniformInt(generator, 0, limit - 1)
   const harness = createPoolHarness({
-    workers: workerCount,
-    workersPerRack: 3,
+    // Two fifths of a larger pool are several workers, and leave more than one rack in use.
+    workers: seed % 4 < 2 ? 6 : 12,
+    workersPerRack,
     maxLeaseMs: 3_000,
     logger: process.env.SASSAFRASFORD_SOAK_LOG === undefined ? silentLogger : createLogger({ level: 'info' }),
     crash: { awayMs: 2_500, keepsId: seed % 2 === 0 },
@@ -64,16 +69,17 @@
 function makeRandomJob (jobId: string, random: (limit: number) => number): ReturnType<typeof makeJob> {
   const accelerators = [1, 2, 4, 8][random(4)] ?? 1
   const isGang = random(2) === 0
-  const count = isGang ? 1 + random(3) : 1 + random(8)
+  const count = 1 + random(isGang ? Math.min(8, workersPerRack * harnessCapacity.accelerators / accelerators) : 8)
   const step = makeStep({ count, isGang, isSameRack: isGang && random(2) === 0, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators }, estimateMs: 100 + random(2_000) })
   return makeJob(jobId, random(2) === 0 ? 'urgent' : 'batch', random(3) === 0 ? [step, makeStep({ count: 2, after: [0] })] : [step])
 }
 
 function injectFault (harness: PoolHarness, random: (limit: number) => number): void {
-  const worker = [...harness.workers.values()][random(workerCount)]
+  const worker = [...harness.workers.values()][random(harness.workers.size)]
   const host = [...harness.hosts.values()][random(harness.hosts.size)]
   if (worker === undefined || host === undefined) return
   const leader = harness.store.peek('leader/scheduler') ?? ''
+  const massCrashes = getMassCrashes(harness, random)
   const faults: readonly (() => void)[] = [
     () => { harness.hosts.get(leader)?.crash() },
     () => { void host.stop() },
@@ -88,11 +94,33 @@
     () => { runFault(1_000 + 100 * random(20), () => harness.setDraining(worker.info.workerId, true), () => harness.setDraining(worker.info.workerId, false)) },
     () => { runFault(1_000 + 100 * random(20), () => harness.setListed(worker.info.workerId, false), () => harness.setListed(worker.info.workerId, true)) },
     () => { harness.crashWorker(worker.info.workerId) },
-    () => { runFault(1_000 + 100 * random(20), () => harness.setCapacity(worker.info.workerId, shrunkCapacity), () => harness.setCapacity(worker.info.workerId, harnessCapacity)) }
+    () => { runFault(1_000 + 100 * random(20), () => harness.setCapacity(worker.info.workerId, shrunkCapacity), () => harness.setCapacity(worker.info.workerId, harnessCapacity)) },
+    ...massCrashes,
+    () => { runFault(1_000 + 10 * random(300), () => { massCrashes[random(massCrashes.length)]?.() }, () => { massCrashes[random(massCrashes.length)]?.() }) }
   ]
   faults[random(faults.length)]?.()
 }
 
+/** Crashes of many workers at the same moment: in view of all, behind a partition from the store, and behind one from the hosts. */
+function getMassCrashes (harness: PoolHarness, random: (limit: number) => number): readonly (() => void)[] {
+  const setCuts: readonly ((workerId: string, isCut: boolean) => void)[] = [
+    () => {},
+    harness.setCutFromStore,
+    (workerId, isCut) => { harness.workers.get(workerId)?.setUnreachable(isCut) }
+  ]
+  return setCuts.map(setCut => () => {
+    const least = Math.ceil(0.4 * harness.workers.size)
+    const most = Math.max(least, Math.floor(0.5 * harness.workers.size))
+    const workerIds = shuffle([...harness.workers.keys()], random).slice(0, least + random(most - least + 1))
+    runFault(1_000 + 100 * random(40), () => { workerIds.forEach(workerId => { setCut(workerId, true) }) }, () => { workerIds.forEach(workerId => { setCut(workerId, false) }) })
+    setTimeout(() => { workerIds.forEach(workerId => { harness.crashWorker(workerId, { awayMs: 10 * random(251), keepsId: true }) }) }, 100 * random(10))
+  })
+}
+
+function shuffle (workerIds: readonly string[], random: (limit: number) => number): readonly string[] {
+  return workerIds.map(workerId => ({ workerId, order: random(1_000_000) })).sort((left, right) => left.order - right.order).map(({ workerId }) => workerId)
+}
+
 function runFault (ms: number, begin: () => void, end: () => void): void {
   begin()
   setTimeout(end, ms)
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -31,6 +31,8 @@
   /** The number of workers that have crashed under a task, and the number of its starts since the third. */
   readonly crashes: Map<string, number>
   readonly startsAfterCrashes: Map<string, number>
+  /** The runs that have ended as failed, by task or, for a gang, by `JOB.OCCURRENCE.STEP`. */
+  readonly failedRuns: Map<string, Set<number>>
   /** The time that runs have worked, in ms, by task, and of it that of runs that did not end as done. */
   readonly workedMs: Map<string, number>
   readonly wastedMs: Map<string, number>
@@ -73,6 +75,7 @@
     starts: new Map(),
     crashes: new Map(),
     startsAfterCrashes: new Map(),
+    failedRuns: new Map(),
     workedMs: new Map(),
     wastedMs: new Map()
   }
@@ -93,8 +96,10 @@
   setUnreachable (isUnreachable: boolean): void
   /** Executes the next `count` start requests `lateMs` later, and sends no response to them. */
   delayStarts (count: number, lateMs: number): void
-  /** Drops all runs and state, as a restart does; the worker continues with a higher `bornAtMs`. */
+  /** Drops all runs and state, as a restart does; the worker continues with a higher `bornAtMs` and a clock that starts anew. */
   restart (): ListedWorker
+  /** Drops all runs and state; calls get no response until `restart`. */
+  crash (): void
   /** Polls get no response for `forMs` and are not executed; other calls are. */
   losePolls (forMs: number): void
   /** Suspends the progress of all runs. */
@@ -129,6 +134,8 @@
   let info = listed
   let largerCapacity = { capacity: listed.capacity, untilMs: -Infinity }
   let isUnreachable = false
+  let isDown = false
+  let clockStartMs = 0
   let isStalled = false
   let speed = 1
   let delayedStarts = { left: 0, lateMs: 0 }
@@ -139,7 +146,7 @@
   let pollsLostUntilMs = -Infinity
   let leaseUntilMs = 0
   let leaseExpiredAtMs = -Infinity
-  const endedAtMs = new Map<number, number>()
+  let endedAtMs = new Map<number, number>()
   let highestRuns = new Map<string, number>()
   const timer = setInterval(tick, tickMs)
   timer.unref()
@@ -151,18 +158,22 @@
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs) => { delayedStarts = { left: count, lateMs } },
     restart,
-    losePolls: forMs => { pollsLostUntilMs = getClockMs() + forMs },
+    crash: () => {
+      restart()
+      isDown = true
+    },
+    losePolls: forMs => { pollsLostUntilMs = performance.now() + forMs },
     setStalled: isStalledNow => { isStalled = isStalledNow },
     setSpeed: speedNow => { speed = speedNow },
     stop: () => { clearInterval(timer) }
   }
 
   function getClockMs (): number {
-    return Math.floor(performance.now())
+    return Math.floor(performance.now() - clockStartMs)
   }
 
   function setCapacity (capacity: Resources): ListedWorker {
-    largerCapacity = { capacity: info.capacity, untilMs: getClockMs() + shrinkGraceMs }
+    largerCapacity = { capacity: info.capacity, untilMs: performance.now() + shrinkGraceMs }
     info = { ...info, capacity }
     return info
   }
@@ -177,8 +188,12 @@
     sequence = 0
     epoch = 0
     leaseUntilMs = 0
+    leaseExpiredAtMs = -Infinity
+    endedAtMs = new Map()
     highestRuns = new Map()
-    info = { ...info, bornAtMs: info.bornAtMs + 1 }
+    isDown = false
+    clockStartMs = performance.now()
+    info = { ...info, bornAtMs: Math.max(info.bornAtMs + 1, Date.now()) }
     return info
   }
 
@@ -188,7 +203,7 @@
     for (const run of [...runs.values()]) {
       const gang = run.gang === undefined ? undefined : pool.gangs.get(run.gang)
       if (nowMs - run.begunAtMs >= run.crashAfterMs) {
-        crash(run)
+        crashByRun(run)
         return
       }
       if (run.stopAtMs !== undefined && nowMs >= run.stopAtMs) endRun(run, EndKind.Stopped)
@@ -199,7 +214,7 @@
     }
   }
 
-  function crash (cause: Run): void {
+  function crashByRun (cause: Run): void {
     pool.crashes.set(cause.task, (pool.crashes.get(cause.task) ?? 0) + 1)
     restart()
     onCrash()
@@ -214,6 +229,7 @@
 
   function endRun (run: Run, how: EndKind): void {
     if (how === EndKind.GangIncomplete) pool.incompleteGangEnds.push(`${run.task} run ${run.run}`)
+    if (how === EndKind.Failed) recordFailure(run)
     recordWork(run, how)
     endedAtMs.set(sequence + 1, getClockMs())
     sequence++
@@ -223,6 +239,11 @@
     removeFromPool(run)
   }
 
+  function recordFailure ({ task, run, gang }: Run): void {
+    const unit = gang === undefined ? task : getGangStep(task)
+    pool.failedRuns.set(unit, (pool.failedRuns.get(unit) ?? new Set()).add(run))
+  }
+
   /** Adds the work of a run; of a run that did not end as done, all is thrown away. */
   function recordWork (run: Run, how: EndKind | 'lost'): void {
     pool.workedMs.set(run.task, (pool.workedMs.get(run.task) ?? 0) + run.workedMs)
@@ -243,7 +264,7 @@
 
   async function checkReachable (connectedBornAtMs: number): Promise<void> {
     await delay(1)
-    if (isUnreachable) {
+    if (isUnreachable || isDown) {
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the worker is not reachable')
     }
@@ -302,7 +323,7 @@
       if (starts > maxStartsAfterCrashes) pool.violations.push(`${startRequest.task} starts ${starts} times after ${maxCrashes} workers have crashed under it`)
     }
     if (pool.acknowledgedDone.has(startRequest.task)) pool.violations.push(`${startRequest.task} run ${startRequest.run} starts after the end of a completed run was acknowledged`)
-    const isShrinking = getClockMs() < largerCapacity.untilMs
+    const isShrinking = performance.now() < largerCapacity.untilMs
     const free = { ...isShrinking ? maxResources(info.capacity, largerCapacity.capacity) : info.capacity }
     for (const task of [...runs.keys(), startRequest.task]) {
       const request = pool.getRequest(task)
@@ -325,7 +346,7 @@
   async function renewLease (renewal: LeaseRenewal): Promise<WorkerStatusReport> {
     const connectedBornAtMs = info.bornAtMs
     await checkReachable(connectedBornAtMs)
-    if (getClockMs() < pollsLostUntilMs) {
+    if (performance.now() < pollsLostUntilMs) {
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the poll got no response')
     }
@@ -339,8 +360,8 @@
       if (isAcknowledgedDone && (endedAtMs.get(row.sequence) ?? 0) > leaseExpiredAtMs) pool.acknowledgedDone.add(row.task)
     }
     ended = ended.filter(row => row.sequence > renewal.acknowledgedSequence)
-    const endsAtMs = nowMs + renewal.waitMs
-    while (ended.length === 0 && getClockMs() < endsAtMs && !isUnreachable) await delay(tickMs)
+    const endsAtMs = performance.now() + renewal.waitMs
+    while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
     await checkReachable(connectedBornAtMs)
     const running = [...runs.values()].map((run): RunningRun => ({ task: run.task, run: run.run, checkpoint: '', progressPercent: Math.floor(100 * run.workedMs / run.workMs) }))
     return { clockMs: getClockMs(), bornAtMs: info.bornAtMs, running, ended: [...ended] }
@@ -356,6 +377,10 @@
 }
 
 function getGangName (task: string, run: number): string {
+  return `${getGangStep(task)}#${run}`
+}
+
+function getGangStep (task: string): string {
   const name = tryParseTaskName(task)
-  return name === undefined ? task : `${name.jobId}.${name.occurrence}.${name.step}#${run}`
+  return name === undefined ? task : `${name.jobId}.${name.occurrence}.${name.step}`
 }
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -63,21 +63,29 @@
   /** While set, the hosts cannot read the list of workers. */
   setListStale (isStale: boolean): void
   restartWorker (workerId: string): void
-  /** Crashes a worker: it is away, leaves the list after a while and comes back as a new life of its machine. */
-  crashWorker (workerId: string): void
+  /** Crashes a worker: it is away and comes back as a new life of its machine. Its entry leaves the list after a while unless the new life replaces it. */
+  crashWorker (workerId: string, crash?: HarnessCrash): void
+  /** Partitions a worker from the store: the list does not show what becomes of it, and its entry expires. */
+  setCutFromStore (workerId: string, isCut: boolean): void
   setCapacity (workerId: string, capacity: Resources): void
   submit (job: JobSpec): Promise<void>
   stop (): Promise<void>
 }
 
+/** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
+export interface HarnessCrash {
+  readonly awayMs: number
+  readonly keepsId: boolean
+}
+
 /** Options of the harness. */
 export interface PoolHarnessOptions {
   readonly workers: number
   readonly workersPerRack?: number
   readonly getRun?: (task: string, run: number) => RunBehaviour
   readonly onStart?: PoolState['onStart']
-  /** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
-  readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
+  /** The crashes of workers for which none is given. */
+  readonly crash?: HarnessCrash
   readonly logger?: Logger
   readonly maxLeaseMs?: number
   /** The age up to which a copy of the evacuation requests is current, in ms; without it the hosts know no evacuations. */
@@ -107,7 +115,7 @@
 
 const bornAtMs = 1_000
 const listPrefix = 'workers/'
-/** A worker that is silent leaves the list after this time, in ms. */
+/** The entry of a worker that is silent expires after this time, in ms. */
 const listTimeoutMs = 4_500
 
 /** The configuration of the harness: a queue for urgent work of priority 0, and one for batch work of priority 2. */
@@ -154,6 +162,9 @@
   const refreshCallbacks = new Set<() => void>()
   /** Workers that have crashed and are not back. */
   const away = new Set<string>()
+  const cutFromStore = new Set<string>()
+  /** When the workers that are away or cut from the store reported last. */
+  const silentSinceMs = new Map<string, number>()
   const orders: HarnessOrder[] = []
   const ranks = new Map<string, number>()
   let isListStale = false
@@ -171,7 +182,7 @@
 
   const setEvacuated = (domain: string, isEvacuated: boolean): void => { store.write(harnessEvacuationPrefix + domain, isEvacuated ? '{}' : undefined) }
 
-  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
+  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCutFromStore, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
@@ -184,41 +195,61 @@
     listedWorkers.set(info.workerId, info)
   }
 
-  function crashWorker (workerId: string): void {
+  function crashWorker (workerId: string, { awayMs, keepsId }: HarnessCrash = options.crash ?? { awayMs: 5_000, keepsId: false }): void {
     const worker = workers.get(workerId)
     if (worker === undefined || away.has(workerId)) return
     away.add(workerId)
-    const { awayMs, keepsId } = options.crash ?? { awayMs: 5_000, keepsId: false }
-    worker.restart()
-    worker.setUnreachable(true)
+    worker.crash()
     if (!keepsId) workers.delete(workerId)
-    setTimeout(() => { setListed(workerId, false) }, Math.min(awayMs, listTimeoutMs))
+    onSilent(workerId)
     setTimeout(() => {
       away.delete(workerId)
-      if (keepsId) {
-        worker.setUnreachable(false)
-        setListed(workerId, true)
-        return
-      }
-      const info = { ...worker.info, workerId: `${workerId}+`, address: `${workerId}+:1` }
-      addLife(info)
-      refreshSchedulers()
+      if (keepsId) worker.restart()
+      else addLife({ ...worker.info, bornAtMs: Math.max(worker.info.bornAtMs + 1, Date.now()), workerId: `${workerId}+`, address: `${workerId}+:1` })
+      report(workerId)
     }, awayMs)
   }
 
-  function setCapacity (workerId: string, capacity: Resources): void {
-    const info = workers.get(workerId)?.setCapacity(capacity)
-    if (info !== undefined) listedWorkers.set(workerId, info)
-    refreshSchedulers()
+  function setCutFromStore (workerId: string, isCut: boolean): void {
+    if (isCut) {
+      cutFromStore.add(workerId)
+      onSilent(workerId)
+    } else {
+      cutFromStore.delete(workerId)
+      report(workerId)
+    }
   }
 
-  function setListed (workerId: string, isListed: boolean): void {
+  function onSilent (workerId: string): void {
+    if (silentSinceMs.has(workerId)) return
+    const sinceMs = performance.now()
+    silentSinceMs.set(workerId, sinceMs)
+    setTimeout(() => { if (silentSinceMs.get(workerId) === sinceMs) setListed(workerId, false) }, listTimeoutMs)
+  }
+
+  /** Lists what a worker says of itself, if it is up and reaches the store. */
+  function report (workerId: string): void {
     const worker = workers.get(workerId)
-    if (!isListed) listedWorkers.delete(workerId)
-    else if (worker !== undefined) listedWorkers.set(workerId, worker.info)
+    if (worker !== undefined && !away.has(workerId) && !cutFromStore.has(workerId)) {
+      silentSinceMs.delete(workerId)
+      listedWorkers.set(workerId, worker.info)
+    }
     refreshSchedulers()
   }
 
+  function setCapacity (workerId: string, capacity: Resources): void {
+    workers.get(workerId)?.setCapacity(capacity)
+    report(workerId)
+  }
+
+  function setListed (workerId: string, isListed: boolean): void {
+    if (isListed) report(workerId)
+    else {
+      listedWorkers.delete(workerId)
+      refreshSchedulers()
+    }
+  }
+
   function setDraining (workerId: string, isDraining: boolean): void {
     const info = listedWorkers.get(workerId)
     if (info !== undefined) listedWorkers.set(workerId, { ...info, isDraining })
@@ -226,9 +257,9 @@
   }
 
   function restartWorker (workerId: string): void {
-    const info = workers.get(workerId)?.restart()
-    if (info !== undefined) listedWorkers.set(workerId, info)
-    refreshSchedulers()
+    if (away.has(workerId)) return
+    workers.get(workerId)?.restart()
+    report(workerId)
   }
 
   function storeList (): void {
