Emulator: crashes of workers whose connections drop, and cuts from the store

A crashed worker drops its connections, resets new ones, and starts again under its id and address. Behind a partition from the store its entry stays as it is and expires. The harness of the scheduler soak uses the same record of silent workers.

--- a/src/platform/emulator/emulatedHttp.ts
+++ b/src/platform/emulator/emulatedHttp.ts
@@ -18,6 +18,8 @@
 /** A running server. */
 export interface EmulatedServer {
   readonly address: string
+  /** While down, resets all connections. The port stays in use, so that no other process takes it. */
+  setDown (isDown: boolean): void
   close (): void
 }
 
@@ -27,6 +29,7 @@
 
 /** Listens on a free loopback port. If `bytesPerS` is given, each response body is sent at that rate. */
 export async function listenEmulated (handle: EmulatedHandler, bytesPerS = Infinity): Promise<EmulatedServer> {
+  let isDown = false
   const server = createServer((request, response) => {
     void answer().catch(() => { response.destroy() })
 
@@ -38,9 +41,14 @@
       else await send(response, status, Buffer.from(body === undefined ? '' : JSON.stringify(body)))
     }
   })
+  server.on('connection', socket => { if (isDown) socket.resetAndDestroy() })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    setDown: isDownNow => {
+      isDown = isDownNow
+      if (isDown) server.closeAllConnections()
+    },
     close: () => {
       server.close()
       server.closeAllConnections()
--- a/src/platform/emulator/emulatedWorker.ts
+++ b/src/platform/emulator/emulatedWorker.ts
@@ -38,10 +38,10 @@
       }
       case 'run-stop':
         await port.stop({ task: request.task, run: request.run, epoch })
-        return { status: 200, body: { clockMs: Math.floor(performance.now()) } }
+        return { status: 200, body: { clockMs: worker.getClockMs() } }
       case 'pace':
         await port.pace({ task: request.task, run: request.run, percent: request.percent ?? 100, epoch })
-        return { status: 200, body: { clockMs: Math.floor(performance.now()) } }
+        return { status: 200, body: { clockMs: worker.getClockMs() } }
       case 'hold': {
         const report = await port.renewLease({ epoch, acknowledgedSequence: request.seenUpto ?? 0, leaseUntilMs: request.deadlineMs, waitMs: request.waitMs ?? 0 })
         return {
--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -4,10 +4,12 @@
 import type { MemoryStore } from '../../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../../standins/poolWorker.js'
 import type { PoolWorker, PoolState } from '../../standins/poolWorker.js'
+import { createWorkerSilence, SilenceCause } from '../../standins/workerSilence.js'
 import { evacuationPrefix } from '../evacuationKeys.js'
 import { configurationKey } from '../platformConfiguration.js'
 import { workerListPrefix } from '../workerEntries.js'
 import { listenEmulated } from './emulatedHttp.js'
+import type { EmulatedServer } from './emulatedHttp.js'
 import { createEmulatedStore } from './emulatedStore.js'
 import { createEmulatedWorker } from './emulatedWorker.js'
 
@@ -37,6 +39,10 @@
   setEvacuated (domain: string, isEvacuated: boolean): void
   /** Crashes the worker and starts a new incarnation. */
   restart (worker: PoolWorker): void
+  /** Crashes the worker: its connections drop, and after `awayMs` it starts again under its id and address. */
+  crash (worker: PoolWorker, awayMs: number): void
+  /** Partitions the worker from the store: its entry does not change, and expires. */
+  setCutFromStore (worker: PoolWorker, isCut: boolean): void
   configure (configuration: object): void
   stop (): void
 }
@@ -52,7 +58,11 @@
   const store = createMemoryStore()
   const jobs = new Map<string, JobSpec>()
   const draining = new Set<PoolWorker>()
-  const addresses = new Map<PoolWorker, string>()
+  const workerServers = new Map<PoolWorker, EmulatedServer>()
+  const silence = createWorkerSilence({
+    onReport: workerId => { workers.filter(({ info }) => info.workerId === workerId).forEach(writeEntry) },
+    onExpired: workerId => { store.write(workerListPrefix + workerId, undefined) }
+  })
   const poolState = createPoolState({
     jobs,
     defaultRequest: capacity,
@@ -67,7 +77,7 @@
   const servers = [storeServer]
   for (let index = 0; index < options.workers; index++) await addWorker(index)
 
-  return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, setEvacuated, restart, configure, stop }
+  return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, setEvacuated, restart, crash, setCutFromStore, configure, stop }
 
   async function addWorker (index: number): Promise<void> {
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
@@ -76,15 +86,16 @@
     const server = await listenEmulated(createEmulatedWorker(worker))
     servers.push(server)
     workers.push(worker)
-    addresses.set(worker, server.address)
+    workerServers.set(worker, server)
     writeEntry(worker)
   }
 
   function writeEntry (worker: PoolWorker): void {
     const { workerId, service, domain, bornAtMs, labels } = worker.info
+    if (silence.has(workerId)) return
     store.write(workerListPrefix + workerId, JSON.stringify({
       service,
-      addr: addresses.get(worker),
+      addr: workerServers.get(worker)?.address,
       zone: domain,
       version: 'v1',
       slots: 8,
@@ -107,10 +118,28 @@
   }
 
   function restart (worker: PoolWorker): void {
+    if (silence.has(worker.info.workerId, SilenceCause.Down)) return
     worker.restart()
     writeEntry(worker)
   }
 
+  function crash (worker: PoolWorker, awayMs: number): void {
+    const { workerId } = worker.info
+    if (silence.has(workerId, SilenceCause.Down)) return
+    worker.crash()
+    workerServers.get(worker)?.setDown(true)
+    silence.set(workerId, SilenceCause.Down, true)
+    setTimeout(() => {
+      worker.restart()
+      workerServers.get(worker)?.setDown(false)
+      silence.set(workerId, SilenceCause.Down, false)
+    }, awayMs).unref()
+  }
+
+  function setCutFromStore ({ info }: PoolWorker, isCut: boolean): void {
+    silence.set(info.workerId, SilenceCause.CutFromStore, isCut)
+  }
+
   function configure (configuration: object): void {
     store.write(configurationKey, JSON.stringify(configuration))
   }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -90,6 +90,8 @@
 export interface PoolWorker {
   readonly info: ListedWorker
   connect (): WorkerPort
+  /** The worker's steady clock. */
+  getClockMs (): number
   /** Changes what the worker may hold; what runs there goes on. */
   setCapacity (capacity: Resources): ListedWorker
   /** Cuts the worker off from the network: calls get no response, and its runs continue. */
@@ -154,6 +156,7 @@
   return {
     get info () { return info },
     connect,
+    getClockMs,
     setCapacity,
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs) => { delayedStarts = { left: count, lateMs } },
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -20,6 +20,7 @@
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
+import { createWorkerSilence, SilenceCause } from '../standins/workerSilence.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerList } from '../workers/workerList.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
@@ -115,8 +116,6 @@
 
 const bornAtMs = 1_000
 const listPrefix = 'workers/'
-/** The entry of a worker that is silent expires after this time, in ms. */
-const listTimeoutMs = 4_500
 
 /** The configuration of the harness: a queue for urgent work of priority 0, and one for batch work of priority 2. */
 export const harnessConfiguration: Configuration = {
@@ -160,11 +159,7 @@
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
   const refreshCallbacks = new Set<() => void>()
-  /** Workers that have crashed and are not back. */
-  const away = new Set<string>()
-  const cutFromStore = new Set<string>()
-  /** When the workers that are away or cut from the store reported last. */
-  const silentSinceMs = new Map<string, number>()
+  const silence = createWorkerSilence({ onReport: report, onExpired: workerId => { setListed(workerId, false) } })
   const orders: HarnessOrder[] = []
   const ranks = new Map<string, number>()
   let isListStale = false
@@ -180,6 +175,7 @@
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
   storeList()
 
+  const setCutFromStore = (workerId: string, isCut: boolean): void => { silence.set(workerId, SilenceCause.CutFromStore, isCut) }
   const setEvacuated = (domain: string, isEvacuated: boolean): void => { store.write(harnessEvacuationPrefix + domain, isEvacuated ? '{}' : undefined) }
 
   return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCutFromStore, setCapacity, submit, stop }
@@ -197,43 +193,25 @@
 
   function crashWorker (workerId: string, { awayMs, keepsId }: HarnessCrash = options.crash ?? { awayMs: 5_000, keepsId: false }): void {
     const worker = workers.get(workerId)
-    if (worker === undefined || away.has(workerId)) return
-    away.add(workerId)
+    if (worker === undefined || silence.has(workerId, SilenceCause.Down)) return
     worker.crash()
     if (!keepsId) workers.delete(workerId)
-    onSilent(workerId)
+    silence.set(workerId, SilenceCause.Down, true)
     setTimeout(() => {
-      away.delete(workerId)
-      if (keepsId) worker.restart()
-      else addLife({ ...worker.info, bornAtMs: Math.max(worker.info.bornAtMs + 1, Date.now()), workerId: `${workerId}+`, address: `${workerId}+:1` })
-      report(workerId)
+      if (keepsId) {
+        worker.restart()
+        silence.set(workerId, SilenceCause.Down, false)
+        return
+      }
+      addLife({ ...worker.info, bornAtMs: Math.max(worker.info.bornAtMs + 1, Date.now()), workerId: `${workerId}+`, address: `${workerId}+:1` })
+      refreshSchedulers()
     }, awayMs)
   }
 
-  function setCutFromStore (workerId: string, isCut: boolean): void {
-    if (isCut) {
-      cutFromStore.add(workerId)
-      onSilent(workerId)
-    } else {
-      cutFromStore.delete(workerId)
-      report(workerId)
-    }
-  }
-
-  function onSilent (workerId: string): void {
-    if (silentSinceMs.has(workerId)) return
-    const sinceMs = performance.now()
-    silentSinceMs.set(workerId, sinceMs)
-    setTimeout(() => { if (silentSinceMs.get(workerId) === sinceMs) setListed(workerId, false) }, listTimeoutMs)
-  }
-
-  /** Lists what a worker says of itself, if it is up and reaches the store. */
+  /** Lists what a worker says of itself, if the platform hears it. */
   function report (workerId: string): void {
     const worker = workers.get(workerId)
-    if (worker !== undefined && !away.has(workerId) && !cutFromStore.has(workerId)) {
-      silentSinceMs.delete(workerId)
-      listedWorkers.set(workerId, worker.info)
-    }
+    if (worker !== undefined && !silence.has(workerId)) listedWorkers.set(workerId, worker.info)
     refreshSchedulers()
   }
 
@@ -257,7 +235,7 @@
   }
 
   function restartWorker (workerId: string): void {
-    if (away.has(workerId)) return
+    if (silence.has(workerId, SilenceCause.Down)) return
     workers.get(workerId)?.restart()
     report(workerId)
   }
