--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -20,6 +20,7 @@
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
+import { createWorkerSilence, SilenceCause } from '../standins/workerSilence.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerList } from '../workers/workerList.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
@@ -63,21 +64,29 @@
   /** While set, the hosts cannot read the list of workers. */
   setListStale (isStale: boolean): void
   restartWorker (workerId: string): void
-  /** Crashes a worker: it is away, leaves the list after a while and comes back as a new life of its machine. */
-  crashWorker (workerId: string): void
+  /** Crashes a worker: it is away and comes back as a new life of its machine. Its entry leaves the list after a while unless the new life replaces it. */
+  crashWorker (workerId: string, crash?: HarnessCrash): void
+  /** Partitions a worker from the store: the list does not show what becomes of it, and its entry expires. */
+  setCutFromStore (workerId: string, isCut: boolean): void
   setCapacity (workerId: string, capacity: Resources): void
   submit (job: JobSpec): Promise<void>
   stop (): Promise<void>
 }
 
+/** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
+export interface HarnessCrash {
+  readonly awayMs: number
+  readonly keepsId: boolean
+}
+
 /** Options of the harness. */
 export interface PoolHarnessOptions {
   readonly workers: number
   readonly workersPerRack?: number
   readonly getRun?: (task: string, run: number) => RunBehaviour
   readonly onStart?: PoolState['onStart']
-  /** How long a worker that has crashed stays away, in ms, and whether it comes back under the id that it had. */
-  readonly crash?: { readonly awayMs: number, readonly keepsId: boolean }
+  /** The crashes of workers for which none is given. */
+  readonly crash?: HarnessCrash
   readonly logger?: Logger
   readonly maxLeaseMs?: number
   /** The age up to which a copy of the evacuation requests is current, in ms; without it the hosts know no evacuations. */
@@ -107,8 +116,6 @@
 
 const bornAtMs = 1_000
 const listPrefix = 'workers/'
-/** A worker that is silent leaves the list after this time, in ms. */
-const listTimeoutMs = 4_500
 
 /** The configuration of the harness: a queue for urgent work of priority 0, and one for batch work of priority 2. */
 export const harnessConfiguration: Configuration = {
@@ -152,8 +159,7 @@
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
   const refreshCallbacks = new Set<() => void>()
-  /** Workers that have crashed and are not back. */
-  const away = new Set<string>()
+  const silence = createWorkerSilence({ onReport: report, onExpired: workerId => { setListed(workerId, false) } })
   const orders: HarnessOrder[] = []
   const ranks = new Map<string, number>()
   let isListStale = false
@@ -169,9 +175,10 @@
   for (let workerIndex = 0; workerIndex < options.workers; workerIndex++) addWorker(workerIndex)
   storeList()
 
+  const setCutFromStore = (workerId: string, isCut: boolean): void => { silence.set(workerId, SilenceCause.CutFromStore, isCut) }
   const setEvacuated = (domain: string, isEvacuated: boolean): void => { store.write(harnessEvacuationPrefix + domain, isEvacuated ? '{}' : undefined) }
 
-  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCapacity, submit, stop }
+  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCutFromStore, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
@@ -184,39 +191,41 @@
     listedWorkers.set(info.workerId, info)
   }
 
-  function crashWorker (workerId: string): void {
+  function crashWorker (workerId: string, { awayMs, keepsId }: HarnessCrash = options.crash ?? { awayMs: 5_000, keepsId: false }): void {
     const worker = workers.get(workerId)
-    if (worker === undefined || away.has(workerId)) return
-    away.add(workerId)
-    const { awayMs, keepsId } = options.crash ?? { awayMs: 5_000, keepsId: false }
-    worker.restart()
-    worker.setUnreachable(true)
+    if (worker === undefined || silence.has(workerId, SilenceCause.Down)) return
+    worker.crash()
     if (!keepsId) workers.delete(workerId)
-    setTimeout(() => { setListed(workerId, false) }, Math.min(awayMs, listTimeoutMs))
+    silence.set(workerId, SilenceCause.Down, true)
     setTimeout(() => {
-      away.delete(workerId)
       if (keepsId) {
-        worker.setUnreachable(false)
-        setListed(workerId, true)
+        worker.restart()
+        silence.set(workerId, SilenceCause.Down, false)
         return
       }
-      const info = { ...worker.info, workerId: `${workerId}+`, address: `${workerId}+:1` }
-      addLife(info)
+      addLife({ ...worker.info, bornAtMs: Math.max(worker.info.bornAtMs + 1, Date.now()), workerId: `${workerId}+`, address: `${workerId}+:1` })
       refreshSchedulers()
     }, awayMs)
   }
 
-  function setCapacity (workerId: string, capacity: Resources): void {
-    const info = workers.get(workerId)?.setCapacity(capacity)
-    if (info !== undefined) listedWorkers.set(workerId, info)
+  /** Lists what a worker says of itself, if the platform hears it. */
+  function report (workerId: string): void {
+    const worker = workers.get(workerId)
+    if (worker !== undefined && !silence.has(workerId)) listedWorkers.set(workerId, worker.info)
     refreshSchedulers()
   }
 
+  function setCapacity (workerId: string, capacity: Resources): void {
+    workers.get(workerId)?.setCapacity(capacity)
+    report(workerId)
+  }
+
   function setListed (workerId: string, isListed: boolean): void {
-    const worker = workers.get(workerId)
-    if (!isListed) listedWorkers.delete(workerId)
-    else if (worker !== undefined) listedWorkers.set(workerId, worker.info)
-    refreshSchedulers()
+    if (isListed) report(workerId)
+    else {
+      listedWorkers.delete(workerId)
+      refreshSchedulers()
+    }
   }
 
   function setDraining (workerId: string, isDraining: boolean): void {
@@ -226,9 +235,9 @@
   }
 
   function restartWorker (workerId: string): void {
-    const info = workers.get(workerId)?.restart()
-    if (info !== undefined) listedWorkers.set(workerId, info)
-    refreshSchedulers()
+    if (silence.has(workerId, SilenceCause.Down)) return
+    workers.get(workerId)?.restart()
+    report(workerId)
   }
 
   function storeList (): void {
