Exclude late starts also on workers that the scheduler had no reason to poll

Callers saw TWICE. Cause, found by the review of the fix: the memory of unanswered starts belongs to one term and to an open link. A start of an earlier term, or on a worker that has left the list, was carried out by a new incarnation that nobody had polled, so it knew of no epoch and no stop. Change: an incarnation that the list shows is polled once, also on an idle link, which raises its epoch; an unlisted worker is kept while a start to it is unanswered. Entries of workers that never return are dropped when others are added.

--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -118,6 +118,7 @@
         member.unansweredStarts--
         return 'unsent'
       }
+      for (const otherId of unansweredByWorker.keys()) getUnanswered(otherId)
       unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxDelayMs, incarnationMs }])
       return 'lost'
     }
@@ -146,9 +147,11 @@
     }
   }
 
+  /** Returns those that may still be carried out, and forgets the others. */
   function getUnanswered (workerId: string): UnansweredStart[] {
     const unanswered = unansweredByWorker.get(workerId)?.filter(({ untilMs }) => untilMs > performance.now()) ?? []
     if (unanswered.length === 0) unansweredByWorker.delete(workerId)
+    else unansweredByWorker.set(workerId, unanswered)
     return unanswered
   }
 
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -78,6 +78,8 @@
   let isReachable = false
   let isLeaseOver = false
   let isClosed = false
+  /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
+  let hasIncarnationReported = true
   // Previous schedulers may have extended the lease until their terms ended.
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
@@ -95,6 +97,7 @@
     if (listedBornAtMs === bornAtMs || earlierIncarnations.has(listedBornAtMs)) return
     beginIncarnation(listedBornAtMs)
     listedAtMs = performance.now()
+    hasIncarnationReported = false
     changed.notify()
   }
 
@@ -123,7 +126,7 @@
 
   async function pollUntilClosed (): Promise<void> {
     while (!isClosed && !term.signal.aborted) {
-      if (isReachable && !host.isNeeded()) await changed.wait()
+      if (isReachable && hasIncarnationReported && !host.isNeeded()) await changed.wait()
       else await pollOnce()
     }
   }
@@ -160,6 +163,7 @@
     reportedAtMs = performance.now()
     clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
     hasAnswered = true
+    hasIncarnationReported = true
     isLeaseOver = false
     const isComplete = report.ended.length < maxEndsPerReport
     const stored = host.onReport(report, sentAtMs, isComplete)
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -165,7 +165,7 @@
       },
       onLeaseExpired: () => {
         host.onLost(worker, EvidenceSource.LeaseExpired)
-        if (!worker.isListed) removeWorker(worker)
+        if (!worker.isListed && !host.needsReports(worker.info.workerId)) removeWorker(worker)
       }
     })
     links.set(info.workerId, link)
@@ -177,11 +177,11 @@
     workers.delete(worker.info.workerId)
   }
 
-  /** A worker that is no longer listed may still run its tasks, so it is kept until they have ended. */
+  /** A worker that is no longer listed may still run its tasks, or carry out a late start, so it is kept until it cannot. */
   function unlist (worker: WorkerState): void {
     if (worker.isListed) logger.info('worker removed from the list', { workerId: worker.info.workerId })
     worker.isListed = false
-    if (worker.allocations.size === 0 && !host.hasMembers(worker.info.workerId)) removeWorker(worker)
+    if (worker.allocations.size === 0 && !host.needsReports(worker.info.workerId)) removeWorker(worker)
   }
 
   function addUnlisted (job: TrackedJob): void {
