Weigh the evidence for and against a task before it is given up for crashes

The decision is now a pure module that weighs whether the run was there, how many other workers started anew within the same seconds, and whether a later run has worked for longer. Crashes are stored by machine and run.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -19,12 +19,18 @@
   readonly attempt: Attempt
   readonly index: number
   readonly workerId: string
+  /** The life of the worker that was listed when the attempt was planned. The start may have reached a later one. */
   readonly bornAtMs: number
+  /** The worker's machine; the worker itself if its machine is not known. */
+  readonly machine: string
   state: MemberState
   /** Earliest time at which a response of the worker confirmed it as running, by the monotonic clock. */
   runningSinceMs: number
   /** When the worker confirmed its start request, by the monotonic clock; undefined if that response was lost. */
   startedAtMs?: number
+  /** When the latest report that lists it as running was requested, by the monotonic clock, and the life of the worker that sent it. */
+  reportedAtMs?: number
+  reportedBornAtMs?: number | undefined
   /** When it became certain that the worker will not start it any more, for example by accepting a stop request; by the monotonic clock. */
   startExcludedAtMs?: number
   isStopLoopRunning: boolean
@@ -49,6 +55,33 @@
   stopReason?: string
 }
 
+/** How strongly crashes of workers speak against a unit. */
+export enum Suspicion {
+  None = 'none',
+  /** It shares no worker with other units under suspicion, so that the next crash shows which of them causes it. */
+  Suspect = 'suspect',
+  /** It shares no worker with any other unit. */
+  Isolated = 'isolated'
+}
+
+/** One crash of a worker under a run of a unit, or a loss of a worker that may turn out to be one. */
+export interface CrashRecord {
+  /** The run and the indices of its tasks on the worker. */
+  readonly run: number
+  readonly indices: readonly number[]
+  readonly machine: string
+  /** The life that ended was born at this time or before it, on the worker's clock. */
+  readonly bornAtMs: number
+  /** When the worker was lost, by the monotonic clock, if it is not known whether it has crashed. */
+  readonly pendingSinceMs?: number
+  /** How much likelier the crash is if the task causes it than if it does not. */
+  likelihoodRatio: number
+  /** The longest time from the start of the run to the crash, in ms. A run that works for clearly longer contradicts the record. */
+  readonly ranMs: number
+  /** It counts towards the limit of runs under which workers crash. */
+  isCounted: boolean
+}
+
 /** The unit of scheduling, started and ended as a whole: a gang, or a single task. */
 export interface Unit {
   readonly job: TrackedJob
@@ -66,8 +99,11 @@
   readonly attempts: Attempt[]
   /** Workers and machines, by id, on which the unit starts only if there is room nowhere else. */
   readonly avoidedWorkers: Set<string>
-  /** The number of workers that have crashed under a task of the unit, by task index; tasks without crashes are not listed. */
-  readonly crashes: Map<number, number>
+  /** The crashes of workers under its runs, oldest first. */
+  crashes: CrashRecord[]
+  suspicion: Suspicion
+  /** It is not started, because workers have crashed under it and what is known of them is not complete yet. */
+  isWithheld: boolean
   waitingSinceMs: number
   /** The time from which the objective is measured, by the monotonic clock: when the job was accepted or, if it recurs, when the occurrence was due. */
   readonly dueAtMs: number
@@ -116,7 +152,9 @@
     checkpoint: '',
     attempts: [],
     avoidedWorkers: new Set<string>(),
-    crashes: new Map<number, number>(),
+    crashes: [],
+    suspicion: Suspicion.None,
+    isWithheld: false,
     waitingSinceMs: nowMs,
     dueAtMs
   }))
@@ -136,12 +174,7 @@
 /** Tells whether the unit is ready to be placed on workers. */
 export function isReadyToPlace (unit: Unit): boolean {
   const { job } = unit
-  return !unit.isDone && unit.attempts.length === 0 && !job.isCancelRequested && !isTerminal(job.state) && areDependenciesDone(unit)
-}
-
-/** Returns the largest number of workers that have crashed under one task of the unit. */
-export function getCrashCount (unit: Unit): number {
-  return Math.max(0, ...unit.crashes.values())
+  return !unit.isDone && !unit.isWithheld && unit.attempts.length === 0 && !job.isCancelRequested && !isTerminal(job.state) && areDependenciesDone(unit)
 }
 
 /** Finds the unit that contains a task; undefined if the job has no such task. */
@@ -152,21 +185,29 @@
   return isGang ? (index < (units[0]?.size ?? 0) ? units[0] : undefined) : units[index]
 }
 
+/** Where a member starts. */
+export interface Place {
+  readonly workerId: string
+  readonly bornAtMs: number
+  /** The worker itself if it is not given. */
+  readonly machine?: string
+}
+
 /** Creates an attempt with the given run number, which must exceed all earlier ones. */
-export function createAttempt (unit: Unit, run: number, places: readonly { readonly workerId: string, readonly bornAtMs: number }[], nowMs: number): Attempt {
+export function createAttempt (unit: Unit, run: number, places: readonly Place[], nowMs: number): Attempt {
   assert(places.length === unit.size, 'an attempt must have a worker for every member of its unit')
   assert(run > unit.run, 'run numbers must increase')
   unit.run = run
   const attempt: Attempt = { unit, run, members: [], plannedAtMs: nowMs, isRestored: false, isDispatched: false }
   places.forEach((place, offset) => {
-    attempt.members.push(createMember(attempt, unit.index + offset, place.workerId, place.bornAtMs, MemberState.Planned, nowMs))
+    attempt.members.push(createMember(attempt, unit.index + offset, place, MemberState.Planned, nowMs))
   })
   unit.attempts.push(attempt)
   return attempt
 }
 
-function createMember (attempt: Attempt, index: number, workerId: string, bornAtMs: number, state: MemberState, nowMs: number): Member {
-  return { attempt, index, workerId, bornAtMs, state, runningSinceMs: Infinity, isStopLoopRunning: false, progressPercent: 0, progressedAtMs: nowMs }
+function createMember (attempt: Attempt, index: number, { workerId, bornAtMs, machine = workerId }: Place, state: MemberState, nowMs: number): Member {
+  return { attempt, index, workerId, bornAtMs, machine, state, runningSinceMs: Infinity, isStopLoopRunning: false, progressPercent: 0, progressedAtMs: nowMs }
 }
 
 /** Returns the name of a member's task. */
@@ -201,10 +242,20 @@
   readonly units: readonly UnitRecord[]
 }
 
-type AttemptRecord = readonly [run: number, members: readonly (readonly [index: number, workerId: string, bornAtMs: number])[]]
-type UnitRecord = readonly [occurrence: number, step: number, index: number, run: number, failedRuns: readonly number[], checkpoint: string, attempts: readonly AttemptRecord[], crashes?: readonly (readonly [index: number, crashes: number])[]]
+type MemberRecord = readonly [index: number, workerId: string, bornAtMs: number, machine?: string]
+type AttemptRecord = readonly [run: number, members: readonly MemberRecord[]]
+/** `percent` is the likelihood ratio, in hundredths. The flags: 1 is counted, 2 is pending. Earlier versions stored the number of crashes by task. */
+type StoredCrash = readonly [run: number, indices: readonly number[], machine: string, bornAtMs: number, percent: number, ranMs: number, flags: number] | EarlierCrashes
+type EarlierCrashes = readonly [index: number, crashes: number]
+type UnitRecord = readonly [occurrence: number, step: number, index: number, run: number, failedRuns: readonly number[], checkpoint: string, attempts: readonly AttemptRecord[], crashes?: readonly StoredCrash[]]
 
 const bitsPerDigit = 4
+const countedFlag = 1
+const pendingFlag = 2
+const maxEarlierCrashes = 3
+/** What a crash counts that an earlier version stored: as one during which no other worker crashed, and up to the longest restart after the start. */
+const earlierCrashRatio = 40
+const earlierCrashRanMs = 4_000
 
 /** Encodes the progress of a job for the store. */
 export function encodeProgress (job: TrackedJob): string {
@@ -228,10 +279,31 @@
 function toRecord (unit: Unit): UnitRecord {
   const attempts = unit.attempts.map((attempt): AttemptRecord => [
     attempt.run,
-    attempt.members.filter(member => member.state !== MemberState.Ended).map(member => [member.index, member.workerId, member.bornAtMs] as const)
+    attempt.members.filter(member => member.state !== MemberState.Ended).map(toMemberRecord)
   ])
   const record = [unit.occurrence, unit.step, unit.index, unit.run, [...unit.failedRuns], unit.checkpoint, attempts] as const
-  return unit.crashes.size === 0 ? record : [...record, [...unit.crashes]]
+  return unit.crashes.length === 0 ? record : [...record, unit.crashes.map(toStoredCrash)]
+}
+
+function toMemberRecord ({ index, workerId, bornAtMs, machine }: Member): MemberRecord {
+  return machine === workerId ? [index, workerId, bornAtMs] : [index, workerId, bornAtMs, machine]
+}
+
+function toStoredCrash ({ run, indices, machine, bornAtMs, likelihoodRatio, ranMs, isCounted, pendingSinceMs }: CrashRecord): StoredCrash {
+  const flags = (isCounted ? countedFlag : 0) + (pendingSinceMs === undefined ? 0 : pendingFlag)
+  return [run, indices, machine, bornAtMs, Math.round(100 * likelihoodRatio), Math.round(ranMs), flags]
+}
+
+/** A loss that was pending is pending for the new term as long as for the earlier one, since the machine may come back only now. */
+function restoreCrash (stored: StoredCrash, position: number, nowMs: number): readonly CrashRecord[] {
+  if (stored.length === 2) return Array.from({ length: stored[1] }, (_, number) => createEarlierCrash(stored[0], -1 - number - maxEarlierCrashes * position))
+  const [run, indices, machine, bornAtMs, percent, ranMs, flags] = stored
+  return [{ run, indices, machine, bornAtMs, likelihoodRatio: percent / 100, ranMs, isCounted: (flags & countedFlag) !== 0, ...((flags & pendingFlag) === 0 ? {} : { pendingSinceMs: nowMs }) }]
+}
+
+/** Earlier versions gave up at three crashes, and stored neither the machines nor the runs: negative run numbers tell them apart. */
+function createEarlierCrash (index: number, run: number): CrashRecord {
+  return { run, indices: [index], machine: '', bornAtMs: 0, likelihoodRatio: earlierCrashRatio, ranMs: earlierCrashRanMs, isCounted: true }
 }
 
 /** Decodes only the state of a progress record. */
@@ -267,10 +339,10 @@
   unit.run = run
   unit.checkpoint = checkpoint
   failedRuns.forEach(failedRun => unit.failedRuns.add(failedRun))
-  for (const [taskIndex, count] of crashes) unit.crashes.set(taskIndex, count)
+  unit.crashes = crashes.flatMap((stored, position) => restoreCrash(stored, position, nowMs))
   for (const [attemptRun, members] of attempts) {
     const attempt: Attempt = { unit, run: attemptRun, members: [], plannedAtMs: nowMs, isRestored: true, isDispatched: true }
-    for (const [memberIndex, workerId, bornAtMs] of members) attempt.members.push(createMember(attempt, memberIndex, workerId, bornAtMs, MemberState.StartSent, nowMs))
+    for (const [memberIndex, workerId, bornAtMs, machine = workerId] of members) attempt.members.push(createMember(attempt, memberIndex, { workerId, bornAtMs, machine }, MemberState.StartSent, nowMs))
     unit.attempts.push(attempt)
   }
 }
--- a/src/placement/isolation.ts
+++ b/src/placement/isolation.ts
@@ -1,18 +1,16 @@
 /**
- * Keeps tasks under which workers have crashed apart, so that the next crash shows which of them causes it, and so that it takes little else with it.
- * Does no I/O.
+ * Keeps units under which workers have crashed apart, so that the next crash shows which of them causes it, and so that it takes little else with it.
+ * How strong the suspicion is, is decided by runs/crashEvidence.ts. Does no I/O.
  */
-import { getCrashCount } from '../jobs/trackedJob.js'
+import { Suspicion } from '../jobs/trackedJob.js'
 import type { Member, Unit } from '../jobs/trackedJob.js'
 
-/** After this many crashes, a unit shares a worker with no other unit. */
-const exclusiveFromCrashes = 2
-/** How long such a unit waits for an empty worker, in ms; then it shares one. */
+/** How long an isolated unit waits for an empty worker, in ms; then it shares one. */
 const maxExclusiveWaitMs = 2_000
 
-/** Tells whether workers have crashed under a unit. */
+/** Tells whether a unit is under suspicion. */
 export function isSuspect (unit: Unit): boolean {
-  return unit.crashes.size > 0
+  return unit.suspicion !== Suspicion.None
 }
 
 /** Tells whether a unit may not share a worker with the members that are there or planned there. */
@@ -24,9 +22,9 @@
 function areKeptApart (unit: Unit, other: Unit, nowMs: number): boolean {
   if (isSuspect(unit) && isSuspect(other)) return true
   const isWaitOver = nowMs - unit.waitingSinceMs > maxExclusiveWaitMs
-  return isExclusive(other) || (isExclusive(unit) && !isWaitOver)
+  return isIsolated(other) || (isIsolated(unit) && !isWaitOver)
 }
 
-function isExclusive (unit: Unit): boolean {
-  return isSuspect(unit) && getCrashCount(unit) >= exclusiveFromCrashes
+function isIsolated (unit: Unit): boolean {
+  return unit.suspicion === Suspicion.Isolated
 }
--- a/src/placement/planner.test.ts
+++ b/src/placement/planner.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import fc from 'fast-check'
 import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
-import { createTrackedJob, getUnits } from '../jobs/trackedJob.js'
+import { createTrackedJob, getUnits, Suspicion } from '../jobs/trackedJob.js'
 import type { Attempt, Unit } from '../jobs/trackedJob.js'
 import { createPlannerHarness } from '../testing/plannerHarness.js'
 import type { PlannerHarness } from '../testing/plannerHarness.js'
@@ -141,13 +141,13 @@
   return [...roomByRack.values()].some(room => room >= unit.size)
 }
 
-test('units under which workers have crashed share no worker, and none with others after the second crash', () => {
+test('units under suspicion of crashing workers share no worker, and none with others if they are isolated', () => {
   const configuration = { ...harnessConfiguration, organisations: [] }
   const harness = createPlannerHarness({ workers: 4, workersPerRack, configuration })
   const step = makeStep({ count: 3, request: { cpuMilli: 1_000, memoryMb: 1_000, accelerators: 0 } })
   const [suspects, others] = ['suspects', 'others'].map(jobId => createTrackedJob(makeJob(jobId, 'batch', [step]), performance.now()))
   if (suspects === undefined || others === undefined) throw new Error('two jobs are expected')
-  getUnits(suspects).forEach((unit, index) => { unit.crashes.set(unit.index, index === 0 ? 2 : 1) })
+  getUnits(suspects).forEach((unit, index) => { unit.suspicion = index === 0 ? Suspicion.Isolated : Suspicion.Suspect })
   harness.jobs.push(suspects, others)
   harness.plan()
   const unitsOf = (workerId: string): readonly string[] => [...harness.getMembers(workerId)].map(({ attempt: { unit }, index }) => `${unit.job.spec.jobId}.${index}`)
--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -70,6 +70,7 @@
     logger: silentLogger,
     getJob: () => undefined,
     getWorker: workerId => workers.get(workerId),
+    getWorkers: () => workers.values(),
     getLink: workerId => ({
       port: ports.get(workerId) as WorkerPort,
       wake: () => {},
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -25,6 +25,7 @@
   readonly logger: Logger
   readonly getJob: (jobId: string) => TrackedJob | undefined
   readonly getWorker: (workerId: string) => WorkerState | undefined
+  readonly getWorkers: () => Iterable<WorkerState>
   readonly getLink: (workerId: string) => WorkerLink | undefined
   /** The number of failed runs of a unit at which its job fails. */
   readonly getAttemptLimit: (job: TrackedJob) => number
@@ -83,7 +84,9 @@
   const planned = new Set<Attempt>()
   const crashTracking = createCrashTracking({
     logger,
+    signal: term.signal,
     getMembers,
+    getWorkers: host.getWorkers,
     commit: job => { void host.commit(job) },
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
@@ -101,7 +104,10 @@
   function planAttempt (unit: Unit, workerIds: readonly string[]): Attempt {
     assert(unit.attempts.length === 0 || unit.spec.isSpeculative, 'a unit that is not speculative has at most one attempt')
     assert(!unit.isDone && !isTerminal(unit.job.state), 'only unfinished units are started')
-    const places = workerIds.map(workerId => ({ workerId, bornAtMs: host.getWorker(workerId)?.info.bornAtMs ?? 0 }))
+    const places = workerIds.map(workerId => {
+      const { bornAtMs = 0, machineId = workerId } = host.getWorker(workerId)?.info ?? {}
+      return { workerId, bornAtMs, machine: machineId }
+    })
     const attempt = createAttempt(unit, unit.run + 1, places, performance.now())
     for (const member of attempt.members) {
       getMembers(member.workerId).add(member)
@@ -352,12 +358,13 @@
         }
         if (isAttemptOver(attempt)) unit.attempts.splice(unit.attempts.indexOf(attempt), 1)
       }
+      crashTracking.onRestored(unit)
     }
   }
 
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const { workerId } = worker.info
-    crashTracking.onReport(workerId)
+    crashTracking.onReport(worker.info, report.bornAtMs, sentAtMs)
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
     const reportedKeys = new Set<string>()
@@ -366,13 +373,18 @@
       reportedKeys.add(key)
       const member = members.get(key)
       if (member === undefined) stopOrphan(worker, reported)
-      else applyRunning(member, reported, sentAtMs)
+      else {
+        crashTracking.onRunReported(member, report.bornAtMs, sentAtMs)
+        applyRunning(member, reported, sentAtMs)
+      }
     }
     for (const reported of report.ended) {
       const key = getAllocationKey(reported.task, reported.run)
       reportedKeys.add(key)
       worker.allocations.delete(key)
-      const job = applyEnded(members.get(key), reported)
+      const member = members.get(key)
+      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs)
+      const job = applyEnded(member, reported)
       if (job !== undefined) dirty.add(job)
     }
     if (isComplete) {
@@ -418,6 +430,7 @@
     if (member.state === MemberState.Ended || member.state === MemberState.Planned) return
     if (!hasVanished && !isStartExcluded) return
     dirty.add(member.attempt.unit.job)
+    crashTracking.onRunAbsent(member)
     endMember(member, hasVanished ? 'lost' : 'not-started', '')
   }
 
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -147,6 +147,7 @@
     logger,
     getJob: table.get,
     getWorker: workerId => pool.workers.get(workerId),
+    getWorkers: () => pool.workers.values(),
     getLink: pool.getLink,
     getAttemptLimit: job => getQueue(job)?.attempts ?? job.spec.attemptLimit,
     mayStart,
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -178,7 +178,7 @@
     epoch = 0
     leaseUntilMs = 0
     highestRuns = new Map()
-    info = { ...info, bornAtMs: info.bornAtMs + 1 }
+    info = { ...info, bornAtMs: Math.max(info.bornAtMs + 1, Date.now()) }
     return info
   }
 
