--- a/src/runs/crashEvidence.ts
+++ b/src/runs/crashEvidence.ts
@@ -12,6 +12,8 @@
   Restored = 'restored',
   /** The start may have been sent; nothing shows that it was carried out. */
   Unconfirmed = 'unconfirmed',
+  /** The life has accepted a stop of the run, and has not reported its end: a stop takes time, in which the run may still crash its worker. */
+  Stopping = 'stopping',
   /** An answer that came after the birth of the new life confirmed it, so that the new life has probably started it. Its report shows whether it has. */
   InNewLife = 'in-new-life',
   /** The run cannot have ended with that life. */
@@ -36,7 +38,7 @@
   if (run.plannedBornAtMs >= newBornAtMs) return Presence.None
   const stoppedAtMs = run.startExcludedAtMs ?? Infinity
   // A stop that the new life has accepted says nothing about the life before.
-  if (stoppedAtMs > -Infinity && stoppedAtMs < newBirthMs) return Presence.None
+  if (stoppedAtMs > -Infinity && stoppedAtMs < newBirthMs) return Presence.Stopping
   if (run.reportedBornAtMs !== undefined) return Presence.Confirmed
   if (run.startedAtMs !== undefined) return run.startedAtMs > newBirthMs ? Presence.InNewLife : Presence.Confirmed
   return run.isRestored ? Presence.Restored : Presence.Unconfirmed
@@ -149,7 +151,7 @@
 /** A worker of an earlier term may have been drained or moved since, which that term's record does not show. */
 const unknownEnd = 0.05
 /** The probability that a task of the kind that crashes its worker does so in a run. */
-const crashIfGuilty: Readonly<Record<Presence, number>> = { [Presence.Confirmed]: 0.95, [Presence.Restored]: 0.7, [Presence.Unconfirmed]: 0.5, [Presence.InNewLife]: 0, [Presence.None]: 0 }
+const crashIfGuilty: Readonly<Record<Presence, number>> = { [Presence.Confirmed]: 0.95, [Presence.Restored]: 0.7, [Presence.Unconfirmed]: 0.5, [Presence.Stopping]: 0.5, [Presence.InNewLife]: 0, [Presence.None]: 0 }
 /** A crash this soon after the start, in ms, fits a task that crashes the workers that start it better than other causes, which do not follow starts. */
 const promptMs = 1_000
 const promptFactor = 3
@@ -168,10 +170,10 @@
   return guilty * (isPrompt ? promptFactor : 1) / otherwise + 1 - guilty
 }
 
-/** A start that nothing confirmed, into a crash of many workers, is no evidence: callers of that moment all send such starts. */
+/** A run that nothing confirmed, or that was being stopped, is no evidence in a crash of many workers: such runs are on many of them. */
 export function isCounted ({ presence, coincidentShare }: CrashCircumstances): boolean {
   if (presence === Presence.None || presence === Presence.InNewLife) return false
-  return presence !== Presence.Unconfirmed || coincidentShare < massShare
+  return (presence !== Presence.Unconfirmed && presence !== Presence.Stopping) || coincidentShare < massShare
 }
 
 /** The longest time from start to crash that fits: a report is at most this old when contact is lost, in ms, as polls wait 1.5 s and a broken connection shows in 0.5 s. */
@@ -193,6 +195,15 @@
   return record.run !== run && record.indices.includes(index) && workedMs >= survivalFactor * record.ranMs + survivalMarginMs
 }
 
+/**
+ * Tells whether a run that ended without a crash uses up one of the starts that remain: after three crashes it does, unless it has worked for longer than the runs that crashed.
+ * A task may crash its workers in most runs only.
+ */
+export function usesUpStart (records: readonly CrashRecord[], index: number, workedMs: number, nowMs: number): boolean {
+  const own = records.filter(({ indices }) => indices.includes(index))
+  return judge(own, nowMs).runsAtRisk >= isolateFromCrashes && own.every(({ ranMs, pendingSinceMs }) => pendingSinceMs !== undefined || workedMs <= ranMs)
+}
+
 /** The decision on a unit. */
 export enum Verdict {
   Keep = 'keep',
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -3,12 +3,12 @@
  * cut off; that it has crashed shows when its machine reports a new life without having been drained. See docs/design/crash-evidence.md.
  */
 import type { Logger } from '../common/logger.js'
-import { formatTaskName, isTerminal } from '../jobs/jobModel.js'
+import { EndKind, formatTaskName, isTerminal } from '../jobs/jobModel.js'
 import { MemberState } from '../jobs/trackedJob.js'
 import type { CrashRecord, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import type { ListedWorker } from '../workers/workerPort.js'
 import type { WorkerState } from '../workers/workerState.js'
-import { createBirthIndex, getLikelihoodRatio, getMaxRanMs, getPresence, getSuspicion, isContradicted, isCounted, judge, maxCrashRuns, Presence, Verdict } from './crashEvidence.js'
+import { createBirthIndex, getLikelihoodRatio, getMaxRanMs, getPresence, getSuspicion, isContradicted, isCounted, judge, maxCrashRuns, Presence, usesUpStart, Verdict } from './crashEvidence.js'
 import type { BirthIndex, CrashCircumstances, Judgement, RunOnLife, WorkerLocation } from './crashEvidence.js'
 
 /** Dependencies of the crash tracking. */
@@ -32,8 +32,8 @@
   onRunLost (member: Member): void
   /** A report of its worker does not list the run any more; if it counts as lost, not because its worker is. */
   onRunAbsent (member: Member): void
-  /** A report lists the run. */
-  onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number): void
+  /** A report lists the run as running or, if `how` is given, as ended. */
+  onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number, how?: EndKind): void
   /** The worker has reported: the runs that were lost with this incarnation were lost by a cut, not by a crash. Must be called before the runs of the report are applied. */
   onReport (info: ListedWorker, reportBornAtMs: number | undefined, sentAtMs: number): void
   /** The worker's machine, named by its id if it has one, has started anew: the incarnation before `bornAtMs` has crashed with everything that ran there. */
@@ -156,7 +156,7 @@
     recordCrash(member.workerId, member.machine, bornAtMs, [toExposedRun(member, Presence.Confirmed, member.startedAtMs ?? performance.now())])
   }
 
-  function onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number): void {
+  function onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number, how?: EndKind): void {
     const { unit, run } = member.attempt
     inNewLife.delete(member)
     member.reportedAtMs = sentAtMs
@@ -166,13 +166,22 @@
     const isRefuted = (record: CrashRecord): boolean => isContradicted(record, member.index, run, workedMs) ||
       (record.run === run && record.machine === member.machine && record.indices.includes(member.index) && reportBornAtMs !== undefined && reportBornAtMs > record.bornAtMs)
     const refuted = unit.crashes.filter(isRefuted)
-    if (refuted.length === 0) return
+    if (refuted.length === 0) {
+      if (how !== undefined && how !== EndKind.Done) recordUsedStart(member, workedMs)
+      return
+    }
     const remaining = unit.crashes.flatMap(record => isRefuted(record) ? withoutIndex(record, member.index) : [record])
     unit.crashes = remaining
     logger.info('a crash does not count under a task', { ...describeTask(unit, member.index), runs: refuted.map(record => record.run), reason: refuted.some(record => record.run === run) ? 'the new life of the worker has the run' : 'a later run has worked for longer', workedMs: Math.round(workedMs) })
     decide(unit)
   }
 
+  function recordUsedStart ({ attempt: { unit, run }, index, machine, bornAtMs }: Member, workedMs: number): void {
+    if (!usesUpStart(unit.crashes, index, workedMs, performance.now()) || unit.crashes.some(record => record.run === run && record.indices.includes(index))) return
+    addRecord(unit, { run, indices: [index], machine, bornAtMs, likelihoodRatio: 1, ranMs: Math.max(0, workedMs), isCounted: true })
+    logger.info('a run without a crash uses up a start after three crashes', { ...describeTask(unit, index), run, workedMs: Math.round(workedMs), ...describeJudgement(decide(unit)) })
+  }
+
   function onReport (info: ListedWorker, reportBornAtMs: number | undefined, sentAtMs: number): void {
     const machine = info.machineId ?? info.workerId
     const bornAtMs = reportBornAtMs ?? info.bornAtMs
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -383,7 +383,7 @@
       reportedKeys.add(key)
       worker.allocations.delete(key)
       const member = members.get(key)
-      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs)
+      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs, reported.how)
       const job = applyEnded(member, reported)
       if (job !== undefined) dirty.add(job)
     }
