--- a/src/runs/crashEvidence.ts
+++ b/src/runs/crashEvidence.ts
@@ -132,6 +132,8 @@
 /** The circumstances of one crash under one task. */
 export interface CrashCircumstances {
   readonly presence: Presence
+  /** The worker was draining: its life may have ended as planned, so that it is no evidence, but the task may have crashed it all the same. */
+  readonly wasDraining?: boolean
   /** The share of other workers that crashed within the same seconds. */
   readonly coincidentShare: number
   /** The shortest time from the start to the crash that fits what is known, in ms; undefined if the start is not known. */
@@ -161,7 +163,7 @@
 /** How much likelier the crash is if the task causes such crashes than if it does not. */
 export function getLikelihoodRatio (circumstances: CrashCircumstances): number {
   const { presence, coincidentShare, minRanMs, hasMachineCrashedBefore, othersProbability } = circumstances
-  if (!isCounted(circumstances)) return 1
+  if (!isCounted(circumstances) || circumstances.wasDraining === true) return 1
   const ownCrash = hasMachineCrashedBefore ? spontaneousCrashOfUnsoundMachine : spontaneousCrash
   const isEndUnknown = presence === Presence.Restored
   const otherwise = Math.min(1, 1 - (1 - ownCrash) * (1 - coincidentShare) * (1 - (isEndUnknown ? unknownEnd : 0)) + othersProbability)
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -36,8 +36,8 @@
   onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number, how?: EndKind): void
   /** The worker has reported: the runs that were lost with this incarnation were lost by a cut, not by a crash. Must be called before the runs of the report are applied. */
   onReport (info: ListedWorker, reportBornAtMs: number | undefined, sentAtMs: number): void
-  /** The worker's machine, named by its id if it has one, has started anew: the incarnation before `bornAtMs` has crashed with everything that ran there. */
-  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void
+  /** The worker's machine, named by its id if it has one, has started anew: the incarnation before `bornAtMs` has crashed with everything that ran there, or ended by its drain. */
+  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean): void
 }
 
 /** How long a lost run may still be attributed to a crash, in ms: longer than a machine takes to restart. */
@@ -188,7 +188,7 @@
     const lives = earlierLives.get(machine)
     if (lives !== undefined) {
       earlierLives.delete(machine)
-      for (const [workerId, earlierBornAtMs] of lives) if (earlierBornAtMs < bornAtMs) onWorkerCrashed(workerId, machine, bornAtMs)
+      for (const [workerId, earlierBornAtMs] of lives) if (earlierBornAtMs < bornAtMs) onWorkerCrashed(workerId, machine, bornAtMs, false)
     }
     reportSentAtMs.set(info.workerId, sentAtMs)
     const lost = lostRuns.get(machine)
@@ -200,7 +200,7 @@
     }
   }
 
-  function onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void {
+  function onWorkerCrashed (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean): void {
     if (bornAtMs <= (attributedBornAtMs.get(workerId) ?? -Infinity)) return
     attributedBornAtMs.set(workerId, bornAtMs)
     const birthMs = getBirthMs(workerId, bornAtMs)
@@ -218,7 +218,7 @@
       if (member !== undefined || record.bornAtMs >= bornAtMs) continue
       exposed.push({ unit, run: record.run, indices: [...record.indices], presence: Presence.Restored, minRanMs: undefined, maxRanMs: getMaxRanMs(undefined, 0), ownMachines: new Set([machine]) })
     }
-    recordCrash(workerId, machine, bornAtMs, exposed)
+    recordCrash(workerId, machine, bornAtMs, exposed, wasDraining)
     for (const { unit } of lost) decide(unit)
   }
 
@@ -236,20 +236,21 @@
     return { unit, run, indices: [member.index], presence, minRanMs, maxRanMs, ownMachines: new Set(members.map(({ machine }) => machine)) }
   }
 
-  function recordCrash (workerId: string, machine: string, bornAtMs: number, runs: readonly ExposedRun[]): void {
+  function recordCrash (workerId: string, machine: string, bornAtMs: number, runs: readonly ExposedRun[], wasDraining = false): void {
     const exposed = mergeMembers(runs)
     const units = new Set(exposed.map(({ unit }) => unit))
     const location = getLocation(machine, bornAtMs)
-    logger.warn('worker crashed', { workerId, machine, bornAtMs, ...getBirths().index.measure(location, new Set()), tasks: exposed.flatMap(({ unit, indices }) => indices.map(index => formatTask(unit, index))) })
+    logger.warn(wasDraining ? 'worker has ended while it was draining' : 'worker crashed', { workerId, machine, bornAtMs, ...getBirths().index.measure(location, new Set()), tasks: exposed.flatMap(({ unit, indices }) => indices.map(index => formatTask(unit, index))) })
     const earlierUnits = crashedMachines.get(machine) ?? new Set()
     const probabilities = new Map([...units].map(unit => [unit, judge(unit.crashes, performance.now()).probability]))
     const allProbabilities = [...probabilities.values()].reduce((sum, probability) => sum + probability, 0)
     for (const { unit, run, indices, presence, minRanMs, maxRanMs, ownMachines } of exposed) {
-      unit.avoidedWorkers.add(workerId).add(machine)
+      if (!wasDraining) unit.avoidedWorkers.add(workerId).add(machine)
       const coincidence = getBirths().index.measure(location, ownMachines)
       const circumstances = {
         presence,
         minRanMs,
+        wasDraining,
         coincidentShare: coincidence.share,
         hasMachineCrashedBefore: [...earlierUnits].some(earlier => earlier !== unit),
         othersProbability: allProbabilities - (probabilities.get(unit) ?? 0)
@@ -258,9 +259,9 @@
       addRecord(unit, record)
       exposures.push({ unit, record, location, ownMachines, circumstances, learntAtMs: performance.now() })
       const judgement = decide(unit)
-      logger.info('a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
+      logger.info('a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
     }
-    crashedMachines.set(machine, new Set([...earlierUnits, ...units]))
+    if (!wasDraining) crashedMachines.set(machine, new Set([...earlierUnits, ...units]))
   }
 
   function getBirths (): NonNullable<typeof births> {
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -64,7 +64,7 @@
   /** Ends all members on a worker whose runs are lost. */
   onWorkerLost (worker: WorkerState): void
   /** Counts a crash under the runs that the worker had before it started anew at `bornAtMs`. */
-  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void
+  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean): void
   getMembers (workerId: string): ReadonlySet<Member>
 }
 
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -139,7 +139,7 @@
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
     onReport,
     onLost: worker => { controller.onWorkerLost(worker) },
-    onCrashed: (workerId, machine, bornAtMs) => { controller.onWorkerCrashed(workerId, machine, bornAtMs) },
+    onCrashed: (workerId, machine, bornAtMs, wasDraining) => { controller.onWorkerCrashed(workerId, machine, bornAtMs, wasDraining) },
     onChanged: schedulePlan
   })
   const controller = createRunController({
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -24,8 +24,8 @@
   readonly onReport: (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   /** Called when all runs on the worker have certainly ended. */
   readonly onLost: (worker: WorkerState) => void
-  /** Called when a worker that was neither draining nor in maintenance turns out to have started anew, at `bornAtMs` on the same machine. */
-  readonly onCrashed: (workerId: string, machine: string, bornAtMs: number) => void
+  /** Called when a worker that was not in maintenance turns out to have started anew, at `bornAtMs` on the same machine; its life may have ended by its drain. */
+  readonly onCrashed: (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean) => void
   readonly onChanged: () => void
 }
 
@@ -129,7 +129,8 @@
   }
 
   function reportCrash (worker: WorkerState, bornAtMs: number): void {
-    if (!worker.info.isDraining && !worker.isInMaintenance) host.onCrashed(worker.info.workerId, worker.info.machineId ?? worker.info.workerId, bornAtMs)
+    // A worker that is only known from stored attempts counts as draining; the crash tracking notices its end by itself.
+    if (worker.info.address !== '' && !worker.isInMaintenance) host.onCrashed(worker.info.workerId, worker.info.machineId ?? worker.info.workerId, bornAtMs, worker.info.isDraining)
   }
 
   function addLink (worker: WorkerState): void {
