--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -26,6 +26,7 @@
   readonly logger: Logger
   readonly getJob: (jobId: string) => TrackedJob | undefined
   readonly getWorker: (workerId: string) => WorkerState | undefined
+  readonly getWorkers: () => Iterable<WorkerState>
   readonly getLink: (workerId: string) => WorkerLink | undefined
   /** The number of failed runs of a unit at which its job fails. */
   readonly getAttemptLimit: (job: TrackedJob) => number
@@ -64,7 +65,7 @@
   /** Ends all members on a worker whose runs are lost, by this evidence. */
   onWorkerLost (worker: WorkerState, source: EvidenceSource): void
   /** Counts a crash under the runs that the worker had before it started anew at `bornAtMs`. */
-  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number): void
+  onWorkerCrashed (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean): void
   getMembers (workerId: string): ReadonlySet<Member>
   /** Tells whether a member on the worker has not ended, or a start request without an answer may still be carried out there. */
   needsReports (workerId: string): boolean
@@ -98,7 +99,9 @@
   })
   const crashTracking = createCrashTracking({
     logger,
+    signal: term.signal,
     getMembers,
+    getWorkers: host.getWorkers,
     commit: job => { void host.commit(job) },
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
@@ -120,7 +123,10 @@
   function planAttempt (unit: Unit, workerIds: readonly string[]): Attempt {
     assert(unit.attempts.length === 0 || unit.spec.isSpeculative, 'a unit that is not speculative has at most one attempt')
     assert(!unit.isDone && !isTerminal(unit.job.state), 'only unfinished units are started')
-    const places = workerIds.map(workerId => ({ workerId, bornAtMs: host.getWorker(workerId)?.info.bornAtMs ?? 0 }))
+    const places = workerIds.map(workerId => {
+      const { bornAtMs = 0, machineId = workerId } = host.getWorker(workerId)?.info ?? {}
+      return { workerId, bornAtMs, machine: machineId }
+    })
     const attempt = createAttempt(unit, unit.run + 1, places, performance.now())
     for (const member of attempt.members) {
       getMembers(member.workerId).add(member)
@@ -293,12 +299,13 @@
         }
         if (isAttemptOver(attempt)) unit.attempts.splice(unit.attempts.indexOf(attempt), 1)
       }
+      crashTracking.onRestored(unit)
     }
   }
 
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const { workerId } = worker.info
-    crashTracking.onReport(workerId)
+    crashTracking.onReport(worker.info, report.bornAtMs, sentAtMs)
     const origin: ReportOrigin = { requestedAtMs: sentAtMs, incarnationMs: host.getLink(workerId)?.getBornAtMs() ?? worker.info.bornAtMs }
     startRequests.onReport(workerId, origin.incarnationMs)
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
@@ -309,13 +316,18 @@
       reportedKeys.add(key)
       const member = members.get(key)
       if (member === undefined) stopOrphan(worker, reported)
-      else applyRunning(member, reported, origin)
+      else {
+        crashTracking.onRunReported(member, report.bornAtMs, sentAtMs)
+        applyRunning(member, reported, origin)
+      }
     }
     for (const reported of report.ended) {
       const key = getAllocationKey(reported.task, reported.run)
       reportedKeys.add(key)
       worker.allocations.delete(key)
-      const job = applyEnded(members.get(key), reported, { source: EvidenceSource.ListedAsEnded, ...origin })
+      const member = members.get(key)
+      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs, reported.how)
+      const job = applyEnded(member, reported, { source: EvidenceSource.ListedAsEnded, ...origin })
       if (job !== undefined) dirty.add(job)
     }
     if (isComplete) {
@@ -360,8 +372,12 @@
     if (verdict === AbsenceVerdict.Undecided) return
     dirty.add(member.attempt.unit.job)
     // A stop that this incarnation accepts excludes the start.
-    if (verdict === AbsenceVerdict.MayStart) stopAttempt(member.attempt, 'its worker has started anew, and a start request has got no answer')
-    else endMember(member, verdict === AbsenceVerdict.Lost ? 'lost' : 'not-started', '', { source: EvidenceSource.Absent, ...origin })
+    if (verdict === AbsenceVerdict.MayStart) {
+      stopAttempt(member.attempt, 'its worker has started anew, and a start request has got no answer')
+      return
+    }
+    crashTracking.onRunAbsent(member)
+    endMember(member, verdict === AbsenceVerdict.Lost ? 'lost' : 'not-started', '', { source: EvidenceSource.Absent, ...origin })
   }
 
   /** Stops a run that belongs to no current attempt, since its job or its attempt has ended. */
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -140,7 +140,7 @@
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
     onReport,
     onLost: (worker, source) => { controller.onWorkerLost(worker, source) },
-    onCrashed: (workerId, machine, bornAtMs) => { controller.onWorkerCrashed(workerId, machine, bornAtMs) },
+    onCrashed: (workerId, machine, bornAtMs, wasDraining) => { controller.onWorkerCrashed(workerId, machine, bornAtMs, wasDraining) },
     onChanged: schedulePlan
   })
   const controller = createRunController({
@@ -148,6 +148,7 @@
     logger,
     getJob: table.get,
     getWorker: workerId => pool.workers.get(workerId),
+    getWorkers: () => pool.workers.values(),
     getLink: pool.getLink,
     getAttemptLimit: job => getQueue(job)?.attempts ?? job.spec.attemptLimit,
     mayStart,
