Fault soak: a job is shown as failed only with cause

A job may be failed when a task or gang of it has ended failed as often as its queue allows, or when a task of it has crashed workers.

--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -10,6 +10,7 @@
 import { getProgressKey } from '../jobs/jobKeys.js'
 import { decodeState } from '../jobs/trackedJob.js'
 import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
+import { hasCauseToFail } from '../standins/poolWorker.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 
 const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3,4,5,6').split(',').map(Number)
@@ -17,6 +18,7 @@
 const faultPeriodMs = 700
 /** The tasks of this job crash their workers. */
 const deadlyJobId = 'job7'
+const attemptLimit = 3
 /** The same-rack gangs of the test fit into one rack. */
 const workersPerRack = 3
 const shrunkCapacity = { ...harnessCapacity, accelerators: 3 }
@@ -28,7 +30,7 @@
   for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
 }
 
-test.each(seeds)('seed %i: every job ends, no task runs twice, no worker exceeds its capacity', async seed => {
+test.each(seeds)('seed %i: every job ends, none fails without cause, no task runs twice, no worker exceeds its capacity', async seed => {
   const generator = xoroshiro128plus(seed)
   const random = (limit: number): number => uniformInt(generator, 0, limit - 1)
   const harness = createPoolHarness({
@@ -61,6 +63,8 @@
   for (let elapsedMs = 0; elapsedMs < 60_000 && !haveAllEnded(harness, jobIds); elapsedMs += 500) await run(500)
   expect(harness.poolState.violations).toEqual([])
   expect(jobIds.filter(jobId => !hasEnded(harness, jobId))).toEqual([])
+  // Guards against jobs that are given up because their workers crashed for another reason.
+  expect(jobIds.filter(jobId => getState(harness, jobId) === JobState.Failed && !hasCauseToFail(harness.poolState, jobId, attemptLimit))).toEqual([])
   const stopped = harness.stop()
   await run(3_000)
   await stopped
@@ -71,7 +75,7 @@
   const isGang = random(2) === 0
   const count = 1 + random(isGang ? Math.min(8, workersPerRack * harnessCapacity.accelerators / accelerators) : 8)
   const step = makeStep({ count, isGang, isSameRack: isGang && random(2) === 0, request: { cpuMilli: 4_000, memoryMb: 8_000, accelerators }, estimateMs: 100 + random(2_000) })
-  return makeJob(jobId, random(2) === 0 ? 'urgent' : 'batch', random(3) === 0 ? [step, makeStep({ count: 2, after: [0] })] : [step])
+  return makeJob(jobId, random(2) === 0 ? 'urgent' : 'batch', random(3) === 0 ? [step, makeStep({ count: 2, after: [0] })] : [step], { attemptLimit })
 }
 
 function injectFault (harness: PoolHarness, random: (limit: number) => number): void {
@@ -132,9 +136,13 @@
   for (const worker of harness.workers.values()) worker.setUnreachable(false)
 }
 
-function hasEnded (harness: PoolHarness, jobId: string): boolean {
+function getState (harness: PoolHarness, jobId: string): JobState {
   const value = harness.store.peek(getProgressKey(jobId))
-  return value !== undefined && isTerminal(decodeState(value) ?? JobState.Queued)
+  return value === undefined ? JobState.Queued : decodeState(value)
+}
+
+function hasEnded (harness: PoolHarness, jobId: string): boolean {
+  return isTerminal(getState(harness, jobId))
 }
 
 function haveAllEnded (harness: PoolHarness, jobIds: readonly string[]): boolean {
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -387,3 +387,9 @@
   const name = tryParseTaskName(task)
   return name === undefined ? task : `${name.jobId}.${name.occurrence}.${name.step}`
 }
+
+/** Tells whether the stand-in knows why a job is shown as failed: one of its tasks, or gangs, has failed `attempts` times, or has crashed a worker. */
+export function hasCauseToFail (pool: PoolState, jobId: string, attempts: number): boolean {
+  const isOfJob = (name: string): boolean => name.startsWith(`${jobId}.`)
+  return [...pool.failedRuns].some(([unit, runs]) => isOfJob(unit) && runs.size >= attempts) || [...pool.crashes.keys()].some(isOfJob)
+}
