--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,39 +1,66 @@
-/** Jobs that a worker has refused to start are not counted as waiting, although none of their tasks has begun. */
+/** A late write of the store replaces the counts of waiting jobs by older ones, and nothing writes them again. */
 import { createId, isTroubled, runCase, startScene, wait } from '../standins/scene.js'
 
 const queue = 'wash-plan'
-const jobs = 8
-/** The longest time for which workers of the site file fail what they are sent. */
-const refusingMs = 6_500
+const workers = 4
+const earlyJobs = 8
+const laterJobs = 24
+/** The loss of the site file: a share of 0.35 of the writes for 4.5 s; done 1 to 6 s later. */
+const lossMs = 4_500
+const lostOf = 3
+const lateMs = 6_000
+/** Jobs count as missing in `pending` when they were accepted over visible_ms + 2 s before. */
 const visibleMs = 3_000 + 2_000
 
 await runCase(import.meta.url, async context => {
   const { record } = context
   const capacity = { cpu: 64_000, memMb: 262_144, gpu: 8 }
-  const plans = Array.from({ length: 12 }, (_, index) => ({ labels: ['a', index < 11 ? 'r1-0' : 'r1-1'], capacity }))
-  const scene = await startScene(context, { workers: plans, getWork: () => ({ workMs: 1_000, how: 'done' }) })
-  const unhealthy = scene.workers.at(-1)
+  const plans = Array.from({ length: workers }, () => ({ labels: ['a', 'r1-0'], capacity }))
+  const scene = await startScene(context, { workers: plans, getWork: () => ({ workMs: 100_000, how: 'done' }) })
+  const job = { spec: 'long work', phases: [{ count: 1, cpu: 26_000, memMb: 75_000, gpu: 8, estimateMs: 30_000 }] }
+  for (let number = 0; number < workers; number++) await scene.submit(queue, createId(number, 0x11), job)
+  await wait(3_000)
+  const begun = scene.events.filter(({ kind }) => kind === 'start').length
+  if (begun !== workers) throw new Error('the workers are not full')
   const acceptedMs = []
-  if (isTroubled) {
-    record('a worker refuses all starts', { worker: unhealthy.id })
-    unhealthy.setRefusing(true)
-    setTimeout(() => {
-      unhealthy.setRefusing(false)
-      record('the worker is well again')
-    }, refusingMs)
-  }
-  const endMs = performance.now() + refusingMs
-  for (let number = 0; number < jobs; number++) {
-    const { status } = await scene.submit(queue, createId(number, 0x33), { spec: 'work', phases: [{ count: 1, cpu: 5_600, memMb: 23_000, gpu: 1, estimateMs: 1_000, selector: 'r1-1' }] })
-    if (status === 200) acceptedMs.push(performance.now())
+  const endOfLossMs = performance.now() + lossMs
+  if (isTroubled) loseWrites(scene.store, record)
+  for (let number = 0; number < earlyJobs; number++) {
+    await submit(number)
+    await wait(400)
   }
+  await wait(endOfLossMs - performance.now())
+  scene.store.setLostWrites(undefined)
+  record('writes are not lost any more')
+  for (let number = earlyJobs; number < earlyJobs + laterJobs; number++) await submit(number)
+  await wait(lateMs + 2_000)
   const broken = []
-  while (performance.now() < endMs) {
-    const waiting = acceptedMs.filter(atMs => performance.now() - atMs > visibleMs).length - scene.events.filter(({ kind }) => kind === 'start').length
+  for (let look = 0; look < 10; look++) {
+    const waiting = acceptedMs.filter(atMs => performance.now() - atMs > visibleMs).length - countBegun()
     const pending = await scene.getPending(queue)
-    if (waiting > 0 && pending < waiting / 2) broken.push({ rule: 'MIXED', pending, waiting })
-    await wait(200)
+    if (pending < waiting / 2) broken.push({ rule: 'MIXED', pending, waiting, look })
+    await wait(1_000)
   }
-  await wait(5_000)
   return broken
+
+  async function submit (number) {
+    const { status } = await scene.submit(queue, createId(number, 0x22), job)
+    if (status === 200) acceptedMs.push(performance.now())
+  }
+
+  function countBegun () {
+    return scene.events.filter(({ kind }) => kind === 'start').length - begun
+  }
 })
+
+/** Every third write in turn gets no answer, and is carried out late. */
+function loseWrites (store, record) {
+  let writes = 0
+  record('writes are lost', { one: lostOf, lateMs })
+  store.setLostWrites(({ writes: items }) => {
+    writes++
+    if (writes % lostOf !== 0) return undefined
+    record('a write gets no answer and is carried out late', { keys: items.map(({ key }) => key), lateMs })
+    return lateMs
+  })
+}
