--- a/review/5/case.js
+++ b/review/5/case.js
@@ -53,13 +53,15 @@
   }
 })
 
-/** Every third write in turn gets no answer, and is carried out late. */
+/** Of the writes of each kind of key, the second, fifth, eighth and so on get no answer, and are carried out late. */
 function loseWrites (store, record) {
-  let writes = 0
+  const counts = new Map()
   record('writes are lost', { one: lostOf, lateMs })
   store.setLostWrites(({ writes: items }) => {
-    writes++
-    if (writes % lostOf !== 0) return undefined
+    const kind = items.map(({ key }) => key.split('/').slice(0, key.startsWith('counts/') ? 2 : 1).join('/')).join(' ')
+    const number = counts.get(kind) ?? 0
+    counts.set(kind, number + 1)
+    if (number % lostOf !== 1) return undefined
     record('a write gets no answer and is carried out late', { keys: items.map(({ key }) => key), lateMs })
     return lateMs
   })
