--- a/review/5/case.js
+++ b/review/5/case.js
@@ -33,7 +33,8 @@
   scene.store.setLostWrites(undefined)
   record('writes are not lost any more')
   for (let number = earlyJobs; number < earlyJobs + laterJobs; number++) await submit(number)
-  await wait(lateMs + 2_000)
+  // Longer than contactMs after the last late write, so that the hosts are in touch.
+  await wait(lateMs + 5_000)
   const broken = []
   for (let look = 0; look < 10; look++) {
     const waiting = acceptedMs.filter(atMs => performance.now() - atMs > visibleMs).length - countBegun()
