--- a/review/5/case.js
+++ b/review/5/case.js
@@ -8,6 +8,7 @@
 /** The loss of the site file: a share of 0.35 of the writes for 4.5 s; done 1 to 6 s later. */
 const lossMs = 4_500
 const lostOf = 3
+const maxShare = 0.35
 const lateMs = 6_000
 /** Jobs count as missing in `pending` when they were accepted over visible_ms + 2 s before. */
 const visibleMs = 3_000 + 2_000
@@ -54,16 +55,23 @@
   }
 })
 
-/** Of the writes of each kind of key, the second, fifth, eighth and so on get no answer, and are carried out late. */
+/**
+ * Of the writes of each kind of key, the second, fifth, eighth and so on get no answer, and are carried out late, as long as the share of all writes
+ * stays within the limit.
+ */
 function loseWrites (store, record) {
   const counts = new Map()
-  record('writes are lost', { one: lostOf, lateMs })
+  let writes = 0
+  let lost = 0
+  record('writes are lost', { maxShare, lateMs })
   store.setLostWrites(({ writes: items }) => {
+    writes++
     const kind = items.map(({ key }) => key.split('/').slice(0, key.startsWith('counts/') ? 2 : 1).join('/')).join(' ')
     const number = counts.get(kind) ?? 0
     counts.set(kind, number + 1)
-    if (number % lostOf !== 1) return undefined
-    record('a write gets no answer and is carried out late', { keys: items.map(({ key }) => key), lateMs })
+    if (number % lostOf !== 1 || lost + 1 > maxShare * writes) return undefined
+    lost++
+    record('a write gets no answer and is carried out late', { keys: items.map(({ key }) => key), lateMs, lost, writes })
     return lateMs
   })
 }
