A late write no longer replaces newer pending counts

Cause: a transaction with the counts alone had only the condition on the leader key. If its response was lost, the counts were written again, and the first transaction, applied seconds later, still met its condition. The writer compared new counts with what it had last written, not with the store, so the old counts stayed until a job began or another arrived. Change: a write of the counts also has a condition on the counts' own revision, which every later write changes. A writer that finds another revision adopts it and writes again, and logs both revisions. A transaction therefore holds at most 9 jobs instead of 10.

--- a/src/runs/progressWriter.ts
+++ b/src/runs/progressWriter.ts
@@ -8,7 +8,8 @@
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { JobState } from '../jobs/jobModel.js'
 import { maxTransactionEntries } from '../store/metadataStore.js'
-import type { ExpectedRevision, MetadataStore, StoredItem, TransactionWrite } from '../store/metadataStore.js'
+import type { ExpectedRevision, MetadataStore, StoredItem, TransactionResult, TransactionWrite } from '../store/metadataStore.js'
+import { createRevisionGuard } from '../store/revisionGuard.js'
 
 /** Dependencies of the progress writer. */
 export interface ProgressWriterHost {
@@ -33,8 +34,8 @@
 const retryPauseMs = 100
 /** Maximum transaction entries per job: the condition on its progress record, its write, and the condition that it is not cancelled. */
 const entriesPerJob = 3
-/** Transaction entries that don't belong to a job: the condition on the leader key and the write of the pending counts. */
-const fixedEntries = 2
+/** Transaction entries that don't belong to a job: the condition on the leader key, and the condition and the write of the pending counts. */
+const fixedEntries = 3
 const maxJobsPerWrite = Math.floor((maxTransactionEntries - fixedEntries) / entriesPerJob)
 /** Maximum delay between a change and the write of the pending counts, in ms; callers accept counts that are up to 2 s old. */
 const countsDelayMs = 600
@@ -48,6 +49,7 @@
   let areCountsDue = false
   let countsTimer: NodeJS.Timeout | undefined
   let writtenCounts: string | undefined
+  const countsGuard = createRevisionGuard(pendingCountsKey)
 
   return { commit, scheduleCounts }
 
@@ -122,10 +124,16 @@
       writes.push({ key: getProgressKey(job.spec.jobId), value: encodeProgress(job) })
     }
     const counts = host.getPendingCounts()
-    if (counts !== undefined && counts !== writtenCounts) writes.push({ key: pendingCountsKey, value: counts })
+    const areCountsWritten = counts !== undefined && counts !== writtenCounts
+    if (areCountsWritten) {
+      // Counts alone have no other condition that a later write would change.
+      expected.push(countsGuard.getCondition())
+      writes.push({ key: pendingCountsKey, value: counts })
+    }
     if (writes.length === 0) return true
     assert(expected.length + writes.length <= maxTransactionEntries, 'a transaction has at most 32 entries')
     const result = await host.store.transact({ expected, writes })
+    if (areCountsWritten) updateCountsGuard(result)
     if (result.isCommitted) {
       writtenCounts = counts ?? writtenCounts
       for (const job of jobs) job.progressRevision = result.revision
@@ -135,6 +143,13 @@
     return false
   }
 
+  function updateCountsGuard (result: TransactionResult): void {
+    const { revision: expectedRevision } = countsGuard.getCondition()
+    countsGuard.update(result)
+    const { revision } = countsGuard.getCondition()
+    if (!result.isCommitted && revision !== expectedRevision) host.logger.info('the pending counts were not at the expected revision', { expectedRevision, revision })
+  }
+
   /** Handles a failed condition: a write with a lost answer was applied after all, a job was cancelled, or the term has ended. */
   function handleConflict (jobs: readonly TrackedJob[], items: readonly StoredItem[]): void {
     const found = new Map(items.map(item => [item.key, item]))
