A late write no longer replaces a newer learned state

A write without a response that was applied after a newer one stayed, and the next scheduler began with outdated run times and speeds for as long as nothing new was learned. Evidence: the new test in runs/learnedState.test.ts failed before the change, the queue of the newer record was missing. Change: the record is written under the condition on its own revision too; transactGuarded() repeats the write once if only that condition failed.

--- a/src/runs/learnedState.test.ts
+++ b/src/runs/learnedState.test.ts
@@ -116,3 +116,15 @@
   expect(Buffer.byteLength(value)).toBeLessThanOrEqual(maxLearnedBytes)
   expect(JSON.parse(value).speeds[0]).toEqual(speeds[0])
 })
+
+// Guards against a successor that starts from outdated run times: an unchanged record is not written again.
+test('a write that is applied late does not replace a newer record', async () => {
+  const store = createMemoryStore()
+  const learned = await start(store, 1, await takeLead(store, 'host-1'))
+  store.delayWrites('host-1', 1, learnedStatePeriodMs + 1_000)
+  learned.runTimes.recordRun('urgent', 1_000, 2_000)
+  await jest.advanceTimersByTimeAsync(learnedStatePeriodMs)
+  learned.runTimes.recordRun('batch', 1_000, 9_000)
+  await jest.advanceTimersByTimeAsync(3 * learnedStatePeriodMs)
+  expect(JSON.parse(store.peek(learnedStateKey) ?? '{}')).toMatchObject({ runTimes: learned.runTimes.export() })
+})
--- a/src/runs/learnedState.ts
+++ b/src/runs/learnedState.ts
@@ -8,6 +8,7 @@
 import type { Term } from '../election/leaderElection.js'
 import type { QueueRunTimes, RunTimes } from '../placement/runTimes.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
 import type { MachineSpeedRecord, MachineSpeeds } from '../workers/machineSpeed.js'
 
 /** Dependencies of the learned state. */
@@ -50,6 +51,7 @@
 /** Reads the record of the previous term, then writes this term's record until the term ends. */
 export function createLearnedState (host: LearnedStateHost): void {
   const { store, term, logger, runTimes, speeds } = host
+  const guard = createRevisionGuard(learnedStateKey)
   let written = ''
   void run()
 
@@ -87,14 +89,17 @@
     logger.info('the learned state was read', { ageMs, recordEpoch: record.epoch, queues: record.runTimes.length, machines: record.speeds.length })
   }
 
-  /** The condition on the leader key keeps a term that has ended from overwriting the record of its successor. */
+  /**
+   * The condition on the leader key keeps a term that has ended from overwriting the record of its successor; the guard keeps a late write of this term
+   * from overwriting a newer record.
+   */
   async function write (): Promise<void> {
     const content = { runTimes: runTimes.export(), speeds: speeds.export(performance.now(), maxMachines) }
     const serialized = JSON.stringify(content)
     if (serialized === written || (content.runTimes.length === 0 && content.speeds.length === 0)) return
     const value = encodeLearnedState({ epoch: term.epoch, atMs: Date.now(), ...content })
     try {
-      const result = await store.transact({ expected: [{ key: term.leaderKey, revision: term.leaderRevision }], writes: [{ key: learnedStateKey, value }] })
+      const result = await transactGuarded(store, guard, { expected: [{ key: term.leaderKey, revision: term.leaderRevision }], writes: [{ key: learnedStateKey, value }] })
       if (result.isCommitted) written = serialized
     } catch (error) {
       logger.info('the learned state could not be stored', { error: String(error), bytes: value.length })
--- a/src/store/revisionGuard.ts
+++ b/src/store/revisionGuard.ts
@@ -2,7 +2,7 @@
  * Guards a key that one writer at a time keeps up to date. A write without a response may be applied seconds later; the condition on the key's own
  * revision prevents it from replacing a newer value.
  */
-import type { ExpectedRevision, TransactionResult } from './metadataStore.js'
+import type { ExpectedRevision, MetadataStore, Transaction, TransactionResult } from './metadataStore.js'
 
 /** The revision of a key as its writer last knew it; 0 if the key does not exist. */
 export interface RevisionGuard {
@@ -21,6 +21,26 @@
   }
 }
 
+/**
+ * Sends a transaction that writes the guarded key, under the guard's condition and those in `expected`. It is sent again if only the guard's
+ * condition failed, which means that an earlier write has been applied after all, or that another writer has changed the key. Errors: those of the store.
+ */
+export async function transactGuarded (store: Pick<MetadataStore, 'transact'>, guard: RevisionGuard, transaction: Transaction): Promise<TransactionResult> {
+  const result = await send()
+  return result.isCommitted || !areConditionsMet(transaction.expected, result) ? result : await send()
+
+  async function send (): Promise<TransactionResult> {
+    const result = await store.transact({ ...transaction, expected: [...transaction.expected, guard.getCondition()] })
+    guard.update(result)
+    return result
+  }
+}
+
+/** Tells whether the conditions held when a transaction that contained them was rejected. */
+export function areConditionsMet (expected: readonly ExpectedRevision[], result: TransactionResult): boolean {
+  return result.isCommitted || expected.every(({ key, revision }) => findRevision(result.items, key) === revision)
+}
+
 function findRevision (items: readonly { readonly key: string, readonly revision: number }[], key: string): number {
   return items.find(item => item.key === key)?.revision ?? 0
 }
