The backlog is published through the shared revision guard

No change of behaviour: the publisher had its own copy of the condition on the key's revision and of the repetition after a conflict, which store/revisionGuard.ts now holds for all writers. backlogPublisher: 12 tests green.

--- a/src/admission/backlogPublisher.ts
+++ b/src/admission/backlogPublisher.ts
@@ -2,7 +2,8 @@
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
-import type { MetadataStore, TransactionResult } from '../store/metadataStore.js'
+import type { MetadataStore } from '../store/metadataStore.js'
+import { areConditionsMet, createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
 import { backlogKey, encodeBacklog } from './backlogCodec.js'
 import type { BacklogSummary } from './backlogSummary.js'
 
@@ -26,9 +27,8 @@
 /** Starts publishing; it ends with the term. */
 export function createBacklogPublisher (host: BacklogPublisherHost): void {
   const { store, term, logger } = host
+  const guard = createRevisionGuard(backlogKey)
   let published: BacklogSummary | undefined
-  /** The revision of the key as this publisher last knew it; 0 if it does not exist. */
-  let revision = 0
   void run()
 
   async function run (): Promise<void> {
@@ -40,32 +40,15 @@
   }
 
   async function tryPublish (summary: BacklogSummary): Promise<void> {
+    const expected = [{ key: term.leaderKey, revision: term.leaderRevision }]
     try {
-      let result = await write(summary)
-      // The key was written by an earlier term, or by a write of this term whose response was lost.
-      if (!result.isCommitted && isLeader(result)) result = await write(summary)
-      if (result.isCommitted) {
-        revision = result.revision
-        published = summary
-      } else if (!isLeader(result)) {
-        logger.info('the backlog is not published, as another host holds the leader key', { epoch: term.epoch })
-      }
+      const result = await transactGuarded(store, guard, { expected, writes: [{ key: backlogKey, value: encodeBacklog(summary) }] })
+      if (result.isCommitted) published = summary
+      else if (!areConditionsMet(expected, result)) logger.info('the backlog is not published, as another host holds the leader key', { epoch: term.epoch })
     } catch (error) {
       logger.info('failed to publish the backlog', { error: String(error) })
     }
   }
-
-  /** The condition on the key's own revision prevents that a late write of this term replaces a newer summary. */
-  async function write (summary: BacklogSummary): Promise<TransactionResult> {
-    const expected = [{ key: term.leaderKey, revision: term.leaderRevision }, { key: backlogKey, revision }]
-    const result = await store.transact({ expected, writes: [{ key: backlogKey, value: encodeBacklog(summary) }] })
-    if (!result.isCommitted) revision = result.items.find(({ key }) => key === backlogKey)?.revision ?? 0
-    return result
-  }
-
-  function isLeader (result: TransactionResult): boolean {
-    return result.isCommitted || result.items.some(({ key, revision: found }) => key === term.leaderKey && found === term.leaderRevision)
-  }
 }
 
 /** Tells whether the summary differs materially from what hosts conclude from the published one, or has to be renewed. */
