A late status write no longer shows a completed wave as active

The first write (`active`) without a response could be applied after `complete`, and a completed wave isn't looked at again, so operators saw it as active for good. Evidence: the new test 'a status that is written late does not replace a newer one' failed before the change: expected complete, received active. Change: both writes have the condition on the status's own revision; a write whose conditions failed is no longer taken for done.

--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -6,6 +6,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
+import type { MetadataStore } from '../store/metadataStore.js'
 import { createMaintenanceWaves, MaintenanceResult } from './maintenanceWaves.js'
 import type { MachinePort, MaintenanceWavesHost, Wave } from './maintenanceWaves.js'
 
@@ -73,12 +74,12 @@
 }
 
 /** Makes the host the scheduler and starts its waves; they stop when the returned controller is aborted. */
-async function startTerm (store: MemoryStore, hostId: string, machines: MachinePort, drain: Pick<MaintenanceWavesHost, 'tryDrain' | 'returnToService'>): Promise<AbortController> {
+async function startTerm (store: MemoryStore, hostId: string, machines: MachinePort, drain: Pick<MaintenanceWavesHost, 'tryDrain' | 'returnToService'>, client: MetadataStore = store.connect(hostId)): Promise<AbortController> {
   store.write('leader/scheduler', hostId)
   const leader = await store.connect(hostId).get('leader/scheduler')
   const termEnd = new AbortController()
   createMaintenanceWaves({
-    store: store.connect(hostId),
+    store: client,
     term: createTerm(leader?.revision ?? 0, termEnd),
     logger: silentLogger,
     hostId,
@@ -161,3 +162,23 @@
   expect([...machines.done].sort()).toEqual(wave.machineIds)
   expect(store.peek('status/wave/1')).toBe('complete')
 })
+
+/** Machines whose maintenance is done at once. */
+const instantMachines: MachinePort = {
+  list: async () => [{ machineId: 'm1', isUp: true, workerId: 'worker-of-m1' }],
+  requestMaintenance: async () => MaintenanceResult.Done
+}
+const alwaysDrained = { tryDrain: () => true, returnToService: () => {} }
+
+// Guards against a wave that is done and stays shown as active.
+test('a status that is written late does not replace a newer one', async () => {
+  const store = createMemoryStore()
+  store.write('op/wave/1', JSON.stringify({ ...wave, machineIds: ['m1'] }))
+  store.delayWrites('host-0', 1, 8_000)
+  const termEnd = await startTerm(store, 'host-0', instantMachines, alwaysDrained)
+  await advanceTime(7_000)
+  expect(store.peek('status/wave/1')).toBe('complete')
+  await advanceTime(8_000)
+  expect(store.peek('status/wave/1')).toBe('complete')
+  await endTerm(termEnd)
+})
--- a/src/maintenance/maintenanceWaves.ts
+++ b/src/maintenance/maintenanceWaves.ts
@@ -9,6 +9,8 @@
 import type { Term } from '../election/leaderElection.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
+import type { RevisionGuard } from '../store/revisionGuard.js'
 
 /** A maintenance wave as requested by the operators. */
 export interface Wave {
@@ -77,6 +79,7 @@
 interface WaveState {
   progress: WaveProgress
   revision: number
+  readonly statusGuard: RevisionGuard
   statusWritten?: boolean
   /** The workers of the machines that are being drained or are down for the wave, by machine; undefined for a machine without a worker. */
   readonly drained: Map<string, string | undefined>
@@ -115,7 +118,7 @@
     if (state !== undefined) return state
     const item = await store.get(progressPrefix + wave.wave)
     const progress = item === undefined ? { startedAtMs: Date.now(), begun: [], done: [], isComplete: false } : JSON.parse(item.value) as WaveProgress
-    state = { progress, revision: item?.revision ?? 0, drained: new Map() }
+    state = { progress, revision: item?.revision ?? 0, statusGuard: createRevisionGuard(host.statusPrefix + wave.wave), drained: new Map() }
     states.set(wave.wave, state)
     return state
   }
@@ -207,7 +210,8 @@
 
   async function writeStatus (wave: Wave, state: WaveState, isComplete: boolean): Promise<void> {
     const expected = [{ key: term.leaderKey, revision: term.leaderRevision }]
-    await store.transact({ expected, writes: [{ key: host.statusPrefix + wave.wave, value: host.encodeStatus(isComplete) }] })
+    const result = await transactGuarded(store, state.statusGuard, { expected, writes: [{ key: host.statusPrefix + wave.wave, value: host.encodeStatus(isComplete) }] })
+    if (!result.isCommitted) throw new Error(`the status of wave ${wave.wave} could not be written: its conditions failed`)
     state.statusWritten = true
     logger.info('the status of a maintenance wave was written', { wave: wave.wave, isComplete, done: state.progress.done.length, machines: wave.machineIds.length })
   }
