The completion of a wave is stored together with its status

Operators would see a completed wave as active for good. Evidence: the new tests 'if the store fails when a wave completes, ... publishes the completion' (same scheduler, successor) failed before the change: expected complete, received active. Change: one transaction writes both, under the conditions on both revisions.

--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -182,3 +182,30 @@
   expect(store.peek('status/wave/1')).toBe('complete')
   await endTerm(termEnd)
 })
+
+// Guards against a wave whose completion is stored, so that no scheduler advances it again, but never published.
+test.each(['the same scheduler', 'its successor'])('if the store fails when a wave completes, %s publishes the completion', async publisher => {
+  const store = createMemoryStore()
+  store.write('op/wave/1', JSON.stringify({ ...wave, machineIds: ['m1'] }))
+  const client = store.connect('host-0')
+  let isFailing = false
+  const failing: MetadataStore = {
+    ...client,
+    transact: async transaction => {
+      if (isFailing) throw createError(ErrorKind.StoreUnavailable, 'the store is unavailable')
+      const result = await client.transact(transaction)
+      isFailing = transaction.writes.some(({ key, value }) => key === 'waves/1' && (JSON.parse(value) as { readonly isComplete: boolean }).isComplete)
+      return result
+    }
+  }
+  const termEnd = await startTerm(store, 'host-0', instantMachines, alwaysDrained, failing)
+  await advanceTime(7_000)
+  expect(isFailing).toBe(true)
+  isFailing = false
+  const isSucceeded = publisher === 'its successor'
+  if (isSucceeded) await endTerm(termEnd)
+  const lastTermEnd = isSucceeded ? await startTerm(store, 'host-1', instantMachines, alwaysDrained) : termEnd
+  await advanceTime(7_000)
+  expect(store.peek('status/wave/1')).toBe('complete')
+  await endTerm(lastTermEnd)
+})
--- a/src/maintenance/maintenanceWaves.ts
+++ b/src/maintenance/maintenanceWaves.ts
@@ -8,7 +8,7 @@
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
 import { readAll } from '../store/metadataStore.js'
-import type { MetadataStore } from '../store/metadataStore.js'
+import type { ExpectedRevision, MetadataStore, TransactionWrite } from '../store/metadataStore.js'
 import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
 import type { RevisionGuard } from '../store/revisionGuard.js'
 
@@ -80,7 +80,7 @@
   progress: WaveProgress
   revision: number
   readonly statusGuard: RevisionGuard
-  statusWritten?: boolean
+  isStatusWritten: boolean
   /** The workers of the machines that are being drained or are down for the wave, by machine; undefined for a machine without a worker. */
   readonly drained: Map<string, string | undefined>
 }
@@ -118,13 +118,13 @@
     if (state !== undefined) return state
     const item = await store.get(progressPrefix + wave.wave)
     const progress = item === undefined ? { startedAtMs: Date.now(), begun: [], done: [], isComplete: false } : JSON.parse(item.value) as WaveProgress
-    state = { progress, revision: item?.revision ?? 0, statusGuard: createRevisionGuard(host.statusPrefix + wave.wave), drained: new Map() }
+    state = { progress, revision: item?.revision ?? 0, statusGuard: createRevisionGuard(host.statusPrefix + wave.wave), isStatusWritten: false, drained: new Map() }
     states.set(wave.wave, state)
     return state
   }
 
   async function advanceWave (wave: Wave, state: WaveState, machines: ReadonlyMap<string, ListedMachine>): Promise<void> {
-    if (state.statusWritten !== true) await writeStatus(wave, state, false)
+    if (!state.isStatusWritten) await writeActiveStatus(wave, state)
     releaseUnavailable(state, machines)
     for (const machineId of state.progress.begun) await tryFinishMachine(wave, state, machineId, machines)
     for (const machineId of wave.machineIds) {
@@ -136,9 +136,7 @@
     }
     // A machine that is no longer listed was removed for good and needs no maintenance.
     const isComplete = wave.machineIds.every(machineId => state.progress.done.includes(machineId) || !machines.has(machineId)) && state.progress.begun.length === 0
-    if (!isComplete) return
-    await saveProgress(wave, state, { ...state.progress, isComplete: true })
-    await writeStatus(wave, state, true)
+    if (isComplete) await complete(wave, state)
   }
 
   /** A machine that has left the list or is down for another reason no longer counts as drained for the wave. */
@@ -196,10 +194,17 @@
     if (machine?.workerId !== undefined) host.returnToService(machine.workerId)
   }
 
-  async function saveProgress (wave: Wave, state: WaveState, progress: WaveProgress): Promise<void> {
+  /** Stores the progress together with the status: a completed wave is not looked at again, so a status that was not written would never be. */
+  async function complete (wave: Wave, state: WaveState): Promise<void> {
+    await saveProgress(wave, state, { ...state.progress, isComplete: true }, [getStatusWrite(wave, true)])
+    logStatus(wave, state, true)
+  }
+
+  async function saveProgress (wave: Wave, state: WaveState, progress: WaveProgress, statusWrites: readonly TransactionWrite[] = []): Promise<void> {
     const key = progressPrefix + wave.wave
-    const expected = [{ key: term.leaderKey, revision: term.leaderRevision }, { key, revision: state.revision }]
-    const result = await store.transact({ expected, writes: [{ key, value: JSON.stringify(progress) }] })
+    const expected = [getLeaderCondition(), { key, revision: state.revision }]
+    const transaction = { expected, writes: [{ key, value: JSON.stringify(progress) }, ...statusWrites] }
+    const result = await (statusWrites.length === 0 ? store.transact(transaction) : transactGuarded(store, state.statusGuard, transaction))
     if (!result.isCommitted) {
       states.delete(wave.wave)
       throw new Error(`the progress of wave ${wave.wave} was changed by another writer`)
@@ -208,11 +213,22 @@
     state.revision = result.revision
   }
 
-  async function writeStatus (wave: Wave, state: WaveState, isComplete: boolean): Promise<void> {
-    const expected = [{ key: term.leaderKey, revision: term.leaderRevision }]
-    const result = await transactGuarded(store, state.statusGuard, { expected, writes: [{ key: host.statusPrefix + wave.wave, value: host.encodeStatus(isComplete) }] })
+  async function writeActiveStatus (wave: Wave, state: WaveState): Promise<void> {
+    const result = await transactGuarded(store, state.statusGuard, { expected: [getLeaderCondition()], writes: [getStatusWrite(wave, false)] })
     if (!result.isCommitted) throw new Error(`the status of wave ${wave.wave} could not be written: its conditions failed`)
-    state.statusWritten = true
+    state.isStatusWritten = true
+    logStatus(wave, state, false)
+  }
+
+  function getStatusWrite (wave: Wave, isComplete: boolean): TransactionWrite {
+    return { key: host.statusPrefix + wave.wave, value: host.encodeStatus(isComplete) }
+  }
+
+  function getLeaderCondition (): ExpectedRevision {
+    return { key: term.leaderKey, revision: term.leaderRevision }
+  }
+
+  function logStatus (wave: Wave, state: WaveState, isComplete: boolean): void {
     logger.info('the status of a maintenance wave was written', { wave: wave.wave, isComplete, done: state.progress.done.length, machines: wave.machineIds.length })
   }
 }
