A late write no longer removes a host from the directory

A host whose first write got no response was granted another lease and wrote again. The first write, applied late, attached the entry to the first lease, which nobody renewed: 15 s later the entry was removed, while the host renewed the second lease and believed itself listed. Peers no longer relayed the store through it, followed its configuration or counted it as a standby, until its round trip changed or it restarted. A late write could also bring back an older round trip, and with it other ranks. Evidence: two new tests in peers/hostDirectory.test.ts failed before the change: the entry was gone after 16 s; expected 90, received 30. Change: the entry is written under the condition on its own revision, and a failed write is repeated with the same lease.

--- a/src/peers/hostDirectory.test.ts
+++ b/src/peers/hostDirectory.test.ts
@@ -2,8 +2,9 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
+import type { MemoryStore } from '../standins/memoryStore.js'
 import { createHostDirectory } from './hostDirectory.js'
-import type { HostDirectory } from './hostDirectory.js'
+import type { HostDirectory, KnownHost } from './hostDirectory.js'
 
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
@@ -29,3 +30,46 @@
   stopping.abort()
   await jest.advanceTimersByTimeAsync(1_000)
 })
+
+function startDirectory (store: MemoryStore, hostId: string, signal: AbortSignal, getRoundTripMs: () => number | undefined = () => 3): HostDirectory {
+  const ownHost = { hostId, address: `${hostId}:1`, domain: 'a', hasFastLink: true, isSmall: false }
+  return createHostDirectory({ store: store.connect(hostId), logger: silentLogger, ownHost, getRoundTripMs, signal })
+}
+
+function getEntry (store: MemoryStore, hostId: string): Partial<KnownHost> {
+  return JSON.parse(store.peek(`hosts/${hostId}`) ?? '{}') as Partial<KnownHost>
+}
+
+// Guards against a host that its peers lose for good: it renews a lease that its entry is no longer attached to.
+test('an entry that is written late stays as long as its host lives', async () => {
+  const store = createMemoryStore()
+  const stopping = new AbortController()
+  store.delayWrites('a', 1, 5_000)
+  startDirectory(store, 'a', stopping.signal)
+  for (let elapsedMs = 0; elapsedMs < 60_000; elapsedMs += 1_000) {
+    await jest.advanceTimersByTimeAsync(1_000)
+    if (elapsedMs > 1_000) expect(getEntry(store, 'a').hostId).toBe('a')
+  }
+  stopping.abort()
+  await jest.advanceTimersByTimeAsync(1_000)
+  expect(getEntry(store, 'a').hostId).toBeUndefined()
+})
+
+// Guards against ranks by an outdated round trip.
+test('an entry that is written late does not replace a newer one', async () => {
+  const store = createMemoryStore()
+  const stopping = new AbortController()
+  let roundTripMs = 3
+  startDirectory(store, 'a', stopping.signal, () => roundTripMs)
+  await jest.advanceTimersByTimeAsync(2_000)
+  roundTripMs = 30
+  store.delayWrites('a', 1, 12_000)
+  await jest.advanceTimersByTimeAsync(4_000)
+  roundTripMs = 90
+  await jest.advanceTimersByTimeAsync(6_000)
+  expect(getEntry(store, 'a').roundTripMs).toBe(90)
+  await jest.advanceTimersByTimeAsync(10_000)
+  expect(getEntry(store, 'a').roundTripMs).toBe(90)
+  stopping.abort()
+  await jest.advanceTimersByTimeAsync(1_000)
+})
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -1,9 +1,10 @@
 /** Host discovery: each host keeps an entry under a lease in the platform's store and periodically reads the entries of all hosts. */
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
-import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
 
 /** A host as its peers know it; `address` (`host:port`) is where it accepts calls from peers. */
 export interface KnownHost {
@@ -54,7 +55,10 @@
 /** Maintains the entry of this host and reads those of the others until the signal is aborted. */
 export function createHostDirectory (host: HostDirectoryHost): HostDirectory {
   const { store, logger, ownHost } = host
+  const ownKey = hostsPrefix + ownHost.hostId
+  const guard = createRevisionGuard(ownKey)
   let peers: readonly KnownHost[] = []
+  let isEntryDue = true
   /** The round trip in the entry of this host. */
   let writtenRoundTripMs: number | undefined
   void maintainEntry()
@@ -73,9 +77,14 @@
     let leaseId: number | undefined
     while (!host.signal.aborted) {
       try {
-        if (leaseId === undefined) leaseId = await register()
-        else await store.keepLeaseAlive(leaseId)
-        if (hasRoundTripChanged()) await writeEntry(leaseId)
+        if (leaseId === undefined) {
+          leaseId = (await store.grantLease(entryTtlMs)).leaseId
+          isEntryDue = true
+        } else {
+          await store.keepLeaseAlive(leaseId)
+        }
+        // A write that failed is repeated with the same lease: it may be applied late, and its lease must not end then.
+        if (isEntryDue || hasRoundTripChanged()) await writeEntry(leaseId)
         await delay(renewPeriodMs, host.signal)
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.NotFound)) leaseId = undefined
@@ -86,16 +95,13 @@
     if (leaseId !== undefined) await store.revokeLease(leaseId).catch(error => { logger.info('cannot revoke the lease of the directory entry of this host; it will expire', { error: String(error) }) })
   }
 
-  async function register (): Promise<number> {
-    const { leaseId } = await store.grantLease(entryTtlMs)
-    await writeEntry(leaseId)
-    return leaseId
-  }
-
   async function writeEntry (leaseId: number): Promise<void> {
     const roundTripMs = getRoundTripMs()
-    await store.transact({ expected: [], writes: [{ key: hostsPrefix + ownHost.hostId, value: JSON.stringify({ ...ownHost, roundTripMs }), leaseId }] })
+    const value = JSON.stringify({ ...ownHost, roundTripMs })
+    const result = await transactGuarded(store, guard, { expected: [], writes: [{ key: ownKey, value, leaseId }] })
+    if (!result.isCommitted) throw createError(ErrorKind.Conflict, 'another writer changes the directory entry of this host')
     writtenRoundTripMs = roundTripMs
+    isEntryDue = false
   }
 
   function getRoundTripMs (): number | undefined {
