A host restores its directory entry when the store holds another one

A host remembered what it had written, not what the store holds: an entry that was removed or replaced in any other way (an operator's clean-up, another writer) stayed so until the host's round trip changed or the host restarted. Evidence: two new tests in peers/hostDirectory.test.ts failed before the change: the entry was still missing, or still the other writer's, after 17 s. Change: each read of all entries (every 12 s) compares the revision of the own entry with the one last written, unless the read is older than that; the entry is then written again at the next renewal (every 4 s).

--- a/src/peers/hostDirectory.test.ts
+++ b/src/peers/hostDirectory.test.ts
@@ -73,3 +73,16 @@
   stopping.abort()
   await jest.advanceTimersByTimeAsync(1_000)
 })
+
+// Guards against a host that stays missing because it remembers what it has written and not what the store holds.
+test.each([['removed', undefined], ['replaced', '{"hostId":"a","address":"b:1","domain":"a","hasFastLink":true}']])('an entry that another writer has %s is restored within 17 s', async (_what, value) => {
+  const store = createMemoryStore()
+  const stopping = new AbortController()
+  startDirectory(store, 'a', stopping.signal)
+  await jest.advanceTimersByTimeAsync(20_000)
+  store.write('hosts/a', value)
+  await jest.advanceTimersByTimeAsync(17_000)
+  expect(getEntry(store, 'a').address).toBe('a:1')
+  stopping.abort()
+  await jest.advanceTimersByTimeAsync(1_000)
+})
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -3,7 +3,7 @@
 import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { readAll } from '../store/metadataStore.js'
-import type { MetadataStore } from '../store/metadataStore.js'
+import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
 import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
 
 /** A host as its peers know it; `address` (`host:port`) is where it accepts calls from peers. */
@@ -117,11 +117,21 @@
     return high - low > roundTripToleranceMs && high > low * roundTripToleranceFactor
   }
 
+  /** Has the entry written again if another writer has removed or replaced it. */
+  function checkOwnEntry (items: readonly StoredItem[], readRevision: number): void {
+    const { revision } = guard.getCondition()
+    const foundRevision = items.find(({ key }) => key === ownKey)?.revision
+    if (isEntryDue || foundRevision === revision || readRevision < revision) return
+    logger.warn('the directory entry of this host is not as written; writing it again', { revision, foundRevision })
+    isEntryDue = true
+  }
+
   async function pollEntries (): Promise<void> {
     await delay(firstReadDelayMs, host.signal)
     while (!host.signal.aborted) {
       try {
-        const { items } = await readAll(store, hostsPrefix)
+        const { items, revision } = await readAll(store, hostsPrefix)
+        checkOwnEntry(items, revision)
         const others = items.map(item => JSON.parse(item.value) as KnownHost).filter(({ hostId }) => hostId !== ownHost.hostId)
         const sameDomain = others.filter(({ domain }) => domain === ownHost.domain)
         peers = [...sameDomain, ...others.filter(peer => !sameDomain.includes(peer))]
