The soaks delay writes of each key and check what callers see of the counts

Change: both soaks make the writes of one kind of key after the other up to 6 s late (counts, backlog, learned state, leader, progress, accepted jobs; with processes also the directory). At the end jobs that cannot start are submitted while counts are late, and every host must give their number once the store is in order. The store's stand-in lists keys that were written without a condition on their own revision; the list must stay empty, so that a new writer of this class is found by any seed. A property test makes random writes of a wave late.

--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -1,5 +1,6 @@
 /** Maintenance waves: never take down more machines than allowed, even if responses are lost or another host becomes scheduler. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import fc from 'fast-check'
 import { silentLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
@@ -209,3 +210,25 @@
   expect(store.peek('status/wave/1')).toBe('complete')
   await endTerm(lastTermEnd)
 })
+
+// Guards against a status or a progress that an older value replaces, whichever writes of a wave are late.
+test('whichever writes are late, a wave completes, stays complete and never has too many machines down', async () => {
+  const lateWrite = fc.record({ afterMs: fc.integer({ min: 0, max: 3_000 }), count: fc.integer({ min: 1, max: 3 }), lateMs: fc.integer({ min: 1, max: 6_000 }), prefix: fc.constantFrom('', 'waves/', 'status/') })
+  await fc.assert(fc.asyncProperty(fc.array(lateWrite, { maxLength: 6 }), async lateWrites => {
+    const store = createMemoryStore()
+    store.write('op/wave/1', JSON.stringify(wave))
+    const machines = createMachines(Infinity)
+    const termEnd = await startTerm(store, 'host-0', machines.port, alwaysDrained)
+    for (const { afterMs, count, lateMs, prefix } of lateWrites) {
+      await advanceTime(afterMs)
+      store.delayWrites('host-0', count, lateMs, prefix)
+    }
+    store.delayWrites('host-0', 0, 0)
+    await advanceTime(40_000)
+    expect(store.peek('status/wave/1')).toBe('complete')
+    expect([...machines.done].sort()).toEqual(wave.machineIds)
+    expect(machines.getMaxSeenDown()).toBeLessThanOrEqual(wave.maxDown)
+    expect(store.getUnguardedKeys()).toEqual([])
+    await endTerm(termEnd)
+  }), { numRuns: 25, seed: 42 })
+})
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -37,7 +37,8 @@
   getRank (): number | undefined
 }
 
-const hostsPrefix = 'hosts/'
+/** Key prefix of the entries. */
+export const hostsPrefix = 'hosts/'
 /** Lease time of an entry. The entry of a host that has stopped remains until then; calls to that host fail at once. */
 const entryTtlMs = 15_000
 /** Period of lease renewal; the lease survives three lost renewals in a row. */
--- a/src/platform/soak/platformSoak.test.ts
+++ b/src/platform/soak/platformSoak.test.ts
@@ -8,4 +8,5 @@
   expect(report.complete).toBeGreaterThan(0)
   expect(report.evacuations).toBeGreaterThan(0)
   expect(report.massCrashes).toBeGreaterThan(0)
+  expect(report.lateWrites).toBeGreaterThan(0)
 }, 120_000)
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -5,7 +5,12 @@
 import { parseArgs } from 'node:util'
 import { createRandom, pickRandom } from '../../common/random.js'
 import { delay } from '../../common/time.js'
+import { backlogKey } from '../../admission/backlogCodec.js'
+import { leaderKey } from '../../election/leaderElection.js'
+import { acceptedPrefix, getAcceptedKey, pendingCountsKey, progressPrefix } from '../../jobs/jobKeys.js'
 import { EndKind } from '../../jobs/jobModel.js'
+import { hostsPrefix } from '../../peers/hostDirectory.js'
+import { learnedStateKey } from '../../runs/learnedState.js'
 import type { JobSpec } from '../../jobs/jobModel.js'
 import { startPlatformEmulator, storeClientId } from '../emulator/platformEmulator.js'
 import type { PlatformEmulator } from '../emulator/platformEmulator.js'
@@ -30,6 +35,8 @@
   readonly evacuations: number
   /** Crashes of many workers at the same moment. */
   readonly massCrashes: number
+  /** How often the next writes of one key were made late. */
+  readonly lateWrites: number
   readonly faults: readonly string[]
   /** Descriptions of violated guarantees; empty on success. */
   readonly broken: readonly string[]
@@ -64,6 +71,16 @@
 /** A worker that has crashed starts again within this, in ms. */
 const maxAwayMs = 2_500
 const massCrashSeedOffset = 104_729
+const lateWritesPauseMs = 800
+/** The longest time in ms after which a write without a response is applied. */
+const maxLateMs = 6_000
+const lateWritesSeedOffset = 15_485_863
+/** The prefixes of the keys that the daemons write in the soak. */
+const writtenPrefixes = [pendingCountsKey, backlogKey, learnedStateKey, leaderKey, hostsPrefix, progressPrefix, acceptedPrefix]
+/** Jobs that cannot start, submitted when all others have ended. */
+const waitingJobs = 8
+/** Hosts show a change in the number of waiting jobs within this, in ms: the counts may be 2 s old, and a new scheduler takes 3 s to take over. */
+const pendingBoundMs = 5_000
 /** All jobs end within this time after the last fault is cleared: some leases have to expire, then the remaining work runs. */
 const settleTimeoutMs = 45_000
 const pollMs = 250
@@ -92,13 +109,16 @@
   const faults: string[] = []
   const broken: string[] = []
   let massCrashes = 0
+  let lateWrites = 0
   const jobs: SoakJob[] = []
   try {
     await delay(1_500)
     const endsAtMs = Date.now() + seconds * 1_000
-    await Promise.all([submitJobs(), injectFaults(), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
+    const randomLate = createRandom(seed + lateWritesSeedOffset)
+    await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
     await clearFaults(emulator, daemons)
     await waitForJobs(caller, jobs)
+    broken.push(...await findPendingViolations(randomLate), ...findStoreViolations(emulator, daemons))
     broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator), ...findLateStarts(starts, evacuations))
 
     async function submitJobs (): Promise<void> {
@@ -133,6 +153,31 @@
       await Promise.all(running)
     }
 
+    async function delayWritesByKey (randomLate: () => number): Promise<void> {
+      while (Date.now() < endsAtMs) {
+        await delay(lateWritesPauseMs * randomLate())
+        emulator.store.delayWrites(storeClientId, 1 + Math.floor(2 * randomLate()), maxLateMs * randomLate(), pickRandom(writtenPrefixes, randomLate))
+        lateWrites++
+      }
+    }
+
+    /** Submits jobs that cannot start, the first of them while writes of the counts are late, and compares what every host says of them. */
+    async function findPendingViolations (randomLate: () => number): Promise<readonly string[]> {
+      emulator.store.delayWrites(storeClientId, 4, maxLateMs, pendingCountsKey)
+      const waiting: SoakJob[] = []
+      for (let index = 0; index < waitingJobs; index++) {
+        const job = caller.createWaitingJob(jobs.length + index, seed)
+        waiting.push(job)
+        await caller.submit(job)
+        await delay(lateWritesPauseMs * randomLate())
+      }
+      emulator.store.delayWrites(storeClientId, 0, 0)
+      await delay(maxLateMs + pendingBoundMs)
+      const stored = waiting.filter(({ spec }) => emulator.store.peek(getAcceptedKey(spec.jobId)) !== undefined).length
+      const answers = await Promise.all(daemons.hosts.map(async ({ name, callersAddress }) => ({ name, pending: await caller.getPending('batch', callersAddress) })))
+      return answers.filter(({ pending }) => pending !== stored).map(({ name, pending }) => `${name} counts ${pending} of ${stored} waiting jobs`)
+    }
+
     async function evacuateDomains (randomEvacuation: () => number): Promise<void> {
       while (Date.now() < endsAtMs) {
         await delay(evacuationPauseMs * randomEvacuation())
@@ -161,6 +206,7 @@
     starts: [...emulator.poolState.starts.values()].reduce((sum, starts) => sum + starts, 0),
     evacuations: evacuations.length,
     massCrashes,
+    lateWrites,
     faults,
     broken,
     ...collectTrace(daemons, broken)
@@ -210,7 +256,7 @@
 /** Injects one random fault; resolves when it is over. */
 async function injectFault (emulator: PlatformEmulator, daemons: DaemonProcesses, random: () => number, faults: string[], broken: string[]): Promise<void> {
   const host = pickRandom(daemons.hosts, random)
-  const leaderName = emulator.store.peek('leader/scheduler')
+  const leaderName = emulator.store.peek(leaderKey)
   const leader = daemons.hosts.find(({ name }) => name === leaderName) ?? host
   const worker = pickRandom(emulator.workers, random)
   const forMs = 500 + 3_500 * random()
@@ -315,6 +361,12 @@
   return violations
 }
 
+/** What the store must show once it is in order: each host in the directory, and no write that could have replaced a newer value. */
+function findStoreViolations ({ store }: PlatformEmulator, { hosts }: DaemonProcesses): readonly string[] {
+  const missing = hosts.filter(({ name }) => store.peek(hostsPrefix + name) === undefined)
+  return [...missing.map(({ name }) => `${name} is missing in the directory`), ...store.getUnguardedKeys().map(key => `${key} was written without a condition on its revision`)]
+}
+
 function isRunning ({ jobId }: JobSpec, { poolState }: PlatformEmulator): boolean {
   return [...poolState.running].some(([task, places]) => task.startsWith(jobId) && places.length > 0)
 }
--- a/src/platform/soak/soakCaller.ts
+++ b/src/platform/soak/soakCaller.ts
@@ -35,9 +35,13 @@
 
 export interface SoakCaller {
   createJob (index: number, seed: number): SoakJob
+  /** Creates a job that no worker may run. */
+  createWaitingJob (index: number, seed: number): SoakJob
   submit (job: SoakJob): Promise<void>
   cancel (job: SoakJob): Promise<void>
   poll (job: SoakJob): Promise<void>
+  /** Asks one host how many jobs of a queue wait; undefined if it does not answer with a number. */
+  getPending (queue: string, address: string): Promise<number | undefined>
 }
 
 const maxAttempts = 6
@@ -53,10 +57,9 @@
 /** Creates a caller that picks a host at random for each call. */
 export function createSoakCaller (options: SoakCallerOptions): SoakCaller {
   const { random } = options
-  return { createJob, submit, cancel, poll }
+  return { createJob, createWaitingJob, submit, cancel, poll, getPending }
 
   function createJob (index: number, seed: number): SoakJob {
-    const jobId = (seed * 100_000 + index).toString(16).padStart(16, '0')
     const queue = random() < 0.4 ? 'urgent' : 'batch'
     const isGang = random() < 0.5
     const step = {
@@ -68,7 +71,16 @@
       gang: isGang,
       sameRack: isGang && random() < 0.5
     }
-    const body = JSON.stringify({ spec: `job ${index}`, phases: random() < 0.3 ? [step, { count: 2, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, after: [0] }] : [step] })
+    return encodeJob(index, seed, queue, random() < 0.3 ? [step, { count: 2, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, after: [0] }] : [step])
+  }
+
+  function createWaitingJob (index: number, seed: number): SoakJob {
+    return encodeJob(index, seed, 'batch', [{ count: 1, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, selector: 'none' }])
+  }
+
+  function encodeJob (index: number, seed: number, queue: string, phases: readonly object[]): SoakJob {
+    const jobId = (seed * 100_000 + index).toString(16).padStart(16, '0')
+    const body = JSON.stringify({ spec: `job ${index}`, phases })
     const spec = decodeJob(body, { jobId, queue, service: 'pool', organisation: 'soak', attemptLimit: 4 })
     return { path: `/${queue}/${jobId}`, body, spec, outcome: SubmissionOutcome.Pending, isGone: false }
   }
@@ -102,8 +114,13 @@
     if (response?.status === 200) job.state = (JSON.parse(response.text) as { readonly state: string }).state
   }
 
-  function call (method: string, path: string, body = ''): Promise<{ readonly status: number, readonly text: string } | undefined> {
-    const [address = '', port = ''] = pickRandom(options.addresses, random).split(':')
+  async function getPending (queue: string, address: string): Promise<number | undefined> {
+    const response = await call('GET', `/${queue}/`, '', address)
+    return response?.status === 200 ? (JSON.parse(response.text) as { readonly pending: number }).pending : undefined
+  }
+
+  function call (method: string, path: string, body = '', hostAddress = pickRandom(options.addresses, random)): Promise<{ readonly status: number, readonly text: string } | undefined> {
+    const [address = '', port = ''] = hostAddress.split(':')
     const headers = { Host: options.hostName, 'Api-Key': options.key, 'Deadline-Ms': String(timeoutMs), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
     return new Promise(resolve => {
       const request = sendRequest({ host: address, port: Number(port), method, path, headers, timeout: timeoutMs, agent: false }, response => {
--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -5,11 +5,15 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { backlogKey } from '../admission/backlogCodec.js'
 import { createLogger, silentLogger } from '../common/logger.js'
+import { leaderKey } from '../election/leaderElection.js'
 import { EndKind, isTerminal, JobState } from '../jobs/jobModel.js'
-import { getProgressKey } from '../jobs/jobKeys.js'
+import { acceptedPrefix, getAcceptedKey, getProgressKey, pendingCountsKey, progressPrefix } from '../jobs/jobKeys.js'
+import type { JobIntake } from '../jobs/jobIntake.js'
 import { decodeState } from '../jobs/trackedJob.js'
 import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
+import { learnedStateKey } from './learnedState.js'
 import { hasCauseToFail } from '../standins/poolWorker.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 
@@ -21,6 +25,14 @@
 const attemptLimit = 3
 /** The same-rack gangs of the test fit into one rack. */
 const workersPerRack = 3
+/** The prefixes of the keys that the hosts of the harness write. */
+const writtenPrefixes = [pendingCountsKey, backlogKey, learnedStateKey, leaderKey, progressPrefix, acceptedPrefix]
+/** The longest time in ms after which a write without a response is applied. */
+const maxLateMs = 6_000
+/** Added to a seed for the late writes, so that they do not change the series of the other faults. */
+const lateWritesSeedOffset = 15_485_863
+/** Callers see a change in the number of waiting jobs within this, in ms: the counts may be 2 s old, and a new scheduler takes 3 s to take over. */
+const pendingBoundMs = 5_000
 const shrunkCapacity = { ...harnessCapacity, accelerators: 3 }
 
 beforeEach(() => { jest.useFakeTimers() })
@@ -30,9 +42,16 @@
   for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
 }
 
-test.each(seeds)('seed %i: every job ends, none fails without cause, no task runs twice, no worker exceeds its capacity', async seed => {
+test.each(seeds)('seed %i: every job ends, none fails without cause, no task runs twice, no worker exceeds its capacity', async seed => { await runSoak(seed, false) })
+
+// Guards against outdated values that stay: writes whose conditions do not change with their own keys.
+test.each(seeds)('seed %i, with late writes to each key: the same, and callers see how many jobs wait', async seed => { await runSoak(seed, true) })
+
+async function runSoak (seed: number, hasLateWrites: boolean): Promise<void> {
   const generator = xoroshiro128plus(seed)
   const random = (limit: number): number => uniformInt(generator, 0, limit - 1)
+  const lateWritesGenerator = xoroshiro128plus(seed + lateWritesSeedOffset)
+  const randomLate = (limit: number): number => uniformInt(lateWritesGenerator, 0, limit - 1)
   const harness = createPoolHarness({
     // Two fifths of a larger pool are several workers, and leave more than one rack in use.
     workers: seed % 4 < 2 ? 6 : 12,
@@ -56,6 +75,7 @@
     void harness.submit(makeRandomJob(jobId, random)).catch(() => { jobIds.splice(jobIds.indexOf(jobId), 1) })
     await run(10 * random(60))
     if (random(2) === 0) injectFault(harness, random)
+    if (hasLateWrites) delayWritesOfOneKey(harness, randomLate)
     while (harness.hosts.size < 3) harness.addHost(`host-${hostNumber++}`)
     await run(faultPeriodMs * random(2))
   }
@@ -65,10 +85,41 @@
   expect(jobIds.filter(jobId => !hasEnded(harness, jobId))).toEqual([])
   // Guards against jobs that are given up because their workers crashed for another reason.
   expect(jobIds.filter(jobId => getState(harness, jobId) === JobState.Failed && !hasCauseToFail(harness.poolState, jobId, attemptLimit))).toEqual([])
+  if (hasLateWrites) await checkPending(harness, randomLate)
+  expect(harness.store.getUnguardedKeys()).toEqual([])
   const stopped = harness.stop()
   await run(3_000)
   await stopped
-})
+}
+
+function delayWritesOfOneKey (harness: PoolHarness, random: (limit: number) => number): void {
+  const prefix = writtenPrefixes[random(writtenPrefixes.length)]
+  for (const hostId of harness.hosts.keys()) harness.store.delayWrites(hostId, 1 + random(2), 10 * random(maxLateMs / 10), prefix)
+}
+
+/** Submits jobs that cannot start, some of them while writes are late, and checks the counts that callers get once the store is in order again. */
+async function checkPending (harness: PoolHarness, random: (limit: number) => number): Promise<void> {
+  const jobIds = Array.from({ length: 10 }, (_, index) => `waiting${index}`)
+  for (const [index, jobId] of jobIds.entries()) {
+    if (index < 4) for (const hostId of harness.hosts.keys()) harness.store.delayWrites(hostId, 1, maxLateMs, pendingCountsKey)
+    void harness.submit(makeJob(jobId, 'batch', [makeStep({ requiredLabel: 'none' })])).catch(() => {})
+    await run(10 * random(100))
+  }
+  for (const hostId of harness.hosts.keys()) harness.store.delayWrites(hostId, 0, 0)
+  await run(maxLateMs + pendingBoundMs)
+  for (let looks = 0; looks < 4; looks++) {
+    const stored = jobIds.filter(jobId => harness.store.peek(getAcceptedKey(jobId)) !== undefined).length
+    for (const { intake } of harness.hosts.values()) expect(await countPending(intake, 'batch')).toBe(stored)
+    for (const { intake } of harness.hosts.values()) expect(await countPending(intake, 'urgent')).toBe(0)
+    await run(1_000)
+  }
+}
+
+async function countPending (intake: JobIntake, queue: string): Promise<number> {
+  const counted = intake.countPending(queue, performance.now() + 1_000)
+  await run(100)
+  return await counted
+}
 
 function makeRandomJob (jobId: string, random: (limit: number) => number): ReturnType<typeof makeJob> {
   const accelerators = [1, 2, 4, 8][random(4)] ?? 1
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -13,8 +13,16 @@
   setListsUnavailable (hostId: string, isUnavailable: boolean): void
   /** Pauses or resumes the store. While paused, it rejects all calls, and the remaining time of every lease does not elapse. */
   pause (isPaused: boolean): void
-  /** Applies the next `count` transactions of a host `lateMs` later, and sends the host no response to them. */
-  delayWrites (hostId: string, count: number, lateMs: number): void
+  /**
+   * Applies the next `count` transactions of a host that write a key under `prefix` `lateMs` later, and sends the host no response to them. Adds to
+   * earlier calls; a count of 0 ends all of them.
+   */
+  delayWrites (hostId: string, count: number, lateMs: number, prefix?: string): void
+  /**
+   * The keys that hosts have written without a condition on the same key. A write without a response can replace a newer value of such a key when it is
+   * applied late.
+   */
+  getUnguardedKeys (): readonly string[]
   /** Expires all leases immediately and removes their keys. */
   expireLeases (): void
   /** Discards the change history up to the current revision. */
@@ -30,6 +38,12 @@
   endsAtMs: number
 }
 
+interface WriteFault {
+  readonly lateMs: number
+  readonly prefix: string
+  left: number
+}
+
 interface Change extends StoreChange {
   readonly revision: number
 }
@@ -44,14 +58,15 @@
   const history: Change[] = []
   const unavailableHosts = new Set<string>()
   const listTimeoutHosts = new Set<string>()
-  const writeFaults = new Map<string, { left: number, lateMs: number }>()
+  const writeFaults = new Map<string, WriteFault[]>()
+  const unguardedKeys = new Set<string>()
   let isUnavailable = false
   let pausedAtMs = 0
   let revision = 1
   let firstRevision = 1
   let nextLeaseId = 1
 
-  return { connect, setUnavailable, setListsUnavailable, pause, delayWrites, expireLeases, compact, peek: key => items.get(key)?.value, write }
+  return { connect, setUnavailable, setListsUnavailable, pause, delayWrites, getUnguardedKeys: () => [...unguardedKeys], expireLeases, compact, peek: key => items.get(key)?.value, write }
 
   function setUnavailable (isUnavailableNow: boolean, hostId?: string): void {
     if (hostId === undefined) isUnavailable = isUnavailableNow
@@ -70,8 +85,8 @@
     isUnavailable = isPaused
   }
 
-  function delayWrites (hostId: string, count: number, lateMs: number): void {
-    writeFaults.set(hostId, { left: count, lateMs })
+  function delayWrites (hostId: string, count: number, lateMs: number, prefix = ''): void {
+    writeFaults.set(hostId, count === 0 ? [] : [...writeFaults.get(hostId) ?? [], { left: count, lateMs, prefix }])
   }
 
   function expireLeases (): void {
@@ -152,8 +167,9 @@
       const entries = transaction.expected.length + transaction.writes.length + (transaction.removes?.length ?? 0)
       if (entries > maxTransactionEntries) throw createError(ErrorKind.BadRequest, 'the transaction has too many entries')
       if (!areLeasesValid(transaction)) throw createError(ErrorKind.NotFound, 'the lease does not exist or has expired')
-      const writeFault = writeFaults.get(hostId)
-      if (writeFault === undefined || writeFault.left === 0) return apply(transaction)
+      for (const { key } of transaction.writes) if (!transaction.expected.some(condition => condition.key === key)) unguardedKeys.add(key)
+      const writeFault = writeFaults.get(hostId)?.find(({ left, prefix }) => left > 0 && (prefix === '' || transaction.writes.some(({ key }) => key.startsWith(prefix))))
+      if (writeFault === undefined) return apply(transaction)
       writeFault.left--
       setTimeout(() => {
         removeExpiredLeases()
