Entries that no worker could have are left out of the worker list

But the scheduler took such entries for workers: it polled them, and would have placed work by a capacity that another writer left under the id of a reachable worker. An entry that could not be decoded was reported at every read (10 and 13 lines in trials of about 12 s). An entry that is left out is logged once while it is there, and counted in the gauge ignored_worker_entries. Addresses in the settings are checked by the same rule.

--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -24,6 +24,7 @@
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
+import type { WorkerList } from '../workers/workerList.js'
 import { evacuationPrefix, tryDecodeEvacuationKey } from './evacuationKeys.js'
 import { createPeerConnections } from './peerConnections.js'
 import { createJobApi } from './jobApi.js'
@@ -70,6 +71,7 @@
 let scheduler: Scheduler | undefined
 let currentTerm: Term | undefined
 let evacuations: DomainEvacuations | undefined
+let workerList: WorkerList | undefined
 
 const configuration = createConfigurationReplica({
   store: relayedStore,
@@ -126,7 +128,7 @@
 function startTerm (term: Term): void {
   currentTerm = term
   const readInitial = (prefix: string): Promise<PrefixSnapshot> => standby.read(prefix, term.epoch)
-  const workerList = createWorkerList({
+  const list = createWorkerList({
     store,
     logger: logger.withPrefix('workers'),
     prefix: workerListPrefix,
@@ -136,14 +138,15 @@
     signal: term.signal,
     readInitial
   })
+  workerList = list
   evacuations = createEvacuations(term)
   scheduler = createScheduler({
     term,
     store,
     logger: logger.withPrefix('scheduler'),
     bounds: settings,
-    getListedWorkers: workerList.get,
-    isWorkerListCurrent: workerList.isCurrent,
+    getListedWorkers: list.get,
+    isWorkerListCurrent: list.isCurrent,
     connect: createHttpWorker,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
@@ -191,6 +194,7 @@
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
   metrics.setGauge('is_scheduler', currentTerm?.isValid() === true ? 1 : 0)
+  metrics.setGauge('ignored_worker_entries', currentTerm?.isValid() === true ? workerList?.countIgnored() ?? 0 : 0)
   if (settings.evacuationBoundMs !== undefined) {
     const copy = currentTerm?.isValid() === true ? evacuations : undefined
     metrics.setGauge('evacuated_domains', copy?.getRequests().size ?? 0)
--- a/src/platform/platformConfiguration.ts
+++ b/src/platform/platformConfiguration.ts
@@ -1,7 +1,7 @@
 /** Decodes the operators' configuration from the platform's store. */
 import * as z from 'zod/mini'
+import { tryParseJson } from '../common/boundedJson.js'
 import type { Configuration } from '../configuration/configuration.js'
-import { tryParseJson } from './workerEntries.js'
 
 /** The store key of the configuration. */
 export const configurationKey = 'op/config'
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { parse } from 'smol-toml'
 import * as z from 'zod/mini'
+import { isAddress } from '../common/address.js'
 import { defaultCostSettings } from '../placement/delayCost.js'
 import type { CostSettings } from '../placement/delayCost.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
@@ -11,7 +12,7 @@
 /** The contract under which operators request evacuations of failure domains. */
 const evacuationContract = 'places'
 
-const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/))
+const addressSchema = z.string().check(z.refine(isAddress, 'must be host:port'))
 /** Run times and waits are estimates, and a refusal must not rest on their errors. The value is that of docs/design/scarcity-and-evacuation.md. */
 const defaultRefusalMargin = 1.25
 const settingsSchema = z.object({
--- a/src/platform/serviceClients.ts
+++ b/src/platform/serviceClients.ts
@@ -1,11 +1,11 @@
 /** HTTP clients of the platform's advice and machine services, and the codec of maintenance waves. */
 import * as z from 'zod/mini'
+import { tryParseJson } from '../common/boundedJson.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import type { AdvicePort } from '../runs/adviceCache.js'
 import { MaintenanceResult } from '../maintenance/maintenanceWaves.js'
 import type { ListedMachine, MachinePort, Wave } from '../maintenance/maintenanceWaves.js'
 import { createHttpClient } from './httpClient.js'
-import { tryParseJson } from './workerEntries.js'
 
 /** Key prefix of the maintenance waves that operators request. */
 export const wavePrefix = 'op/wave/'
--- a/src/store/polledPrefix.ts
+++ b/src/store/polledPrefix.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { createIgnoredEntries } from './ignoredEntries.js'
 import { readAll } from './metadataStore.js'
 import type { MetadataStore, StoredItem } from './metadataStore.js'
 import type { PrefixSnapshot } from './prefixReplica.js'
@@ -15,7 +16,7 @@
   /** What is read, for the log, for example "the worker list". */
   readonly description: string
   readonly prefix: string
-  /** Decodes an item; returns undefined if it is malformed. Malformed items are left out of the copy. */
+  /** Decodes an item; returns undefined if it is malformed. Malformed items are left out of the copy. Must not throw. */
   readonly decode: (item: StoredItem) => T | undefined
   /** Called after each successful read. */
   readonly onRead: () => void
@@ -36,6 +37,8 @@
   isCurrent (): boolean
   /** The time since the latest successful read was sent, or since the polling began if there was none, in ms. */
   getAgeMs (): number
+  /** The number of malformed items that the latest read has found. */
+  countIgnored (): number
 }
 
 /** Interval between reads, in ms: the tightest bound, 2.5 s for a draining worker, holds even if one read fails. */
@@ -46,11 +49,12 @@
 /** Starts polling the prefix. */
 export function createPolledPrefix<T> (host: PolledPrefixHost<T>): PolledPrefix<T> {
   const beganAt = readClocks()
+  const ignored = createIgnoredEntries(host.logger, host.description)
   let entries: readonly T[] | undefined
   let readAt: ClockReading | undefined
   let revision = host.minRevision ?? 0
   void poll()
-  return { get: () => entries, isCurrent, getAgeMs }
+  return { get: () => entries, isCurrent, getAgeMs, countIgnored: ignored.count }
 
   function isCurrent (): boolean {
     return readAt !== undefined && getElapsedMs(readAt) <= host.maxAgeMs
@@ -73,11 +77,10 @@
       const { items, revision: readRevision } = await (readAt === undefined && host.readInitial !== undefined ? host.readInitial(host.prefix) : readAll(host.store, host.prefix))
       if (readRevision < revision) throw createError(ErrorKind.StoreUnavailable, `the store answered from revision ${readRevision}, older than ${revision}`)
       revision = readRevision
-      const decoded = items.map(host.decode)
-      entries = decoded.filter(entry => entry !== undefined)
+      const decoded = items.map(item => ({ key: item.key, entry: host.decode(item) }))
+      entries = decoded.flatMap(({ entry }) => entry ?? [])
+      ignored.update(decoded.filter(({ entry }) => entry === undefined).map(({ key }) => key))
       readAt = sentAt
-      const malformed = decoded.length - entries.length
-      if (malformed > 0) host.logger.info(`invalid entries in ${host.description} were ignored`, { malformed })
       host.onRead()
       return true
     } catch (error) {
--- a/src/workers/workerList.ts
+++ b/src/workers/workerList.ts
@@ -26,6 +26,8 @@
   get (): readonly ListedWorker[] | undefined
   /** Tells whether the latest list was read so recently that every drain announced longer ago than is permitted is in it. */
   isCurrent (): boolean
+  /** The number of entries that the latest read has left out because they describe no worker. */
+  countIgnored (): number
 }
 
 /** Starts polling the list. */
