One odd entry no longer keeps hosts from reading the host directory

Seen: with one entry `{` of another writer under hosts/, three daemons logged 60 failed reads in about 12 s and had no peers: no relayed store, no followed configuration, no standby by rank. Evidence: the property test over mutated entries in peers/hostDirectory.test.ts failed before the change (no peers). Change: entries are decoded one by one, with bounds on length, depth, address and numbers, and an entry must name the host of its key. The others are left out and logged once.

--- a/src/peers/hostDirectory.test.ts
+++ b/src/peers/hostDirectory.test.ts
@@ -1,8 +1,11 @@
 /** The rank of a host among those that may become the scheduler: too many or small standbys would burden the store and their links. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import fc from 'fast-check'
+import { isAddress } from '../common/address.js'
 import { silentLogger } from '../common/logger.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
+import { mutateEntry } from '../testing/oddValues.js'
 import { createHostDirectory } from './hostDirectory.js'
 import type { HostDirectory, KnownHost } from './hostDirectory.js'
 
@@ -86,3 +89,21 @@
   stopping.abort()
   await jest.advanceTimersByTimeAsync(1_000)
 })
+
+// Guards against one odd entry that keeps every host from reading the directory.
+test('the sound entries beside odd ones are read', async () => {
+  const soundEntry = { hostId: 'odd0', address: '10.1.0.7:7015', domain: 'a', hasFastLink: true, isSmall: false, roundTripMs: 1.4 }
+  await fc.assert(fc.asyncProperty(fc.array(mutateEntry(soundEntry), { minLength: 1, maxLength: 5 }), async values => {
+    const store = createMemoryStore()
+    const stopping = new AbortController()
+    values.forEach((value, index) => { store.write(`hosts/odd${index}`, value) })
+    const directory = startDirectory(store, 'a', stopping.signal)
+    startDirectory(store, 'b', stopping.signal)
+    await jest.advanceTimersByTimeAsync(2_000)
+    const peers = directory.getPeers()
+    expect(peers.map(({ hostId }) => hostId)).toContain('b')
+    expect(peers.every(({ address, hostId }) => isAddress(address) && (hostId === 'b' || hostId.startsWith('odd')))).toBe(true)
+    stopping.abort()
+    await jest.advanceTimersByTimeAsync(1_000)
+  }), { numRuns: 200, seed: 1 })
+})
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -1,7 +1,11 @@
 /** Host discovery: each host keeps an entry under a lease in the platform's store and periodically reads the entries of all hosts. */
+import * as z from 'zod/mini'
+import { isAddress } from '../common/address.js'
+import { tryParseJson } from '../common/boundedJson.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createIgnoredEntries } from '../store/ignoredEntries.js'
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
 import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
@@ -53,11 +57,26 @@
 /** Delay after a failed call. */
 const retryDelayMs = 500
 
+/** Entries take about 200 characters and one level; the rest allows for fields of later versions. */
+const entryBounds = { maxLength: 4_096, maxDepth: 4 }
+const maxNameLength = 200
+
+const nameSchema = z.string().check(z.maxLength(maxNameLength))
+const entrySchema = z.object({
+  hostId: nameSchema,
+  address: z.string().check(z.refine(isAddress)),
+  domain: nameSchema,
+  hasFastLink: z.boolean(),
+  isSmall: z.optional(z.boolean()),
+  roundTripMs: z.optional(z.number().check(z.nonnegative()))
+})
+
 /** Maintains the entry of this host and reads those of the others until the signal is aborted. */
 export function createHostDirectory (host: HostDirectoryHost): HostDirectory {
   const { store, logger, ownHost } = host
   const ownKey = hostsPrefix + ownHost.hostId
   const guard = createRevisionGuard(ownKey)
+  const ignored = createIgnoredEntries(logger, 'the host directory')
   let peers: readonly KnownHost[] = []
   let isEntryDue = true
   /** The round trip in the entry of this host. */
@@ -133,7 +152,9 @@
       try {
         const { items, revision } = await readAll(store, hostsPrefix)
         checkOwnEntry(items, revision)
-        const others = items.map(item => JSON.parse(item.value) as KnownHost).filter(({ hostId }) => hostId !== ownHost.hostId)
+        const decoded = items.map(item => ({ key: item.key, known: tryDecodeHost(item) }))
+        ignored.update(decoded.filter(({ known }) => known === undefined).map(({ key }) => key))
+        const others = decoded.flatMap(({ known }) => known === undefined || known.hostId === ownHost.hostId ? [] : [known])
         const sameDomain = others.filter(({ domain }) => domain === ownHost.domain)
         peers = [...sameDomain, ...others.filter(peer => !sameDomain.includes(peer))]
         await delay(readPeriodMs, host.signal)
@@ -144,3 +165,9 @@
     }
   }
 }
+
+/** Decodes an entry; undefined if no host can have written it. Never throws. */
+function tryDecodeHost ({ key, value }: StoredItem): KnownHost | undefined {
+  const entry = entrySchema.safeParse(tryParseJson(value, entryBounds))
+  return entry.success && hostsPrefix + entry.data.hostId === key ? entry.data : undefined
+}
