One record of a job that cannot be decoded no longer stops all scheduling

One malformed entry of another writer under jobs/, or a malformed progress record, made each takeover fail until its limit of 6 s, in one host after the other; one that arrived later stopped the watch, so that no later job was seen. Seen: three daemons beside `{` under jobs/: 5 of 5 jobs accepted, none started, 67 failed reads in about 12 s, 2 terms. Change: accepted jobs and progress records are checked where they are decoded, one by one. A job whose records cannot be decoded is not scheduled, since it may have run; it is logged once, as an error, and counted in the status (unreadableJobs). A caller who asks for its state gets an error and no other state.

--- a/src/jobs/trackedJob.test.ts
+++ b/src/jobs/trackedJob.test.ts
@@ -1,7 +1,7 @@
 /** The stored progress of a job. */
 import { expect, test } from '@jest/globals'
 import { makeJob, makeStep } from '../testing/poolHarness.js'
-import { createAttempt, createTrackedJob, encodeProgress, getUnits, restoreProgress } from './trackedJob.js'
+import { createAttempt, createTrackedJob, encodeProgress, getUnits, tryRestoreProgress } from './trackedJob.js'
 import type { CrashRecord, TrackedJob, Unit } from './trackedJob.js'
 
 const getUnit = (job: TrackedJob): Unit => getUnits(job)[0] as Unit
@@ -14,14 +14,14 @@
   const lost: CrashRecord = { run: 2, indices: [0], machine: 'm2', bornAtMs: 6, likelihoodRatio: 1, ranMs: 0, isCounted: false, pendingSinceMs: 20 }
   unit.crashes = [crash, lost]
   const restored = createTrackedJob(job.spec, 100)
-  restoreProgress(restored, encodeProgress(job), 1, 100, 100)
+  tryRestoreProgress(restored, encodeProgress(job), 1, 100, 100)
   expect(getUnit(restored).crashes).toEqual([crash, { ...lost, pendingSinceMs: 100 }])
   expect(getUnit(restored).attempts[0]?.members[0]).toMatchObject({ workerId: 'w', bornAtMs: 7, machine: 'm' })
 })
 
 test('records of the version that stored only the numbers of crashes are read', () => {
   const job = createTrackedJob(makeJob('job', 'batch', [makeStep()]), 0)
-  restoreProgress(job, '{"state":"active","done":{},"units":[[0,0,0,3,[],"",[[3,[[0,"w",7]]]],[[0,2]]]]}', 1, 0, 0)
+  tryRestoreProgress(job, '{"state":"active","done":{},"units":[[0,0,0,3,[],"",[[3,[[0,"w",7]]]],[[0,2]]]]}', 1, 0, 0)
   expect(getUnit(job).crashes.map(({ indices, isCounted }) => ({ indices, isCounted }))).toEqual([{ indices: [0], isCounted: true }, { indices: [0], isCounted: true }])
   expect(getUnit(job).attempts[0]?.members[0]).toMatchObject({ workerId: 'w', bornAtMs: 7, machine: 'w' })
 })
--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -1,5 +1,7 @@
 /** The scheduler's state of a job: its scheduling units, their attempts, and the compact encoding of its progress record. */
 import { assert } from '../common/assertions.js'
+import { tryParseJson } from '../common/boundedJson.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { formatTaskName, isTerminal, JobState } from './jobModel.js'
 import type { JobSpec, StepSpec } from './jobModel.js'
 
@@ -263,6 +265,7 @@
 type EarlierCrashes = readonly [index: number, crashes: number]
 type UnitRecord = readonly [occurrence: number, step: number, index: number, run: number, failedRuns: readonly number[], checkpoint: string, attempts: readonly AttemptRecord[], crashes?: readonly StoredCrash[]]
 
+const stateNames: ReadonlySet<string> = new Set(Object.values(JobState))
 const bitsPerDigit = 4
 const countedFlag = 1
 const pendingFlag = 2
@@ -320,14 +323,20 @@
   return { run, indices: [index], machine: '', bornAtMs: 0, likelihoodRatio: earlierCrashRatio, ranMs: earlierCrashRanMs, isCounted: true }
 }
 
-/** Decodes only the state of a progress record. */
+/** Decodes only the state of a progress record. Errors: `internal` if the record is malformed. */
 export function decodeState (value: string): JobState {
-  return (JSON.parse(value) as ProgressRecord).state
-}
-
-/** Restores stored progress into a newly created job. Members are `StartSent` until their workers have reported what is running. */
-export function restoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number, unixNowMs: number): void {
-  const record = JSON.parse(value) as ProgressRecord
+  const record = tryParseJson(value)
+  if (isObject(record) && isState(record.state)) return record.state
+  throw createError(ErrorKind.Internal, 'the stored progress of the job cannot be decoded')
+}
+
+/**
+ * Restores stored progress into a newly created job. Members are `StartSent` until their workers have reported what is running. Returns false if
+ * the record is malformed; the job must not be used then.
+ */
+export function tryRestoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number, unixNowMs: number): boolean {
+  const record = tryParseJson(value)
+  if (!isProgressRecord(record)) return false
   job.progressRevision = revision
   job.state = record.state
   job.endedAtMs = record.endedAtMs
@@ -336,10 +345,62 @@
     addOccurrence(job, occurrence, nowMs, getOverdueMs(job.spec, occurrence, unixNowMs))
     job.occurrences.get(occurrence)?.[step]?.forEach((unit, index) => { unit.isDone = isBitSet(bitmap, index) })
   }
-  for (const unitRecord of record.units) {
+  return record.units.every(unitRecord => {
     addOccurrence(job, unitRecord[0], nowMs, getOverdueMs(job.spec, unitRecord[0], unixNowMs))
-    restoreUnit(job, unitRecord, nowMs)
-  }
+    return tryRestoreUnit(job, unitRecord, nowMs)
+  })
+}
+
+// Written by hand rather than with a schema, since a new scheduler decodes all records before it starts anything.
+
+function isProgressRecord (value: unknown): value is ProgressRecord {
+  return isObject(value) && isState(value.state) && (value.endedAtMs === undefined || isNumber(value.endedAtMs)) &&
+    isObject(value.done) && Object.entries(value.done).every(([key, bitmap]) => /^\d{1,9}\.\d{1,9}$/.test(key) && typeof bitmap === 'string') &&
+    Array.isArray(value.units) && value.units.every(isUnitRecord)
+}
+
+function isUnitRecord (value: unknown): value is UnitRecord {
+  if (!Array.isArray(value)) return false
+  const [occurrence, step, index, run, failedRuns, checkpoint, attempts, crashes = []] = value as readonly unknown[]
+  return [occurrence, step, index, run].every(isIndex) && isArrayOf(failedRuns, isIndex) && typeof checkpoint === 'string' &&
+    isArrayOf(attempts, isAttemptRecord) && isArrayOf(crashes, isStoredCrash)
+}
+
+function isAttemptRecord (value: unknown): boolean {
+  return Array.isArray(value) && isIndex(value[0]) && isArrayOf(value[1], isMemberRecord)
+}
+
+function isMemberRecord (value: unknown): boolean {
+  return Array.isArray(value) && isIndex(value[0]) && typeof value[1] === 'string' && isNumber(value[2]) && (value[3] === undefined || typeof value[3] === 'string')
+}
+
+function isStoredCrash (value: unknown): boolean {
+  if (!Array.isArray(value)) return false
+  if (value.length === 2) return isIndex(value[0]) && isIndex(value[1]) && value[1] <= maxEarlierCrashes
+  const [run, indices, machine, bornAtMs, percent, ranMs, flags] = value as readonly unknown[]
+  return isNumber(run) && isArrayOf(indices, isIndex) && typeof machine === 'string' && isNumber(bornAtMs) && isNumber(flags) &&
+    // An infinite value is stored as null.
+    [percent, ranMs].every(value => value === null || isNumber(value))
+}
+
+function isArrayOf (value: unknown, isElement: (element: unknown) => boolean): boolean {
+  return Array.isArray(value) && value.every(isElement)
+}
+
+function isState (value: unknown): value is JobState {
+  return typeof value === 'string' && stateNames.has(value)
+}
+
+function isIndex (value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0
+}
+
+function isNumber (value: unknown): value is number {
+  return Number.isFinite(value)
+}
+
+function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
 }
 
 /** How long ago an occurrence was due, in ms, by the time of day; 0 if the job does not recur. */
@@ -347,9 +408,9 @@
   return recurrence === undefined ? 0 : Math.max(0, unixNowMs - recurrence.firstAtMs - occurrence * recurrence.intervalMs)
 }
 
-function restoreUnit (job: TrackedJob, [occurrence, step, index, run, failedRuns, checkpoint, attempts, crashes = []]: UnitRecord, nowMs: number): void {
+function tryRestoreUnit (job: TrackedJob, [occurrence, step, index, run, failedRuns, checkpoint, attempts, crashes = []]: UnitRecord, nowMs: number): boolean {
   const unit = findUnit(job, occurrence, step, index)
-  assert(unit !== undefined, 'a progress record must refer only to units of its job')
+  if (unit === undefined) return false
   unit.run = run
   unit.checkpoint = checkpoint
   failedRuns.forEach(failedRun => unit.failedRuns.add(failedRun))
@@ -359,6 +420,7 @@
     for (const [memberIndex, workerId, bornAtMs, machine = workerId] of members) attempt.members.push(createMember(attempt, memberIndex, { workerId, bornAtMs, machine }, MemberState.StartSent, nowMs))
     unit.attempts.push(attempt)
   }
+  return true
 }
 
 function encodeBitmap (bits: readonly boolean[]): string {
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -3,12 +3,12 @@
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import { acceptedPrefix, decodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, parseAcceptedKey, progressPrefix } from '../jobs/jobKeys.js'
+import { acceptedPrefix, getAcceptedKey, getCancelKey, getProgressKey, parseAcceptedKey, progressPrefix, tryDecodeAccepted } from '../jobs/jobKeys.js'
 import { isTerminal, JobState } from '../jobs/jobModel.js'
-import { addOccurrence, createTrackedJob, getOverdueMs, restoreProgress } from '../jobs/trackedJob.js'
+import { addOccurrence, createTrackedJob, getOverdueMs, tryRestoreProgress } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { readAll } from '../store/metadataStore.js'
-import type { MetadataStore, StoreChange } from '../store/metadataStore.js'
+import type { MetadataStore, StoreChange, StoredItem } from '../store/metadataStore.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
 
 /** Dependencies of the job table. */
@@ -36,8 +36,12 @@
   getUnfinished (): Iterable<TrackedJob>
   /** Adds the occurrences of recurring jobs that are due. */
   addDueOccurrences (nowMs: number): void
+  /** The number of jobs that are not scheduled, because their records cannot be decoded. */
+  countUnreadable (): number
 }
 
+type StoredProgress = Pick<StoredItem, 'value' | 'revision'>
+
 /** How long one watch call waits for changes, in ms: a dead connection is detected within this plus the call's time-out. */
 const watchWaitMs = 1_000
 /** A job that the watch shows was accepted at most this long ago, in ms; an older time of acceptance is due to a difference between clocks. */
@@ -56,9 +60,11 @@
   const { store, term, logger, readInitial = prefix => readAll(store, prefix) } = host
   const jobs = new Map<string, TrackedJob>()
   const unfinished = new Set<TrackedJob>()
+  /** The keys of the jobs whose records cannot be decoded. */
+  const unreadable = new Set<string>()
   let isLoaded = false
 
-  return { load, get: jobId => jobs.get(jobId), getAll: () => jobs.values(), getUnfinished, addDueOccurrences }
+  return { load, get: jobId => jobs.get(jobId), getAll: () => jobs.values(), getUnfinished, addDueOccurrences, countUnreadable: () => unreadable.size }
 
   async function load (): Promise<void> {
     while (!term.signal.aborted) {
@@ -79,19 +85,30 @@
     }
   }
 
-  function addJob (key: string, value: string, progress?: { readonly value: string, readonly revision: number }): void {
+  function addJob (key: string, value: string, progress?: StoredProgress): void {
     const { jobId, isCancel } = parseAcceptedKey(key)
     if (isCancel || jobs.has(jobId)) return
-    const spec = decodeAccepted(value)
-    const ageMs = Math.max(0, Date.now() - spec.acceptedAtMs)
-    const job = createTrackedJob(spec, performance.now(), isLoaded ? Math.min(ageMs, maxWatchDelayMs) : ageMs)
-    if (progress !== undefined) restoreProgress(job, progress.value, progress.revision, performance.now(), Date.now())
+    const job = tryCreateJob(key, value, progress)
+    if (job === undefined) {
+      if (!unreadable.has(key)) logger.error('the records of a job cannot be decoded; the job is not scheduled', { key, progressRevision: progress?.revision })
+      unreadable.add(key)
+      return
+    }
+    const { spec } = job
     jobs.set(jobId, job)
     unfinished.add(job)
     if (isLoaded) logger.info('job added', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
     host.onJobAdded(job)
   }
 
+  function tryCreateJob (key: string, value: string, progress: StoredProgress | undefined): TrackedJob | undefined {
+    const spec = tryDecodeAccepted(key, value)
+    if (spec === undefined) return undefined
+    const ageMs = Math.max(0, Date.now() - spec.acceptedAtMs)
+    const job = createTrackedJob(spec, performance.now(), isLoaded ? Math.min(ageMs, maxWatchDelayMs) : ageMs)
+    return progress === undefined || tryRestoreProgress(job, progress.value, progress.revision, performance.now(), Date.now()) ? job : undefined
+  }
+
   /** Drops ended jobs from the set, so that planning does not iterate over all the ended jobs that are retained. */
   function getUnfinished (): Iterable<TrackedJob> {
     for (const job of unfinished) if (isTerminal(job.state)) unfinished.delete(job)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -246,6 +246,7 @@
       startedAtMs,
       workers: pool.workers.values(),
       unfinishedJobs: table.getUnfinished(),
+      unreadableJobs: table.countUnreadable(),
       quarantined: health.getQuarantined(performance.now()),
       evacuations: evacuatedWorkers.describe(),
       organisations: host.getConfiguration()?.organisations ?? [],
--- a/src/runs/schedulerStatus.ts
+++ b/src/runs/schedulerStatus.ts
@@ -17,6 +17,8 @@
   }
   /** The evacuated failure domains and what still runs there; undefined if the deployment has no evacuations. */
   readonly evacuations: readonly EvacuatedDomain[] | undefined
+  /** The number of jobs that are not scheduled, because their records cannot be decoded. */
+  readonly unreadableJobs: number
   /** Queues with waiting units. */
   readonly waiting: readonly { readonly queue: string, readonly units: number, readonly oldestWaitMs: number }[]
   /** Accelerators by organisation; guaranteed accelerators that urgent work does not use are lent to others. */
@@ -29,6 +31,7 @@
   readonly startedAtMs: number
   readonly workers: Iterable<WorkerState>
   readonly unfinishedJobs: Iterable<TrackedJob>
+  readonly unreadableJobs: number
   readonly quarantined: SchedulerStatus['workers']['heldBack']
   readonly evacuations: SchedulerStatus['evacuations']
   readonly organisations: readonly OrganisationSettings[]
@@ -50,6 +53,7 @@
       heldBack: host.quarantined
     },
     evacuations: host.evacuations,
+    unreadableJobs: host.unreadableJobs,
     waiting: getWaiting(jobs, nowMs),
     guarantees: host.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0).map(organisation => getGuarantee(organisation, jobs, host))
   }
