Counts, records of waves and answers of peers are checked where they are decoded

The same class on the remaining paths: stored counts of another type gave callers `pending` as a text, or an internal TypeError; one malformed record of a wave kept all waves from being advanced; an answer of a peer in another form was taken for an absent job or a stored one. Change: each is checked against a schema and gives a clear error; waves are advanced one by one; a malformed answer of a peer counts as an unknown outcome.

--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -7,7 +7,7 @@
 import { makeJob, makeStep } from '../testing/poolHarness.js'
 import { createJobIntake } from './jobIntake.js'
 import type { JobIntake } from './jobIntake.js'
-import { getAcceptedKey } from './jobKeys.js'
+import { getAcceptedKey, pendingCountsKey } from './jobKeys.js'
 
 const callerTimeoutMs = 2_000
 let store: MemoryStore
@@ -219,3 +219,15 @@
   await jest.advanceTimersByTimeAsync(1_000)
   expect(await cancelled).toBe(true)
 })
+
+// Guards against counts of another type in the answers to callers.
+test.each(['{', 'null', '[1]', '{"batch":"many"}', '{"batch":-1}', '{"batch":1e400}'])('stored counts %s give an error, and the next sound ones are shown', async value => {
+  store.write(pendingCountsKey, value)
+  const failed = intake.countPending('batch', performance.now() + callerTimeoutMs).then(String, error => isErrorOfKind(error, ErrorKind.Internal))
+  await jest.advanceTimersByTimeAsync(callerTimeoutMs + 100)
+  expect(await failed).toBe(true)
+  store.write(pendingCountsKey, '{"batch":3}')
+  const counted = intake.countPending('batch', performance.now() + callerTimeoutMs)
+  await jest.advanceTimersByTimeAsync(callerTimeoutMs + 100)
+  expect(await counted).toBe(3)
+})
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -2,6 +2,8 @@
  * Accepts job submissions, cancellations and status queries on any host. It reads and writes the store directly, so that acceptance
  * does not depend on the scheduler being reachable.
  */
+import * as z from 'zod/mini'
+import { tryParseJson } from '../common/boundedJson.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
@@ -63,6 +65,8 @@
 /** Time limit of the look-up before a refusal, in ms, after which the job is accepted: with the summary's read, a submission is delayed by less than a second. */
 const lookupTimeoutMs = 400
 
+const countsSchema = z.record(z.string(), z.int().check(z.nonnegative()))
+
 /** Creates the intake of one host. */
 export function createJobIntake (host: JobIntakeHost): JobIntake {
   const { logger } = host
@@ -184,7 +188,7 @@
   async function readPending (): Promise<Readonly<Record<string, number>>> {
     const readAtMs = performance.now()
     const item = await store.get(pendingCountsKey)
-    const counts = item === undefined ? {} : JSON.parse(item.value) as Record<string, number>
+    const counts = item === undefined ? {} : decodeCounts(item.value)
     cachedPending = { counts, readAtMs }
     return counts
   }
@@ -203,6 +207,13 @@
   }
 }
 
+/** Errors: `internal` if the counts are malformed. */
+function decodeCounts (value: string): Readonly<Record<string, number>> {
+  const counts = countsSchema.safeParse(tryParseJson(value))
+  if (counts.success) return counts.data
+  throw createError(ErrorKind.Internal, 'the stored counts of waiting jobs cannot be decoded')
+}
+
 function getDeadline (callerDeadlineMs: number): number {
   return Math.max(callerDeadlineMs, performance.now() + minAttemptMs)
 }
--- a/src/maintenance/maintenanceWaves.test.ts
+++ b/src/maintenance/maintenanceWaves.test.ts
@@ -232,3 +232,16 @@
     await endTerm(termEnd)
   }), { numRuns: 25, seed: 42 })
 })
+
+// Guards against one wave with a malformed record that keeps all others from being advanced.
+test.each(['{', 'null', '{"startedAtMs":1,"begun":[1],"done":[],"isComplete":false}'])('beside a wave whose stored progress is %s the other waves complete', async value => {
+  const store = createMemoryStore()
+  store.write('op/wave/1', JSON.stringify({ ...wave, machineIds: ['m1'] }))
+  store.write('op/wave/2', JSON.stringify({ ...wave, wave: 2, machineIds: ['m1'] }))
+  store.write('waves/1', value)
+  const termEnd = await startTerm(store, 'host-0', instantMachines, alwaysDrained)
+  await advanceTime(7_000)
+  expect(store.peek('status/wave/2')).toBe('complete')
+  expect(store.peek('waves/1')).toBe(value)
+  await endTerm(termEnd)
+})
--- a/src/maintenance/maintenanceWaves.ts
+++ b/src/maintenance/maintenanceWaves.ts
@@ -3,10 +3,13 @@
  * it is up again, with at most `maxDown` machines down at once. Each start is stored before the platform is asked, so
  * that the next scheduler counts the machine as down.
  */
+import * as z from 'zod/mini'
 import { assert } from '../common/assertions.js'
+import { tryParseJson } from '../common/boundedJson.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { readAll } from '../store/metadataStore.js'
 import type { ExpectedRevision, MetadataStore, TransactionWrite } from '../store/metadataStore.js'
 import { createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
@@ -85,6 +88,9 @@
   readonly drained: Map<string, string | undefined>
 }
 
+const machineIdsSchema = z.array(z.string())
+const progressSchema = z.object({ startedAtMs: z.number(), begun: machineIdsSchema, done: machineIdsSchema, isComplete: z.boolean() })
+
 /** Starts to carry out maintenance waves; stops when the leader's term ends. */
 export function createMaintenanceWaves (host: MaintenanceWavesHost): void {
   const { store, term, logger } = host
@@ -107,17 +113,28 @@
     const { items } = await readAll(store, host.wavePrefix)
     const waves = items.flatMap(item => host.decodeWave(item.value) ?? [])
     const openWaves: Wave[] = []
-    for (const wave of waves) if (!(await loadState(wave)).progress.isComplete) openWaves.push(wave)
+    await forEachWave(waves, async wave => { if (!(await loadState(wave)).progress.isComplete) openWaves.push(wave) })
     if (openWaves.length === 0) return
     const machines = new Map((await host.machines.list()).map(machine => [machine.machineId, machine]))
-    for (const wave of openWaves) await advanceWave(wave, await loadState(wave), machines)
+    await forEachWave(openWaves, async wave => { await advanceWave(wave, await loadState(wave), machines) })
+  }
+
+  /** A wave that fails, for example because its stored progress is malformed, does not keep the others from being advanced. */
+  async function forEachWave (waves: readonly Wave[], action: (wave: Wave) => Promise<void>): Promise<void> {
+    for (const wave of waves) {
+      try {
+        await action(wave)
+      } catch (error) {
+        logger.warn('failed to advance a maintenance wave; retrying at the next poll', { wave: wave.wave, error: String(error) })
+      }
+    }
   }
 
   async function loadState (wave: Wave): Promise<WaveState> {
     let state = states.get(wave.wave)
     if (state !== undefined) return state
     const item = await store.get(progressPrefix + wave.wave)
-    const progress = item === undefined ? { startedAtMs: Date.now(), begun: [], done: [], isComplete: false } : JSON.parse(item.value) as WaveProgress
+    const progress = item === undefined ? { startedAtMs: Date.now(), begun: [], done: [], isComplete: false } : decodeProgress(item.value)
     state = { progress, revision: item?.revision ?? 0, statusGuard: createRevisionGuard(host.statusPrefix + wave.wave), isStatusWritten: false, drained: new Map() }
     states.set(wave.wave, state)
     return state
@@ -232,3 +249,10 @@
     logger.info('the status of a maintenance wave was written', { wave: wave.wave, isComplete, done: state.progress.done.length, machines: wave.machineIds.length })
   }
 }
+
+/** Errors: `internal` if the record is malformed; it may name machines that are down. */
+function decodeProgress (value: string): WaveProgress {
+  const parsed = progressSchema.safeParse(tryParseJson(value))
+  if (parsed.success) return parsed.data
+  throw createError(ErrorKind.Internal, 'the stored progress of the wave cannot be decoded')
+}
--- a/src/peers/relayedStore.test.ts
+++ b/src/peers/relayedStore.test.ts
@@ -19,6 +19,8 @@
 let relayedStores: Map<string, RelayedStore>
 let stopping: AbortController
 let answersToLose: number
+/** What every peer answers instead of its result, if it is given. */
+let oddAnswer: unknown
 
 beforeEach(async () => {
   jest.useFakeTimers()
@@ -26,6 +28,7 @@
   relayedStores = new Map()
   stopping = new AbortController()
   answersToLose = 0
+  oddAnswer = undefined
   for (const hostId of hostIds) relayedStores.set(hostId, createHostStore(hostId))
   await advanceTime(1_500)
 })
@@ -41,16 +44,18 @@
 
 function createHostStore (hostId: string): RelayedStore {
   const direct = store.connect(hostId)
-  const directory = createHostDirectory({ store: direct, logger: silentLogger, ownHost: { hostId, address: hostId, domain: 'a', hasFastLink: true }, signal: stopping.signal })
+  const directory = createHostDirectory({ store: direct, logger: silentLogger, ownHost: { hostId, address: `${hostId}:7015`, domain: 'a', hasFastLink: true }, signal: stopping.signal })
   return createRelayedStore({ direct, logger: silentLogger, getPeers: directory.getPeers, connect })
 }
 
-function connect (hostId: string): RpcClient {
+function connect (address: string): RpcClient {
+  const [hostId = ''] = address.split(':')
   const isUnavailable = (): boolean => relayedStores.get(hostId)?.isDirectUnavailable() ?? true
   const methods = createPeerStoreMethods({ direct: store.connect(hostId), isDirectUnavailable: isUnavailable })
   return {
     call: async <T>(name: string, params: unknown) => {
       const result = await methods.find(method => method.name === name)?.handle(params, { from: '', identity: '' })
+      if (oddAnswer !== undefined) return oddAnswer as T
       if (answersToLose-- > 0) throw createError(ErrorKind.AnswerLost, 'the response was lost')
       return result as T
     }
@@ -94,6 +99,7 @@
   const relayedStore = relayedStores.get('host-0') as RelayedStore
   expect(await waitForResult(relayedStore.transact({ expected: [], writes: [{ key: 'key', value: 'value' }] }))).toBe(ErrorKind.AnswerLost)
   answersToLose = 0
+  oddAnswer = undefined
   store.setUnavailable(true)
   expect(await waitForResult(relayedStore.transact({ expected: [], writes: [{ key: 'key', value: 'value' }] }))).toBe(ErrorKind.StoreUnavailable)
 })
@@ -116,3 +122,11 @@
   await waitForResult(relayed.get('key'))
   expect(relayed.getDirectOutageMs()).toBe(0)
 })
+
+// Guards against answers that are taken for an absent job or for a stored one, whatever another version sends.
+test.each([['a text', 'x'], ['a number', 7], ['another object', { value: 1 }], ['an item without a value', { key: 'k', revision: 1, createdRevision: 1 }], ['a result without a revision', { isCommitted: true }]])('a peer that answers %s gives an unknown outcome', async (_what, answer) => {
+  oddAnswer = answer
+  store.setUnavailable(true, 'host-0')
+  expect(await waitForResult((relayedStores.get('host-0') as RelayedStore).get(getAcceptedKey('job')))).toBe(ErrorKind.AnswerLost)
+  expect(await waitForResult(submit())).toBe(ErrorKind.AnswerLost)
+})
--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -3,11 +3,12 @@
  * it. Reads of one key and transactions are relayed. Leases are not, since the host that schedules must reach the store itself; nor are
  * range reads and watches: they follow the configuration, which has a replication of its own between hosts.
  */
+import * as z from 'zod/mini'
 import type { Logger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
 import { delay } from '../common/time.js'
-import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import type { MetadataStore, StoredItem, Transaction, TransactionResult } from '../store/metadataStore.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { MetadataStore, Transaction } from '../store/metadataStore.js'
 import { createOutageTracker } from '../store/outageTracker.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerStoreMethods } from './peerStoreMethods.js'
@@ -37,6 +38,11 @@
 /** Time-out of a call to a peer; allows for a round trip between regions and a slow response of the store. */
 const peerTimeoutMs = 400
 
+const revisionSchema = z.int().check(z.nonnegative())
+const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema })
+const itemSchema = z.nullable(storedItemSchema)
+const resultSchema = z.union([z.object({ isCommitted: z.literal(true), revision: revisionSchema }), z.object({ isCommitted: z.literal(false), items: z.array(storedItemSchema) })])
+
 /** Creates the store of one host. */
 export function createRelayedStore (host: RelayedStoreHost): RelayedStore {
   const { direct, logger } = host
@@ -46,10 +52,10 @@
   let preferredPeer: string | undefined
 
   return {
-    get: key => call(() => direct.get(key), async peer => (await peer.call<StoredItem | null>(peerStoreMethods.get, { key })) ?? undefined),
+    get: key => call(() => direct.get(key), async peer => decodeAnswer(itemSchema, await peer.call(peerStoreMethods.get, { key })) ?? undefined),
     range: (prefix, after) => callDirect(() => direct.range(prefix, after)),
     watch: (prefix, afterRevision, waitMs, signal) => callDirect(() => direct.watch(prefix, afterRevision, waitMs, signal)),
-    transact: transaction => call(() => direct.transact(transaction), peer => peer.call<TransactionResult>(peerStoreMethods.transact, toParameters(transaction))),
+    transact: transaction => call(() => direct.transact(transaction), async peer => decodeAnswer(resultSchema, await peer.call(peerStoreMethods.transact, toParameters(transaction)))),
     grantLease: direct.grantLease,
     keepLeaseAlive: direct.keepLeaseAlive,
     revokeLease: direct.revokeLease,
@@ -122,6 +128,13 @@
   return errors.find(candidate => isErrorOfKind(candidate, ErrorKind.AnswerLost)) ?? errors[0] ?? error
 }
 
+/** A peer of another version may answer in another form; the call may have been carried out. */
+function decodeAnswer<T> (schema: z.ZodMiniType<T>, answer: unknown): T {
+  const parsed = schema.safeParse(answer)
+  if (parsed.success) return parsed.data
+  throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${parsed.error.message}`)
+}
+
 function toParameters ({ expected, writes, removes = [] }: Transaction): object {
   return { expected, writes: writes.map(({ key, value }) => ({ key, value })), removes }
 }
--- a/src/platform/serviceClients.ts
+++ b/src/platform/serviceClients.ts
@@ -19,7 +19,7 @@
 const adviceSchema = z.object({ good: z.array(z.tuple([z.string(), z.string()], z.unknown())) })
 const machineSchema = z.object({ machine: z.string(), state: z.string(), id: z.optional(z.nullable(z.string())) })
 const machinesSchema = z.object({ machines: z.array(machineSchema), nextToken: z.optional(z.nullable(z.string())) })
-const waveSchema = z.object({ wave: z.number(), machines: z.array(z.string()), deadlineS: z.number(), cap: z.number() })
+const waveSchema = z.object({ wave: z.int().check(z.nonnegative()), machines: z.array(z.string()), deadlineS: z.number().check(z.nonnegative()), cap: z.int().check(z.minimum(1)) })
 const reasonSchema = z.object({ reason: z.optional(z.string()) })
 
 const resultsByReason: Readonly<Record<string, MaintenanceResult>> = {
