The soaks leave odd entries among those of workers, hosts and jobs

Both soaks run beside malformed, deeply nested and out-of-range entries; the platform soak also counts an `uncaught error` in a daemon's log as a violation.

--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -19,6 +19,8 @@
 import type { PoolWorker, ReceivedStart } from '../../standins/poolWorker.js'
 import type { DaemonProcess, DaemonProcesses } from './daemonProcesses.js'
 import { LinkFault } from '../../testing/faultProxy.js'
+import { nestJson } from '../../testing/oddValues.js'
+import { workerListPrefix } from '../workerEntries.js'
 import { createSoakCaller, isAccepted, SubmissionOutcome } from './soakCaller.js'
 import type { SoakCaller, SoakJob } from './soakCaller.js'
 
@@ -77,6 +79,13 @@
 const lateWritesSeedOffset = 15_485_863
 /** The prefixes of the keys that the daemons write in the soak. */
 const writtenPrefixes = [pendingCountsKey, backlogKey, learnedStateKey, leaderKey, hostsPrefix, progressPrefix, acceptedPrefix]
+/** What another writer left among the entries of workers, hosts and jobs. */
+const oddEntries: readonly (readonly [string, string])[] = [
+  ...['{', nestJson(100_000), createOddWorker({ addr: '127.0.0.1:99999' }), createOddWorker({ capacity: { cpu: 1e300 } })].map((value, index) => [`${workerListPrefix}odd-${index}`, value] as const),
+  [`${workerListPrefix}\u6f22`, createOddWorker({})],
+  [`${hostsPrefix}odd`, '{'],
+  [getAcceptedKey('odd'), 'null']
+]
 /** Jobs that cannot start, submitted when all others have ended. */
 const waitingJobs = 8
 /** Hosts show a change in the number of waiting jobs within this, in ms: the counts may be 2 s old, and a new scheduler takes 3 s to take over. */
@@ -104,6 +113,7 @@
   })
   const names = { service: 'pool', hostName: 'soak.example', key: 'soak-key' }
   emulator.configure(createConfiguration(1, names))
+  for (const [key, value] of oddEntries) emulator.store.write(key, value)
   const daemons = await startDaemonProcesses(hostCount, getNetwork(seed), emulator.storeAddress, bounds)
   const caller = createSoakCaller({ addresses: daemons.hosts.map(host => host.callersAddress), hostName: names.hostName, key: names.key, random })
   const faults: string[] = []
@@ -118,6 +128,7 @@
     await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
     await clearFaults(emulator, daemons)
     await waitForJobs(caller, jobs)
+    broken.push(...daemons.findLogLines(['"uncaught error"']))
     broken.push(...await findPendingViolations(randomLate), ...findStoreViolations(emulator, daemons))
     broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator), ...findLateStarts(starts, evacuations))
 
@@ -213,6 +224,10 @@
   }
 }
 
+function createOddWorker (fields: object): string {
+  return JSON.stringify({ service: 'pool', addr: '127.0.0.1:9', zone: 'a', state: 'ready', capacity, labels: [], born: 1, ...fields })
+}
+
 function getDomain (workerIndex: number): string {
   return domains[Math.floor(workerIndex / workersPerRack) % domains.length] ?? ''
 }
--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -15,6 +15,7 @@
 import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
 import { learnedStateKey } from './learnedState.js'
 import { hasCauseToFail } from '../standins/poolWorker.js'
+import { nestJson } from '../testing/oddValues.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 
 const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3,4,5,6,11,109').split(',').map(Number)
@@ -27,6 +28,8 @@
 const workersPerRack = 3
 /** The prefixes of the keys that the hosts of the harness write. */
 const writtenPrefixes = [pendingCountsKey, backlogKey, learnedStateKey, leaderKey, progressPrefix, acceptedPrefix]
+/** What another writer left among the accepted jobs. */
+const oddRecords = ['{', 'null', nestJson(1_000), '{"jobId":"odd3"}']
 /** The longest time in ms after which a write without a response is applied. */
 const maxLateMs = 6_000
 /** Added to a seed for the late writes, so that they do not change the series of the other faults. */
@@ -45,7 +48,7 @@
 test.each(seeds)('seed %i: every job ends, none fails without cause, no task runs twice, no worker exceeds its capacity', async seed => { await runSoak(seed, false) })
 
 // Guards against outdated values that stay: writes whose conditions do not change with their own keys.
-test.each(seeds)('seed %i, with late writes to each key: the same, and callers see how many jobs wait', async seed => { await runSoak(seed, true) })
+test.each(seeds)('seed %i, with late writes to each key and odd records: the same, and callers see how many jobs wait', async seed => { await runSoak(seed, true) })
 
 async function runSoak (seed: number, hasLateWrites: boolean): Promise<void> {
   const generator = xoroshiro128plus(seed)
@@ -65,6 +68,7 @@
       ...(task.startsWith(deadlyJobId) ? { crashAfterMs: 10 * random(40) } : {})
     })
   })
+  if (hasLateWrites) for (const [index, value] of oddRecords.entries()) harness.store.write(getAcceptedKey(`odd${index}`), value)
   let hostNumber = 0
   for (; hostNumber < 3; hostNumber++) harness.addHost(`host-${hostNumber}`)
   await run(500)
@@ -86,6 +90,7 @@
   // Guards against jobs that are given up because their workers crashed for another reason.
   expect(jobIds.filter(jobId => getState(harness, jobId) === JobState.Failed && !hasCauseToFail(harness.poolState, jobId, attemptLimit))).toEqual([])
   if (hasLateWrites) await checkPending(harness, randomLate)
+  for (const host of harness.hosts.values()) if (host.getTerm()?.isValid() === true) expect(host.getScheduler()?.getStatus().unreadableJobs).toBe(hasLateWrites ? oddRecords.length : 0)
   expect(harness.store.getUnguardedKeys()).toEqual([])
   const stopped = harness.stop()
   await run(3_000)
