Ended jobs are not run again by a read that began before their removal

Cause: the scheduler reads all accepted jobs anew every 10 s. A read that the store answered before the removal of an ended job, and that was processed after it, showed a job that the table did not have, without progress; it was added as a new one. On the way: a removal without a response was repeated under the condition on the leader key alone; a job that was accepted under the same id in between was neither added nor kept. Change: the table remembers the revisions of the accept records that it has removed, until a full read that began later has been applied, and leaves out whatever is not newer.

--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -7,9 +7,10 @@
 import { isTerminal, JobState } from '../jobs/jobModel.js'
 import { addOccurrence, createTrackedJob, getOverdueMs, tryRestoreProgress } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
-import { readAll } from '../store/metadataStore.js'
+import { maxTransactionEntries, readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoreChange, StoredItem } from '../store/metadataStore.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
+import { areConditionsMet } from '../store/revisionGuard.js'
 
 /** Dependencies of the job table. */
 export interface JobTableHost {
@@ -50,8 +51,10 @@
 const rereadPeriodMs = 10_000
 /** Pause after a failed call, in ms. */
 const retryPauseMs = 150
-/** Maximum number of jobs whose records are removed in one transaction; each takes three entries. */
-const maxJobsPerRemoval = 8
+/** Entries of a removal for each job: the condition on its accept record, and its three keys. */
+const entriesPerRemovedJob = 4
+/** Maximum number of jobs whose records are removed in one transaction, beside the condition on the leader key. */
+const maxJobsPerRemoval = Math.floor((maxTransactionEntries - 1) / entriesPerRemovedJob)
 /** Added to the retention period of ended jobs, in ms, to allow for clock skew. */
 const retentionMarginMs = 30_000
 
@@ -59,6 +62,13 @@
 export function createJobTable (host: JobTableHost): JobTable {
   const { store, term, logger, readInitial = prefix => readAll(store, prefix) } = host
   const jobs = new Map<string, TrackedJob>()
+  /** The revisions of the accept records of these jobs. */
+  const acceptedRevisions = new Map<string, number>()
+  /**
+   * The revisions of the accept records that this term has removed, by job. A read that began before the removal still shows them. Kept until a full read
+   * that began later has been applied.
+   */
+  const removedRevisions = new Map<string, number>()
   const unfinished = new Set<TrackedJob>()
   /** The keys of the jobs whose records cannot be decoded. */
   const unreadable = new Set<string>()
@@ -72,7 +82,7 @@
         const [accepted, progress] = await Promise.all([readInitial(acceptedPrefix), readInitial(progressPrefix)])
         if (Math.min(accepted.revision, progress.revision) < term.epoch) throw createError(ErrorKind.StoreUnavailable, `the store answered from before the term: revisions ${accepted.revision} and ${progress.revision}`)
         const progressByKey = new Map(progress.items.map(item => [item.key, item]))
-        for (const { key, value } of accepted.items) addJob(key, value, progressByKey.get(getProgressKey(parseAcceptedKey(key).jobId)))
+        for (const item of accepted.items) addJob(item, progressByKey.get(getProgressKey(parseAcceptedKey(item.key).jobId)))
         for (const { key } of accepted.items) applyCancel(key)
         isLoaded = true
         void watchAccepted(accepted.revision)
@@ -85,15 +95,23 @@
     }
   }
 
-  function addJob (key: string, value: string, progress?: StoredProgress): void {
+  function addJob (accepted: StoredItem, progress?: StoredProgress): void {
+    const { key, value, revision } = accepted
     const { jobId, isCancel } = parseAcceptedKey(key)
-    if (isCancel || jobs.has(jobId)) return
+    if (isCancel || revision <= (removedRevisions.get(jobId) ?? 0)) return
+    const known = jobs.get(jobId)
+    if (known !== undefined) {
+      // Records of ended jobs only are removed, and accepted anew: a removal without a response has been applied.
+      if (revision <= (acceptedRevisions.get(jobId) ?? 0) || !isTerminal(known.state)) return
+      forget(jobId)
+    }
     const job = tryCreateJob(key, value, progress)
     if (job === undefined) {
       if (!unreadable.has(key)) logger.error('the records of a job cannot be decoded; the job is not scheduled', { key, progressRevision: progress?.revision })
       unreadable.add(key)
       return
     }
+    acceptedRevisions.set(jobId, revision)
     const { spec } = job
     jobs.set(jobId, job)
     unfinished.add(job)
@@ -145,13 +163,15 @@
   }
 
   async function reread (): Promise<number> {
+    const removedBefore = [...removedRevisions]
     const accepted = await readAll(store, acceptedPrefix)
     applyChanges(accepted.items.map(item => ({ key: item.key, item })))
+    for (const [jobId, revision] of removedBefore) if (removedRevisions.get(jobId) === revision) removedRevisions.delete(jobId)
     return accepted.revision
   }
 
   function applyChanges (changes: readonly StoreChange[]): void {
-    for (const { key, item } of changes) if (item !== undefined) addJob(key, item.value)
+    for (const { item } of changes) if (item !== undefined) addJob(item)
     for (const { key, item } of changes) if (item !== undefined) applyCancel(key)
   }
 
@@ -178,15 +198,28 @@
     }
   }
 
+  /** The conditions on the accept records keep a removal that is applied late, or repeated, from removing a later job with the same id. */
   async function remove (old: readonly TrackedJob[]): Promise<void> {
-    const removes = old.flatMap(({ spec }) => [getAcceptedKey(spec.jobId), getProgressKey(spec.jobId), getCancelKey(spec.jobId)])
+    const jobIds = old.map(({ spec }) => spec.jobId)
+    const removes = jobIds.flatMap(jobId => [getAcceptedKey(jobId), getProgressKey(jobId), getCancelKey(jobId)])
+    const leaderCondition = { key: term.leaderKey, revision: term.leaderRevision }
+    const conditions = jobIds.map(jobId => ({ key: getAcceptedKey(jobId), revision: acceptedRevisions.get(jobId) ?? 0 }))
     try {
-      const expected = [{ key: term.leaderKey, revision: term.leaderRevision }]
-      if ((await store.transact({ expected, writes: [], removes })).isCommitted) for (const { spec } of old) jobs.delete(spec.jobId)
+      const result = await store.transact({ expected: [leaderCondition, ...conditions], writes: [], removes })
+      if (!areConditionsMet([leaderCondition], result)) return
+      // A condition that failed means that an earlier removal without a response has been applied.
+      jobIds.forEach((jobId, index) => { if (result.isCommitted || !areConditionsMet(conditions.slice(index, index + 1), result)) forget(jobId) })
     } catch (error) {
       logger.info('failed to remove the records of old jobs', { error: String(error) })
     }
   }
+
+  /** Drops a job whose records have been removed. */
+  function forget (jobId: string): void {
+    removedRevisions.set(jobId, acceptedRevisions.get(jobId) ?? 0)
+    acceptedRevisions.delete(jobId)
+    jobs.delete(jobId)
+  }
 }
 
 /** Counts the jobs of each queue that have not started. */
