SIGHUP while a host starts does not end it

A process ends with null when a signal ends it; the series had `reload-host` beside `terminate-host`, and the entry point handled SIGTERM only. Until the daemon had been loaded, SIGHUP had its default action, which ends the process.

--- a/src/platform/main.test.ts
+++ b/src/platform/main.test.ts
@@ -1,4 +1,4 @@
-/** The entry point of the daemon handles SIGTERM at any moment of its start. */
+/** The entry point of the daemon handles SIGTERM and SIGHUP at any moment of its start. */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -26,13 +26,20 @@
   return { code, output }
 }
 
+const settings = ['node = "edge-1"', 'ip = "127.0.0.1"', 'zone = "a"', '[listen]', '[platform]', 'addr = "127.0.0.1:1"', '[bounds]'].join('\n')
+
 test('SIGTERM before the daemon is loaded ends the process with 0, and nothing is served', async () => {
-  const settings = ['node = "edge-1"', 'ip = "127.0.0.1"', 'zone = "a"', '[listen]', '[platform]', 'addr = "127.0.0.1:1"', '[bounds]'].join('\n')
   const { code, output } = await runScript(`await import('${program}'); process.kill(process.pid, 'SIGTERM')`, settings)
   expect(code).toBe(0)
   expect(output).not.toContain('the host has started')
 })
 
+// Guards against a host that a change of the settings file ends while it starts.
+test('SIGHUP before the daemon is loaded does not end the process', async () => {
+  const { code } = await runScript(`await import('${program}'); process.kill(process.pid, 'SIGHUP'); setTimeout(() => { process.kill(process.pid, 'SIGTERM') }, 0)`, settings)
+  expect(code).toBe(0)
+})
+
 test('a settings file that cannot be used ends the process with 1 and names the setting', async () => {
   const { code, output } = await runScript(`await import('${program}')`, 'zone = "a"')
   expect(code).toBe(1)
