--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -101,7 +101,7 @@
     if (isCancel || revision <= (removedRevisions.get(jobId) ?? 0)) return
     const known = jobs.get(jobId)
     if (known !== undefined) {
-      // Records of ended jobs only are removed, and accepted anew: a removal without a response has been applied.
+      // A removal of the ended job has been applied without a response, and its id has been accepted again.
       if (revision <= (acceptedRevisions.get(jobId) ?? 0) || !isTerminal(known.state)) return
       forget(jobId)
     }
