Status and log name the jobs of which nothing runs, and what they wait for

Logs told neither that a job waits nor why: an attempt without an answer, a run that no report lists and a unit that the planner does not place all left no line. The scheduler keeps a record of unfinished jobs without a run at work although a unit's turn has come. The status lists them with their cause and, for units that are not placed, what stands against it. While most of the pool is idle each is logged once. A lost run is logged with its last progress and the age of that report, since its end may never have been read.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -7,7 +7,7 @@
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
+import { addResources, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getOrganisationsWithinGuarantee } from './guarantees.js'
 import { getDelayCost, getStopCost } from './delayCost.js'
@@ -52,6 +52,23 @@
 export interface Planner {
   /** Places all waiting units that can be placed now. */
   plan (): void
+  /** What stands against placing a unit that is ready to be placed, as of now and of the last planning pass. */
+  describeWait (unit: Unit): PlacementObstacles
+}
+
+/** What stands against placing a unit. */
+export interface PlacementObstacles {
+  /** It has been preempted and is not placed again yet. */
+  readonly isHeldBack: boolean
+  readonly usableWorkers: number
+  /** Usable workers with room for one task of the unit. */
+  readonly workersWithRoom: number
+  /** Of these, the workers that are reserved for other units, or from which it is kept apart. */
+  readonly reservedForOthers: number
+  /** Of those with room, the workers that the policy of its queue permits; undefined while none is known. */
+  readonly permittedWorkers: number | undefined
+  /** The accelerators that its priority leaves to more urgent work, if its slack is long. */
+  readonly headroomAccelerators: number
 }
 
 /** How long a unit that has been preempted waits for each of its runs, in ms: about as long as a burst's urgent job runs. */
@@ -90,7 +107,21 @@
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
 
-  return { plan }
+  return { plan, describeWait }
+
+  function describeWait (unit: Unit): PlacementObstacles {
+    const usable = [...workers.values()].filter(isUsable)
+    const withRoom = usable.filter(worker => fits(unit.spec.request, getFreeCapacity(worker)))
+    const permitted = host.getPermittedWorkers(unit, withRoom.map(worker => worker.info.workerId))
+    return {
+      isHeldBack: isHeldBack(unit),
+      usableWorkers: usable.length,
+      workersWithRoom: withRoom.length,
+      reservedForOthers: withRoom.filter(worker => isReservedForOther(unit, worker)).length,
+      permittedWorkers: permitted === 'all' ? withRoom.length : permitted?.size,
+      headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0
+    }
+  }
 
   function plan (): void {
     limitsByStep.clear()
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -361,6 +361,9 @@
     const name = tryParseTaskName(reported.task)
     const job = name === undefined ? undefined : host.getJob(name.jobId)
     const unit = job === undefined || name === undefined ? undefined : findUnit(job, name.occurrence, name.step, name.index)
+    if (reported.how === EndKind.Done && unit?.isDone === false) {
+      logger.warn('a run has succeeded that was taken for lost', { task: reported.task, run: reported.run, currentRuns: unit.attempts.map(({ run }) => run), ...evidence })
+    }
     if (unit === undefined || reported.how !== EndKind.Failed || unit.failedRuns.has(reported.run)) return undefined
     unit.failedRuns.add(reported.run)
     updateJobState(unit.job)
@@ -418,7 +421,7 @@
     getMembers(member.workerId).delete(member)
     host.getWorker(member.workerId)?.allocations.delete(getAllocationKey(getTaskName(member), attempt.run))
     if (checkpoint !== '') unit.checkpoint = checkpoint
-    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason, ...describeEvidence(member, evidence, performance.now()) })
+    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason, ...(how === 'lost' ? describeLastReport(member) : {}), ...describeEvidence(member, evidence, performance.now()) })
     host.onMemberEnded(member, how)
     if (how === EndKind.Done && !unit.spec.isService) unit.isDone = true
     if (how === EndKind.Failed) {
@@ -431,6 +434,11 @@
     host.onChanged()
   }
 
+  /** How far a lost run was when its worker last listed it, and how long ago that was: it may have ended since, in an end that nobody has read. */
+  function describeLastReport ({ progressPercent, reportedAtMs }: Member): object {
+    return { progressPercent, lastReportAgeMs: reportedAtMs === undefined ? undefined : Math.round(performance.now() - reportedAtMs) }
+  }
+
   function closeAttempt (attempt: Attempt): void {
     const { unit } = attempt
     planned.delete(attempt)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -32,6 +32,7 @@
 import { createRunController } from './runController.js'
 import { describeScheduler } from './schedulerStatus.js'
 import type { SchedulerStatus } from './schedulerStatus.js'
+import { createStalledJobs } from './stalledJobs.js'
 import { createWorkerPool } from './workerPool.js'
 
 /** Time limits of the deployment that the scheduler must observe. */
@@ -79,6 +80,8 @@
 
 /** Interval in ms at which, without any event, due occurrences are added, reachability is checked and a planning pass is scheduled. */
 const tickMs = 100
+/** Interval at which jobs of which nothing runs are looked for, in ms. */
+const stallUpdateMs = 500
 /** Pause after a planning pass as a multiple of its duration, so that worker requests and reports are processed in between. */
 const planPauseFactor = 2
 /**
@@ -197,6 +200,7 @@
     startAttempt: controller.planAttempt,
     stopAttempt: controller.stopAttempt
   })
+  const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait })
   const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
   createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
@@ -219,10 +223,16 @@
     isTakeoverDone = true
     logger.info('takeover finished', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: pool.workers.size, jobs: [...table.getAll()].length })
     writer.scheduleCounts()
+    let stallsUpdatedAtMs = -Infinity
     while (!term.signal.aborted) {
       table.addDueOccurrences(Date.now())
       pool.checkReachability()
       schedulePlan()
+      const nowMs = performance.now()
+      if (nowMs - stallsUpdatedAtMs >= stallUpdateMs) {
+        stallsUpdatedAtMs = nowMs
+        stalledJobs.update(nowMs)
+      }
       await delay(tickMs, term.signal)
     }
     pool.close()
@@ -247,6 +257,7 @@
       workers: pool.workers.values(),
       unfinishedJobs: table.getUnfinished(),
       unreadableJobs: table.countUnreadable(),
+      stalled: stalledJobs.get(performance.now()),
       quarantined: health.getQuarantined(performance.now()),
       evacuations: evacuatedWorkers.describe(),
       organisations: host.getConfiguration()?.organisations ?? [],
--- a/src/runs/schedulerStatus.ts
+++ b/src/runs/schedulerStatus.ts
@@ -4,6 +4,7 @@
 import { getUnits, isReadyToPlace } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import type { WorkerState } from '../workers/workerState.js'
+import type { StalledJob } from './stalledJobs.js'
 
 /** The scheduler's status. Times are in ms. */
 export interface SchedulerStatus {
@@ -19,6 +20,9 @@
   readonly evacuations: readonly EvacuatedDomain[] | undefined
   /** The number of jobs that are not scheduled, because their records cannot be decoded. */
   readonly unreadableJobs: number
+  /** Unfinished jobs of which nothing runs although a unit's turn has come: how many, and those that have waited longest, with what they wait for. */
+  readonly stalledJobs: number
+  readonly longestStalled: readonly StalledJob[]
   /** Queues with waiting units. */
   readonly waiting: readonly { readonly queue: string, readonly units: number, readonly oldestWaitMs: number }[]
   /** Accelerators by organisation; guaranteed accelerators that urgent work does not use are lent to others. */
@@ -32,12 +36,16 @@
   readonly workers: Iterable<WorkerState>
   readonly unfinishedJobs: Iterable<TrackedJob>
   readonly unreadableJobs: number
+  readonly stalled: readonly StalledJob[]
   readonly quarantined: SchedulerStatus['workers']['heldBack']
   readonly evacuations: SchedulerStatus['evacuations']
   readonly organisations: readonly OrganisationSettings[]
   readonly getQueue: (job: TrackedJob) => QueueSettings | undefined
 }
 
+/** The most stalled jobs that the status lists. */
+const maxStalledShown = 20
+
 /** Returns the current status of the scheduler. */
 export function describeScheduler (host: SchedulerStatusHost): SchedulerStatus {
   const nowMs = performance.now()
@@ -54,6 +62,8 @@
     },
     evacuations: host.evacuations,
     unreadableJobs: host.unreadableJobs,
+    stalledJobs: host.stalled.length,
+    longestStalled: host.stalled.slice(0, maxStalledShown),
     waiting: getWaiting(jobs, nowMs),
     guarantees: host.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0).map(organisation => getGuarantee(organisation, jobs, host))
   }
--- /dev/null
+++ b/src/runs/stalledJobs.ts
@@ -0,0 +1,176 @@
+/**
+ * Finds unfinished jobs of which nothing runs although a unit's turn has come, and names what each of them waits for. Where most of the pool is idle such a
+ * job is logged: nothing should wait there for longer than a takeover or a lost answer takes. Does no I/O besides the log.
+ */
+import type { Logger } from '../common/logger.js'
+import { formatTaskName } from '../jobs/jobModel.js'
+import type { Resources } from '../jobs/jobModel.js'
+import { areDependenciesDone, getTaskName, MemberState } from '../jobs/trackedJob.js'
+import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import type { PlacementObstacles } from '../placement/planner.js'
+import { isUsable } from '../workers/workerState.js'
+import type { WorkerState } from '../workers/workerState.js'
+
+/** What a unit waits for. */
+export enum WaitCause {
+  /** The planner has not placed it; `obstacles` say why. */
+  NotPlaced = 'not-placed',
+  /** Workers have crashed under it, and the evidence is not complete. */
+  Withheld = 'withheld',
+  /** Its attempt is not stored yet, or its allocated resources are not free yet. */
+  NotDispatched = 'not-dispatched',
+  /** Its start request has got no answer, and no report has shown it. */
+  StartUnanswered = 'start-unanswered',
+  /** Its attempt is being stopped, and the end is not known. */
+  Stopping = 'stopping',
+  /** It counts as running, but no recent report of its worker shows it. */
+  Unreported = 'unreported'
+}
+
+/** A job of which nothing runs. Times are in ms. */
+export interface StalledJob {
+  readonly jobId: string
+  readonly task: string
+  readonly cause: WaitCause
+  /** Why its attempt is being stopped. */
+  readonly stopReason?: string
+  /** What stands against placing the unit, if it has no attempt. */
+  readonly obstacles?: PlacementObstacles
+  readonly stalledForMs: number
+  /** The run, its worker, and the age of the latest report that lists it; undefined if there is no attempt, or no report lists it. */
+  readonly run?: number
+  readonly workerId?: string
+  readonly reportAgeMs?: number
+}
+
+/** Dependencies of the record of stalled jobs. */
+export interface StalledJobsHost {
+  readonly logger: Logger
+  readonly getUnfinishedJobs: () => Iterable<TrackedJob>
+  readonly getWorkers: () => Iterable<WorkerState>
+  /** Why the planner has not placed a unit that is ready to be placed. */
+  readonly describeWait: (unit: Unit) => PlacementObstacles
+}
+
+/** The record of one term. */
+export interface StalledJobs {
+  /** Updates the record and logs what is new. Call it about once a second. Times are by the monotonic clock. */
+  update (nowMs: number): void
+  /** The stalled jobs, longest first. */
+  get (nowMs: number): readonly StalledJob[]
+}
+
+/** A report that is older does not show that a run is at work, in ms: polls wait up to 1.5 s, and a lost answer costs as much again. */
+const maxReportAgeMs = 3_000
+/** A job is logged when it has been stalled for this long, in ms: within the 3 s after which the platform counts it as lost. */
+const minStallMs = 2_000
+/** Waiting is normal where more of the pool is in use. Source: the platform's rule on jobs that could run. */
+const maxIdlePoolUse = 0.5
+
+interface Stall {
+  readonly sinceMs: number
+  loggedCause?: WaitCause
+}
+
+/** Creates the record of one term. */
+export function createStalledJobs (host: StalledJobsHost): StalledJobs {
+  const stalls = new Map<TrackedJob, Stall>()
+
+  return { update, get }
+
+  function update (nowMs: number): void {
+    const current = new Set<TrackedJob>()
+    for (const job of host.getUnfinishedJobs()) {
+      if (findWaitingUnit(job, nowMs) === undefined) continue
+      current.add(job)
+      if (!stalls.has(job)) stalls.set(job, { sinceMs: nowMs })
+    }
+    for (const [job, { loggedCause, sinceMs }] of stalls) {
+      if (current.has(job)) continue
+      stalls.delete(job)
+      if (loggedCause !== undefined) host.logger.info('a stalled job goes on', { jobId: job.spec.jobId, state: job.state, stalledForMs: Math.round(nowMs - sinceMs) })
+    }
+    logNew(nowMs)
+  }
+
+  function logNew (nowMs: number): void {
+    const due = [...stalls].filter(([, { sinceMs }]) => nowMs - sinceMs >= minStallMs)
+    if (due.length === 0) return
+    const poolUse = getPoolUse(host.getWorkers())
+    if (poolUse >= maxIdlePoolUse) return
+    for (const [job, stall] of due) {
+      const stalled = describe(job, stall, nowMs)
+      if (stalled === undefined || stalled.cause === stall.loggedCause) continue
+      stall.loggedCause = stalled.cause
+      host.logger.warn('a job has nothing running although most of the pool is idle', { ...stalled, poolUse: Math.round(100 * poolUse) / 100 })
+    }
+  }
+
+  function get (nowMs: number): readonly StalledJob[] {
+    return [...stalls].flatMap(([job, stall]) => describe(job, stall, nowMs) ?? []).sort((left, right) => right.stalledForMs - left.stalledForMs)
+  }
+
+  function describe (job: TrackedJob, { sinceMs }: Stall, nowMs: number): StalledJob | undefined {
+    const unit = findWaitingUnit(job, nowMs)
+    if (unit === undefined) return undefined
+    const { occurrence, step, index } = unit
+    const member = unit.attempts.flatMap(({ members }) => members).find(({ state }) => state !== MemberState.Ended)
+    const cause = getCause(unit, member)
+    const stopReason = member?.attempt.stopReason
+    return {
+      jobId: job.spec.jobId,
+      task: member === undefined ? formatTaskName({ jobId: job.spec.jobId, occurrence, step, index }) : getTaskName(member),
+      cause,
+      ...(stopReason === undefined ? {} : { stopReason }),
+      ...(cause === WaitCause.NotPlaced ? { obstacles: host.describeWait(unit) } : {}),
+      stalledForMs: Math.round(nowMs - sinceMs),
+      ...(member === undefined ? {} : { run: member.attempt.run, workerId: member.workerId }),
+      ...(member?.reportedAtMs === undefined ? {} : { reportAgeMs: Math.round(nowMs - member.reportedAtMs) })
+    }
+  }
+}
+
+/** Returns a unit whose turn has come if nothing of the job is at work. */
+function findWaitingUnit (job: TrackedJob, nowMs: number): Unit | undefined {
+  if (job.isCancelRequested) return undefined
+  let waiting: Unit | undefined
+  for (const steps of job.occurrences.values()) {
+    for (const units of steps) {
+      for (const unit of units) {
+        if (unit.isDone) continue
+        if (unit.attempts.some(({ members }) => members.some(member => isAtWork(member, nowMs)))) return undefined
+        if (waiting === undefined && areDependenciesDone(unit)) waiting = unit
+      }
+    }
+  }
+  return waiting
+}
+
+function isAtWork ({ state, startedAtMs = -Infinity, reportedAtMs = -Infinity }: Member, nowMs: number): boolean {
+  return state === MemberState.Running && nowMs - Math.max(startedAtMs, reportedAtMs) < maxReportAgeMs
+}
+
+function getCause (unit: Unit, member: Member | undefined): WaitCause {
+  if (member === undefined) return unit.isWithheld ? WaitCause.Withheld : WaitCause.NotPlaced
+  if (member.attempt.stopReason !== undefined) return WaitCause.Stopping
+  if (member.state === MemberState.Planned) return WaitCause.NotDispatched
+  return member.state === MemberState.StartSent ? WaitCause.StartUnanswered : WaitCause.Unreported
+}
+
+/** The share of the usable workers' capacity that is allocated, of the resource of which most is. */
+function getPoolUse (workers: Iterable<WorkerState>): number {
+  const capacity = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+  const allocated = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+  for (const worker of workers) {
+    if (!isUsable(worker)) continue
+    add(capacity, worker.info.capacity)
+    for (const { resources } of worker.allocations.values()) add(allocated, resources)
+  }
+  return Math.max(...(['cpuMilli', 'memoryMb', 'accelerators'] as const).map(name => capacity[name] === 0 ? 0 : allocated[name] / capacity[name]))
+}
+
+function add (sum: { -readonly [Name in keyof Resources]: Resources[Name] }, { cpuMilli, memoryMb, accelerators }: Resources): void {
+  sum.cpuMilli += cpuMilli
+  sum.memoryMb += memoryMb
+  sum.accelerators += accelerators
+}
