--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -15,7 +15,7 @@
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
 import { isKeptApart, isSuspect } from './isolation.js'
-import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
+import { allocateCapacity, isEligible, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import type { VictimsByWorker } from './preemption.js'
@@ -60,6 +60,7 @@
 export interface PlacementObstacles {
   /** It has been preempted and is not placed again yet. */
   readonly isHeldBack: boolean
+  /** Usable workers of its job's service with the label that it requires. */
   readonly usableWorkers: number
   /** Usable workers with room for one task of the unit. */
   readonly workersWithRoom: number
@@ -110,7 +111,7 @@
   return { plan, describeWait }
 
   function describeWait (unit: Unit): PlacementObstacles {
-    const usable = [...workers.values()].filter(isUsable)
+    const usable = [...workers.values()].filter(worker => isUsable(worker) && isEligible(unit, worker))
     const withRoom = usable.filter(worker => fits(unit.spec.request, getFreeCapacity(worker)))
     const permitted = host.getPermittedWorkers(unit, withRoom.map(worker => worker.info.workerId))
     return {
