Units under suspicion no longer wait for whole runs in an idle pool

What callers see: after a crash of many workers a job waits for seconds with nothing running, beside workers with free room. Cause: two units under suspicion never shared a worker, and no unit shared one with an isolated unit, without a bound in time. With more of them than workers the others waited until a run ended. Only the wait of an isolated unit for an empty worker was bounded. Fix: where under half of the service's usable capacity is allocated, a unit that has waited for 1 s starts all the same, on the worker with the fewest units from which it is kept apart. From half on everything stays as it was, so that crash evidence loses nothing where many units share workers. Evidence: three tests of idlePool.test.ts failed before: "Expected: 1, Received: 0" started after 1 s (a suspect; a unit beside isolated ones), and "the job has not started".

--- /dev/null
+++ b/src/placement/idlePool.test.ts
@@ -0,0 +1,99 @@
+/** What keeps units back for the sake of other work does not keep them waiting where most of the pool is idle. The clock is paused. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { createTrackedJob, getUnits, Suspicion } from '../jobs/trackedJob.js'
+import type { TrackedJob } from '../jobs/trackedJob.js'
+import type { StepSpec } from '../jobs/jobModel.js'
+import { createPlannerHarness } from '../testing/plannerHarness.js'
+import type { PlannerHarness } from '../testing/plannerHarness.js'
+import { harnessConfiguration, makeJob, makeStep } from '../testing/poolHarness.js'
+
+/** A unit that has waited for so long, in ms, starts in the next pass. By the platform's rules a job must not wait for 3 s in such a pool. */
+const maxWaitMs = 1_000
+const small = { cpuMilli: 1_000, memoryMb: 1_000, accelerators: 0 }
+const wholeWorker = { cpuMilli: 8_000, memoryMb: 8_000, accelerators: 8 }
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+function createHarness (workers: number): PlannerHarness {
+  return createPlannerHarness({ workers, workersPerRack: 8, configuration: { ...harnessConfiguration, organisations: [] } })
+}
+
+function add (harness: PlannerHarness, jobId: string, queue: string, step: Partial<StepSpec>, suspicion = Suspicion.None): TrackedJob {
+  const job = createTrackedJob(makeJob(jobId, queue, [makeStep({ estimateMs: 4_000, ...step })]), performance.now())
+  for (const unit of getUnits(job)) unit.suspicion = suspicion
+  harness.jobs.push(job)
+  return job
+}
+
+function countStarted (job: TrackedJob): number {
+  return getUnits(job).filter(unit => unit.attempts.length > 0).length
+}
+
+/** The names of the jobs that run on the worker with the job. */
+function getNeighbours (harness: PlannerHarness, job: TrackedJob): readonly string[] {
+  const [member] = getUnits(job)[0]?.attempts[0]?.members ?? []
+  if (member === undefined) throw new Error('the job has not started')
+  return [...harness.getMembers(member.workerId)].filter(other => other !== member).map(other => other.attempt.unit.job.spec.jobId).sort()
+}
+
+test('a suspect does not wait for whole runs of other suspects, of which there are more than workers', () => {
+  const harness = createHarness(2)
+  add(harness, 'suspects', 'batch', { count: 3, request: small }, Suspicion.Suspect)
+  const late = add(harness, 'late', 'batch', { request: small }, Suspicion.Suspect)
+  harness.plan()
+  expect(harness.started).toHaveLength(2)
+  jest.advanceTimersByTime(maxWaitMs - 100)
+  harness.plan()
+  expect(harness.started).toHaveLength(2)
+  jest.advanceTimersByTime(100)
+  harness.plan()
+  expect(countStarted(late)).toBe(1)
+  expect(harness.started).toHaveLength(4)
+  // Each worker has two, not one of them three.
+  for (const workerId of harness.workers.keys()) expect(harness.getMembers(workerId).size).toBe(2)
+})
+
+test('a unit without suspicion does not wait for whole runs of isolated units on all workers', () => {
+  const harness = createHarness(2)
+  add(harness, 'isolated', 'batch', { count: 2, request: small }, Suspicion.Isolated)
+  harness.plan()
+  expect(harness.started).toHaveLength(2)
+  const other = add(harness, 'other', 'batch', { request: small })
+  harness.plan()
+  expect(countStarted(other)).toBe(0)
+  jest.advanceTimersByTime(maxWaitMs)
+  harness.plan()
+  expect(countStarted(other)).toBe(1)
+})
+
+test('a suspect that has waited takes a worker of its own if there is one, and otherwise the one with the fewest units it is kept apart from', () => {
+  const harness = createHarness(3)
+  add(harness, 'first', 'batch', { count: 2, request: small }, Suspicion.Suspect)
+  harness.plan()
+  jest.advanceTimersByTime(maxWaitMs)
+  const own = add(harness, 'own', 'batch', { request: small }, Suspicion.Isolated)
+  for (const unit of getUnits(own)) unit.waitingSinceMs -= maxWaitMs
+  harness.plan()
+  expect(getNeighbours(harness, own)).toEqual([])
+  for (const [index, neighbours] of [1, 1, 1, 2].entries()) {
+    const shared = add(harness, `shared${index}`, 'batch', { request: small }, Suspicion.Suspect)
+    for (const unit of getUnits(shared)) unit.waitingSinceMs -= maxWaitMs
+    harness.plan()
+    expect(getNeighbours(harness, shared)).toHaveLength(neighbours)
+  }
+})
+
+test('suspects stay apart for as long as half of the pool is in use', () => {
+  const harness = createHarness(2)
+  add(harness, 'load', 'urgent', { request: wholeWorker })
+  harness.plan()
+  add(harness, 'suspects', 'batch', { count: 3, request: small }, Suspicion.Suspect)
+  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 500) {
+    harness.plan()
+    jest.advanceTimersByTime(500)
+  }
+  for (const workerId of harness.workers.keys()) {
+    expect([...harness.getMembers(workerId)].filter(({ attempt }) => attempt.unit.suspicion === Suspicion.Suspect)).toHaveLength(1)
+  }
+})
--- a/src/placement/isolation.ts
+++ b/src/placement/isolation.ts
@@ -19,6 +19,15 @@
   return false
 }
 
+/**
+ * The number of units on a worker from which the unit is kept apart if there is room for both. A unit that has to share a worker all the same takes the one with
+ * the fewest, so that as little as possible is lost with the next crash, and as few units come into question for it.
+ */
+export function countKeptApart (unit: Unit, members: ReadonlySet<Member>): number {
+  const others = new Set([...members].map(({ attempt }) => attempt.unit))
+  return [...others].filter(other => other !== unit && (isIsolated(unit) || isIsolated(other) || (isSuspect(unit) && isSuspect(other)))).length
+}
+
 function areKeptApart (unit: Unit, other: Unit, nowMs: number): boolean {
   if (isSuspect(unit) && isSuspect(other)) return true
   const isWaitOver = nowMs - unit.waitingSinceMs > maxExclusiveWaitMs
--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -15,6 +15,8 @@
   readonly getOccupancy: (unit: Unit, worker: WorkerState) => Occupancy
   /** Tells whether a worker is reserved for another unit, whose start this unit would delay. */
   readonly isReservedForOther: (unit: Unit, worker: WorkerState) => boolean
+  /** The number of units on a worker beside which the unit runs only if there is no other room; 0 if it is not given. */
+  readonly countConflicts?: (unit: Unit, worker: WorkerState) => number
   /** The expected speed of runs on a worker, relative to usual; 1 if it is not given. */
   readonly getSpeed?: (worker: WorkerState) => number
   /** By how much the unit's slack until its latest start exceeds its run, as a multiple of the run. 0 if it is not given. */
@@ -145,7 +147,7 @@
 }
 
 /**
- * Workers to avoid, on which the unit has failed or that have crashed under it, come last. Among the others, workers that run only work of the unit's own queue
+ * Workers with the fewest conflicts come first. Workers to avoid, on which the unit has failed or that have crashed under it, come last. Among the others, workers that run only work of the unit's own queue
  * come first: when a queue's short work ends, whole workers become free, rather than stay partly occupied by another queue's long work. Then cold and slow
  * workers come last, in coarse classes, since by small differences of speed work would be spread over more workers.
  */
@@ -154,9 +156,9 @@
   const ranked = workers.map(worker => {
     const speed = rules.getSpeed?.(worker) ?? 1
     const { sameQueue, otherQueues } = rules.getOccupancy(unit, worker)
-    return { worker, isAvoided: Number(isAvoided(unit, worker)), queueMix: Math.sign(otherQueues) - Math.sign(sameQueue), speedClass: getSpeedClass(worker, speed, slackShare), slack: getSlack(worker, freeCapacity) }
+    return { worker, conflicts: rules.countConflicts?.(unit, worker) ?? 0, isAvoided: Number(isAvoided(unit, worker)), queueMix: Math.sign(otherQueues) - Math.sign(sameQueue), speedClass: getSpeedClass(worker, speed, slackShare), slack: getSlack(worker, freeCapacity) }
   })
-  ranked.sort((left, right) => left.isAvoided - right.isAvoided || left.queueMix - right.queueMix || left.speedClass - right.speedClass || left.slack - right.slack)
+  ranked.sort((left, right) => left.conflicts - right.conflicts || left.isAvoided - right.isAvoided || left.queueMix - right.queueMix || left.speedClass - right.speedClass || left.slack - right.slack)
   return ranked.map(({ worker }) => worker)
 }
 
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -14,11 +14,13 @@
 import type { CostSettings, StartLimits } from './delayCost.js'
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
-import { isKeptApart, isSuspect } from './isolation.js'
+import { countKeptApart, isKeptApart, isSuspect } from './isolation.js'
 import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import type { VictimsByWorker } from './preemption.js'
+import { createPoolUse } from './poolUse.js'
+import type { PoolUse } from './poolUse.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
 import { compareRanks, getPriority, getVictims, maxPreemptions } from './unitOrder.js'
@@ -56,6 +58,11 @@
 
 /** How long a unit that has been preempted waits for each of its runs, in ms: about as long as a burst's urgent job runs. */
 const restartDelayMs = 1_000
+/**
+ * How long units are held back for the sake of other work while most of their service's pool is idle, in ms. By the platform's rules a job must not wait for
+ * 3 s in such a pool; noticing the end of its last run, a pause between passes, storing the plan and the start need the rest.
+ */
+const maxIdleHoldMs = 1_000
 /** The most units for which workers are reserved at once: more cost planning time and would leave many workers idle. */
 const maxReservedUnits = 3
 /** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms, besides the time of two stops. */
@@ -88,7 +95,11 @@
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
   const victimsByKind = new Map<string, VictimsByWorker>()
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
+  /** The use of the services' pools; computed at the start of each planning pass. */
+  let poolUse: PoolUse = createPoolUse(new Map())
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
+  /** For a unit that has been held back for long enough: other units on a worker only count against it. */
+  const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: hasBindingReservation, countConflicts }
 
   return { plan }
 
@@ -101,6 +112,7 @@
     hasSuspects = unfinished.some(isSuspect)
     const ordered = order(waiting)
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
+    poolUse = createPoolUse(freeCapacity)
     recordDemand(freeCapacity)
     reservations.clear()
     reservedUnits = 0
@@ -115,17 +127,35 @@
 
   /** Starts the units, which are alike, in order, until one cannot be started: the others have the same requirements. Returns whether all have started. */
   function tryStart (units: readonly Unit[], freeCapacity: FreeCapacity): boolean {
-    let next = 0
-    for (let unit = units[next]; unit !== undefined; unit = units[next]) {
+    const remaining = [...units]
+    for (let unit = remaining[0]; unit !== undefined; unit = remaining[0]) {
       const permitted = getPermittedCapacity(unit, freeCapacity)
       if (permitted === undefined) return false
-      const placed = unit.size === 1 ? startTasks(units.slice(next), permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
-      if (placed === 0 && !tryPreemptOrReserve(unit, permitted, freeCapacity)) return false
-      next += Math.max(1, placed)
+      const placed = unit.size === 1 ? startTasks(remaining, permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
+      remaining.splice(0, placed)
+      if (placed > 0) continue
+      const overdue = remaining.findIndex(isHoldOver)
+      if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
+      else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
+      else return false
     }
     return true
   }
 
+  /** Tells whether the unit has waited for so long, in a pool of which most is idle, that it is no longer held back for other work. */
+  function isHoldOver (unit: Unit): boolean {
+    return poolUse.isMostlyIdle(unit.job.spec.service) && performance.now() - unit.waitingSinceMs >= maxIdleHoldMs
+  }
+
+  /** Starts a unit whose hold is over on workers that it would otherwise leave to others. */
+  function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
+    const places = countPermitted(unit) < unit.size ? undefined : tryPlace(unit, permitted, idlePoolRules)
+    if (places === undefined) return false
+    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion })
+    startPlaced(unit, places, permitted, freeCapacity)
+    return true
+  }
+
   /** Starts as many of the tasks as there is room for, and returns their number. */
   function startTasks (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
     const [first] = units as [Unit]
@@ -204,6 +234,7 @@
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
     for (const worker of places) usageByWorker.delete(worker)
     freeAccelerators -= unit.size * unit.spec.request.accelerators
+    poolUse.add(unit.job.spec.service, unit.size, unit.spec.request)
     host.startAttempt(unit, places.map(worker => worker.info.workerId))
   }
 
@@ -333,6 +364,14 @@
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
     if (hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())) return true
+    return hasBindingReservation(unit, worker)
+  }
+
+  function countConflicts (unit: Unit, worker: WorkerState): number {
+    return hasSuspects ? countKeptApart(unit, getMembers(worker.info.workerId)) : 0
+  }
+
+  function hasBindingReservation (unit: Unit, worker: WorkerState): boolean {
     const reservation = reservations.get(worker)
     if (reservation === undefined) return false
     if (!reservation.bindsEqualPriority && getPriority(unit.job, getQueue) <= reservation.priority) return false
