A task with several earlier runs no longer waits longer and longer in an idle pool

What callers see: a task of a job that has nothing else running waits for as many seconds as it has had runs that did not fail, beside free workers. Cause: the pause after a preemption grows by 1 s with each run and looked only at the task's slack, not at how much of the pool is in use. Runs that were lost or never started count as well. Fix: where under half of the service's usable capacity is allocated, the pause ends after 1 s. The pause spares tasks that a burst would stop again; such a burst finds room in such a pool without stopping them. Evidence: the new test of idlePool.test.ts failed before: "Expected: 1, Received: 0" started after 1 s, with five earlier runs.

--- a/src/placement/idlePool.test.ts
+++ b/src/placement/idlePool.test.ts
@@ -97,3 +97,15 @@
     expect([...harness.getMembers(workerId)].filter(({ attempt }) => attempt.unit.suspicion === Suspicion.Suspect)).toHaveLength(1)
   }
 })
+
+test('a task that has been stopped several times does not wait for a second for each of its runs', () => {
+  const harness = createHarness(2)
+  const stopped = add(harness, 'stopped', 'batch', { request: small, estimateMs: 60_000 })
+  for (const unit of getUnits(stopped)) unit.run = 5
+  jest.advanceTimersByTime(maxWaitMs - 100)
+  harness.plan()
+  expect(countStarted(stopped)).toBe(0)
+  jest.advanceTimersByTime(100)
+  harness.plan()
+  expect(countStarted(stopped)).toBe(1)
+})
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -107,12 +107,14 @@
     limitsByStep.clear()
     const unfinished = [...host.getUnfinishedJobs()].flatMap(getUnits)
     withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
-    const waiting = unfinished.filter(unit => isReadyToPlace(unit) && !isHeldBack(unit))
+    const ready = unfinished.filter(isReadyToPlace)
+    if (ready.length === 0) return
+    const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
+    poolUse = createPoolUse(freeCapacity)
+    const waiting = ready.filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = unfinished.some(isSuspect)
     const ordered = order(waiting)
-    const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
-    poolUse = createPoolUse(freeCapacity)
     recordDemand(freeCapacity)
     reservations.clear()
     reservedUnits = 0
@@ -350,11 +352,11 @@
 
   /**
    * Tells whether a unit that was preempted waits before it starts again: longer after each run, but only while it could be preempted once more
-   * and still meet its objective. Load: a burst of urgent gangs, each of which would stop the same small tasks that have just started anew.
+   * and still meet its objective, and not for long in an idle pool. Load: a burst of urgent gangs, each of which would stop the same small tasks that have just started anew.
    */
   function isHeldBack (unit: Unit): boolean {
     if (unit.run === unit.failedRuns.size || !isPatient(unit)) return false
-    return performance.now() - unit.waitingSinceMs < restartDelayMs * (unit.run - unit.failedRuns.size)
+    return performance.now() - unit.waitingSinceMs < restartDelayMs * (unit.run - unit.failedRuns.size) && !isHoldOver(unit)
   }
 
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
