A job of which nothing runs no longer waits for the headroom of a past burst in an idle pool

What callers see: after a burst of urgent work a less urgent job does not start for up to 8 s, beside workers that are empty. Cause: patient work leaves as many accelerators free as more urgent work has used in the last 8 s, however much of the pool is idle. Fix: a job of which nothing runs starts one unit when it has waited for 1 s and under half of the service's usable capacity is allocated. Its other tasks, and jobs that progress, go on leaving the headroom, so that the next burst stops as few of them as before. Tasks of a service count one by one. Evidence: the new test of idlePool.test.ts failed before: "Expected: 1, Received: 0" started after 1 s.

--- a/src/placement/idlePool.test.ts
+++ b/src/placement/idlePool.test.ts
@@ -1,11 +1,12 @@
 /** What keeps units back for the sake of other work does not keep them waiting where most of the pool is idle. The clock is paused. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
-import { createTrackedJob, getUnits, Suspicion } from '../jobs/trackedJob.js'
+import { createTrackedJob, getTaskName, getUnits, MemberState, Suspicion } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import type { StepSpec } from '../jobs/jobModel.js'
 import { createPlannerHarness } from '../testing/plannerHarness.js'
 import type { PlannerHarness } from '../testing/plannerHarness.js'
 import { harnessConfiguration, makeJob, makeStep } from '../testing/poolHarness.js'
+import { getAllocationKey } from '../workers/workerState.js'
 
 /** A unit that has waited for so long, in ms, starts in the next pass. By the platform's rules a job must not wait for 3 s in such a pool. */
 const maxWaitMs = 1_000
@@ -30,6 +31,18 @@
   return getUnits(job).filter(unit => unit.attempts.length > 0).length
 }
 
+/** Ends what runs of the job as done. */
+function endRuns (harness: PlannerHarness, job: TrackedJob): void {
+  for (const unit of getUnits(job)) {
+    unit.isDone = true
+    for (const member of unit.attempts.splice(0).flatMap(({ members }) => members)) {
+      member.state = MemberState.Ended
+      ;(harness.getMembers(member.workerId) as Set<unknown>).delete(member)
+      harness.workers.get(member.workerId)?.allocations.delete(getAllocationKey(getTaskName(member), member.attempt.run))
+    }
+  }
+}
+
 /** The names of the jobs that run on the worker with the job. */
 function getNeighbours (harness: PlannerHarness, job: TrackedJob): readonly string[] {
   const [member] = getUnits(job)[0]?.attempts[0]?.members ?? []
@@ -109,3 +122,21 @@
   harness.plan()
   expect(countStarted(stopped)).toBe(1)
 })
+
+test('a job of which nothing runs does not wait for as long as the capacity that a burst has used is left free', () => {
+  const harness = createHarness(4)
+  const burst = add(harness, 'burst', 'urgent', { count: 4, isGang: true, request: wholeWorker })
+  const patient = add(harness, 'patient', 'batch', { count: 4, request: { ...small, accelerators: 1 }, estimateMs: 60_000 })
+  harness.plan()
+  harness.plan()
+  endRuns(harness, burst)
+  jest.advanceTimersByTime(maxWaitMs - 100)
+  harness.plan()
+  expect(countStarted(patient)).toBe(0)
+  jest.advanceTimersByTime(100)
+  harness.plan()
+  // One task progresses; the others go on leaving the capacity to the next burst.
+  expect(countStarted(patient)).toBe(1)
+  harness.plan()
+  expect(countStarted(patient)).toBe(1)
+})
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -149,11 +149,18 @@
     return poolUse.isMostlyIdle(unit.job.spec.service) && performance.now() - unit.waitingSinceMs >= maxIdleHoldMs
   }
 
+  /** Tells whether the unit's job progresses while the unit waits. Each task of a service serves its own users, so another one is no substitute. */
+  function isJobRunning ({ job, spec }: Unit): boolean {
+    return !spec.isService && getUnits(job).some(({ attempts }) => attempts.length > 0)
+  }
+
   /** Starts a unit whose hold is over on workers that it would otherwise leave to others. */
   function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
-    const places = countPermitted(unit) < unit.size ? undefined : tryPlace(unit, permitted, idlePoolRules)
+    const isWithinHeadroom = countPermitted(unit) >= unit.size
+    if (!isWithinHeadroom && isJobRunning(unit)) return false
+    const places = tryPlace(unit, permitted, idlePoolRules)
     if (places === undefined) return false
-    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion })
+    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion, isWithinHeadroom })
     startPlaced(unit, places, permitted, freeCapacity)
     return true
   }
