A job of which nothing runs no longer waits for a gang that cannot start yet, in an idle pool

What callers see: a job does not start, beside idle workers, for as long as the runs go on that a waiting gang needs to end. Cause: workers that are reserved for the gang take no work of lower priority that would delay it, until its expected start, however late that is. Fix: where under half of the service's usable capacity is allocated, a job of which nothing runs starts one unit there when it has waited for 1 s. Its other tasks and jobs that progress leave the workers to the gang, so that small tasks do not overtake it in numbers. Evidence: the new test of idlePool.test.ts failed before: "Expected: 1, Received: 0" started after 1 s.

--- a/src/placement/idlePool.test.ts
+++ b/src/placement/idlePool.test.ts
@@ -140,3 +140,18 @@
   harness.plan()
   expect(countStarted(patient)).toBe(1)
 })
+
+test('a job of which nothing runs does not wait for a gang that cannot start before a long run has ended, and keeps the idle workers', () => {
+  const harness = createHarness(4)
+  add(harness, 'long', 'urgent', { request: wholeWorker, estimateMs: 60_000 })
+  harness.plan()
+  add(harness, 'gang', 'urgent', { count: 4, isGang: true, request: wholeWorker })
+  const other = add(harness, 'other', 'batch', { count: 2, request: small, estimateMs: 70_000 })
+  jest.advanceTimersByTime(maxWaitMs - 100)
+  harness.plan()
+  expect(countStarted(other)).toBe(0)
+  jest.advanceTimersByTime(100)
+  harness.plan()
+  // One task progresses; the other leaves the workers to the gang.
+  expect(countStarted(other)).toBe(1)
+})
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -98,8 +98,8 @@
   /** The use of the services' pools; computed at the start of each planning pass. */
   let poolUse: PoolUse = createPoolUse(new Map())
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
-  /** For a unit that has been held back for long enough: other units on a worker only count against it. */
-  const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: hasBindingReservation, countConflicts }
+  /** For a unit that has been held back for long enough: other units on a worker only count against it, and reservations bind it only while its job progresses. */
+  const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: (unit, worker) => isJobRunning(unit) && hasBindingReservation(unit, worker), countConflicts }
 
   return { plan }
 
