--- a/src/placement/idlePool.test.ts
+++ b/src/placement/idlePool.test.ts
@@ -1,12 +1,13 @@
 /** What keeps units back for the sake of other work does not keep them waiting where most of the pool is idle. The clock is paused. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import fc from 'fast-check'
 import { createTrackedJob, getTaskName, getUnits, MemberState, Suspicion } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import type { StepSpec } from '../jobs/jobModel.js'
 import { createPlannerHarness } from '../testing/plannerHarness.js'
 import type { PlannerHarness } from '../testing/plannerHarness.js'
-import { harnessConfiguration, makeJob, makeStep } from '../testing/poolHarness.js'
-import { getAllocationKey } from '../workers/workerState.js'
+import { harnessCapacity, harnessConfiguration, makeJob, makeStep } from '../testing/poolHarness.js'
+import { fits, getAllocationKey, getFreeCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 
 /** A unit that has waited for so long, in ms, starts in the next pass. By the platform's rules a job must not wait for 3 s in such a pool. */
 const maxWaitMs = 1_000
@@ -155,3 +156,52 @@
   // One task progresses; the other leaves the workers to the gang.
   expect(countStarted(other)).toBe(1)
 })
+
+const suspicions = fc.constantFrom(Suspicion.None, Suspicion.None, Suspicion.Suspect, Suspicion.Isolated)
+const workArbitrary = fc.record({
+  queue: fc.constantFrom('urgent', 'batch'),
+  count: fc.integer({ min: 1, max: 8 }),
+  accelerators: fc.constantFrom(0, 1, 2, 8),
+  cpuMilli: fc.constantFrom(1_000, 7_500, 26_000),
+  isGang: fc.boolean(),
+  estimateMs: fc.constantFrom(500, 4_000, 60_000),
+  suspicion: suspicions,
+  runs: fc.integer({ min: 0, max: 6 }),
+  endsEarly: fc.boolean()
+})
+
+/** Tells whether the task fits twice over on usable workers, of which under half of each resource is allocated. */
+function isRoomTwiceOver (harness: PlannerHarness, { request }: StepSpec): boolean {
+  const usable = [...harness.workers.values()].filter(isUsable)
+  const free = usable.map(getFreeCapacity)
+  const isMostlyIdle = (['cpuMilli', 'memoryMb', 'accelerators'] as const).every(name => 2 * free.reduce((sum, one) => sum + one[name], 0) > usable.length * harnessCapacity[name])
+  const places = free.reduce((sum, one) => sum + Number(fits(request, one)) + Number(fits(request, subtractResources(one, request))), 0)
+  return isMostlyIdle && places >= 2
+}
+
+test('with under half of the pool in use, a task that fits twice over and whose job has nothing running starts after 1 s, whatever holds it back', () => {
+  let checked = 0
+  fc.assert(fc.property(fc.integer({ min: 1, max: 12 }), fc.array(workArbitrary, { minLength: 1, maxLength: 8 }), workArbitrary, fc.nat(2), (workers, rows, last, unusable) => {
+    const harness = createHarness(workers)
+    const submit = (row: typeof last, jobId: string, isGang: boolean): TrackedJob => {
+      const job = add(harness, jobId, row.queue, { count: isGang ? row.count : 1, isGang, estimateMs: row.estimateMs, request: { cpuMilli: row.cpuMilli, memoryMb: 8_000, accelerators: row.accelerators } }, row.suspicion)
+      for (const unit of getUnits(job)) unit.run = row.runs
+      return job
+    }
+    const jobs = rows.map((row, index) => submit(row, `job${index}`, row.isGang))
+    for (let passes = 0; passes < 3; passes++) {
+      harness.plan()
+      jest.advanceTimersByTime(300)
+    }
+    rows.forEach((row, index) => { if (row.endsEarly) endRuns(harness, jobs[index] as TrackedJob) })
+    for (const worker of [...harness.workers.values()].slice(0, unusable)) worker.isQuarantined = true
+    const job = submit(last, 'last', false)
+    jest.advanceTimersByTime(maxWaitMs)
+    harness.plan()
+    // Other work may have taken the room in this pass.
+    if (!isRoomTwiceOver(harness, getUnits(job)[0]?.spec as StepSpec)) return
+    checked++
+    expect(countStarted(job)).toBe(1)
+  }), { numRuns: 300, seed: 46 })
+  expect(checked).toBeGreaterThan(50)
+})
