--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -9,6 +9,8 @@
   connect (hostId: string): MetadataStore
   /** While set, rejects every call of a host, or of all hosts if `hostId` is not given, without executing it. */
   setUnavailable (isUnavailable: boolean, hostId?: string): void
+  /** While set, executes every call of a host and sends it no response. */
+  setAnswersLost (hostId: string, areAnswersLost: boolean): void
   /** While set, range requests of a host time out if their prefix ends with `/`, as large responses do on a slow link. */
   setListsUnavailable (hostId: string, isUnavailable: boolean): void
   /** Pauses or resumes the store. While paused, it rejects all calls, and the remaining time of every lease does not elapse. */
@@ -49,6 +51,8 @@
 }
 
 const pollMs = 5
+/** After this time, in ms, a host gives up a call whose response does not arrive. */
+const answerTimeoutMs = 900
 const maxItemsPerPage = 500
 
 /** Creates an empty store. */
@@ -57,6 +61,7 @@
   const leases = new Map<number, Lease>()
   const history: Change[] = []
   const unavailableHosts = new Set<string>()
+  const answerlessHosts = new Set<string>()
   const listTimeoutHosts = new Set<string>()
   const writeFaults = new Map<string, WriteFault[]>()
   const unguardedKeys = new Set<string>()
@@ -66,7 +71,7 @@
   let firstRevision = 1
   let nextLeaseId = 1
 
-  return { connect, setUnavailable, setListsUnavailable, pause, delayWrites, getUnguardedKeys: () => [...unguardedKeys], expireLeases, compact, peek: key => items.get(key)?.value, write }
+  return { connect, setUnavailable, setAnswersLost, setListsUnavailable, pause, delayWrites, getUnguardedKeys: () => [...unguardedKeys], expireLeases, compact, peek: key => items.get(key)?.value, write }
 
   function setUnavailable (isUnavailableNow: boolean, hostId?: string): void {
     if (hostId === undefined) isUnavailable = isUnavailableNow
@@ -74,6 +79,11 @@
     else unavailableHosts.delete(hostId)
   }
 
+  function setAnswersLost (hostId: string, areAnswersLost: boolean): void {
+    if (areAnswersLost) answerlessHosts.add(hostId)
+    else answerlessHosts.delete(hostId)
+  }
+
   function setListsUnavailable (hostId: string, isUnavailableNow: boolean): void {
     if (isUnavailableNow) listTimeoutHosts.add(hostId)
     else listTimeoutHosts.delete(hostId)
@@ -130,7 +140,22 @@
   }
 
   function connect (hostId: string): MetadataStore {
-    return { get, range, watch, transact, grantLease, keepLeaseAlive, revokeLease }
+    return {
+      get: async key => await answer(get(key)),
+      range: async (prefix, after) => await answer(range(prefix, after)),
+      watch: async (prefix, afterRevision, waitMs, signal) => await answer(watch(prefix, afterRevision, waitMs, signal)),
+      transact: async transaction => await answer(transact(transaction)),
+      grantLease: async ttlMs => await answer(grantLease(ttlMs)),
+      keepLeaseAlive: async leaseId => { await answer(keepLeaseAlive(leaseId)) },
+      revokeLease: async leaseId => { await answer(revokeLease(leaseId)) }
+    }
+
+    async function answer<T> (executed: Promise<T>): Promise<T> {
+      if (!answerlessHosts.has(hostId)) return await executed
+      await executed.catch(() => {})
+      await delay(answerTimeoutMs)
+      throw createError(ErrorKind.AnswerLost, 'the response of the store did not arrive')
+    }
 
     async function checkAvailable (): Promise<void> {
       await Promise.resolve()
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -27,6 +27,12 @@
   readonly incompleteGangEnds: string[]
   /** Tasks that have ended as done and whose end has been acknowledged. */
   readonly acknowledgedDone: Set<string>
+  /** The workers that retain an end as done that has not been acknowledged, by task. */
+  readonly retainedDone: Map<string, Set<string>>
+  /** What last happened to a run of each task on a worker, for reports. */
+  readonly lastEvents: Map<string, string>
+  /** When a task last crashed its worker, by the monotonic clock. */
+  lastCrashMs: number
   readonly starts: Map<string, number>
   /** The number of workers that have crashed under a task, and the number of its starts since the third. */
   readonly crashes: Map<string, number>
@@ -72,6 +78,9 @@
     incompleteGangEnds: [],
     gangs: new Map(),
     acknowledgedDone: new Set(),
+    retainedDone: new Map(),
+    lastEvents: new Map(),
+    lastCrashMs: -Infinity,
     starts: new Map(),
     crashes: new Map(),
     startsAfterCrashes: new Map(),
@@ -96,6 +105,15 @@
   setCapacity (capacity: Resources): ListedWorker
   /** Cuts the worker off from the network: calls get no response, and its runs continue. */
   setUnreachable (isUnreachable: boolean): void
+  /**
+   * Executes the next `count` requests of any kind `lateMs` later, and sends no response to them. A restart discards those that wait. Adds to earlier
+   * calls; a count of 0 ends them.
+   */
+  delayRequests (count: number, lateMs: number): void
+  /** Cuts the way back: calls are executed, and get no response. */
+  setAnswersLost (areAnswersLost: boolean): void
+  /** Another worker answers at the address from now on. */
+  setReplaced (): void
   /** Executes the next `count` start requests `lateMs` later, and sends no response to them. By default a restart discards those that wait. */
   delayStarts (count: number, lateMs: number, surviveRestart?: boolean): void
   /**
@@ -144,6 +162,9 @@
   let isStalled = false
   let speed = 1
   let delayedStarts = { left: 0, lateMs: 0, surviveRestart: false }
+  let delayedRequests = { left: 0, lateMs: 0 }
+  let areAnswersLost = false
+  let isReplaced = false
   let runs = new Map<string, Run>()
   let ended: EndedRun[] = []
   let sequence = 0
@@ -163,6 +184,9 @@
     setCapacity,
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs, surviveRestart = false) => { delayedStarts = { left: count, lateMs, surviveRestart } },
+    delayRequests: (count, lateMs) => { delayedRequests = { left: count === 0 ? 0 : delayedRequests.left + count, lateMs } },
+    setAnswersLost: areAnswersLostNow => { areAnswersLost = areAnswersLostNow },
+    setReplaced: () => { isReplaced = true },
     restart,
     crash: () => {
       restart()
@@ -190,6 +214,7 @@
       removeFromPool(run)
     }
     runs = new Map()
+    for (const row of ended) forgetRetained(row)
     ended = []
     sequence = 0
     epoch = 0
@@ -222,6 +247,7 @@
 
   function crashByRun (cause: Run): void {
     pool.crashes.set(cause.task, (pool.crashes.get(cause.task) ?? 0) + 1)
+    pool.lastCrashMs = performance.now()
     restart()
     onCrash()
   }
@@ -240,11 +266,17 @@
     endedAtMs.set(sequence + 1, getClockMs())
     sequence++
     ended.push({ sequence, task: run.task, run: run.run, how, checkpoint: '' })
+    if (how === EndKind.Done) pool.retainedDone.set(run.task, (pool.retainedDone.get(run.task) ?? new Set()).add(info.workerId))
     highestRuns.set(run.task, Math.max(highestRuns.get(run.task) ?? 0, run.run))
     runs.delete(run.task)
     removeFromPool(run)
   }
 
+  /** An end that is lost with the life of its worker, or acknowledged, is not known there any more. */
+  function forgetRetained ({ task, how }: EndedRun): void {
+    if (how === EndKind.Done) pool.retainedDone.get(task)?.delete(info.workerId)
+  }
+
   function recordFailure ({ task, run, gang }: Run): void {
     const unit = gang === undefined ? task : getGangStep(task)
     pool.failedRuns.set(unit, (pool.failedRuns.get(unit) ?? new Set()).add(run))
@@ -252,6 +284,7 @@
 
   /** Adds the work of a run; of a run that did not end as done, all is thrown away. */
   function recordWork (run: Run, how: EndKind | 'lost'): void {
+    pool.lastEvents.set(run.task, `run ${run.run} ${how} on ${info.workerId} at ${Math.round(performance.now())} ms, ${Math.round(run.workedMs)} of ${run.workMs} ms worked`)
     pool.workedMs.set(run.task, (pool.workedMs.get(run.task) ?? 0) + run.workedMs)
     if (how !== EndKind.Done && how !== EndKind.GangBroken) pool.wastedMs.set(run.task, (pool.wastedMs.get(run.task) ?? 0) + run.workedMs)
   }
@@ -274,9 +307,24 @@
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the worker is not reachable')
     }
+    if (isReplaced) throw createError(ErrorKind.Conflict, 'another worker answers at the address')
     if (connectedBornAtMs !== info.bornAtMs) throw createError(ErrorKind.AnswerLost, 'the worker has restarted since the call arrived')
   }
 
+  /** Executes a request now, or later if requests are delayed; throws if its answer does not reach the host. */
+  async function execute<T> (request: () => T): Promise<T> {
+    if (delayedRequests.left > 0) {
+      delayedRequests.left--
+      const { bornAtMs } = info
+      setTimeout(() => { if (!isDown && info.bornAtMs === bornAtMs) request() }, delayedRequests.lateMs)
+      throw createError(ErrorKind.AnswerLost, 'the request got no response')
+    }
+    const answer = request()
+    if (!areAnswersLost) return answer
+    await delay(20)
+    throw createError(ErrorKind.AnswerLost, 'the response did not arrive')
+  }
+
   async function start (startRequest: StartRequest): Promise<TimestampedResponse<StartResult>> {
     await checkReachable(info.bornAtMs)
     const receivedAtMs = performance.now()
@@ -287,7 +335,7 @@
       setTimeout(() => { if (!isDown && (surviveRestart || info.bornAtMs === bornAtMs)) executeStart(startRequest, receivedAtMs) }, lateMs)
       throw createError(ErrorKind.AnswerLost, 'the start request got no response')
     }
-    return { answer: executeStart(startRequest, receivedAtMs), clockMs: getClockMs() }
+    return await execute(() => ({ answer: executeStart(startRequest, receivedAtMs), clockMs: getClockMs() }))
   }
 
   function executeStart (startRequest: StartRequest, receivedAtMs: number): StartResult {
@@ -310,6 +358,7 @@
     const gangName = size > 1 ? getGangName(startRequest.task, startRequest.run) : undefined
     runs.set(startRequest.task, { task: startRequest.task, run: startRequest.run, gang: gangName, workMs, how, crashAfterMs, workedMs: 0, begunAtMs: nowMs })
     pool.running.set(startRequest.task, [...pool.running.get(startRequest.task) ?? [], { workerId: info.workerId, run: startRequest.run }])
+    pool.lastEvents.set(startRequest.task, `run ${startRequest.run} started on ${info.workerId} at ${Math.round(performance.now())} ms`)
     pool.starts.set(startRequest.task, (pool.starts.get(startRequest.task) ?? 0) + 1)
     if (gangName === undefined) return
     const gang = pool.gangs.get(gangName) ?? { present: 0, isOver: false, getSpeeds: [] }
@@ -342,11 +391,16 @@
 
   async function stop (stopRequest: { readonly task: string, readonly run: number, readonly epoch: number }): Promise<void> {
     await checkReachable(info.bornAtMs)
-    if (stopRequest.epoch < epoch) throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    if (await execute(() => executeStop(stopRequest)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+  }
+
+  function executeStop (stopRequest: { readonly task: string, readonly run: number, readonly epoch: number }): 'stopping' | 'stale' {
+    if (stopRequest.epoch < epoch) return 'stale'
     epoch = stopRequest.epoch
     highestRuns.set(stopRequest.task, Math.max(highestRuns.get(stopRequest.task) ?? 0, stopRequest.run))
     const run = runs.get(stopRequest.task)
     if (run?.run === stopRequest.run) run.stopAtMs ??= getClockMs() + pool.stopDelayMs
+    return 'stopping'
   }
 
   async function renewLease (renewal: LeaseRenewal): Promise<WorkerStatusReport> {
@@ -356,7 +410,16 @@
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the poll got no response')
     }
-    if (renewal.epoch < epoch) throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    if (await execute(() => executeRenewal(renewal)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    const endsAtMs = performance.now() + renewal.waitMs
+    while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
+    await checkReachable(connectedBornAtMs)
+    const running = [...runs.values()].map((run): RunningRun => ({ task: run.task, run: run.run, checkpoint: '', progressPercent: Math.floor(100 * run.workedMs / run.workMs) }))
+    return { clockMs: getClockMs(), bornAtMs: info.bornAtMs, running, ended: [...ended] }
+  }
+
+  function executeRenewal (renewal: LeaseRenewal): 'renewed' | 'stale' {
+    if (renewal.epoch < epoch) return 'stale'
     epoch = renewal.epoch
     const nowMs = getClockMs()
     if (renewal.leaseUntilMs !== undefined) leaseUntilMs = Math.max(leaseUntilMs, Math.min(renewal.leaseUntilMs, nowMs + pool.maxLeaseMs))
@@ -365,12 +428,9 @@
       const isAcknowledgedDone = row.sequence <= renewal.acknowledgedSequence && row.how === EndKind.Done
       if (isAcknowledgedDone && (endedAtMs.get(row.sequence) ?? 0) > leaseExpiredAtMs) pool.acknowledgedDone.add(row.task)
     }
+    for (const row of ended) if (row.sequence <= renewal.acknowledgedSequence) forgetRetained(row)
     ended = ended.filter(row => row.sequence > renewal.acknowledgedSequence)
-    const endsAtMs = performance.now() + renewal.waitMs
-    while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
-    await checkReachable(connectedBornAtMs)
-    const running = [...runs.values()].map((run): RunningRun => ({ task: run.task, run: run.run, checkpoint: '', progressPercent: Math.floor(100 * run.workedMs / run.workMs) }))
-    return { clockMs: getClockMs(), bornAtMs: info.bornAtMs, running, ended: [...ended] }
+    return 'renewed'
   }
 }
 
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -33,6 +33,11 @@
   /** Simulates a crash: the host no longer reaches the store or the workers, and nobody is notified. */
   crash (): void
   stop (): Promise<void>
+  /**
+   * Freezes the host for `forMs`: what it sends and what is sent to it arrives after that. With `atRenewal`, from the moment at which the store has
+   * executed its next lease renewal and the answer is on its way.
+   */
+  freeze (forMs: number, atRenewal?: boolean): void
   getTerm (): Term | undefined
   /** The scheduler of the host's latest term as leader. */
   getScheduler (): Scheduler | undefined
@@ -66,6 +71,8 @@
   restartWorker (workerId: string): void
   /** Crashes a worker: it is away and comes back as a new life of its machine. Its entry leaves the list after a while unless the new life replaces it. */
   crashWorker (workerId: string, crash?: HarnessCrash): void
+  /** Cuts a worker off from the store and the hosts for `cutMs`; behind the cut it crashes and starts anew, at its address, under its id or another one. */
+  restartBehindCut (workerId: string, cutMs: number, keepsId: boolean): void
   /** Partitions a worker from the store: the list does not show what becomes of it, and its entry expires. */
   setCutFromStore (workerId: string, isCut: boolean): void
   setCapacity (workerId: string, capacity: Resources): void
@@ -178,7 +185,7 @@
   const setCutFromStore = (workerId: string, isCut: boolean): void => { silence.set(workerId, SilenceCause.CutFromStore, isCut) }
   const setEvacuated = (domain: string, isEvacuated: boolean): void => { store.write(harnessEvacuationPrefix + domain, isEvacuated ? '{}' : undefined) }
 
-  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, setCutFromStore, setCapacity, submit, stop }
+  return { orders, store, poolState, workers, hosts, setEvacuated, addHost, setListed, setDraining, setListStale: isStale => { isListStale = isStale }, restartWorker, crashWorker, restartBehindCut, setCutFromStore, setCapacity, submit, stop }
 
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
@@ -208,6 +215,19 @@
     }, awayMs)
   }
 
+  function restartBehindCut (workerId: string, cutMs: number, keepsId: boolean): void {
+    const worker = workers.get(workerId)
+    if (worker === undefined || silence.has(workerId, SilenceCause.Down)) return
+    worker.setUnreachable(true)
+    setCutFromStore(workerId, true)
+    setTimeout(() => { crashWorker(workerId, { awayMs: keepsId ? cutMs / 4 : cutMs / 2, keepsId }) }, cutMs / 2)
+    setTimeout(() => {
+      worker.setUnreachable(false)
+      setCutFromStore(workerId, false)
+      if (workers.get(workerId) !== worker) worker.setReplaced()
+    }, cutMs)
+  }
+
   /** Lists what a worker says of itself, if the platform hears it. */
   function report (workerId: string): void {
     const worker = workers.get(workerId)
@@ -265,7 +285,15 @@
     const { storeRoundTripMs: roundTripMs } = options
     const direct = store.connect(hostId)
     const connected = roundTripMs === undefined ? direct : createImpairedStore(direct, { roundTripMs, lostAnswers: 0, lostPackets: 0 }, () => 1)
-    const client = failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed)
+    let frozenUntilMs = -Infinity
+    let renewalFreezeMs: number | undefined
+    const awaitThaw = async (): Promise<void> => { while (performance.now() < frozenUntilMs) await delay(frozenUntilMs - performance.now()) }
+    const onStoreAnswer = (name: keyof MetadataStore): void => {
+      if (name !== 'keepLeaseAlive' || renewalFreezeMs === undefined) return
+      frozenUntilMs = performance.now() + renewalFreezeMs
+      renewalFreezeMs = undefined
+    }
+    const client = freezeStore(failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed), awaitThaw, onStoreAnswer)
     let term: Term | undefined
     let scheduler: Scheduler | undefined
     const rank = takeRank(hostId)
@@ -313,7 +341,7 @@
           isWorkerListCurrent: list.isCurrent,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
-          connect: info => connect(hostId, info, () => hasCrashed),
+          connect: info => freezePort(connect(hostId, info, () => hasCrashed), awaitThaw),
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
       }
@@ -322,6 +350,10 @@
     const host: HarnessHost = {
       hostId,
       intake,
+      freeze: (forMs, atRenewal = false) => {
+        if (atRenewal) renewalFreezeMs = forMs
+        else frozenUntilMs = performance.now() + forMs
+      },
       getTerm: () => term,
       getScheduler: () => scheduler,
       crash: () => {
@@ -401,6 +433,32 @@
     })
   }
 
+  function freezeStore (client: MetadataStore, awaitThaw: () => Promise<void>, onAnswer: (name: keyof MetadataStore) => void): MetadataStore {
+    return new Proxy(client, {
+      get: (target, name: keyof MetadataStore) => async (...parameters: never[]) => {
+        await awaitThaw()
+        try {
+          return await (target[name] as (...values: never[]) => Promise<unknown>)(...parameters)
+        } finally {
+          onAnswer(name)
+          await awaitThaw()
+        }
+      }
+    })
+  }
+
+  function freezePort (port: WorkerPort, awaitThaw: () => Promise<void>): WorkerPort {
+    const freeze = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
+      await awaitThaw()
+      try {
+        return await call(argument)
+      } finally {
+        await awaitThaw()
+      }
+    }
+    return { start: freeze(port.start), stop: freeze(port.stop), renewLease: freeze(port.renewLease), pace: freeze(port.pace), close: port.close }
+  }
+
   async function stop (): Promise<void> {
     for (const worker of workers.values()) worker.stop()
     await Promise.all([...hosts.values()].map(host => host.stop()))
