A host that has resigned runs for leader again if no other host takes over

Callers see accepted jobs that could run and do not, with the pool idle: nobody schedules. A host that resigns because its takeover takes too long or because it reaches too few workers does not run for 20 s or 4 s, so that another host is elected. It did so also where no other host could be: the others had crashed, or had resigned for the same cause (a store that delays large reads to all of them), and only the clock of the pause ended that state.

The pause now lasts only as long as others take over: after 1.2 s without a leader, in which large and warm hosts have been elected, the host runs again. A later vacancy within the pause is left to the others for the same time.

The new test failed before: one term instead of two 2 s after a resignation with a pause of 20 s. The test of two resignations expected that a host without others keeps its pause; it now has another host, which only takes over while the first one pauses, and is as strict: without Math.max over the pauses it fails.

--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -102,10 +102,31 @@
   const terms: Term[] = []
   const election = startElection('host-0', store.connect('host-0'), false, term => { terms.push(term) })
   await run(500)
+  // A small host takes over only while the other one pauses.
+  const others: Term[] = []
+  const other = startElection('host-1', store.connect('host-1'), true, term => { others.push(term) })
+  await run(500)
   terms[0]?.resign('a fault', 5_000)
   terms[0]?.resign('its consequence')
   await run(4_000)
+  others[0]?.resign('a fault of the other host')
+  await run(800)
   expect(terms).toHaveLength(1)
+  expect(others).toHaveLength(2)
+  others[1]?.resign('a fault of the other host')
+  await run(1_200)
+  expect(terms).toHaveLength(2)
+  const stopped = Promise.all([election.stop(), other.stop()])
+  await run(2_500)
+  await stopped
+})
+
+// Guards against a time in which nobody schedules: the other hosts may be gone, or may have resigned too.
+test('a host that has resigned runs again before its pause is over if no other host takes over', async () => {
+  const terms: Term[] = []
+  const election = startElection('host-0', store.connect('host-0'), false, term => { terms.push(term) })
+  await run(500)
+  terms[0]?.resign('a fault of this host', 20_000)
   await run(2_000)
   expect(terms).toHaveLength(2)
   const stopped = election.stop()
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -35,7 +35,10 @@
   readonly leaderRevision: number
   /** False as soon as another host may have been elected. Becomes true again if the store shows that none has been, unless `signal` is aborted. */
   isValid (): boolean
-  /** Ends the term and releases the lease. The host does not run for leader again for `candidacyPauseMs`, 0 by default. */
+  /**
+   * Ends the term and releases the lease. The host does not run for leader again for `candidacyPauseMs`, 0 by default, as long as other hosts take
+   * over.
+   */
   resign (reason: string, candidacyPauseMs?: number): void
   /** Aborted at the end of the term. */
   readonly signal: AbortSignal
@@ -80,6 +83,11 @@
 const standbyDelayRoundTrips = 3
 /** Additional wait of a host that would have to read all records, in ms: by then, the standbys have run for leader. */
 const coldHostWaitMs = 100
+/**
+ * A host that has resigned waits this long for another one to take over, in ms, before it runs again although its pause is not over: without large and
+ * warm hosts, the others have been elected by then.
+ */
+const othersLimitMs = 1_200
 /** Maximum random delay added to a candidate's wait, in ms, to spread the calls of the candidates. */
 const candidateSpreadMs = 40
 
@@ -169,12 +177,9 @@
 
   /** Runs for leader, unless another host is elected first. `fromRevision` is a revision of the store at which there was no leader. */
   async function campaign (fromRevision: number): Promise<void> {
-    const pauseMs = candidacyPausedUntilMs - performance.now()
-    if (pauseMs > 0) {
-      await delay(pauseMs, stopping.signal)
-      return
-    }
-    const observed = await watchLeader(fromRevision, Math.max(1, Math.ceil(getWaitMs())))
+    const vacantRevision = await waitForOthers(fromRevision)
+    if (vacantRevision === undefined) return
+    const observed = await watchLeader(vacantRevision, Math.max(1, Math.ceil(getWaitMs())))
     if (stopping.signal.aborted || observed === undefined || observed.changes.length > 0) return
     const grantSentAt = readClocks()
     const lease = await measureRoundTrip(() => store.grantLease(chooseTtlMs()))
@@ -205,6 +210,16 @@
     }
   }
 
+  /** Lets other hosts take over while this one has paused. Returns a revision at which there still was no leader, undefined if there may be one. */
+  async function waitForOthers (fromRevision: number): Promise<number | undefined> {
+    const pauseMs = candidacyPausedUntilMs - performance.now()
+    if (pauseMs <= 0) return fromRevision
+    const observed = await watchLeader(fromRevision, Math.ceil(Math.min(pauseMs, othersLimitMs)))
+    if (stopping.signal.aborted || observed === undefined || observed.changes.length > 0) return undefined
+    logger.info('no other host has taken over: this host runs for leader again', { pauseLeftMs: Math.max(0, Math.round(candidacyPausedUntilMs - performance.now())) })
+    return observed.revision
+  }
+
   function getWaitMs (): number {
     const rank = host.getStandbyRank?.()
     if (rank !== undefined) return rank * Math.max(standbyDelayMs, (getRoundTripMs() ?? 0) * standbyDelayRoundTrips)
