A term that reaches few workers lasts longer than their leases if other hosts have had their turn

Callers see a job that had a run on a worker that is cut off wait as long as the cut lasts, although other workers are free. A host that reaches fewer than two in five workers resigns after 2.5 s so that another host takes over. If the cut is between all hosts and most workers, the terms follow each other every few seconds. Each of them waits from its own start for the leases of the workers that do not answer (6 s at least), as an earlier term may have extended them, so no term ever gets to run their work elsewhere.

A host that is elected again within 15 s of such a resignation knows that the others were no better: it now resigns only after two leases, which leaves it one to place what the first has set free. A host that is alone in being cut off still hands over after 2.5 s.

--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -40,6 +40,8 @@
    * over.
    */
   resign (reason: string, candidacyPauseMs?: number): void
+  /** When this host last ended a term with a pause, so that another host takes over, by the monotonic clock; undefined if it never has. */
+  readonly stoodDownAtMs?: number | undefined
   /** Aborted at the end of the term. */
   readonly signal: AbortSignal
 }
@@ -99,6 +101,7 @@
   let abortTerm: ((reason: string) => void) | undefined
   let roundTripsMs: readonly number[] = []
   let candidacyPausedUntilMs = -Infinity
+  let stoodDownAtMs: number | undefined
   const finished = run()
 
   return { getLeader: () => leader, getRoundTripMs, stop }
@@ -238,7 +241,9 @@
       leaderKey,
       leaderRevision: epoch,
       isValid: () => !signal.aborted && renewal.isValid(),
+      stoodDownAtMs,
       resign: (reason, candidacyPauseMs = 0) => {
+        if (candidacyPauseMs > 0) stoodDownAtMs = performance.now()
         candidacyPausedUntilMs = Math.max(candidacyPausedUntilMs, performance.now() + candidacyPauseMs)
         abort(reason)
       },
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -58,6 +58,13 @@
 const unreachableLimitMs = 2_500
 /** After resigning, the host does not run for leader for this long, in ms, so that another host is elected first. */
 const candidacyPauseMs = 4_000
+/** A host that is elected again this soon after it has resigned, in ms, is no worse than the others: they have had a short term each, or none. */
+const handOverPeriodMs = 15_000
+/**
+ * Such a host resigns only after this multiple of a worker's lease: each term waits anew for the leases of workers that do not answer, and has to place
+ * their work elsewhere after that.
+ */
+const leasesPerHandOver = 2
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
@@ -67,6 +74,8 @@
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
   let unreachableSinceMs: number | undefined
+  const hasResignedLately = term.stoodDownAtMs !== undefined && performance.now() - term.stoodDownAtMs < handOverPeriodMs
+  const resignAfterMs = hasResignedLately ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
   /** When the first worker was connected. */
   let connectedAtMs: number | undefined
 
@@ -87,7 +96,7 @@
     const unreachable = listed.filter(worker => !worker.isReachable).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
     else unreachableSinceMs ??= performance.now()
-    if (unreachableSinceMs === undefined || performance.now() - unreachableSinceMs < unreachableLimitMs) return
+    if (unreachableSinceMs === undefined || performance.now() - unreachableSinceMs < resignAfterMs) return
     term.resign(`${unreachable} of ${listed.length} workers are unreachable`, candidacyPauseMs)
   }
 
