When a worker does not answer, the idle workers of its failure domain are checked

Callers see a job whose worker is cut off stand still for several leases although most workers are free. Idle workers are not polled, so those behind the same cut count as reachable. The job's next run goes to one of them, the answer to its start is lost, and as the start may have been carried out, the job waits for that worker's lease too, and then for the next one's.

When a worker stops answering, the idle workers of its failure domain are now polled once, without a wait, at most once a second for each domain. In workerLink.ts this adds the request for one poll; the timing of polls after a lost answer is unchanged.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -74,6 +74,7 @@
     getLink: workerId => ({
       port: ports.get(workerId) as WorkerPort,
       wake: () => {},
+      check: () => {},
       getLeaseUntilMs: () => Math.floor(performance.now()) + 30_000,
       recordLeaseExtension: () => {},
       expectIncarnation: () => {},
--- a/src/runs/unreachableWorkers.test.ts
+++ b/src/runs/unreachableWorkers.test.ts
@@ -37,3 +37,13 @@
   await waitForState('a', JobState.Complete, 30_000)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// Guards against a lease's wait for each idle worker behind a cut: idle workers are not polled, and a start without an answer may have been carried out.
+test('a job whose worker is cut off is not started on one idle worker after the other behind the cut', async () => {
+  await submit(makeJob('a', 'urgent', [makeStep()]))
+  await run(200)
+  expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId: 'worker-0', run: 1 }])
+  for (const workerId of ['worker-0', 'worker-1', 'worker-2', 'worker-3']) harness.workers.get(workerId)?.setUnreachable(true)
+  await waitForState('a', JobState.Complete, 2 * maxLeaseMs)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -35,6 +35,8 @@
   readonly port: WorkerPort
   /** Polls the worker now if the link is idle. */
   wake (): void
+  /** Polls the worker once although nothing runs there, to see whether it answers. */
+  check (): void
   /** The end of a lease granted now, on the worker's clock; undefined while that clock is unknown. */
   getLeaseUntilMs (): number | undefined
   /** Records that a request that extends the lease is being sent. */
@@ -78,13 +80,14 @@
   let isReachable = false
   let isLeaseOver = false
   let isClosed = false
+  let isCheckDue = false
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
   // Previous schedulers may have extended the lease until their terms ended.
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, close }
+  return { port, wake: changed.notify, check, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, close }
 
   function close (): void {
     isClosed = true
@@ -92,6 +95,11 @@
     port.close()
   }
 
+  function check (): void {
+    isCheckDue = true
+    changed.notify()
+  }
+
   function expectIncarnation (listedBornAtMs: number): void {
     // The list may lag behind the reports.
     if (listedBornAtMs === bornAtMs || earlierIncarnations.has(listedBornAtMs)) return
@@ -126,7 +134,7 @@
 
   async function pollUntilClosed (): Promise<void> {
     while (!isClosed && !term.signal.aborted) {
-      if (isReachable && hasIncarnationReported && !host.isNeeded()) await changed.wait()
+      if (isReachable && hasIncarnationReported && !isCheckDue && !host.isNeeded()) await changed.wait()
       else await pollOnce()
     }
   }
@@ -137,12 +145,13 @@
       return
     }
     const sentAtMs = performance.now()
+    isCheckDue = false
     // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost.
     const leaseUntilMs = isReachable ? getLeaseUntilMs() : undefined
     if (leaseUntilMs !== undefined) recordLeaseExtension()
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
-      const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs: isReachable ? host.getPollWaitMs?.() ?? pollWaitMs : 0 })
+      const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs: isReachable && host.isNeeded() ? host.getPollWaitMs?.() ?? pollWaitMs : 0 })
       if (!isClosed) await applyReport(report, sentAtMs)
     } catch (error) {
       if (!isClosed && !term.signal.aborted) await onFailure(error)
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -54,6 +54,8 @@
 const freeWorkerWaitMs = 100
 /** A scheduler that reaches fewer than two in five workers for `unreachableLimitMs` resigns its term. */
 const maxUnreachableShare = 0.6
+/** Interval in ms at which at most the idle workers of a failure domain are polled because another of its workers does not answer. */
+const domainCheckPeriodMs = 1_000
 /** How long so many workers may be unreachable, in ms: longer than a restarted pool takes to answer again. */
 const unreachableLimitMs = 2_500
 /** After resigning, the host does not run for leader for this long, in ms, so that another host is elected first. */
@@ -73,6 +75,8 @@
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
+  /** When the idle workers of each failure domain were last polled. */
+  const checkedAtMs = new Map<string, number>()
   let unreachableSinceMs: number | undefined
   const hasResignedLately = term.stoodDownAtMs !== undefined && performance.now() - term.stoodDownAtMs < handOverPeriodMs
   const resignAfterMs = hasResignedLately ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
@@ -163,6 +167,7 @@
       onReport: (report, sentAtMs, isComplete) => host.onReport(worker, report, sentAtMs, isComplete),
       onReachable: isReachable => {
         worker.isReachable = isReachable
+        if (!isReachable) checkDomain(worker.info.domain)
         host.onChanged()
       },
       onRestarted: bornAtMs => {
@@ -182,6 +187,14 @@
     links.set(info.workerId, link)
   }
 
+  /** A cut may concern the whole domain: a start on an idle worker behind it costs the job the wait for a lease. */
+  function checkDomain (domain: string): void {
+    const nowMs = performance.now()
+    if (nowMs - (checkedAtMs.get(domain) ?? -Infinity) < domainCheckPeriodMs) return
+    checkedAtMs.set(domain, nowMs)
+    for (const { info, isReachable } of workers.values()) if (isReachable && info.domain === domain) links.get(info.workerId)?.check()
+  }
+
   function removeWorker (worker: WorkerState): void {
     links.get(worker.info.workerId)?.close()
     links.delete(worker.info.workerId)
