--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -54,10 +54,19 @@
 const freeWorkerWaitMs = 100
 /** A scheduler that reaches fewer than two in five workers for `unreachableLimitMs` resigns its term. */
 const maxUnreachableShare = 0.6
+/** Interval in ms at which at most the idle workers of a failure domain are polled because another of its workers does not answer. */
+const domainCheckPeriodMs = 1_000
 /** How long so many workers may be unreachable, in ms: longer than a restarted pool takes to answer again. */
 const unreachableLimitMs = 2_500
 /** After resigning, the host does not run for leader for this long, in ms, so that another host is elected first. */
 const candidacyPauseMs = 4_000
+/** A host that is elected again this soon after it has resigned, in ms, is no worse than the others: they have had a short term each, or none. */
+const handOverPeriodMs = 15_000
+/**
+ * Such a host resigns only after this multiple of a worker's lease: each term waits anew for the leases of workers that do not answer, and has to place
+ * their work elsewhere after that.
+ */
+const leasesPerHandOver = 2
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
@@ -66,7 +75,11 @@
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
+  /** When the idle workers of each failure domain were last polled. */
+  const checkedAtMs = new Map<string, number>()
   let unreachableSinceMs: number | undefined
+  const hasResignedLately = term.stoodDownAtMs !== undefined && performance.now() - term.stoodDownAtMs < handOverPeriodMs
+  const resignAfterMs = hasResignedLately ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
   /** When the first worker was connected. */
   let connectedAtMs: number | undefined
 
@@ -87,7 +100,7 @@
     const unreachable = listed.filter(worker => !worker.isReachable).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
     else unreachableSinceMs ??= performance.now()
-    if (unreachableSinceMs === undefined || performance.now() - unreachableSinceMs < unreachableLimitMs) return
+    if (unreachableSinceMs === undefined || performance.now() - unreachableSinceMs < resignAfterMs) return
     term.resign(`${unreachable} of ${listed.length} workers are unreachable`, candidacyPauseMs)
   }
 
@@ -154,6 +167,7 @@
       onReport: (report, sentAtMs, isComplete) => host.onReport(worker, report, sentAtMs, isComplete),
       onReachable: isReachable => {
         worker.isReachable = isReachable
+        if (!isReachable) checkDomain(worker.info.domain)
         host.onChanged()
       },
       onRestarted: bornAtMs => {
@@ -173,6 +187,14 @@
     links.set(info.workerId, link)
   }
 
+  /** A cut may concern the whole domain: a start on an idle worker behind it costs the job the wait for a lease. */
+  function checkDomain (domain: string): void {
+    const nowMs = performance.now()
+    if (nowMs - (checkedAtMs.get(domain) ?? -Infinity) < domainCheckPeriodMs) return
+    checkedAtMs.set(domain, nowMs)
+    for (const { info, isReachable } of workers.values()) if (isReachable && info.domain === domain) links.get(info.workerId)?.check()
+  }
+
   function removeWorker (worker: WorkerState): void {
     links.get(worker.info.workerId)?.close()
     links.delete(worker.info.workerId)
