The first polls of workers are spread over turns of the event loop

Cause: a term connected all listed workers in one turn of the event loop. The connections and requests kept the loop busy for 2 to 3 s of the host's 0.675 of a core. Each poll had then run into its time-out of 500 ms before its answer was read, and the term's lease of 1 s had expired. The next host did the same.

Fix: polls that extend no lease, which are those of workers that have not answered, begin at 16 in a turn, those of workers that hold members first. Timers and answers are handled in between, so that the lease is renewed, and an answer is read when it arrives. A worker that waits for its first poll does not count as unreachable, and free workers are awaited from when their first polls were sent.

--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -1,11 +1,13 @@
 /** The workers of one term: their records and links, kept in sync with the platform's list of workers. */
 import type { Logger } from '../common/logger.js'
+import { createTurnLimiter } from '../common/turnLimiter.js'
 import type { Term } from '../election/leaderElection.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getUnits } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { createWorkerState } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
@@ -42,16 +44,21 @@
   addUnlisted (job: TrackedJob): void
   /**
    * Tells whether every worker that holds members has answered or its lease has certainly expired, and whether all others have
-   * answered or have had `freeWorkerWaitMs` to do so since the first was connected. Workers that answer later join then.
+   * answered or have had `freeWorkerWaitMs` to do so since their first polls were sent. Workers that answer later join then.
    */
   areSettled (): boolean
-  /** Resigns the term when most workers have been unreachable for too long. */
+  /** Resigns the term when most of the workers that have been polled have been unreachable for too long. */
   checkReachability (): void
   close (): void
 }
 
 /** How long workers without members are waited for at the start of a term, in ms: with the first of them alone, planning would preempt and spread needlessly. */
 const freeWorkerWaitMs = 100
+/**
+ * At most this many polls of workers that have not answered begin in one turn of the event loop. Load: a term that starts with 3,000 workers. All
+ * at once, their connections kept the loop busy for longer than the time-out of a poll and the lease of the term. 16 take about 50 ms of the smallest host.
+ */
+const maxContactsPerTurn = 16
 /** A scheduler that reaches fewer than two in five workers for `unreachableLimitMs` resigns its term. */
 const maxUnreachableShare = 0.6
 /** How long so many workers may be unreachable, in ms: longer than a restarted pool takes to answer again. */
@@ -67,8 +74,10 @@
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
   let unreachableSinceMs: number | undefined
-  /** When the first worker was connected. */
-  let connectedAtMs: number | undefined
+  /** The workers whose first poll has not ended, and when it was sent; undefined while it waits to be sent. */
+  const firstPolls = new Map<string, number | undefined>()
+  // Workers that hold members come first: their leases have to be extended before they end.
+  const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: host.hasMembers })
 
   return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, checkReachability, close }
 
@@ -77,13 +86,17 @@
   }
 
   function areSettled (): boolean {
-    const areFreeWorkersAwaited = connectedAtMs === undefined || performance.now() - connectedAtMs < freeWorkerWaitMs
-    return [...links].every(([workerId, link]) => link.isSettled() || !(areFreeWorkersAwaited || host.hasMembers(workerId)))
+    return [...links].every(([workerId, link]) => link.isSettled() || !(isAwaited(workerId) || host.hasMembers(workerId)))
   }
 
-  /** A host that is disconnected from most workers lets another host, which may reach them, take over. */
+  function isAwaited (workerId: string): boolean {
+    const sentAtMs = firstPolls.get(workerId) ?? Infinity
+    return firstPolls.has(workerId) && performance.now() - sentAtMs < freeWorkerWaitMs
+  }
+
+  /** A host that is disconnected from most workers lets another host, which may reach them, take over. A worker that waits for its first poll shows nothing. */
   function checkReachability (): void {
-    const listed = [...workers.values()].filter(worker => worker.isListed)
+    const listed = [...workers.values()].filter(worker => worker.isListed && !firstPolls.has(worker.info.workerId))
     const unreachable = listed.filter(worker => !worker.isReachable).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
     else unreachableSinceMs ??= performance.now()
@@ -142,12 +155,12 @@
 
   function addLink (worker: WorkerState): void {
     const { info } = worker
-    connectedAtMs ??= performance.now()
+    firstPolls.set(info.workerId, undefined)
     const link = createWorkerLink({
       term,
       logger,
       info,
-      port: host.connect(info),
+      port: connect(info),
       maxLeaseMs: host.maxLeaseMs,
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
@@ -173,9 +186,36 @@
     links.set(info.workerId, link)
   }
 
+  /** Connects to a worker. Polls that extend no lease, which are those of workers that have not answered, wait for their turn. */
+  function connect (info: ListedWorker): WorkerPort {
+    const { workerId } = info
+    const port = host.connect(info)
+    let isClosed = false
+    return { ...port, renewLease, close }
+
+    async function renewLease (renewal: LeaseRenewal): Promise<WorkerStatusReport> {
+      if (renewal.leaseUntilMs === undefined) {
+        await contacts.wait(workerId)
+        if (isClosed || !term.isValid()) throw createError(ErrorKind.PeerUnreachable, 'the poll was not sent: the connection is closed, or the term is not valid')
+      }
+      if (firstPolls.has(workerId)) firstPolls.set(workerId, performance.now())
+      try {
+        return await port.renewLease(renewal)
+      } finally {
+        if (!isClosed) firstPolls.delete(workerId)
+      }
+    }
+
+    function close (): void {
+      isClosed = true
+      port.close()
+    }
+  }
+
   function removeWorker (worker: WorkerState): void {
     links.get(worker.info.workerId)?.close()
     links.delete(worker.info.workerId)
+    firstPolls.delete(worker.info.workerId)
     workers.delete(worker.info.workerId)
   }
 
