--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -162,7 +162,7 @@
     if (leaseUntilMs !== undefined) recordLeaseExtension()
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
-const waitMs = isReachable && host.isNeeded() ? host.getPollWaitMs?.() ?? pollWaitMs : 0
+      const waitMs = isReachable && host.isNeeded() ? host.getPollWaitMs?.() ?? pollWaitMs : 0
       const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs })
       failedPolls = 0
       if (!isClosed) await applyReport(report, sentAtMs)
