A new scheduler learns from a machine's later life that an earlier run is over

What callers saw: LOST, jobs that could run and did not, with most of the workers' room free, after an outage in which nobody scheduled. Cause: workers crashed while no host scheduled. The next term restores their runs as possibly running. The list no longer has these workers, so that the term has no address for them and waits for a whole lease, counted from the takeover; every further takeover begins it anew. It logged 'worker crashed' when the machine reported its later life, but drew only the conclusion about the task, not that the run is over. Class: evidence is used for one decision and not for the other that it also settles. Now the later life of a machine, under another id, ends the restored runs of the earlier one. Evidence: the new test of takeoverAfterCrash.test.ts failed before ('Expected: complete, Received: active').

--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -20,6 +20,8 @@
   readonly getWorkers: () => Iterable<WorkerState>
   /** Stores the crashes under the units of the job. */
   readonly commit: (job: TrackedJob) => void
+  /** Called when the machine of a worker that an earlier term has used reports a later life under another id: nothing of the earlier life runs any more. */
+  readonly onEarlierLifeEnded: (workerId: string) => void
   /** Called when a unit is not to be started again. */
   readonly onGivenUp: (unit: Unit) => void
 }
@@ -188,7 +190,11 @@
     const lives = earlierLives.get(machine)
     if (lives !== undefined) {
       earlierLives.delete(machine)
-      for (const [workerId, earlierBornAtMs] of lives) if (earlierBornAtMs < bornAtMs) onWorkerCrashed(workerId, machine, bornAtMs, false)
+      for (const [workerId, earlierBornAtMs] of lives) {
+        if (earlierBornAtMs >= bornAtMs) continue
+        onWorkerCrashed(workerId, machine, bornAtMs, false)
+        if (workerId !== info.workerId) host.onEarlierLifeEnded(workerId)
+      }
     }
     reportSentAtMs.set(info.workerId, sentAtMs)
     const lost = lostRuns.get(machine)
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -103,6 +103,7 @@
     getMembers,
     getWorkers: host.getWorkers,
     commit: job => { void host.commit(job) },
+    onEarlierLifeEnded: workerId => { loseMembers(workerId, EvidenceSource.Replaced) },
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
 
@@ -413,13 +414,17 @@
 
   function onWorkerLost (worker: WorkerState, source: EvidenceSource): void {
     logger.warn('worker lost with all of its runs', { workerId: worker.info.workerId, evidence: source, members: getMembers(worker.info.workerId).size })
-    for (const member of [...getMembers(worker.info.workerId)]) {
+    loseMembers(worker.info.workerId, source)
+    worker.allocations.clear()
+    host.onChanged()
+  }
+
+  function loseMembers (workerId: string, source: EvidenceSource): void {
+    for (const member of [...getMembers(workerId)]) {
       if (member.state === MemberState.Planned) stopAttempt(member.attempt, 'a planned worker is lost')
       else endMember(member, 'lost', '', { source })
       void host.commit(member.attempt.unit.job)
     }
-    worker.allocations.clear()
-    host.onChanged()
   }
 
   // Ending members
