--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -40,8 +40,8 @@
    * over.
    */
   resign (reason: string, candidacyPauseMs?: number): void
-  /** When this host last ended a term with a pause, so that another host takes over, by the monotonic clock; undefined if it never has. */
-  readonly stoodDownAtMs?: number | undefined
+  /** When this host ended its latest terms with a pause, so that another host takes over, by the monotonic clock; the latest first. */
+  readonly stoodDownAtMs?: readonly number[]
   /** Aborted at the end of the term. */
   readonly signal: AbortSignal
 }
@@ -90,6 +90,8 @@
  * warm hosts, the others have been elected by then.
  */
 const othersLimitMs = 1_200
+/** How many of the latest terms that it ended with a pause a host remembers. */
+const maxRememberedPauses = 2
 /** Maximum random delay added to a candidate's wait, in ms, to spread the calls of the candidates. */
 const candidateSpreadMs = 40
 
@@ -101,7 +103,7 @@
   let abortTerm: ((reason: string) => void) | undefined
   let roundTripsMs: readonly number[] = []
   let candidacyPausedUntilMs = -Infinity
-  let stoodDownAtMs: number | undefined
+  let stoodDownAtMs: readonly number[] = []
   const finished = run()
 
   return { getLeader: () => leader, getRoundTripMs, stop }
@@ -243,7 +245,7 @@
       isValid: () => !signal.aborted && renewal.isValid(),
       stoodDownAtMs,
       resign: (reason, candidacyPauseMs = 0) => {
-        if (candidacyPauseMs > 0) stoodDownAtMs = performance.now()
+        if (candidacyPauseMs > 0) stoodDownAtMs = [performance.now(), ...stoodDownAtMs].slice(0, maxRememberedPauses)
         candidacyPausedUntilMs = Math.max(candidacyPausedUntilMs, performance.now() + candidacyPauseMs)
         abort(reason)
       },
--- a/src/runs/lateEnds.test.ts
+++ b/src/runs/lateEnds.test.ts
@@ -18,7 +18,7 @@
   jest.useRealTimers()
 })
 
-async function startHarness (options: Omit<PoolHarnessOptions, 'workers' | 'maxLeaseMs'>): Promise<void> {
+async function startHarness (options: Omit<PoolHarnessOptions, 'workers' | 'maxLeaseMs'> & { readonly workers?: number }): Promise<void> {
   harness = createPoolHarness({ workers: 3, maxLeaseMs, ...options })
   harness.addHost('host-0')
   await run(500)
@@ -55,17 +55,37 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
-test('a successor goes on with a second run whose task has succeeded meanwhile only until it is stopped', async () => {
-  await startHarness({ getRun: (_task, number) => ({ workMs: number === 1 ? 1_500 : 30_000, how: EndKind.Done }) })
-  await submit(makeJob('a', 'batch', [makeStep(), makeStep({ after: [0] })]))
+/** Leaves the second runs of both tasks of `a` on workers that do not answer while the successes of the first runs are read, then has another host take over. */
+async function takeOverAfterLateSuccess (isGang: boolean): Promise<void> {
+  await startHarness({ workers: 6, getRun: (task, number) => ({ workMs: number === 1 && task.startsWith('a.0.0') ? 1_500 : 30_000, how: EndKind.Done }) })
+  const request = { cpuMilli: 64_000, memoryMb: 16_000, accelerators: 8 }
+  await submit(makeJob('a', 'batch', [makeStep({ count: 2, isGang, request }), makeStep({ after: [0] })]))
   await run(300)
-  await cutOffBusyWorkers()
+  const first = getWorkersOf('a.0.0.0', 'a.0.0.1')
+  for (const workerId of first) harness.workers.get(workerId)?.setUnreachable(true)
+  await run(maxLeaseMs + 1_500)
+  const second = getWorkersOf('a.0.0.0', 'a.0.0.1')
+  expect(second.length).toBe(2)
   harness.addHost('host-1')
-  await run(30)
+  await run(50)
+  for (const workerId of second) harness.workers.get(workerId)?.setUnreachable(true)
+  for (const workerId of first) harness.workers.get(workerId)?.setUnreachable(false)
+  await run(700)
   harness.hosts.get('host-0')?.crash()
-  await waitForState('a', JobState.Complete, 12_000)
-  await run(2_000)
-  expect([...harness.poolState.running.values()].flat()).toEqual([])
+  await run(20)
+  for (const workerId of second) harness.workers.get(workerId)?.setUnreachable(false)
+  await run(8_000)
+}
+
+function getWorkersOf (...tasks: readonly string[]): readonly string[] {
+  return tasks.flatMap(task => harness.poolState.running.get(task) ?? []).map(({ workerId }) => workerId)
+}
+
+// The successor of the scheduler that had read the success let the second run of a gang go on, also after its job was cancelled.
+test.each([false, true])('a successor stops later runs of what has succeeded, gang: %s', async isGang => {
+  await takeOverAfterLateSuccess(isGang)
+  expect(harness.poolState.starts.get('a.0.0.0')).toBe(2)
+  expect(getWorkersOf('a.0.0.0', 'a.0.0.1')).toEqual([])
   expect(harness.poolState.violations).toEqual([])
 })
 
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -299,8 +299,8 @@
           host.getWorker(member.workerId)?.allocations.set(getAllocationKey(getTaskName(member), attempt.run), { resources: unit.spec.request, isPlanned: false })
         }
         if (isAttemptOver(attempt)) unit.attempts.splice(unit.attempts.indexOf(attempt), 1)
-        // The remaining members of a finished gang end by themselves; a later run of a finished unit has to be stopped, as in `applyLateSuccess`.
-        else if (unit.isDone && !unit.spec.isGang) stopAttempt(attempt, 'an earlier run has succeeded')
+        // It may be a later run than the one that has succeeded, as in `applyLateSuccess`. For the remaining members of a gang that has succeeded a stop does no harm.
+        else if (unit.isDone) stopAttempt(attempt, 'an earlier run has succeeded')
       }
       crashTracking.onRestored(unit)
     }
--- a/src/runs/takeoverAfterCrash.test.ts
+++ b/src/runs/takeoverAfterCrash.test.ts
@@ -1,4 +1,4 @@
-/** Runs of an earlier term whose workers crashed while no host scheduled. */
+/** Runs whose workers crashed, and whose machines report later lives under other ids. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
@@ -33,3 +33,16 @@
   await waitForState('a', JobState.Complete, 3_500)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// The new life of a machine has another address, so that nothing answers at the old one: the runs of the life before were waited for during a whole lease.
+test('a job does not wait for the lease of a worker whose machine reports a later life in the same term', async () => {
+  harness = createPoolHarness({ workers: 3, maxLeaseMs, crash: { awayMs: 1_000, keepsId: false }, getRun: (_task, number) => ({ workMs: number === 1 ? 20_000 : 300, how: EndKind.Done }) })
+  harness.addHost('host-0')
+  await run(500)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(500)
+  const [location] = harness.poolState.running.get('a.0.0.0') ?? []
+  harness.crashWorker(location?.workerId ?? '')
+  await waitForState('a', JobState.Complete, 3_500)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -16,7 +16,7 @@
 afterEach(() => { jest.useRealTimers() })
 
 /** Polls a worker whose polls number `lost` (counted from 0) get no answer, and that another worker replaces at `replacedAtMs`. Returns the ends read. */
-async function readEnds (lost: ReadonlySet<number>, endAtMs: number, replacedAtMs: number): Promise<readonly EndedRun[]> {
+async function readEnds (lost: ReadonlySet<number>, endAtMs: number, replacedAtMs: number, roundTripMs = 1): Promise<readonly EndedRun[]> {
   const leaving = new AbortController()
   const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
   const read: EndedRun[] = []
@@ -33,7 +33,11 @@
         await delay(waitMs + answerTimeoutMs)
         throw createError(ErrorKind.AnswerLost, 'the poll got no response')
       }
-      await delay(1)
+      if (roundTripMs > answerTimeoutMs) {
+        await delay(answerTimeoutMs)
+        throw createError(ErrorKind.AnswerLost, 'the answer came too late')
+      }
+      await delay(roundTripMs)
       const nowMs = performance.now() - startedAtMs
       if (nowMs > replacedAtMs) throw createError(ErrorKind.Conflict, 'another worker uses this address')
       if (nowMs < endAtMs) await delay(Math.min(waitMs, endAtMs - nowMs))
@@ -78,3 +82,8 @@
   // One in 0.8 s, and the faster ones after the first lost answer.
   expect(polls.mock.calls.length).toBeLessThanOrEqual(22_000 / 800 + 4)
 })
+
+// The fast polls after a lost answer were too short for slow links, so that ends were read later than without them.
+test.each([50, 140, 160, 310, 400])('an end that a worker lists for 1 s after a lost answer is read at a round trip of %i ms', async roundTripMs => {
+  expect(await readEnds(new Set([2]), 3_500, 3_500 + 1_000 + 2 * roundTripMs, roundTripMs)).not.toEqual([])
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -56,12 +56,12 @@
 const retryPauseMs = 300
 /**
  * The first polls after a lost answer: the pause before each, and the time allowed for its answer, in ms. An end that the worker lists is gone if it crashes
- * before a poll is answered, and the task runs again. A few round trips between regions suffice for an answer.
+ * before a poll is answered, and the task runs again. A few round trips between regions suffice for an answer; the third poll has the usual time, for slow links.
  */
-const fastRetries: readonly { readonly pauseMs: number, readonly answerTimeoutMs: number }[] = [
+const fastRetries: readonly { readonly pauseMs: number, readonly answerTimeoutMs?: number }[] = [
   { pauseMs: 0, answerTimeoutMs: 150 },
   { pauseMs: 50, answerTimeoutMs: 150 },
-  { pauseMs: 100, answerTimeoutMs: 300 }
+  { pauseMs: 100 }
 ]
 /**
  * Ends are acknowledged only to a worker that has reported within this, in ms: one that has started anew since numbers its ends anew,
@@ -157,12 +157,13 @@
     }
     const sentAtMs = performance.now()
     isCheckDue = false
-    // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost.
-    const leaseUntilMs = isReachable ? getLeaseUntilMs() : undefined
+    // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost. Without runs there is nothing to extend.
+    const isNeeded = host.isNeeded()
+    const leaseUntilMs = isReachable && isNeeded ? getLeaseUntilMs() : undefined
     if (leaseUntilMs !== undefined) recordLeaseExtension()
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
-      const waitMs = isReachable && host.isNeeded() ? host.getPollWaitMs?.() ?? pollWaitMs : 0
+      const waitMs = isReachable && isNeeded ? host.getPollWaitMs?.() ?? pollWaitMs : 0
       const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs })
       failedPolls = 0
       if (!isClosed) await applyReport(report, sentAtMs)
--- a/src/runs/workerPool.test.ts
+++ b/src/runs/workerPool.test.ts
@@ -161,3 +161,67 @@
   for (let turns = 0; turns < workerCount / 10; turns++) await passTurn()
   expect(polled.length).toBe(sent)
 })
+
+/** Creates a pool of which the workers in `silent` do not answer. Counts the polls, and those in one turn of the event loop. */
+function createAnsweringPool (silent: ReadonlySet<string>, stoodDownAtMs: readonly number[] = []): { readonly pool: WorkerPool, readonly counts: { polls: number, inTurn: number, mostInTurn: number } } {
+  const counts = { polls: 0, inTurn: 0, mostInTurn: 0 }
+  const { signal } = ending
+  const term: Term = { epoch: 1, leaderKey: 'leader', leaderRevision: 1, isValid: () => !signal.aborted, resign: reason => { resignations.push(reason) }, stoodDownAtMs, signal }
+  const pool = createWorkerPool({
+    term,
+    logger: silentLogger,
+    maxLeaseMs: 6_000,
+    connect: ({ workerId, bornAtMs }) => ({
+      start: async () => await Promise.reject(new Error('nothing is started')),
+      stop: async () => {},
+      pace: async () => {},
+      close: () => {},
+      renewLease: async () => {
+        counts.polls++
+        counts.mostInTurn = Math.max(counts.mostInTurn, ++counts.inTurn)
+        await new Promise(resolve => { setImmediate(resolve) })
+        if (silent.has(workerId)) throw new Error('no answer')
+        return { clockMs: 0, bornAtMs, running: [], ended: [] }
+      }
+    }),
+    hasMembers: () => false,
+    needsReports: () => false,
+    getPollWaitMs: () => undefined,
+    onReport: async () => {},
+    onLost: () => {},
+    onCrashed: () => {},
+    onChanged: () => {}
+  })
+  return { pool, counts }
+}
+
+// One lost answer caused a poll of each of 3,000 idle workers in one turn of the event loop, which the lease of the term does not outlast.
+test('a worker that does not answer causes few polls of the idle workers of its failure domain, spread over turns', async () => {
+  const silent = new Set<string>()
+  const { pool, counts } = createAnsweringPool(silent)
+  pool.refresh(listWorkers())
+  await passTurns(() => countReachable(pool) === workerCount)
+  Object.assign(counts, { polls: 0, mostInTurn: 0 })
+  silent.add('worker-0')
+  pool.getLink('worker-0')?.check()
+  for (let turns = 0; turns < 200; turns++) {
+    await passTurn()
+    counts.inTurn = 0
+  }
+  expect(counts.polls).toBeGreaterThan(1)
+  expect(counts.polls).toBeLessThanOrEqual(80)
+  expect(counts.mostInTurn).toBeLessThanOrEqual(16)
+})
+
+// A host that was alone in being cut off kept the term for two leases after it had resigned once and its successor had crashed.
+test.each([[[1_000], true], [[1_000, 9_000], false], [[1_000, 60_000], true]])('a host that reaches few workers hands over after 2.5 s unless it has done so twice lately: %j ms ago', async (agesMs, isHandedOver) => {
+  jest.advanceTimersByTime(100_000)
+  const { pool } = createAnsweringPool(new Set(listWorkers().map(({ workerId }) => workerId)), agesMs.map(ageMs => performance.now() - ageMs))
+  pool.refresh(listWorkers().slice(0, 10))
+  for (let elapsedMs = 0; elapsedMs < 4_000; elapsedMs += 100) {
+    for (let turns = 0; turns < 5; turns++) await passTurn()
+    await jest.advanceTimersByTimeAsync(100)
+    pool.checkReachability()
+  }
+  expect(resignations.length > 0).toBe(isHandedOver)
+})
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -63,12 +63,17 @@
 const maxUnreachableShare = 0.6
 /** Interval in ms at which at most the idle workers of a failure domain are polled because another of its workers does not answer. */
 const domainCheckPeriodMs = 1_000
+/** The most workers of a domain that are polled so in one period: a domain may have thousands, and each poll costs processor time on both sides. */
+const maxChecksPerPeriod = 64
 /** How long so many workers may be unreachable, in ms: longer than a restarted pool takes to answer again. */
 const unreachableLimitMs = 2_500
 /** After resigning, the host does not run for leader for this long, in ms, so that another host is elected first. */
 const candidacyPauseMs = 4_000
-/** A host that is elected again this soon after it has resigned, in ms, is no worse than the others: they have had a short term each, or none. */
-const handOverPeriodMs = 15_000
+/**
+ * A host that has resigned twice within this time, in ms, and is elected again, is no worse than the others: one that is alone in being cut off is rarely elected
+ * three times while another host lives.
+ */
+const handOverPeriodMs = 30_000
 /**
  * Such a host resigns only after this multiple of a worker's lease: each term waits anew for the leases of workers that do not answer, and has to place
  * their work elsewhere after that.
@@ -82,11 +87,15 @@
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
   const lives = new Map<string, WorkerState>()
+  /** The earlier life of a machine, by the id of the worker that has been listed for it since, until that worker has reported. */
+  const earlierLives = new Map<string, WorkerState>()
   /** When the idle workers of each failure domain were last polled. */
   const checkedAtMs = new Map<string, number>()
+  /** Where the next check of a domain with more idle workers begins. */
+  let checkOffset = 0
   let unreachableSinceMs: number | undefined
-  const hasResignedLately = term.stoodDownAtMs !== undefined && performance.now() - term.stoodDownAtMs < handOverPeriodMs
-  const resignAfterMs = hasResignedLately ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
+  const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
+  const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
   /** The workers whose first poll has not ended, and when it was sent; undefined while it waits to be sent. */
   const firstPolls = new Map<string, number | undefined>()
   // Workers that hold members come first: their leases have to be extended before they end.
@@ -157,6 +166,7 @@
     if (previous !== undefined && previous.info.bornAtMs < info.bornAtMs) {
       logger.info('machine listed with a new worker', { machine: info.machineId, previousWorkerId: previous.info.workerId, workerId: info.workerId, address: info.address, bornAtMs: info.bornAtMs })
       reportCrash(previous, info.bornAtMs)
+      earlierLives.set(info.workerId, previous)
     }
     if (previous === undefined || previous.info.bornAtMs < info.bornAtMs) lives.set(info.machineId, worker)
   }
@@ -177,7 +187,10 @@
       maxLeaseMs: host.maxLeaseMs,
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
-      onReport: (report, sentAtMs, isComplete) => host.onReport(worker, report, sentAtMs, isComplete),
+      onReport: (report, sentAtMs, isComplete) => {
+        endEarlierLife(worker, report)
+        return host.onReport(worker, report, sentAtMs, isComplete)
+      },
       onReachable: isReachable => {
         worker.isReachable = isReachable
         if (!isReachable) checkDomain(worker.info.domain)
@@ -200,12 +213,24 @@
     links.set(info.workerId, link)
   }
 
+  /** A report of a machine's later life shows that nothing of the earlier one runs any more, also where no other worker answers at its address. */
+  function endEarlierLife ({ info }: WorkerState, report: WorkerStatusReport): void {
+    const earlier = earlierLives.get(info.workerId)
+    earlierLives.delete(info.workerId)
+    if (earlier === undefined || earlier.info.bornAtMs >= (report.bornAtMs ?? info.bornAtMs)) return
+    earlier.isReachable = false
+    host.onLost(earlier, EvidenceSource.Replaced)
+  }
+
   /** A cut may concern the whole domain: a start on an idle worker behind it costs the job the wait for a lease. */
   function checkDomain (domain: string): void {
     const nowMs = performance.now()
     if (nowMs - (checkedAtMs.get(domain) ?? -Infinity) < domainCheckPeriodMs) return
     checkedAtMs.set(domain, nowMs)
-    for (const { info, isReachable } of workers.values()) if (isReachable && info.domain === domain) links.get(info.workerId)?.check()
+    const idle = [...workers.values()].filter(({ info, isReachable, allocations }) => isReachable && info.domain === domain && allocations.size === 0)
+    const offset = idle.length <= maxChecksPerPeriod ? 0 : checkOffset % idle.length
+    checkOffset += maxChecksPerPeriod
+    for (const { info } of [...idle.slice(offset), ...idle.slice(0, offset)].slice(0, maxChecksPerPeriod)) links.get(info.workerId)?.check()
   }
 
   /** Connects to a worker. Polls that extend no lease, which are those of workers that have not answered, wait for their turn. */
