--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -147,8 +147,8 @@
 }
 
 /**
- * Workers with the fewest conflicts come first. Workers to avoid, on which the unit has failed or that have crashed under it, come last. Among the others, workers that run only work of the unit's own queue
- * come first: when a queue's short work ends, whole workers become free, rather than stay partly occupied by another queue's long work. Then cold and slow
+ * Workers with the fewest conflicts come first. Workers to avoid, on which the unit has failed or that have crashed under it, come last. Among the others, workers
+ * that run only work of the unit's own queue come first: when a queue's short work ends, whole workers become free, rather than stay partly occupied by another queue's long work. Then cold and slow
  * workers come last, in coarse classes, since by small differences of speed work would be spread over more workers.
  */
 function sortByFit (unit: Unit, workers: readonly WorkerState[], freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] {
--- a/src/runs/stalledJobs.ts
+++ b/src/runs/stalledJobs.ts
@@ -4,11 +4,11 @@
  */
 import type { Logger } from '../common/logger.js'
 import { formatTaskName } from '../jobs/jobModel.js'
-import type { Resources } from '../jobs/jobModel.js'
 import { areDependenciesDone, getTaskName, MemberState } from '../jobs/trackedJob.js'
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import type { PlacementObstacles } from '../placement/planner.js'
-import { isUsable } from '../workers/workerState.js'
+import { createPoolUse } from '../placement/poolUse.js'
+import { getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 
 /** What a unit waits for. */
@@ -64,8 +64,6 @@
 const maxReportAgeMs = 3_000
 /** A job is logged when it has been stalled for this long, in ms: within the 3 s after which the platform counts it as lost. */
 const minStallMs = 2_000
-/** Waiting is normal where more of the pool is in use. Source: the platform's rule on jobs that could run. */
-const maxIdlePoolUse = 0.5
 
 interface Stall {
   readonly sinceMs: number
@@ -96,13 +94,13 @@
   function logNew (nowMs: number): void {
     const due = [...stalls].filter(([, { sinceMs }]) => nowMs - sinceMs >= minStallMs)
     if (due.length === 0) return
-    const poolUse = getPoolUse(host.getWorkers())
-    if (poolUse >= maxIdlePoolUse) return
+    const poolUse = createPoolUse(new Map([...host.getWorkers()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)])))
     for (const [job, stall] of due) {
+      if (!poolUse.isMostlyIdle(job.spec.service)) continue
       const stalled = describe(job, stall, nowMs)
       if (stalled === undefined || stalled.cause === stall.loggedCause) continue
       stall.loggedCause = stalled.cause
-      host.logger.warn('a job has nothing running although most of the pool is idle', { ...stalled, poolUse: Math.round(100 * poolUse) / 100 })
+      host.logger.warn('a job has nothing running although most of the pool is idle', stalled)
     }
   }
 
@@ -156,21 +154,3 @@
   if (member.state === MemberState.Planned) return WaitCause.NotDispatched
   return member.state === MemberState.StartSent ? WaitCause.StartUnanswered : WaitCause.Unreported
 }
-
-/** The share of the usable workers' capacity that is allocated, of the resource of which most is. */
-function getPoolUse (workers: Iterable<WorkerState>): number {
-  const capacity = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
-  const allocated = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
-  for (const worker of workers) {
-    if (!isUsable(worker)) continue
-    add(capacity, worker.info.capacity)
-    for (const { resources } of worker.allocations.values()) add(allocated, resources)
-  }
-  return Math.max(...(['cpuMilli', 'memoryMb', 'accelerators'] as const).map(name => capacity[name] === 0 ? 0 : allocated[name] / capacity[name]))
-}
-
-function add (sum: { -readonly [Name in keyof Resources]: Resources[Name] }, { cpuMilli, memoryMb, accelerators }: Resources): void {
-  sum.cpuMilli += cpuMilli
-  sum.memoryMb += memoryMb
-  sum.accelerators += accelerators
-}
