--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -257,7 +257,7 @@
       workers: pool.workers.values(),
       unfinishedJobs: table.getUnfinished(),
       unreadableJobs: table.countUnreadable(),
-      stalled: stalledJobs.get(performance.now()),
+      getStalled: stalledJobs.get,
       quarantined: health.getQuarantined(performance.now()),
       evacuations: evacuatedWorkers.describe(),
       organisations: host.getConfiguration()?.organisations ?? [],
--- a/src/runs/schedulerStatus.ts
+++ b/src/runs/schedulerStatus.ts
@@ -4,7 +4,7 @@
 import { getUnits, isReadyToPlace } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import type { WorkerState } from '../workers/workerState.js'
-import type { StalledJob } from './stalledJobs.js'
+import type { StalledJob, StalledJobs } from './stalledJobs.js'
 
 /** The scheduler's status. Times are in ms. */
 export interface SchedulerStatus {
@@ -36,7 +36,7 @@
   readonly workers: Iterable<WorkerState>
   readonly unfinishedJobs: Iterable<TrackedJob>
   readonly unreadableJobs: number
-  readonly stalled: readonly StalledJob[]
+  readonly getStalled: StalledJobs['get']
   readonly quarantined: SchedulerStatus['workers']['heldBack']
   readonly evacuations: SchedulerStatus['evacuations']
   readonly organisations: readonly OrganisationSettings[]
@@ -51,6 +51,7 @@
   const nowMs = performance.now()
   const workers = [...host.workers]
   const jobs = [...host.unfinishedJobs]
+  const stalled = host.getStalled(nowMs, maxStalledShown)
   return {
     epoch: host.epoch,
     scheduledForMs: Math.round(nowMs - host.startedAtMs),
@@ -62,8 +63,8 @@
     },
     evacuations: host.evacuations,
     unreadableJobs: host.unreadableJobs,
-    stalledJobs: host.stalled.length,
-    longestStalled: host.stalled.slice(0, maxStalledShown),
+    stalledJobs: stalled.count,
+    longestStalled: stalled.longest,
     waiting: getWaiting(jobs, nowMs),
     guarantees: host.organisations.filter(({ guaranteedAccelerators }) => guaranteedAccelerators > 0).map(organisation => getGuarantee(organisation, jobs, host))
   }
--- a/src/runs/stalledJobs.ts
+++ b/src/runs/stalledJobs.ts
@@ -56,8 +56,8 @@
 export interface StalledJobs {
   /** Updates the record and logs what is new. Call it about once a second. Times are by the monotonic clock. */
   update (nowMs: number): void
-  /** The stalled jobs, longest first. */
-  get (nowMs: number): readonly StalledJob[]
+  /** The number of stalled jobs, and those that have been stalled for longest, at most `limit`: to describe one takes a look at all workers. */
+  get (nowMs: number, limit: number): { readonly count: number, readonly longest: readonly StalledJob[] }
 }
 
 /** A report that is older does not show that a run is at work, in ms: polls wait up to 1.5 s, and a lost answer costs as much again. */
@@ -104,8 +104,10 @@
     }
   }
 
-  function get (nowMs: number): readonly StalledJob[] {
-    return [...stalls].flatMap(([job, stall]) => describe(job, stall, nowMs) ?? []).sort((left, right) => right.stalledForMs - left.stalledForMs)
+  function get (nowMs: number, limit: number): ReturnType<StalledJobs['get']> {
+    // Stalls are kept in the order in which they began.
+    const longest = [...stalls].slice(0, limit).flatMap(([job, stall]) => describe(job, stall, nowMs) ?? [])
+    return { count: stalls.size, longest }
   }
 
   function describe (job: TrackedJob, { sinceMs }: Stall, nowMs: number): StalledJob | undefined {
