Stalled jobs and takeovers name the lease that is waited for, and what is left of it

Such runs now have the cause 'restored', every run on a worker that does not answer has leaseLeftMs, and 'takeover finished' has the number of workers with runs that do not answer and the longest of their leases.

The new test failed before: cause start-unanswered, no leaseLeftMs.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -80,6 +80,7 @@
       expectIncarnation: () => {},
       getBornAtMs: () => 0,
       isSettled: () => true,
+      getLeaseLeftMs: () => undefined,
       close: () => {}
     }),
     getAttemptLimit: () => 3,
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -200,7 +200,7 @@
     startAttempt: controller.planAttempt,
     stopAttempt: controller.stopAttempt
   })
-  const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait })
+  const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait, getLeaseLeftMs: workerId => pool.getLink(workerId)?.getLeaseLeftMs() })
   const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
   createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
@@ -221,7 +221,7 @@
     for (const job of table.getAll()) controller.restoreAttempts(job)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
     isTakeoverDone = true
-    logger.info('takeover finished', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: pool.workers.size, jobs: [...table.getAll()].length })
+    logger.info('takeover finished', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: pool.workers.size, jobs: [...table.getAll()].length, ...pool.describeUnanswered() })
     writer.scheduleCounts()
     let stallsUpdatedAtMs = -Infinity
     while (!term.signal.aborted) {
--- a/src/runs/stalledJobs.test.ts
+++ b/src/runs/stalledJobs.test.ts
@@ -72,6 +72,24 @@
   await waitForState('a', JobState.Complete, 20_000)
 })
 
+// The record named an unanswered start request where nothing had been sent, and neither the lease that was waited for nor its end.
+test('a run of an earlier term whose worker does not answer is named with what is left of the lease', async () => {
+  const maxLeaseMs = 6_000
+  await startHarness({ workers: 5, maxLeaseMs, getRun: () => ({ workMs: 30_000, how: EndKind.Done }) })
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(500)
+  const [location] = harness.poolState.running.get('a.0.0.0') ?? []
+  harness.workers.get(location?.workerId ?? '')?.setUnreachable(true)
+  harness.hosts.get('host-0')?.crash()
+  harness.addHost('host-0')
+  await run(4_500)
+  expect(lines.filter(({ message }) => message === 'takeover finished').at(-1)?.fields).toMatchObject({ unansweredWorkers: 1 })
+  const [stalled] = lines.filter(({ message }) => message === stalledMessage)
+  expect(stalled?.fields).toMatchObject({ jobId: 'a', cause: WaitCause.Restored, run: 1, workerId: location?.workerId })
+  expect(stalled?.fields.leaseLeftMs).toBeGreaterThan(0)
+  expect(stalled?.fields.leaseLeftMs).toBeLessThan(maxLeaseMs)
+})
+
 test('a job that is at work, and one that waits for a full pool, are not logged as stalled', async () => {
   await startHarness({ workers: 1, getRun: () => ({ workMs: 4_000, how: EndKind.Done }) })
   const wholeWorker = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
--- a/src/runs/stalledJobs.ts
+++ b/src/runs/stalledJobs.ts
@@ -21,6 +21,8 @@
   NotDispatched = 'not-dispatched',
   /** Its start request has got no answer, and no report has shown it. */
   StartUnanswered = 'start-unanswered',
+  /** An earlier term has planned it, and its worker has not answered since the takeover. */
+  Restored = 'restored',
   /** Its attempt is being stopped, and the end is not known. */
   Stopping = 'stopping',
   /** It counts as running, but no recent report of its worker shows it. */
@@ -41,6 +43,8 @@
   readonly run?: number
   readonly workerId?: string
   readonly reportAgeMs?: number
+  /** How long the lease of its worker, which does not answer, may still last: the run counts as lost after that. */
+  readonly leaseLeftMs?: number
 }
 
 /** Dependencies of the record of stalled jobs. */
@@ -50,6 +54,8 @@
   readonly getWorkers: () => Iterable<WorkerState>
   /** Why the planner has not placed a unit that is ready to be placed. */
   readonly describeWait: (unit: Unit) => PlacementObstacles
+  /** How long the lease of a worker that does not answer may still last, in ms; undefined if it answers, or its lease is over. */
+  readonly getLeaseLeftMs: (workerId: string) => number | undefined
 }
 
 /** The record of one term. */
@@ -117,6 +123,7 @@
     const member = unit.attempts.flatMap(({ members }) => members).find(({ state }) => state !== MemberState.Ended)
     const cause = getCause(unit, member)
     const stopReason = member?.attempt.stopReason
+    const leaseLeftMs = member === undefined ? undefined : host.getLeaseLeftMs(member.workerId)
     return {
       jobId: job.spec.jobId,
       task: member === undefined ? formatTaskName({ jobId: job.spec.jobId, occurrence, step, index }) : getTaskName(member),
@@ -125,7 +132,8 @@
       ...(cause === WaitCause.NotPlaced ? { obstacles: host.describeWait(unit) } : {}),
       stalledForMs: Math.round(nowMs - sinceMs),
       ...(member === undefined ? {} : { run: member.attempt.run, workerId: member.workerId }),
-      ...(member?.reportedAtMs === undefined ? {} : { reportAgeMs: Math.round(nowMs - member.reportedAtMs) })
+      ...(member?.reportedAtMs === undefined ? {} : { reportAgeMs: Math.round(nowMs - member.reportedAtMs) }),
+      ...(leaseLeftMs === undefined ? {} : { leaseLeftMs: Math.round(leaseLeftMs) })
     }
   }
 }
@@ -154,5 +162,6 @@
   if (member === undefined) return unit.isWithheld ? WaitCause.Withheld : WaitCause.NotPlaced
   if (member.attempt.stopReason !== undefined) return WaitCause.Stopping
   if (member.state === MemberState.Planned) return WaitCause.NotDispatched
-  return member.state === MemberState.StartSent ? WaitCause.StartUnanswered : WaitCause.Unreported
+  if (member.state !== MemberState.StartSent) return WaitCause.Unreported
+  return member.attempt.isRestored ? WaitCause.Restored : WaitCause.StartUnanswered
 }
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -47,6 +47,8 @@
   getBornAtMs (): number
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
+  /** How long the worker's lease may still last although the worker does not answer, in ms; undefined if it answers, or its lease is over. */
+  getLeaseLeftMs (): number | undefined
   close (): void
 }
 
@@ -98,7 +100,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, close }
+  return { port, wake: changed.notify, check, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
 
   function close (): void {
     isClosed = true
@@ -143,6 +145,10 @@
     return Math.floor(clock.workerMs + (performance.now() - clock.readAtMs) + host.maxLeaseMs)
   }
 
+  function getLeaseLeftMs (): number | undefined {
+    return isReachable || isLeaseOver ? undefined : Math.max(0, latestLeaseEndMs - performance.now())
+  }
+
   async function pollUntilClosed (): Promise<void> {
     while (!isClosed && !term.signal.aborted) {
       if (isReachable && hasIncarnationReported && !isCheckDue && !host.isNeeded()) await changed.wait()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -47,6 +47,8 @@
    * answered or have had `freeWorkerWaitMs` to do so since their first polls were sent. Workers that answer later join then.
    */
   areSettled (): boolean
+  /** The fields that describe in the log how many workers with members do not answer, and how long the last of their leases may still last, in ms. */
+  describeUnanswered (): object
   /** Resigns the term when most of the workers that have been polled have been unreachable for too long. */
   checkReachability (): void
   close (): void
@@ -101,7 +103,7 @@
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: host.hasMembers })
 
-  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, checkReachability, close }
+  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, describeUnanswered, checkReachability, close }
 
   function close (): void {
     for (const link of links.values()) link.close()
@@ -111,6 +113,11 @@
     return [...links].every(([workerId, link]) => link.isSettled() || !(isAwaited(workerId) || host.hasMembers(workerId)))
   }
 
+  function describeUnanswered (): object {
+    const leasesLeftMs = [...links].flatMap(([workerId, link]) => host.hasMembers(workerId) ? link.getLeaseLeftMs() ?? [] : [])
+    return { unansweredWorkers: leasesLeftMs.length, ...(leasesLeftMs.length === 0 ? {} : { leasesLeftMs: Math.round(Math.max(...leasesLeftMs)) }) }
+  }
+
   function isAwaited (workerId: string): boolean {
     const sentAtMs = firstPolls.get(workerId) ?? Infinity
     return firstPolls.has(workerId) && performance.now() - sentAtMs < freeWorkerWaitMs
