A new scheduler knows from the store when the leases that earlier ones granted have ended

Callers saw an accepted job stand still beside free workers (LOST): its worker had left for good, and each new term waited for a whole lease from its own start, although no lease had been extended since all hosts had lost power.

Cause: nothing kept when a lease could last have been extended. Each term assumed its own start. Class: a wait that protects something which ended long ago, begun anew by whoever takes over, because what would show its real end is not kept.

Fix: each term keeps a key under a lease of the store that outlasts every worker lease that the term grants, and grants none beyond it. A record that has gone away shows that these leases are over; a reference key with the longest lease shows that the store has not dropped them before their time. Workers that a term has not reached are excluded by its record, so that a series of terms does not prolong the wait. What was weighed: docs/design/lease-evidence.md.

warmStandby.test.ts counted every range read but that of the leader key. The records of grants have to be read as of the term; the test now also bounds the number of items that these reads return.

Store connections for lease renewals: 18 instead of 12, since the record is renewed beside the leader's lease.

--- a/src/election/leaseRenewal.ts
+++ b/src/election/leaseRenewal.ts
@@ -13,6 +13,8 @@
   readonly leaseId: number
   /** The time to live that the store has granted, in ms. */
   readonly ttlMs: number
+  /** Time between two renewals while answers arrive, in ms; a fixed part of the time to live by default. */
+  readonly intervalMs?: number
   /** When the request that granted the lease was sent. */
   readonly grantSentAt: ClockReading
   /** Called with the round trip of each answered renewal, in ms. */
@@ -25,6 +27,8 @@
 export interface LeaseRenewal {
   /** False as soon as the lease may have expired. Becomes true again if a later answer shows that it has not. */
   isValid (): boolean
+  /** For how long the lease certainly does not expire yet, in ms; 0 or less if it may have expired. */
+  getValidForMs (): number
   stop (): void
 }
 
@@ -32,8 +36,8 @@
 export const leaseMarginMs = 150
 /** Renewals in one time to live while answers arrive: at 1,000 ms, four consecutive answers may be lost or 500 ms late. */
 const renewalsPerTtl = 6
-/** Renewals in one time to live while the last answer is late: a third of the answers lost for 5 s leaves no gap of the whole time. */
-const hurriedRenewalsPerTtl = 12
+/** How many times as often a lease is renewed while the last answer is late: at the usual interval, a third of the answers lost for 5 s then leaves no gap of the whole time to live. */
+const hurryFactor = 2
 /** Maximum number of unanswered renewals: all that a time to live may contain. Renewals are idempotent, so any of them may be answered first. */
 const maxInFlight = 12
 /** The last confirmation counts as late when it is older than this many renewal intervals and the latest round trip. */
@@ -49,7 +53,7 @@
   const { store, logger, leaseId, ttlMs } = host
   const stopping = new AbortController()
   const validForMs = ttlMs - leaseMarginMs
-  const intervalMs = ttlMs / renewalsPerTtl
+  const { intervalMs = ttlMs / renewalsPerTtl } = host
   /** When the latest confirmed request was sent: the lease lasts at least for its time to live from then. */
   let confirmed = { sequence: 0, sentAt: host.grantSentAt }
   let roundTripMs = 0
@@ -57,10 +61,14 @@
   let inFlight = 0
   void run()
 
-  return { isValid, stop: () => { stopping.abort() } }
+  return { isValid, getValidForMs, stop: () => { stopping.abort() } }
 
   function isValid (): boolean {
-    return !stopping.signal.aborted && getElapsedMs(confirmed.sentAt) < validForMs
+    return getValidForMs() > 0
+  }
+
+  function getValidForMs (): number {
+    return stopping.signal.aborted ? 0 : validForMs - getElapsedMs(confirmed.sentAt)
   }
 
   async function run (): Promise<void> {
@@ -71,7 +79,7 @@
       }
       if (inFlight < maxInFlight) void renew()
       const isLate = getElapsedMs(confirmed.sentAt) > lateAfterIntervals * intervalMs + roundTripMs
-      await delay(isLate ? ttlMs / hurriedRenewalsPerTtl : intervalMs, stopping.signal)
+      await delay(isLate ? intervalMs / hurryFactor : intervalMs, stopping.signal)
     }
   }
 
--- a/src/platform/httpStore.ts
+++ b/src/platform/httpStore.ts
@@ -12,8 +12,8 @@
 /** Time allowed for the response to a watch beyond its wait time. */
 const watchGraceMs = 600
 const maxConnections = 12
-/** Renewals of leases that may be unanswered at once, on connections of their own, so that lost answers do not block other calls. */
-const maxLeaseConnections = 12
+/** Renewals of leases that may be unanswered at once, on connections of their own, so that lost answers do not block other calls: 12 of the leader's lease, 6 of its record of grants. */
+const maxLeaseConnections = 18
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), rev: z.number(), created: z.number() })
 const rangeSchema = z.object({ items: z.array(itemSchema), morePages: z.boolean(), currentRev: z.number() })
--- a/src/runs/endEvidence.ts
+++ b/src/runs/endEvidence.ts
@@ -14,7 +14,9 @@
   NotSent = 'not-sent',
   /** A worker with another id answers at the address. */
   Replaced = 'worker-replaced',
-  LeaseExpired = 'lease-expired'
+  LeaseExpired = 'lease-expired',
+  /** The store shows that the leases which earlier terms have granted are over, and this term has granted none. */
+  EarlierLeasesOver = 'earlier-leases-over'
 }
 
 /** The evidence that a run has ended. */
--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -75,6 +75,7 @@
       port: ports.get(workerId) as WorkerPort,
       wake: () => {},
       check: () => {},
+      reviewLease: () => {},
       getLeaseUntilMs: () => Math.floor(performance.now()) + 30_000,
       recordLeaseExtension: () => {},
       expectIncarnation: () => {},
--- /dev/null
+++ b/src/runs/grantRecord.ts
@@ -0,0 +1,261 @@
+/**
+ * Records in the store how long the leases that a term grants to workers may last, so that later terms know when these have ended. Each term has a key
+ * that goes away by itself once all of its leases are over. See docs/design/lease-evidence.md.
+ */
+import * as z from 'zod/mini'
+import { tryParseJson } from '../common/boundedJson.js'
+import { readClocks } from '../common/elapsedTime.js'
+import type { Logger } from '../common/logger.js'
+import { createSignal, delay } from '../common/time.js'
+import type { Term } from '../election/leaderElection.js'
+import { createLeaseRenewal } from '../election/leaseRenewal.js'
+import type { LeaseRenewal } from '../election/leaseRenewal.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { readAll } from '../store/metadataStore.js'
+import type { MetadataStore, StoredItem, TransactionWrite } from '../store/metadataStore.js'
+import { areConditionsMet, createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
+import { getLeaseWithinMs, getLongestDurationMs } from './workerLease.js'
+
+/** Dependencies of the grant record. */
+export interface GrantRecordHost {
+  readonly store: MetadataStore
+  readonly term: Term
+  readonly logger: Logger
+  /** The longest lease that a worker grants, in ms. */
+  readonly maxLeaseMs: number
+  /** Called when leases of earlier terms may have turned out to be over. */
+  readonly onEarlierChanged: () => void
+}
+
+/** The grant record of one term. */
+export interface GrantRecord {
+  /** Tells whether the record is stored. No lease may be granted before. */
+  isStored (): boolean
+  /** The longest lease that the worker may be granted now, in ms; 0 if none. */
+  getMaxGrantMs (workerId: string): number
+  /** Tells whether all leases that earlier terms have granted to the worker have certainly ended; false if that is not known. */
+  areEarlierLeasesOver (workerId: string): boolean
+  /** Records that this term has granted these workers no lease. They are granted none until `include` has resolved. */
+  exclude (workerIds: readonly string[]): void
+  isExcluded (workerId: string): boolean
+  /** Resolves when the stored record does not exclude the worker any more, or at the end of the term. */
+  include (workerId: string): Promise<void>
+  /** The fields that describe in the log what is known of earlier terms. */
+  describe (): object
+}
+
+/** The prefix of the records of all terms. */
+export const grantPrefix = 'grants/'
+const referenceKey = `${grantPrefix}reference`
+/** Time to live of the reference, in ms: the longest that the store grants. After a longer absence of all hosts nothing is known of earlier terms. */
+const referenceTtlMs = 600_000
+/** Interval of the renewals of the reference, in ms: several fit into its time to live. */
+const referenceRenewalMs = 60_000
+/** How long a record lasts after its last renewal beyond the longest lease, in ms. Grants between late renewals are shortened by what is missing. */
+const recordSlackMs = 1_000
+/** Interval of the renewals of a record, in ms: two may be lost before leases are shortened. */
+const renewalIntervalMs = 300
+/** How long one watch of the records of earlier terms waits, in ms. */
+const watchWaitMs = 2_000
+/** Pause after a failed call, in ms. */
+const retryPauseMs = 100
+/** The most workers that a record excludes: about 30 KB, which a link of 7 Mbit/s carries in 40 ms. */
+const maxExcluded = 2_000
+
+const recordSchema = z.object({ excluded: z.array(z.string()) })
+/** The reference names the term that has created it and its lease. */
+const referenceSchema = z.object({ epoch: z.number(), leaseId: z.number() })
+type Reference = z.infer<typeof referenceSchema>
+
+/** A lease of the store that is kept alive. */
+interface KeptLease {
+  readonly leaseId: number
+  readonly renewal: LeaseRenewal
+}
+
+/** Creates the record of one term, and stores it as soon as the store answers. */
+export function createGrantRecord (host: GrantRecordHost): GrantRecord {
+  const { store, term, logger } = host
+  const ownKey = grantPrefix + term.epoch
+  const leaderCondition = { key: term.leaderKey, revision: term.leaderRevision }
+  const guard = createRevisionGuard(ownKey)
+  const written = createSignal()
+  /** The workers that each earlier term excludes whose record still exists; undefined until they have been read. */
+  let earlierExclusions: readonly ReadonlySet<string>[] | undefined
+  /** The reference is older than this term, so that no record of an earlier term has been dropped before its time. */
+  let hasReference = false
+  let lease: KeptLease | undefined
+  let isStored = false
+  const excluded = new Set<string>()
+  /** Excluded workers that are included by the next write of the record. */
+  const included = new Set<string>()
+  let isDirty = false
+  let isWriting = false
+  term.signal.addEventListener('abort', onTermEnded, { once: true })
+  void start()
+
+  return { isStored: () => isStored, getMaxGrantMs, areEarlierLeasesOver, exclude, isExcluded: workerId => excluded.has(workerId), include, describe }
+
+  function onTermEnded (): void {
+    lease?.renewal.stop()
+    written.notify()
+  }
+
+  function getMaxGrantMs (workerId: string): number {
+    if (!isStored || lease === undefined || excluded.has(workerId)) return 0
+    return Math.min(host.maxLeaseMs, getLeaseWithinMs(lease.renewal.getValidForMs()))
+  }
+
+  function areEarlierLeasesOver (workerId: string): boolean {
+    return hasReference && earlierExclusions !== undefined && earlierExclusions.every(exclusions => exclusions.has(workerId))
+  }
+
+  function describe (): object {
+    return { hasReference, earlierGrantRecords: earlierExclusions?.length }
+  }
+
+  async function start (): Promise<void> {
+    while (!term.signal.aborted) {
+      try {
+        const reference = await readEarlier()
+        if (!isStored) await storeRecord(reference)
+        if (earlierExclusions?.length === 0) return
+        await store.watch(grantPrefix, reference.revision, watchWaitMs, term.signal)
+      } catch (error) {
+        if (term.signal.aborted) return
+        if (!isErrorOfKind(error, ErrorKind.HistoryGone)) logger.info('failed to read or store the records of granted leases', { error: String(error), isStored })
+        await delay(retryPauseMs, term.signal)
+      }
+    }
+  }
+
+  /** Reads the records of earlier terms. Returns the stored reference, and the store's revision. */
+  async function readEarlier (): Promise<{ readonly reference: StoredItem | undefined, readonly revision: number }> {
+    const { items, revision } = await readAll(store, grantPrefix)
+    if (revision < term.epoch) throw createError(ErrorKind.StoreUnavailable, `the store answered from before the term: revision ${revision}`)
+    const reference = items.find(({ key }) => key === referenceKey)
+    const hadReference = hasReference
+    hasReference = (tryDecodeReference(reference)?.epoch ?? Infinity) < term.epoch
+    if (hadReference && !hasReference) logger.warn('the store has dropped its leases; it is not known how long earlier terms have granted leases')
+    earlierExclusions = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).map(decodeExclusions)
+    host.onEarlierChanged()
+    return { reference, revision }
+  }
+
+  /** An entry that cannot be decoded excludes no worker. */
+  function decodeExclusions ({ key, value }: StoredItem): ReadonlySet<string> {
+    const record = recordSchema.safeParse(tryParseJson(value))
+    if (!record.success) logger.warn('a record of granted leases cannot be decoded', { key })
+    return new Set(record.data?.excluded)
+  }
+
+  // Storing
+
+  /** Stores the record of this term, and the reference if there is none. */
+  async function storeRecord ({ reference }: { readonly reference: StoredItem | undefined }): Promise<void> {
+    lease ??= await grantKeptLease()
+    const created = tryDecodeReference(reference) === undefined ? await createReference() : undefined
+    const conditions = created === undefined ? [leaderCondition] : [leaderCondition, { key: referenceKey, revision: reference?.revision ?? 0 }]
+    const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease), ...created === undefined ? [] : [created]] })
+    if (!result.isCommitted) {
+      if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
+      throw createError(ErrorKind.Conflict, 'the reference has changed, or the term has ended')
+    }
+    isStored = true
+    logger.info('the record of granted leases is stored', { epoch: term.epoch, ...describe() })
+    void keepReference((tryDecodeReference(created ?? reference) as Reference).leaseId)
+  }
+
+  async function grantKeptLease (): Promise<KeptLease> {
+    const grantSentAt = readClocks()
+    const granted = await store.grantLease(Math.ceil(getLongestDurationMs(host.maxLeaseMs) + recordSlackMs))
+    const renewal = createLeaseRenewal({ store, logger, ...granted, grantSentAt, intervalMs: renewalIntervalMs, onRoundTrip: () => {}, onEnded })
+    if (term.signal.aborted) renewal.stop()
+    return { leaseId: granted.leaseId, renewal }
+
+    function onEnded (reason: string): void {
+      lease = undefined
+      // Nothing would tell later terms of the leases that are still to be granted.
+      if (isStored) term.resign(`the record of granted leases is lost: ${reason}`)
+    }
+  }
+
+  async function createReference (): Promise<TransactionWrite> {
+    const { leaseId } = await store.grantLease(referenceTtlMs)
+    return { key: referenceKey, value: JSON.stringify({ epoch: term.epoch, leaseId }), leaseId }
+  }
+
+  async function keepReference (leaseId: number): Promise<void> {
+    while (!term.signal.aborted) {
+      await store.keepLeaseAlive(leaseId).catch(error => { logger.info('failed to renew the lease of the reference of granted leases', { leaseId, error: String(error) }) })
+      await delay(referenceRenewalMs, term.signal)
+    }
+  }
+
+  function encodeRecord ({ leaseId }: KeptLease): TransactionWrite {
+    const record: z.infer<typeof recordSchema> = { excluded: [...excluded].filter(workerId => !included.has(workerId)) }
+    return { key: ownKey, value: JSON.stringify(record), leaseId }
+  }
+
+  // Exclusions
+
+  function exclude (workerIds: readonly string[]): void {
+    // Without the reference this term does not know whether earlier leases have ended, and later terms could not tell.
+    if (!hasReference || workerIds.length === 0) return
+    for (const workerId of workerIds.slice(0, maxExcluded)) excluded.add(workerId)
+    requestWrite()
+  }
+
+  async function include (workerId: string): Promise<void> {
+    if (!excluded.has(workerId)) return
+    included.add(workerId)
+    requestWrite()
+    while (excluded.has(workerId) && !term.signal.aborted) await written.wait()
+  }
+
+  function requestWrite (): void {
+    isDirty = true
+    // Workers that are included in the same turn of the event loop share a write.
+    if (!isWriting) setImmediate(() => { void writeExclusions() })
+    isWriting = true
+  }
+
+  async function writeExclusions (): Promise<void> {
+    while (isDirty && !term.signal.aborted) {
+      isDirty = false
+      const leaving = [...included]
+      if (!await tryWriteExclusions()) {
+        isDirty = true
+        await delay(retryPauseMs, term.signal)
+        continue
+      }
+      for (const workerId of leaving) {
+        excluded.delete(workerId)
+        included.delete(workerId)
+      }
+      written.notify()
+    }
+    isWriting = false
+  }
+
+  async function tryWriteExclusions (): Promise<boolean> {
+    if (lease === undefined) return false
+    try {
+      const result = await transactGuarded(store, guard, { expected: [leaderCondition], writes: [encodeRecord(lease)] })
+      if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
+      return result.isCommitted
+    } catch (error) {
+      logger.info('failed to write the record of granted leases', { error: String(error) })
+      return false
+    }
+  }
+}
+
+/** Tells whether a key under the prefix is the record of a term. */
+function isRecordKey (key: string): boolean {
+  return /^\d+$/.test(key.slice(grantPrefix.length))
+}
+
+function tryDecodeReference (item: Pick<StoredItem, 'value'> | undefined): Reference | undefined {
+  return item === undefined ? undefined : referenceSchema.safeParse(tryParseJson(item.value)).data
+}
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -26,6 +26,7 @@
 import type { MaintenanceDrain } from './maintenanceDrain.js'
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
+import { createGrantRecord } from './grantRecord.js'
 import { createLearnedState } from './learnedState.js'
 import type { JobTableHost } from './jobTable.js'
 import { createProgressWriter } from './progressWriter.js'
@@ -133,12 +134,14 @@
     onCancel: job => { controller.cancelJob(job) },
     onOccurrenceDue: schedulePlan
   })
+  const grants = createGrantRecord({ store: host.store, term, logger, maxLeaseMs: host.bounds.maxLeaseMs, onEarlierChanged: () => { pool.reviewLeases() } })
   const pool = createWorkerPool({
     term,
     logger,
     maxLeaseMs: host.bounds.maxLeaseMs,
     connect: host.connect,
-    hasMembers: workerId => controller.getMembers(workerId).size > 0,
+    grants,
+    getMembers: workerId => controller.getMembers(workerId),
     needsReports: workerId => controller.needsReports(workerId),
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
     onReport,
@@ -220,8 +223,11 @@
     for (const job of table.getAll()) pool.addUnlisted(job)
     for (const job of table.getAll()) controller.restoreAttempts(job)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
+    // Before that no lease can be granted, so that start requests could not be sent.
+    while (!grants.isStored() && !term.signal.aborted) await delay(20)
+    pool.recordUnanswered()
     isTakeoverDone = true
-    logger.info('takeover finished', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: pool.workers.size, jobs: [...table.getAll()].length, ...pool.describeUnanswered() })
+    logger.info('takeover finished', { epoch: term.epoch, tookMs: Math.round(performance.now() - startedAtMs), workers: pool.workers.size, jobs: [...table.getAll()].length, ...pool.describeUnanswered(), ...grants.describe() })
     writer.scheduleCounts()
     let stallsUpdatedAtMs = -Infinity
     while (!term.signal.aborted) {
--- a/src/runs/warmStandby.test.ts
+++ b/src/runs/warmStandby.test.ts
@@ -1,6 +1,7 @@
 /** Takeovers by a standby that follows the records, and cases in which its copy must not be relied on. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
+import { leaderKey } from '../election/leaderElection.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getProgressKey, progressPrefix } from '../jobs/jobKeys.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
@@ -10,6 +11,7 @@
 import { createPrefixReplica } from '../store/prefixReplica.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import { grantPrefix } from './grantRecord.js'
 import { createWarmStandby } from './warmStandby.js'
 
 type Calls = Partial<Pick<MetadataStore, 'range' | 'watch' | 'keepLeaseAlive'>>
@@ -82,15 +84,17 @@
 }
 
 test('a takeover by a standby reads no records in full and starts waiting work within 1.5 s after a kill', async () => {
-  const fullReads: { readonly hostId: string, readonly prefix: string, readonly atMs: number }[] = []
+  const fullReads: { readonly hostId: string, readonly prefix: string, readonly atMs: number, readonly items: number }[] = []
   const started = await startHarness({
     workers: 33,
     storeRoundTripMs: 6,
     workerRoundTripMs: 30,
     interceptStore: (hostId, client) => override(client, ({ range }) => ({
       range: async (read, after) => {
-        fullReads.push({ hostId, prefix: read, atMs: performance.now() })
-        return await range(read, after)
+        const atMs = performance.now()
+        const page = await range(read, after)
+        fullReads.push({ hostId, prefix: read, atMs, items: page.items.length })
+        return page
       }
     }))
   })
@@ -104,7 +108,10 @@
   expect(startedAtMs - killedAtMs).toBeLessThan(1_500)
   // The list of workers is polled during a term; its first read comes from the copy.
   const reads = fullReads.filter(({ hostId, atMs }) => hostId === 'host-1' && atMs >= killedAtMs && atMs <= startedAtMs)
-  expect(reads.filter(read => read.prefix !== 'leader/scheduler')).toEqual([])
+  // The leader key and the records of granted leases have to be read as of the term; they are a few keys whatever the number of jobs and workers.
+  const isSmall = ({ prefix }: { readonly prefix: string }): boolean => [leaderKey, grantPrefix].includes(prefix)
+  expect(reads.filter(read => !isSmall(read))).toEqual([])
+  expect(Math.max(0, ...reads.filter(isSmall).map(({ items }) => items))).toBeLessThanOrEqual(3)
   await expectWholeRuns(started, ['a', 'b', 'c'])
 })
 
--- /dev/null
+++ b/src/runs/workerLease.ts
@@ -0,0 +1,15 @@
+/** How long the leases of workers last by other clocks than theirs. Source: the workers' protocol, by which their clocks may be 2 % slow. */
+
+const slowClockFactor = 1.02
+/** Added to the end of a lease, in ms, for the error in the estimate of the worker's clock. */
+const clockMarginMs = 150
+
+/** The longest time, in ms by this host's clock, for which a lease of `leaseMs` that is granted now may last. */
+export function getLongestDurationMs (leaseMs: number): number {
+  return leaseMs * slowClockFactor + clockMarginMs
+}
+
+/** The longest lease, in ms, that has certainly ended after `durationMs` if it is granted now; 0 if there is none. */
+export function getLeaseWithinMs (durationMs: number): number {
+  return Math.max(0, (durationMs - clockMarginMs) / slowClockFactor)
+}
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -6,6 +6,7 @@
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import { getLongestDurationMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
 export interface WorkerLinkHost {
@@ -15,6 +16,12 @@
   readonly port: WorkerPort
   /** The longest lease that a worker grants, in ms. */
   readonly maxLeaseMs: number
+  /** The longest lease that the worker may be granted now, in ms; 0 if none. */
+  readonly getMaxGrantMs: () => number
+  /** Tells whether this term has granted the worker no lease, and those that earlier terms have granted have certainly ended; false if that is not known. */
+  readonly areAllLeasesOver: () => boolean
+  /** Called before a request that grants the worker a lease is sent. */
+  readonly onGrant: () => void
   /** Tells whether resources of the worker are allocated, or members there have not ended. */
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
@@ -26,8 +33,11 @@
   readonly onRestarted: (bornAtMs: number) => void
   /** Called when a worker with another id answers at the address: the runs of this one are gone. */
   readonly onReplaced: () => void
-  /** Called when the worker does not answer and its lease has certainly expired, allowing for clock differences. */
-  readonly onLeaseExpired: () => void
+  /**
+   * Called when the worker does not answer and its lease has certainly expired, allowing for clock differences; with `isByRecord`, because the record of
+   * earlier terms says so.
+   */
+  readonly onLeaseExpired: (isByRecord: boolean) => void
 }
 
 /** The link to one incarnation of a worker. */
@@ -37,7 +47,9 @@
   wake (): void
   /** Polls the worker once although nothing runs there, to see whether it answers. */
   check (): void
-  /** The end of a lease granted now, on the worker's clock; undefined while that clock is unknown. */
+  /** Must be called when more has become known of the leases of earlier terms. */
+  reviewLease (): void
+  /** The end of a lease granted now, on the worker's clock; undefined while that clock is unknown or none may be granted. */
   getLeaseUntilMs (): number | undefined
   /** Records that a request that extends the lease is being sent. */
   recordLeaseExtension (): void
@@ -70,10 +82,6 @@
  * and would forget ends that were never read.
  */
 const acknowledgementValidityMs = 1_000
-/** Factor by which a lease may outlast its requested length, as the workers' protocol allows clocks that are 2 % slow. */
-const slowClockFactor = 1.02
-/** Added to the end of a lease, in ms, for the error in the estimate of the worker's clock. */
-const clockMarginMs = 150
 
 /** Creates the link and starts polling. */
 export function createWorkerLink (host: WorkerLinkHost): WorkerLink {
@@ -100,7 +108,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
+  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
 
   function close (): void {
     isClosed = true
@@ -130,10 +138,11 @@
   }
 
   function getLatestLeaseEndMs (): number {
-    return performance.now() + host.maxLeaseMs * slowClockFactor + clockMarginMs
+    return performance.now() + getLongestDurationMs(host.maxLeaseMs)
   }
 
   function recordLeaseExtension (): void {
+    host.onGrant()
     latestLeaseEndMs = getLatestLeaseEndMs()
     isLeaseOver = false
     // Wakes the polling, because only reports show whether the request was executed if its answer is lost.
@@ -141,12 +150,14 @@
   }
 
   function getLeaseUntilMs (): number | undefined {
-    if (clock === undefined) return undefined
-    return Math.floor(clock.workerMs + (performance.now() - clock.readAtMs) + host.maxLeaseMs)
+    const grantMs = host.getMaxGrantMs()
+    if (clock === undefined || grantMs <= 0) return undefined
+    return Math.floor(clock.workerMs + (performance.now() - clock.readAtMs) + grantMs)
   }
 
   function getLeaseLeftMs (): number | undefined {
-    return isReachable || isLeaseOver ? undefined : Math.max(0, latestLeaseEndMs - performance.now())
+    if (isReachable || isLeaseOver) return undefined
+    return host.areAllLeasesOver() ? 0 : Math.max(0, latestLeaseEndMs - performance.now())
   }
 
   async function pollUntilClosed (): Promise<void> {
@@ -220,15 +231,20 @@
       isLeaseOver = true
       host.onReplaced()
     }
-    if (!isLeaseOver && performance.now() > latestLeaseEndMs && term.isValid()) {
-      isLeaseOver = true
-      host.onLeaseExpired()
-    }
     failedPolls++
+    reviewLease()
     const pauseMs = getFastRetry()?.pauseMs ?? retryPauseMs
     if (pauseMs > 0) await Promise.race([delay(pauseMs, term.signal), changed.wait(pauseMs)])
   }
 
+  function reviewLease (): void {
+    if (isClosed || isLeaseOver || failedPolls === 0 || !term.isValid()) return
+    const isByRecord = host.areAllLeasesOver()
+    if (!isByRecord && performance.now() <= latestLeaseEndMs) return
+    isLeaseOver = true
+    host.onLeaseExpired(isByRecord)
+  }
+
   /** A worker that has never answered in this term may be down. */
   function getFastRetry (): typeof fastRetries[number] | undefined {
     return hasAnswered && !isLeaseOver ? fastRetries[failedPolls - 1] : undefined
--- a/src/runs/workerPool.test.ts
+++ b/src/runs/workerPool.test.ts
@@ -3,6 +3,7 @@
 import { silentLogger } from '../common/logger.js'
 import type { Term } from '../election/leaderElection.js'
 import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { createGrants } from '../testing/grants.js'
 import { createWorkerPool } from './workerPool.js'
 import type { WorkerPool } from './workerPool.js'
 
@@ -47,7 +48,8 @@
     logger: silentLogger,
     maxLeaseMs: 3_000,
     connect: info => createPort(info, answers),
-    hasMembers: workerId => holders.has(workerId),
+    grants: createGrants(3_000),
+    getMembers: workerId => new Set(holders.has(workerId) ? [{ bornAtMs: 1 }] : []),
     needsReports: () => false,
     getPollWaitMs: () => undefined,
     onReport: async () => {},
@@ -184,7 +186,8 @@
         return { clockMs: 0, bornAtMs, running: [], ended: [] }
       }
     }),
-    hasMembers: () => false,
+    grants: createGrants(3_000),
+    getMembers: () => new Set(),
     needsReports: () => false,
     getPollWaitMs: () => undefined,
     onReport: async () => {},
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -4,11 +4,12 @@
 import type { Term } from '../election/leaderElection.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getUnits } from '../jobs/trackedJob.js'
-import type { TrackedJob } from '../jobs/trackedJob.js'
+import type { Member, TrackedJob } from '../jobs/trackedJob.js'
 import { createWorkerState } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
+import type { GrantRecord } from './grantRecord.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -19,8 +20,10 @@
   /** The longest lease that a worker grants, in ms. */
   readonly maxLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
-  /** Tells whether a member on the worker has not ended. */
-  readonly hasMembers: (workerId: string) => boolean
+  /** What this term and earlier ones have recorded about the leases that they have granted. */
+  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'exclude' | 'isExcluded' | 'include'>
+  /** The members on the worker that have not ended. */
+  readonly getMembers: (workerId: string) => ReadonlySet<Pick<Member, 'bornAtMs'>>
   /** Tells whether the worker's reports are needed: it has members, or a start request without an answer may still be carried out there. */
   readonly needsReports: (workerId: string) => boolean
   /** How long the next poll of the worker may wait, in ms, if the usual time is too long. */
@@ -49,6 +52,10 @@
   areSettled (): boolean
   /** The fields that describe in the log how many workers with members do not answer, and how long the last of their leases may still last, in ms. */
   describeUnanswered (): object
+  /** Records that the workers which have not answered yet, and hold members, have been granted no lease by this term. */
+  recordUnanswered (): void
+  /** Must be called when more has become known of the leases of earlier terms. */
+  reviewLeases (): void
   /** Resigns the term when most of the workers that have been polled have been unreachable for too long. */
   checkReachability (): void
   close (): void
@@ -91,6 +98,8 @@
   const lives = new Map<string, WorkerState>()
   /** The earlier life of a machine, by the id of the worker that has been listed for it since, until that worker has reported. */
   const earlierLives = new Map<string, WorkerState>()
+  /** The workers, by id, that this term may have granted a lease. */
+  const granted = new Set<string>()
   /** When the idle workers of each failure domain were last polled. */
   const checkedAtMs = new Map<string, number>()
   /** Where the next check of a domain with more idle workers begins. */
@@ -101,23 +110,35 @@
   /** The workers whose first poll has not ended, and when it was sent; undefined while it waits to be sent. */
   const firstPolls = new Map<string, number | undefined>()
   // Workers that hold members come first: their leases have to be extended before they end.
-  const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: host.hasMembers })
+  const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
 
-  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, describeUnanswered, checkReachability, close }
+  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, describeUnanswered, recordUnanswered, reviewLeases, checkReachability, close }
+
+  function hasMembers (workerId: string): boolean {
+    return host.getMembers(workerId).size > 0
+  }
 
   function close (): void {
     for (const link of links.values()) link.close()
   }
 
   function areSettled (): boolean {
-    return [...links].every(([workerId, link]) => link.isSettled() || !(isAwaited(workerId) || host.hasMembers(workerId)))
+    return [...links].every(([workerId, link]) => link.isSettled() || !(isAwaited(workerId) || hasMembers(workerId)))
   }
 
   function describeUnanswered (): object {
-    const leasesLeftMs = [...links].flatMap(([workerId, link]) => host.hasMembers(workerId) ? link.getLeaseLeftMs() ?? [] : [])
+    const leasesLeftMs = [...links].flatMap(([workerId, link]) => hasMembers(workerId) ? link.getLeaseLeftMs() ?? [] : [])
     return { unansweredWorkers: leasesLeftMs.length, ...(leasesLeftMs.length === 0 ? {} : { leasesLeftMs: Math.round(Math.max(...leasesLeftMs)) }) }
   }
 
+  function recordUnanswered (): void {
+    host.grants.exclude([...links].flatMap(([workerId, link]) => !link.isSettled() && !granted.has(workerId) && hasMembers(workerId) ? workerId : []))
+  }
+
+  function reviewLeases (): void {
+    for (const link of [...links.values()]) link.reviewLease()
+  }
+
   function isAwaited (workerId: string): boolean {
     const sentAtMs = firstPolls.get(workerId) ?? Infinity
     return firstPolls.has(workerId) && performance.now() - sentAtMs < freeWorkerWaitMs
@@ -186,21 +207,30 @@
   function addLink (worker: WorkerState): void {
     const { info } = worker
     firstPolls.set(info.workerId, undefined)
+    let answering = false
     const link = createWorkerLink({
       term,
       logger,
       info,
       port: connect(info),
       maxLeaseMs: host.maxLeaseMs,
+      getMaxGrantMs: () => host.grants.getMaxGrantMs(info.workerId),
+      areAllLeasesOver: () => areAllLeasesOver(worker),
+      onGrant: () => { granted.add(info.workerId) },
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         return host.onReport(worker, report, sentAtMs, isComplete)
       },
-      onReachable: isReachable => {
-        worker.isReachable = isReachable
-        if (!isReachable) checkDomain(worker.info.domain)
+      onReachable: isAnswering => {
+        answering = isAnswering
+        if (isAnswering && host.grants.isExcluded(info.workerId)) {
+          void includeWorker()
+          return
+        }
+        worker.isReachable = isAnswering
+        if (!isAnswering) checkDomain(worker.info.domain)
         host.onChanged()
       },
       onRestarted: bornAtMs => {
@@ -212,12 +242,28 @@
         worker.isReachable = false
         host.onLost(worker, EvidenceSource.Replaced)
       },
-      onLeaseExpired: () => {
-        host.onLost(worker, EvidenceSource.LeaseExpired)
+      onLeaseExpired: isByRecord => {
+        host.onLost(worker, isByRecord ? EvidenceSource.EarlierLeasesOver : EvidenceSource.LeaseExpired)
         if (!worker.isListed && !host.needsReports(worker.info.workerId)) removeWorker(worker)
       }
     })
     links.set(info.workerId, link)
+
+    /** The worker can be used as soon as it may be granted a lease. */
+    async function includeWorker (): Promise<void> {
+      await host.grants.include(info.workerId)
+      if (links.get(info.workerId) !== link || !answering) return
+      worker.isReachable = true
+      host.onChanged()
+    }
+  }
+
+  /**
+   * Leases that were granted to another life of the worker say nothing about this one: it may carry out a start request late, and count its lease from
+   * then.
+   */
+  function areAllLeasesOver ({ info }: WorkerState): boolean {
+    return !granted.has(info.workerId) && host.grants.areEarlierLeasesOver(info.workerId) && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
   /** A report of a machine's later life shows that nothing of the earlier one runs any more, also where no other worker answers at its address. */
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -101,6 +101,8 @@
   connect (): WorkerPort
   /** The worker's steady clock. */
   getClockMs (): number
+  /** Sets how fast the steady clock runs, from its start. Leases last longer on a slow clock. */
+  setClockRate (rate: number): void
   /** Changes what the worker may hold; what runs there goes on. */
   setCapacity (capacity: Resources): ListedWorker
   /** Cuts the worker off from the network: calls get no response, and its runs continue. */
@@ -159,6 +161,7 @@
   let isUnreachable = false
   let isDown = false
   let clockStartMs = 0
+  let clockRate = 1
   let isStalled = false
   let speed = 1
   let delayedStarts = { left: 0, lateMs: 0, surviveRestart: false }
@@ -181,6 +184,7 @@
     get info () { return info },
     connect,
     getClockMs,
+    setClockRate: rate => { clockRate = rate },
     setCapacity,
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs, surviveRestart = false) => { delayedStarts = { left: count, lateMs, surviveRestart } },
@@ -199,7 +203,7 @@
   }
 
   function getClockMs (): number {
-    return Math.floor(performance.now() - clockStartMs)
+    return Math.floor((performance.now() - clockStartMs) * clockRate)
   }
 
   function setCapacity (capacity: Resources): ListedWorker {
