--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -26,6 +26,9 @@
 /** How long a takeover takes at most, in ms. */
 const takeoverMs = 1_500
 const lookPeriodMs = 100
+/** The first run of this job's task lasts beyond the last absence, and its worker leaves for good during it. */
+const lastJobId = 'last'
+const lastWorkMs = 120_000
 
 let harness: PoolHarness
 const { run } = createPoolSteps(() => harness)
@@ -42,7 +45,7 @@
 test.each(seeds)('seed %i: no task runs twice, and after the last absence nothing stands still', async seed => {
   const generator = xoroshiro128plus(seed)
   const random = (limit: number): number => uniformInt(generator, 0, limit - 1)
-  harness = createPoolHarness({ workers: workerCount, maxLeaseMs, getRun: () => ({ workMs: 500 + 10 * random(1_000), how: EndKind.Done }) })
+  harness = createPoolHarness({ workers: workerCount, maxLeaseMs, getRun: (task, number) => ({ workMs: task.startsWith(lastJobId) && number === 1 ? lastWorkMs : 500 + 10 * random(1_000), how: EndKind.Done }) })
   for (const worker of harness.workers.values()) worker.setClockRate(1 - 0.02 * random(11) / 10)
   let hostNumber = 0
   const addHosts = (): void => { while (harness.hosts.size < 2) harness.addHost(`host-${hostNumber++}`) }
@@ -70,8 +73,12 @@
     harness.setCutFromStore(workerId, false)
   }
   await run(2_000)
-  // The term that follows must know when the leases of the workers that leave now have ended.
-  leaveForGood(gone, random)
+  const last = makeJob(lastJobId, 'urgent', [makeStep()])
+  jobs.push(last)
+  await Promise.all([harness.submit(last), run(longAbsenceMs)])
+  const [location] = harness.poolState.running.get(`${lastJobId}.0.0.0`) ?? []
+  expect(location?.run).toBe(1)
+  harness.crashWorker(location?.workerId ?? '', { awayMs: goneMs, keepsId: true })
   for (const host of [...harness.hosts.values()]) host.crash()
   await run(longAbsenceMs + 100 * random(40))
   addHosts()
