Cases in which a lease outlasts the record of granted leases, and one that is extended too late

- The clock of a worker that was idle was taken to run at full speed since its last answer, so that a late start could count its lease from a time 2.4 s ahead after two minutes.
The clock is now taken for as slow as it may be, and read again after two minutes.
- A late request that was meant for an earlier life under the same id counts its lease on the later life's clock.
The record is not used for lives younger than the longest delay of a request and a lease, nor for missing entries within 2.5 s of the start of the term, nor by a list that is out of date; a link forgets the clock of the earlier life, and the worker gets no start before the later one has reported.
- A worker that answered again was polled for 1.5 s without a lease while its exclusion was withdrawn.
Such polls do not wait any more.

By reading, mended with them: workers that answer count as reachable while their exclusion is withdrawn; writes of exclusions are at least 50 ms apart; the reference is created once. grantRecord.test.ts covers what breaking the code on purpose did not show: grants before the record is stored, to excluded workers, without renewals, a reference of one's own, the condition on the leader key, odd entries.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -80,6 +80,8 @@
       recordLeaseExtension: () => {},
       expectIncarnation: () => {},
       getBornAtMs: () => 0,
+      hasReported: () => true,
+      isAnswering: () => true,
       isSettled: () => true,
       getLeaseLeftMs: () => undefined,
       close: () => {}
--- /dev/null
+++ b/src/runs/grantRecord.test.ts
@@ -0,0 +1,166 @@
+/** What a term may grant by its record, and what it concludes from those of earlier terms. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { silentLogger } from '../common/logger.js'
+import type { Term } from '../election/leaderElection.js'
+import { createMemoryStore } from '../standins/memoryStore.js'
+import type { MemoryStore } from '../standins/memoryStore.js'
+import type { MetadataStore } from '../store/metadataStore.js'
+import { createGrantRecord, grantPrefix } from './grantRecord.js'
+import type { GrantRecord } from './grantRecord.js'
+
+const maxLeaseMs = 6_000
+/** After this time, in ms, the record of a term that has ended is gone. */
+const recordGoneMs = 7_500
+const leaderKey = 'leader'
+
+let memoryStore: MemoryStore
+let epochs: number[]
+let terms: { readonly ending: AbortController, readonly resignations: string[] }[]
+
+beforeEach(() => {
+  jest.useFakeTimers()
+  memoryStore = createMemoryStore()
+  terms = []
+  epochs = []
+})
+
+afterEach(async () => {
+  for (const { ending } of terms) ending.abort()
+  await run(1_000)
+  jest.useRealTimers()
+})
+
+async function run (ms: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
+}
+
+/** Begins a term; the one before does not notice. */
+async function startTerm (hostId: string, wrap: (client: MetadataStore) => MetadataStore = client => client): Promise<{ readonly record: GrantRecord, readonly ending: AbortController, readonly resignations: string[] }> {
+  const client = memoryStore.connect(hostId)
+  memoryStore.write(leaderKey, hostId)
+  const epoch = (await client.get(leaderKey))?.revision ?? 0
+  epochs.push(epoch)
+  const ending = new AbortController()
+  const resignations: string[] = []
+  const term: Term = { epoch, leaderKey, leaderRevision: epoch, isValid: () => !ending.signal.aborted, resign: reason => { resignations.push(reason) }, signal: ending.signal }
+  const record = createGrantRecord({ store: wrap(client), term, logger: silentLogger, maxLeaseMs, onEarlierChanged: () => {} })
+  const started = { record, ending, resignations }
+  terms.push(started)
+  return started
+}
+
+// A later term could not know of a lease that was granted before the record was stored.
+test('no lease is granted before the record is stored', async () => {
+  const { record } = await startTerm('host-1')
+  expect(record.getMaxGrantMs('w')).toBe(0)
+  await run(100)
+  expect(record.getMaxGrantMs('w')).toBe(maxLeaseMs)
+})
+
+// The reference that a term creates says nothing about the records of the terms before it.
+test('a term that finds no reference concludes nothing and excludes no worker', async () => {
+  const { record } = await startTerm('host-0')
+  await run(100)
+  expect(record.areEarlierLeasesOver('w')).toBe(false)
+  record.exclude(['w'])
+  expect(record.isExcluded('w')).toBe(false)
+  expect(record.getMaxGrantMs('w')).toBe(maxLeaseMs)
+})
+
+test('the leases of an earlier term count as over when its record has gone away, or at once if it excludes the worker', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(100)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(false)
+  second.record.exclude(['w'])
+  expect(second.record.getMaxGrantMs('w')).toBe(0)
+  await run(recordGoneMs)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(true)
+  second.ending.abort()
+  const third = await startTerm('host-2')
+  await run(100)
+  expect(third.record.areEarlierLeasesOver('w')).toBe(true)
+  expect(third.record.areEarlierLeasesOver('other')).toBe(false)
+  await run(recordGoneMs)
+  expect(third.record.areEarlierLeasesOver('other')).toBe(true)
+})
+
+// Guards against a lease that the store still denies: the next term would start the work again.
+test('an excluded worker is granted no lease before the store has a record without it', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.ending.abort()
+  const { record } = await startTerm('host-1')
+  await run(100)
+  record.exclude(['w', 'v'])
+  await run(100)
+  memoryStore.delayWrites('host-1', 20, 1_000, grantPrefix)
+  const included = record.include('w')
+  await run(500)
+  expect(record.getMaxGrantMs('w')).toBe(0)
+  await run(3_000)
+  await included
+  expect(record.getMaxGrantMs('w')).toBe(maxLeaseMs)
+  expect(record.getMaxGrantMs('v')).toBe(0)
+})
+
+// Guards against leases that outlast the record: the leader's own lease may be renewed while the record's is not.
+test('leases become shorter while the renewals of the record get no answer, and end before it', async () => {
+  let isCut = false
+  const { record, resignations } = await startTerm('host-0', client => ({
+    ...client,
+    keepLeaseAlive: async leaseId => {
+      if (isCut) throw new Error('no response')
+      await client.keepLeaseAlive(leaseId)
+    }
+  }))
+  await run(1_000)
+  isCut = true
+  const cutAtMs = performance.now()
+  while (memoryStore.peek(`${grantPrefix}${getEpoch()}`) !== undefined && performance.now() - cutAtMs < 2 * recordGoneMs) {
+    const grantMs = record.getMaxGrantMs('w')
+    if (grantMs > 0) expect(performance.now() + 1.02 * grantMs).toBeLessThan(cutAtMs + recordGoneMs)
+    await run(100)
+  }
+  expect(record.getMaxGrantMs('w')).toBe(0)
+  await run(3_000)
+  expect(resignations).toHaveLength(1)
+})
+
+// Guards against a leader that has lost its term and changes what later terms conclude from its record.
+test('a term that has ended without its knowledge writes no exclusions', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(100)
+  const epoch = getEpoch()
+  memoryStore.write(leaderKey, 'host-2')
+  second.record.exclude(['w'])
+  await run(500)
+  expect(memoryStore.peek(`${grantPrefix}${epoch}`)).toBe('{"excluded":[]}')
+  expect(second.resignations).not.toEqual([])
+})
+
+// Guards against an entry of another writer that is taken for a term which has granted nothing.
+test.each(['{', 'null', '{"excluded":"w"}'])('a record that cannot be decoded, %s, excludes no worker', async value => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.ending.abort()
+  await run(recordGoneMs)
+  memoryStore.write(`${grantPrefix}7`, value)
+  memoryStore.write(`${grantPrefix}odd`, value)
+  const { record } = await startTerm('host-1')
+  await run(100)
+  expect(record.areEarlierLeasesOver('w')).toBe(false)
+  memoryStore.write(`${grantPrefix}7`, undefined)
+  await run(100)
+  expect(record.areEarlierLeasesOver('w')).toBe(true)
+})
+
+/** The epoch of the latest term. */
+function getEpoch (): number {
+  return epochs.at(-1) ?? 0
+}
--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -59,6 +59,8 @@
 const watchWaitMs = 2_000
 /** Pause after a failed call, in ms. */
 const retryPauseMs = 100
+/** Pause between two writes of the exclusions, in ms, in which workers that answer are collected. */
+const writePauseMs = 50
 /** The most workers that a record excludes: about 30 KB, which a link of 7 Mbit/s carries in 40 ms. */
 const maxExcluded = 2_000
 
@@ -85,6 +87,7 @@
   /** The reference is older than this term, so that no record of an earlier term has been dropped before its time. */
   let hasReference = false
   let lease: KeptLease | undefined
+  let createdReference: TransactionWrite | undefined
   let isStored = false
   const excluded = new Set<string>()
   /** Excluded workers that are included by the next write of the record. */
@@ -154,7 +157,7 @@
   /** Stores the record of this term, and the reference if there is none. */
   async function storeRecord ({ reference }: { readonly reference: StoredItem | undefined }): Promise<void> {
     lease ??= await grantKeptLease()
-    const created = tryDecodeReference(reference) === undefined ? await createReference() : undefined
+    const created = tryDecodeReference(reference) === undefined ? createdReference ??= await createReference() : undefined
     const conditions = created === undefined ? [leaderCondition] : [leaderCondition, { key: referenceKey, revision: reference?.revision ?? 0 }]
     const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease), ...created === undefined ? [] : [created]] })
     if (!result.isCommitted) {
@@ -234,6 +237,7 @@
         included.delete(workerId)
       }
       written.notify()
+      if (isDirty) await delay(writePauseMs, term.signal)
     }
     isWriting = false
   }
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -16,19 +16,34 @@
 
 beforeEach(async () => {
   jest.useFakeTimers()
-  harness = createPoolHarness({ workers: 6, maxLeaseMs, getRun: (_task, number) => ({ workMs: number === 1 ? 60_000 : 300, how: EndKind.Done }) })
-  harness.addHost('host-0')
+  startHarness(6)
   await run(500)
   await submit(makeJob('a', 'batch', [makeStep()]))
   await run(1_000)
 })
 
 afterEach(async () => {
+  await stopHarness()
+  jest.useRealTimers()
+})
+
+function startHarness (workers: number): void {
+  harness = createPoolHarness({ workers, maxLeaseMs, getRun: (_task, number) => ({ workMs: number === 1 ? 60_000 : 300, how: EndKind.Done }) })
+  harness.addHost('host-0')
+}
+
+async function stopHarness (): Promise<void> {
   const stopped = harness.stop()
   await run(3_000)
   await stopped
-  jest.useRealTimers()
-})
+}
+
+/** Replaces the harness by one on which nothing has been submitted. */
+async function restartHarness (workers = 6): Promise<void> {
+  await stopHarness()
+  startHarness(workers)
+  await run(500)
+}
 
 function getRunningOn (task: string): string {
   const [location] = harness.poolState.running.get(task) ?? []
@@ -134,3 +149,78 @@
   await waitForState('a', JobState.Complete, 2 * maxLeaseMs)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// Guards against leases that end later than their term's record: the clock of an idle worker is extrapolated from its last answer at full rate.
+test('a late start on a worker with a slow clock that was idle for two minutes extends no lease beyond the record', async () => {
+  await restartHarness()
+  for (const worker of harness.workers.values()) worker.setClockRate(0.98)
+  await run(2_000)
+  await submit(makeJob('w', 'batch', [makeStep({ count: 6 })]))
+  await run(120_000)
+  for (const worker of harness.workers.values()) worker.delayStarts(1, 2_400)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(50)
+  const workerId = getRunningOn('a.0.0.0')
+  harness.hosts.get('host-0')?.crash()
+  cutOff(workerId)
+  await run(5_000)
+  harness.addHost('host-1')
+  await waitForState('a', JobState.Complete, 3 * maxLeaseMs)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against two runs at once: the life that carries out a late start is not on the list yet when the next term begins.
+test('a late start by a life whose entry is back two seconds after the takeover is not taken for ended', async () => {
+  await restartHarness()
+  await run(10_000)
+  for (const worker of harness.workers.values()) worker.delayStarts(1, 6_000, true)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(50)
+  const workerId = getRunningOn('a.0.0.0')
+  harness.hosts.get('host-0')?.crash()
+  harness.setCutFromStore(workerId, true)
+  harness.crashWorker(workerId, { awayMs: 2_000, keepsId: true })
+  await run(11_800)
+  setTimeout(() => { harness.setCutFromStore(workerId, false) }, 1_900)
+  harness.addHost('host-1')
+  await run(20_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against two runs at once: an order sent to the worker's earlier life extends the lease of all that runs in its later one.
+test('a lease that a late start for an earlier life extends counts for the runs of the later life', async () => {
+  await restartHarness(2)
+  harness.setListed('worker-1', false)
+  await run(20_000)
+  harness.workers.get('worker-0')?.delayStarts(3, 6_000, true)
+  await submit(makeJob('b', 'batch', [makeStep()]))
+  await run(200)
+  harness.restartWorker('worker-0')
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(2_000)
+  expect(getRunningOn('a.0.0.0')).toBe('worker-0')
+  harness.hosts.get('host-0')?.crash()
+  cutOff('worker-0')
+  await run(11_000)
+  expect(getRunningOn('a.0.0.0')).toBe('worker-0')
+  harness.setListed('worker-1', true)
+  harness.addHost('host-1')
+  await run(20_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against work lost although its worker answers before its lease ends.
+test.each([8_750, 9_000, 9_250])('the lease of a worker that answers again %i ms after the crash of the leader is extended at once', async silentMs => {
+  await restartHarness()
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(1_000)
+  const workerId = getRunningOn('a.0.0.0')
+  harness.hosts.get('host-0')?.crash()
+  harness.workers.get(workerId)?.setUnreachable(true)
+  harness.addHost('host-1')
+  await run(silentMs)
+  expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId, run: 1 }])
+  harness.workers.get(workerId)?.setUnreachable(false)
+  await run(5_000)
+  expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId, run: 1 }])
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -141,6 +141,7 @@
     maxLeaseMs: host.bounds.maxLeaseMs,
     connect: host.connect,
     grants,
+    isWorkerListCurrent: host.isWorkerListCurrent,
     getMembers: workerId => controller.getMembers(workerId),
     needsReports: workerId => controller.needsReports(workerId),
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
--- a/src/runs/workerLease.ts
+++ b/src/runs/workerLease.ts
@@ -9,6 +9,11 @@
   return leaseMs * slowClockFactor + clockMarginMs
 }
 
+/** The least that a worker's clock shows `elapsedMs` after it showed `clockMs`. */
+export function getEarliestClockMs (clockMs: number, elapsedMs: number): number {
+  return clockMs + elapsedMs / slowClockFactor
+}
+
 /** The longest lease, in ms, that has certainly ended after `durationMs` if it is granted now; 0 if there is none. */
 export function getLeaseWithinMs (durationMs: number): number {
   return Math.max(0, (durationMs - clockMarginMs) / slowClockFactor)
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -6,7 +6,7 @@
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
-import { getLongestDurationMs } from './workerLease.js'
+import { getEarliestClockMs, getLongestDurationMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
 export interface WorkerLinkHost {
@@ -57,6 +57,10 @@
   expectIncarnation (bornAtMs: number): void
   /** The latest incarnation that the worker's reports or the list have shown, by its start as Unix time in ms. */
   getBornAtMs (): number
+  /** Tells whether the latest incarnation has reported, so that it can be granted a lease. */
+  hasReported (): boolean
+  /** Tells whether the worker has answered the latest poll. */
+  isAnswering (): boolean
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
   /** How long the worker's lease may still last although the worker does not answer, in ms; undefined if it answers, or its lease is over. */
@@ -77,6 +81,12 @@
   { pauseMs: 50, answerTimeoutMs: 150 },
   { pauseMs: 100 }
 ]
+/** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
+const extensionRetryMs = 100
+/**
+ * An idle worker is polled when its clock was read this long ago, in ms: a lease is counted from the least that the clock may show, so that it is 2.4 s shorter then.
+ */
+const maxClockAgeMs = 120_000
 /**
  * Ends are acknowledged only to a worker that has reported within this, in ms: one that has started anew since numbers its ends anew,
  * and would forget ends that were never read.
@@ -108,7 +118,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
+  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
 
   function close (): void {
     isClosed = true
@@ -135,6 +145,8 @@
     earlierIncarnations.delete(newBornAtMs)
     bornAtMs = newBornAtMs
     storedSequence = 0
+    // Its clock starts anew.
+    clock = undefined
   }
 
   function getLatestLeaseEndMs (): number {
@@ -152,7 +164,7 @@
   function getLeaseUntilMs (): number | undefined {
     const grantMs = host.getMaxGrantMs()
     if (clock === undefined || grantMs <= 0) return undefined
-    return Math.floor(clock.workerMs + (performance.now() - clock.readAtMs) + grantMs)
+    return Math.floor(getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs) + grantMs)
   }
 
   function getLeaseLeftMs (): number | undefined {
@@ -162,11 +174,18 @@
 
   async function pollUntilClosed (): Promise<void> {
     while (!isClosed && !term.signal.aborted) {
-      if (isReachable && hasIncarnationReported && !isCheckDue && !host.isNeeded()) await changed.wait()
+      if (isReachable && hasIncarnationReported && !isCheckDue && !host.isNeeded()) await waitForNeed()
       else await pollOnce()
     }
   }
 
+  /** Waits until the worker is needed, but no longer than its clock is known well enough. */
+  async function waitForNeed (): Promise<void> {
+    const ageMs = performance.now() - (clock?.readAtMs ?? -Infinity)
+    if (ageMs >= maxClockAgeMs) isCheckDue = true
+    else await changed.wait(maxClockAgeMs - ageMs)
+  }
+
   async function pollOnce (): Promise<void> {
     if (!term.isValid()) {
       await delay(retryPauseMs, term.signal)
@@ -180,10 +199,12 @@
     if (leaseUntilMs !== undefined) recordLeaseExtension()
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
-      const waitMs = isReachable && isNeeded ? host.getPollWaitMs?.() ?? pollWaitMs : 0
+      const isExtensionDue = isReachable && isNeeded && leaseUntilMs === undefined
+      const waitMs = isReachable && isNeeded && !isExtensionDue ? host.getPollWaitMs?.() ?? pollWaitMs : 0
       const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs })
       failedPolls = 0
       if (!isClosed) await applyReport(report, sentAtMs)
+      if (isExtensionDue && getLeaseUntilMs() === undefined) await changed.wait(extensionRetryMs)
     } catch (error) {
       if (!isClosed && !term.signal.aborted) await onFailure(error)
     }
--- a/src/runs/workerPool.test.ts
+++ b/src/runs/workerPool.test.ts
@@ -49,6 +49,7 @@
     maxLeaseMs: 3_000,
     connect: info => createPort(info, answers),
     grants: createGrants(3_000),
+    isWorkerListCurrent: () => true,
     getMembers: workerId => new Set(holders.has(workerId) ? [{ bornAtMs: 1 }] : []),
     needsReports: () => false,
     getPollWaitMs: () => undefined,
@@ -187,6 +188,7 @@
       }
     }),
     grants: createGrants(3_000),
+    isWorkerListCurrent: () => true,
     getMembers: () => new Set(),
     needsReports: () => false,
     getPollWaitMs: () => undefined,
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -10,6 +10,7 @@
 import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
 import type { GrantRecord } from './grantRecord.js'
+import { getLongestDurationMs } from './workerLease.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -22,6 +23,8 @@
   readonly connect: (info: ListedWorker) => WorkerPort
   /** What this term and earlier ones have recorded about the leases that they have granted. */
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'exclude' | 'isExcluded' | 'include'>
+  /** Tells whether the list of workers shows the lives that are known now. */
+  readonly isWorkerListCurrent: () => boolean
   /** The members on the worker that have not ended. */
   readonly getMembers: (workerId: string) => ReadonlySet<Pick<Member, 'bornAtMs'>>
   /** Tells whether the worker's reports are needed: it has members, or a start request without an answer may still be carried out there. */
@@ -89,6 +92,13 @@
  */
 const leasesPerHandOver = 2
 
+/** How long after the start of a term the entry of a living worker may still be missing, in ms. Source: the platform's pages say about 2 s. */
+const entryReturnMs = 2_500
+/** How long after it was sent a request without a response may be carried out, in ms. The protocol says "seconds later". */
+const maxRequestDelayMs = 15_000
+/** The most by which a worker's time of day may differ from this host's, in ms. */
+const clockDifferenceMs = 10_000
+
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
   const { term, logger } = host
@@ -98,6 +108,9 @@
   const lives = new Map<string, WorkerState>()
   /** The earlier life of a machine, by the id of the worker that has been listed for it since, until that worker has reported. */
   const earlierLives = new Map<string, WorkerState>()
+  const startedAtMs = performance.now()
+  /** A life that is older has carried out whatever was sent to the life before it, and the leases that it counted from then are over. */
+  const youngLifeMs = maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs) + clockDifferenceMs
   /** The workers, by id, that this term may have granted a lease. */
   const granted = new Set<string>()
   /** When the idle workers of each failure domain were last polled. */
@@ -147,7 +160,7 @@
   /** A host that is disconnected from most workers lets another host, which may reach them, take over. A worker that waits for its first poll shows nothing. */
   function checkReachability (): void {
     const listed = [...workers.values()].filter(worker => worker.isListed && !firstPolls.has(worker.info.workerId))
-    const unreachable = listed.filter(worker => !worker.isReachable).length
+    const unreachable = listed.filter(({ info }) => links.get(info.workerId)?.isAnswering() !== true).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
     else unreachableSinceMs ??= performance.now()
     if (unreachableSinceMs === undefined || performance.now() - unreachableSinceMs < resignAfterMs) return
@@ -179,7 +192,7 @@
     const link = links.get(info.workerId)
     link?.expectIncarnation(info.bornAtMs)
     if (isNewIncarnation) reportCrash(worker, info.bornAtMs)
-    worker.isIncarnationListed = link === undefined || link.getBornAtMs() === info.bornAtMs
+    worker.isIncarnationListed = link === undefined || (link.getBornAtMs() === info.bornAtMs && link.hasReported())
     if (worker.info.isDraining !== info.isDraining) logger.info('draining state of a worker changed', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
     worker.info = info
     worker.isListed = true
@@ -221,6 +234,7 @@
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
+        worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
         return host.onReport(worker, report, sentAtMs, isComplete)
       },
       onReachable: isAnswering => {
@@ -254,16 +268,24 @@
       await host.grants.include(info.workerId)
       if (links.get(info.workerId) !== link || !answering) return
       worker.isReachable = true
+      link.wake()
       host.onChanged()
     }
   }
 
+  function areAllLeasesOver (worker: WorkerState): boolean {
+    const { workerId } = worker.info
+    return !granted.has(workerId) && host.grants.areEarlierLeasesOver(workerId) && isOnlyLife(worker)
+  }
+
   /**
-   * Leases that were granted to another life of the worker say nothing about this one: it may carry out a start request late, and count its lease from
-   * then.
+   * Tells whether no other life under the worker's id can hold a lease. Such a life may carry out a request late that was meant for the life before, and its lease
+   * then counts from that moment.
    */
-  function areAllLeasesOver ({ info }: WorkerState): boolean {
-    return !granted.has(info.workerId) && host.grants.areEarlierLeasesOver(info.workerId) && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
+  function isOnlyLife ({ info, isListed }: WorkerState): boolean {
+    const isMissing = !isListed || info.address === ''
+    if (isMissing && performance.now() - startedAtMs < entryReturnMs) return false
+    return host.isWorkerListCurrent() && Date.now() - info.bornAtMs > youngLifeMs && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
   /** A report of a machine's later life shows that nothing of the earlier one runs any more, also where no other worker answers at its address. */
