Stops that have been ordered count against mayMiss

A task that is being stopped is listed as running until its worker has carried out the stop, so every stop of one pass of a maintenance wave was allowed as if it were the first. One place decides now whether another task of a service step may be stopped (runs/disruptionBudget.ts); the run controller asks it for each stop by the scheduler's own choice: waves, moves and preemptions. An attempt that is being stopped is unavailable from the moment of the order.

The stand-in of a worker learns runs that last for it. runs/evacuatedStarts.test.ts gives the new field noticeMs to the controller and is otherwise unchanged.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -89,6 +89,7 @@
     onBadTicket: () => {},
     commit: async () => { await new Promise<void>(resolve => { waiting.push(resolve) }) },
     stopMs: 400,
+    noticeMs: 1_000,
     onChanged: () => {},
     onMemberEnded: () => {},
     onRefusal: () => {}
--- a/src/runs/maintenanceDrain.ts
+++ b/src/runs/maintenanceDrain.ts
@@ -1,15 +1,13 @@
-/** Drains workers whose machines go down for planned maintenance, within each service step's limit of unavailable tasks. */
-import { MemberState } from '../jobs/trackedJob.js'
-import type { Attempt, Member, Unit } from '../jobs/trackedJob.js'
+/** Drains workers whose machines go down for planned maintenance, as far as the disruption budget of service steps allows. */
+import type { Attempt, Member } from '../jobs/trackedJob.js'
 import type { WorkerState } from '../workers/workerState.js'
 
 /** Dependencies of the drain. */
 export interface MaintenanceDrainHost {
   readonly getWorker: (workerId: string) => WorkerState | undefined
   readonly getMembers: (workerId: string) => ReadonlySet<Member>
+  /** Leaves an attempt running if it belongs to a service step of which too many tasks are unavailable. */
   readonly stopAttempt: (attempt: Attempt, reason: string) => void
-  /** A service task counts as unavailable until it has been running at full progress for this long, in ms. */
-  readonly noticeMs: number
 }
 
 /** Drains workers for maintenance. */
@@ -28,26 +26,13 @@
     const worker = host.getWorker(workerId)
     if (worker === undefined) return true
     worker.isInMaintenance = true
-    for (const member of host.getMembers(workerId)) {
-      const { attempt } = member
+    for (const { attempt } of host.getMembers(workerId)) {
       const { spec } = attempt.unit
-      if (attempt.stopReason !== undefined) continue
-      if (spec.isService ? canInterrupt(attempt.unit) : spec.hasCheckpoints || isUrgent) host.stopAttempt(attempt, 'the machine goes down for maintenance')
+      if (spec.isService || spec.hasCheckpoints || isUrgent) host.stopAttempt(attempt, 'the machine goes down for maintenance')
     }
     return host.getMembers(workerId).size === 0
   }
 
-  /** Tells whether one more task of a service step may be unavailable. */
-  function canInterrupt (unit: Unit): boolean {
-    const others = unit.job.occurrences.get(unit.occurrence)?.[unit.step]?.filter(other => other !== unit) ?? []
-    const unavailableCount = others.filter(other => !other.attempts.some(attempt => attempt.members.every(isAvailable))).length
-    return unavailableCount < (unit.spec.allowedUnavailable ?? 0)
-  }
-
-  function isAvailable (member: Member): boolean {
-    return member.state === MemberState.Running && member.progressPercent >= 100 && performance.now() - member.progressedAtMs >= host.noticeMs
-  }
-
   function returnToService (workerId: string): void {
     const worker = host.getWorker(workerId)
     if (worker !== undefined) worker.isInMaintenance = false
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -15,6 +15,7 @@
 import type { WorkerState } from '../workers/workerState.js'
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
+import { checkDisruption } from './disruptionBudget.js'
 import { AbsenceVerdict, describeEvidence, EvidenceSource, judgeAbsence } from './endEvidence.js'
 import type { EndEvidence, ReportOrigin } from './endEvidence.js'
 import { createStartRequests } from './startRequests.js'
@@ -40,6 +41,8 @@
   readonly commit: (job: TrackedJob) => Promise<void>
   /** The longest time that a worker takes to stop a run, in ms. */
   readonly stopMs: number
+  /** A service task counts as unavailable until it has been running at full progress for this long, in ms. */
+  readonly noticeMs: number
   /** Called when free capacity, units or jobs have changed, so that new placements may be possible. */
   readonly onChanged: () => void
   readonly onMemberEnded: (member: Member, how: MemberEnd) => void
@@ -56,7 +59,11 @@
   planAttempt (unit: Unit, workerIds: readonly string[]): Attempt
   /** Starts the planned attempts whose allocated resources have become free; stops those with a worker that is no longer usable. */
   dispatchPlanned (): void
-  stopAttempt (attempt: Attempt, reason: string): void
+  /**
+   * Stops an attempt by the scheduler's own choice. Returns false, and leaves it running, if it belongs to a service step of which too many tasks are
+   * unavailable already.
+   */
+  stopAttempt (attempt: Attempt, reason: string): boolean
   cancelJob (job: TrackedJob): void
   /** Takes over the attempts of a job that a previous scheduler has stored. */
   restoreAttempts (job: TrackedJob): void
@@ -93,7 +100,7 @@
     onPrevented: preventStart,
     onNotSent: member => { endMember(member, 'not-started', '', { source: EvidenceSource.NotSent }) },
     onFailed: failStart,
-    onUncertain: (member, reason) => { stopAttempt(member.attempt, reason) },
+    onUncertain: (member, reason) => { beginStop(member.attempt, reason) },
     onBadTicket: host.onBadTicket,
     onRefusal: host.onRefusal
   })
@@ -157,9 +164,9 @@
     for (const attempt of planned) {
       const evacuated = attempt.members.find(({ workerId }) => isDomainEvacuated(workerId))
       if (evacuated !== undefined) preventStart(evacuated, evacuatedReason)
-      else if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) stopAttempt(attempt, 'a planned worker is no longer usable')
+      else if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) beginStop(attempt, 'a planned worker is no longer usable')
       else if (hasCapacity(attempt)) dispatch(attempt)
-      else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) stopAttempt(attempt, 'the capacity of a planned worker has shrunk')
+      else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) beginStop(attempt, 'the capacity of a planned worker has shrunk')
     }
   }
 
@@ -190,7 +197,7 @@
   /** Stops the attempt of a member that must not be sent to its worker; a gang is stopped as a whole, since it cannot run without the member. */
   function preventStart (member: Member, reason: string): void {
     logger.info('a start was prevented', { reason, task: getTaskName(member), run: member.attempt.run, workerId: member.workerId, ...host.describeEvacuation(member.workerId) })
-    stopAttempt(member.attempt, reason)
+    beginStop(member.attempt, reason)
     void host.commit(member.attempt.unit.job)
   }
 
@@ -230,13 +237,28 @@
   function failStart (member: Member, reason: string, source: EvidenceSource): void {
     member.attempt.unit.avoidedWorkers.add(member.workerId)
     endMember(member, 'not-started', '', { source })
-    if (!isAttemptOver(member.attempt)) stopAttempt(member.attempt, `a member failed to start: ${reason}`)
+    if (!isAttemptOver(member.attempt)) beginStop(member.attempt, `a member failed to start: ${reason}`)
     void host.commit(member.attempt.unit.job)
   }
 
   // Stopping
 
-  function stopAttempt (attempt: Attempt, reason: string): void {
+  function stopAttempt (attempt: Attempt, reason: string): boolean {
+    if (attempt.stopReason !== undefined) return true
+    const { unit } = attempt
+    if (unit.spec.isService) {
+      const { isAllowed, ...counts } = checkDisruption(unit, host.noticeMs, performance.now())
+      if (!isAllowed) {
+        logger.info('a service task is not stopped: too many tasks of its step are unavailable', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, run: attempt.run, reason, ...counts })
+        return false
+      }
+    }
+    beginStop(attempt, reason)
+    return true
+  }
+
+  /** Stops an attempt whether or not other tasks of its step are unavailable. */
+  function beginStop (attempt: Attempt, reason: string): void {
     if (attempt.stopReason !== undefined) return
     attempt.stopReason = reason
     planned.delete(attempt)
@@ -281,7 +303,7 @@
     logger.info('job ended', { jobId: job.spec.jobId, state, tookMs: job.endedAtMs - job.spec.acceptedAtMs, queue: job.spec.queue })
     for (const unit of getUnits(job)) {
       // The remaining members of a finished gang end without a stop.
-      if (!unit.isDone) for (const attempt of [...unit.attempts]) stopAttempt(attempt, `the job is ${state}`)
+      if (!unit.isDone) for (const attempt of [...unit.attempts]) beginStop(attempt, `the job is ${state}`)
     }
     void host.commit(job)
     host.onChanged()
@@ -300,7 +322,7 @@
         }
         if (isAttemptOver(attempt)) unit.attempts.splice(unit.attempts.indexOf(attempt), 1)
         // It may be a later run than the one that has succeeded, as in `applyLateSuccess`. For the remaining members of a gang that has succeeded a stop does no harm.
-        else if (unit.isDone) stopAttempt(attempt, 'an earlier run has succeeded')
+        else if (unit.isDone) beginStop(attempt, 'an earlier run has succeeded')
       }
       crashTracking.onRestored(unit)
     }
@@ -377,7 +399,7 @@
     if (unit.isDone || unit.spec.isService || isTerminal(unit.job.state) || run > unit.run) return undefined
     logger.warn('a run that was taken for lost has succeeded', { task, run, currentRuns: unit.attempts.map(attempt => attempt.run), ...evidence })
     unit.isDone = true
-    for (const attempt of [...unit.attempts]) stopAttempt(attempt, 'an earlier run has succeeded')
+    for (const attempt of [...unit.attempts]) beginStop(attempt, 'an earlier run has succeeded')
     updateJobState(unit.job)
     host.onChanged()
     return unit.job
@@ -389,7 +411,7 @@
     dirty.add(member.attempt.unit.job)
     // A stop that this incarnation accepts excludes the start.
     if (verdict === AbsenceVerdict.MayStart) {
-      stopAttempt(member.attempt, 'its worker has started anew, and a start request has got no answer')
+      beginStop(member.attempt, 'its worker has started anew, and a start request has got no answer')
       return
     }
     crashTracking.onRunAbsent(member)
@@ -421,7 +443,7 @@
 
   function loseMembers (workerId: string, source: EvidenceSource): void {
     for (const member of [...getMembers(workerId)]) {
-      if (member.state === MemberState.Planned) stopAttempt(member.attempt, 'a planned worker is lost')
+      if (member.state === MemberState.Planned) beginStop(member.attempt, 'a planned worker is lost')
       else endMember(member, 'lost', '', { source })
       void host.commit(member.attempt.unit.job)
     }
@@ -446,7 +468,7 @@
       unit.avoidedWorkers.add(member.workerId)
     }
     if (isAttemptOver(attempt)) closeAttempt(attempt)
-    else if (!unit.isDone) stopAttempt(attempt, `a member ended: ${how}`)
+    else if (!unit.isDone) beginStop(attempt, `a member ended: ${how}`)
     updateJobState(unit.job)
     host.onChanged()
   }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -160,6 +160,7 @@
     onBadTicket: member => { adviceCache?.invalidate(member.attempt.unit, member.workerId) },
     commit: writer.commit,
     stopMs: host.bounds.stopMs,
+    noticeMs: host.bounds.noticeMs,
     onChanged: schedulePlan,
     onMemberEnded: (member, how) => {
       if (how === 'lost' || how === 'not-started') return
@@ -201,7 +202,7 @@
     stopAttempt: controller.stopAttempt
   })
   const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait })
-  const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
+  const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt })
   createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
   return { refresh, getStatus, ...maintenanceDrain }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -48,6 +48,8 @@
 export interface RunBehaviour {
   readonly workMs: number
   readonly how: EndKind
+  /** The run of a service: it is at work, with full progress, after `workMs`, and does not end by itself. */
+  readonly isLasting?: boolean
   readonly crashAfterMs?: number
 }
 
@@ -138,6 +140,7 @@
   readonly gang: string | undefined
   readonly workMs: number
   readonly how: EndKind
+  readonly isLasting: boolean
   readonly crashAfterMs: number
   workedMs: number
   readonly begunAtMs: number
@@ -256,7 +259,7 @@
     if (!canProgress || isStalled) return
     const gang = run.gang === undefined ? undefined : pool.gangs.get(run.gang)
     run.workedMs += tickMs * (gang === undefined ? speed : Math.min(...gang.getSpeeds.map(getSpeed => getSpeed())))
-    if (run.workedMs >= run.workMs) endRun(run, run.how)
+    if (run.workedMs >= run.workMs && !run.isLasting) endRun(run, run.how)
   }
 
   function endRun (run: Run, how: EndKind): void {
@@ -354,9 +357,9 @@
   function beginRun (startRequest: StartRequest, nowMs: number): void {
     checkInvariants(startRequest)
     const size = pool.getGangSize(startRequest.task)
-    const { workMs, how, crashAfterMs = Infinity } = pool.getRun(startRequest.task, startRequest.run)
+    const { workMs, how, isLasting = false, crashAfterMs = Infinity } = pool.getRun(startRequest.task, startRequest.run)
     const gangName = size > 1 ? getGangName(startRequest.task, startRequest.run) : undefined
-    runs.set(startRequest.task, { task: startRequest.task, run: startRequest.run, gang: gangName, workMs, how, crashAfterMs, workedMs: 0, begunAtMs: nowMs })
+    runs.set(startRequest.task, { task: startRequest.task, run: startRequest.run, gang: gangName, workMs, how, isLasting, crashAfterMs, workedMs: 0, begunAtMs: nowMs })
     pool.running.set(startRequest.task, [...pool.running.get(startRequest.task) ?? [], { workerId: info.workerId, run: startRequest.run }])
     pool.lastEvents.set(startRequest.task, `run ${startRequest.run} started on ${info.workerId} at ${Math.round(performance.now())} ms`)
     pool.starts.set(startRequest.task, (pool.starts.get(startRequest.task) ?? 0) + 1)
@@ -414,7 +417,7 @@
     const endsAtMs = performance.now() + renewal.waitMs
     while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
     await checkReachable(connectedBornAtMs)
-    const running = [...runs.values()].map((run): RunningRun => ({ task: run.task, run: run.run, checkpoint: '', progressPercent: Math.floor(100 * run.workedMs / run.workMs) }))
+    const running = [...runs.values()].map((run): RunningRun => ({ task: run.task, run: run.run, checkpoint: '', progressPercent: Math.min(100, Math.floor(100 * run.workedMs / run.workMs)) }))
     return { clockMs: getClockMs(), bornAtMs: info.bornAtMs, running, ended: [...ended] }
   }
 
