A job with too many tasks or steps is refused

A job with a count of 400,000 was accepted, and each scheduler in turn ran out of its heap. A submission may have 10,000 tasks now, in all steps and occurrences together (policy.maxTasksPerJob, 1 to 25,000, checked when the settings are read), and 1,000 steps. The refusal is a 400 that names the limit and the value.

--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -108,7 +108,7 @@
   isStandby: () => (directory.getRank() ?? maxStandbys) < maxStandbys && (currentTerm === undefined || currentTerm.signal.aborted),
   signal: stopping.signal
 })
-const handleJobCall = createJobApi({ configuration, intake, admission, getKnownOutageMs, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
+const handleJobCall = createJobApi({ configuration, intake, admission, maxTasksPerJob: settings.maxTasksPerJob, getKnownOutageMs, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const jobApiServer = listen(settings.callersAddress, createServer((request, response) => { void handleJobCall(request, response) }))
 listen(settings.readyAddress, createServer((_request, response) => {
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -92,6 +92,16 @@
   expect(await call(port, 'GET', '/batch/00000000000000ff', {})).toBe(410)
 })
 
+// Guards against jobs that end every scheduler in turn, out of memory: they are stored, so that no restart helps.
+test('a job with too many tasks is refused with 400 and is not stored', async () => {
+  const { port, store } = await listenUnderLoad({ admission: undefined, maxTasksPerJob: 20 })
+  const withCount = (count: number): string => JSON.stringify({ phases: [{ count, cpu: 100, memMb: 1, estimateMs: 10 }] })
+  expect(await call(port, 'POST', `/batch/${jobId}`, {}, withCount(400_000))).toBe(400)
+  expect(await call(port, 'POST', `/batch/${jobId}`, {}, withCount(21))).toBe(400)
+  expect(store.peek(getAcceptedKey(jobId))).toBeUndefined()
+  expect(await call(port, 'POST', `/batch/${jobId}`, {}, withCount(20))).toBe(200)
+})
+
 test('a host without a configuration answers 503', async () => {
   expect(await call(await listen(undefined), 'POST', `/urgent/${jobId}`, { 'Api-Key': key }, body)).toBe(503)
 })
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -19,6 +19,8 @@
   readonly intake: JobIntake
   /** Refuses submissions for load; if absent, none is refused. */
   readonly admission?: AdmissionControl | undefined
+  /** The most tasks of a job that is accepted; the default if it is not given. */
+  readonly maxTasksPerJob?: number
   /** How long the store is known to be unavailable to this host on every way, in ms; 0 if it is not. */
   readonly getKnownOutageMs?: () => number
   readonly logger: Logger
@@ -87,7 +89,7 @@
 
   async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
     const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
-    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts })
+    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts }, host.maxTasksPerJob)
     await refuseForLoad(job, queue, configuration, deadlineMs)
     await host.intake.submit(job, deadlineMs)
     return { status: 200, body: {} }
--- a/src/platform/jobSubmission.ts
+++ b/src/platform/jobSubmission.ts
@@ -3,6 +3,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { JobState } from '../jobs/jobModel.js'
 import type { JobSpec, StepSpec } from '../jobs/jobModel.js'
+import { defaultMaxTasksPerJob, describeExcess } from '../jobs/jobSize.js'
 
 const maxPayloadBytes = 4_000
 
@@ -44,8 +45,8 @@
   readonly attemptLimit: number
 }
 
-/** Decodes and validates a submission. Errors (`bad-request`) name the field. */
-export function decodeJob (text: string, source: JobSource): JobSpec {
+/** Decodes and validates a submission. Errors (`bad-request`) name the field, or the limit of the job's size and its value. */
+export function decodeJob (text: string, source: JobSource, maxTasks = defaultMaxTasksPerJob): JobSpec {
   const parsed = jobSchema.safeParse(parse(text))
   if (!parsed.success) {
     const issue = parsed.error.issues[0]
@@ -56,13 +57,16 @@
   phases.forEach((phase, step) => {
     if (phase.after.some(before => before >= step)) throw createError(ErrorKind.BadRequest, `the field "phases.${step}.after" of the job may name earlier steps only`)
   })
-  return {
+  const job: JobSpec = {
     ...source,
     payload: spec,
     steps: phases.map(toStep),
     ...(times > 0 ? { recurrence: { times, firstAtMs: startAtMs, intervalMs } } : {}),
     acceptedAtMs: Date.now()
   }
+  const excess = describeExcess(job, maxTasks)
+  if (excess !== undefined) throw createError(ErrorKind.BadRequest, excess)
+  return job
 }
 
 function toStep (phase: z.infer<typeof stepSchema>): StepSpec {
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -6,6 +6,7 @@
 import { defaultCostSettings } from '../placement/delayCost.js'
 import type { CostSettings } from '../placement/delayCost.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
+import { defaultMaxTasksPerJob, maxScheduledTasks } from '../jobs/jobSize.js'
 
 /** The least bound of an evacuation, in ms: with a shorter one, a single failed read of the store would interrupt all starts. */
 const minEvacuationBoundMs = 2_500
@@ -43,8 +44,9 @@
     refuseForLoad: z._default(z.boolean(), true),
     refusalMargin: z._default(z.number().check(z.minimum(1), z.maximum(10)), defaultRefusalMargin),
     priorityRatio: z._default(z.number().check(z.minimum(1), z.maximum(100)), defaultCostSettings.priorityRatio),
-    baseValueCoreS: z._default(z.number().check(z.nonnegative()), defaultCostSettings.baseValueCoreS)
-  }), { refuseForLoad: true, refusalMargin: defaultRefusalMargin, ...defaultCostSettings })
+    baseValueCoreS: z._default(z.number().check(z.nonnegative()), defaultCostSettings.baseValueCoreS),
+    maxTasksPerJob: z._default(z.int().check(z.minimum(1), z.maximum(maxScheduledTasks)), defaultMaxTasksPerJob)
+  }), { refuseForLoad: true, refusalMargin: defaultRefusalMargin, ...defaultCostSettings, maxTasksPerJob: defaultMaxTasksPerJob })
 })
 
 /** The settings of one process. Unknown fields of the file are ignored. */
@@ -82,6 +84,8 @@
   readonly refusesForLoad: boolean
   /** The factor by which the estimated completion must exceed that time before a job is refused. */
   readonly refusalMargin: number
+  /** The most tasks of a job that is accepted, in all steps and occurrences together. */
+  readonly maxTasksPerJob: number
   /** How what callers lose by a delay is weighed. */
   readonly costSettings: CostSettings
 }
@@ -123,6 +127,7 @@
     machinesAddress: cloud?.addr,
     refusesForLoad: policy.refuseForLoad,
     refusalMargin: policy.refusalMargin,
+    maxTasksPerJob: policy.maxTasksPerJob,
     costSettings: { priorityRatio: policy.priorityRatio, baseValueCoreS: policy.baseValueCoreS }
   }
 }
