A stored job that is too large fails, and its tasks are not created

A job with more than 25,000 tasks or 1,000 steps is shown as failed now, with its cause in the log; one that has been cancelled or has ended keeps its state. The limit does not depend on the setting, so that a lower setting fails no accepted job.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -146,6 +146,11 @@
   return job
 }
 
+/** Creates the state of a job whose units are never created, because it is too large to be scheduled. */
+export function createOversizedJob (spec: JobSpec, nowMs: number): TrackedJob {
+  return { spec, acceptedAtMs: nowMs, state: JobState.Queued, isCancelRequested: false, occurrences: new Map(), progressRevision: 0 }
+}
+
 /** Adds the units of an occurrence, unless they exist already. If the job recurs, the occurrence was due `overdueMs` ago. */
 export function addOccurrence (job: TrackedJob, occurrence: number, nowMs: number, overdueMs = 0): void {
   if (job.occurrences.has(occurrence)) return
@@ -337,9 +342,7 @@
 export function tryRestoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number, unixNowMs: number): boolean {
   const record = tryParseJson(value)
   if (!isProgressRecord(record)) return false
-  job.progressRevision = revision
-  job.state = record.state
-  job.endedAtMs = record.endedAtMs
+  restoreState(job, record, revision)
   for (const [stepKey, bitmap] of Object.entries(record.done)) {
     const [occurrence = 0, step = 0] = stepKey.split('.').map(Number)
     addOccurrence(job, occurrence, nowMs, getOverdueMs(job.spec, occurrence, unixNowMs))
@@ -351,6 +354,20 @@
   })
 }
 
+/** Restores only the state of a job, without its units. Returns false if the record is malformed; the job must not be used then. */
+export function tryRestoreState (job: TrackedJob, value: string, revision: number): boolean {
+  const record = tryParseJson(value)
+  if (!isProgressRecord(record)) return false
+  restoreState(job, record, revision)
+  return true
+}
+
+function restoreState (job: TrackedJob, { state, endedAtMs }: ProgressRecord, revision: number): void {
+  job.progressRevision = revision
+  job.state = state
+  job.endedAtMs = endedAtMs
+}
+
 // Written by hand rather than with a schema, since a new scheduler decodes all records before it starts anything.
 
 function isProgressRecord (value: unknown): value is ProgressRecord {
--- a/src/runs/jobTable.test.ts
+++ b/src/runs/jobTable.test.ts
@@ -57,6 +57,7 @@
     logger: silentLogger,
     onJobAdded: ({ spec }) => { added.push(spec.jobId) },
     onCancel: () => {},
+    onTooLarge: () => {},
     onOccurrenceDue: () => {},
     retentionMs
   })
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -5,7 +5,9 @@
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { acceptedPrefix, getAcceptedKey, getCancelKey, getProgressKey, parseAcceptedKey, progressPrefix, tryDecodeAccepted } from '../jobs/jobKeys.js'
 import { isTerminal, JobState } from '../jobs/jobModel.js'
-import { addOccurrence, createTrackedJob, getOverdueMs, tryRestoreProgress } from '../jobs/trackedJob.js'
+import type { JobSpec } from '../jobs/jobModel.js'
+import { describeExcess, maxScheduledTasks } from '../jobs/jobSize.js'
+import { addOccurrence, createOversizedJob, createTrackedJob, getOverdueMs, tryRestoreProgress, tryRestoreState } from '../jobs/trackedJob.js'
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { maxTransactionEntries, readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoreChange, StoredItem } from '../store/metadataStore.js'
@@ -19,6 +21,8 @@
   readonly logger: Logger
   readonly onJobAdded: (job: TrackedJob) => void
   readonly onCancel: (job: TrackedJob) => void
+  /** Called when a stored job has failed because it is too large to be scheduled; its state has to be stored. */
+  readonly onTooLarge: (job: TrackedJob) => void
   /** Called when an occurrence has become due. */
   readonly onOccurrenceDue: () => void
   /** How long the state of an ended job can be read, in ms. */
@@ -72,6 +76,8 @@
   const unfinished = new Set<TrackedJob>()
   /** The keys of the jobs whose records cannot be decoded. */
   const unreadable = new Set<string>()
+  /** Jobs that are too large to be scheduled: their units are never created. */
+  const oversized = new Set<TrackedJob>()
   let isLoaded = false
 
   return { load, get: jobId => jobs.get(jobId), getAll: () => jobs.values(), getUnfinished, addDueOccurrences, countUnreadable: () => unreadable.size }
@@ -84,6 +90,7 @@
         const progressByKey = new Map(progress.items.map(item => [item.key, item]))
         for (const item of accepted.items) addJob(item, progressByKey.get(getProgressKey(parseAcceptedKey(item.key).jobId)))
         for (const { key } of accepted.items) applyCancel(key)
+        failOversized()
         isLoaded = true
         void watchAccepted(accepted.revision)
         void removeOldJobs()
@@ -114,6 +121,7 @@
     acceptedRevisions.set(jobId, revision)
     const { spec } = job
     jobs.set(jobId, job)
+    if (oversized.has(job)) return
     unfinished.add(job)
     if (isLoaded) logger.info('job added', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
     host.onJobAdded(job)
@@ -122,11 +130,31 @@
   function tryCreateJob (key: string, value: string, progress: StoredProgress | undefined): TrackedJob | undefined {
     const spec = tryDecodeAccepted(key, value)
     if (spec === undefined) return undefined
+    if (describeExcess(spec, maxScheduledTasks) !== undefined) return tryCreateOversized(spec, progress)
     const ageMs = Math.max(0, Date.now() - spec.acceptedAtMs)
     const job = createTrackedJob(spec, performance.now(), isLoaded ? Math.min(ageMs, maxWatchDelayMs) : ageMs)
     return progress === undefined || tryRestoreProgress(job, progress.value, progress.revision, performance.now(), Date.now()) ? job : undefined
   }
 
+  function tryCreateOversized (spec: JobSpec, progress: StoredProgress | undefined): TrackedJob | undefined {
+    const job = createOversizedJob(spec, performance.now())
+    if (progress !== undefined && !tryRestoreState(job, progress.value, progress.revision)) return undefined
+    oversized.add(job)
+    return job
+  }
+
+  /** Fails the jobs that are too large to be scheduled. Must be called after their cancellations have been applied, since a cancelled job must not be shown as failed. */
+  function failOversized (): void {
+    for (const job of oversized) {
+      oversized.delete(job)
+      if (isTerminal(job.state)) continue
+      job.state = JobState.Failed
+      job.endedAtMs = Date.now()
+      logger.error('a stored job is too large and fails; its tasks are not created', { jobId: job.spec.jobId, queue: job.spec.queue, organisation: job.spec.organisation, cause: describeExcess(job.spec, maxScheduledTasks) })
+      host.onTooLarge(job)
+    }
+  }
+
   /** Drops ended jobs from the set, so that planning does not iterate over all the ended jobs that are retained. */
   function getUnfinished (): Iterable<TrackedJob> {
     for (const job of unfinished) if (isTerminal(job.state)) unfinished.delete(job)
@@ -173,6 +201,7 @@
   function applyChanges (changes: readonly StoreChange[]): void {
     for (const { item } of changes) if (item !== undefined) addJob(item)
     for (const { key, item } of changes) if (item !== undefined) applyCancel(key)
+    failOversized()
   }
 
   function addDueOccurrences (nowMs: number): void {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -131,6 +131,7 @@
       schedulePlan()
     },
     onCancel: job => { controller.cancelJob(job) },
+    onTooLarge: job => { void writer.commit(job) },
     onOccurrenceDue: schedulePlan
   })
   const pool = createWorkerPool({
