A task on a worker that does not answer is not available

The limit of unavailable tasks counted a task as available until the lease of its worker had expired, also if the worker had not answered for many seconds and may have crashed. A task counts as available now only if its worker has listed it within the last 3 s.

The new test of runs/disruptionBudget.test.ts failed without the check: 3 of 4 tasks were left at work, one of them on the silent worker, instead of 4.

--- a/src/runs/disruptionBudget.test.ts
+++ b/src/runs/disruptionBudget.test.ts
@@ -72,3 +72,18 @@
   expect(await drain(['worker-0'], 12_000)).toBe(3)
   expect(new Set(getWorkersInUse())).toEqual(new Set(['worker-1']))
 })
+
+// A worker that has crashed is known to be lost only when its lease has expired, which may be longer than a task may be away unnoticed.
+test('a task on a worker that does not answer is unavailable before its lease has expired', async () => {
+  await startHarness({ maxLeaseMs: 15_000 })
+  await submit(makeJob('service', 'batch', [makeStep({ count: 4, isService: true, spreadLimit: 1, allowedUnavailable: 1 })]))
+  await run(settledMs)
+  const [silent = '', drained = ''] = getWorkersInUse()
+  harness.workers.get(silent)?.setUnreachable(true)
+  await run(4_000)
+  expect(await drain([drained], 2_000)).toBe(4)
+  harness.workers.get(silent)?.setUnreachable(false)
+  await run(3_000)
+  expect(await drain([drained], 4_000)).toBe(3)
+  expect(getWorkersInUse()).not.toContain(drained)
+})
--- a/src/runs/disruptionBudget.ts
+++ b/src/runs/disruptionBudget.ts
@@ -5,6 +5,12 @@
 import { MemberState } from '../jobs/trackedJob.js'
 import type { Member, Unit } from '../jobs/trackedJob.js'
 
+/**
+ * A task whose worker has not listed it for this long, in ms, is not known to be at work: the worker may have crashed. Polls wait up to 2 s; the time after which a
+ * task that is away counts (`noticeMs`, 5.5 s by default) is longer.
+ */
+const maxReportAgeMs = 3_000
+
 /** The answer for one unit of a service step. */
 export interface DisruptionDecision {
   readonly isAllowed: boolean
@@ -31,6 +37,6 @@
   return unit.attempts.some(attempt => attempt.stopReason === undefined && attempt.members.every(member => isAvailable(member, noticeMs, nowMs)))
 }
 
-function isAvailable ({ state, progressPercent, progressedAtMs }: Member, noticeMs: number, nowMs: number): boolean {
-  return state === MemberState.Running && progressPercent >= 100 && nowMs - progressedAtMs >= noticeMs
+function isAvailable ({ state, progressPercent, progressedAtMs, reportedAtMs = -Infinity }: Member, noticeMs: number, nowMs: number): boolean {
+  return state === MemberState.Running && progressPercent >= 100 && nowMs - progressedAtMs >= noticeMs && nowMs - reportedAtMs < maxReportAgeMs
 }
