A progress record that names occurrences beyond the last one is malformed

The tasks of each occurrence that a stored record names were created, whether or not the job has it: one record of another writer could take any amount of the scheduler's memory. The job is not scheduled now, as with other records that cannot be decoded.

The two new tests of jobs/trackedJob.test.ts failed without the check (the record was taken as well-formed).

--- a/src/jobs/trackedJob.test.ts
+++ b/src/jobs/trackedJob.test.ts
@@ -25,3 +25,14 @@
   expect(getUnit(job).crashes.map(({ indices, isCounted }) => ({ indices, isCounted }))).toEqual([{ indices: [0], isCounted: true }, { indices: [0], isCounted: true }])
   expect(getUnit(job).attempts[0]?.members[0]).toMatchObject({ workerId: 'w', bornAtMs: 7, machine: 'w' })
 })
+
+// Guards against a record that creates more tasks than the job has: a record of 1 MB can name 80,000 occurrences.
+test.each([
+  ['its bitmaps', '{"state":"active","done":{"0.0":"1","2.0":"1"},"units":[]}'],
+  ['its units', '{"state":"active","done":{},"units":[[2,0,0,1,[],"",[]]]}']
+])('a record that names an occurrence beyond the last one in %s is malformed, and creates no units', (_name, record) => {
+  const job = createTrackedJob(makeJob('job', 'batch', [makeStep()], { recurrence: { times: 2, firstAtMs: 0, intervalMs: 1_000 } }), 0)
+  expect(tryRestoreProgress(job, record, 1, 0, 0)).toBe(false)
+  expect(getUnits(job)).toEqual([])
+  expect(tryRestoreProgress(job, record.replaceAll('2,', '1,').replace('"2.0"', '"1.0"'), 1, 0, 0)).toBe(true)
+})
--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -341,7 +341,7 @@
  */
 export function tryRestoreProgress (job: TrackedJob, value: string, revision: number, nowMs: number, unixNowMs: number): boolean {
   const record = tryParseJson(value)
-  if (!isProgressRecord(record)) return false
+  if (!isProgressRecord(record) || !namesOnlyOccurrencesOf(job.spec, record)) return false
   restoreState(job, record, revision)
   for (const [stepKey, bitmap] of Object.entries(record.done)) {
     const [occurrence = 0, step = 0] = stepKey.split('.').map(Number)
@@ -368,6 +368,12 @@
   job.endedAtMs = endedAtMs
 }
 
+/** An occurrence that the job does not have would be created with all of its units. */
+function namesOnlyOccurrencesOf ({ recurrence }: JobSpec, { done, units }: ProgressRecord): boolean {
+  const occurrenceCount = recurrence?.times ?? 1
+  return Object.keys(done).every(stepKey => parseInt(stepKey, 10) < occurrenceCount) && units.every(([occurrence]) => occurrence < occurrenceCount)
+}
+
 // Written by hand rather than with a schema, since a new scheduler decodes all records before it starts anything.
 
 function isProgressRecord (value: unknown): value is ProgressRecord {
