--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -132,6 +132,7 @@
       schedulePlan()
     },
     onCancel: job => { controller.cancelJob(job) },
+    onTooLarge: job => { void writer.commit(job) },
     onOccurrenceDue: schedulePlan
   })
   const grants = createGrantRecord({ store: host.store, term, logger, maxLeaseMs: host.bounds.maxLeaseMs, onEarlierChanged: () => { pool.reviewLeases() } })
@@ -164,6 +165,7 @@
     onBadTicket: member => { adviceCache?.invalidate(member.attempt.unit, member.workerId) },
     commit: writer.commit,
     stopMs: host.bounds.stopMs,
+    noticeMs: host.bounds.noticeMs,
     onChanged: schedulePlan,
     onMemberEnded: (member, how) => {
       if (how === 'lost' || how === 'not-started') return
@@ -205,7 +207,7 @@
     stopAttempt: controller.stopAttempt
   })
   const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait, getLeaseLeftMs: workerId => pool.getLink(workerId)?.getLeaseLeftMs() })
-  const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt, noticeMs: host.bounds.noticeMs })
+  const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt })
   createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
   return { refresh, getStatus, ...maintenanceDrain }
