A wait for lost workers is not begun anew by each scheduler

Seen by callers: an accepted job of which nothing runs while workers are free. Under a unit with five runs that ended with a crash, or whose worker was lost, nothing is started for 10 s; each takeover began the 10 s anew, because the stored record said that a loss was pending, not for how long.

The record now holds how long the loss had been pending when it was written: a lower bound of its age that needs no clock shared by hosts, and that a late write cannot raise. While a unit waits it is written every 2 s. A new term waits at least 2.5 s, however old the loss is, so that a machine that came back while no host scheduled can show its crash: the wait is never shorter than without a takeover. Records of earlier versions decode; their losses are pending from the takeover. Earlier versions ignore the new element.

The periodic review stored the records of a waiting unit every 250 ms although nothing had changed; now when they change or the 2 s have passed.

The wait of an isolated unit for an empty worker begins anew, 2 s at most.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -88,8 +88,10 @@
   readonly machine: string
   /** The life that ended was born at this time or before it, on the worker's clock. */
   readonly bornAtMs: number
-  /** When the worker was lost, by the monotonic clock, if it is not known whether it has crashed. */
+  /** When the worker was lost, by the monotonic clock, if it is not known whether it has crashed. Of a loss of an earlier term: the latest time that fits what that term has stored. */
   readonly pendingSinceMs?: number
+  /** When this term took over the pending record of an earlier one, by the monotonic clock. */
+  restoredAtMs?: number
   /** How much likelier the crash is if the task causes it than if it does not. */
   likelihoodRatio: number
   /** The longest time from the start of the run to the crash, in ms. A run that works for clearly longer contradicts the record. */
@@ -260,8 +262,11 @@
 
 type MemberRecord = readonly [index: number, workerId: string, bornAtMs: number, machine?: string]
 type AttemptRecord = readonly [run: number, members: readonly MemberRecord[]]
-/** `percent` is the likelihood ratio, in hundredths. The flags: 1 is counted, 2 is pending. Earlier versions stored the number of crashes by task. */
-type StoredCrash = readonly [run: number, indices: readonly number[], machine: string, bornAtMs: number, percent: number, ranMs: number, flags: number] | EarlierCrashes
+/**
+ * `percent` is the likelihood ratio, in hundredths. The flags: 1 is counted, 2 is pending. `pendingMs`: how long it had been pending when the record was written,
+ * a lower bound of its age that needs no clock shared by hosts. Earlier versions did not store it, or only the number of crashes by task.
+ */
+type StoredCrash = readonly [run: number, indices: readonly number[], machine: string, bornAtMs: number, percent: number, ranMs: number, flags: number, pendingMs?: number] | EarlierCrashes
 type EarlierCrashes = readonly [index: number, crashes: number]
 type UnitRecord = readonly [occurrence: number, step: number, index: number, run: number, failedRuns: readonly number[], checkpoint: string, attempts: readonly AttemptRecord[], crashes?: readonly StoredCrash[]]
 
@@ -274,14 +279,14 @@
 const earlierCrashRatio = 40
 const earlierCrashRanMs = 4_000
 
-/** Encodes the progress of a job for the store. */
-export function encodeProgress (job: TrackedJob): string {
+/** Encodes the progress of a job for the store. `nowMs` is by the monotonic clock. */
+export function encodeProgress (job: TrackedJob, nowMs: number): string {
   const done: Record<string, string> = {}
   const units: UnitRecord[] = []
   for (const [occurrence, steps] of job.occurrences) {
     steps.forEach((stepUnits, step) => {
       if (stepUnits.some(unit => unit.isDone)) done[`${occurrence}.${step}`] = encodeBitmap(stepUnits.map(unit => unit.isDone))
-      for (const unit of stepUnits) if (unit.run > 0 && !needsNoRecord(unit)) units.push(toRecord(unit))
+      for (const unit of stepUnits) if (unit.run > 0 && !needsNoRecord(unit)) units.push(toRecord(unit, nowMs))
     })
   }
   const record: ProgressRecord = { state: job.state, ...(job.endedAtMs === undefined ? {} : { endedAtMs: job.endedAtMs }), done, units: isTerminal(job.state) ? [] : units }
@@ -293,29 +298,30 @@
   return unit.isDone && unit.attempts.length === 0
 }
 
-function toRecord (unit: Unit): UnitRecord {
+function toRecord (unit: Unit, nowMs: number): UnitRecord {
   const attempts = unit.attempts.map((attempt): AttemptRecord => [
     attempt.run,
     attempt.members.filter(member => member.state !== MemberState.Ended).map(toMemberRecord)
   ])
   const record = [unit.occurrence, unit.step, unit.index, unit.run, [...unit.failedRuns], unit.checkpoint, attempts] as const
-  return unit.crashes.length === 0 ? record : [...record, unit.crashes.map(toStoredCrash)]
+  return unit.crashes.length === 0 ? record : [...record, unit.crashes.map(crash => toStoredCrash(crash, nowMs))]
 }
 
 function toMemberRecord ({ index, workerId, bornAtMs, machine }: Member): MemberRecord {
   return machine === workerId ? [index, workerId, bornAtMs] : [index, workerId, bornAtMs, machine]
 }
 
-function toStoredCrash ({ run, indices, machine, bornAtMs, likelihoodRatio, ranMs, isCounted, pendingSinceMs }: CrashRecord): StoredCrash {
+function toStoredCrash ({ run, indices, machine, bornAtMs, likelihoodRatio, ranMs, isCounted, pendingSinceMs }: CrashRecord, nowMs: number): StoredCrash {
   const flags = (isCounted ? countedFlag : 0) + (pendingSinceMs === undefined ? 0 : pendingFlag)
-  return [run, indices, machine, bornAtMs, Math.round(100 * likelihoodRatio), Math.round(ranMs), flags]
+  const stored = [run, indices, machine, bornAtMs, Math.round(100 * likelihoodRatio), Math.round(ranMs), flags] as const
+  return pendingSinceMs === undefined ? stored : [...stored, Math.max(0, Math.floor(nowMs - pendingSinceMs))]
 }
 
-/** A loss that was pending is pending for the new term as long as for the earlier one, since the machine may come back only now. */
+/** The time between the write and the takeover is not known, and counts as none. */
 function restoreCrash (stored: StoredCrash, position: number, nowMs: number): readonly CrashRecord[] {
   if (stored.length === 2) return Array.from({ length: stored[1] }, (_, number) => createEarlierCrash(stored[0], -1 - number - maxEarlierCrashes * position))
-  const [run, indices, machine, bornAtMs, percent, ranMs, flags] = stored
-  return [{ run, indices, machine, bornAtMs, likelihoodRatio: percent / 100, ranMs, isCounted: (flags & countedFlag) !== 0, ...((flags & pendingFlag) === 0 ? {} : { pendingSinceMs: nowMs }) }]
+  const [run, indices, machine, bornAtMs, percent, ranMs, flags, pendingMs = 0] = stored
+  return [{ run, indices, machine, bornAtMs, likelihoodRatio: percent / 100, ranMs, isCounted: (flags & countedFlag) !== 0, ...((flags & pendingFlag) === 0 ? {} : { pendingSinceMs: nowMs - pendingMs }) }]
 }
 
 /** Earlier versions gave up at three crashes, and stored neither the machines nor the runs: negative run numbers tell them apart. */
@@ -377,8 +383,8 @@
 function isStoredCrash (value: unknown): boolean {
   if (!Array.isArray(value)) return false
   if (value.length === 2) return isIndex(value[0]) && isIndex(value[1]) && value[1] <= maxEarlierCrashes
-  const [run, indices, machine, bornAtMs, percent, ranMs, flags] = value as readonly unknown[]
-  return isNumber(run) && isArrayOf(indices, isIndex) && typeof machine === 'string' && isNumber(bornAtMs) && isNumber(flags) &&
+  const [run, indices, machine, bornAtMs, percent, ranMs, flags, pendingMs = 0] = value as readonly unknown[]
+  return isNumber(run) && isArrayOf(indices, isIndex) && typeof machine === 'string' && isNumber(bornAtMs) && isNumber(flags) && isIndex(pendingMs) &&
     // An infinite value is stored as null.
     [percent, ranMs].every(value => value === null || isNumber(value))
 }
--- a/src/runs/crashEvidence.ts
+++ b/src/runs/crashEvidence.ts
@@ -240,6 +240,11 @@
 const suspectProbability = 0.01
 /** How long a worker that was lost with a run is waited for before it counts as cut off, in ms: workers that crash are back after some seconds. */
 export const pendingLimitMs = 10_000
+/**
+ * How long a new term waits at least for the machine of a worker that an earlier term has lost, in ms, however long ago that was: the machine may have come back
+ * while no host scheduled. Entries of workers are back within 2 s, and a first poll takes a round trip.
+ */
+export const restoredPendingMs = 2_500
 
 /** Decides on a unit by the crashes under it. */
 export function judge (records: readonly CrashRecord[], nowMs: number): Judgement {
@@ -251,7 +256,7 @@
       const isPending = record.pendingSinceMs !== undefined
       if (!isPending) odds.set(index, (odds.get(index) ?? priorProbability / (1 - priorProbability)) * record.likelihoodRatio)
       if (!isPending && record.isCounted) crashes.set(index, (crashes.get(index) ?? 0) + 1)
-      if (isPending ? nowMs - (record.pendingSinceMs ?? 0) < pendingLimitMs : record.isCounted) atRisk.set(index, (atRisk.get(index) ?? 0) + 1)
+      if (isPending ? isMachineAwaited(record, nowMs) : record.isCounted) atRisk.set(index, (atRisk.get(index) ?? 0) + 1)
     }
   }
   const highestOdds = Math.max(0, ...odds.values())
@@ -260,6 +265,11 @@
   return { verdict: getVerdict(probability, count), probability, crashes: count, runsAtRisk: Math.max(0, ...atRisk.values()) }
 }
 
+/** Tells whether the machine of a pending record may still come back with a new life. */
+function isMachineAwaited ({ pendingSinceMs = -Infinity, restoredAtMs = -Infinity }: CrashRecord, nowMs: number): boolean {
+  return nowMs - pendingSinceMs < pendingLimitMs || nowMs - restoredAtMs < restoredPendingMs
+}
+
 function getVerdict (probability: number, crashes: number): Verdict {
   if (crashes >= maxCrashRuns || (crashes >= minCrashesToGiveUp && probability >= giveUpProbability)) return Verdict.GiveUp
   if (crashes >= isolateFromCrashes || probability >= isolateProbability) return Verdict.Isolate
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -52,6 +52,8 @@
 const maxSettleMs = 6_000
 /** Interval at which open questions are looked at again, in ms. */
 const reviewMs = 250
+/** While a unit waits for lost workers, how long they have been waited for is stored in this interval, in ms: a takeover makes the wait longer by this at most, and by the time without a scheduler. */
+const pendingWriteMs = 2_000
 /** The most runs with crashes that are kept for a unit; the latest. */
 const maxRecordedRuns = 12
 
@@ -108,6 +110,8 @@
   let exposures: Exposure[] = []
   /** Units whose decision may change with time alone. */
   const openUnits = new Set<Unit>()
+  /** When the crashes under a unit were last given to the store. */
+  const storedAtMs = new WeakMap<Unit, number>()
   let births: { readonly index: BirthIndex, readonly byMachine: ReadonlyMap<string, WorkerLocation>, readonly atMs: number } | undefined
   let isReviewScheduled = false
 
@@ -117,6 +121,7 @@
     const nowMs = performance.now()
     for (const record of unit.crashes) {
       if (record.pendingSinceMs === undefined) continue
+      record.restoredAtMs = nowMs
       addLostRun({ unit, record, member: undefined, lostAtMs: nowMs })
       addEarlierLife(record.machine, record.machine, record.bornAtMs)
     }
@@ -291,7 +296,7 @@
 
   // Deciding
 
-  function decide (unit: Unit): Judgement {
+  function decide (unit: Unit, haveRecordsChanged = true): Judgement {
     const nowMs = performance.now()
     const judgement = judge(unit.crashes, nowMs)
     openUnits.delete(unit)
@@ -307,7 +312,10 @@
     }
     if (unit.isWithheld) openUnits.add(unit)
     if (unit.isWithheld && !wasWithheld) logger.info('a unit waits for evidence about crashed workers', { ...describeTask(unit, undefined), ...describeJudgement(judgement) })
-    host.commit(unit.job)
+    if (haveRecordsChanged || (unit.isWithheld && nowMs - (storedAtMs.get(unit) ?? -Infinity) >= pendingWriteMs)) {
+      storedAtMs.set(unit, nowMs)
+      host.commit(unit.job)
+    }
     scheduleReview()
     return judgement
   }
@@ -345,7 +353,7 @@
       logger.info('a crash under a task is weighed anew', { ...describeTask(unit, record.indices[0]), ...describeRecord(record), ...coincidence, ...describeJudgement(judge(unit.crashes, nowMs)) })
     }
     exposures = exposures.filter(({ learntAtMs }) => nowMs - learntAtMs < maxSettleMs + 2 * reviewMs)
-    for (const unit of new Set([...revised, ...openUnits])) decide(unit)
+    for (const unit of new Set([...revised, ...openUnits])) decide(unit, revised.has(unit))
     scheduleReview()
   }
 
--- a/src/runs/progressWriter.ts
+++ b/src/runs/progressWriter.ts
@@ -92,7 +92,7 @@
     let characters = 0
     for (const [job, waiters] of dirty) {
       if (batch.size >= maxJobsPerWrite || characters > maxCharactersPerWrite) break
-      characters += encodeProgress(job).length
+      characters += encodeProgress(job, performance.now()).length
       batch.set(job, waiters)
       dirty.delete(job)
     }
@@ -121,7 +121,7 @@
       // A cancelled job must not be stored with another final state.
       const mustNotBeCancelled = (job.state === JobState.Complete || job.state === JobState.Failed) && !job.isCancelRequested
       if (mustNotBeCancelled) expected.push({ key: getCancelKey(job.spec.jobId), revision: 0 })
-      writes.push({ key: getProgressKey(job.spec.jobId), value: encodeProgress(job) })
+      writes.push({ key: getProgressKey(job.spec.jobId), value: encodeProgress(job, performance.now()) })
     }
     const counts = host.getPendingCounts()
     const areCountsWritten = counts !== undefined && counts !== writtenCounts
