Planned restarts of workers do not fail the jobs that ran there

Cause: the end of a draining worker was recorded as no evidence and counted towards the limit of five crashes all the same, which ends a job whatever the probability.

What ended a run is stored with its record, and one table (countsFromCrashes) says from how many crashes on it counts. Ends of draining workers, and runs that ended without a crash, count beside three crashes only, so that the limit of five holds for a task that crashes its workers, two of them while they drain. Earlier versions ignore the new flags. Their records do not name the cause; a ratio of exactly 1 is taken for a drain.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -80,7 +80,19 @@
   Isolated = 'isolated'
 }
 
-/** One crash of a worker under a run of a unit, or a loss of a worker that may turn out to be one. */
+/** What ended a run that is on record under its unit. */
+export enum EndCause {
+  /** The life of its worker has ended without a drain. */
+  Crash = 'crash',
+  /** The life of its worker has ended while it was draining: as planned, unless the task crashed it all the same. */
+  Drain = 'drain',
+  /** It ended while its worker went on: it was stopped, evicted or preempted, or has failed. */
+  WithoutCrash = 'without-crash',
+  /** Its worker was lost, and the machine has not shown yet whether it has crashed. */
+  Unknown = 'unknown'
+}
+
+/** One crash of a worker under a run of a unit, or an end of a run that may count beside crashes. */
 export interface CrashRecord {
   /** The run and the indices of its tasks on the worker. */
   readonly run: number
@@ -88,7 +100,8 @@
   readonly machine: string
   /** The life that ended was born at this time or before it, on the worker's clock. */
   readonly bornAtMs: number
-  /** When the worker was lost, by the monotonic clock, if it is not known whether it has crashed. Of a loss of an earlier term: the latest time that fits what that term has stored. */
+  readonly cause: EndCause
+  /** When the worker was lost, by the monotonic clock, if `cause` is `Unknown`. Of a loss of an earlier term: the latest time that fits what that term has stored. */
   readonly pendingSinceMs?: number
   /** When this term took over the pending record of an earlier one, by the monotonic clock. */
   restoredAtMs?: number
@@ -96,7 +109,7 @@
   likelihoodRatio: number
   /** The longest time from the start of the run to the crash, in ms. A run that works for clearly longer contradicts the record. */
   readonly ranMs: number
-  /** It counts towards the limit of runs under which workers crash. */
+  /** It may count towards the limit of runs under which workers crash, as far as `cause` allows. */
   isCounted: boolean
 }
 
@@ -263,8 +276,8 @@
 type MemberRecord = readonly [index: number, workerId: string, bornAtMs: number, machine?: string]
 type AttemptRecord = readonly [run: number, members: readonly MemberRecord[]]
 /**
- * `percent` is the likelihood ratio, in hundredths. The flags: 1 is counted, 2 is pending. `pendingMs`: how long it had been pending when the record was written,
- * a lower bound of its age that needs no clock shared by hosts. Earlier versions did not store it, or only the number of crashes by task.
+ * `percent` is the likelihood ratio, in hundredths. The flags: 1 is counted, 2 is pending, 4, 8 and 16 give the cause. `pendingMs`: how long it had been pending when the record was written,
+ * a lower bound of its age that needs no clock shared by hosts. Earlier versions stored neither it nor the cause, or only the number of crashes by task.
  */
 type StoredCrash = readonly [run: number, indices: readonly number[], machine: string, bornAtMs: number, percent: number, ranMs: number, flags: number, pendingMs?: number] | EarlierCrashes
 type EarlierCrashes = readonly [index: number, crashes: number]
@@ -274,6 +287,7 @@
 const bitsPerDigit = 4
 const countedFlag = 1
 const pendingFlag = 2
+const causeFlags: Readonly<Record<EndCause, number>> = { [EndCause.Crash]: 4, [EndCause.Drain]: 8, [EndCause.WithoutCrash]: 16, [EndCause.Unknown]: pendingFlag }
 const maxEarlierCrashes = 3
 /** What a crash counts that an earlier version stored: as one during which no other worker crashed, and up to the longest restart after the start. */
 const earlierCrashRatio = 40
@@ -311,8 +325,8 @@
   return machine === workerId ? [index, workerId, bornAtMs] : [index, workerId, bornAtMs, machine]
 }
 
-function toStoredCrash ({ run, indices, machine, bornAtMs, likelihoodRatio, ranMs, isCounted, pendingSinceMs }: CrashRecord, nowMs: number): StoredCrash {
-  const flags = (isCounted ? countedFlag : 0) + (pendingSinceMs === undefined ? 0 : pendingFlag)
+function toStoredCrash ({ run, indices, machine, bornAtMs, cause, likelihoodRatio, ranMs, isCounted, pendingSinceMs }: CrashRecord, nowMs: number): StoredCrash {
+  const flags = (isCounted ? countedFlag : 0) + causeFlags[cause]
   const stored = [run, indices, machine, bornAtMs, Math.round(100 * likelihoodRatio), Math.round(ranMs), flags] as const
   return pendingSinceMs === undefined ? stored : [...stored, Math.max(0, Math.floor(nowMs - pendingSinceMs))]
 }
@@ -321,12 +335,19 @@
 function restoreCrash (stored: StoredCrash, position: number, nowMs: number): readonly CrashRecord[] {
   if (stored.length === 2) return Array.from({ length: stored[1] }, (_, number) => createEarlierCrash(stored[0], -1 - number - maxEarlierCrashes * position))
   const [run, indices, machine, bornAtMs, percent, ranMs, flags, pendingMs = 0] = stored
-  return [{ run, indices, machine, bornAtMs, likelihoodRatio: percent / 100, ranMs, isCounted: (flags & countedFlag) !== 0, ...((flags & pendingFlag) === 0 ? {} : { pendingSinceMs: nowMs - pendingMs }) }]
+  const cause = getCause(flags, percent)
+  return [{ run, indices, machine, bornAtMs, cause, likelihoodRatio: percent / 100, ranMs, isCounted: (flags & countedFlag) !== 0, ...(cause === EndCause.Unknown ? { pendingSinceMs: nowMs - pendingMs } : {}) }]
+}
+
+/** Earlier versions stored no cause, and the ends of draining workers with the likelihood ratio of no evidence. */
+function getCause (flags: number, percent: number): EndCause {
+  const cause = Object.values(EndCause).find(value => (flags & causeFlags[value]) !== 0)
+  return cause ?? (percent === 100 ? EndCause.Drain : EndCause.Crash)
 }
 
 /** Earlier versions gave up at three crashes, and stored neither the machines nor the runs: negative run numbers tell them apart. */
 function createEarlierCrash (index: number, run: number): CrashRecord {
-  return { run, indices: [index], machine: '', bornAtMs: 0, likelihoodRatio: earlierCrashRatio, ranMs: earlierCrashRanMs, isCounted: true }
+  return { run, indices: [index], machine: '', bornAtMs: 0, cause: EndCause.Crash, likelihoodRatio: earlierCrashRatio, ranMs: earlierCrashRanMs, isCounted: true }
 }
 
 /** Decodes only the state of a progress record. Errors: `internal` if the record is malformed. */
--- a/src/runs/crashEvidence.ts
+++ b/src/runs/crashEvidence.ts
@@ -1,7 +1,7 @@
 /**
  * Weighs whether the crashes of workers speak against the tasks that ran there. Does no I/O and reads no clock. See docs/design/crash-evidence.md.
  */
-import { Suspicion } from '../jobs/trackedJob.js'
+import { EndCause, Suspicion } from '../jobs/trackedJob.js'
 import type { CrashRecord } from '../jobs/trackedJob.js'
 
 /** What is known of a run on a worker whose life has ended. */
@@ -246,23 +246,56 @@
  */
 export const restoredPendingMs = 2_500
 
+/**
+ * The number of crashes under a task from which on its other ends count beside them, by what ended the run. Planned ends of workers are no evidence against a task:
+ * by themselves they never count. Beside three crashes they use up starts, as a task may crash a draining worker too, and may crash its workers in most runs only.
+ */
+const countsFromCrashes: Readonly<Record<EndCause, number>> = {
+  [EndCause.Crash]: 0,
+  [EndCause.Drain]: isolateFromCrashes,
+  [EndCause.WithoutCrash]: isolateFromCrashes,
+  // Only waited for.
+  [EndCause.Unknown]: Infinity
+}
+
+/** The records of one task. */
+interface Tally {
+  odds: number
+  /** Runs whose worker may still turn out to have crashed. */
+  awaited: number
+  readonly counted: Record<EndCause, number>
+}
+
 /** Decides on a unit by the crashes under it. */
 export function judge (records: readonly CrashRecord[], nowMs: number): Judgement {
-  const odds = new Map<number, number>()
-  const crashes = new Map<number, number>()
-  const atRisk = new Map<number, number>()
+  const tallies = new Map<number, Tally>()
   for (const record of records) {
     for (const index of record.indices) {
-      const isPending = record.pendingSinceMs !== undefined
-      if (!isPending) odds.set(index, (odds.get(index) ?? priorProbability / (1 - priorProbability)) * record.likelihoodRatio)
-      if (!isPending && record.isCounted) crashes.set(index, (crashes.get(index) ?? 0) + 1)
-      if (isPending ? isMachineAwaited(record, nowMs) : record.isCounted) atRisk.set(index, (atRisk.get(index) ?? 0) + 1)
+      const tally = tallies.get(index) ?? createTally()
+      tallies.set(index, tally)
+      if (record.cause === EndCause.Unknown) {
+        if (isMachineAwaited(record, nowMs)) tally.awaited++
+        continue
+      }
+      tally.odds *= record.likelihoodRatio
+      if (record.isCounted) tally.counted[record.cause]++
     }
   }
-  const highestOdds = Math.max(0, ...odds.values())
-  const probability = odds.size === 0 ? priorProbability : highestOdds / (1 + highestOdds)
-  const count = Math.max(0, ...crashes.values())
-  return { verdict: getVerdict(probability, count), probability, crashes: count, runsAtRisk: Math.max(0, ...atRisk.values()) }
+  const all = [...tallies.values()]
+  const odds = Math.max(priorProbability / (1 - priorProbability), ...all.map(tally => tally.odds))
+  const probability = odds / (1 + odds)
+  const count = Math.max(0, ...all.map(tally => countEnds(tally, 0)))
+  return { verdict: getVerdict(probability, count), probability, crashes: count, runsAtRisk: Math.max(0, ...all.map(tally => countEnds(tally, tally.awaited))) }
+}
+
+function createTally (): Tally {
+  return { odds: priorProbability / (1 - priorProbability), awaited: 0, counted: { [EndCause.Crash]: 0, [EndCause.Drain]: 0, [EndCause.WithoutCrash]: 0, [EndCause.Unknown]: 0 } }
+}
+
+/** The runs that count if `awaited` lost workers have crashed. */
+function countEnds ({ counted }: Tally, awaited: number): number {
+  const crashes = counted[EndCause.Crash] + awaited
+  return awaited + Object.values(EndCause).reduce((sum, cause) => sum + (crashes >= countsFromCrashes[cause] ? counted[cause] : 0), 0)
 }
 
 /** Tells whether the machine of a pending record may still come back with a new life. */
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from '../common/logger.js'
 import { EndKind, formatTaskName, isTerminal } from '../jobs/jobModel.js'
-import { getUnits, MemberState } from '../jobs/trackedJob.js'
+import { EndCause, getUnits, MemberState } from '../jobs/trackedJob.js'
 import type { CrashRecord, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import type { ListedWorker } from '../workers/workerPort.js'
 import type { WorkerState } from '../workers/workerState.js'
@@ -148,7 +148,7 @@
     if (bornAtMs < (attributedBornAtMs.get(member.workerId) ?? -Infinity)) return
     const nowMs = performance.now()
     const { unit, run } = member.attempt
-    const record = { run, indices: [member.index], machine: member.machine, bornAtMs, pendingSinceMs: nowMs, likelihoodRatio: 1, ranMs: 0, isCounted: false }
+    const record = { run, indices: [member.index], machine: member.machine, bornAtMs, cause: EndCause.Unknown, pendingSinceMs: nowMs, likelihoodRatio: 1, ranMs: 0, isCounted: false }
     addLostRun({ unit, record, member, lostAtMs: nowMs })
     addRecord(unit, record)
     decide(unit)
@@ -185,7 +185,7 @@
 
   function recordUsedStart ({ attempt: { unit, run }, index, machine, bornAtMs }: Member, workedMs: number): void {
     if (!usesUpStart(unit.crashes, index, workedMs, performance.now()) || unit.crashes.some(record => record.run === run && record.indices.includes(index))) return
-    addRecord(unit, { run, indices: [index], machine, bornAtMs, likelihoodRatio: 1, ranMs: Math.max(0, workedMs), isCounted: true })
+    addRecord(unit, { run, indices: [index], machine, bornAtMs, cause: EndCause.WithoutCrash, likelihoodRatio: 1, ranMs: Math.max(0, workedMs), isCounted: true })
     logger.info('a run without a crash uses up a start after three crashes', { ...describeTask(unit, index), run, workedMs: Math.round(workedMs), ...describeJudgement(decide(unit)) })
   }
 
@@ -271,11 +271,11 @@
         hasMachineCrashedBefore: [...earlierUnits].some(earlier => earlier !== unit),
         othersProbability: allProbabilities - (probabilities.get(unit) ?? 0)
       }
-      const record = { run, indices, machine, bornAtMs: bornAtMs - 1, likelihoodRatio: getLikelihoodRatio(circumstances), ranMs: maxRanMs, isCounted: isCounted(circumstances) }
+      const record = { run, indices, machine, bornAtMs: bornAtMs - 1, cause: wasDraining ? EndCause.Drain : EndCause.Crash, likelihoodRatio: getLikelihoodRatio(circumstances), ranMs: maxRanMs, isCounted: isCounted(circumstances) }
       addRecord(unit, record)
       exposures.push({ unit, record, location, ownMachines, circumstances, learntAtMs: performance.now() })
       const judgement = decide(unit)
-      logger.info('a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
+      logger.info(wasDraining ? 'the end of a draining worker is recorded under a task' : 'a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
     }
     if (!wasDraining) crashedMachines.set(machine, new Set([...earlierUnits, ...units]))
   }
@@ -402,8 +402,8 @@
   return { jobId: job.spec.jobId, occurrence, step, index: index ?? unitIndex }
 }
 
-function describeRecord ({ run, machine, likelihoodRatio, ranMs, isCounted: counts, pendingSinceMs }: CrashRecord): object {
-  return { run, machine, likelihoodRatio: round(likelihoodRatio), maxRanMs: Math.round(ranMs), isCounted: counts, ...(pendingSinceMs === undefined ? {} : { isPending: true }) }
+function describeRecord ({ run, machine, cause, likelihoodRatio, ranMs, isCounted: counts }: CrashRecord): object {
+  return { run, machine, cause, likelihoodRatio: round(likelihoodRatio), maxRanMs: Math.round(ranMs), isCounted: counts }
 }
 
 function describeJudgement ({ verdict, probability, crashes, runsAtRisk }: Judgement): object {
