--- a/src/measure/jobMemoryBench.ts
+++ b/src/measure/jobMemoryBench.ts
@@ -64,7 +64,7 @@
   harness.plan()
   const startedBytes = getHeapBytes() - emptyBytes
   for (const { unit } of harness.started) unit.checkpoint = checkpoint
-  return { startedBytes: Math.round(startedBytes / tasks), recordBytes: Math.round(encodeProgress(job).length / tasks) }
+  return { startedBytes: Math.round(startedBytes / tasks), recordBytes: Math.round(encodeProgress(job, performance.now()).length / tasks) }
 }
 
 function createHarness (): PlannerHarness {
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from '../common/logger.js'
 import { EndKind, formatTaskName, isTerminal } from '../jobs/jobModel.js'
-import { getUnits, MemberState } from '../jobs/trackedJob.js'
+import { EndCause, getUnits, MemberState } from '../jobs/trackedJob.js'
 import type { CrashRecord, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import type { ListedWorker } from '../workers/workerPort.js'
 import type { WorkerState } from '../workers/workerState.js'
@@ -52,6 +52,8 @@
 const maxSettleMs = 6_000
 /** Interval at which open questions are looked at again, in ms. */
 const reviewMs = 250
+/** While a unit waits for lost workers, how long they have been waited for is stored in this interval, in ms: a takeover makes the wait longer by this at most, and by the time without a scheduler. */
+const pendingWriteMs = 2_000
 /** The most runs with crashes that are kept for a unit; the latest. */
 const maxRecordedRuns = 12
 
@@ -108,6 +110,8 @@
   let exposures: Exposure[] = []
   /** Units whose decision may change with time alone. */
   const openUnits = new Set<Unit>()
+  /** When the crashes under a unit were last given to the store. */
+  const storedAtMs = new WeakMap<Unit, number>()
   let births: { readonly index: BirthIndex, readonly byMachine: ReadonlyMap<string, WorkerLocation>, readonly atMs: number } | undefined
   let isReviewScheduled = false
 
@@ -117,6 +121,7 @@
     const nowMs = performance.now()
     for (const record of unit.crashes) {
       if (record.pendingSinceMs === undefined) continue
+      record.restoredAtMs = nowMs
       addLostRun({ unit, record, member: undefined, lostAtMs: nowMs })
       addEarlierLife(record.machine, record.machine, record.bornAtMs)
     }
@@ -143,7 +148,7 @@
     if (bornAtMs < (attributedBornAtMs.get(member.workerId) ?? -Infinity)) return
     const nowMs = performance.now()
     const { unit, run } = member.attempt
-    const record = { run, indices: [member.index], machine: member.machine, bornAtMs, pendingSinceMs: nowMs, likelihoodRatio: 1, ranMs: 0, isCounted: false }
+    const record = { run, indices: [member.index], machine: member.machine, bornAtMs, cause: EndCause.Unknown, pendingSinceMs: nowMs, likelihoodRatio: 1, ranMs: 0, isCounted: false }
     addLostRun({ unit, record, member, lostAtMs: nowMs })
     addRecord(unit, record)
     decide(unit)
@@ -180,7 +185,7 @@
 
   function recordUsedStart ({ attempt: { unit, run }, index, machine, bornAtMs }: Member, workedMs: number): void {
     if (!usesUpStart(unit.crashes, index, workedMs, performance.now()) || unit.crashes.some(record => record.run === run && record.indices.includes(index))) return
-    addRecord(unit, { run, indices: [index], machine, bornAtMs, likelihoodRatio: 1, ranMs: Math.max(0, workedMs), isCounted: true })
+    addRecord(unit, { run, indices: [index], machine, bornAtMs, cause: EndCause.WithoutCrash, likelihoodRatio: 1, ranMs: Math.max(0, workedMs), isCounted: true })
     logger.info('a run without a crash uses up a start after three crashes', { ...describeTask(unit, index), run, workedMs: Math.round(workedMs), ...describeJudgement(decide(unit)) })
   }
 
@@ -266,11 +271,11 @@
         hasMachineCrashedBefore: [...earlierUnits].some(earlier => earlier !== unit),
         othersProbability: allProbabilities - (probabilities.get(unit) ?? 0)
       }
-      const record = { run, indices, machine, bornAtMs: bornAtMs - 1, likelihoodRatio: getLikelihoodRatio(circumstances), ranMs: maxRanMs, isCounted: isCounted(circumstances) }
+      const record = { run, indices, machine, bornAtMs: bornAtMs - 1, cause: wasDraining ? EndCause.Drain : EndCause.Crash, likelihoodRatio: getLikelihoodRatio(circumstances), ranMs: maxRanMs, isCounted: isCounted(circumstances) }
       addRecord(unit, record)
       exposures.push({ unit, record, location, ownMachines, circumstances, learntAtMs: performance.now() })
       const judgement = decide(unit)
-      logger.info('a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
+      logger.info(wasDraining ? 'the end of a draining worker is recorded under a task' : 'a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
     }
     if (!wasDraining) crashedMachines.set(machine, new Set([...earlierUnits, ...units]))
   }
@@ -291,7 +296,7 @@
 
   // Deciding
 
-  function decide (unit: Unit): Judgement {
+  function decide (unit: Unit, haveRecordsChanged = true): Judgement {
     const nowMs = performance.now()
     const judgement = judge(unit.crashes, nowMs)
     openUnits.delete(unit)
@@ -307,7 +312,10 @@
     }
     if (unit.isWithheld) openUnits.add(unit)
     if (unit.isWithheld && !wasWithheld) logger.info('a unit waits for evidence about crashed workers', { ...describeTask(unit, undefined), ...describeJudgement(judgement) })
-    host.commit(unit.job)
+    if (haveRecordsChanged || (unit.isWithheld && nowMs - (storedAtMs.get(unit) ?? -Infinity) >= pendingWriteMs)) {
+      storedAtMs.set(unit, nowMs)
+      host.commit(unit.job)
+    }
     scheduleReview()
     return judgement
   }
@@ -345,7 +353,7 @@
       logger.info('a crash under a task is weighed anew', { ...describeTask(unit, record.indices[0]), ...describeRecord(record), ...coincidence, ...describeJudgement(judge(unit.crashes, nowMs)) })
     }
     exposures = exposures.filter(({ learntAtMs }) => nowMs - learntAtMs < maxSettleMs + 2 * reviewMs)
-    for (const unit of new Set([...revised, ...openUnits])) decide(unit)
+    for (const unit of new Set([...revised, ...openUnits])) decide(unit, revised.has(unit))
     scheduleReview()
   }
 
@@ -394,8 +402,8 @@
   return { jobId: job.spec.jobId, occurrence, step, index: index ?? unitIndex }
 }
 
-function describeRecord ({ run, machine, likelihoodRatio, ranMs, isCounted: counts, pendingSinceMs }: CrashRecord): object {
-  return { run, machine, likelihoodRatio: round(likelihoodRatio), maxRanMs: Math.round(ranMs), isCounted: counts, ...(pendingSinceMs === undefined ? {} : { isPending: true }) }
+function describeRecord ({ run, machine, cause, likelihoodRatio, ranMs, isCounted: counts }: CrashRecord): object {
+  return { run, machine, cause, likelihoodRatio: round(likelihoodRatio), maxRanMs: Math.round(ranMs), isCounted: counts }
 }
 
 function describeJudgement ({ verdict, probability, crashes, runsAtRisk }: Judgement): object {
