A task's end during a takeover of /v1/jobs is used, not only acknowledged

What callers saw: a job whose task had ended was shown as running for good. Cause: a new scheduler collects the first, full reports of the workers and takes the gangs over once all workers have answered, or after 1.5 s. Later reports list changes without the task's description; a change that came before the takeover was taken for one of an unknown task. The end was acknowledged, and the worker discarded it, while the takeover used the first report, in which the task was running. Now a later report replaces the earlier one, with its description. Evidence: the new test of scheduling/schedulerFaults.test.ts failed before: 'Expected: "succeeded" Received: undefined', 10 s after the end of the task.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -287,8 +287,9 @@
     for (const report of reports) {
       const { taskId } = report
       const run = runs.get(getJobId(taskId))
+      const descriptor = report.descriptor ?? reportedTasks.get(taskId)?.descriptor
       if (run !== undefined && run.members.some(member => member.taskId === taskId)) run.onReport(report)
-      else if (!isRecovered && report.descriptor !== undefined) reportedTasks.set(taskId, { workerId, report, descriptor: report.descriptor })
+      else if (!isRecovered && descriptor !== undefined) reportedTasks.set(taskId, { workerId, report, descriptor })
       else onUnknownTask(workerId, report, run)
     }
     if (reports.length > 0) changed.notify()
--- a/src/scheduling/schedulerFaults.test.ts
+++ b/src/scheduling/schedulerFaults.test.ts
@@ -283,3 +283,25 @@
   expect(harness.getReleases(waits.jobId)).toEqual([])
   scheduler.stop()
 })
+
+// The end was acknowledged without being used, so that the job was shown as running for good.
+test('a task that ends between the first report of its worker and the end of the takeover is not taken for running', async () => {
+  const harness = createSchedulerHarness(4, '')
+  const first = await startScheduler(harness)
+  const spec = createJobSpec('short', { command: ['run', '2000'] })
+  await first.submit(spec)
+  await jest.advanceTimersByTimeAsync(2_200)
+  first.stop()
+  // The takeover waits for a worker that does not answer.
+  const [idleWorkerId = ''] = [...harness.workers.keys()].filter(workerId => harness.workers.get(workerId)?.getTasks().length === 0)
+  harness.setCutOff(idleWorkerId, true)
+  const second = await startScheduler(harness)
+  expect(harness.countRunning(spec.jobId)).toBe(1)
+  await jest.advanceTimersByTimeAsync(1_000)
+  expect(second.getStatus().isRecovered).toBe(false)
+  expect(harness.countRunning(spec.jobId)).toBe(0)
+  await jest.advanceTimersByTimeAsync(10_000)
+  expect((await getJob(second, spec.jobId))?.result).toBe(JobResult.Succeeded)
+  expect(harness.countEnded(spec.jobId)).toBe(0)
+  second.stop()
+})
