The limit of quarantined workers holds for each service

Cause: at most 34 % of the workers were quarantined at once, counted over all services. Beside a large service, every worker of a small one could be quarantined for 4 s; and quarantined workers of one service kept faulty ones of another in use. Now the limit counts the workers of the worker's own service, and those of them that are quarantined. Two tests of workers/workerHealth.test.ts hold the limit in both directions. Existing tests: workers/workerHealth.test.ts passes `getService`, which the health tracking now requires; its checks are unchanged. The pool harness takes the service of each worker.

--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -374,3 +374,19 @@
   harness.setListStale(false)
   await waitForState('a', JobState.Complete, 2_000)
 })
+
+// The limit counted the workers of all services: each worker of a small service was quarantined at once, and accepted work waited although they were free.
+test('work of a small service is placed while some of its workers are quarantined', async () => {
+  const getRun = (task: string, number: number): { workMs: number, how: EndKind } => ({ workMs: 300, how: task.startsWith('small') && number === 1 ? EndKind.Failed : EndKind.Done })
+  await startHarness({ workers: 12, getService: index => index < 9 ? 'pool' : 'few', getRun }, 1)
+  const request = { ...harnessCapacity, accelerators: 4, cpuMilli: 4_000, memoryMb: 4_000 }
+  const jobIds = Array.from({ length: 6 }, (_, index) => `small${index}`)
+  await submit(...jobIds.map(jobId => makeJob(jobId, 'batch', [makeStep({ request })], { service: 'few' })))
+  let mostQuarantined = 0
+  for (let elapsedMs = 0; elapsedMs < 3_000; elapsedMs += 100) {
+    await run(100)
+    mostQuarantined = Math.max(mostQuarantined, harness.hosts.get('host-0')?.getScheduler()?.getStatus().workers.heldBack.length ?? 0)
+  }
+  expect(mostQuarantined).toBe(1)
+  for (const jobId of jobIds) expect(getState(jobId)).toBe(JobState.Complete)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -178,7 +178,8 @@
   const getMachineId = (workerId: string): string => pool.workers.get(workerId)?.info.machineId ?? workerId
   const health = createWorkerHealth({
     logger,
-    countWorkers: () => pool.workers.size,
+    getService: workerId => pool.workers.get(workerId)?.info.service,
+    countWorkers: service => [...pool.workers.values()].filter(({ info }) => info.service === service).length,
     getMeanRunMs: runTimes.getMeanMs,
     isCold,
     onPace: (workerIds, paceShare, nowMs) => { speeds.record(workerIds.map(getMachineId), paceShare, nowMs, paceWeight) },
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -100,6 +100,8 @@
   readonly evacuationMaxAgeMs?: number
   /** How long the answer to a read of the evacuation requests takes, in ms; 0 by default. */
   readonly getEvacuationReadMs?: () => number
+  /** The service of a worker; `pool` by default. */
+  readonly getService?: (workerIndex: number) => string
   /** The failure domain of a worker; `a` by default. */
   readonly getDomain?: (workerIndex: number) => string
   /** Round trips between hosts and the store and the workers, in ms; 0 by default. */
@@ -190,7 +192,7 @@
   function addWorker (workerIndex: number): void {
     const rack = `rack-${Math.floor(workerIndex / workersPerRack)}`
     const workerId = `worker-${workerIndex}`
-    addLife({ workerId, address: `${workerId}:1`, service: 'pool', domain: options.getDomain?.(workerIndex) ?? 'a', bornAtMs, isDraining: false, coldLeftMs: 0, capacity: harnessCapacity, labels: ['a', rack], rack, machineId: `machine-${workerIndex}` })
+    addLife({ workerId, address: `${workerId}:1`, service: options.getService?.(workerIndex) ?? 'pool', domain: options.getDomain?.(workerIndex) ?? 'a', bornAtMs, isDraining: false, coldLeftMs: 0, capacity: harnessCapacity, labels: ['a', rack], rack, machineId: `machine-${workerIndex}` })
   }
 
   function addLife (info: ListedWorker): void {
--- a/src/workers/workerHealth.test.ts
+++ b/src/workers/workerHealth.test.ts
@@ -22,7 +22,7 @@
 }
 
 function createHealth (): WorkerHealth {
-  return createWorkerHealth({ logger: silentLogger, countWorkers: () => 10, getMeanRunMs: () => usualRunMs })
+  return createWorkerHealth({ logger: silentLogger, getService: () => 'pool', countWorkers: () => 10, getMeanRunMs: () => usualRunMs })
 }
 
 /** Feeds in a report of every worker each second, in which each member progresses at its rate, in percent per second. */
@@ -106,8 +106,26 @@
 })
 
 test('a cold worker is not quarantined for slow runs, nor are the other workers of its gangs', () => {
-  const health = createWorkerHealth({ logger: silentLogger, countWorkers: () => 10, getMeanRunMs: () => usualRunMs, isCold: workerId => workerId === 'a' })
+  const health = createWorkerHealth({ logger: silentLogger, getService: () => 'pool', countWorkers: () => 10, getMeanRunMs: () => usualRunMs, isCold: workerId => workerId === 'a' })
   const gangs = [...startJob('one', ['a', 'b'], true), ...startJob('two', ['a', 'c'], true), ...startJob('three', ['a'])]
   reportProgress(health, new Map(gangs.map(member => [member, 6])), 4)
   expect(getQuarantinedIds(health, 3_000)).toEqual([])
 })
+
+// Guards against accepted work of a small service that waits although its workers are free, because all of them are quarantined at once.
+test('the limit of quarantined workers holds for each service by itself', () => {
+  const sizes: Readonly<Record<string, number>> = { large: 30, small: 3 }
+  const health = createWorkerHealth({ logger: silentLogger, getService: workerId => workerId.split('-')[0], countWorkers: service => sizes[service ?? ''] ?? 0, getMeanRunMs: () => usualRunMs })
+  for (const index of [0, 1, 2]) health.onRefusal(`small-${index}`, 0)
+  expect(getQuarantinedIds(health, 0)).toEqual(['small-0'])
+  for (let index = 0; index < 30; index++) health.onRefusal(`large-${index}`, 10)
+  expect(getQuarantinedIds(health, 10).filter(workerId => workerId.startsWith('large'))).toHaveLength(10)
+})
+
+// Guards against a slow or faulty worker of a small service that is kept in use because workers of another service are quarantined.
+test('quarantined workers of one service do not use up the limit of another', () => {
+  const health = createWorkerHealth({ logger: silentLogger, getService: workerId => workerId.split('-')[0], countWorkers: () => 3, getMeanRunMs: () => usualRunMs })
+  health.onRefusal('one-0', 0)
+  health.onRefusal('other-0', 0)
+  expect(getQuarantinedIds(health, 0)).toEqual(['one-0', 'other-0'])
+})
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -1,7 +1,7 @@
 /**
  * Quarantines workers whose runs show that they are faulty: workers that fail everything they start, that stall, or that become
  * several times slower. Failures and slow runs are compared with those of the same work on other workers, and only a limited
- * share of the workers is quarantined at once. Which worker makes a gang slow is decided in slowWorkers.ts. Does no I/O.
+ * share of the workers of each service is quarantined at once. Which worker makes a gang slow is decided in slowWorkers.ts. Does no I/O.
  */
 import type { Logger } from '../common/logger.js'
 import { EndKind } from '../jobs/jobModel.js'
@@ -13,7 +13,9 @@
 /** What the health tracking needs from outside. */
 export interface WorkerHealthHost {
   readonly logger: Logger
-  readonly countWorkers: () => number
+  /** The service of a worker; undefined if the worker is gone. */
+  readonly getService: (workerId: string) => string | undefined
+  readonly countWorkers: (service: string | undefined) => number
   /** The mean duration of a queue's runs, in ms; undefined if it is not known yet. */
   readonly getMeanRunMs: (queue: string) => number | undefined
   /** Tells whether a worker has started so recently that its runs are slower than they will be. */
@@ -67,7 +69,7 @@
 const minPeers = 2
 /** While a queue's mean run is unknown, estimates are relied on after so many of its runs have had the pace that their estimate promises. */
 const minUsualRuns = 3
-/** The largest share of the workers that may be quarantined at once; a single worker always may. */
+/** The largest share of a service's workers that may be quarantined at once; a single worker always may. Other services' workers cannot do their work. */
 const maxQuarantinedShare = 0.34
 /** An attempt younger than this, in ms, is restarted elsewhere: a stall lasts some seconds, so waiting would cost more than a restart. */
 const cheapRestartMs = 3_000
@@ -145,8 +147,8 @@
   function quarantine (workerId: string, reason: string, nowMs: number, forMs: number): void {
     const record = getRecord(workerId)
     const isNew = !isQuarantined(workerId, nowMs)
-    if (isNew && getQuarantined(nowMs).length + 1 > Math.max(1, host.countWorkers() * maxQuarantinedShare)) {
-      host.logger.warn('worker not quarantined: too many workers are quarantined already', { workerId, reason })
+    if (isNew && !mayQuarantineMore(host.getService(workerId), nowMs)) {
+      host.logger.warn('worker not quarantined: too many workers of its service are quarantined already', { workerId, reason })
       return
     }
     record.quarantinedUntilMs = nowMs + forMs
@@ -154,6 +156,11 @@
     if (isNew) host.logger.warn('worker quarantined', { workerId, reason, forMs })
   }
 
+  function mayQuarantineMore (service: string | undefined, nowMs: number): boolean {
+    const quarantined = getQuarantined(nowMs).filter(({ workerId }) => host.getService(workerId) === service).length
+    return quarantined + 1 <= Math.max(1, host.countWorkers(service) * maxQuarantinedShare)
+  }
+
   function release (workerId: string, nowMs: number): void {
     if (!isQuarantined(workerId, nowMs)) return
     getRecord(workerId).quarantinedUntilMs = nowMs
