--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -6,6 +6,7 @@
 import { StartResult } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
 import { isUnsent } from './workerErrors.js'
+import { maxRequestDelayMs } from './workerLease.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Dependencies of the start requests. */
@@ -41,8 +42,6 @@
 
 /** How many times a start request without an answer is sent: starts are idempotent, so a repeated one does no harm. */
 const maxTries = 3
-/** How long a start request without an answer may still be carried out, in ms. The protocol says "seconds later". */
-const maxDelayMs = 15_000
 
 interface UnansweredStart {
   readonly member: Member
@@ -119,7 +118,7 @@
         return 'unsent'
       }
       for (const otherId of unansweredByWorker.keys()) getUnanswered(otherId)
-      unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxDelayMs, incarnationMs }])
+      unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxRequestDelayMs, incarnationMs }])
       return 'lost'
     }
   }
--- a/src/runs/workerLease.ts
+++ b/src/runs/workerLease.ts
@@ -1,5 +1,9 @@
-/** How long the leases of workers last by other clocks than theirs. Source: the workers' protocol, by which their clocks may be 2 % slow. */
+/** How long the leases of workers last by other clocks than theirs, and requests to them stay under way. Source: the workers' protocol. */
 
+/** How long after it was sent a request without a response may be carried out, in ms. The protocol says "seconds later". */
+export const maxRequestDelayMs = 15_000
+
+/** The workers' clocks may be 2 % slow. */
 const slowClockFactor = 1.02
 /** Added to the end of a lease, in ms, for the error in the estimate of the worker's clock. */
 const clockMarginMs = 150
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -10,7 +10,7 @@
 import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
 import type { GrantRecord } from './grantRecord.js'
-import { getLongestDurationMs } from './workerLease.js'
+import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -94,8 +94,6 @@
 
 /** How long after the start of a term the entry of a living worker may still be missing, in ms. Source: the platform's pages say about 2 s. */
 const entryReturnMs = 2_500
-/** How long after it was sent a request without a response may be carried out, in ms. The protocol says "seconds later". */
-const maxRequestDelayMs = 15_000
 /** The most by which a worker's time of day may differ from this host's, in ms. */
 const clockDifferenceMs = 10_000
 
@@ -220,7 +218,6 @@
   function addLink (worker: WorkerState): void {
     const { info } = worker
     firstPolls.set(info.workerId, undefined)
-    let answering = false
     const link = createWorkerLink({
       term,
       logger,
@@ -238,7 +235,6 @@
         return host.onReport(worker, report, sentAtMs, isComplete)
       },
       onReachable: isAnswering => {
-        answering = isAnswering
         if (isAnswering && host.grants.isExcluded(info.workerId)) {
           void includeWorker()
           return
@@ -266,7 +262,7 @@
     /** The worker can be used as soon as it may be granted a lease. */
     async function includeWorker (): Promise<void> {
       await host.grants.include(info.workerId)
-      if (links.get(info.workerId) !== link || !answering) return
+      if (links.get(info.workerId) !== link || !link.isAnswering()) return
       worker.isReachable = true
       link.wake()
       host.onChanged()
