The ends of the leases of silent workers are stored, so that a new term does not wait longer

Callers saw accepted jobs stand still after all hosts had been away, with most of the workers idle (LOST): the worker of a task was lost for good some seconds before the hosts, and the next scheduler waited for its lease until the record of granted leases had gone away, which lasts for the longest lease after the last renewal by the term, whatever the worker had been granted last.

The scheduler that polled the worker without an answer knew when its lease ends, but only in memory. It now excludes a worker that holds runs and has not answered for 500 ms from its record, together with a timer: a key under a lease of the store that lasts until the worker's lease has ended. Both are written in one transaction, so that a record which names a timer that is gone shows that these leases are over. An excluded worker is granted nothing before a record without it is stored. Programs that do not know timers ignore these entries and wait for the whole record, as before.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -83,6 +83,7 @@
       hasReported: () => true,
       isAnswering: () => true,
       isSettled: () => true,
+      getSilentForMs: () => 0,
       getLeaseLeftMs: () => undefined,
       close: () => {}
     }),
--- a/src/runs/grantRecord.test.ts
+++ b/src/runs/grantRecord.test.ts
@@ -43,7 +43,7 @@
   const ending = new AbortController()
   const resignations: string[] = []
   const term: Term = { epoch, leaderKey, leaderRevision: epoch, isValid: () => !ending.signal.aborted, resign: reason => { resignations.push(reason) }, signal: ending.signal }
-  const record = createGrantRecord({ store: wrap(client), term, logger: silentLogger, maxLeaseMs, onEarlierChanged: () => {} })
+  const record = createGrantRecord({ store: wrap(client), term, logger: silentLogger, maxLeaseMs, minTtlMs: 500, onEarlierChanged: () => {} })
   const started = { record, ending, resignations }
   terms.push(started)
   return started
@@ -87,6 +87,83 @@
   expect(third.record.areEarlierLeasesOver('other')).toBe(true)
 })
 
+// The scheduler that polled the worker knew when its lease ends; its successor waited for the life of the whole record.
+test('the leases of a silent worker count as over when their time has passed, also in the next term, and not before', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.record.excludeAfter(['w', 'v'], 3_000)
+  expect(first.record.getMaxGrantMs('w')).toBe(0)
+  await run(500)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(2_400)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(false)
+  await run(200)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(true)
+  expect(second.record.areEarlierLeasesOver('other')).toBe(false)
+})
+
+test('the leases of a silent worker count as over in later terms if their time passed in the term that recorded it', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.record.excludeAfter(['w'], 1_000)
+  await run(1_500)
+  first.record.excludeAfter(['v'], 5_000)
+  await run(500)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(100)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(true)
+  expect(second.record.areEarlierLeasesOver('v')).toBe(false)
+})
+
+// Guards against a lease that ends after its timer: the timer is created some time after the lease was extended, and its write may be repeated.
+test.each([0, 700, 2_500])('with writes that are applied %i ms late, a silent worker is not taken for one whose leases are over', async lateMs => {
+  const first = await startTerm('host-0')
+  await run(100)
+  if (lateMs > 0) memoryStore.delayWrites('host-0', 3, lateMs, grantPrefix)
+  const endsAtMs = performance.now() + 4_000
+  first.record.excludeAfter(['w'], 4_000)
+  await run(1_000)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  while (performance.now() < endsAtMs) {
+    expect(second.record.areEarlierLeasesOver('w')).toBe(false)
+    await run(10)
+  }
+})
+
+test('a silent worker that is included again counts like any other', async () => {
+  const first = await startTerm('host-0')
+  await run(100)
+  first.record.excludeAfter(['w', 'v'], 1_000)
+  await run(300)
+  await Promise.all([first.record.include('w'), run(300)])
+  expect(first.record.getMaxGrantMs('w')).toBe(maxLeaseMs)
+  expect(first.record.getMaxGrantMs('v')).toBe(0)
+  await run(1_000)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(100)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(false)
+  expect(second.record.areEarlierLeasesOver('v')).toBe(true)
+})
+
+// Guards against a timer that the store removes too early, or grants too short.
+test('a silent worker does not count as excluded if the store grants a shorter lease for its timer', async () => {
+  const first = await startTerm('host-0', client => ({
+    ...client,
+    grantLease: async ttlMs => await client.grantLease(ttlMs < 6_000 ? 1_000 : ttlMs)
+  }))
+  await run(100)
+  first.record.excludeAfter(['w'], 5_000)
+  await run(1_500)
+  first.ending.abort()
+  const second = await startTerm('host-1')
+  await run(100)
+  expect(second.record.areEarlierLeasesOver('w')).toBe(false)
+})
+
 // Guards against a lease that the store still denies: the next term would start the work again.
 test('an excluded worker is granted no lease before the store has a record without it', async () => {
   const first = await startTerm('host-0')
@@ -145,7 +222,7 @@
 })
 
 // Guards against an entry of another writer that is taken for a term which has granted nothing.
-test.each(['{', 'null', '{"excluded":"w"}'])('a record that cannot be decoded, %s, excludes no worker', async value => {
+test.each(['{', 'null', '{"excluded":"w"}', '{"excluded":["w"],"silent":["w"]}'])('a record that cannot be decoded, %s, excludes no worker', async value => {
   const first = await startTerm('host-0')
   await run(100)
   first.ending.abort()
--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -23,6 +23,8 @@
   readonly logger: Logger
   /** The longest lease that a worker grants, in ms. */
   readonly maxLeaseMs: number
+  /** The shortest lease that the store grants, in ms. */
+  readonly minTtlMs: number
   /** Called when leases of earlier terms may have turned out to be over. */
   readonly onEarlierChanged: () => void
 }
@@ -37,6 +39,11 @@
   areEarlierLeasesOver (workerId: string): boolean
   /** Records that this term has granted these workers no lease. They are granted none until `include` has resolved. */
   exclude (workerIds: readonly string[]): void
+  /**
+   * Records that all leases of these workers, also those of earlier terms, have certainly ended in `leasesLeftMs`. They are granted none until `include` has
+   * resolved.
+   */
+  excludeAfter (workerIds: readonly string[], leasesLeftMs: number): void
   isExcluded (workerId: string): boolean
   /** Resolves when the stored record does not exclude the worker any more, or at the end of the term. */
   include (workerId: string): Promise<void>
@@ -64,11 +71,24 @@
 /** The most workers that a record excludes: about 30 KB, which a link of 7 Mbit/s carries in 40 ms. */
 const maxExcluded = 2_000
 
-const recordSchema = z.object({ excluded: z.array(z.string()) })
+/**
+ * `silent` lists workers by the key of a timer, which the store removes when the leases of these workers have ended. Programs that do not know the field wait
+ * for the whole record.
+ */
+const recordSchema = z.object({ excluded: z.array(z.string()), silent: z.optional(z.record(z.string(), z.array(z.string()))) })
+type EncodedRecord = z.infer<typeof recordSchema>
 /** The reference names the term that has created it and its lease. */
 const referenceSchema = z.object({ epoch: z.number(), leaseId: z.number() })
 type Reference = z.infer<typeof referenceSchema>
 
+/** Workers that were excluded together while their leases lasted. */
+interface SilentGroup {
+  /** When the last of their leases has ended, by the monotonic clock. */
+  readonly leasesEndAtMs: number
+  /** The key that the store removes at that time or later; undefined while none is stored. */
+  timerKey?: string | undefined
+}
+
 /** A lease of the store that is kept alive. */
 interface KeptLease {
   readonly leaseId: number
@@ -89,7 +109,9 @@
   let lease: KeptLease | undefined
   let createdReference: TransactionWrite | undefined
   let isStored = false
-  const excluded = new Set<string>()
+  /** The excluded workers. Those without a group have been granted no lease by this term. */
+  const excluded = new Map<string, SilentGroup | undefined>()
+  let timerCount = 0
   /** Excluded workers that are included by the next write of the record. */
   const included = new Set<string>()
   let isDirty = false
@@ -97,7 +119,7 @@
   term.signal.addEventListener('abort', onTermEnded, { once: true })
   void start()
 
-  return { isStored: () => isStored, getMaxGrantMs, areEarlierLeasesOver, exclude, isExcluded: workerId => excluded.has(workerId), include, describe }
+  return { isStored: () => isStored, getMaxGrantMs, areEarlierLeasesOver, exclude, excludeAfter, isExcluded: workerId => excluded.has(workerId), include, describe }
 
   function onTermEnded (): void {
     lease?.renewal.stop()
@@ -140,16 +162,21 @@
     const hadReference = hasReference
     hasReference = (tryDecodeReference(reference)?.epoch ?? Infinity) < term.epoch
     if (hadReference && !hasReference) logger.warn('the store has dropped its leases; it is not known how long earlier terms have granted leases')
-    earlierExclusions = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).map(decodeExclusions)
+    const keys = new Set(items.map(({ key }) => key))
+    earlierExclusions = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).map(item => decodeExclusions(item, keys))
     host.onEarlierChanged()
     return { reference, revision }
   }
 
-  /** An entry that cannot be decoded excludes no worker. */
-  function decodeExclusions ({ key, value }: StoredItem): ReadonlySet<string> {
+  /** The workers to which the term of a record has granted no lease that may last. An entry that cannot be decoded excludes no worker. */
+  function decodeExclusions ({ key, value }: StoredItem, existingKeys: ReadonlySet<string>): ReadonlySet<string> {
     const record = recordSchema.safeParse(tryParseJson(value))
-    if (!record.success) logger.warn('a record of granted leases cannot be decoded', { key })
-    return new Set(record.data?.excluded)
+    if (!record.success) {
+      logger.warn('a record of granted leases cannot be decoded', { key })
+      return new Set()
+    }
+    const { excluded, silent = {} } = record.data
+    return new Set([...excluded, ...Object.entries(silent).flatMap(([timerKey, workerIds]) => existingKeys.has(timerKey) ? [] : workerIds)])
   }
 
   // Storing
@@ -196,17 +223,31 @@
   }
 
   function encodeRecord ({ leaseId }: KeptLease): TransactionWrite {
-    const record: z.infer<typeof recordSchema> = { excluded: [...excluded].filter(workerId => !included.has(workerId)) }
+    const nowMs = performance.now()
+    const record: EncodedRecord = { excluded: [] }
+    for (const [workerId, group] of excluded) {
+      if (included.has(workerId)) continue
+      if (group === undefined || group.leasesEndAtMs <= nowMs) record.excluded.push(workerId)
+      else if (group.timerKey !== undefined) ((record.silent ??= {})[group.timerKey] ??= []).push(workerId)
+    }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
 
   // Exclusions
 
   function exclude (workerIds: readonly string[]): void {
-    // Without the reference this term does not know whether earlier leases have ended, and later terms could not tell.
-    if (!hasReference || workerIds.length === 0) return
-    for (const workerId of workerIds.slice(0, maxExcluded)) excluded.add(workerId)
-    requestWrite()
+    // Without the reference this term does not know whether the leases of earlier terms have ended, and later terms could not tell.
+    if (hasReference) addExcluded(workerIds)
+  }
+
+  function excludeAfter (workerIds: readonly string[], leasesLeftMs: number): void {
+    addExcluded(workerIds, { leasesEndAtMs: performance.now() + leasesLeftMs })
+  }
+
+  function addExcluded (workerIds: readonly string[], group?: SilentGroup): void {
+    const added = workerIds.filter(workerId => !excluded.has(workerId)).slice(0, maxExcluded - excluded.size)
+    for (const workerId of added) excluded.set(workerId, group)
+    if (added.length > 0) requestWrite()
   }
 
   async function include (workerId: string): Promise<void> {
@@ -244,14 +285,27 @@
 
   async function tryWriteExclusions (): Promise<boolean> {
     if (lease === undefined) return false
+    const groups = [...new Set(excluded.values())].flatMap(group => group === undefined || group.timerKey !== undefined || group.leasesEndAtMs <= performance.now() ? [] : group)
+    let isCommitted = false
     try {
-      const result = await transactGuarded(store, guard, { expected: [leaderCondition], writes: [encodeRecord(lease)] })
+      const timer = groups.length === 0 ? undefined : await createTimer(Math.max(...groups.map(({ leasesEndAtMs }) => leasesEndAtMs)))
+      for (const group of groups) group.timerKey = timer?.key
+      const result = await transactGuarded(store, guard, { expected: [leaderCondition], writes: [encodeRecord(lease), ...timer === undefined ? [] : [timer]] })
       if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
-      return result.isCommitted
+      isCommitted = result.isCommitted
     } catch (error) {
       logger.info('failed to write the record of granted leases', { error: String(error) })
-      return false
     }
+    // It is not known whether the timer is stored, so that the next write creates another one.
+    if (!isCommitted) for (const group of groups) group.timerKey = undefined
+    return isCommitted
+  }
+
+  /** Creates a key that is there until `endsAtMs`, by the monotonic clock, or longer; undefined if the store grants no such lease. */
+  async function createTimer (endsAtMs: number): Promise<TransactionWrite | undefined> {
+    const neededMs = Math.max(0, endsAtMs - performance.now())
+    const { leaseId, ttlMs } = await store.grantLease(Math.ceil(Math.max(neededMs, host.minTtlMs)))
+    return ttlMs < neededMs ? undefined : { key: `${ownKey}/${++timerCount}`, value: '', leaseId }
   }
 }
 
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -79,6 +79,63 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// A worker left for good seconds before all hosts lost power. The next term waited as if its lease had been extended until then.
+test.each([1_500, 4_000, 8_000])('a job does not wait beyond the lease of a worker that was silent for %i ms before all hosts were away', async silentMs => {
+  harness.crashWorker(getRunningOn('a.0.0.0'), { awayMs: goneMs, keepsId: false })
+  await run(silentMs)
+  harness.hosts.get('host-0')?.crash()
+  await run(1.1 * maxLeaseMs - silentMs)
+  harness.addHost('host-1')
+  await waitForState('a', JobState.Complete, lostAfterMs + 500)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The same with terms in series: each knows for itself which of its leases have ended.
+test('a job does not wait beyond the lease of a worker that was silent before the second of two terms ended', async () => {
+  harness.hosts.get('host-0')?.crash()
+  harness.addHost('host-1')
+  await run(3_000)
+  const workerId = getRunningOn('a.0.0.0')
+  harness.crashWorker(workerId, { awayMs: goneMs, keepsId: false })
+  await run(4_000)
+  harness.hosts.get('host-1')?.crash()
+  await run(1.1 * maxLeaseMs - 4_000)
+  harness.addHost('host-2')
+  await waitForState('a', JobState.Complete, lostAfterMs + 500)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against two runs at once: a silent worker goes on behind a cut, with a slow clock, until its lease ends.
+test.each([
+  [600, 1_000], [1_500, 4_000], [3_000, 6_000], [4_000, 5_500], [5_000, 4_700], [8_000, 1_800], [9_500, 500]
+])('a run behind a cut that was silent for %i ms before all hosts were away for %i ms is not started again while its lease lasts', async (silentMs, awayMs) => {
+  for (const worker of harness.workers.values()) worker.setClockRate(0.98)
+  await run(2_000)
+  cutOff(getRunningOn('a.0.0.0'))
+  await run(silentMs)
+  harness.hosts.get('host-0')?.crash()
+  await run(awayMs)
+  harness.addHost('host-1')
+  await waitForState('a', JobState.Complete, 2 * maxLeaseMs)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against a lease that is granted while the store still has an end for it: the worker answered and was cut off again.
+test('a worker that answers again after its silence was recorded is granted leases that count for the next term', async () => {
+  const workerId = getRunningOn('a.0.0.0')
+  harness.workers.get(workerId)?.setUnreachable(true)
+  await run(4_000)
+  harness.workers.get(workerId)?.setUnreachable(false)
+  await run(2_000)
+  harness.hosts.get('host-0')?.crash()
+  cutOff(workerId)
+  await run(6_000)
+  expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId, run: 1 }])
+  harness.addHost('host-1')
+  await waitForState('a', JobState.Complete, 2 * maxLeaseMs)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // Guards against two runs at once: the end of a lease is only known by what has outlived all hosts.
 test.each([0, 1_000, 4_000, 7_000, 8_500, 9_500, 10_200, 10_600, 11_500, 13_000])('a run that goes on behind a cut is not started again while its lease lasts, on a slow clock, if all hosts were away for %i ms', async awayMs => {
   for (const worker of harness.workers.values()) worker.setClockRate(0.98)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -4,6 +4,7 @@
 import type { BacklogSummary } from '../admission/backlogSummary.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
+import { defaultMinTtlMs } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import type { Configuration, QueueSettings } from '../configuration/configuration.js'
@@ -48,6 +49,8 @@
   readonly reclaimMs: number
   /** A service task counts as unavailable until it has been running at full progress for this long, in ms. */
   readonly noticeMs: number
+  /** The shortest lease that the store grants, in ms; undefined if it is not known. */
+  readonly storeMinTtlMs?: number | undefined
   /** How what callers lose by a delay is weighed; the defaults if it is not given. */
   readonly costSettings?: CostSettings
 }
@@ -135,7 +138,7 @@
     onTooLarge: job => { void writer.commit(job) },
     onOccurrenceDue: schedulePlan
   })
-  const grants = createGrantRecord({ store: host.store, term, logger, maxLeaseMs: host.bounds.maxLeaseMs, onEarlierChanged: () => { pool.reviewLeases() } })
+  const grants = createGrantRecord({ store: host.store, term, logger, maxLeaseMs: host.bounds.maxLeaseMs, minTtlMs: host.bounds.storeMinTtlMs ?? defaultMinTtlMs, onEarlierChanged: () => { pool.reviewLeases() } })
   const pool = createWorkerPool({
     term,
     logger,
@@ -237,6 +240,7 @@
     while (!term.signal.aborted) {
       table.addDueOccurrences(Date.now())
       pool.checkReachability()
+      pool.recordSilent()
       schedulePlan()
       const nowMs = performance.now()
       if (nowMs - stallsUpdatedAtMs >= stallUpdateMs) {
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -63,6 +63,8 @@
   isAnswering (): boolean
   /** Tells whether the worker has answered or its lease has certainly expired. */
   isSettled (): boolean
+  /** How long the worker has not answered, in ms; 0 if it has answered the latest poll. */
+  getSilentForMs (): number
   /** How long the worker's lease may still last although the worker does not answer, in ms; undefined if it answers, or its lease is over. */
   getLeaseLeftMs (): number | undefined
   close (): void
@@ -109,6 +111,7 @@
   /** Polls that have failed since the last answer. */
   let failedPolls = 0
   let isReachable = false
+  let silentSinceMs = performance.now()
   let isLeaseOver = false
   let isClosed = false
   let isCheckDue = false
@@ -118,7 +121,7 @@
   let latestLeaseEndMs = getLatestLeaseEndMs()
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getLeaseLeftMs, close }
+  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, close }
 
   function close (): void {
     isClosed = true
@@ -167,6 +170,10 @@
     return Math.floor(getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs) + grantMs)
   }
 
+  function getSilentForMs (): number {
+    return isReachable ? 0 : performance.now() - silentSinceMs
+  }
+
   function getLeaseLeftMs (): number | undefined {
     if (isReachable || isLeaseOver) return undefined
     return host.areAllLeasesOver() ? 0 : Math.max(0, latestLeaseEndMs - performance.now())
@@ -246,6 +253,7 @@
     if (isReachable) {
       logger.warn('poll of a worker failed', { workerId: info.workerId, error: String(error) })
       isReachable = false
+      silentSinceMs = performance.now()
       host.onReachable(false)
     }
     if (isOtherIncarnation(error) && !isLeaseOver) {
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -22,7 +22,7 @@
   readonly maxLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
   /** What this term and earlier ones have recorded about the leases that they have granted. */
-  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'exclude' | 'isExcluded' | 'include'>
+  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'exclude' | 'excludeAfter' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
   readonly isWorkerListCurrent: () => boolean
   /** The members on the worker that have not ended. */
@@ -57,6 +57,8 @@
   describeUnanswered (): object
   /** Records that the workers which have not answered yet, and hold members, have been granted no lease by this term. */
   recordUnanswered (): void
+  /** Records when the leases of workers that hold runs and do not answer will have ended, so that a later term need not wait longer. */
+  recordSilent (): void
   /** Must be called when more has become known of the leases of earlier terms. */
   reviewLeases (): void
   /** Resigns the term when most of the workers that have been polled have been unreachable for too long. */
@@ -92,6 +94,13 @@
  */
 const leasesPerHandOver = 2
 
+/** How long a worker has not answered, in ms, when the end of its lease is recorded: brief losses of the connection cost no write. */
+const minSilenceMs = 500
+/** Interval in ms at which the ends of leases are recorded at most. */
+const silentRecordPeriodMs = 500
+/** The most workers that a log line names. */
+const maxLoggedWorkers = 20
+
 /** How long after the start of a term the entry of a living worker may still be missing, in ms. Source: the platform's pages say about 2 s. */
 const entryReturnMs = 2_500
 /** The most by which a worker's time of day may differ from this host's, in ms. */
@@ -116,6 +125,7 @@
   /** Where the next check of a domain with more idle workers begins. */
   let checkOffset = 0
   let unreachableSinceMs: number | undefined
+  let silentRecordedAtMs = -Infinity
   const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
   const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
   /** The workers whose first poll has not ended, and when it was sent; undefined while it waits to be sent. */
@@ -123,7 +133,7 @@
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
 
-  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, describeUnanswered, recordUnanswered, reviewLeases, checkReachability, close }
+  return { workers, getLink: workerId => links.get(workerId), refresh, addUnlisted, areSettled, describeUnanswered, recordUnanswered, recordSilent, reviewLeases, checkReachability, close }
 
   function hasMembers (workerId: string): boolean {
     return host.getMembers(workerId).size > 0
@@ -146,6 +156,18 @@
     host.grants.exclude([...links].flatMap(([workerId, link]) => !link.isSettled() && !granted.has(workerId) && hasMembers(workerId) ? workerId : []))
   }
 
+  function recordSilent (): void {
+    const nowMs = performance.now()
+    if (nowMs - silentRecordedAtMs < silentRecordPeriodMs) return
+    const silent = [...links].filter(([workerId, link]) => link.getSilentForMs() >= minSilenceMs && hasMembers(workerId) && !host.grants.isExcluded(workerId))
+    if (silent.length === 0) return
+    silentRecordedAtMs = nowMs
+    const workerIds = silent.map(([workerId]) => workerId)
+    const leasesLeftMs = Math.max(0, ...silent.map(([, link]) => link.getLeaseLeftMs() ?? 0))
+    logger.info('workers that do not answer are granted no lease', { workers: workerIds.length, workerIds: workerIds.slice(0, maxLoggedWorkers), leasesLeftMs: Math.round(leasesLeftMs) })
+    host.grants.excludeAfter(workerIds, leasesLeftMs)
+  }
+
   function reviewLeases (): void {
     for (const link of [...links.values()]) link.reviewLease()
   }
@@ -331,6 +353,8 @@
   }
 
   function removeWorker (worker: WorkerState): void {
+    // Its runs have ended: the record keeps only workers that a later term would wait for.
+    void host.grants.include(worker.info.workerId)
     links.get(worker.info.workerId)?.close()
     links.delete(worker.info.workerId)
     firstPolls.delete(worker.info.workerId)
