A unit that has lost its worker is not held back like a preempted one

Callers saw a task wait for another second in an idle pool after the loss of its worker had been found out (LOST): the planner holds back a unit that has been preempted, so that the next urgent job does not stop it again, and counted every run that had not failed. The record of stalled jobs named nothing else: `isHeldBack`, with room on 171 of 172 usable workers.

Attempts that are stopped to make room for other work are marked, and a unit counts those of its latest runs that ended so. A run that ends in another way ends the count.

The tests of held back units set the count of preemptions where they set the number of runs before.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -69,6 +69,8 @@
   /** The start requests may be sent: the plan is stored, and the workers have free capacity for all members. */
   isDispatched: boolean
   stopReason?: string
+  /** It is being stopped to make room for other work. */
+  isPreempted: boolean
 }
 
 /** How strongly crashes of workers speak against a unit. */
@@ -133,6 +135,8 @@
   /** The crashes of workers under its runs, oldest first. */
   crashes: CrashRecord[]
   suspicion: Suspicion
+  /** How many of its latest runs in this term were preempted one after the other. */
+  preemptedRuns: number
   /** It is not started, because workers have crashed under it and what is known of them is not complete yet. */
   isWithheld: boolean
   waitingSinceMs: number
@@ -190,6 +194,7 @@
     avoidedWorkers: new Set<string>(),
     crashes: [],
     suspicion: Suspicion.None,
+    preemptedRuns: 0,
     isWithheld: false,
     waitingSinceMs: nowMs,
     dueAtMs
@@ -234,7 +239,7 @@
   assert(places.length === unit.size, 'an attempt must have a worker for every member of its unit')
   assert(run > unit.run, 'run numbers must increase')
   unit.run = run
-  const attempt: Attempt = { unit, run, members: [], plannedAtMs: nowMs, isRestored: false, isDispatched: false }
+  const attempt: Attempt = { unit, run, members: [], plannedAtMs: nowMs, isRestored: false, isDispatched: false, isPreempted: false }
   places.forEach((place, offset) => {
     attempt.members.push(createMember(attempt, unit.index + offset, place, MemberState.Planned, nowMs))
   })
@@ -466,7 +471,7 @@
   failedRuns.forEach(failedRun => unit.failedRuns.add(failedRun))
   unit.crashes = crashes.flatMap((stored, position) => restoreCrash(stored, position, nowMs))
   for (const [attemptRun, members] of attempts) {
-    const attempt: Attempt = { unit, run: attemptRun, members: [], plannedAtMs: nowMs, isRestored: true, isDispatched: true }
+    const attempt: Attempt = { unit, run: attemptRun, members: [], plannedAtMs: nowMs, isRestored: true, isDispatched: true, isPreempted: false }
     for (const [memberIndex, workerId, bornAtMs, machine = workerId] of members) attempt.members.push(createMember(attempt, memberIndex, { workerId, bornAtMs, machine }, MemberState.StartSent, nowMs))
     unit.attempts.push(attempt)
   }
--- a/src/placement/idlePool.test.ts
+++ b/src/placement/idlePool.test.ts
@@ -112,10 +112,10 @@
   }
 })
 
-test('a task that has been stopped several times does not wait for a second for each of its runs', () => {
+test('a task that has been preempted several times does not wait for a second for each of its runs', () => {
   const harness = createHarness(2)
   const stopped = add(harness, 'stopped', 'batch', { request: small, estimateMs: 60_000 })
-  for (const unit of getUnits(stopped)) unit.run = 5
+  for (const unit of getUnits(stopped)) unit.run = unit.preemptedRuns = 5
   jest.advanceTimersByTime(maxWaitMs - 100)
   harness.plan()
   expect(countStarted(stopped)).toBe(0)
@@ -185,7 +185,7 @@
     const harness = createHarness(workers)
     const submit = (row: typeof last, jobId: string, isGang: boolean): TrackedJob => {
       const job = add(harness, jobId, row.queue, { count: isGang ? row.count : 1, isGang, estimateMs: row.estimateMs, request: { cpuMilli: row.cpuMilli, memoryMb: 8_000, accelerators: row.accelerators } }, row.suspicion)
-      for (const unit of getUnits(job)) unit.run = row.runs
+      for (const unit of getUnits(job)) unit.run = unit.preemptedRuns = row.runs
       return job
     }
     const jobs = rows.map((row, index) => submit(row, `job${index}`, row.isGang))
--- a/src/placement/patientWork.test.ts
+++ b/src/placement/patientWork.test.ts
@@ -113,6 +113,7 @@
       startsAtMs.push(elapsedMs)
       unit.attempts[0].stopReason = 'preempted'
       endAttempts(harness, batch, false)
+      unit.preemptedRuns++
     }
     jest.advanceTimersByTime(100)
   }
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -47,7 +47,8 @@
   readonly getPermittedWorkers: (unit: Unit, workerIds: readonly string[]) => ReadonlySet<string> | 'all' | undefined
   /** Allocates resources on the workers and starts the unit there as soon as these resources are free. */
   readonly startAttempt: (unit: Unit, workerIds: readonly string[]) => void
-  readonly stopAttempt: (attempt: Attempt, reason: string) => void
+  /** Stops an attempt to make room for other work. */
+  readonly preemptAttempt: (attempt: Attempt, reason: string) => void
 }
 
 /** The planner of one scheduler term. */
@@ -74,7 +75,7 @@
   readonly headroomAccelerators: number
 }
 
-/** How long a unit that has been preempted waits for each of its runs, in ms: about as long as a burst's urgent job runs. */
+/** How long a unit that has been preempted waits for each run that was preempted since a run ended in another way, in ms: about as long as a burst's urgent job runs. */
 const restartDelayMs = 1_000
 /**
  * How long units are held back for the sake of other work while most of their service's pool is idle, in ms. By the platform's rules a job must not wait for
@@ -326,7 +327,7 @@
       slackMs: Math.round(getLimits(unit).latestStartMs - nowMs)
     })
     startAttempt(unit, preemption.places)
-    for (const attempt of preemption.victims) host.stopAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
+    for (const attempt of preemption.victims) host.preemptAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
     forgetVictims()
     return true
   }
@@ -390,12 +391,12 @@
   }
 
   /**
-   * Tells whether a unit that was preempted waits before it starts again: longer after each run, but only while it could be preempted once more
+   * Tells whether a unit that was preempted waits before it starts again: longer after each preemption, but only while it could be preempted once more
    * and still meet its objective, and not for long in an idle pool. Load: a burst of urgent gangs, each of which would stop the same small tasks that have just started anew.
    */
   function isHeldBack (unit: Unit): boolean {
-    if (unit.run === unit.failedRuns.size || !isPatient(unit)) return false
-    return performance.now() - unit.waitingSinceMs < restartDelayMs * (unit.run - unit.failedRuns.size) && !isHoldOver(unit)
+    if (unit.preemptedRuns === 0 || !isPatient(unit)) return false
+    return performance.now() - unit.waitingSinceMs < restartDelayMs * unit.preemptedRuns && !isHoldOver(unit)
   }
 
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -64,6 +64,8 @@
    * unavailable already.
    */
   stopAttempt (attempt: Attempt, reason: string): boolean
+  /** Stops an attempt like `stopAttempt`, to make room for other work: its unit is then held back for a while. */
+  preemptAttempt (attempt: Attempt, reason: string): boolean
   cancelJob (job: TrackedJob): void
   /** Takes over the attempts of a job that a previous scheduler has stored. */
   restoreAttempts (job: TrackedJob): void
@@ -114,7 +116,7 @@
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
 
-  return { planAttempt, dispatchPlanned, stopAttempt, cancelJob, restoreAttempts, onReport, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports }
+  return { planAttempt, dispatchPlanned, stopAttempt, preemptAttempt, cancelJob, restoreAttempts, onReport, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports }
 
   function getMembers (workerId: string): Set<Member> {
     let members = membersByWorker.get(workerId)
@@ -257,6 +259,13 @@
     return true
   }
 
+  function preemptAttempt (attempt: Attempt, reason: string): boolean {
+    if (attempt.stopReason !== undefined) return true
+    attempt.isPreempted = true
+    attempt.isPreempted = stopAttempt(attempt, reason)
+    return attempt.isPreempted
+  }
+
   /** Stops an attempt whether or not other tasks of its step are unavailable. */
   function beginStop (attempt: Attempt, reason: string): void {
     if (attempt.stopReason !== undefined) return
@@ -484,6 +493,7 @@
     const position = unit.attempts.indexOf(attempt)
     if (position >= 0) unit.attempts.splice(position, 1)
     unit.waitingSinceMs = performance.now()
+    unit.preemptedRuns = attempt.isPreempted ? unit.preemptedRuns + 1 : 0
   }
 
   function updateJobState (job: TrackedJob): void {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -208,7 +208,7 @@
     costSettings: host.bounds.costSettings ?? defaultCostSettings,
     getPermittedWorkers,
     startAttempt: controller.planAttempt,
-    stopAttempt: controller.stopAttempt
+    preemptAttempt: controller.preemptAttempt
   })
   const stalledJobs = createStalledJobs({ logger, getUnfinishedJobs: table.getUnfinished, getWorkers: () => pool.workers.values(), describeWait: planner.describeWait, getLeaseLeftMs: workerId => pool.getLink(workerId)?.getLeaseLeftMs() })
   const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt })
--- a/src/testing/plannerHarness.ts
+++ b/src/testing/plannerHarness.ts
@@ -50,7 +50,7 @@
     costSettings: defaultCostSettings,
     getPermittedWorkers: () => 'all',
     startAttempt,
-    stopAttempt: attempt => {
+    preemptAttempt: attempt => {
       attempt.stopReason = 'preempted'
       stopped.push(attempt)
     }
