A term of a host that has followed the store does not wait anew for missing entries of workers

The entry of a living worker may be missing for about two seconds after the store's return, so each term waited 2.5 s from its own start before it took a missing worker for gone; terms shorter than that never got there.

What the wait protects from is an absence of the store. Each host now measures for how long the store has answered it without interruption, and a term counts the time before its start. A failed call, a pause between calls or a suspension of the host begins the measure anew; the wait is never longer than before.

runs/leasesAfterTakeover.test.ts: 'a series of short terms does not prolong the wait for the entry of a worker that is gone'.

--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -32,6 +32,7 @@
 import { loadPlatformSettings } from './platformSettings.js'
 import { createAdviceClient, createMachineClient, encodeWaveStatus, tryDecodeWave, wavePrefix, waveStatusPrefix } from './serviceClients.js'
 import { createHttpStore } from './httpStore.js'
+import { createStoreContact } from '../store/storeContact.js'
 import { createHttpWorker } from './httpWorker.js'
 import { tryDecodeWorker, workerListPrefix } from './workerEntries.js'
 
@@ -56,7 +57,7 @@
 const metrics = createHostMetrics()
 const stopping = new AbortController()
 /** The direct store, used by the scheduler and the election. The job API uses `relayedStore`, which may also reach the store through peers. */
-const store = createHttpStore(settings.storeAddress)
+const { store, getContactMs: getStoreContactMs } = createStoreContact(createHttpStore(settings.storeAddress))
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
 const hasFastLink = settings.linkMbps >= smallLinkMbps
 const isSmall = settings.cpuShare < smallCpuShare || !hasFastLink
@@ -147,6 +148,7 @@
     bounds: settings,
     getListedWorkers: list.get,
     isWorkerListCurrent: list.isCurrent,
+    getStoreContactMs,
     connect: createHttpWorker,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -1,5 +1,6 @@
 /** Runs on workers that are gone for good: whoever takes over waits for their leases, which may have ended long ago. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { leaderKey } from '../election/leaderElection.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
@@ -105,6 +106,20 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// Each term waited anew for the entries of workers that are missing in the list, and ended before that wait, although its host had followed the store for long.
+test('a series of short terms does not prolong the wait for the entry of a worker that is gone', async () => {
+  for (let index = 1; index <= 4; index++) harness.addHost(`host-${index}`)
+  await run(1_000)
+  harness.crashWorker(getRunningOn('a.0.0.0'), { awayMs: goneMs, keepsId: false })
+  await run(0.8 * maxLeaseMs)
+  for (let takeover = 0; takeover < 4; takeover++) {
+    harness.hosts.get(harness.store.peek(leaderKey) ?? '')?.crash()
+    await run(1_900)
+  }
+  await waitForState('a', JobState.Complete, 100)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // Guards against two runs at once: a silent worker goes on behind a cut, with a slow clock, until its lease ends.
 test.each([
   [600, 1_000], [1_500, 4_000], [3_000, 6_000], [4_000, 5_500], [5_000, 4_700], [8_000, 1_800], [9_500, 500]
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -65,6 +65,8 @@
   readonly getListedWorkers: () => readonly ListedWorker[] | undefined
   /** Tells whether the list is recent enough to start work by it. */
   readonly isWorkerListCurrent: () => boolean
+  /** How long the store has answered this host without interruption, in ms, also before the term. */
+  readonly getStoreContactMs: () => number
   readonly connect: (info: ListedWorker) => WorkerPort
   readonly getConfiguration: () => Configuration | undefined
   /** The operators' requests to evacuate failure domains, if the deployment has them. */
@@ -146,6 +148,7 @@
     connect: host.connect,
     grants,
     isWorkerListCurrent: host.isWorkerListCurrent,
+    getStoreContactMs: host.getStoreContactMs,
     getMembers: workerId => controller.getMembers(workerId),
     needsReports: workerId => controller.needsReports(workerId),
     hasUnansweredStart: workerId => controller.hasUnansweredStart(workerId),
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -25,6 +25,8 @@
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'exclude' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
   readonly isWorkerListCurrent: () => boolean
+  /** How long the store has answered this host without interruption, in ms. */
+  readonly getStoreContactMs: () => number
   /** The members on the worker that have not ended. */
   readonly getMembers: (workerId: string) => ReadonlySet<Pick<Member, 'bornAtMs'>>
   /** Tells whether the worker's reports are needed: it has members, or a start request without an answer may still be carried out there. */
@@ -103,7 +105,7 @@
 /** The most workers that a log line names. */
 const maxLoggedWorkers = 20
 
-/** How long after the start of a term the entry of a living worker may still be missing, in ms. Source: the platform's pages say about 2 s. */
+/** How long after the store's return the entry of a living worker may still be missing, in ms. Source: the platform's pages say about 2 s. */
 const entryReturnMs = 2_500
 /** The most by which a worker's time of day may differ from this host's, in ms. */
 const clockDifferenceMs = 10_000
@@ -303,7 +305,7 @@
    */
   function isOnlyLife ({ info, isListed }: WorkerState): boolean {
     const isMissing = !isListed || info.address === ''
-    if (isMissing && performance.now() - startedAtMs < entryReturnMs) return false
+    if (isMissing && Math.max(performance.now() - startedAtMs, host.getStoreContactMs()) < entryReturnMs) return false
     return host.isWorkerListCurrent() && Date.now() - info.bornAtMs > youngLifeMs && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -17,6 +17,7 @@
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby } from '../runs/warmStandby.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
+import { createStoreContact } from '../store/storeContact.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
@@ -295,7 +296,7 @@
       frozenUntilMs = performance.now() + renewalFreezeMs
       renewalFreezeMs = undefined
     }
-    const client = freezeStore(failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed), awaitThaw, onStoreAnswer)
+    const { store: client, getContactMs } = createStoreContact(freezeStore(failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed), awaitThaw, onStoreAnswer))
     let term: Term | undefined
     let scheduler: Scheduler | undefined
     const rank = takeRank(hostId)
@@ -341,6 +342,7 @@
           bounds: { maxLeaseMs, stopMs: 400, retentionMs: 120_000, reclaimMs: 2_900, noticeMs: 1_000 },
           getListedWorkers: list.get,
           isWorkerListCurrent: list.isCurrent,
+          getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
           connect: info => freezePort(connect(hostId, info, () => hasCrashed), awaitThaw),
