--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -13,6 +13,7 @@
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
 import { grantPrefix } from './grantRecord.js'
+import { getLongestDurationMs } from './workerLease.js'
 
 const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3').split(',').map(Number)
 const maxLeaseMs = 6_000
@@ -21,14 +22,16 @@
 /** At most this many workers leave for good, so that half of the pool is left. */
 const maxGone = 4
 const goneMs = 3_600_000
-/** An absence of all hosts after which every lease has ended, with the margins of slow clocks and of the record. */
+/** Every lease has ended this long after its last extension, with the margins of slow clocks and of the record. */
 const longAbsenceMs = 8_000
+/** The last absence of all hosts is at least this long, in ms: shorter than a lease. */
+const minAbsenceMs = 1_000
+/** The shortest time, in ms, for which a worker is silent before the last absence; in a shorter one the scheduler can hardly record it. */
+const minSilenceMs = 1_500
 /** What was done late has been done after this, in ms: requests come up to 12 s late, cuts last up to 16 s. */
 const settleMs = 18_000
-/** How long a takeover takes at most, in ms. */
-const takeoverMs = 1_500
 const lookPeriodMs = 100
-/** The run of this job's task lasts beyond the last absence, and its worker leaves for good during it. */
+/** The run of this job's task lasts beyond the last absence, and its worker leaves for good before it or when it begins. */
 const lastJobId = 'last'
 const lastWorkMs = 120_000
 
@@ -85,10 +88,16 @@
   expect(location).toBeDefined()
   hasLastLeft = true
   harness.crashWorker(location?.workerId ?? '', { awayMs: goneMs, keepsId: true })
+  const leftAtMs = performance.now()
+  await run(random(3) === 0 ? 0 : minSilenceMs + 100 * random(60))
+  const isSilent = performance.now() - leftAtMs >= minSilenceMs
   for (const host of [...harness.hosts.values()]) host.crash()
-  await run(longAbsenceMs + 100 * random(40))
+  const absentAtMs = performance.now()
+  await run(minAbsenceMs + 100 * random(110))
   addHosts()
-  await run(takeoverMs)
+  // What the scheduler could not record before the absence is waited for as if its lease had been extended until then.
+  const leasesEndAtMs = (isSilent ? leftAtMs : absentAtMs) + getLongestDurationMs(maxLeaseMs)
+  await run(Math.max(0, leasesEndAtMs - performance.now()))
   const check = createLivenessCheck(harness)
   const standing: string[] = []
   for (let elapsedMs = 0; elapsedMs < 25_000; elapsedMs += lookPeriodMs) {
