Planning pass: search for workers only where the pool has room for the unit

Cause: each step that waits ranked all workers in every pass, also while nothing with its requirements fits; and the search for a reservation counted the room of all workers anew after the end of each run.

Fix: a pass remembers which requirements have no room in the free capacity (placement/poolRoom.ts) and skips the search for them until a preemption releases capacity, since starts only take it. tryReserve counts only the worker whose run ends, and ignores ends after the best start found.

--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -48,6 +48,7 @@
 export function placeTasks (unit: Unit, count: number, freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerState[] = []
+  if (count <= 0) return places
   const placedCounts = new Map<WorkerState, number>()
   for (const group of getGroups(unit, freeCapacity)) {
     for (const worker of getFittingWorkers(unit, group, freeCapacity, rules)) {
@@ -97,7 +98,7 @@
 }
 
 /** Tells whether the workers could hold the whole unit if nothing else ran on them. */
-function canHoldWhenEmpty (unit: Unit, workers: readonly WorkerState[]): boolean {
+export function canHoldWhenEmpty (unit: Unit, workers: readonly WorkerState[]): boolean {
   const { request, spreadLimit = Infinity } = unit.spec
   let count = 0
   for (const worker of workers) {
@@ -110,7 +111,8 @@
   return count >= unit.size
 }
 
-function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
+/** The workers by rack. */
+export function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
   const racks = new Map<string, WorkerState[]>()
   for (const worker of workers) {
     const rack = racks.get(worker.info.rack)
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -19,6 +19,8 @@
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import type { VictimsByWorker } from './preemption.js'
+import { createPoolRoom } from './poolRoom.js'
+import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
 import { tryReserve } from './reservation.js'
@@ -116,6 +118,10 @@
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
   /** The use of the services' pools; computed at the start of each planning pass. */
   let poolUse: PoolUse = createPoolUse(new Map())
+  /** What fits into the free capacity at all; created at the start of each planning pass. */
+  let poolRoom: PoolRoom = createPoolRoom(new Map())
+  /** The ids of the usable workers; determined at the start of each planning pass. */
+  let usableIds: readonly string[] = []
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
   /** For a unit that has been held back for long enough: other units on a worker only count against it, and reservations bind it only while its job progresses. */
   const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: (unit, worker) => isJobRunning(unit) && hasBindingReservation(unit, worker), countConflicts }
@@ -149,6 +155,8 @@
     hasSuspects = unfinished.some(isSuspect)
     const ordered = order(waiting)
     recordDemand(freeCapacity)
+    poolRoom = createPoolRoom(freeCapacity)
+    usableIds = [...freeCapacity.keys()].map(worker => worker.info.workerId)
     reservations.clear()
     reservedUnits = 0
     usageByWorker = new Map()
@@ -166,10 +174,11 @@
     for (let unit = remaining[0]; unit !== undefined; unit = remaining[0]) {
       const permitted = getPermittedCapacity(unit, freeCapacity)
       if (permitted === undefined) return false
-      const placed = unit.size === 1 ? startTasks(remaining, permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
+      const hasRoom = permitted !== freeCapacity || poolRoom.hasRoom(unit)
+      const placed = !hasRoom ? 0 : unit.size === 1 ? startTasks(remaining, permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
       remaining.splice(0, placed)
       if (placed > 0) continue
-      const overdue = remaining.findIndex(isHoldOver)
+      const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
       if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
       else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
       else return false
@@ -282,7 +291,7 @@
 
   /** The free capacity of the workers that may run the unit; undefined while none is known. */
   function getPermittedCapacity (unit: Unit, freeCapacity: FreeCapacity): FreeCapacity | undefined {
-    const permitted = host.getPermittedWorkers(unit, [...freeCapacity.keys()].map(worker => worker.info.workerId))
+    const permitted = host.getPermittedWorkers(unit, usableIds)
     if (permitted === 'all') return freeCapacity
     return permitted === undefined ? undefined : new Map([...freeCapacity].filter(([worker]) => permitted.has(worker.info.workerId)))
   }
@@ -291,6 +300,7 @@
   function tryPreemptOrReserve (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
     if (tryPreemptFor(unit, permitted)) {
       for (const worker of freeCapacity.keys()) freeCapacity.set(worker, getFreeCapacity(worker))
+      poolRoom.clear()
       return true
     }
     if (!isSuspect(unit) && reservedUnits < maxReservedUnits) reserve(unit, permitted)
--- a/src/placement/reservation.test.ts
+++ b/src/placement/reservation.test.ts
@@ -1,9 +1,16 @@
 /** The remaining time of a run, also when it is older than the scheduler's term or resumes from a checkpoint. */
 import { expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import type { Resources } from '../jobs/jobModel.js'
 import { createAttempt, createTrackedJob, getUnits, MemberState } from '../jobs/trackedJob.js'
 import type { Member, Unit } from '../jobs/trackedJob.js'
-import { makeJob, makeStep } from '../testing/poolHarness.js'
-import { getRemainingMs } from './reservation.js'
+import { harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
+import { addResources, createWorkerState, fits, subtractResources } from '../workers/workerState.js'
+import type { WorkerState } from '../workers/workerState.js'
+import { getGroups } from './placeUnit.js'
+import type { FreeCapacity } from './placeUnit.js'
+import { getRemainingMs, tryReserve } from './reservation.js'
+import type { Reservation } from './reservation.js'
 
 const estimateMs = 8_000
 
@@ -39,3 +46,56 @@
   expect(getRemainingMs(run, 6_000)).toBe(15_000)
   expect(getRemainingMs(run, 60_000)).toBe(0)
 })
+
+test('a gang is given the workers and the start that a search after each end finds, and none if it would never fit', () => {
+  const requestArbitrary = fc.record({ cpuMilli: fc.constantFrom(2_000, 7_500, 26_000), memoryMb: fc.constant(8_000), accelerators: fc.constantFrom(0, 1, 2, 4, 8) })
+  const runArbitrary = fc.record({ request: requestArbitrary, estimateMs: fc.constantFrom(500, 2_000, 2_000, 8_000), isService: fc.constantFrom(false, false, false, true), isEnded: fc.constantFrom(false, false, false, true) })
+  const poolArbitrary = fc.array(fc.array(runArbitrary, { maxLength: 4 }), { minLength: 1, maxLength: 9 })
+  fc.assert(fc.property(poolArbitrary, requestArbitrary, fc.integer({ min: 1, max: 12 }), fc.boolean(), (pool, request, count, isSameRack) => {
+    const members = new Map<string, Member[]>()
+    const freeCapacity: FreeCapacity = new Map()
+    pool.forEach((runs, index) => {
+      const workerId = `worker-${index}`
+      const worker = createWorkerState({ workerId, address: workerId, service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity: harnessCapacity, labels: [], rack: `rack-${Math.floor(index / 3)}` })
+      members.set(workerId, runs.map(({ isEnded, ...fields }, run) => {
+        const [unit] = getUnits(createTrackedJob(makeJob(`run-${index}-${run}`, 'batch', [makeStep(fields)]), 0)) as [Unit]
+        const [member] = createAttempt(unit, 1, [{ workerId, bornAtMs: 1 }], 0).members as [Member]
+        member.state = isEnded ? MemberState.Ended : MemberState.Running
+        return member
+      }))
+      freeCapacity.set(worker, runs.filter(run => !run.isEnded).reduce((free, run) => subtractResources(free, run.request), harnessCapacity))
+    })
+    const [gang] = getUnits(createTrackedJob(makeJob('gang', 'batch', [makeStep({ request, count, isGang: true, isSameRack })]), 0)) as [Unit]
+    const host = { getMembers: (workerId: string) => members.get(workerId) ?? [], nowMs: 300 }
+    expect(tryReserve(gang, freeCapacity, host)).toEqual(searchAfterEachEnd(gang, freeCapacity, host))
+  }), { numRuns: 500, seed: 7 })
+})
+
+function searchAfterEachEnd (gang: Unit, freeCapacity: FreeCapacity, host: Parameters<typeof tryReserve>[2]): Reservation | undefined {
+  let best: Reservation | undefined
+  for (const group of getGroups(gang, freeCapacity)) {
+    const free = new Map(freeCapacity)
+    const ends = group.flatMap(worker => [...host.getMembers(worker.info.workerId)]
+      .filter(member => member.state !== MemberState.Ended)
+      .map(member => ({ worker, request: member.attempt.unit.spec.request, endsAtMs: host.nowMs + getRemainingMs(member, host.nowMs) })))
+    for (const { worker, request, endsAtMs } of ends.sort((left, right) => left.endsAtMs - right.endsAtMs)) {
+      free.set(worker, addResources(free.get(worker) as Resources, request))
+      const workers = findWorkers(gang, group, free)
+      if (workers === undefined) continue
+      if (endsAtMs < (best?.startAtMs ?? Infinity)) best = { workers, startAtMs: endsAtMs }
+      break
+    }
+  }
+  return best
+}
+
+function findWorkers (gang: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity): readonly WorkerState[] | undefined {
+  const workers: WorkerState[] = []
+  let missing = gang.size
+  for (const worker of group) {
+    let free = freeCapacity.get(worker) as Resources
+    if (missing > 0 && fits(gang.spec.request, free)) workers.push(worker)
+    for (; missing > 0 && fits(gang.spec.request, free); missing--) free = subtractResources(free, gang.spec.request)
+  }
+  return missing === 0 ? workers : undefined
+}
--- a/src/placement/reservation.ts
+++ b/src/placement/reservation.ts
@@ -6,7 +6,7 @@
 import type { Resources } from '../jobs/jobModel.js'
 import { MemberState } from '../jobs/trackedJob.js'
 import type { Member, Unit } from '../jobs/trackedJob.js'
-import { addResources, fits, subtractResources } from '../workers/workerState.js'
+import { addResources, countFitting } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getGroups } from './placeUnit.js'
 import type { FreeCapacity } from './placeUnit.js'
@@ -29,10 +29,7 @@
 /** Finds the workers on which the unit can start first; undefined if it would not fit even after all work except services has ended. */
 export function tryReserve (unit: Unit, freeCapacity: FreeCapacity, host: ReservationHost): Reservation | undefined {
   let best: Reservation | undefined
-  for (const group of getGroups(unit, freeCapacity)) {
-    const reservation = estimateStart(unit, group, freeCapacity, host)
-    if (reservation !== undefined && reservation.startAtMs < (best?.startAtMs ?? Infinity)) best = reservation
-  }
+  for (const group of getGroups(unit, freeCapacity)) best = estimateStart(unit, group, freeCapacity, host, best?.startAtMs ?? Infinity) ?? best
   return best
 }
 
@@ -46,32 +43,42 @@
   return Math.max(0, msPerPercent * (100 - progressPercent) - (nowMs - progressedAtMs))
 }
 
-function estimateStart (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, host: ReservationHost): Reservation | undefined {
+/** Undefined if the unit does not fit into the group before `limitMs`. Each end changes the room of one worker only, so only that worker is counted anew. */
+function estimateStart (unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, host: ReservationHost, limitMs: number): Reservation | undefined {
+  const { request } = unit.spec
   const freeLater = new Map(group.map(worker => [worker, freeCapacity.get(worker) as Resources]))
-  const ends = group.flatMap(worker => [...host.getMembers(worker.info.workerId)]
-    .filter(member => member.state !== MemberState.Ended)
-    .map(member => ({ worker, member, endsAtMs: host.nowMs + getRemainingMs(member, host.nowMs) })))
+  const room = new Map(group.map(worker => [worker, countFitting(request, freeCapacity.get(worker) as Resources, unit.size)]))
+  let roomInGroup = 0
+  for (const count of room.values()) roomInGroup += count
+  const ends: { readonly worker: WorkerState, readonly request: Resources, readonly endsAtMs: number }[] = []
+  for (const worker of group) {
+    for (const member of host.getMembers(worker.info.workerId)) {
+      if (member.state === MemberState.Ended) continue
+      const endsAtMs = host.nowMs + getRemainingMs(member, host.nowMs)
+      if (endsAtMs < limitMs) ends.push({ worker, request: member.attempt.unit.spec.request, endsAtMs })
+    }
+  }
   ends.sort((left, right) => left.endsAtMs - right.endsAtMs)
-  for (const { worker, member, endsAtMs } of ends) {
-    freeLater.set(worker, addResources(freeLater.get(worker) as Resources, member.attempt.unit.spec.request))
-    const workers = findWorkers(unit, group, freeLater)
-    if (workers !== undefined) return { workers, startAtMs: endsAtMs }
+  for (const { worker, request: released, endsAtMs } of ends) {
+    const free = addResources(freeLater.get(worker) as Resources, released)
+    freeLater.set(worker, free)
+    const count = countFitting(request, free, unit.size)
+    roomInGroup += count - (room.get(worker) ?? 0)
+    room.set(worker, count)
+    if (roomInGroup >= unit.size) return { workers: takeWorkers(unit.size, room), startAtMs: endsAtMs }
   }
   return undefined
 }
 
-function findWorkers (unit: Unit, group: readonly WorkerState[], freeCapacity: ReadonlyMap<WorkerState, Resources>): readonly WorkerState[] | undefined {
+/** The first workers that together have room for so many tasks. */
+function takeWorkers (size: number, room: ReadonlyMap<WorkerState, number>): readonly WorkerState[] {
   const workers: WorkerState[] = []
-  let missing = unit.size
-  for (const worker of group) {
-    let free = freeCapacity.get(worker) as Resources
-    if (!fits(unit.spec.request, free)) continue
+  let missing = size
+  for (const [worker, count] of room) {
+    if (count === 0) continue
     workers.push(worker)
-    while (missing > 0 && fits(unit.spec.request, free)) {
-      free = subtractResources(free, unit.spec.request)
-      missing--
-    }
-    if (missing === 0) return workers
+    missing -= count
+    if (missing <= 0) break
   }
-  return undefined
+  return workers
 }
--- a/src/workers/workerState.ts
+++ b/src/workers/workerState.ts
@@ -70,6 +70,19 @@
   return request.cpuMilli <= free.cpuMilli && request.memoryMb <= free.memoryMb && request.accelerators <= free.accelerators
 }
 
+/** How many times a request fits into the free resources, at most `limit` times. */
+export function countFitting (request: Resources, free: Resources, limit: number): number {
+  let { cpuMilli, memoryMb, accelerators } = free
+  let count = 0
+  while (count < limit && request.cpuMilli <= cpuMilli && request.memoryMb <= memoryMb && request.accelerators <= accelerators) {
+    cpuMilli -= request.cpuMilli
+    memoryMb -= request.memoryMb
+    accelerators -= request.accelerators
+    count++
+  }
+  return count
+}
+
 /** Adds two amounts. */
 export function addResources (left: Resources, right: Resources): Resources {
   return { cpuMilli: left.cpuMilli + right.cpuMilli, memoryMb: left.memoryMb + right.memoryMb, accelerators: left.accelerators + right.accelerators }
