Planning pass: searches for preemptions on the same capacity and victims are not repeated

Cause: for each step that did not fit, the pass copied the free capacity of all workers and computed anew what each worker needs to make room, although nothing had started or stopped since the step before.

Fix: the pass keeps the capacity after stops, what each worker needs first for a request, and the greatest loss for which a search with the same requirements has failed, until something starts or is preempted. A search with a smaller limit gives up no later, so it fails too. Within a search, needs are kept by position instead of in copied maps.

--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -1,7 +1,7 @@
 /** Chooses workers for one unit. Works only on the free capacity that the caller passes in; does no I/O. */
 import type { Resources } from '../jobs/jobModel.js'
 import type { Unit } from '../jobs/trackedJob.js'
-import { addResources, fits, subtractResources } from '../workers/workerState.js'
+import { fits, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 
 /** The free capacity of each usable worker during one planning pass; placements of the pass are already subtracted. */
@@ -70,12 +70,6 @@
   for (const worker of places) freeCapacity.set(worker, subtractResources(freeCapacity.get(worker) ?? worker.info.capacity, request))
 }
 
-/** Adds back the resources of work that is to be stopped. */
-export function releaseCapacity (freeCapacity: FreeCapacity, worker: WorkerState, resources: Resources): void {
-  const free = freeCapacity.get(worker)
-  if (free !== undefined) freeCapacity.set(worker, addResources(free, resources))
-}
-
 /** The groups of workers to try in turn: the rack that holds the data first, then each rack by itself or all workers together. */
 export function getGroups (unit: Unit, freeCapacity: FreeCapacity): readonly (readonly WorkerState[])[] {
   const candidates = [...freeCapacity.keys()].filter(worker => isEligible(unit, worker))
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -18,8 +18,8 @@
 import { allocateCapacity, isEligible, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
-import type { VictimsByWorker } from './preemption.js'
-import { createPoolRoom } from './poolRoom.js'
+import type { FirstNeeds, PreemptionPlan, VictimsByWorker } from './preemption.js'
+import { createPoolRoom, getPlacementKey } from './poolRoom.js'
 import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
@@ -97,6 +97,14 @@
   readonly bindsEqualPriority: boolean
 }
 
+/** What searches for preemptions on the same free capacity and victims have found. */
+interface PreemptionSearches {
+  /** What each worker needs first, by the request. */
+  readonly needs: Map<string, FirstNeeds>
+  /** The greatest loss for which a search has failed, by what the unit requires. */
+  readonly failedLosses: Map<string, number>
+}
+
 /** Creates the planner of one scheduler term. */
 export function createPlanner (host: PlannerHost): Planner {
   const { logger, workers, getMembers, getQueue } = host
@@ -116,6 +124,9 @@
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
   const victimsByKind = new Map<string, VictimsByWorker>()
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
+  /** The free capacity of all usable workers after everything that is being stopped has ended, and what searches for preemptions have found on it. */
+  let capacityAfterStops: FreeCapacity | undefined
+  const searchesByVictims = new Map<VictimsByWorker, PreemptionSearches>()
   /** The use of the services' pools; computed at the start of each planning pass. */
   let poolUse: PoolUse = createPoolUse(new Map())
   /** What fits into the free capacity at all; created at the start of each planning pass. */
@@ -284,6 +295,7 @@
 
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
     for (const worker of places) usageByWorker.delete(worker)
+    forgetSearches()
     freeAccelerators -= unit.size * unit.spec.request.accelerators
     poolUse.add(unit.job.spec.service, unit.size, unit.spec.request)
     host.startAttempt(unit, places.map(worker => worker.info.workerId))
@@ -327,7 +339,7 @@
     const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
     const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
     if (victims === undefined || victims.size === 0) return false
-    const preemption = tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, workerId => workers.get(workerId), delayCost)
+    const preemption = findPreemption(unit, freeCapacity, victims, delayCost)
     if (preemption === undefined) return false
     logger.info('preempting running work to start a job', {
       jobId: unit.job.spec.jobId,
@@ -342,6 +354,27 @@
     return true
   }
 
+  /**
+   * A search on all usable workers isn't repeated for a unit with the same requirements that may cost no more, while nothing has started or stopped. With
+   * a spread limit the search depends on the unit's own step.
+   */
+  function findPreemption (unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, maxLoss: number): PreemptionPlan | undefined {
+    const getWorker = (workerId: string): WorkerState | undefined => workers.get(workerId)
+    if (freeCapacity.size < usableIds.length) return tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, rules, getWorker, maxLoss)
+    capacityAfterStops ??= getCapacityAfterStops(freeCapacity)
+    let searches = searchesByVictims.get(victims)
+    if (searches === undefined) searchesByVictims.set(victims, searches = { needs: new Map(), failedLosses: new Map() })
+    const key = getPlacementKey(unit)
+    if (unit.spec.spreadLimit === undefined && (searches.failedLosses.get(key) ?? -Infinity) >= maxLoss) return undefined
+    const { cpuMilli, memoryMb, accelerators } = unit.spec.request
+    const needsKey = `${cpuMilli}.${memoryMb}.${accelerators}`
+    let needs = searches.needs.get(needsKey)
+    if (needs === undefined) searches.needs.set(needsKey, needs = new Map())
+    const preemption = tryPreempt(unit, capacityAfterStops, victims, rules, getWorker, maxLoss, needs)
+    if (preemption === undefined) searches.failedLosses.set(key, maxLoss)
+    return preemption
+  }
+
   /** Units of one step of an occurrence have the same limits, and a pass needs those of all victims. */
   function getLimits (unit: Unit): StartLimits {
     const key = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
@@ -370,6 +403,12 @@
   function forgetVictims (): void {
     victimsByKind.clear()
     stoppingByWorker = undefined
+    forgetSearches()
+  }
+
+  function forgetSearches (): void {
+    capacityAfterStops = undefined
+    searchesByVictims.clear()
   }
 
   /** The free capacity after everything that is being stopped has ended. */
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -2,9 +2,9 @@
 import type { Resources } from '../jobs/jobModel.js'
 import { MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Unit } from '../jobs/trackedJob.js'
-import { fits, subtractResources } from '../workers/workerState.js'
+import { addResources, fits, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import { getGroups, releaseCapacity, allocateCapacity } from './placeUnit.js'
+import { getGroups } from './placeUnit.js'
 import type { PlacementRules, FreeCapacity } from './placeUnit.js'
 
 /** A running attempt that may be preempted, and the work lost if it is, in core-seconds. */
@@ -39,22 +39,27 @@
   return index
 }
 
-/** The victims whose stop makes room for one member on a worker, and the work lost. */
-interface WorkerNeed {
+/** The victims whose stop makes room for one member on a worker, and the work lost; infinite if no stop makes room. */
+export interface WorkerNeed {
   readonly victims: readonly Victim[]
   readonly cost: number
 }
 
+/** What each worker needs before anything is chosen, by worker: the same for all units with the same request and victims, while the free capacity is the same. */
+export type FirstNeeds = Map<WorkerState, WorkerNeed>
+
+const impossible: WorkerNeed = { victims: [], cost: Infinity }
+
 /**
  * Finds the cheapest preemption that lets the unit start, of those found for each group of workers; undefined if each would discard
- * more than `maxLoss` core-seconds. Does not modify `freeCapacity`.
+ * more than `maxLoss` core-seconds. Does not modify `freeCapacity`; adds to `firstNeeds` what it has computed.
  */
 export function tryPreempt (
-  unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number
+  unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number, firstNeeds: FirstNeeds = new Map()
 ): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
   for (const group of getGroups(unit, freeCapacity)) {
-    const plan = tryPreemptInGroup(unit, group, freeCapacity, victims, rules, getWorker, best?.cost ?? maxLoss)
+    const plan = tryPreemptInGroup(unit, group, freeCapacity, victims, rules, getWorker, best?.cost ?? maxLoss, firstNeeds)
     if (plan !== undefined && plan.cost < (best?.cost ?? Infinity)) best = plan
   }
   return best
@@ -63,52 +68,64 @@
 /** Gives up as soon as the cost exceeds `maxCost`. What a worker needs is computed anew only after a choice has changed it. */
 function tryPreemptInGroup (
   unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules,
-  getWorker: (workerId: string) => WorkerState | undefined, maxCost: number
+  getWorker: (workerId: string) => WorkerState | undefined, maxCost: number, firstNeeds: FirstNeeds
 ): PreemptionPlan | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
   const places: WorkerState[] = []
   const chosen = new Set<Attempt>()
-  const freeInGroup: FreeCapacity = new Map(group.map(worker => [worker, freeCapacity.get(worker) as Resources]))
-  const counts = new Map(group.map(worker => [worker, rules.countStepTasks(unit, worker.info.workerId)]))
-  const needs = new Map<WorkerState, WorkerNeed | undefined>()
+  /** The workers whose capacity a choice has changed. */
+  const changed: FreeCapacity = new Map()
+  /** By position in the group; undefined after a choice has changed it. */
+  const needs: (WorkerNeed | undefined)[] = group.map(getFirstNeed)
+  const counts = group.map(worker => spreadLimit === Infinity ? 0 : rules.countStepTasks(unit, worker.info.workerId))
+  let positions: ReadonlyMap<WorkerState, number> | undefined
   let cost = 0
   while (places.length < unit.size) {
-    let best: WorkerState | undefined
-    let bestNeed: WorkerNeed | undefined
-    for (const worker of group) {
-      if ((counts.get(worker) ?? 0) >= spreadLimit) continue
-      const need = getNeed(worker)
-      if (need === undefined || need.cost >= (bestNeed?.cost ?? Infinity)) continue
-      best = worker
-      bestNeed = need
-      if (need.cost === 0) break
+    let best = -1
+    let bestCost = Infinity
+    for (let position = 0; position < needs.length && bestCost !== 0; position++) {
+      if ((counts[position] as number) >= spreadLimit) continue
+      const need = needs[position] ??= computeNeed(group[position] as WorkerState)
+      if (need.cost >= bestCost) continue
+      best = position
+      bestCost = need.cost
     }
-    if (best === undefined || bestNeed === undefined) return undefined
-    cost += bestNeed.cost
+    if (best < 0) return undefined
+    cost += bestCost
     if (cost > maxCost) return undefined
-    for (const { attempt } of bestNeed.victims) choose(attempt)
-    places.push(best)
-    counts.set(best, (counts.get(best) ?? 0) + 1)
-    allocateCapacity(freeInGroup, [best], request)
-    needs.delete(best)
+    const worker = group[best] as WorkerState
+    for (const { attempt } of (needs[best] as WorkerNeed).victims) choose(attempt)
+    places.push(worker)
+    counts[best] = (counts[best] as number) + 1
+    changed.set(worker, subtractResources(getFree(worker), request))
+    needs[best] = undefined
   }
   return { places, victims: [...chosen], cost }
 
-  function getNeed (worker: WorkerState): WorkerNeed | undefined {
-    if (!needs.has(worker)) {
-      const needed = getVictimsFor(request, freeInGroup.get(worker) as Resources, victims.get(worker.info.workerId) ?? [], chosen)
-      needs.set(worker, needed && { victims: needed, cost: needed.reduce((sum, victim) => sum + victim.cost, 0) })
-    }
-    return needs.get(worker)
+  function getFree (worker: WorkerState): Resources {
+    return changed.get(worker) ?? freeCapacity.get(worker) as Resources
+  }
+
+  function getFirstNeed (worker: WorkerState): WorkerNeed {
+    let need = firstNeeds.get(worker)
+    if (need === undefined) firstNeeds.set(worker, need = computeNeed(worker))
+    return need
+  }
+
+  function computeNeed (worker: WorkerState): WorkerNeed {
+    const needed = getVictimsFor(request, getFree(worker), victims.get(worker.info.workerId) ?? [], chosen)
+    return needed === undefined ? impossible : { victims: needed, cost: needed.reduce((sum, victim) => sum + victim.cost, 0) }
   }
 
   function choose (attempt: Attempt): void {
     chosen.add(attempt)
+    positions ??= new Map(group.map((worker, position) => [worker, position]))
     for (const member of attempt.members) {
       const worker = getWorker(member.workerId)
-      if (worker === undefined || member.state === MemberState.Ended) continue
-      releaseCapacity(freeInGroup, worker, attempt.unit.spec.request)
-      needs.delete(worker)
+      const position = worker && positions.get(worker)
+      if (worker === undefined || position === undefined || member.state === MemberState.Ended) continue
+      changed.set(worker, addResources(getFree(worker), attempt.unit.spec.request))
+      needs[position] = undefined
     }
   }
 }
