Planning pass: units are collected without copies, and a reservation that cannot be made is not searched for again

Cause: every pass copied the units of all unfinished jobs several times, and each further unit with requirements for which no workers can be reserved searched all workers again.

Fix: one walk over the units collects the ready ones; requirements for which no reservation is possible are kept until something starts, stops or is reserved.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -203,7 +203,11 @@
 
 /** Returns all units of the occurrences that are due. */
 export function getUnits (job: TrackedJob): readonly Unit[] {
-  return [...job.occurrences.values()].flat(2)
+  const units: Unit[] = []
+  for (const steps of job.occurrences.values()) {
+    for (const ofStep of steps) for (const unit of ofStep) units.push(unit)
+  }
+  return units
 }
 
 /** Tells whether all steps that the unit's step depends on have succeeded in its occurrence. */
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -127,6 +127,8 @@
   /** The free capacity of all usable workers after everything that is being stopped has ended, and what searches for preemptions have found on it. */
   let capacityAfterStops: FreeCapacity | undefined
   const searchesByVictims = new Map<VictimsByWorker, PreemptionSearches>()
+  /** Requirements for which no workers can be reserved, until something starts or stops or is reserved. */
+  const unreservable = new Set<string>()
   /** The use of the services' pools; computed at the start of each planning pass. */
   let poolUse: PoolUse = createPoolUse(new Map())
   /** What fits into the free capacity at all; created at the start of each planning pass. */
@@ -155,15 +157,21 @@
 
   function plan (): void {
     limitsByStep.clear()
-    const unfinished = [...host.getUnfinishedJobs()].flatMap(getUnits)
+    const ready: Unit[] = []
+    let isAnySuspect = false
+    for (const job of host.getUnfinishedJobs()) {
+      for (const unit of getUnits(job)) {
+        if (isReadyToPlace(unit)) ready.push(unit)
+        isAnySuspect ||= isSuspect(unit)
+      }
+    }
     withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
-    const ready = unfinished.filter(isReadyToPlace)
     if (ready.length === 0) return
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     poolUse = createPoolUse(freeCapacity)
     const waiting = ready.filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
-    hasSuspects = unfinished.some(isSuspect)
+    hasSuspects = isAnySuspect
     const ordered = order(waiting)
     recordDemand(freeCapacity)
     poolRoom = createPoolRoom(freeCapacity)
@@ -324,9 +332,15 @@
    * workers idle; from work of lower priority, each does, so that a waiting gang is not overtaken by small tasks that fit at once.
    */
   function reserve (unit: Unit, permitted: FreeCapacity): void {
+    const key = permitted.size < usableIds.length ? undefined : getPlacementKey(unit)
+    if (key !== undefined && unreservable.has(key)) return
     const unreserved = reservations.size === 0 ? permitted : new Map([...permitted].filter(([worker]) => !reservations.has(worker)))
     const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now() })
-    if (reservation === undefined) return
+    if (reservation === undefined) {
+      if (key !== undefined) unreservable.add(key)
+      return
+    }
+    unreservable.clear()
     const priority = getPriority(unit.job, getQueue)
     for (const worker of reservation.workers) reservations.set(worker, { startAtMs: reservation.startAtMs, priority, bindsEqualPriority: reservedUnits === 0 })
     reservedUnits++
@@ -409,6 +423,7 @@
   function forgetSearches (): void {
     capacityAfterStops = undefined
     searchesByVictims.clear()
+    unreservable.clear()
   }
 
   /** The free capacity after everything that is being stopped has ended. */
