Count crashes that a new scheduler finds on the list of workers at its start

A task that crashes its workers was started three times after three workers had crashed under it, when schedulers changed.

Cause: the scheduler applies the list of workers before it has taken over the stored attempts. A machine that is back under another id is listed with both lives for some seconds, so the crash was attributed at once, to no run, and marked as attributed: neither the first report of the new life nor the lost run was recorded later. Such crashes are now kept until the attempts of all jobs have been taken over. A lost run of the life that the list shows stays pending until that life reports.

The new test in crashingTask.test.ts failed before (`starts 3 times after 3 workers have crashed`).

--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -30,6 +30,8 @@
 export interface CrashTracking {
   /** Takes over the crashes that earlier terms have recorded under a unit, and its attempts. */
   onRestored (unit: Unit): void
+  /** The stored attempts of all jobs have been taken over: the crashes that the list of workers has shown by then are attributed. */
+  onAllRestored (): void
   /** Records a run that was lost with its worker. */
   onRunLost (member: Member): void
   /** A report of its worker does not list the run any more; if it counts as lost, not because its worker is. */
@@ -90,6 +92,14 @@
   readonly learntAtMs: number
 }
 
+/** A crash, as the worker pool reports it. */
+interface EarlyCrash {
+  readonly workerId: string
+  readonly machine: string
+  readonly bornAtMs: number
+  readonly wasDraining: boolean
+}
+
 /** Creates the tracking of one term. */
 export function createCrashTracking (host: CrashTrackingHost): CrashTracking {
   const { logger } = host
@@ -114,8 +124,10 @@
   const storedAtMs = new WeakMap<Unit, number>()
   let births: { readonly index: BirthIndex, readonly byMachine: ReadonlyMap<string, WorkerLocation>, readonly atMs: number } | undefined
   let isReviewScheduled = false
+  /** The crashes that the list of workers has shown before the stored attempts were taken over; undefined afterwards. */
+  let earlyCrashes: EarlyCrash[] | undefined = []
 
-  return { onRestored, onRunLost, onRunAbsent, onRunReported, onReport, onWorkerCrashed }
+  return { onRestored, onAllRestored, onRunLost, onRunAbsent, onRunReported, onReport, onWorkerCrashed }
 
   function onRestored (unit: Unit): void {
     const nowMs = performance.now()
@@ -129,6 +141,12 @@
     if (unit.crashes.length > 0) decide(unit)
   }
 
+  function onAllRestored (): void {
+    const crashes = earlyCrashes ?? []
+    earlyCrashes = undefined
+    for (const { workerId, machine, bornAtMs, wasDraining } of crashes) onWorkerCrashed(workerId, machine, bornAtMs, wasDraining)
+  }
+
   function addEarlierLife (machine: string, workerId: string, bornAtMs: number): void {
     const lives = earlierLives.get(machine) ?? new Map<string, number>()
     earlierLives.set(machine, lives.set(workerId, bornAtMs))
@@ -212,11 +230,19 @@
   }
 
   function onWorkerCrashed (workerId: string, machine: string, bornAtMs: number, wasDraining: boolean): void {
+    if (earlyCrashes !== undefined) {
+      earlyCrashes.push({ workerId, machine, bornAtMs, wasDraining })
+      return
+    }
     if (bornAtMs <= (attributedBornAtMs.get(workerId) ?? -Infinity)) return
     attributedBornAtMs.set(workerId, bornAtMs)
     const birthMs = getBirthMs(workerId, bornAtMs)
-    const lost = lostRuns.get(machine) ?? []
-    lostRuns.delete(machine)
+    // Runs of the new life are waited for until it reports.
+    const lostOnMachine = lostRuns.get(machine) ?? []
+    const lost = lostOnMachine.filter(({ record }) => record.bornAtMs < bornAtMs)
+    const awaited = lostOnMachine.filter(({ record }) => record.bornAtMs >= bornAtMs)
+    if (awaited.length > 0) lostRuns.set(machine, awaited)
+    else lostRuns.delete(machine)
     const current = [...host.getMembers(workerId)].filter(({ state }) => state === MemberState.StartSent || state === MemberState.Running)
     const exposed: ExposedRun[] = []
     for (const member of [...current, ...lost.flatMap(run => run.member ?? [])]) {
@@ -226,7 +252,7 @@
     }
     for (const { unit, record, member } of lost) {
       removeRecord(unit, record)
-      if (member !== undefined || record.bornAtMs >= bornAtMs) continue
+      if (member !== undefined) continue
       exposed.push({ unit, run: record.run, indices: [...record.indices], presence: Presence.Restored, minRanMs: undefined, maxRanMs: getMaxRanMs(undefined, 0), ownMachines: new Set([machine, ...getJobMachines(unit.job)]) })
     }
     recordCrash(workerId, machine, bornAtMs, exposed, wasDraining)
--- a/src/runs/crashingTask.test.ts
+++ b/src/runs/crashingTask.test.ts
@@ -4,6 +4,7 @@
 import { createPoolHarness, harnessCapacity, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
+import { maxCrashRuns } from './crashEvidence.js'
 
 let harness: PoolHarness
 const { run, submit, getState, waitForState } = createPoolSteps(() => harness)
@@ -79,6 +80,21 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// Guards against crashes that no term records: the one that sees them cannot store them, and the next finds both lives of the machine on the list before it has read the attempts.
+test('crashes are counted that a new scheduler finds on the list of workers at its start', async () => {
+  await startHarness({ crash: { awayMs: 1_000, keepsId: false } })
+  await submit(makeJob('deadly', 'batch', [small]))
+  for (let crashes = 1; crashes <= maxCrashRuns && getState('deadly') !== JobState.Failed; crashes++) {
+    while ((harness.poolState.crashes.get('deadly.0.0.0') ?? 0) < crashes && getState('deadly') !== JobState.Failed) await run(10)
+    harness.addHost(`successor-${crashes}`)
+    harness.hosts.get(harness.store.peek('leader/scheduler') ?? '')?.crash()
+    // The entry of the earlier life expires 4.5 s after its crash.
+    await run(100)
+  }
+  await waitForState('deadly', JobState.Failed, 60_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 test('a task whose workers are cut off, drained or taken away is not given up', async () => {
   await startHarness({ getRun: () => ({ workMs: 4_000, how: EndKind.Done }) })
   await submit(makeJob('job', 'batch', [small]))
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -67,8 +67,8 @@
   /** Stops an attempt like `stopAttempt`, to make room for other work: its unit is then held back for a while. */
   preemptAttempt (attempt: Attempt, reason: string): boolean
   cancelJob (job: TrackedJob): void
-  /** Takes over the attempts of a job that a previous scheduler has stored. */
-  restoreAttempts (job: TrackedJob): void
+  /** Takes over the attempts of all jobs that a previous scheduler has stored. Must be called once, when the listed workers are known and before any has reported. */
+  restoreAttempts (jobs: Iterable<TrackedJob>): void
   /** Updates members and allocations from a worker's report. Resolves when every reported end is stored. */
   onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void>
   /** Ends all members on a worker whose runs are lost, by this evidence. */
@@ -323,7 +323,12 @@
 
   // Worker reports
 
-  function restoreAttempts (job: TrackedJob): void {
+  function restoreAttempts (jobs: Iterable<TrackedJob>): void {
+    for (const job of jobs) restoreAttemptsOfJob(job)
+    crashTracking.onAllRestored()
+  }
+
+  function restoreAttemptsOfJob (job: TrackedJob): void {
     for (const unit of getUnits(job)) {
       for (const attempt of [...unit.attempts]) {
         for (const member of attempt.members) {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -230,7 +230,7 @@
     areJobsLoaded = true
     refresh()
     for (const job of table.getAll()) pool.addUnlisted(job)
-    for (const job of table.getAll()) controller.restoreAttempts(job)
+    controller.restoreAttempts(table.getAll())
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
     // Before that no lease can be granted, so that start requests could not be sent.
     while (!grants.isStored() && !term.signal.aborted) await delay(20)
