--- a/src/runs/lostWorkerWait.test.ts
+++ b/src/runs/lostWorkerWait.test.ts
@@ -118,3 +118,18 @@
   expect(progressWrites).toBeGreaterThan(0)
   expect(progressWrites).toBeLessThanOrEqual(pendingLimitMs / writePeriodMs)
 })
+
+// Guards against a lost run that is taken for cut off because the list still shows the life it ran on beside the one before: that life may have crashed since.
+test('a loss stays pending while the list shows the life of the lost run, until its machine reports', async () => {
+  harness = createPoolHarness({ workers: 3, maxLeaseMs, crash: { awayMs: 1_000, keepsId: false }, getRun: () => ({ workMs: 300, how: EndKind.Done }) })
+  harness.crashWorker('worker-0')
+  await run(1_100)
+  const { machineId, bornAtMs } = harness.workers.get('worker-0+')?.info ?? {}
+  harness.crashWorker('worker-0+', { awayMs: 2_500, keepsId: false })
+  harness.store.write(getAcceptedKey(jobId), encodeAccepted(makeJob(jobId, 'batch', [makeStep()])))
+  const crashes = [1, 2, 3, 4].map(number => [number, [0], `earlier-${number}`, 0, 100, 4_000, 5])
+  harness.store.write(getProgressKey(jobId), JSON.stringify({ state: JobState.Active, done: {}, units: [[0, 0, 0, 5, [], '', [], [...crashes, [5, [0], machineId, bornAtMs, 100, 0, 2, 0]]]] }))
+  harness.addHost('host-0')
+  await waitForState(jobId, JobState.Failed, 30_000)
+  expect(harness.poolState.starts.get(task)).toBeUndefined()
+})
