Compare runs without a crash only with runs that crashed

Cause: after three crashes a run that ends without one uses up a start unless it worked for longer than those that crashed. It was compared with all records of the task, among them those of other runs without a crash. Members of a gang end within milliseconds when another one crashes its worker: after a run of 0 ms every later one counted as longer. Now only records with the cause `crash` are compared, as docs/design/crash-evidence.md says.

The new test in crashEvidence.test.ts failed before.

--- a/src/runs/crashEvidence.test.ts
+++ b/src/runs/crashEvidence.test.ts
@@ -4,7 +4,7 @@
 import { createRandom } from '../common/random.js'
 import { EndCause } from '../jobs/trackedJob.js'
 import type { CrashRecord } from '../jobs/trackedJob.js'
-import { createBirthIndex, getLikelihoodRatio, getMaxRanMs, getPresence, isContradicted, isCounted, judge, maxCrashRuns, Presence, Verdict } from './crashEvidence.js'
+import { createBirthIndex, getLikelihoodRatio, getMaxRanMs, getPresence, isContradicted, isCounted, judge, maxCrashRuns, Presence, usesUpStart, Verdict } from './crashEvidence.js'
 import type { CrashCircumstances, Judgement, RunOnLife, WorkerLocation } from './crashEvidence.js'
 
 interface History {
@@ -181,6 +181,23 @@
   })
 })
 
+describe('runs without a crash after three crashes', () => {
+  const crash = (run: number): CrashRecord => ({ run, indices: [0], machine: `m${run}`, bornAtMs: run, cause: EndCause.Crash, likelihoodRatio: 2, ranMs: 2_000, isCounted: true })
+  const threeCrashes = [crash(1), crash(2), crash(3)]
+
+  // Guards against a short run without a crash that makes the next ones count as longer than the runs that crashed: members of a gang end within milliseconds when another one crashes its worker.
+  test('a run uses up a start although an earlier run without a crash was shorter', () => {
+    const short: CrashRecord = { ...crash(4), cause: EndCause.WithoutCrash, likelihoodRatio: 1, ranMs: 0 }
+    expect(usesUpStart([...threeCrashes, short], 0, 100, 0)).toBe(true)
+    expect(usesUpStart([...threeCrashes, { ...short, cause: EndCause.Drain }], 0, 100, 0)).toBe(true)
+  })
+
+  test('a run that worked for longer than one that crashed uses up none', () => {
+    expect(usesUpStart(threeCrashes, 0, 2_001, 0)).toBe(false)
+    expect(usesUpStart(threeCrashes.slice(1), 0, 100, 0)).toBe(false)
+  })
+})
+
 describe('crashes of the same moment', () => {
   const workers = Array.from({ length: 16 }, (_, index): WorkerLocation => ({ machine: `m${index}`, service: 'pool', domain: `d${Math.floor(index / 8)}`, rack: `r${Math.floor(index / 4)}`, bornAtMs: index < 4 ? 10_000 + 100 * index : 0 }))
 
--- a/src/runs/crashEvidence.ts
+++ b/src/runs/crashEvidence.ts
@@ -203,7 +203,7 @@
  */
 export function usesUpStart (records: readonly CrashRecord[], index: number, workedMs: number, nowMs: number): boolean {
   const own = records.filter(({ indices }) => indices.includes(index))
-  return judge(own, nowMs).runsAtRisk >= isolateFromCrashes && own.every(({ ranMs, pendingSinceMs }) => pendingSinceMs !== undefined || workedMs <= ranMs)
+  return judge(own, nowMs).runsAtRisk >= isolateFromCrashes && own.every(({ cause, ranMs }) => cause !== EndCause.Crash || workedMs <= ranMs)
 }
 
 /** The decision on a unit. */
