A log line for claims on a guarantee that are due and not met

It shows the needs of the job and of its organisation's earlier and later urgent work, and what stands against placing it. No decision changes: the sum that decides is the same.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -9,7 +9,8 @@
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { addResources, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import { getOrganisationsWithinGuarantee } from './guarantees.js'
+import { getGuaranteeClaims } from './guarantees.js'
+import type { GuaranteeClaim } from './guarantees.js'
 import { getDelayCost, getStopCost } from './delayCost.js'
 import type { CostSettings, StartLimits } from './delayCost.js'
 import { getStartLimits } from './objective.js'
@@ -119,8 +120,10 @@
   let hasSuspects = false
   /** Accelerators in use on each worker by queue; computed on demand in each planning pass. */
   let usageByWorker = new Map<WorkerState, Map<string, number>>()
-  /** Organisations that request no more than their guarantee; computed at the start of each planning pass. */
-  let withinGuarantee: ReadonlySet<string> = new Set()
+  /** Claims of urgent jobs on their organisations' guarantees; computed at the start of each planning pass. */
+  let claims: ReadonlyMap<TrackedJob, GuaranteeClaim> = new Map()
+  /** Units whose claim has been logged as due and not met, each once for each run, by the number of their last run. */
+  const loggedRuns = new WeakMap<Unit, number>()
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
   const victimsByKind = new Map<string, VictimsByWorker>()
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
@@ -165,7 +168,7 @@
         isAnySuspect ||= isSuspect(unit)
       }
     }
-    withinGuarantee = getOrganisationsWithinGuarantee(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
+    claims = getGuaranteeClaims(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
     if (ready.length === 0) return
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     poolUse = createPoolUse(freeCapacity)
@@ -185,6 +188,23 @@
       const stepKey = getStepKey(units[0] as Unit)
       if (!blockedSteps.has(stepKey) && !tryStart(units, freeCapacity)) blockedSteps.add(stepKey)
     }
+    for (const unit of waiting) if (isClaimOverdue(unit)) logUnmetClaim(unit)
+  }
+
+  /** Tells whether a unit could have used its organisation's guarantee by now and has no workers, whether its job is guaranteed or not. */
+  function isClaimOverdue (unit: Unit): boolean {
+    const claim = claims.get(unit.job)
+    return claim !== undefined && claim.ownAccelerators <= claim.guaranteedAccelerators && unit.attempts.length === 0 && isOldEnoughToReclaim(unit)
+  }
+
+  function logUnmetClaim (unit: Unit): void {
+    if (loggedRuns.get(unit) === unit.run) return
+    loggedRuns.set(unit, unit.run)
+    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, size, suspicion } = unit
+    const victims = getVictimsByWorker(unit)
+    logger.info('a claim on a guarantee is due and not met', {
+      jobId, step, index, run, size, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
+    })
   }
 
   /** Starts the units, which are alike, in order, until one cannot be started: the others have the same requirements. Returns whether all have started. */
@@ -451,7 +471,7 @@
   }
 
   function isGuaranteed (job: TrackedJob): boolean {
-    return getQueue(job)?.priority === 0 && withinGuarantee.has(job.spec.organisation)
+    return claims.get(job)?.isGuaranteed === true
   }
 
   /**
@@ -464,8 +484,12 @@
   }
 
   /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
-  function isReclaimDue ({ job }: Unit): boolean {
-    return isGuaranteed(job) && performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
+  function isReclaimDue (unit: Unit): boolean {
+    return isGuaranteed(unit.job) && isOldEnoughToReclaim(unit)
+  }
+
+  function isOldEnoughToReclaim ({ job }: Unit): boolean {
+    return performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
