The limit of quarantined workers holds for the workers with each required label

Cause: the limit of 34 % counted the workers of the whole service. Each worker with a label could be quarantined at once, for 4 s, and the other workers of the service cannot do work that requires the label. Now the limit also holds for the workers with each label that unfinished work of the service requires; those that cannot be used for another reason do not count. As such work may arrive after the quarantine, or lose its other workers, each planning pass releases workers until the limit holds, those first whose quarantine ends first. Labels that no work requires change nothing: a pool without such work is quarantined as before. The only worker with a label is quarantined only for a refused start (1.5 s), where the quarantine is the pause between two starts. Evidence: two new tests of runs/scheduler.test.ts failed before: 4 of 4 workers with the label quarantined at once ('Expected: 1 Received: 4'), and a job that requires the label still queued 1 s after its submission. Four tests of workers/workerHealth.test.ts hold the limit in both directions. Looked at as well: a rack confines no work. A same-rack gang is placed across racks if no usable rack can hold it; the new test of this passed before, too.

--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -390,3 +390,47 @@
   expect(mostQuarantined).toBe(1)
   for (const jobId of jobIds) expect(getState(jobId)).toBe(JobState.Complete)
 })
+
+// The limit counted the workers of the whole service: each worker with a required label was quarantined at once, and work that requires it waited.
+test('work that requires a label is placed while some of the workers with the label are quarantined', async () => {
+  const getRun = (task: string, number: number): { workMs: number, how: EndKind } => ({ workMs: 300, how: task.startsWith('labelled') && number === 1 ? EndKind.Failed : EndKind.Done })
+  await startHarness({ workers: 12, getRun }, 1)
+  const request = { ...harnessCapacity, accelerators: 4, cpuMilli: 4_000, memoryMb: 4_000 }
+  const jobIds = Array.from({ length: 8 }, (_, index) => `labelled${index}`)
+  await submit(...jobIds.map(jobId => makeJob(jobId, 'batch', [makeStep({ request, requiredLabel: 'rack-2' })])))
+  let mostQuarantined = 0
+  for (let elapsedMs = 0; elapsedMs < 3_000; elapsedMs += 100) {
+    await run(100)
+    mostQuarantined = Math.max(mostQuarantined, harness.hosts.get('host-0')?.getScheduler()?.getStatus().workers.heldBack.length ?? 0)
+  }
+  expect(mostQuarantined).toBe(1)
+  for (const jobId of jobIds) expect(getState(jobId)).toBe(JobState.Complete)
+})
+
+// Guards against work that requires a label and waits because it arrives after all workers with the label have been quarantined.
+test('work that requires a label is placed although work without labels has had all workers with the label quarantined', async () => {
+  const getRun = (task: string, number: number): { workMs: number, how: EndKind } => ({ workMs: 300, how: task.startsWith('open') && number === 1 ? EndKind.Failed : EndKind.Done })
+  await startHarness({ workers: 12, getRun }, 1)
+  const request = { ...harnessCapacity, accelerators: 4, cpuMilli: 4_000, memoryMb: 4_000 }
+  await submit(...Array.from({ length: 8 }, (_, index) => makeJob(`open${index}`, 'batch', [makeStep({ request, dataRack: 'rack-2' })])))
+  const getQuarantinedIds = (): readonly string[] => harness.hosts.get('host-0')?.getScheduler()?.getStatus().workers.heldBack.map(({ workerId }) => workerId) ?? []
+  for (let elapsedMs = 0; elapsedMs < 1_500 && getQuarantinedIds().length < 4; elapsedMs += 50) await run(50)
+  expect([...getQuarantinedIds()].sort()).toEqual(['worker-10', 'worker-11', 'worker-8', 'worker-9'])
+  await submit(makeJob('labelled', 'batch', [makeStep({ request, requiredLabel: 'rack-2' })]))
+  await waitForState('labelled', JobState.Complete, 1_000)
+  expect(getQuarantinedIds()).toHaveLength(1)
+})
+
+// Guards against a same-rack gang that waits until the quarantine of its racks ends.
+test('a same-rack gang is placed across racks while the only rack that can hold it is quarantined', async () => {
+  const getRun = (task: string, number: number): { workMs: number, how: EndKind } => ({ workMs: 300, how: task.startsWith('open') && number === 1 ? EndKind.Failed : EndKind.Done })
+  await startHarness({ workers: 11, workersPerRack: 3, getRun }, 1)
+  const request = { ...harnessCapacity, accelerators: 4, cpuMilli: 4_000, memoryMb: 4_000 }
+  await submit(...Array.from({ length: 6 }, (_, index) => makeJob(`open${index}`, 'batch', [makeStep({ request, dataRack: 'rack-0' })])))
+  for (const index of [3, 6, 9]) harness.setCapacity(`worker-${index}`, { ...harnessCapacity, accelerators: 4 })
+  const countQuarantined = (): number => harness.hosts.get('host-0')?.getScheduler()?.getStatus().workers.heldBack.length ?? 0
+  for (let elapsedMs = 0; elapsedMs < 1_500 && countQuarantined() < 3; elapsedMs += 50) await run(50)
+  expect(countQuarantined()).toBe(3)
+  await submit(makeJob('gang', 'batch', [makeStep({ count: 6, isGang: true, isSameRack: true, request })]))
+  await waitForState('gang', JobState.Complete, 2_000)
+})
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -17,6 +17,7 @@
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
 import { createEvacuatedWorkers } from '../evacuation/evacuatedWorkers.js'
 import type { MetadataStore } from '../store/metadataStore.js'
+import { getConfinedSets } from '../workers/confinedSets.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { createMachineSpeeds } from '../workers/machineSpeed.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
@@ -191,6 +192,7 @@
     logger,
     getService: workerId => pool.workers.get(workerId)?.info.service,
     countWorkers: service => [...pool.workers.values()].filter(({ info }) => info.service === service).length,
+    getConfinedSets: () => getConfinedSets(table.getUnfinished(), pool.workers.values()),
     getMeanRunMs: runTimes.getMeanMs,
     isCold,
     onPace: (workerIds, paceShare, nowMs) => { speeds.record(workerIds.map(getMachineId), paceShare, nowMs, paceWeight) },
@@ -311,6 +313,7 @@
   function tryPlan (): boolean {
     if (!term.isValid() || !mayStart()) return false
     const nowMs = performance.now()
+    health.releaseConfined(nowMs)
     for (const worker of pool.workers.values()) worker.isQuarantined = health.isQuarantined(worker.info.workerId, nowMs)
     controller.dispatchPlanned()
     planner.plan()
--- a/src/workers/workerHealth.test.ts
+++ b/src/workers/workerHealth.test.ts
@@ -1,6 +1,7 @@
 /** Which workers are quarantined: slow ones, but not those whose jobs simply take long. */
 import { expect, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
+import { EndKind } from '../jobs/jobModel.js'
 import { createAttempt, createTrackedJob, getUnits, MemberState } from '../jobs/trackedJob.js'
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { makeJob, makeStep } from '../testing/poolHarness.js'
@@ -129,3 +130,51 @@
   health.onRefusal('other-0', 0)
   expect(getQuarantinedIds(health, 0)).toEqual(['one-0', 'other-0'])
 })
+
+function createLabelledHealth (getConfinedSets: () => readonly ReadonlySet<string>[], workers = 30): WorkerHealth {
+  return createWorkerHealth({ logger: silentLogger, getService: () => 'pool', countWorkers: () => workers, getConfinedSets, getMeanRunMs: () => usualRunMs })
+}
+
+// Guards against work that requires a label and waits because all workers with the label are quarantined at once.
+test('the limit of quarantined workers holds for each set of workers to which a label confines work', () => {
+  const health = createLabelledHealth(() => [new Set(['a', 'b', 'c']), new Set(['d', 'e', 'f', 'g', 'h', 'i'])])
+  for (const workerId of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'other-0', 'other-1']) health.onRefusal(workerId, 0)
+  expect(getQuarantinedIds(health, 0)).toEqual(['a', 'd', 'e', 'other-0', 'other-1'])
+})
+
+// Guards against a pool that keeps faulty workers in use because they have labels that no work requires.
+test('labels that no work requires do not change the limit of quarantined workers', () => {
+  const health = createLabelledHealth(() => [], 9)
+  for (const workerId of ['a', 'b', 'c', 'd']) health.onRefusal(workerId, 0)
+  expect(getQuarantinedIds(health, 0)).toEqual(['a', 'b', 'c'])
+})
+
+// Guards against work that arrives when all workers with its label are quarantined, or that loses the usable ones to another cause.
+test('workers are released when work is confined to too many quarantined ones, those first whose quarantine ends first', () => {
+  let confinedSets: readonly ReadonlySet<string>[] = []
+  const health = createLabelledHealth(() => confinedSets)
+  for (const [index, workerId] of ['a', 'b', 'c', 'other'].entries()) health.onRefusal(workerId, index)
+  confinedSets = [new Set(['a', 'b', 'c'])]
+  health.releaseConfined(10)
+  expect(getQuarantinedIds(health, 10)).toEqual(['c', 'other'])
+})
+
+// Guards against work that waits for the quarantine of the only worker that can do it, and against starts there without a pause while it refuses them.
+test('the only worker with a required label is quarantined only after it has refused a start', () => {
+  const fail = (health: WorkerHealth, atMs: number): void => {
+    for (const jobId of ['one', 'two']) for (const member of startJob(jobId, ['a'])) health.onEnd(member, EndKind.Failed, atMs)
+  }
+  const unlabelled = createLabelledHealth(() => [])
+  fail(unlabelled, 0)
+  expect(getQuarantinedIds(unlabelled, 0)).toEqual(['a'])
+  const health = createLabelledHealth(() => [new Set(['a'])])
+  fail(health, 0)
+  expect(getQuarantinedIds(health, 0)).toEqual([])
+  health.onRefusal('a', 0)
+  health.releaseConfined(0)
+  expect(getQuarantinedIds(health, 0)).toEqual(['a'])
+  // A failure of a run that was still at work there extends the quarantine.
+  fail(health, 100)
+  health.releaseConfined(100)
+  expect(getQuarantinedIds(health, 100)).toEqual([])
+})
--- a/src/workers/workerHealth.ts
+++ b/src/workers/workerHealth.ts
@@ -1,7 +1,8 @@
 /**
  * Quarantines workers whose runs show that they are faulty: workers that fail everything they start, that stall, or that become
  * several times slower. Failures and slow runs are compared with those of the same work on other workers, and only a limited
- * share of the workers of each service is quarantined at once. Which worker makes a gang slow is decided in slowWorkers.ts. Does no I/O.
+ * share of the workers of each service, and of those to which labels confine work, is quarantined at once. Which worker makes a gang slow is
+ * decided in slowWorkers.ts. Does no I/O.
  */
 import type { Logger } from '../common/logger.js'
 import { EndKind } from '../jobs/jobModel.js'
@@ -16,6 +17,8 @@
   /** The service of a worker; undefined if the worker is gone. */
   readonly getService: (workerId: string) => string | undefined
   readonly countWorkers: (service: string | undefined) => number
+  /** The sets of workers to which waiting or running work is confined by a required label, without workers that cannot be used for other reasons. */
+  readonly getConfinedSets?: () => readonly ReadonlySet<string>[]
   /** The mean duration of a queue's runs, in ms; undefined if it is not known yet. */
   readonly getMeanRunMs: (queue: string) => number | undefined
   /** Tells whether a worker has started so recently that its runs are slower than they will be. */
@@ -34,6 +37,8 @@
   /** Records that the worker has refused a start because it is not healthy. */
   onRefusal (workerId: string, nowMs: number): void
   isQuarantined (workerId: string, nowMs: number): boolean
+  /** Releases workers until the limit holds for each set to which work is confined: work that requires a label may arrive after the quarantine. */
+  releaseConfined (nowMs: number): void
   /** Tells whether the unit was moved off the worker so recently that it should not start there again. */
   isLeft (unit: Unit, workerId: string, nowMs: number): boolean
   /** How long a poll of the worker may wait, in ms, so that a slow run is noticed early; undefined if the usual time will do. */
@@ -69,7 +74,11 @@
 const minPeers = 2
 /** While a queue's mean run is unknown, estimates are relied on after so many of its runs have had the pace that their estimate promises. */
 const minUsualRuns = 3
-/** The largest share of a service's workers that may be quarantined at once; a single worker always may. Other services' workers cannot do their work. */
+/**
+ * The largest share of a service's workers that may be quarantined at once; a single worker always may. Other services' workers cannot do their work.
+ * The share also holds for the workers to which a required label confines work. The only one of these is quarantined only after it has refused a
+ * start: otherwise a slow or faulty worker is better for the work than none.
+ */
 const maxQuarantinedShare = 0.34
 /** An attempt younger than this, in ms, is restarted elsewhere: a stall lasts some seconds, so waiting would cost more than a restart. */
 const cheapRestartMs = 3_000
@@ -128,7 +137,7 @@
   /** Workers that a unit was moved off because it was slow there, with the time; it has not failed on them. */
   const leftAtMs = new WeakMap<Unit, Map<string, number>>()
 
-  return { onReport, onEnd, onRefusal, isQuarantined, isLeft, getPollWaitMs, getQuarantined }
+  return { onReport, onEnd, onRefusal, isQuarantined, releaseConfined, isLeft, getPollWaitMs, getQuarantined }
 
   function getRecord (workerId: string): WorkerRecord {
     let record = records.get(workerId)
@@ -151,6 +160,11 @@
       host.logger.warn('worker not quarantined: too many workers of its service are quarantined already', { workerId, reason })
       return
     }
+    const isConfining = isNew && getConfinedSets().some(workerIds => workerIds.has(workerId) && !isWithinLimit(workerIds, countQuarantined(workerIds, nowMs) + 1, reason))
+    if (isConfining) {
+      host.logger.warn('worker not quarantined: too few others have a label that waiting or running work requires', { workerId, reason })
+      return
+    }
     record.quarantinedUntilMs = nowMs + forMs
     record.reason = reason
     if (isNew) host.logger.warn('worker quarantined', { workerId, reason, forMs })
@@ -158,7 +172,26 @@
 
   function mayQuarantineMore (service: string | undefined, nowMs: number): boolean {
     const quarantined = getQuarantined(nowMs).filter(({ workerId }) => host.getService(workerId) === service).length
-    return quarantined + 1 <= Math.max(1, host.countWorkers(service) * maxQuarantinedShare)
+    return quarantined + 1 <= getMaxQuarantined(host.countWorkers(service))
+  }
+
+  function getConfinedSets (): readonly ReadonlySet<string>[] {
+    return host.getConfinedSets?.() ?? []
+  }
+
+  function countQuarantined (workerIds: ReadonlySet<string>, nowMs: number): number {
+    return [...workerIds].filter(workerId => isQuarantined(workerId, nowMs)).length
+  }
+
+  function releaseConfined (nowMs: number): void {
+    const quarantined = getQuarantined(nowMs)
+    if (quarantined.length === 0) return
+    const confinedSets = getConfinedSets()
+    const byEnd = [...quarantined].sort((left, right) => getRecord(left.workerId).quarantinedUntilMs - getRecord(right.workerId).quarantinedUntilMs)
+    for (const { workerId, reason } of byEnd) {
+      const isExcess = confinedSets.some(workerIds => workerIds.has(workerId) && !isWithinLimit(workerIds, countQuarantined(workerIds, nowMs), reason))
+      if (isExcess) release(workerId, nowMs)
+    }
   }
 
   function release (workerId: string, nowMs: number): void {
@@ -168,7 +201,7 @@
   }
 
   function onRefusal (workerId: string, nowMs: number): void {
-    quarantine(workerId, 'the worker refused a start as unhealthy', nowMs, refusalQuarantineMs)
+    quarantine(workerId, refusalReason, nowMs, refusalQuarantineMs)
   }
 
   function onEnd (member: Member, endKind: EndKind, nowMs: number): void {
@@ -371,6 +404,7 @@
 }
 
 const stallReason = 'its runs make no progress'
+const refusalReason = 'the worker refused a start as unhealthy'
 /** A pace may be this many times the expected one; more is an error of the estimate. */
 const maxPaceShare = 2
 
@@ -390,3 +424,13 @@
 function getAttempts (members: readonly Member[]): readonly Attempt[] {
   return [...new Set(members.map(member => member.attempt))].filter(attempt => attempt.stopReason === undefined)
 }
+
+/** Tells whether so many workers of a set to which work is confined may be quarantined, the last of them for the given reason. */
+function isWithinLimit (workerIds: ReadonlySet<string>, quarantinedCount: number, reason: string): boolean {
+  if (workerIds.size === 1) return reason === refusalReason
+  return quarantinedCount <= getMaxQuarantined(workerIds.size)
+}
+
+function getMaxQuarantined (workerCount: number): number {
+  return Math.max(1, workerCount * maxQuarantinedShare)
+}
