Failures that are read late count for a repeatable job, also after a takeover

What callers saw: a repeatable job that fails everywhere runs more often than on three workers, after which it is taken for faulty. Cause: the failure of an attempt that was given up for lost was acknowledged and dropped (scheduling/lateEnds.ts). The workers on which a job had failed were also kept in memory only, so that a takeover forgot them: a late failure could not be stored either. Now the job's record holds the worker of each failed attempt. A late failure is acknowledged when it is stored. If it shows that the job is faulty, the job ends; a later attempt that has not been released yet is cancelled. One that has been released may succeed and is not stopped, but none follows it. A takeover ends a job with enough failures, and starts the others away from the workers on which they failed. On a related path: after a takeover, a failure of a non-repeatable job was dropped if it was reported before the job was taken for lost; the result was 'unknown' for good. It is 'failed' now.

--- a/src/scheduling/jobTypes.ts
+++ b/src/scheduling/jobTypes.ts
@@ -86,6 +86,8 @@
   readonly startedAtMs?: number
   /** The members that have succeeded in attempts that were given up, by attempt: lost members may be reported later. */
   readonly succeededMembers?: Readonly<Record<number, readonly number[]>>
+  /** The workers on which attempts have failed, by attempt: the failures count after a takeover, and late ones count once. */
+  readonly failedAttempts?: Readonly<Record<number, string>>
   /** Identifies the write, so that a write whose response was lost can be recognised in the store. */
   readonly writeId: string
 }
--- a/src/scheduling/lateEnds.test.ts
+++ b/src/scheduling/lateEnds.test.ts
@@ -191,3 +191,120 @@
   expect(harness.countEnded(spec.jobId)).toBe(0)
   scheduler.stop()
 })
+
+const failingCommand = ['fail', String(runMs)]
+
+/** Runs until the job has ended, at most for `limitMs`, and checks that it has failed. */
+async function waitForFailure (scheduler: Scheduler, jobId: string, limitMs = 60_000): Promise<void> {
+  for (let waitedMs = 0; waitedMs < limitMs && await getResult(scheduler, jobId) === undefined; waitedMs += 500) await run(500)
+  expect(await getResult(scheduler, jobId)).toBe(JobResult.Failed)
+}
+
+/** Waits until a job of one member runs on another worker than those that are cut off. */
+async function waitForWorker (harness: SchedulerHarness, scheduler: Scheduler, jobId: string, cutOff: readonly string[]): Promise<string> {
+  for (let waitedMs = 0; waitedMs < 20_000; waitedMs += 100) {
+    await run(100)
+    const [workerId = ''] = (await scheduler.get(jobId, 0))?.workers ?? []
+    if (workerId !== '' && !cutOff.includes(workerId) && harness.countRunning(jobId) === 1) return workerId
+  }
+  throw new Error('the job does not run on another worker')
+}
+
+// Guards against a repeatable job that runs once more for each failure that is read late. A job fails after failures on three workers.
+test.each([1, 2])('a late failure counts once among the failures of a repeatable job (members: %i)', async members => {
+  const harness = createSchedulerHarness(8, '')
+  const scheduler = await startScheduler(harness)
+  const spec = createJobSpec('job', { members, acceleratorsPerMember: 8, command: failingCommand })
+  for (const workerId of await loseWorkers(harness, scheduler, spec)) {
+    harness.setCutOff(workerId, false)
+    await run(1_000)
+  }
+  await waitForFailure(scheduler, spec.jobId)
+  expect(harness.getReleases(spec.jobId)).toEqual(Array.from({ length: members }, () => 3))
+  await run(5_000)
+  expect(harness.countEnded(spec.jobId)).toBe(0)
+  scheduler.stop()
+})
+
+// Guards against failures that a new scheduler counts from the start, so that a faulty job runs again after each takeover.
+test('the failures of a repeatable job, also late ones, count after a takeover', async () => {
+  const harness = createSchedulerHarness(6, '')
+  const first = await startScheduler(harness)
+  const spec = createJobSpec('job', { command: failingCommand })
+  const [workerId = ''] = await loseWorkers(harness, first, spec)
+  harness.setCutOff(workerId, false)
+  for (let waitedMs = 0; waitedMs < 10_000 && (harness.getReleases(spec.jobId)[0] ?? 0) < 3; waitedMs += 500) await run(500)
+  await run(1_500)
+  expect(harness.countEnded(spec.jobId)).toBe(0)
+  first.stop()
+  const second = await startScheduler(harness)
+  await waitForFailure(second, spec.jobId)
+  expect(harness.getReleases(spec.jobId)).toEqual([3])
+  second.stop()
+})
+
+// Guards against an acknowledgement before the failure is stored: the worker discards the end, and the next scheduler does not learn of it.
+test('a late failure that could not be stored is reported again to the next scheduler', async () => {
+  const harness = createSchedulerHarness(6, '')
+  const first = await startScheduler(harness)
+  const spec = createJobSpec('job', { command: failingCommand })
+  const [workerId = ''] = await loseWorkers(harness, first, spec)
+  harness.setStoreDown(true)
+  harness.setCutOff(workerId, false)
+  await run(2_000)
+  expect(harness.workers.get(workerId)?.getTasks().length).toBe(1)
+  harness.discardSharedRecords()
+  first.stop()
+  harness.setStoreDown(false)
+  const second = await startScheduler(harness)
+  await waitForFailure(second, spec.jobId)
+  expect(harness.getReleases(spec.jobId)).toEqual([3])
+  expect(harness.workers.get(workerId)?.getTasks()).toEqual([])
+  second.stop()
+})
+
+// Guards against a faulty job that starts again because its last failures were read while a later attempt was running.
+test.each([false, true])('a repeatable job is not started again after late failures on three workers (after a takeover: %s)', async isTakenOver => {
+  const harness = createSchedulerHarness(8, '')
+  const first = await startScheduler(harness)
+  const spec = createJobSpec('job', { command: failingCommand })
+  await first.submit(spec)
+  const lost: string[] = []
+  for (let attempt = 1; attempt <= 3; attempt++) {
+    const workerId = await waitForWorker(harness, first, spec.jobId, lost)
+    lost.push(workerId)
+    harness.setCutOff(workerId, true)
+  }
+  const laterWorkerId = await waitForWorker(harness, first, spec.jobId, lost)
+  for (const workerId of lost) harness.setCutOff(workerId, false)
+  await run(1_500)
+  // The later attempt may succeed, so it is not stopped.
+  expect(harness.countRunning(spec.jobId)).toBe(1)
+  harness.setCutOff(laterWorkerId, true)
+  if (isTakenOver) first.stop()
+  const scheduler = isTakenOver ? await startScheduler(harness) : first
+  await waitForFailure(scheduler, spec.jobId)
+  await run(2_000)
+  expect(harness.getReleases(spec.jobId)).toEqual([4])
+  scheduler.stop()
+})
+
+// Guards against a lasting result `unknown` of a job whose failure was reported before a new scheduler had heard from all workers.
+test('a non-repeatable job has failed if its failure is reported after the takeover, before its worker is taken for lost', async () => {
+  const harness = createSchedulerHarness(4, '')
+  const first = await startScheduler(harness)
+  const spec = createJobSpec('payment', { repeatable: false, command: failingCommand })
+  await first.submit(spec)
+  await run(1_500)
+  const [workerId = ''] = (await first.get(spec.jobId, 0))?.workers ?? []
+  harness.setCutOff(workerId, true)
+  first.stop()
+  const second = harness.startScheduler()
+  await run(6_000)
+  expect(second.getStatus().isRecovered).toBe(true)
+  expect(await getResult(second, spec.jobId)).toBeUndefined()
+  harness.setCutOff(workerId, false)
+  await run(10_000)
+  expect(await getResult(second, spec.jobId)).toBe(JobResult.Failed)
+  second.stop()
+})
--- a/src/scheduling/lateEnds.ts
+++ b/src/scheduling/lateEnds.ts
@@ -3,10 +3,12 @@
  * end shows what became of it. An end is acknowledged when what follows from it is stored.
  */
 import type { Logger } from '../common/logger.js'
+import { addFailure, describeFailures, hasFailedTooOften } from './failedAttempts.js'
+import type { FailedAttempts } from './failedAttempts.js'
 import type { GangRun } from './gangRun.js'
 import type { JobRecords } from './jobRecords.js'
 import { isAssumed, JobResult, JobState } from './jobTypes.js'
-import type { JobRecord } from './jobTypes.js'
+import type { JobRecord, JobSpec } from './jobTypes.js'
 import { parseTaskId, TaskEndReason } from './workerTypes.js'
 import type { TaskReport } from './workerTypes.js'
 
@@ -18,6 +20,10 @@
   /** Returns whether a job without a record is unknown to the store. */
   readonly areRecordsLoaded: () => boolean
   readonly endJob: (jobId: string, result: JobResult, reason?: string) => void
+  /** Returns whether these failures show that the job, not the workers, is faulty. */
+  readonly isFaulty: (spec: JobSpec, failedAttempts: FailedAttempts) => boolean
+  /** Counts the failure of an attempt of a repeatable job, unless the attempt is counted already. */
+  readonly recordFailure: (record: JobRecord, attempt: number, workerId: string) => void
   readonly acknowledge: (workerId: string, taskId: string) => void
   /** Acknowledges the end of a task when all changes of the job's record are stored. */
   readonly acknowledgeWhenStored: (jobId: string, end: { readonly workerId: string, readonly taskId: string }) => void
@@ -55,7 +61,7 @@
     }
     const { jobId, attempt, member } = parseTaskId(taskId)
     const record = records.get(jobId)
-    const isIrrelevantFailure = end === TaskEndReason.Failed && record !== undefined && record.result !== JobResult.Unknown
+    const isIrrelevantFailure = end === TaskEndReason.Failed && record?.state === JobState.Ended && record.result !== JobResult.Unknown
     if (isIrrelevantFailure) {
       host.acknowledge(workerId, taskId)
       return
@@ -97,7 +103,11 @@
       return false
     }
     // The write of the release decision would replace a change of the record that is made meanwhile.
-    if (run?.isReleased() === false) return false
+    if (run?.isReleased() === false) {
+      // A later attempt that has been released may succeed, and is not stopped for an earlier failure.
+      if (record.spec.repeatable && getFailed(held).length > 0 && host.isFaulty(record.spec, addFailures(record, held))) run.cancel()
+      return false
+    }
     if (succeededAttempt !== undefined) {
       logger.warn('an attempt that was taken for lost has succeeded', { jobId, attempt: succeededAttempt, recordedAttempt: record.attempt, recordedResult: record.result })
       host.endJob(jobId, JobResult.Succeeded)
@@ -109,12 +119,29 @@
 
   function handleUnfinished (record: JobRecord, held: readonly LateEnd[]): boolean {
     const { jobId } = record.spec
-    const failed = held.find(({ end }) => end === TaskEndReason.Failed)
-    const hasFailed = failed !== undefined && record.result === JobResult.Unknown
-    if (hasFailed) host.endJob(jobId, JobResult.Failed, `the job failed on ${failed.workerId}`)
+    const reason = record.spec.repeatable ? getFaultyReason(record, held) : getFailureReason(record, held)
+    if (reason !== undefined) host.endJob(jobId, JobResult.Failed, reason)
     else for (const attempt of new Set(held.map(late => late.attempt))) recordSucceeded(record, attempt, getSucceeded(record, held, attempt))
     settle(jobId)
-    return hasFailed
+    return reason !== undefined
+  }
+
+  /** Counts the failures of a repeatable job. Returns why it is not started again; undefined if it may be, or a later attempt has been released. */
+  function getFaultyReason (record: JobRecord, held: readonly LateEnd[]): string | undefined {
+    if (record.state === JobState.Ended) return undefined
+    const { spec } = record
+    const failed = getFailed(held)
+    for (const { attempt, workerId } of failed) host.recordFailure(records.get(spec.jobId) ?? record, attempt, workerId)
+    const { failedAttempts = {} } = records.get(spec.jobId) ?? record
+    const isFaulty = hasFailedTooOften({ spec, failedAttempts }) || (failed.length > 0 && host.isFaulty(spec, failedAttempts))
+    return isFaulty && !host.runs.has(spec.jobId) ? describeFailures(failedAttempts) : undefined
+  }
+
+  /** A failure decides the result of a non-repeatable job if it is unknown, or if no run watches the attempt that was released, after a takeover. */
+  function getFailureReason (record: JobRecord, held: readonly LateEnd[]): string | undefined {
+    const isUnwatched = record.state === JobState.Released && !host.runs.has(record.spec.jobId)
+    const failed = getFailed(held).find(({ attempt }) => record.result === JobResult.Unknown || (isUnwatched && attempt === record.attempt))
+    return failed === undefined ? undefined : `the job failed on ${failed.workerId}`
   }
 
   /** Adds members to those that have succeeded in an attempt. */
@@ -136,3 +163,15 @@
   const reported = held.filter(late => late.attempt === attempt && late.end === TaskEndReason.Succeeded).map(({ member }) => member)
   return [...new Set([...record.succeededMembers?.[attempt] ?? [], ...reported])]
 }
+
+function getFailed (held: readonly LateEnd[]): readonly LateEnd[] {
+  return held.filter(({ end }) => end === TaskEndReason.Failed)
+}
+
+function addFailures (record: JobRecord, held: readonly LateEnd[]): FailedAttempts {
+  let { failedAttempts = {} } = record
+  for (const { attempt, workerId } of getFailed(held)) {
+    if (failedAttempts[attempt] === undefined) failedAttempts = addFailure(failedAttempts, attempt, workerId)
+  }
+  return failedAttempts
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -17,6 +17,8 @@
 import type { JobView, SchedulerStatus } from './jobViews.js'
 import { getAcceleratorCount, JobResult, JobState } from './jobTypes.js'
 import type { JobRecord, JobSpec } from './jobTypes.js'
+import { addFailure, describeFailures, getFailedWorkers, hasFailedTooOften } from './failedAttempts.js'
+import type { FailedAttempts } from './failedAttempts.js'
 import { createLateEnds } from './lateEnds.js'
 import { createPolicy } from './policy.js'
 import { createSubmission } from './submission.js'
@@ -74,7 +76,6 @@
 const tickIntervalMs = 1_000
 const reloadIntervalMs = 2_000
 const requeueDelayMs = 500
-const maxFailedWorkersPerJob = 3
 const pruneIntervalMs = 600_000
 const recordRetentionMs = 86_400_000
 const maxListedJobs = 1_000
@@ -89,7 +90,6 @@
   const changed = createSignal()
   const runs = new Map<string, GangRun>()
   const attempts = new Map<string, number>()
-  const failedWorkers = new Map<string, Set<string>>()
   const workers = new Map<string, WorkerInfo>()
   const unreachable = new Set<string>()
   const reportedTasks = new Map<string, ReportedTask>()
@@ -151,6 +151,8 @@
     runs,
     areRecordsLoaded: () => areRecordsLoaded,
     endJob,
+    isFaulty,
+    recordFailure: recordLateFailure,
     acknowledge: links.acknowledge,
     acknowledgeWhenStored
   })
@@ -428,17 +430,31 @@
 
   /** A repeatable job is tried on other workers, to find out whether the job or the worker is faulty. */
   function handleFailure (run: GangRun, end: GangEnd): void {
-    const { spec } = run.input
-    const triedWorkers = failedWorkers.get(spec.jobId) ?? new Set<string>()
-    failedWorkers.set(spec.jobId, triedWorkers)
+    const { spec, attempt } = run.input
     const workerId = end.workerId ?? ''
-    triedWorkers.add(workerId)
-    const isJobFaulty = triedWorkers.size >= maxFailedWorkersPerJob || !spec.repeatable || workers.size <= triedWorkers.size
-    if (triedWorkers.size > 1) health.discardFailures(spec.jobId).forEach(updateUsable)
-    else if (health.recordFailure(workerId, spec.jobId)) host.logger.warn(`worker ${workerId} is quarantined: jobs failed on it repeatedly`)
+    const failedAttempts = addFailure(records.get(spec.jobId)?.failedAttempts, attempt, workerId)
+    attributeFailure(spec.jobId, failedAttempts, workerId)
+    if (isFaulty(spec, failedAttempts)) endJob(spec.jobId, JobResult.Failed, describeFailures(failedAttempts))
+    else requeue(run, end, failedAttempts)
+  }
+
+  /** Records the failure of an attempt that was given up; an attempt counts once. */
+  function recordLateFailure ({ spec, failedAttempts: known }: JobRecord, attempt: number, workerId: string): void {
+    if (known?.[attempt] !== undefined) return
+    host.logger.warn('an attempt that was taken for lost has failed', { jobId: spec.jobId, attempt, workerId })
+    const failedAttempts = addFailure(known, attempt, workerId)
+    attributeFailure(spec.jobId, failedAttempts, workerId)
+    records.writeLater(spec.jobId, { failedAttempts })
+  }
+
+  function attributeFailure (jobId: string, failedAttempts: FailedAttempts, workerId: string): void {
+    if (getFailedWorkers(failedAttempts).size > 1) health.discardFailures(jobId).forEach(updateUsable)
+    else if (health.recordFailure(workerId, jobId)) host.logger.warn(`worker ${workerId} is quarantined: jobs failed on it repeatedly`)
     updateUsable(workerId)
-    if (isJobFaulty) endJob(spec.jobId, JobResult.Failed, `the job failed on ${[...triedWorkers].join(', ')}`)
-    else requeue(run, end)
+  }
+
+  function isFaulty (spec: JobSpec, failedAttempts: FailedAttempts): boolean {
+    return !spec.repeatable || hasFailedTooOften({ spec, failedAttempts }) || workers.size <= getFailedWorkers(failedAttempts).size
   }
 
   async function requeueAfterDelay (run: GangRun, end: GangEnd): Promise<void> {
@@ -449,17 +465,17 @@
     scheduleDecision()
   }
 
-  function requeue (run: GangRun, end: GangEnd): void {
+  function requeue (run: GangRun, end: GangEnd, failedAttempts = records.get(run.input.spec.jobId)?.failedAttempts): void {
     const { jobId } = run.input.spec
     const job = planner.get(jobId)
     if (job === undefined) return
     const attainedMs = job.attainedMs + end.attainedMs
     const preemptions = job.preemptions + (end.outcome === GangOutcome.Preempted ? 1 : 0)
     const isCheckpointIgnored = job.isCheckpointIgnored || end.isCheckpointIgnored
-    const avoid = failedWorkers.get(jobId) ?? new Set<string>()
+    const avoid = getFailedWorkers(failedAttempts)
     planner.requeue(jobId, { waitingSinceMs: job.waitingSinceMs, attainedMs, preemptions, isCheckpointIgnored, avoid })
     const attempt = trackAttempt(jobId, run.input.attempt)
-    records.writeLater(jobId, { state: JobState.Queued, attempt: attempt + 1, progressMs: end.progressMs, attainedMs })
+    records.writeLater(jobId, { state: JobState.Queued, attempt: attempt + 1, progressMs: end.progressMs, attainedMs, failedAttempts })
     trackAttempt(jobId, attempt + 1)
     endIfImpossible(run.input.spec)
     changed.notify()
@@ -467,7 +483,6 @@
 
   function endJob (jobId: string, result: JobResult, reason?: string): void {
     planner.remove(jobId)
-    failedWorkers.delete(jobId)
     records.writeLater(jobId, { state: JobState.Ended, result, reason, endedAtMs: Date.now() })
     changed.notify()
   }
--- a/src/scheduling/takeover.ts
+++ b/src/scheduling/takeover.ts
@@ -1,6 +1,7 @@
 /** Takes over the jobs of an earlier scheduler, using the workers' reports and the job records. */
 import { delay } from '../common/time.js'
 import type { PlacementPlanner, JobHistory } from './placementPlanner.js'
+import { describeFailures, getFailedWorkers, hasFailedTooOften } from './failedAttempts.js'
 import { createGangRun } from './gangRun.js'
 import type { GangEnd, GangRun, GangRunHost } from './gangRun.js'
 import type { JobRecords } from './jobRecords.js'
@@ -94,6 +95,7 @@
       host.trackAttempt(jobId, record.attempt)
       if (record.state === JobState.Ended || runs.has(jobId) || planner.get(jobId) !== undefined) continue
       if (record.isCancelRequested) host.endJob(jobId, JobResult.Cancelled)
+      else if (record.state === JobState.Queued && hasFailedTooOften(record)) endFaulty(record)
       else if (record.state === JobState.Queued) planner.addWaiting(record.spec, getHistory(record))
       else if (runHost.areWorkersSettled()) handleLostGang(record)
       else void handleLostGangWhenSettled(record)
@@ -101,11 +103,11 @@
     host.scheduleDecision()
   }
 
-  async function handleLostGangWhenSettled (record: JobRecord): Promise<void> {
+  async function handleLostGangWhenSettled ({ spec: { jobId } }: JobRecord): Promise<void> {
     while (!host.isStopped() && !runHost.areWorkersSettled()) await delay(settlePollIntervalMs)
-    const { jobId } = record.spec
-    const hasEnded = records.get(jobId)?.state === JobState.Ended
-    if (!host.isStopped() && !hasEnded && !runs.has(jobId) && planner.get(jobId) === undefined) handleLostGang(record)
+    const record = records.get(jobId)
+    const isOpen = record !== undefined && record.state !== JobState.Ended && !runs.has(jobId) && planner.get(jobId) === undefined
+    if (!host.isStopped() && isOpen) handleLostGang(record)
   }
 
   /** Handles a gang that was released according to its record, but that no worker reports. */
@@ -114,10 +116,18 @@
       host.endJob(record.spec.jobId, JobResult.Unknown, 'the job\'s workers were lost after its release')
       return
     }
+    if (hasFailedTooOften(record)) {
+      endFaulty(record)
+      return
+    }
     records.writeLater(record.spec.jobId, { state: JobState.Queued, attempt: record.attempt + 1 })
     host.trackAttempt(record.spec.jobId, record.attempt + 1)
     planner.addWaiting(record.spec, getHistory(record))
   }
+
+  function endFaulty ({ spec, failedAttempts }: JobRecord): void {
+    host.endJob(spec.jobId, JobResult.Failed, describeFailures(failedAttempts))
+  }
 }
 
 /** Groups tasks by job and attempt. */
@@ -150,5 +160,5 @@
 }
 
 function getHistory (record: JobRecord): Partial<JobHistory> {
-  return { waitingSinceMs: record.spec.submittedAtMs, attainedMs: record.attainedMs }
+  return { waitingSinceMs: record.spec.submittedAtMs, attainedMs: record.attainedMs, avoid: getFailedWorkers(record.failedAttempts) }
 }
