A job record that the store has in a newer state is replaced by that state

What callers saw: /v1/jobs shows another state or result of a job than the store holds, until the scheduler changes; workers keep the ended tasks of such a job, as their ends are never acknowledged, and its record is not pruned. Cause: after a write was refused with stale-epoch, the record was taken off the list of changed ones, but kept isDirty. A record with isDirty is neither read again nor pruned, and counts as unwritten. It happens when a job was added from the workers' reports while the store was unavailable, and its record had ended already. Now the record is replaced by the stored one, and the ends of its tasks are acknowledged if it has ended. As the scheduler then knows the revision of the newer state, changes of an older state are refused without a write; a job that has ended cannot be released again that way. On a related path: a known result of a newer epoch was refused if the store had an assumed one ('unknown') of an older epoch, although a scheduler that has read the record replaces it. Both are equal now.

--- a/src/scheduling/jobRecords.ts
+++ b/src/scheduling/jobRecords.ts
@@ -62,6 +62,8 @@
   isWriting: boolean
   isPending: boolean
   mayBeStored: boolean
+  /** The record with a newer state that another scheduler has stored, with its revision; set when a write has been refused for it. */
+  newer?: { readonly record: JobRecord, readonly revision: number } | undefined
 }
 
 const flushRetryDelayMs = 500
@@ -99,7 +101,9 @@
     countUnwritten: () => dirty.size,
     isUnwritten: jobId => {
       const cached = cache.get(jobId)
-      return cached !== undefined && (cached.isDirty || cached.revision === 0)
+      if (cached === undefined) return false
+      const isSuperseded = cached.newer !== undefined && cached.newer.record.state !== JobState.Ended
+      return cached.isDirty || cached.revision === 0 || isSuperseded
     },
     getUnwritten: () => [...dirty].map(jobId => getCached(jobId).record),
     share: shareUnwritten,
@@ -234,13 +238,26 @@
     } catch (error) {
       if (!isErrorOfKind(error, ErrorKind.StaleEpoch)) return false
       logger.warn(`another scheduler has written a newer record of job ${jobId}`)
-      dirty.delete(jobId)
+      if (cached.record === written) useNewer(jobId, cached)
       return true
     } finally {
       cached.isWriting = false
     }
   }
 
+  /** Replaces the record by the newer one from the store, whose state later changes of an older state do not overwrite. */
+  function useNewer (jobId: string, cached: CachedRecord): void {
+    if (cached.newer === undefined) return
+    cached.record = cached.newer.record
+    cached.revision = cached.newer.revision
+    // Unless the job has ended, the scheduler that has written the newer record still needs the ends of its tasks.
+    if (cached.record.state === JobState.Ended) markClean(jobId, cached)
+    else {
+      cached.isDirty = false
+      dirty.delete(jobId)
+    }
+  }
+
   function markClean (jobId: string, cached: CachedRecord): void {
     cached.isDirty = false
     dirty.delete(jobId)
@@ -249,7 +266,14 @@
 
   /** Overwrites only an older state of the record: compared by epoch, then by attempt and state. */
   async function putIfNewer (cached: CachedRecord, next: JobRecord): Promise<number> {
+    const revision = await tryPut(cached, next)
+    cached.newer = undefined
+    return revision
+  }
+
+  async function tryPut (cached: CachedRecord, next: JobRecord): Promise<number> {
     const key = prefix + next.spec.jobId
+    if (cached.newer !== undefined && !isNewer(next, cached.newer.record)) throw createStaleError(next)
     const wasStored = cached.mayBeStored
     cached.mayBeStored = true
     try {
@@ -260,8 +284,9 @@
     }
     const current = await store.get(key)
     const other = current && JSON.parse(current.value) as JobRecord
-    if (other !== undefined && !isNewer(next, other)) {
-      throw createError(ErrorKind.StaleEpoch, `the stored record of job ${next.spec.jobId} has a newer state`)
+    if (current !== undefined && other !== undefined && !isNewer(next, other)) {
+      cached.newer = { record: other, revision: current.revision }
+      throw createStaleError(next)
     }
     return await putConfirmed(store, { key, value: JSON.stringify(next), expectedRevision: current?.revision ?? 0 })
   }
@@ -286,16 +311,21 @@
   }
 }
 
+function createStaleError ({ spec }: JobRecord): Error {
+  return createError(ErrorKind.StaleEpoch, `the stored record of job ${spec.jobId} has a newer state`)
+}
+
 function createCached (record: JobRecord, revision: number): CachedRecord {
   return { record, revision, isDirty: false, isWriting: false, isPending: false, mayBeStored: revision > 0 }
 }
 
 /**
- * Returns whether `next` may overwrite `current`. A record of a newer epoch overwrites any state except `ended`; one of an older epoch
- * overwrites nothing. Within an epoch the state of a job only moves forward, by attempt, then by state, then from an assumed result to a known one.
+ * Returns whether `next` may overwrite `current`. A record of a newer epoch overwrites any state except `ended`, and an assumed result by a known one;
+ * one of an older epoch overwrites nothing. Within an epoch the state of a job only moves forward, by attempt, then by state, then from an assumed result to a known one.
  */
 export function isNewer (next: JobRecord, current: JobRecord): boolean {
-  if (next.epoch !== current.epoch) return next.epoch > current.epoch && current.state !== JobState.Ended
+  const isResultFound = next.state === JobState.Ended && !isAssumed(next.result) && isAssumed(current.result)
+  if (next.epoch !== current.epoch) return next.epoch > current.epoch && (current.state !== JobState.Ended || isResultFound)
   if (next.attempt !== current.attempt) return next.attempt > current.attempt
   if (next.state !== current.state) return stateRanks[next.state] > stateRanks[current.state]
   return !isAssumed(next.result) || current.result === undefined || isAssumed(current.result)
