An outage of the store ends when the store answers with conflict or not-found

What callers saw: a host takes over a domain at the first failed call to the store, instead of after an outage of 3 s. Cause: outageSinceMs was reset only by a call without an error. After 'conflict' or 'not-found', which are answers, it still held the start of an earlier outage. On a related path, the time of an outage that began while an expired lease was acquired again started one renewal late. Now both answers end the outage, and a failed acquisition of an expired lease begins one.

--- a/src/scheduling/domainLease.ts
+++ b/src/scheduling/domainLease.ts
@@ -82,8 +82,10 @@
       else if (Date.now() >= pausedUntilMs && host.getCandidates().includes(host.hostId)) await acquire()
       outageSinceMs = undefined
     } catch (error) {
+      // These errors are answers of the store, which is available.
+      if (isErrorOfKind(error, ErrorKind.NotFound, ErrorKind.Conflict)) outageSinceMs = undefined
       if (isErrorOfKind(error, ErrorKind.NotFound)) await reacquire()
-      else if (isErrorOfKind(error, ErrorKind.StoreUnavailable, ErrorKind.AnswerLost)) takeOverDuringOutage()
+      else if (isUnavailable(error)) takeOverDuringOutage()
       else if (!isErrorOfKind(error, ErrorKind.Conflict)) host.logger.warn('the lease of the domain cannot be renewed or acquired', { error: String(error) })
     }
   }
@@ -117,8 +119,9 @@
     host.logger.warn('the lease of the domain has expired')
     try {
       await acquire()
-    } catch {
+    } catch (error) {
       loseLease()
+      if (isUnavailable(error)) takeOverDuringOutage()
     }
   }
 
@@ -168,3 +171,7 @@
     await Promise.race([running, delay(renewIntervalMs)])
   }
 }
+
+function isUnavailable (error: unknown): boolean {
+  return isErrorOfKind(error, ErrorKind.StoreUnavailable, ErrorKind.AnswerLost)
+}
