A requeued job stands once in the order of waiting jobs

What callers saw: work of /v1/jobs waits although its place is free, until the order is sorted again after 5 s. Cause: a placed job keeps its place in the order of its shape class until the class is sorted again. If it was requeued before, it stood there once for each time that it had waited, with a sort value that had changed since. Over its quota, it used up the 64 skips of the class by itself. Now a requeued job is taken out of the order before it is inserted. Evidence: the new test of scheduling/placementPlanner.test.ts failed before (no placement instead of the other organisation's job) and passes.

--- a/src/scheduling/placementPlanner.ts
+++ b/src/scheduling/placementPlanner.ts
@@ -202,9 +202,17 @@
     if (entry === undefined || entry.phase === JobPhase.Waiting) return
     releasePlacement(entry)
     Object.assign(entry, { phase: JobPhase.Waiting, startedAtMs: undefined, guaranteeId: undefined, avoidUntilMs: Date.now() + avoidanceMs, ...history })
+    removeFromOrder(entry)
     enqueue(entry)
   }
 
+  /** A job that is placed keeps its place in the order until the class is sorted again; its sort value has changed since. */
+  function removeFromOrder (entry: JobEntry): void {
+    const { order } = getClass(entry.spec)
+    const index = order.indexOf(entry)
+    if (index >= 0) order.splice(index, 1)
+  }
+
   function releasePlacement (entry: JobEntry): void {
     allocator.release(entry.spec.jobId)
     updateUsage(entry, -1)
