A limit whose name an object inherits is unknown

What operators saw: `limit toString value=1` is accepted and has no effect. Cause: the names were looked up with `in`, which finds inherited properties.

--- a/src/rules/ruleSyntax.ts
+++ b/src/rules/ruleSyntax.ts
@@ -202,7 +202,7 @@
 }
 
 function checkLimitName (value: string): string | undefined {
-  return value in limitDefaults ? undefined : `"${value}" is not a known limit; expected one of ${Object.keys(limitDefaults).join(', ')}`
+  return Object.hasOwn(limitDefaults, value) ? undefined : `"${value}" is not a known limit; expected one of ${Object.keys(limitDefaults).join(', ')}`
 }
 
 function checkCount (value: string): string | undefined {
--- a/src/rules/rules.test.ts
+++ b/src/rules/rules.test.ts
@@ -33,6 +33,13 @@
   }))
 })
 
+// Guards against a limit without effect that is accepted because objects inherit a property of its name.
+test.each(['toString', 'constructor', '__proto__', 'hasOwnProperty'])('a limit called %s is unknown', name => {
+  const { rules, diagnostics } = parseRules(`limit ${name} value=1 # test`)
+  expect(rules.size).toBe(0)
+  expect(diagnostics).toHaveLength(1)
+})
+
 test('parsing never throws; every diagnostic has a line and a column', () => {
   fc.assert(fc.property(fc.string({ unit: 'binary', maxLength: 200 }), text => {
     for (const diagnostic of parseRules(text).diagnostics) {
