Rules are sorted by code units, not by the locale of the host

What operators saw: hosts with other locales can show one revision in different orders. Cause: formatRules compared names with localeCompare.

--- a/src/rules/ruleSyntax.ts
+++ b/src/rules/ruleSyntax.ts
@@ -120,10 +120,16 @@
 export function formatRules (rules: Iterable<Rule>, revision: number): string {
   const kinds = Object.values(RuleKind)
   const sorted = [...rules].sort((left, right) =>
-    kinds.indexOf(left.kind) - kinds.indexOf(right.kind) || left.name.localeCompare(right.name))
+    kinds.indexOf(left.kind) - kinds.indexOf(right.kind) || compareByCodeUnits(left.name, right.name))
   return [`# revision ${revision}`, ...sorted.map(formatRule), ''].join('\n')
 }
 
+/** The order doesn't depend on the locale of the host. */
+function compareByCodeUnits (left: string, right: string): number {
+  if (left === right) return 0
+  return left < right ? -1 : 1
+}
+
 /** Returns whether two rules are equal, including their comments. */
 export function isSameRule (left: Rule | undefined, right: Rule | undefined): boolean {
   if (left === undefined || right === undefined) return left === right
--- a/src/rules/rules.test.ts
+++ b/src/rules/rules.test.ts
@@ -40,6 +40,14 @@
   expect(diagnostics).toHaveLength(1)
 })
 
+// Guards against hosts that show the same revision in different orders, as their locales differ.
+test('rules are sorted by the code units of their names', () => {
+  const names = ['b', 'B', 'a-b', 'ab', 'ä', 'z', '10', '9']
+  const { rules } = parseRules(names.map(name => `organisation ${name} # test`).join('\n'))
+  const formatted = parseRules(formatRules(rules.values(), 1)).rules
+  expect([...formatted.values()].map(({ name }) => name)).toEqual([...names].sort())
+})
+
 test('parsing never throws; every diagnostic has a line and a column', () => {
   fc.assert(fc.property(fc.string({ unit: 'binary', maxLength: 200 }), text => {
     for (const diagnostic of parseRules(text).diagnostics) {
