--- a/src/rules/ruleSyntax.ts
+++ b/src/rules/ruleSyntax.ts
@@ -27,7 +27,7 @@
   readonly rules: ReadonlyMap<string, Rule>
   readonly lineNumbers: ReadonlyMap<string, number>
   readonly diagnostics: readonly Diagnostic[]
-  /** The revision from the header `# revision N`, if there is one. */
+  /** The revision from the header, the first line `# revision N` before the rules; undefined without a header. */
   readonly baseRevision?: number
 }
 
@@ -89,13 +89,14 @@
   const lineNumbers = new Map<string, number>()
   const diagnostics: Diagnostic[] = []
   let baseRevision: number | undefined
+  let hasRules = false
   const sourceLines = text.split(/\r?\n/)
   if (sourceLines.length > maxLineCount) diagnostics.push(createDiagnostic(diagnosticMessages.tooManyLines, [`${maxLineCount}`], maxLineCount, 1))
   sourceLines.slice(0, maxLineCount).forEach((line, index) => {
     const lineNumber = index + 1
-    const header = revisionPattern.exec(line)
-    if (header) baseRevision = Number(header[1])
+    if (!hasRules) baseRevision ??= parseHeader(line)
     if (line.trim() === '' || line.trimStart().startsWith('#')) return
+    hasRules = true
     const rule = parseLine(line, lineNumber, diagnostics)
     if (rule === undefined) return
     const identity = getRuleIdentity(rule)
@@ -110,6 +111,11 @@
   return { rules, lineNumbers, diagnostics, baseRevision }
 }
 
+function parseHeader (line: string): number | undefined {
+  const header = revisionPattern.exec(line)
+  return header === null ? undefined : Number(header[1])
+}
+
 /** Formats one rule as a line. */
 export function formatRule (rule: Rule): string {
   const fields = Object.entries(rule.fields).map(([name, value]) => `${name}=${value}`)
--- a/src/rules/rules.test.ts
+++ b/src/rules/rules.test.ts
@@ -48,6 +48,16 @@
   expect([...formatted.values()].map(({ name }) => name)).toEqual([...names].sort())
 })
 
+// Guards against an edit that is merged with another revision than the one that was shown, because a comment in the file reads like its header.
+test.each([
+  ['# revision 7\norganisation a # test\n# revision 3\n', 7],
+  ['organisation a # test\n# revision 3\n', undefined],
+  ['# revision 7\n# revision 3\norganisation a # test\n', 7],
+  ['\n# my edit\n# revision 7\norganisation a # test\n', 7]
+])('the first header before the rules is the base: %j', (text, baseRevision) => {
+  expect(parseRules(text).baseRevision).toBe(baseRevision)
+})
+
 test('parsing never throws; every diagnostic has a line and a column', () => {
   fc.assert(fc.property(fc.string({ unit: 'binary', maxLength: 200 }), text => {
     for (const diagnostic of parseRules(text).diagnostics) {
