--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -1,6 +1,7 @@
 /**
  * Records in the store how long the leases that a term grants to workers may last, so that later terms know when these have ended. Each term has a key
- * that goes away by itself once all of its leases are over. See docs/design/lease-evidence.md.
+ * that goes away by itself once all of its leases are over, and one for each group of workers that stopped answering, a timer, which goes away once theirs
+ * are. See docs/design/lease-evidence.md.
  */
 import * as z from 'zod/mini'
 import { tryParseJson } from '../common/boundedJson.js'
--- a/src/runs/silentWorkers.test.ts
+++ b/src/runs/silentWorkers.test.ts
@@ -1,4 +1,4 @@
-/** Faults of the records of silent workers that a review has found: what a takeover concludes too early, and inclusions that wait for other writes. */
+/** Records of silent workers: what the next term concludes from them, and how soon a worker that answers again is granted leases. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
 import type { Term } from '../election/leaderElection.js'
