Tests of runs beside a start without an answer, known to fail; the log names workers left out of the record

A worker with a start without an answer is not recorded as silent, so that the next term waits for the whole record (7.3 s after the end of the term before) for all of its runs, and the same term for the longest lease (10 s). Five tests fail on; they are marked and listed. The log did not say which workers are left out, so that this cause could not be told from a late record.

--- /dev/null
+++ b/src/runs/unansweredStarts.test.ts
@@ -0,0 +1,80 @@
+/** A start without an answer may still be carried out. The other runs of its worker, and how long they are waited for, do not depend on it. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { EndKind } from '../jobs/jobModel.js'
+import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
+import type { PoolHarness } from '../testing/poolHarness.js'
+import { createPoolSteps } from '../testing/poolSteps.js'
+
+/** Source of the bound: the platform's rules (LOST) count a job that stands for 3 s after 4 s without disturbances. */
+const replacementLimitMs = 7_000
+/** The least time for which a worker has to be silent for its scheduler to have recorded it, in ms. */
+const recordedAfterMs = 1_000
+const goneMs = 3_600_000
+const task = 'a.0.0.0'
+let harness: PoolHarness
+const { run, submit } = createPoolSteps(() => harness)
+
+beforeEach(() => {
+  jest.useFakeTimers()
+})
+
+afterEach(async () => {
+  const stopped = harness.stop()
+  await run(3_000)
+  await stopped
+  jest.useRealTimers()
+})
+
+/** Starts the run that is to be lost, and sends its worker another start that gets no answer. Then the worker is gone for good. */
+async function loseWorkerDuringStart (maxLeaseMs: number): Promise<string> {
+  harness = createPoolHarness({ workers: 6, workersPerRack: 1, maxLeaseMs, getRun: () => ({ workMs: 60_000, how: EndKind.Done }) })
+  harness.addHost('host-0')
+  // The lives of the workers are older than any order that could be under way.
+  await run(40_000)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(1_000)
+  const [location] = harness.poolState.running.get(task) ?? []
+  if (location === undefined) throw new Error('the task runs')
+  const worker = harness.workers.get(location.workerId)
+  worker?.delayStarts(3, 60_000)
+  await submit(makeJob('b', 'batch', [makeStep({ requiredLabel: worker?.info.rack ?? '' })]))
+  expect(harness.orders.filter(order => order.task === 'b.0.0.0').length).toBeGreaterThan(0)
+  harness.crashWorker(location.workerId, { awayMs: goneMs, keepsId: false })
+  return location.workerId
+}
+
+function isAtWork (): boolean {
+  return (harness.poolState.running.get(task) ?? []).length > 0
+}
+
+test.failing.each([10_000])('the other runs of a worker with a start without an answer are replaced in time where workers grant %i ms', async maxLeaseMs => {
+  await loseWorkerDuringStart(maxLeaseMs)
+  await run(replacementLimitMs)
+  expect(isAtWork()).toBe(true)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing.each([recordedAfterMs, 2_500, 3_900])('the next term does not wait longer for the other runs of a worker with a start without an answer (takeover after %i ms)', async takeoverAfterMs => {
+  await loseWorkerDuringStart(6_000)
+  await run(takeoverAfterMs)
+  harness.hosts.get('host-0')?.crash()
+  harness.addHost('host-1')
+  await run(replacementLimitMs - takeoverAfterMs)
+  expect(isAtWork()).toBe(true)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test.failing('a series of short terms does not prolong the wait for the other runs of a worker with a start without an answer', async () => {
+  await loseWorkerDuringStart(6_000)
+  await run(recordedAfterMs)
+  for (let term = 0; term < 2; term++) {
+    harness.hosts.get(`host-${term}`)?.crash()
+    harness.addHost(`host-${term + 1}`)
+    await run(1_500)
+  }
+  harness.hosts.get('host-2')?.crash()
+  harness.addHost('host-3')
+  await run(replacementLimitMs - recordedAfterMs - 3_000)
+  expect(isAtWork()).toBe(true)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -134,6 +134,8 @@
   let checkOffset = 0
   let unreachableSinceMs: number | undefined
   let silentRecordedAtMs = -Infinity
+  /** The silent workers that the record does not name because a start has got no answer. */
+  let leftOut: ReadonlySet<string> = new Set()
   const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
   const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
   /** The workers whose first poll has not ended, and when it was sent; undefined while it waits to be sent. */
@@ -167,7 +169,9 @@
   function recordSilent (): void {
     const nowMs = performance.now()
     if (nowMs - silentRecordedAtMs < silentRecordPeriodMs) return
-    const silent = [...links].filter(([workerId, link]) => link.getSilentForMs() >= minSilenceMs && hasMembers(workerId) && !host.grants.isExcluded(workerId) && !host.hasUnansweredStart(workerId))
+    const found = [...links].filter(([workerId, link]) => link.getSilentForMs() >= minSilenceMs && hasMembers(workerId) && !host.grants.isExcluded(workerId))
+    const silent = found.filter(([workerId]) => !host.hasUnansweredStart(workerId))
+    logLeftOut(found.flatMap(([workerId]) => host.hasUnansweredStart(workerId) ? workerId : []))
     if (silent.length === 0) return
     silentRecordedAtMs = nowMs
     const leasesLeftMs = Math.max(0, ...silent.map(([, link]) => link.getLeaseLeftMs() ?? 0))
@@ -175,6 +179,12 @@
     if (excluded.length > 0) logger.info('workers that do not answer are granted no lease', { workers: excluded.length, workerIds: excluded.slice(0, maxLoggedWorkers), leasesLeftMs: Math.round(leasesLeftMs) })
   }
 
+  function logLeftOut (workerIds: readonly string[]): void {
+    const added = workerIds.filter(workerId => !leftOut.has(workerId))
+    leftOut = new Set(workerIds)
+    if (added.length > 0) logger.info('workers that do not answer are left out of the record: a start has got no answer', { workers: added.length, workerIds: added.slice(0, maxLoggedWorkers) })
+  }
+
   function wakeLinks (): void {
     // A poll of a worker that does not answer would be of no use.
     for (const link of links.values()) if (link.isAnswering()) link.wake()
