The longest lease is waited for if a start is answered by a life of its worker that nothing has shown yet

Found by the model checker: an idle worker starts again under its id, a start reaches the new life, and the worker is cut off before the next poll. The clock of the new life starts anew, so that it grants the longest lease, while the scheduler counted the shorter one that it asks for: two runs at once where workers grant 10 s. The answer to a start has the worker's clock, which shows the later life.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -78,6 +78,7 @@
       reviewLease: () => {},
       getLeaseUntilMs: () => Math.floor(performance.now()) + 30_000,
       recordLeaseExtension: () => {},
+      checkClock: () => {},
       expectIncarnation: () => {},
       getBornAtMs: () => 0,
       hasReported: () => true,
--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -103,7 +103,7 @@
     link.recordLeaseExtension()
     awaitingAnswer.add(member)
     try {
-      const { answer } = await link.port.start({
+      const { answer, clockMs } = await link.port.start({
         task: getTaskName(member),
         run: attempt.run,
         payload: attempt.unit.job.spec.payload,
@@ -113,6 +113,7 @@
         ticket: host.getTicket(member)
       })
       member.unansweredStarts--
+      if (clockMs !== undefined) link.checkClock(clockMs)
       if (answer === StartResult.Started) member.runningIncarnationMs ??= incarnationMs
       // The run cannot start any more in this incarnation; the next report shows whether it has run.
       if (answer === StartResult.StaleRun) member.startExclusion ??= { atMs: performance.now(), incarnationMs }
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -62,6 +62,8 @@
   getLeaseUntilMs (): number | undefined
   /** Records that a request that extends the lease is being sent. */
   recordLeaseExtension (): void
+  /** Must be called with the clock in the answer to a start: one that is behind the known clock is that of an incarnation that has not been seen yet. */
+  checkClock (clockMs: number): void
   /** Records that the list shows an incarnation of the worker; reports of earlier ones that are under way are then ignored. */
   expectIncarnation (bornAtMs: number): void
   /** The latest incarnation that the worker's reports or the list have shown, by its start as Unix time in ms. */
@@ -97,6 +99,8 @@
   { pauseMs: 50, answerTimeoutMs: 150 },
   { pauseMs: 100 }
 ]
+/** A clock counts as that of a later incarnation if it is further behind than this, in ms: more than the longest time that the answer to a start may take. */
+const maxClockErrorMs = 1_000
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
 /**
@@ -141,7 +145,7 @@
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
 
   function close (): void {
     isClosed = true
@@ -192,6 +196,14 @@
     changed.notify()
   }
 
+  function checkClock (clockMs: number): void {
+    if (clock === undefined || clockMs >= getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs) - maxClockErrorMs) return
+    logger.warn('the clock of a worker is behind: a later incarnation answers', { workerId: info.workerId, clockMs, knownClockMs: clock.workerMs, knownBornAtMs: bornAtMs })
+    laterIncarnationSeenAtMs = performance.now()
+    clock = undefined
+    changed.notify()
+  }
+
   function getLeaseUntilMs (): number | undefined {
     const grantMs = host.getMaxGrantMs()
     if (clock === undefined || grantMs <= 0) return undefined
