--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -102,10 +102,12 @@
   readonly hasEarlierOrders?: boolean
   /** When the list shows another incarnation. */
   readonly listedAnewAtMs?: number
+  /** When the worker is first given a lease; at once by default. */
+  readonly grantedFromMs?: number
 }
 
 /** A worker grants up to 10 s and is asked for 6 s. Returns how long after the loss its lease counts as over; the latest extension was sent at the loss. */
-async function measureWaitMs ({ lostAtMs, areEarlierLeasesOver, hasEarlierOrders = false, listedAnewAtMs }: LossOptions): Promise<number> {
+async function measureWaitMs ({ lostAtMs, areEarlierLeasesOver, hasEarlierOrders = false, listedAnewAtMs, grantedFromMs = 0 }: LossOptions): Promise<number> {
   const leaving = new AbortController()
   const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
   const startedAtMs = performance.now()
@@ -130,7 +132,7 @@
     requestedLeaseMs: 6_000,
     hasEarlierOrders,
     hasUncertainRuns: () => false,
-    getMaxGrantMs: () => 6_000,
+    getMaxGrantMs: () => performance.now() - startedAtMs < grantedFromMs ? 0 : 6_000,
     areEarlierLeasesOver: () => areEarlierLeasesOver,
     areAllLeasesOver: () => false,
     onGrant: () => {},
@@ -177,3 +179,8 @@
 ])('the longest lease of a worker is waited for while orders for an earlier incarnation may be under way (%j)', async options => {
   expect(await measureWaitMs(options)).toBeGreaterThan(10_000 * 1.02)
 })
+
+// Guards against the longest wait where no order of this term can have reached another incarnation than the one that is lost.
+test('the longest lease is not waited for after a restart before which the worker was given no lease', async () => {
+  expect(await measureWaitMs({ lostAtMs: 12_000, areEarlierLeasesOver: true, listedAnewAtMs: 3_000, grantedFromMs: 5_000 })).toBeLessThan(6_500)
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -141,6 +141,7 @@
   const earlierLeasesEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
+  let hasExtendedLease = host.hasEarlierOrders
   /** When an incarnation was first seen to which orders for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   void pollUntilClosed()
@@ -171,7 +172,7 @@
     earlierIncarnations.add(bornAtMs)
     earlierIncarnations.delete(newBornAtMs)
     bornAtMs = newBornAtMs
-    laterIncarnationSeenAtMs = performance.now()
+    if (hasExtendedLease) laterIncarnationSeenAtMs = performance.now()
     storedSequence = 0
     // Its clock starts anew.
     clock = undefined
@@ -190,6 +191,7 @@
   function recordLeaseExtension (): void {
     host.onGrant()
     extendedAtMs = performance.now()
+    hasExtendedLease = true
     isLeaseOver = false
     areSettledRunsOver = false
     // Wakes the polling, because only reports show whether the request was executed if its answer is lost.
