A start extends the lease of its worker only if less than half of it is left

Polls extend the lease each 1.5 s, so that a start has at least half of it left anyway. A life whose clock starts anew is still waited for from the latest start.

--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -94,13 +94,13 @@
   async function send (member: Member): Promise<StartResult | 'lost' | 'unsent'> {
     const { attempt, workerId } = member
     const link = host.getLink(workerId)
-    const leaseUntilMs = link?.getLeaseUntilMs()
-    if (link === undefined || leaseUntilMs === undefined || !term.isValid() || !host.mayStart()) return 'unsent'
+    if (link === undefined || !term.isValid() || !host.mayStart()) return 'unsent'
+    const leaseUntilMs = link.grantStartLease()
+    if (leaseUntilMs === undefined) return 'unsent'
     // A later incarnation may carry out the request, but not an earlier one.
     const incarnationMs = link.getBornAtMs()
     member.state = MemberState.StartSent
     member.unansweredStarts++
-    link.recordLeaseExtension()
     awaitingAnswer.add(member)
     try {
       const { answer, clockMs } = await link.port.start({
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -58,10 +58,11 @@
   check (): void
   /** Must be called when more has become known of the leases of earlier terms, and regularly. */
   reviewLease (): void
-  /** The end of a lease granted now, on the worker's clock; undefined while that clock is unknown or none may be granted. */
-  getLeaseUntilMs (): number | undefined
-  /** Records that a request that extends the lease is being sent. */
-  recordLeaseExtension (): void
+  /**
+   * The end of the lease of a start that is sent now, on the worker's clock; undefined while that clock is unknown or none may be granted. Call it only to send
+   * the start.
+   */
+  grantStartLease (): number | undefined
   /** Must be called with the clock in the answer to a start: one that is behind the known clock is that of an incarnation that has not been seen yet. */
   checkClock (clockMs: number): void
   /** Records that the list shows an incarnation of the worker; reports of earlier ones that are under way are then ignored. */
@@ -142,11 +143,15 @@
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
   let hasExtendedLease = host.hasEarlierOrders
+  /** The end of the lease that the present incarnation was last given, on its clock. */
+  let grantedUntilMs: number | undefined
+  /** When the latest start was sent, by the monotonic clock. */
+  let startSentAtMs = -Infinity
   /** When an incarnation was first seen to which orders for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake: changed.notify, check, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
 
   function close (): void {
     isClosed = true
@@ -176,6 +181,7 @@
     storedSequence = 0
     // Its clock starts anew.
     clock = undefined
+    grantedUntilMs = undefined
   }
 
   function mayFollowEarlierOrders (): boolean {
@@ -184,18 +190,30 @@
 
   function getLatestLeaseEndMs (scope: RunScope): number {
     const isLongest = mayFollowEarlierOrders() || (scope === RunScope.All && host.hasUncertainRuns())
-    const leaseEndMs = extendedAtMs + getLongestDurationMs(isLongest ? host.maxLeaseMs : host.requestedLeaseMs)
+    // An incarnation whose clock starts anew grants the longest lease from when it carries out an order.
+    const leaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : extendedAtMs + getLongestDurationMs(host.requestedLeaseMs)
     return host.areEarlierLeasesOver(scope) ? leaseEndMs : Math.max(leaseEndMs, earlierLeasesEndMs)
   }
 
-  function recordLeaseExtension (): void {
+  function recordLeaseExtension (leaseUntilMs: number): void {
     host.onGrant()
     extendedAtMs = performance.now()
+    grantedUntilMs = leaseUntilMs
     hasExtendedLease = true
     isLeaseOver = false
     areSettledRunsOver = false
+  }
+
+  /** A start extends the lease only if little is left of it: one to a worker that is gone would prolong the wait for all runs there. */
+  function grantStartLease (): number | undefined {
+    const leaseUntilMs = getLeaseUntilMs()
+    if (leaseUntilMs === undefined || clock === undefined) return undefined
+    const leftMs = (grantedUntilMs ?? -Infinity) - clock.workerMs - (performance.now() - clock.readAtMs)
+    if (leftMs < host.requestedLeaseMs / 2) recordLeaseExtension(leaseUntilMs)
+    startSentAtMs = performance.now()
     // Wakes the polling, because only reports show whether the request was executed if its answer is lost.
     changed.notify()
+    return grantedUntilMs
   }
 
   function checkClock (clockMs: number): void {
@@ -203,6 +221,7 @@
     logger.warn('the clock of a worker is behind: a later incarnation answers', { workerId: info.workerId, clockMs, knownClockMs: clock.workerMs, knownBornAtMs: bornAtMs })
     laterIncarnationSeenAtMs = performance.now()
     clock = undefined
+    grantedUntilMs = undefined
     changed.notify()
   }
 
@@ -245,7 +264,7 @@
     // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost. Without runs there is nothing to extend.
     const isNeeded = host.isNeeded()
     const leaseUntilMs = isReachable && isNeeded ? getLeaseUntilMs() : undefined
-    if (leaseUntilMs !== undefined) recordLeaseExtension()
+    if (leaseUntilMs !== undefined) recordLeaseExtension(leaseUntilMs)
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
       const isExtensionDue = isReachable && isNeeded && leaseUntilMs === undefined
