Store: items carry their lease, and calls can be aborted

Whether a write was applied can be told from the stored item only together with its lease: the leader key has the same value in each candidacy of a host. The lease is in the protocol; it was dropped when items were decoded, and the emulator always sent 0. The signal of a call reaches the HTTP client, so that a call whose answer is not needed any more releases its connection.

--- a/src/platform/emulator/emulatedStore.ts
+++ b/src/platform/emulator/emulatedStore.ts
@@ -50,7 +50,7 @@
 }
 
 function toWire (item: StoredItem): object {
-  return { key: item.key, value: Buffer.from(item.value).toString('base64'), rev: item.revision, created: item.createdRevision, lease: 0 }
+  return { key: item.key, value: Buffer.from(item.value).toString('base64'), rev: item.revision, created: item.createdRevision, lease: item.leaseId ?? 0 }
 }
 
 function toEvent ({ key, item }: StoreChange): object {
--- a/src/platform/httpStore.ts
+++ b/src/platform/httpStore.ts
@@ -15,12 +15,12 @@
 /** Renewals of leases that may be unanswered at once, on connections of their own, so that lost answers do not block other calls: 12 of the leader's lease, 6 of its record of grants. */
 const maxLeaseConnections = 18
 
-const itemSchema = z.object({ key: z.string(), value: z.string(), rev: z.number(), created: z.number() })
+const itemSchema = z.object({ key: z.string(), value: z.string(), rev: z.number(), created: z.number(), lease: z.optional(z.number()) })
 const rangeSchema = z.object({ items: z.array(itemSchema), morePages: z.boolean(), currentRev: z.number() })
-const eventSchema = z.object({ key: z.string(), value: z.optional(z.string()), rev: z.number(), created: z.optional(z.number()), tombstone: z.optional(z.boolean()) })
+const eventSchema = z.object({ key: z.string(), value: z.optional(z.string()), rev: z.number(), created: z.optional(z.number()), lease: z.optional(z.number()), tombstone: z.optional(z.boolean()) })
 const watchSchema = z.object({ events: z.array(eventSchema), currentRev: z.number() })
 const committedSchema = z.object({ rev: z.number() })
-const conflictSchema = z.object({ items: z.array(z.object({ key: z.string(), value: z.optional(z.string()), rev: z.optional(z.number()), created: z.optional(z.number()) })) })
+const conflictSchema = z.object({ items: z.array(z.object({ key: z.string(), value: z.optional(z.string()), rev: z.optional(z.number()), created: z.optional(z.number()), lease: z.optional(z.number()) })) })
 const leaseSchema = z.object({ lease: z.number(), ttlMs: z.number() })
 
 /** Creates the client of the store at `address`. */
@@ -37,8 +37,8 @@
     return check(response, call.path, accepted)
   }
 
-  async function get (key: string): Promise<StoredItem | undefined> {
-    const response = await send({ method: 'GET', path: `/sassafrasford/kv-key?key=${encodeURIComponent(key)}` }, 404)
+  async function get (key: string, signal?: AbortSignal): Promise<StoredItem | undefined> {
+    const response = await send({ method: 'GET', path: `/sassafrasford/kv-key?key=${encodeURIComponent(key)}`, signal }, 404)
     return response.status === 404 ? undefined : toItem(decode(itemSchema, response.body))
   }
 
@@ -57,23 +57,23 @@
     return { changes: events.map(toChange), revision: currentRev }
   }
 
-  async function transact (transaction: Transaction): Promise<TransactionResult> {
+  async function transact (transaction: Transaction, signal?: AbortSignal): Promise<TransactionResult> {
     const body = {
       expected: transaction.expected.map(({ key, revision }) => ({ key, rev: revision })),
       writes: transaction.writes.map(({ key, value, leaseId }) => ({ key, value: encodeValue(value), lease: leaseId ?? 0 })),
       remove: transaction.removes ?? []
     }
-    const response = await send({ method: 'POST', path: '/sassafrasford/kv-txn', body }, 412, 404)
+    const response = await send({ method: 'POST', path: '/sassafrasford/kv-txn', body, signal }, 412, 404)
     if (response.status === 404) throw createError(ErrorKind.NotFound, 'the lease of a write has ended')
     if (response.status === 200) return { isCommitted: true, revision: decode(committedSchema, response.body).rev }
     const items = decode(conflictSchema, response.body).items
     // An expected key that does not exist is listed without a value or with revision 0.
-    const found = items.flatMap(item => item.value === undefined || !item.rev ? [] : [toItem({ key: item.key, value: item.value, rev: item.rev, created: item.created ?? 0 })])
+    const found = items.flatMap(item => item.value === undefined || !item.rev ? [] : [toItem({ ...item, value: item.value, rev: item.rev, created: item.created ?? 0 })])
     return { isCommitted: false, items: found }
   }
 
-  async function grantLease (ttlMs: number): Promise<{ readonly leaseId: number, readonly ttlMs: number }> {
-    const { lease, ttlMs: grantedMs } = decode(leaseSchema, (await send({ method: 'POST', path: '/sassafrasford/kv-lease', body: { ttlMs } })).body)
+  async function grantLease (ttlMs: number, signal?: AbortSignal): Promise<{ readonly leaseId: number, readonly ttlMs: number }> {
+    const { lease, ttlMs: grantedMs } = decode(leaseSchema, (await send({ method: 'POST', path: '/sassafrasford/kv-lease', body: { ttlMs }, signal })).body)
     return { leaseId: lease, ttlMs: grantedMs }
   }
 
@@ -103,12 +103,12 @@
 }
 
 function toItem (item: z.infer<typeof itemSchema>): StoredItem {
-  return { key: item.key, value: decodeValue(item.value), revision: item.rev, createdRevision: item.created }
+  return { key: item.key, value: decodeValue(item.value), revision: item.rev, createdRevision: item.created, ...(item.lease === undefined || item.lease === 0 ? {} : { leaseId: item.lease }) }
 }
 
 function toChange (event: z.infer<typeof eventSchema>): StoreChange {
   if (event.tombstone === true || event.value === undefined) return { key: event.key }
-  return { key: event.key, item: toItem({ key: event.key, value: event.value, rev: event.rev, created: event.created ?? 0 }) }
+  return { key: event.key, item: toItem({ ...event, value: event.value, created: event.created ?? 0 }) }
 }
 
 function encodeValue (text: string): string {
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -59,7 +59,7 @@
 
 /** Creates an empty store. */
 export function createMemoryStore (): MemoryStore {
-  const items = new Map<string, StoredItem & { readonly leaseId?: number }>()
+  const items = new Map<string, StoredItem>()
   const leases = new Map<number, Lease>()
   const history: Change[] = []
   const unavailableHosts = new Set<string>()
--- a/src/store/metadataStore.ts
+++ b/src/store/metadataStore.ts
@@ -1,11 +1,15 @@
 /** Interface of the platform's metadata store: point reads, range reads, watches, transactions and leases. */
 
-/** A stored item. `revision` is that of its last write, `createdRevision` that of the write that created the key. */
+/**
+ * A stored item. `revision` is that of its last write, `createdRevision` that of the write that created the key. `leaseId` is that of the last write, absent
+ * if it had none.
+ */
 export interface StoredItem {
   readonly key: string
   readonly value: string
   readonly revision: number
   readonly createdRevision: number
+  readonly leaseId?: number | undefined
 }
 
 /** A change reported by a watch. `item` is absent when the key was removed. */
@@ -49,15 +53,15 @@
 /**
  * The operations of the store. Errors: `store-unavailable` when the call had no effect; `answer-lost` when the call may have
  * taken effect or may still do so; `not-found` for a lease that has ended; `history-gone` for a watch from a revision that
- * the store no longer keeps.
+ * the store no longer keeps. A call that is aborted by its signal fails with `answer-lost`.
  */
 export interface MetadataStore {
-  get (key: string): Promise<StoredItem | undefined>
+  get (key: string, signal?: AbortSignal): Promise<StoredItem | undefined>
   range (prefix: string, after?: string): Promise<StorePage>
   /** Waits up to `waitMs` for changes after `afterRevision`. */
   watch (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }>
-  transact (transaction: Transaction): Promise<TransactionResult>
-  grantLease (ttlMs: number): Promise<{ readonly leaseId: number, readonly ttlMs: number }>
+  transact (transaction: Transaction, signal?: AbortSignal): Promise<TransactionResult>
+  grantLease (ttlMs: number, signal?: AbortSignal): Promise<{ readonly leaseId: number, readonly ttlMs: number }>
   keepLeaseAlive (leaseId: number): Promise<void>
   revokeLease (leaseId: number): Promise<void>
 }
--- a/src/store/storeContact.ts
+++ b/src/store/storeContact.ts
@@ -24,11 +24,11 @@
 
   return {
     store: {
-      get: async key => await observe(store.get(key)),
+      get: async (key, signal) => await observe(store.get(key, signal), signal),
       range: async (prefix, after) => await observe(store.range(prefix, after)),
       watch: async (prefix, afterRevision, waitMs, signal) => await observe(store.watch(prefix, afterRevision, waitMs, signal), signal),
-      transact: async transaction => await observe(store.transact(transaction)),
-      grantLease: async ttlMs => await observe(store.grantLease(ttlMs)),
+      transact: async (transaction, signal) => await observe(store.transact(transaction, signal), signal),
+      grantLease: async (ttlMs, signal) => await observe(store.grantLease(ttlMs, signal), signal),
       keepLeaseAlive: async leaseId => { await observe(store.keepLeaseAlive(leaseId)) },
       revokeLease: async leaseId => { await observe(store.revokeLease(leaseId)) }
     },
