Store: writes without an answer are checked and repeated within a few round trips

A write whose answer is lost was repeated only after the 900 ms time-out of the call, and elections, takeovers and records of leases waited for it. createConfirmedWrites reads one of the written keys when the answer is late (twice the longest of the latest round trips, 100 ms at least) and sends the write again if it was not applied, up to eight copies within the time of one call. A conflict with an earlier copy of the same write is reported as committed: same values, same leases, one revision above the expected ones. Copies that are not needed any more are aborted.

--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -22,6 +22,8 @@
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby, maxStandbys } from '../runs/warmStandby.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
+import type { LateWriteOutcome } from '../store/confirmedWrites.js'
 import { createStoreContact } from '../store/storeContact.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
@@ -57,7 +59,7 @@
 const metrics = createHostMetrics()
 const stopping = new AbortController()
 /** The direct store, used by the scheduler and the election. The job API uses `relayedStore`, which may also reach the store through peers. */
-const { store, getContactMs: getStoreContactMs } = createStoreContact(createHttpStore(settings.storeAddress))
+const { store, getContactMs: getStoreContactMs } = createStoreContact(createConfirmedWrites({ store: createHttpStore(settings.storeAddress), onLateWrite }))
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
 const hasFastLink = settings.linkMbps >= smallLinkMbps
 const isSmall = settings.cpuShare < smallCpuShare || !hasFastLink
@@ -205,6 +207,11 @@
   return metrics.getText()
 }
 
+function onLateWrite (outcome: LateWriteOutcome, copies: number): void {
+  metrics.count('late_store_writes', outcome)
+  for (let copy = 1; copy < copies; copy++) metrics.count('repeated_store_writes')
+}
+
 /** The body of `/status`; the host that is the scheduler includes its scheduling state. */
 function getStatus (): object {
   return {
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -17,6 +17,7 @@
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby } from '../runs/warmStandby.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
 import { createStoreContact } from '../store/storeContact.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
@@ -301,7 +302,7 @@
       frozenUntilMs = performance.now() + renewalFreezeMs
       renewalFreezeMs = undefined
     }
-    const { store: client, getContactMs } = createStoreContact(freezeStore(failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed), awaitThaw, onStoreAnswer))
+    const { store: client, getContactMs } = createStoreContact(createConfirmedWrites({ store: freezeStore(failStoreAfterCrash(options.interceptStore?.(hostId, connected) ?? connected, () => hasCrashed), awaitThaw, onStoreAnswer) }))
     let term: Term | undefined
     let scheduler: Scheduler | undefined
     const rank = takeRank(hostId)
