Scheduler: a write whose answer is late does not hold up the progress of other jobs

The progress writer had one transaction at a time and repeated a failed one with the same jobs, so that ends of other jobs waited for its answer and were lost if the process died. The next transaction now starts after 60 ms without an answer, three at most, without the jobs of those under way; a failed one frees its place, and its jobs join the next. The pending counts are in one transaction at a time. Progress that was stored more than 500 ms after it was known is logged.

--- a/src/runs/progressWriter.ts
+++ b/src/runs/progressWriter.ts
@@ -1,4 +1,7 @@
-/** Stores the progress of jobs. All changes since the last transaction go into the next one (group commit). */
+/**
+ * Stores the progress of jobs. All changes since the last transaction go into the next one (group commit). Jobs that are not in a transaction whose answer is
+ * late do not wait for it. See docs/design/store-writes.md.
+ */
 import { assert } from '../common/assertions.js'
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
@@ -8,7 +11,7 @@
 import type { TrackedJob } from '../jobs/trackedJob.js'
 import { JobState } from '../jobs/jobModel.js'
 import { maxTransactionEntries } from '../store/metadataStore.js'
-import type { ExpectedRevision, MetadataStore, StoredItem, TransactionResult, TransactionWrite } from '../store/metadataStore.js'
+import type { ExpectedRevision, MetadataStore, StoredItem, Transaction, TransactionResult, TransactionWrite } from '../store/metadataStore.js'
 import { createRevisionGuard } from '../store/revisionGuard.js'
 
 /** Dependencies of the progress writer. */
@@ -30,8 +33,20 @@
   scheduleCounts (): void
 }
 
+/** A caller of `commit`. */
+interface Waiter {
+  readonly resolve: () => void
+  readonly sinceMs: number
+}
+
 /** Pause after a failed write, in ms. */
 const retryPauseMs = 100
+/** After this time without an answer, in ms, the next transaction does not wait any more: longer than an answer from another region takes. */
+const lateAfterMs = 60
+/** The most transactions that are under way. */
+const maxWritesUnderWay = 3
+/** Progress that was stored later than this, in ms, is reported: longer than a few round trips. */
+const reportedWaitMs = 500
 /** Maximum transaction entries per job: the condition on its progress record, its write, and the condition that it is not cancelled. */
 const entriesPerJob = 3
 /** Transaction entries that don't belong to a job: the condition on the leader key, and the condition and the write of the pending counts. */
@@ -44,9 +59,15 @@
 
 /** Creates the writer of one term. */
 export function createProgressWriter (host: ProgressWriterHost): ProgressWriter {
-  const dirty = new Map<TrackedJob, (() => void)[]>()
-  let isWriting = false
+  const dirty = new Map<TrackedJob, Waiter[]>()
+  /** The jobs of the transactions that are under way. The next write of such a job follows when its transaction has ended. */
+  const writing = new Set<TrackedJob>()
+  let writesUnderWay = 0
+  /** Transactions under way whose answers are not late yet. */
+  let recentWrites = 0
+  let isScheduled = false
   let areCountsDue = false
+  let areCountsUnderWay = false
   let countsTimer: NodeJS.Timeout | undefined
   let writtenCounts: string | undefined
   const countsGuard = createRevisionGuard(pendingCountsKey)
@@ -55,9 +76,7 @@
 
   function commit (job: TrackedJob): Promise<void> {
     return new Promise(resolve => {
-      const waiters = dirty.get(job)
-      if (waiters === undefined) dirty.set(job, [resolve])
-      else waiters.push(resolve)
+      addWaiters(job, [{ resolve, sinceMs: performance.now() }])
       startWriting()
     })
   }
@@ -71,27 +90,57 @@
     }, countsDelayMs)
   }
 
+  function addWaiters (job: TrackedJob, added: readonly Waiter[]): void {
+    const waiters = dirty.get(job)
+    if (waiters === undefined) dirty.set(job, [...added])
+    else waiters.push(...added)
+  }
+
   function startWriting (): void {
-    if (isWriting) return
-    isWriting = true
+    if (isScheduled || recentWrites > 0 || writesUnderWay >= maxWritesUnderWay) return
+    isScheduled = true
     // Changes made in the same turn of the event loop go into one transaction.
-    setImmediate(() => { void writeAll() })
+    setImmediate(() => {
+      isScheduled = false
+      void writeNext()
+    })
   }
 
-  async function writeAll (): Promise<void> {
-    while ((dirty.size > 0 || areCountsDue) && !host.term.signal.aborted) {
-      const batch = takeBatch()
-      areCountsDue = false
-      await writeBatch(batch)
+  async function writeNext (): Promise<void> {
+    const isCountsTurn = areCountsDue && !areCountsUnderWay
+    const batch = takeBatch()
+    if ((batch.size === 0 && !isCountsTurn) || host.term.signal.aborted) return
+    if (isCountsTurn) areCountsDue = false
+    writesUnderWay++
+    recentWrites++
+    let isRecent = true
+    const onLateOrEnded = (): void => {
+      if (isRecent) recentWrites--
+      isRecent = false
     }
-    isWriting = false
+    const lateTimer = setTimeout(() => {
+      onLateOrEnded()
+      startWriting()
+    }, lateAfterMs)
+    for (const job of batch.keys()) writing.add(job)
+    const isWritten = await writeBatch(batch)
+    clearTimeout(lateTimer)
+    onLateOrEnded()
+    writesUnderWay--
+    for (const [job, waiters] of batch) {
+      writing.delete(job)
+      if (!isWritten) addWaiters(job, waiters)
+    }
+    if (!isWritten && isCountsTurn) areCountsDue = true
+    startWriting()
   }
 
-  function takeBatch (): Map<TrackedJob, (() => void)[]> {
-    const batch = new Map<TrackedJob, (() => void)[]>()
+  function takeBatch (): Map<TrackedJob, Waiter[]> {
+    const batch = new Map<TrackedJob, Waiter[]>()
     let characters = 0
     for (const [job, waiters] of dirty) {
       if (batch.size >= maxJobsPerWrite || characters > maxCharactersPerWrite) break
+      if (writing.has(job)) continue
       characters += encodeProgress(job, performance.now()).length
       batch.set(job, waiters)
       dirty.delete(job)
@@ -99,17 +148,21 @@
     return batch
   }
 
-  async function writeBatch (batch: ReadonlyMap<TrackedJob, (() => void)[]>): Promise<void> {
-    while (!host.term.signal.aborted) {
-      try {
-        if (await tryWrite([...batch.keys()])) break
-      } catch (error) {
-        host.logger.warn('failed to store job progress', { jobs: batch.size, error: String(error) })
-        await delay(retryPauseMs, host.term.signal)
-      }
+  /** Returns false if the jobs, or the counts, have to be written again. */
+  async function writeBatch (batch: ReadonlyMap<TrackedJob, readonly Waiter[]>): Promise<boolean> {
+    try {
+      if (!await tryWrite([...batch.keys()])) return false
+    } catch (error) {
+      host.logger.warn('failed to store job progress', { jobs: batch.size, error: String(error) })
+      await delay(retryPauseMs, host.term.signal)
+      return false
     }
-    if (host.term.signal.aborted) return
-    for (const waiters of batch.values()) for (const resolve of waiters) resolve()
+    if (host.term.signal.aborted) return true
+    const waiters = [...batch.values()].flat()
+    const waitMs = performance.now() - Math.min(...waiters.map(({ sinceMs }) => sinceMs))
+    if (waitMs > reportedWaitMs) host.logger.warn('job progress was stored late', { jobs: batch.size, waitMs: Math.round(waitMs) })
+    for (const { resolve } of waiters) resolve()
+    return true
   }
 
   async function tryWrite (jobs: readonly TrackedJob[]): Promise<boolean> {
@@ -124,7 +177,7 @@
       writes.push({ key: getProgressKey(job.spec.jobId), value: encodeProgress(job, performance.now()) })
     }
     const counts = host.getPendingCounts()
-    const areCountsWritten = counts !== undefined && counts !== writtenCounts
+    const areCountsWritten = counts !== undefined && counts !== writtenCounts && !areCountsUnderWay
     if (areCountsWritten) {
       // Counts alone have no other condition that a later write would change.
       expected.push(countsGuard.getCondition())
@@ -132,10 +185,9 @@
     }
     if (writes.length === 0) return true
     assert(expected.length + writes.length <= maxTransactionEntries, 'a transaction has at most 32 entries')
-    const result = await host.store.transact({ expected, writes })
-    if (areCountsWritten) updateCountsGuard(result)
+    const result = await transact({ expected, writes }, areCountsWritten)
     if (result.isCommitted) {
-      writtenCounts = counts ?? writtenCounts
+      if (areCountsWritten) writtenCounts = counts
       for (const job of jobs) job.progressRevision = result.revision
       return true
     }
@@ -143,6 +195,18 @@
     return false
   }
 
+  async function transact (transaction: Transaction, areCountsWritten: boolean): Promise<TransactionResult> {
+    if (!areCountsWritten) return await host.store.transact(transaction)
+    areCountsUnderWay = true
+    try {
+      const result = await host.store.transact(transaction)
+      updateCountsGuard(result)
+      return result
+    } finally {
+      areCountsUnderWay = false
+    }
+  }
+
   function updateCountsGuard (result: TransactionResult): void {
     const { revision: expectedRevision } = countsGuard.getCondition()
     countsGuard.update(result)
