--- a/src/election/leaseRenewal.test.ts
+++ b/src/election/leaseRenewal.test.ts
@@ -6,6 +6,7 @@
 import { delay } from '../common/time.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createImpairedStore } from '../testing/impairedStore.js'
 import type { Impairment } from '../testing/impairedStore.js'
@@ -59,7 +60,8 @@
   const hostId = `host-${hosts.length}`
   const impairment: Impairment = { roundTripMs: 4, lostAnswers: 0, lostPackets: 0 }
   const terms: Term[] = []
-  const client = intercept(createImpairedStore(blockWhile(store.connect(hostId), () => host.isCutOff), impairment, random))
+  const impaired = createImpairedStore(blockWhile(store.connect(hostId), () => host.isCutOff), impairment, random)
+  const client = intercept(createConfirmedWrites({ store: impaired }))
   const election = createLeaderElection({ store: client, hostId, logger: silentLogger, random, isSmall: false, minTtlMs, onElected: term => { terms.push(term) } })
   const host: TestHost = { hostId, impairment, terms, election, isCutOff: false }
   hosts.push(host)
--- a/src/measure/takeover.ts
+++ b/src/measure/takeover.ts
@@ -9,6 +9,7 @@
 import { createLeaderElection } from '../election/leaderElection.js'
 import { EndKind } from '../jobs/jobModel.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
 import { createImpairedStore } from '../testing/impairedStore.js'
 import type { Impairment } from '../testing/impairedStore.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
@@ -33,6 +34,7 @@
   'answers after 240 ms': { ...normal, roundTripMs: 240 },
   'answers after 500 ms': { ...normal, roundTripMs: 500 },
   'a third of the answers lost': { ...normal, lostAnswers: 1 / 3 },
+  'six in ten writes not answered': { ...normal, lostWrites: 0.6 },
   '2.5 % packet loss': { ...normal, roundTripMs: 40, lostPackets: 0.025 }
 }
 
@@ -96,7 +98,7 @@
   const impairment = { ...normal }
   const terms: { isValid (): boolean }[] = []
   const elections = [0, 1].map(index => createLeaderElection({
-    store: createImpairedStore(store.connect(`host-${index}`), impairment, seeded),
+    store: createConfirmedWrites({ store: createImpairedStore(store.connect(`host-${index}`), impairment, seeded) }),
     hostId: `host-${index}`,
     logger: silentLogger,
     random: seeded,
