Workers with runs that do not answer are polled each 0.1 s while they are few

A worker that answered again shortly before the end of its lease lost its runs, depending on when its next poll was due. Traced with eight phases of the polls: of the time from its answer to the first extension up to 317 ms (the pause of 300 ms and the failing poll before it) pass until the next poll, 5 ms after that: answer 2 ms, write of the record 1 ms, extension 2 ms. The worker of the test has 240 ms left when it answers 750 ms less than a lease after the crash.

The pause is 100 ms now for workers that hold runs; with more than ten that do not answer, 10 ms for each, up to the usual 300 ms, so that the polls stay below 100 a second.

--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -316,16 +316,18 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
-// Guards against work lost although its worker answers before its lease ends.
-test.each([leaseMs - 1_250, leaseMs - 1_000, leaseMs - 860])('the lease of a worker that answers again %i ms after the crash of the leader is extended at once', async silentMs => {
+// Guards against work lost although its worker answers before its lease ends, at any time between two polls.
+test.each([1_250, 1_000, 860, 750, 700].flatMap(earlyMs => [0, 1_000, 1_040, 1_080, 1_120, 1_160, 1_200, 1_240, 1_280].map(hostAfterMs => [earlyMs, hostAfterMs])))('the lease of a worker that answers again %i ms less than a lease after the crash of the leader is extended at once, with a host that is added after %i ms', async (earlyMs = 0, hostAfterMs = 0) => {
   await restartHarness()
   await submit(makeJob('a', 'batch', [makeStep()]))
   await run(1_000)
   const workerId = getRunningOn('a.0.0.0')
   harness.hosts.get('host-0')?.crash()
   harness.workers.get(workerId)?.setUnreachable(true)
+  // After 1 s the lease of the crashed leader has ended, so that the next term and its polls begin when the host is added.
+  await run(hostAfterMs)
   harness.addHost('host-1')
-  await run(silentMs)
+  await run(leaseMs - earlyMs - hostAfterMs)
   expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId, run: 1 }])
   harness.workers.get(workerId)?.setUnreachable(false)
   await run(5_000)
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -34,6 +34,8 @@
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
   readonly getPollWaitMs?: () => number | undefined
+  /** The pause after a failed poll, in ms, if the usual one is too long. */
+  readonly getRetryPauseMs?: () => number | undefined
   /** Resolves when every end in the report is stored. `isComplete` is false when the worker has more ends to report. */
   readonly onReport: (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   readonly onReachable: (isReachable: boolean) => void
@@ -81,7 +83,7 @@
 /** How long a poll waits for an ended run, in ms: a quarter of the shortest worker lease; a lost connection is detected in under 2 s. */
 const pollWaitMs = 1_500
 /** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
-const retryPauseMs = 300
+export const retryPauseMs = 300
 /**
  * The first polls after a lost answer: the pause before each, and the time allowed for its answer, in ms. An end that the worker lists is gone if it crashes
  * before a poll is answered, and the task runs again. A few round trips between regions suffice for an answer; the third poll has the usual time, for slow links.
@@ -278,7 +280,7 @@
     }
     failedPolls++
     reviewLease()
-    const pauseMs = getFastRetry()?.pauseMs ?? retryPauseMs
+    const pauseMs = getFastRetry()?.pauseMs ?? host.getRetryPauseMs?.() ?? retryPauseMs
     if (pauseMs > 0) await Promise.race([delay(pauseMs, term.signal), changed.wait(pauseMs)])
   }
 
--- a/src/runs/workerPool.test.ts
+++ b/src/runs/workerPool.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
 import type { Term } from '../election/leaderElection.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
 import { createGrants } from '../testing/grants.js'
 import { createWorkerPool } from './workerPool.js'
@@ -18,6 +19,8 @@
 let ending: AbortController
 let resignations: string[]
 let holders: Set<string>
+/** While set, all polls fail. */
+let isSilent: boolean
 /** The workers in the order of their polls, and the number of polls in each turn of the event loop. */
 let polled: string[]
 let pollsByTurn: number[]
@@ -29,6 +32,7 @@
   ending = new AbortController()
   resignations = []
   holders = new Set()
+  isSilent = false
   polled = []
   pollsByTurn = [0]
 })
@@ -72,6 +76,7 @@
     renewLease: async () => {
       polled.push(workerId)
       pollsByTurn.push((pollsByTurn.pop() ?? 0) + 1)
+      if (isSilent) throw createError(ErrorKind.AnswerLost, 'the worker did not respond')
       return await new Promise<WorkerStatusReport>(resolve => { answers.push(() => { resolve({ clockMs: 0, bornAtMs, running: [], ended: [] }) }) })
     }
   }
@@ -236,3 +241,23 @@
   }
   expect(resignations.length > 0).toBe(isHandedOver)
 })
+
+// Guards against a scheduler that is kept busy by polls when many workers with runs are lost at once.
+test.each([[5, 100], [20, 200], [60, 300], [600, 300]])('each of %i workers that hold runs and do not answer is polled every %i ms', async (silentWorkers, pauseMs) => {
+  const forMs = 3_000
+  const pool = createPool()
+  isSilent = true
+  const listed = listWorkers().slice(0, silentWorkers)
+  holders = new Set(listed.map(({ workerId }) => workerId))
+  pool.refresh(listed)
+  await passTurns(() => polled.length === silentWorkers)
+  pool.checkReachability()
+  polled = []
+  const stepMs = 10
+  for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += stepMs) {
+    await jest.advanceTimersByTimeAsync(stepMs)
+    for (let turns = 0; turns < 2 + silentWorkers / 16; turns++) await passTurn()
+  }
+  expect(polled.length / silentWorkers).toBeGreaterThan(0.8 * forMs / pauseMs)
+  expect(polled.length / silentWorkers).toBeLessThanOrEqual(forMs / pauseMs)
+})
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -11,7 +11,7 @@
 import { EvidenceSource } from './endEvidence.js'
 import type { GrantRecord } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
-import { createWorkerLink } from './workerLink.js'
+import { createWorkerLink, retryPauseMs } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Dependencies of the worker pool. */
@@ -102,6 +102,14 @@
  */
 const leasesPerHandOver = 2
 
+/** The shortest pause after a failed poll of a worker that holds runs, in ms: its lease may be about to end when it answers again. */
+const minRetryPauseMs = 100
+/**
+ * The pause, in ms, for each worker that does not answer, up to the usual pause: below that, these polls do not exceed 100 a second. Each takes about 3 ms of the
+ * smallest host.
+ */
+const retryPausePerWorkerMs = 10
+
 /** How long a worker has not answered, in ms, when the end of its lease is recorded: brief losses of the connection cost no write. */
 const minSilenceMs = 500
 /** Interval in ms at which the ends of leases are recorded at most. */
@@ -133,6 +141,8 @@
   /** Where the next check of a domain with more idle workers begins. */
   let checkOffset = 0
   let unreachableSinceMs: number | undefined
+  /** The workers that did not answer at the last check of reachability. */
+  let unansweringWorkers = Infinity
   let silentRecordedAtMs = -Infinity
   const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
   const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
@@ -184,6 +194,10 @@
     for (const link of [...links.values()]) link.reviewLease()
   }
 
+  function getRetryPauseMs (): number {
+    return Math.min(retryPauseMs, Math.max(minRetryPauseMs, retryPausePerWorkerMs * unansweringWorkers))
+  }
+
   function isAwaited (workerId: string): boolean {
     const sentAtMs = firstPolls.get(workerId) ?? Infinity
     return firstPolls.has(workerId) && performance.now() - sentAtMs < freeWorkerWaitMs
@@ -191,6 +205,7 @@
 
   /** A host that is disconnected from most workers lets another host, which may reach them, take over. A worker that waits for its first poll shows nothing. */
   function checkReachability (): void {
+    unansweringWorkers = [...links.values()].filter(link => !link.isAnswering()).length
     const listed = [...workers.values()].filter(worker => worker.isListed && !firstPolls.has(worker.info.workerId))
     const unreachable = listed.filter(({ info }) => links.get(info.workerId)?.isAnswering() !== true).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
@@ -267,6 +282,7 @@
       onGrant: () => { granted.add(info.workerId) },
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
+      getRetryPauseMs: () => hasMembers(info.workerId) ? getRetryPauseMs() : undefined,
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
