--- a/src/runs/warmStandby.test.ts
+++ b/src/runs/warmStandby.test.ts
@@ -1,6 +1,7 @@
 /** Takeovers by a standby that follows the records, and cases in which its copy must not be relied on. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
+import { delay } from '../common/time.js'
 import { leaderKey } from '../election/leaderElection.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getProgressKey, progressPrefix } from '../jobs/jobKeys.js'
@@ -10,11 +11,11 @@
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createPrefixReplica } from '../store/prefixReplica.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
-import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import type { HarnessOrder, PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import { grantPrefix } from './grantRecord.js'
 import { createWarmStandby } from './warmStandby.js'
 
-type Calls = Partial<Pick<MetadataStore, 'range' | 'watch' | 'keepLeaseAlive'>>
+type Calls = Partial<Pick<MetadataStore, 'range' | 'watch' | 'keepLeaseAlive' | 'revokeLease'>>
 
 const prefix = 'progress/'
 
@@ -129,6 +130,66 @@
   await expectWholeRuns(started, ['a', 'b'])
 })
 
+// Guards against waits that depend on when the host stops: between two renewals, watches, planning passes and writes, or while it takes over itself.
+test.each([0, 1, 2, 3])('after planned stops at many moments the successor starts work within 0.3 s, part %i', async part => {
+  const started = await startHarness({ workers: 12, storeRoundTripMs: 6, workerRoundTripMs: 30, getRun: () => ({ workMs: 1_500, how: EndKind.Done }) }, 3)
+  let jobs = 0
+  const arrivals = setInterval(() => { void started.submit(makeJob(`job-${jobs++}`, 'urgent', [makeStep({ estimateMs: 1_500 })])) }, 50)
+  await run(500)
+  const waitsMs: number[] = []
+  for (let stop = 0; stop < 12; stop++) {
+    const hostId = started.store.peek(leaderKey) ?? ''
+    const epoch = started.hosts.get(hostId)?.getTerm()?.epoch ?? Infinity
+    const stoppedAtMs = performance.now()
+    void started.hosts.get(hostId)?.stop()
+    started.addHost(`later-${stop}`)
+    const getFirst = (): HarnessOrder | undefined => started.orders.find(order => order.epoch > epoch)
+    while (getFirst() === undefined && performance.now() - stoppedAtMs < 10_000) await run(10)
+    waitsMs.push((getFirst()?.atMs ?? Infinity) - stoppedAtMs)
+    // A host that has just been added is a standby after 1 s at the latest. Every fourth stop follows at once, within the takeover's last steps.
+    await run(stop % 4 === 3 ? 20 : 1_300 + 41 * (4 * stop + part))
+  }
+  clearInterval(arrivals)
+  expect(Math.max(...waitsMs)).toBeLessThan(300)
+  expect(started.poolState.violations).toEqual([])
+  expectNoStartAfterSuccessor(started)
+})
+
+// Guards against a successor that waits longer than the lease of the leader lasts, which is 1 s here.
+test.each([
+  ['is refused for good', async () => { throw createError(ErrorKind.StoreUnavailable, 'the store answered with status 503') }, 1_300],
+  ['is refused once', undefined, 700],
+  ['gets no response and is not executed', async () => {
+    await delay(900)
+    throw createError(ErrorKind.AnswerLost, 'the store did not respond')
+  }, 1_300]
+])('after a planned stop whose release of the lease %s the successor starts work in time', async (_case, revokeLease, limitMs) => {
+  for (const ageMs of [0, 50, 100, 150, 200, 250]) {
+    let refusals = 0
+    const started = await startHarness({
+      workers: 4,
+      storeRoundTripMs: 6,
+      workerRoundTripMs: 30,
+      interceptStore: (hostId, client) => override(client, original => ({
+        revokeLease: async leaseId => {
+          if (hostId === 'host-0' && revokeLease !== undefined) await revokeLease()
+          if (hostId === 'host-0' && refusals++ === 0) throw createError(ErrorKind.StoreUnavailable, 'the store answered with status 503')
+          await original.revokeLease(leaseId)
+        }
+      }))
+    })
+    await run(ageMs)
+    const stoppedAtMs = performance.now()
+    const stopped = started.hosts.get('host-0')?.stop()
+    await submit(started, 'a')
+    await run(3_000)
+    await stopped
+    const first = started.orders.find(order => order.hostId === 'host-1')
+    expect((first?.atMs ?? Infinity) - stoppedAtMs).toBeLessThan(limitMs)
+    await settle(started.stop(), 3_000)
+  }
+})
+
 test('a standby that is behind catches up before it starts anything', async () => {
   let isFollowingStopped = false
   const started = await startHarness({
