Workers that do not answer the scheduling host are polled through other hosts

Cause: a worker that some hosts cannot reach was polled by the scheduling host only. The ends that it listed were read by nobody until the cut was over or its lease had ended, although half of the hosts reached it; the tasks ran again.

Change: after two polls in a row without an answer, the scheduler asks three other hosts at once, others each time, to poll the worker for it (JSON-RPC `worker.poll`), until it answers directly or holds nothing any more. Such a poll grants no lease and acknowledges nothing, so that one that is carried out late does no harm. At most 16 are under way; the pause doubles up to 2 s while none is answered.

--- /dev/null
+++ b/src/peers/peerWorkerMethods.ts
@@ -0,0 +1,65 @@
+/** RPC method through which a host polls workers for a peer that gets no answers from them. */
+import * as z from 'zod/mini'
+import { isAddress } from '../common/address.js'
+import { defineMethod } from '../common/rpcServer.js'
+import type { RpcMethod } from '../common/rpcServer.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
+import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+
+/** Names of the RPC methods. */
+export const peerWorkerMethods = { poll: 'worker.poll' } as const
+
+/** Dependencies of the methods. */
+export interface PeerWorkerHost {
+  readonly connect: (worker: Pick<ListedWorker, 'workerId' | 'address'>) => WorkerPort
+}
+
+/** Maximum number of concurrent polls for peers, so that a small host keeps capacity for its own callers. */
+const maxConcurrentPolls = 16
+/** Time allowed for the worker's answer, in ms: two round trips between the most distant regions, one of them to connect, and a slow worker. */
+export const relayedAnswerTimeoutMs = 300
+/** Connections that have not been used for this long, in ms, are closed. */
+const idleConnectionMs = 5_000
+
+const pollSchema = z.object({
+  workerId: z.string().check(z.minLength(1), z.maxLength(200)),
+  address: z.string().check(z.refine(isAddress)),
+  epoch: z.int().check(z.nonnegative())
+})
+
+/**
+ * Creates the methods. A relayed poll grants no lease and acknowledges nothing, so that it does no harm however late it is carried out: it raises the epoch
+ * that the worker has seen to that of the term, which a later term has raised further.
+ */
+export function createPeerWorkerMethods (host: PeerWorkerHost): readonly RpcMethod[] {
+  const connections = new Map<string, { readonly port: WorkerPort, readonly idleTimer: NodeJS.Timeout }>()
+  let activePolls = 0
+
+  return [defineMethod(peerWorkerMethods.poll, pollSchema, poll)]
+
+  async function poll ({ workerId, address, epoch }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
+    if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.PeerUnreachable, 'this host already serves the maximum number of concurrent polls for peers')
+    activePolls++
+    try {
+      return await getConnection(workerId, address).renewLease({ epoch, acknowledgedSequence: 0, waitMs: 0, answerTimeoutMs: relayedAnswerTimeoutMs })
+    } finally {
+      activePolls--
+    }
+  }
+
+  function getConnection (workerId: string, address: string): WorkerPort {
+    const key = `${workerId} ${address}`
+    let connection = connections.get(key)
+    if (connection === undefined) {
+      const port = host.connect({ workerId, address })
+      const idleTimer = setTimeout(() => {
+        connections.delete(key)
+        port.close()
+      }, idleConnectionMs)
+      idleTimer.unref()
+      connections.set(key, connection = { port, idleTimer })
+    }
+    connection.idleTimer.refresh()
+    return connection.port
+  }
+}
--- /dev/null
+++ b/src/peers/relayedPolls.ts
@@ -0,0 +1,86 @@
+/** Polls of workers through other hosts, for a scheduler that gets no answers from them: a cut, or lost answers, may concern only some hosts. */
+import * as z from 'zod/mini'
+import type { RpcClient } from '../common/rpcClient.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { EndKind } from '../jobs/jobModel.js'
+import type { ListedWorker, WorkerStatusReport } from '../workers/workerPort.js'
+import type { KnownHost } from './hostDirectory.js'
+import { peerWorkerMethods, relayedAnswerTimeoutMs } from './peerWorkerMethods.js'
+import { peerCallTimeoutMs } from './relayedStore.js'
+
+/** Dependencies of the relayed polls. */
+export interface RelayedPollsHost {
+  readonly getPeers: () => readonly KnownHost[]
+  readonly connect: (address: string) => RpcClient
+}
+
+/** Polls workers through other hosts. */
+export interface RelayedPolls {
+  /**
+   * Asks several hosts at once, others each time, and returns the first report that arrives. Errors: `stale-epoch` if the worker has had a request with a higher
+   * epoch; `answer-lost` if no host has got an answer in time.
+   */
+  poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport>
+}
+
+/** The hosts that one poll asks: a cut may concern nine hosts in ten, and the worker may soon be gone. */
+const hostsPerPoll = 3
+/** The most polls under way. Load: a cut of all workers of a region, of which some 60 hold runs, costs 150 calls to other hosts a second. */
+const maxActivePolls = 16
+
+const runningSchema = z.object({ task: z.string(), run: z.int(), checkpoint: z.string(), progressPercent: z.number(), usage: z.optional(z.number()) })
+const endedSchema = z.object({ sequence: z.int(), task: z.string(), run: z.int(), how: z.enum(EndKind), checkpoint: z.string() })
+const reportSchema = z.object({ clockMs: z.number(), bornAtMs: z.optional(z.number()), running: z.array(runningSchema), ended: z.array(endedSchema) })
+
+/** Creates the relayed polls of one host. */
+export function createRelayedPolls ({ getPeers, connect }: RelayedPollsHost): RelayedPolls {
+  /** The host through which each worker has last been reached. */
+  const preferred = new Map<string, string>()
+  let nextPeer = 0
+  let activePolls = 0
+
+  return { poll }
+
+  async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport> {
+    if (activePolls >= maxActivePolls) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
+    activePolls++
+    try {
+      return await Promise.any(selectPeers(worker.workerId).map(async address => await pollThrough(address, worker, epoch)))
+    } catch (error) {
+      preferred.delete(worker.workerId)
+      throw selectError(error)
+    } finally {
+      activePolls--
+    }
+  }
+
+  async function pollThrough (address: string, { workerId, address: workerAddress }: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport> {
+    const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, epoch }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
+    const report = reportSchema.safeParse(answer)
+    if (!report.success) throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${report.error.message}`)
+    preferred.set(workerId, address)
+    return { ...report.data, bornAtMs: report.data.bornAtMs }
+  }
+
+  /** Selects peers that are far apart on the list, which begins with those of the own domain. */
+  function selectPeers (workerId: string): readonly string[] {
+    const addresses = getPeers().map(({ address }) => address)
+    const count = Math.min(hostsPerPoll, addresses.length)
+    const first = preferred.get(workerId)
+    const selected = new Set<string>(first !== undefined && addresses.includes(first) ? [first] : [])
+    const stride = Math.max(1, Math.floor(addresses.length / hostsPerPoll))
+    for (let index = 0; selected.size < count; index++) {
+      // Where the stride leads to a host that is selected already, its neighbour is taken.
+      const address = addresses[(nextPeer + index * stride + Math.floor(index / hostsPerPoll)) % addresses.length]
+      if (address !== undefined) selected.add(address)
+    }
+    nextPeer++
+    return [...selected]
+  }
+}
+
+function selectError (error: unknown): unknown {
+  if (!(error instanceof AggregateError)) return error
+  const errors: readonly unknown[] = error.errors
+  return errors.find(candidate => isErrorOfKind(candidate, ErrorKind.StaleEpoch)) ?? errors[0] ?? createError(ErrorKind.PeerUnreachable, 'no other host is known')
+}
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -14,6 +14,8 @@
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { createHostDirectory } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
+import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
+import { createRelayedPolls } from '../peers/relayedPolls.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
 import { createRpcHandler } from '../common/rpcServer.js'
 import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
@@ -115,7 +117,12 @@
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }))
-const servePeers = createRpcHandler([...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }), createFollowMethod(configuration)])
+const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections() })
+const servePeers = createRpcHandler([
+  ...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }),
+  ...createPeerWorkerMethods({ connect: createHttpWorker }),
+  createFollowMethod(configuration)
+])
 listen(peersAddress, createServer((request, response) => { void servePeers(request, response) }))
 listen(`${settings.ipAddress}:${metricsPort}`, createServer((request, response) => {
   if (request.url === '/status') response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(getStatus()))
@@ -150,6 +157,7 @@
     isWorkerListCurrent: list.isCurrent,
     getStoreContactMs,
     connect: createHttpWorker,
+    pollThroughPeers: relayedPolls.poll,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
     readInitial,
--- a/src/platform/httpWorker.test.ts
+++ b/src/platform/httpWorker.test.ts
@@ -49,7 +49,7 @@
 test('ends are acknowledged only over the connection on which they were reported, never to a later incarnation', async () => {
   acknowledged = []
   const port = await startServer(0, 1_000)
-  worker = createHttpWorker({ workerId: 'i-1', address: `127.0.0.1:${port}`, service: '', domain: '', bornAtMs: 1_000, isDraining: false, coldLeftMs: 0, capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 }, labels: [], rack: '' })
+  worker = createHttpWorker({ workerId: 'i-1', address: `127.0.0.1:${port}` })
   await poll(0)
   await poll(1)
   await stopServer()
--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -36,7 +36,7 @@
 }
 
 /** Creates the client of one incarnation of a worker. */
-export function createHttpWorker (info: ListedWorker): WorkerPort {
+export function createHttpWorker (info: Pick<ListedWorker, 'workerId' | 'address'>): WorkerPort {
   const runClient = createHttpClient(info.address, runRequestConnections)
   const leaseClient = createHttpClient(info.address, 1)
   const headers = { 'Expect-Instance': info.workerId }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -71,6 +71,8 @@
   /** How long the store has answered this host without interruption, in ms, also before the term. */
   readonly getStoreContactMs: () => number
   readonly connect: (info: ListedWorker) => WorkerPort
+  /** Polls a worker through other hosts; undefined if there are none. */
+  readonly pollThroughPeers?: ((info: ListedWorker, epoch: number) => Promise<WorkerStatusReport>) | undefined
   readonly getConfiguration: () => Configuration | undefined
   /** The operators' requests to evacuate failure domains, if the deployment has them. */
   readonly evacuations?: DomainEvacuations
@@ -154,6 +156,7 @@
     maxLeaseMs: host.bounds.maxLeaseMs,
     requestedLeaseMs: getRequestedLeaseMs(host.bounds.maxLeaseMs),
     connect: host.connect,
+    pollThroughPeers: host.pollThroughPeers,
     grants,
     isWorkerListCurrent: host.isWorkerListCurrent,
     getStoreContactMs: host.getStoreContactMs,
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -34,6 +34,8 @@
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
   readonly getPollWaitMs?: () => number | undefined
+  /** Polls the worker through other hosts; undefined if there is no such way. The poll grants no lease and acknowledges nothing. */
+  readonly pollThroughPeers?: (() => Promise<WorkerStatusReport>) | undefined
   /** Resolves when every end in the report is stored. `isComplete` is false when the worker has more ends to report. */
   readonly onReport: (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   readonly onReachable: (isReachable: boolean) => void
@@ -91,6 +93,11 @@
   { pauseMs: 50, answerTimeoutMs: 150 },
   { pauseMs: 100 }
 ]
+/** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
+const failedPollsBeforeRelay = 2
+/** Pause between two relayed polls of a worker, in ms; it doubles with each that fails, up to the longest, since the worker may be gone. */
+const minRelayPauseMs = 250
+const maxRelayPauseMs = 2_000
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
 /**
@@ -122,6 +129,7 @@
   let silentSinceMs = performance.now()
   let isLeaseOver = false
   let isClosed = false
+  let isRelaying = false
   let isCheckDue = false
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
@@ -278,10 +286,38 @@
     }
     failedPolls++
     reviewLease()
+    if (failedPolls >= failedPollsBeforeRelay) void relayPolls()
     const pauseMs = getFastRetry()?.pauseMs ?? retryPauseMs
     if (pauseMs > 0) await Promise.race([delay(pauseMs, term.signal), changed.wait(pauseMs)])
   }
 
+  /** Reads what the worker lists through other hosts while it does not answer this one. */
+  async function relayPolls (): Promise<void> {
+    if (isRelaying || host.pollThroughPeers === undefined) return
+    isRelaying = true
+    let pauseMs = minRelayPauseMs
+    while (!isClosed && !isReachable && !term.signal.aborted && host.isNeeded()) {
+      if (term.isValid()) pauseMs = await tryRelayedPoll(host.pollThroughPeers) ? minRelayPauseMs : Math.min(2 * pauseMs, maxRelayPauseMs)
+      await delay(pauseMs, term.signal)
+    }
+    isRelaying = false
+  }
+
+  async function tryRelayedPoll (poll: () => Promise<WorkerStatusReport>): Promise<boolean> {
+    const sentAtMs = performance.now()
+    try {
+      const report = await poll()
+      // A report that came directly is newer, and only such reports show a restart.
+      if (isClosed || reportedAtMs > sentAtMs || term.signal.aborted || (report.bornAtMs ?? bornAtMs) !== bornAtMs) return false
+      logger.info('report of a worker read through another host', { workerId: info.workerId, running: report.running.length, ended: report.ended.length, silentForMs: Math.round(getSilentForMs()) })
+      void host.onReport(report, sentAtMs, report.ended.length < maxEndsPerReport)
+      return true
+    } catch (error) {
+      if (isErrorOfKind(error, ErrorKind.StaleEpoch)) term.resign(`worker ${info.workerId} has seen a higher epoch`)
+      return false
+    }
+  }
+
   function reviewLease (): void {
     if (isClosed || isLeaseOver || failedPolls === 0 || !term.isValid()) return
     const isByRecord = host.areAllLeasesOver()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -23,6 +23,8 @@
   /** The longest lease that this term asks for, in ms. */
   readonly requestedLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
+  /** Polls a worker through other hosts; undefined if there are none. */
+  readonly pollThroughPeers?: ((info: ListedWorker, epoch: number) => Promise<WorkerStatusReport>) | undefined
   /** What this term and earlier ones have recorded about the leases that they have granted. */
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
@@ -116,7 +118,7 @@
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
-  const { term, logger } = host
+  const { term, logger, pollThroughPeers } = host
   const workers = new Map<string, WorkerState>()
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
@@ -267,6 +269,7 @@
       onGrant: () => { granted.add(info.workerId) },
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
+      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (() => pollThroughPeers(info, term.epoch)),
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -1,6 +1,8 @@
 /** A test harness: hosts with leader election and a scheduler, and in-memory stand-ins for the store and the workers, all on one clock. */
 import { silentLogger } from '../common/logger.js'
 import type { Logger } from '../common/logger.js'
+import type { RpcClient } from '../common/rpcClient.js'
+import type { RpcMethod } from '../common/rpcServer.js'
 import { delay } from '../common/time.js'
 import type { Configuration } from '../configuration/configuration.js'
 import { createLeaderElection } from '../election/leaderElection.js'
@@ -13,6 +15,9 @@
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { EndKind } from '../jobs/jobModel.js'
 import type { JobSpec, Resources, StepSpec } from '../jobs/jobModel.js'
+import type { KnownHost } from '../peers/hostDirectory.js'
+import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
+import { createRelayedPolls } from '../peers/relayedPolls.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby } from '../runs/warmStandby.js'
@@ -116,6 +121,8 @@
   readonly isListStored?: boolean
   /** The hosts are standbys in the order in which they were added. */
   readonly hasStandbys?: boolean
+  /** A host that gets no answers from a worker polls it through the others. */
+  readonly hasRelayedPolls?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Returns the configuration of a host; undefined until the host has received one. */
@@ -176,6 +183,8 @@
   const silence = createWorkerSilence({ onReport: report, onExpired: workerId => { setListed(workerId, false) } })
   const orders: HarnessOrder[] = []
   const ranks = new Map<string, number>()
+  /** The methods that each living host serves for its peers, by its address. */
+  const peerMethods = new Map<string, readonly RpcMethod[]>()
   let isListStale = false
   const poolState = createPoolState({
     jobs,
@@ -316,6 +325,9 @@
         signal: leaving.signal
       })
     const intake = createJobIntake({ store: client, logger })
+    const connectWorker = (info: Pick<ListedWorker, 'workerId' | 'address'>): WorkerPort => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw)
+    peerMethods.set(hostId, createPeerWorkerMethods({ connect: connectWorker }))
+    const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: connectPeer }) : undefined
     const election: LeaderElection = createLeaderElection({
       store: client,
       hostId,
@@ -350,7 +362,8 @@
           getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
-          connect: info => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw),
+          connect: connectWorker,
+          pollThroughPeers: relayedPolls?.poll,
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
       }
@@ -368,6 +381,7 @@
       getScheduler: () => scheduler,
       crash: () => {
         hasCrashed = true
+        peerMethods.delete(hostId)
         leaving.abort()
         hosts.delete(hostId)
       },
@@ -411,7 +425,21 @@
     return rank
   }
 
-  function connect (hostId: string, info: ListedWorker, isCut: () => boolean): WorkerPort {
+  function getPeers (ownId: string): readonly KnownHost[] {
+    return [...peerMethods.keys()].filter(hostId => hostId !== ownId).map(hostId => ({ hostId, address: hostId, domain: 'a', hasFastLink: true }))
+  }
+
+  function connectPeer (address: string): RpcClient {
+    return {
+      call: async <T>(methodName: string, params: unknown): Promise<T> => {
+        const method = peerMethods.get(address)?.find(({ name }) => name === methodName)
+        if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
+        return await method.handle(params, { from: '', identity: '' }) as T
+      }
+    }
+  }
+
+  function connect (hostId: string, info: Pick<ListedWorker, 'workerId' | 'address'>, isCut: () => boolean): WorkerPort {
     const port = workers.get(info.workerId)?.connect()
     const halfTripMs = (options.workerRoundTripMs ?? 0) / 2
     const failAfterCrash = <A, T>(call: (argument: A) => Promise<T>) => async (argument: A): Promise<T> => {
