The leases of workers that other hosts reach are extended through them

Cause: what runs on a worker that only some hosts reach ended with its lease, 6 s after the scheduling host had lost it, although the scheduler went on reading its reports through other hosts.

Change: once a worker has answered through another host, further polls through other hosts extend its lease, under the same record of granted leases as direct polls. The other host sends the lease only over a connection on which the incarnation that it is meant for has reported, so that one that is carried out late ends when it would have ended in any case: its end is a time on the clock of that incarnation. Stops are not relayed, so no lease is extended through other hosts while something on the worker is to be stopped.

--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -24,12 +24,13 @@
 const pollSchema = z.object({
   workerId: z.string().check(z.minLength(1), z.maxLength(200)),
   address: z.string().check(z.refine(isAddress)),
-  epoch: z.int().check(z.nonnegative())
+  epoch: z.int().check(z.nonnegative()),
+  lease: z.optional(z.object({ untilMs: z.int(), incarnationMs: z.int() }))
 })
 
 /**
- * Creates the methods. A relayed poll grants no lease and acknowledges nothing, so that it does no harm however late it is carried out: it raises the epoch
- * that the worker has seen to that of the term, which a later term has raised further.
+ * Creates the methods. A relayed poll does no harm however late it is carried out: it raises the epoch that the worker has seen to that of the term, which a later
+ * term has raised further; it acknowledges nothing; and the lease ends at a fixed time on the clock of the incarnation for which it is meant.
  */
 export function createPeerWorkerMethods (host: PeerWorkerHost): readonly RpcMethod[] {
   const connections = new Map<string, { readonly port: WorkerPort, readonly idleTimer: NodeJS.Timeout }>()
@@ -37,11 +38,17 @@
 
   return [defineMethod(peerWorkerMethods.poll, pollSchema, poll)]
 
-  async function poll ({ workerId, address, epoch }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
+  async function poll ({ workerId, address, epoch, lease }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
     if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.PeerUnreachable, 'this host already serves the maximum number of concurrent polls for peers')
     activePolls++
     try {
-      return await getConnection(workerId, address).renewLease({ epoch, acknowledgedSequence: 0, waitMs: 0, answerTimeoutMs: relayedAnswerTimeoutMs })
+      return await getConnection(workerId, address).renewLease({
+        epoch,
+        acknowledgedSequence: 0,
+        ...(lease === undefined ? {} : { leaseUntilMs: lease.untilMs, leaseIncarnationMs: lease.incarnationMs }),
+        waitMs: 0,
+        answerTimeoutMs: relayedAnswerTimeoutMs
+      })
     } finally {
       activePolls--
     }
--- a/src/peers/relayedPolls.ts
+++ b/src/peers/relayedPolls.ts
@@ -3,7 +3,7 @@
 import type { RpcClient } from '../common/rpcClient.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { EndKind } from '../jobs/jobModel.js'
-import type { ListedWorker, WorkerStatusReport } from '../workers/workerPort.js'
+import type { ListedWorker, RelayedPoll, WorkerStatusReport } from '../workers/workerPort.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerWorkerMethods, relayedAnswerTimeoutMs } from './peerWorkerMethods.js'
 import { peerCallTimeoutMs } from './relayedStore.js'
@@ -20,7 +20,7 @@
    * Asks several hosts at once, others each time, and returns the first report that arrives. Errors: `stale-epoch` if the worker has had a request with a higher
    * epoch; `answer-lost` if no host has got an answer in time.
    */
-  poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport>
+  poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, poll: RelayedPoll): Promise<WorkerStatusReport>
 }
 
 /** The hosts that one poll asks: a cut may concern nine hosts in ten, and the worker may soon be gone. */
@@ -41,11 +41,11 @@
 
   return { poll }
 
-  async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport> {
+  async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
     if (activePolls >= maxActivePolls) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
     activePolls++
     try {
-      return await Promise.any(selectPeers(worker.workerId).map(async address => await pollThrough(address, worker, epoch)))
+      return await Promise.any(selectPeers(worker.workerId).map(async address => await pollThrough(address, worker, request)))
     } catch (error) {
       preferred.delete(worker.workerId)
       throw selectError(error)
@@ -54,8 +54,8 @@
     }
   }
 
-  async function pollThrough (address: string, { workerId, address: workerAddress }: Pick<ListedWorker, 'workerId' | 'address'>, epoch: number): Promise<WorkerStatusReport> {
-    const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, epoch }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
+  async function pollThrough (address: string, { workerId, address: workerAddress }: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
+    const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, ...request }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
     const report = reportSchema.safeParse(answer)
     if (!report.success) throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${report.error.message}`)
     preferred.set(workerId, address)
--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -42,6 +42,8 @@
   const headers = { 'Expect-Instance': info.workerId }
   /** The connection over which the latest report came. */
   let reportedOver: object | undefined
+  /** The incarnation that sent the latest report. */
+  let reportedBornAtMs: number | undefined
 
   return {
     start,
@@ -82,14 +84,15 @@
     checkResponse(await sendRunRequest('pace', { task, run, percent, fence: epoch }))
   }
 
-  async function renewLease ({ epoch, acknowledgedSequence: seenUpTo, leaseUntilMs, waitMs, answerTimeoutMs = renewalGraceMs }: LeaseRenewal): Promise<WorkerStatusReport> {
+  async function renewLease ({ epoch, acknowledgedSequence: seenUpTo, leaseUntilMs, leaseIncarnationMs, waitMs, answerTimeoutMs = renewalGraceMs }: LeaseRenewal): Promise<WorkerStatusReport> {
     let usedConnection: object | undefined
     const getBody = (connection: object): object => {
       usedConnection = connection
+      const isLeaseSent = leaseUntilMs !== undefined && (leaseIncarnationMs === undefined || (connection === reportedOver && leaseIncarnationMs === reportedBornAtMs))
       return {
         fence: epoch,
         seenUpto: connection === reportedOver ? seenUpTo : 0,
-        ...(leaseUntilMs === undefined ? {} : { deadlineMs: leaseUntilMs }),
+        ...(isLeaseSent ? { deadlineMs: leaseUntilMs } : {}),
         ...(waitMs > 0 ? { waitMs } : {})
       }
     }
@@ -98,6 +101,7 @@
     const parsed = holdSchema.safeParse(answer.body)
     if (!parsed.success) throw createError(ErrorKind.AnswerLost, `the response of worker ${info.workerId} to a lease renewal is malformed: ${parsed.error.message}`)
     reportedOver = usedConnection
+    reportedBornAtMs = parsed.data.born
     return {
       clockMs: parsed.data.clockMs,
       bornAtMs: parsed.data.born,
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -21,7 +21,7 @@
 import type { WorkerState } from '../workers/workerState.js'
 import { createMachineSpeeds } from '../workers/machineSpeed.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
-import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { createAdviceCache } from './adviceCache.js'
 import type { AdvicePort } from './adviceCache.js'
 import { createMaintenanceDrain } from './maintenanceDrain.js'
@@ -72,7 +72,7 @@
   readonly getStoreContactMs: () => number
   readonly connect: (info: ListedWorker) => WorkerPort
   /** Polls a worker through other hosts; undefined if there are none. */
-  readonly pollThroughPeers?: ((info: ListedWorker, epoch: number) => Promise<WorkerStatusReport>) | undefined
+  readonly pollThroughPeers?: ((info: ListedWorker, poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
   readonly getConfiguration: () => Configuration | undefined
   /** The operators' requests to evacuate failure domains, if the deployment has them. */
   readonly evacuations?: DomainEvacuations
@@ -157,6 +157,10 @@
     requestedLeaseMs: getRequestedLeaseMs(host.bounds.maxLeaseMs),
     connect: host.connect,
     pollThroughPeers: host.pollThroughPeers,
+    mayExtendThroughPeers: workerId => {
+      const members = [...controller.getMembers(workerId)]
+      return members.length > 0 && members.every(({ attempt }) => attempt.stopReason === undefined)
+    },
     grants,
     isWorkerListCurrent: host.isWorkerListCurrent,
     getStoreContactMs: host.getStoreContactMs,
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -5,7 +5,7 @@
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
-import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { getEarliestClockMs, getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
@@ -34,8 +34,12 @@
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
   readonly getPollWaitMs?: () => number | undefined
-  /** Polls the worker through other hosts; undefined if there is no such way. The poll grants no lease and acknowledges nothing. */
-  readonly pollThroughPeers?: (() => Promise<WorkerStatusReport>) | undefined
+  /** Polls the worker through other hosts; undefined if there is no such way. */
+  readonly pollThroughPeers?: ((poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** Tells whether the lease may be extended through other hosts. */
+  readonly mayExtendThroughPeers?: () => boolean
+  /** Called when a report has come through another host: the worker may be granted a lease again. */
+  readonly onRelayed?: () => void
   /** Resolves when every end in the report is stored. `isComplete` is false when the worker has more ends to report. */
   readonly onReport: (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   readonly onReachable: (isReachable: boolean) => void
@@ -96,7 +100,7 @@
 /** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
 const failedPollsBeforeRelay = 2
 /** Pause between two relayed polls of a worker, in ms; it doubles with each that fails, up to the longest, since the worker may be gone. */
-const minRelayPauseMs = 250
+const minRelayPauseMs = 400
 const maxRelayPauseMs = 2_000
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
@@ -130,6 +134,8 @@
   let isLeaseOver = false
   let isClosed = false
   let isRelaying = false
+  /** The latest poll through other hosts was answered, and none has been answered directly since the worker fell silent. */
+  let isRelayAnswered = false
   let isCheckDue = false
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
@@ -195,7 +201,7 @@
   }
 
   function getSilentForMs (): number {
-    return isReachable ? 0 : performance.now() - silentSinceMs
+    return isReachable || isRelayAnswered ? 0 : performance.now() - silentSinceMs
   }
 
   function getLeaseLeftMs (): number | undefined {
@@ -301,18 +307,27 @@
       await delay(pauseMs, term.signal)
     }
     isRelaying = false
+    isRelayAnswered = false
   }
 
-  async function tryRelayedPoll (poll: () => Promise<WorkerStatusReport>): Promise<boolean> {
+  async function tryRelayedPoll (poll: (request: RelayedPoll) => Promise<WorkerStatusReport>): Promise<boolean> {
     const sentAtMs = performance.now()
+    // As with direct polls, the lease of a worker that has not answered the previous poll is not extended.
+    const untilMs = isRelayAnswered && !isLeaseOver && host.mayExtendThroughPeers?.() === true ? getLeaseUntilMs() : undefined
+    if (untilMs !== undefined) recordLeaseExtension()
     try {
-      const report = await poll()
+      const report = await poll({ epoch: term.epoch, lease: untilMs === undefined ? undefined : { untilMs, incarnationMs: bornAtMs } })
       // A report that came directly is newer, and only such reports show a restart.
       if (isClosed || reportedAtMs > sentAtMs || term.signal.aborted || (report.bornAtMs ?? bornAtMs) !== bornAtMs) return false
       logger.info('report of a worker read through another host', { workerId: info.workerId, running: report.running.length, ended: report.ended.length, silentForMs: Math.round(getSilentForMs()) })
+      clock = { workerMs: report.clockMs, readAtMs: performance.now() }
+      isRelayAnswered = true
+      host.onRelayed?.()
       void host.onReport(report, sentAtMs, report.ended.length < maxEndsPerReport)
       return true
     } catch (error) {
+      if (isRelayAnswered) silentSinceMs = performance.now()
+      isRelayAnswered = false
       if (isErrorOfKind(error, ErrorKind.StaleEpoch)) term.resign(`worker ${info.workerId} has seen a higher epoch`)
       return false
     }
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -7,7 +7,7 @@
 import type { Member, TrackedJob } from '../jobs/trackedJob.js'
 import { createWorkerState } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { LeaseRenewal, ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource } from './endEvidence.js'
 import type { GrantRecord } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
@@ -24,7 +24,9 @@
   readonly requestedLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
   /** Polls a worker through other hosts; undefined if there are none. */
-  readonly pollThroughPeers?: ((info: ListedWorker, epoch: number) => Promise<WorkerStatusReport>) | undefined
+  readonly pollThroughPeers?: ((info: ListedWorker, poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** Tells whether the worker's lease may be extended through other hosts: stops are not relayed, so what is to be stopped ends with its lease. */
+  readonly mayExtendThroughPeers?: (workerId: string) => boolean
   /** What this term and earlier ones have recorded about the leases that they have granted. */
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'areEarlierLeasesOver' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
@@ -269,7 +271,9 @@
       onGrant: () => { granted.add(info.workerId) },
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
-      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (() => pollThroughPeers(info, term.epoch)),
+      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
+      mayExtendThroughPeers: () => host.mayExtendThroughPeers?.(info.workerId) === true,
+      onRelayed: () => { void host.grants.include(info.workerId) },
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
--- a/src/workers/workerPort.ts
+++ b/src/workers/workerPort.ts
@@ -85,12 +85,21 @@
    */
   readonly acknowledgedSequence: number
   readonly leaseUntilMs?: number
+  /** With this, `leaseUntilMs` is sent only over a connection on which this incarnation has reported: the clock of another one starts anew. */
+  readonly leaseIncarnationMs?: number
   /** How long the worker may wait for a run to end before it responds, in ms; an integer. */
   readonly waitMs: number
   /** How long the answer may take beyond that, in ms; the connection's usual time if it is not given. */
   readonly answerTimeoutMs?: number
 }
 
+/** A poll that another host sends to a worker; it acknowledges nothing. */
+export interface RelayedPoll {
+  readonly epoch: number
+  /** Extends the lease to a time on the clock of this incarnation, if the host reaches it over a connection on which it has reported. */
+  readonly lease?: { readonly untilMs: number, readonly incarnationMs: number } | undefined
+}
+
 /** A worker's response, with the time on the worker's clock. */
 export interface TimestampedResponse<T> {
   readonly answer: T
