Relayed polls: each worker's polls ask other hosts in turn, and workers that were reached keep a share of their own

Cause: one counter for all workers chose the hosts to ask, so that with 3, 13 or 40 silent workers polled in turn each worker was asked for through the same hosts again, and a host that reached it might never be asked. Polls of workers that are gone could also use up the 16 that may be under way, so that no lease was extended through other hosts.

Change: each worker has its own place on the list of hosts; polls of workers that the latest poll reached are counted apart.

Tests: peers/relayedPolls.test.ts; four of its seven tests fail without the change.

--- /dev/null
+++ b/src/peers/relayedPolls.test.ts
@@ -0,0 +1,53 @@
+/** Polls of workers through other hosts, when few hosts reach them. */
+import { expect, test } from '@jest/globals'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createRelayedPolls } from './relayedPolls.js'
+import type { RelayedPolls } from './relayedPolls.js'
+
+const report = { clockMs: 1, bornAtMs: 1, running: [], ended: [] }
+const request = { epoch: 1 }
+
+/** Creates the polls of a host with `hosts` peers. `call` polls a worker through the peer with this number. */
+function createPolls (hosts: number, call: (peer: number, workerId: string) => Promise<unknown>): RelayedPolls {
+  const peers = Array.from({ length: hosts }, (_, index) => ({ hostId: `host-${index}`, address: `host-${index}`, domain: 'a', hasFastLink: true }))
+  return createRelayedPolls({
+    getPeers: () => peers,
+    connect: address => ({ call: async <T>(_method: string, parameters: unknown) => await call(Number(address.slice('host-'.length)), (parameters as { workerId: string }).workerId) as T })
+  })
+}
+
+function toWorker (workerId: string): { readonly workerId: string, readonly address: string } {
+  return { workerId, address: `${workerId}:1` }
+}
+
+// Polls of several workers in turn asked the same hosts for each of them again, and a host that reached a worker was never asked.
+test.each([1, 3, 13, 40])('a worker that one host in 40 reaches is reached within 14 polls, beside those of %i workers', async workers => {
+  const polls = createPolls(40, async peer => {
+    if (peer === 27) return report
+    throw createError(ErrorKind.AnswerLost, 'no answer')
+  })
+  const unreached = new Set(Array.from({ length: workers }, (_, index) => `worker-${index}`))
+  for (let round = 0; round < 14; round++) {
+    for (const workerId of unreached) await polls.poll(toWorker(workerId), request).then(() => { unreached.delete(workerId) }, () => {})
+  }
+  expect([...unreached]).toEqual([])
+})
+
+// Workers that are gone use up the polls that may be under way; the leases of those that other hosts reach then ended.
+test('a worker that was reached is polled while many others do not answer', async () => {
+  const polls = createPolls(10, async (_peer, workerId) => workerId === 'reached' ? report : await new Promise<never>(() => {}))
+  await polls.poll(toWorker('reached'), request)
+  for (let index = 0; index < 100; index++) void polls.poll(toWorker(`gone-${index}`), request).catch(() => {})
+  expect(await polls.poll(toWorker('reached'), request)).toEqual(report)
+})
+
+test('an answer that cannot be decoded counts as lost', async () => {
+  const polls = createPolls(1, async () => ({ ...report, ended: [{ sequence: 'first' }] }))
+  const error: unknown = await polls.poll(toWorker('worker-0'), request).catch((reason: unknown) => reason)
+  expect(isErrorOfKind(error, ErrorKind.AnswerLost)).toBe(true)
+})
+
+test('without other hosts the poll fails', async () => {
+  const error: unknown = await createPolls(0, async () => report).poll(toWorker('worker-0'), request).catch((reason: unknown) => reason)
+  expect(isErrorOfKind(error, ErrorKind.PeerUnreachable)).toBe(true)
+})
--- a/src/peers/relayedPolls.ts
+++ b/src/peers/relayedPolls.ts
@@ -25,8 +25,21 @@
 
 /** The hosts that one poll asks: a cut may concern nine hosts in ten, and the worker may soon be gone. */
 const hostsPerPoll = 3
-/** The most polls under way. Load: a cut of all workers of a region, of which some 60 hold runs, costs 150 calls to other hosts a second. */
-const maxActivePolls = 16
+/**
+ * The most polls under way of workers that no host has reached, and of those besides that one has. Load: a loss of a region, of which some 60 workers held runs,
+ * costs 70 calls to other hosts a second, and the polls of these workers do not hold up those that extend leases.
+ */
+const maxActivePolls = { unreached: 16, reached: 16 } as const
+/** The most workers that are remembered; beyond it, all are forgotten, and the next polls ask the hosts from the start of the list. */
+const maxRoutes = 1_000
+
+/** The way to one worker. */
+interface Route {
+  /** Where on the list of hosts the next poll begins. */
+  nextPeer: number
+  /** The host through which the worker was reached by its latest poll. */
+  reachedThrough?: string | undefined
+}
 
 const runningSchema = z.object({ task: z.string(), run: z.int(), checkpoint: z.string(), progressPercent: z.number(), usage: z.optional(z.number()) })
 const endedSchema = z.object({ sequence: z.int(), task: z.string(), run: z.int(), how: z.enum(EndKind), checkpoint: z.string() })
@@ -34,23 +47,25 @@
 
 /** Creates the relayed polls of one host. */
 export function createRelayedPolls ({ getPeers, connect }: RelayedPollsHost): RelayedPolls {
-  /** The host through which each worker has last been reached. */
-  const preferred = new Map<string, string>()
-  let nextPeer = 0
-  let activePolls = 0
+  const routes = new Map<string, Route>()
+  const activePolls = { unreached: 0, reached: 0 }
 
   return { poll }
 
   async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
-    if (activePolls >= maxActivePolls) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
-    activePolls++
+    const route = getRoute(worker.workerId)
+    const kind = route.reachedThrough === undefined ? 'unreached' : 'reached'
+    if (activePolls[kind] >= maxActivePolls[kind]) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
+    activePolls[kind]++
     try {
-      return await Promise.any(selectPeers(worker.workerId).map(async address => await pollThrough(address, worker, request)))
+      const { address, report } = await Promise.any(selectPeers(route).map(async address => ({ address, report: await pollThrough(address, worker, request) })))
+      route.reachedThrough = address
+      return report
     } catch (error) {
-      preferred.delete(worker.workerId)
+      route.reachedThrough = undefined
       throw selectError(error)
     } finally {
-      activePolls--
+      activePolls[kind]--
     }
   }
 
@@ -58,23 +73,30 @@
     const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, ...request }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
     const report = reportSchema.safeParse(answer)
     if (!report.success) throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${report.error.message}`)
-    preferred.set(workerId, address)
     return { ...report.data, bornAtMs: report.data.bornAtMs }
   }
 
-  /** Selects peers that are far apart on the list, which begins with those of the own domain. */
-  function selectPeers (workerId: string): readonly string[] {
+  function getRoute (workerId: string): Route {
+    let route = routes.get(workerId)
+    if (route === undefined) {
+      if (routes.size >= maxRoutes) routes.clear()
+      routes.set(workerId, route = { nextPeer: routes.size })
+    }
+    return route
+  }
+
+  /** Selects peers that are far apart on the list, which begins with those of the own domain; others each time, but for the one that has reached the worker. */
+  function selectPeers (route: Route): readonly string[] {
     const addresses = getPeers().map(({ address }) => address)
     const count = Math.min(hostsPerPoll, addresses.length)
-    const first = preferred.get(workerId)
-    const selected = new Set<string>(first !== undefined && addresses.includes(first) ? [first] : [])
+    const selected = new Set<string>(route.reachedThrough !== undefined && addresses.includes(route.reachedThrough) ? [route.reachedThrough] : [])
     const stride = Math.max(1, Math.floor(addresses.length / hostsPerPoll))
     for (let index = 0; selected.size < count; index++) {
       // Where the stride leads to a host that is selected already, its neighbour is taken.
-      const address = addresses[(nextPeer + index * stride + Math.floor(index / hostsPerPoll)) % addresses.length]
+      const address = addresses[(route.nextPeer + index * stride + Math.floor(index / hostsPerPoll)) % addresses.length]
       if (address !== undefined) selected.add(address)
     }
-    nextPeer++
+    route.nextPeer++
     return [...selected]
   }
 }
