--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -78,7 +78,7 @@
 
 test.each(seeds)('seed %i: no task runs twice, and after the last absence nothing stands still', async seed => {
   const random = createRandom(seed)
-  harness = createPoolHarness({ workers: workerCount, maxLeaseMs, logger, getRun: task => ({ workMs: task.startsWith(lastJobId) && !hasLastLeft ? lastWorkMs : 500 + 10 * random(1_000), how: EndKind.Done }) })
+  harness = createPoolHarness({ hasRelayedPolls: true, workers: workerCount, maxLeaseMs, logger, getRun: task => ({ workMs: task.startsWith(lastJobId) && !hasLastLeft ? lastWorkMs : 500 + 10 * random(1_000), how: EndKind.Done }) })
   for (const worker of harness.workers.values()) worker.setClockRate(1 - 0.02 * random(11) / 10)
   const gone = new Set<string>()
   let hasLastLeft = false
@@ -140,6 +140,7 @@
   const randomDelay = createRandom(seed + electionSeedOffset)
   const leaseMs = seed % 3 === 0 ? 6_000 : 10_000
   harness = createPoolHarness({
+    hasRelayedPolls: true,
     workers: seriesWorkerCount,
     maxLeaseMs: leaseMs,
     logger,
--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -83,6 +83,7 @@
   const disturbancesGenerator = xoroshiro128plus(seed + disturbancesSeedOffset)
   const randomDisturbance = (limit: number): number => uniformInt(disturbancesGenerator, 0, limit - 1)
   const harness = createPoolHarness({
+    hasRelayedPolls: true,
     // Two fifths of a larger pool are several workers, and leave more than one rack in use.
     workers: seed % 4 < 2 ? 6 : 12,
     workersPerRack,
