--- /dev/null
+++ b/src/model/endPolicies.ts
@@ -0,0 +1,206 @@
+/**
+ * The rules by which a term counts a run on a silent worker as ended, as pure functions of what the term knows. The rules of `runs/workerLink.ts`, `runs/workerPool.ts`
+ * and `runs/grantRecord.ts` in discrete time, and candidates to compare them with.
+ */
+
+/** Durations in steps of the model, in the same order as those of the protocol. */
+export interface LeaseTimes {
+  /** The lease that the scheduler asks for. */
+  readonly requestedLease: number
+  /** The longest lease that a worker grants. */
+  readonly maxLease: number
+  /** How long after it was sent a request without a response may be carried out. */
+  readonly maxRequestDelay: number
+  /** Time to live of a term's record after the last renewal. */
+  readonly recordTtl: number
+  /** A life that is older has carried out what was sent to the life before it, and the leases that counted from then are over. */
+  readonly youngLife: number
+}
+
+/** What a term knows of one run on the worker. */
+export interface RunEvidence {
+  readonly index: number
+  /** The run counts as ended; its late starts may still be carried out. */
+  readonly hasEnded: boolean
+  /** The life for which the run was planned. */
+  readonly plannedLife: number
+  /** The run was taken over from an earlier term. */
+  readonly isRestored: boolean
+  /** The latest life whose report to this term lists the run; 0 if there is none. */
+  readonly reportedLife: number
+  /** Steps since this term sent its latest start request that has no answer; Infinity if there is none. */
+  readonly unansweredAge: number
+}
+
+/** How the record of a term mentions a worker that does not answer. */
+export interface SilentEntry {
+  /** Steps until the timer goes away. */
+  readonly timerSteps: number
+  /** The runs that are not over when the timer has gone away. */
+  readonly exceptions: readonly number[]
+  /** The life that the term knew, if no order for an earlier life can have reached it; 0 otherwise. */
+  readonly vouchedLife: number
+}
+
+/** What the record of an earlier term says of the worker now. */
+export interface EarlierRecord {
+  /** The term has granted the worker no lease. */
+  readonly isExcluded: boolean
+  /** The worker is listed as silent. */
+  readonly silent: SilentEntry | undefined
+}
+
+/** What a term knows of a worker that does not answer. */
+export interface TermEvidence {
+  readonly times: LeaseTimes
+  readonly termAge: number
+  readonly hasGranted: boolean
+  /** Steps since this term last sent a request that may extend the lease, or since its start. */
+  readonly extendedAge: number
+  /** Steps since this term last learnt of another life under the id; Infinity if it has not. */
+  readonly laterLifeAge: number
+  readonly listedLife: number
+  readonly listedLifeAge: number
+  /** The latest life that this term knows, and its age. */
+  readonly knownLife: number
+  readonly knownLifeAge: number
+  readonly runs: readonly RunEvidence[]
+  /** The records of earlier terms that still exist. */
+  readonly earlierRecords: readonly EarlierRecord[]
+}
+
+/** By what a run counts as ended although its worker does not answer. */
+export enum EndSource {
+  LeaseExpired = 'lease-expired',
+  EarlierLeasesOver = 'earlier-leases-over',
+  LaterLifeListed = 'later-life-listed'
+}
+
+/** A rule for the runs of silent workers. */
+export interface EndPolicy {
+  readonly name: string
+  /** Whether the clock in the answer to a start shows that a later life has answered. */
+  readonly readsStartClock: boolean
+  /** Tells by what the run counts as ended now; undefined if it may still be at work. */
+  getEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined
+  /** What the record says of the silent worker; undefined if it does not mention it. */
+  describeSilence (evidence: TermEvidence): SilentEntry | undefined
+}
+
+/** Decides for the whole worker: one start without an answer keeps it out of the record. The rule up to 3ba3df9. */
+export const perWorkerPolicy: EndPolicy = createPerWorkerPolicy('per worker', evidence => !hasUnansweredStart(evidence))
+
+/** Ignores starts without an answer when it records a silent worker. */
+export const unconditionalPolicy: EndPolicy = createPerWorkerPolicy('unconditional', () => true)
+
+/** Decides for each run: only a run that has a start without an answer is waited for with the whole record. A term vouches for a worker. */
+export const perRunPolicy: EndPolicy = createPerRunPolicy('per run', {})
+
+/** As `perRunPolicy`, but what a term vouches for holds only for runs that were planned for the life that it knew. */
+export const vouchedLifePolicy: EndPolicy = createPerRunPolicy('vouched life', { isVouchForLife: true })
+
+/** As `vouchedLifePolicy`, but the clock in the answer to a start shows whether a later life has answered. */
+export const startClockPolicy: EndPolicy = createPerRunPolicy('start clock', { isVouchForLife: true, readsStartClock: true })
+
+/** As `startClockPolicy`, but a run that one life has listed, and of which no start is without an answer, is over when the list of workers shows a later life. */
+export const listedLifePolicy: EndPolicy = createPerRunPolicy('listed life', { isVouchForLife: true, readsStartClock: true, endsWithListedLife: true })
+
+/** As `listedLifePolicy`, but a term records runs that it has taken over as uncertain until the start requests of earlier terms can no longer be carried out. */
+export const inheritedStartsPolicy: EndPolicy = createPerRunPolicy('inherited starts', { isVouchForLife: true, readsStartClock: true, endsWithListedLife: true, areInheritedUncertain: true })
+
+/** All policies that are compared. */
+export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
+
+/** The parts in which the policies for each run differ. */
+interface PerRunOptions {
+  /** What a term vouches for holds only for runs that were planned for the life that it knew. */
+  readonly isVouchForLife?: boolean
+  readonly readsStartClock?: boolean
+  readonly endsWithListedLife?: boolean
+  readonly areInheritedUncertain?: boolean
+}
+
+function createPerWorkerPolicy (name: string, mayRecord: (evidence: TermEvidence) => boolean): EndPolicy {
+  return { name, readsStartClock: false, getEnd: (evidence, run) => getEnd(evidence, run, areEarlierLeasesOver, getLeaseEndSteps), describeSilence }
+
+  function describeSilence (evidence: TermEvidence): SilentEntry | undefined {
+    if (!mayRecord(evidence)) return undefined
+    return { timerSteps: Math.max(0, getStepsLeft(evidence, getLeaseEndSteps(evidence), areEarlierLeasesOver(evidence))), exceptions: [], vouchedLife: 0 }
+  }
+
+  function areEarlierLeasesOver (evidence: TermEvidence): boolean {
+    return evidence.earlierRecords.every(({ isExcluded, silent }) => isExcluded || silent?.timerSteps === 0) && isOnlyLife(evidence)
+  }
+
+  function getLeaseEndSteps (evidence: TermEvidence): number {
+    return hasUnansweredStart(evidence) || mayFollowEarlierOrders(evidence) ? evidence.times.maxLease : evidence.times.requestedLease
+  }
+}
+
+function createPerRunPolicy (name: string, { isVouchForLife = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false }: PerRunOptions): EndPolicy {
+  return { name, readsStartClock, getEnd: getRunEnd, describeSilence }
+
+  function getRunEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined {
+    const { listedLife, times } = evidence
+    // What the later life has carried out late may still be at work there.
+    const isEarlier = run.reportedLife > 0 && run.reportedLife < listedLife && !mayHaveStarts(evidence, run, times.maxRequestDelay + times.maxLease)
+    if (endsWithListedLife && isEarlier) return EndSource.LaterLifeListed
+    return getEnd(evidence, run, areEarlierLeasesOver, getLeaseEndSteps)
+  }
+
+  /** Tells whether a start request sent less than `steps` ago has got no answer. */
+  function mayHaveStarts ({ termAge }: TermEvidence, { unansweredAge, isRestored }: RunEvidence, steps: number): boolean {
+    return unansweredAge < steps || (areInheritedUncertain && isRestored && termAge < steps)
+  }
+
+  function describeSilence (evidence: TermEvidence): SilentEntry {
+    const exceptions = evidence.runs.filter(run => !run.hasEnded && mayHaveStarts(evidence, run, evidence.times.maxRequestDelay))
+    const others = evidence.runs.filter(run => !run.hasEnded && !exceptions.includes(run))
+    const timerSteps = Math.max(0, ...others.map(run => getStepsLeft(evidence, getLeaseEndSteps(evidence, run), areEarlierLeasesOver(evidence, run))))
+    return { timerSteps, exceptions: exceptions.map(({ index }) => index), vouchedLife: isVouched(evidence) ? evidence.knownLife : 0 }
+  }
+
+  function areEarlierLeasesOver (evidence: TermEvidence, { index, plannedLife }: RunEvidence): boolean {
+    const { earlierRecords } = evidence
+    if (!earlierRecords.every(({ isExcluded, silent }) => isExcluded || (silent?.timerSteps === 0 && !silent.exceptions.includes(index)))) return false
+    const granting = earlierRecords.filter(({ isExcluded }) => !isExcluded)
+    return (granting.length > 0 && granting.every(({ silent }) => silent !== undefined && silent.vouchedLife > 0 && (!isVouchForLife || silent.vouchedLife === plannedLife))) || isOnlyLife(evidence)
+  }
+
+  function getLeaseEndSteps (evidence: TermEvidence, run: RunEvidence): number {
+    return isUncertain(evidence, run) || mayFollowEarlierOrders(evidence) ? evidence.times.maxLease : evidence.times.requestedLease
+  }
+}
+
+function getEnd (evidence: TermEvidence, run: RunEvidence, areEarlierLeasesOver: (evidence: TermEvidence, run: RunEvidence) => boolean, getLeaseEndSteps: (evidence: TermEvidence, run: RunEvidence) => number): EndSource | undefined {
+  const areEarlierOver = areEarlierLeasesOver(evidence, run)
+  if (areEarlierOver && !evidence.hasGranted) return EndSource.EarlierLeasesOver
+  return getStepsLeft(evidence, getLeaseEndSteps(evidence, run), areEarlierOver) <= 0 ? EndSource.LeaseExpired : undefined
+}
+
+function getStepsLeft ({ times, termAge, extendedAge }: TermEvidence, leaseSteps: number, areEarlierOver: boolean): number {
+  const leftSteps = leaseSteps - extendedAge
+  return areEarlierOver ? leftSteps : Math.max(leftSteps, times.maxLease - termAge)
+}
+
+function isUncertain ({ times }: TermEvidence, { unansweredAge }: RunEvidence): boolean {
+  return unansweredAge < times.maxRequestDelay
+}
+
+function hasUnansweredStart (evidence: TermEvidence): boolean {
+  return evidence.runs.some(run => isUncertain(evidence, run))
+}
+
+/** A life that was seen shortly before the last extension, or after it, may have carried out orders for the life before it, with a lease that counts from then. */
+function mayFollowEarlierOrders ({ times, extendedAge, laterLifeAge }: TermEvidence): boolean {
+  return laterLifeAge - extendedAge < times.maxRequestDelay + times.maxLease
+}
+
+/** Tells whether the listed life is old enough that no order for an earlier one is left, and all runs were planned for it. */
+function isOnlyLife ({ times, listedLife, listedLifeAge, runs }: TermEvidence): boolean {
+  return listedLifeAge > times.youngLife && runs.every(({ plannedLife, hasEnded }) => hasEnded || plannedLife === listedLife)
+}
+
+function isVouched ({ times, termAge, laterLifeAge, knownLifeAge }: TermEvidence): boolean {
+  return knownLifeAge > times.youngLife || (termAge > times.maxRequestDelay + times.maxLease && laterLifeAge === Infinity)
+}
--- /dev/null
+++ b/src/model/leaseModel.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, test } from '@jest/globals'
+import { endPolicies, inheritedStartsPolicy, perRunPolicy, perWorkerPolicy, startClockPolicy, unconditionalPolicy, vouchedLifePolicy } from './endPolicies.js'
+import type { EndPolicy } from './endPolicies.js'
+import { explore } from './explorer.js'
+import type { Exploration } from './explorer.js'
+import { getMinimalFindings } from './findings.js'
+import { createLeaseModel, Invariant } from './leaseModel.js'
+import { lossScenario, restartScenario, unknownLifeScenario } from './leaseScenarios.js'
+import type { NamedScenario } from './leaseScenarios.js'
+
+const otherStart = 'LOST: start of another run without an answer'
+const unknownLife = 'TWICE: ended by lease-expired, at work by a start on time in a later life that its term did not know'
+const vouchedForOtherLife = 'TWICE: ended by lease-expired, at work by a start on time, lease lengthened by a late poll'
+
+function check (scenario: NamedScenario, policy: EndPolicy, maxDepth = scenario.maxDepth): Exploration {
+  return explore(createLeaseModel({ ...scenario, policy }), { maxDepth, maxStates: 500_000 })
+}
+
+function getClasses ({ findings }: Exploration, invariant?: Invariant): string[] {
+  return getMinimalFindings(findings).map(finding => finding.class).filter(name => invariant === undefined || name.startsWith(invariant))
+}
+
+describe('lease model', () => {
+  test('finds that one start without an answer makes the other runs of a lost worker be waited for, under the rule per worker only', () => {
+    const perWorker = check(lossScenario, perWorkerPolicy)
+    expect(perWorker.isComplete).toBe(true)
+    expect(getClasses(perWorker)).toContain(otherStart)
+    for (const policy of [perRunPolicy, vouchedLifePolicy, startClockPolicy, inheritedStartsPolicy]) {
+      const result = check(lossScenario, policy)
+      expect(result.isComplete).toBe(true)
+      expect(getClasses(result)).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer'])
+    }
+  })
+
+  test('no policy counts a run as ended while it is at work, as long as no life begins under the same id', () => {
+    for (const policy of endPolicies) expect(getClasses(check(lossScenario, policy), Invariant.Twice)).toEqual([])
+  })
+
+  test('finds a rule that ends runs one step too early', () => {
+    const early: EndPolicy = {
+      ...perRunPolicy,
+      getEnd: (evidence, run) => perRunPolicy.getEnd({ ...evidence, times: { ...evidence.times, requestedLease: evidence.times.requestedLease - 1 } }, run)
+    }
+    expect(getClasses(check(restartScenario, early, 4), Invariant.Twice)).toContain('TWICE: ended by lease-expired, at work by a start on time')
+  })
+
+  test('finds that a record which vouches for one life is used for a run on the next one', () => {
+    expect(getClasses(check(restartScenario, perRunPolicy, 6))).toContain(vouchedForOtherLife)
+    expect(getClasses(check(restartScenario, vouchedLifePolicy, 6))).not.toContain(vouchedForOtherLife)
+  })
+
+  test('the rule per run breaks TWICE in the same classes as the rule per worker, when records vouch for one life', () => {
+    expect(getClasses(check(restartScenario, vouchedLifePolicy, 6), Invariant.Twice)).toEqual(getClasses(check(restartScenario, perWorkerPolicy, 6), Invariant.Twice))
+  })
+
+  test('finds a start that is answered by a life which the term does not know, unless the clock in the answer is read', () => {
+    for (const policy of [perWorkerPolicy, vouchedLifePolicy]) expect(getClasses(check(unknownLifeScenario, policy, 6))).toContain(unknownLife)
+    expect(getClasses(check(unknownLifeScenario, startClockPolicy, 8), Invariant.Twice)).toEqual([])
+  })
+
+  test('finds that late starts in a later life run twice under each rule, which is the known open case', () => {
+    for (const policy of [perWorkerPolicy, perRunPolicy, inheritedStartsPolicy, unconditionalPolicy]) {
+      expect(getClasses(check(restartScenario, policy, 4))).toContain('TWICE: ended by absent-from-report, at work by a late start in a hidden later life')
+    }
+  })
+})
--- /dev/null
+++ b/src/model/leaseScenarios.ts
@@ -0,0 +1,50 @@
+/** The scenarios in which the policies are compared. Each limits the disturbances so that all orders of events can be explored. */
+import type { LeaseTimes } from './endPolicies.js'
+import type { LeaseScenario } from './leaseModel.js'
+
+/** A scenario for any policy, and its bound. */
+export interface NamedScenario extends Omit<LeaseScenario, 'policy'> {
+  readonly name: string
+  /** The depth explored by `npm run model`, in steps. */
+  readonly maxDepth: number
+}
+
+/** The shortest durations that keep the order of those of the protocol. */
+const shortTimes: LeaseTimes = { requestedLease: 2, maxLease: 4, maxRequestDelay: 5, recordTtl: 5, youngLife: 10 }
+/** About 2 s a step: 6.3 s, 10.35 s, 15 s, 11.35 s and 35 s, the last of which is shortened. */
+const scaledTimes: LeaseTimes = { requestedLease: 3, maxLease: 5, maxRequestDelay: 7, recordTtl: 6, youngLife: 13 }
+
+const none = { deaths: 0, restarts: 0, cuts: 0, lostAnswers: 0, lateOrders: 0, termEnds: 0, lostWrites: 0 }
+const base = { times: shortTimes, maxDelay: shortTimes.maxRequestDelay, isFirstLifeYoung: false, isIdle: false }
+
+/** A worker that is lost while starts are under way, and a takeover. */
+export const lossScenario: NamedScenario = { ...base, name: 'loss', disturbances: { ...none, deaths: 1, lostAnswers: 2, termEnds: 1 }, maxDepth: 40 }
+
+/** A worker that restarts under its id, a cut, one order that may be carried out late, and a takeover. */
+export const restartScenario: NamedScenario = {
+  ...base,
+  name: 'restart',
+  disturbances: { ...none, deaths: 1, restarts: 1, cuts: 1, lostAnswers: 1, lateOrders: 1, termEnds: 1 },
+  maxDepth: 11
+}
+
+/** As `restartScenario` without late orders. */
+export const unknownLifeScenario: NamedScenario = {
+  ...base,
+  name: 'unknown life',
+  disturbances: { ...none, deaths: 1, restarts: 1, cuts: 1, lostAnswers: 1, termEnds: 1 },
+  maxDepth: 12
+}
+
+/** All scenarios. */
+export const leaseScenarios: readonly NamedScenario[] = [
+  lossScenario,
+  { ...lossScenario, name: 'loss, scaled', times: scaledTimes, maxDelay: scaledTimes.maxRequestDelay },
+  { ...base, name: 'short terms', times: scaledTimes, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 3 }, maxDepth: 18 },
+  { ...base, name: 'lost writes', times: scaledTimes, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 1, lostWrites: 2 }, maxDepth: 40 },
+  { ...base, name: 'young life', times: scaledTimes, isFirstLifeYoung: true, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 1 }, maxDepth: 40 },
+  { ...base, name: 'silent again', times: scaledTimes, disturbances: { ...none, deaths: 1, cuts: 2, lostAnswers: 1, termEnds: 1 }, maxDepth: 14 },
+  unknownLifeScenario,
+  restartScenario,
+  { ...base, name: 'retries', disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 2, lateOrders: 2, termEnds: 2 }, maxDepth: 10 }
+]
