--- a/src/model/leaseModel.test.ts
+++ b/src/model/leaseModel.test.ts
@@ -5,12 +5,13 @@
 import type { Exploration } from './explorer.js'
 import { getMinimalFindings } from './findings.js'
 import { createLeaseModel, Invariant } from './leaseModel.js'
-import { lateStartScenario, lossScenario, smallRestartScenario, unknownLifeScenario } from './leaseScenarios.js'
+import { lateStartScenario, lossScenario, retryScenario, smallRestartScenario, unknownLifeScenario } from './leaseScenarios.js'
 import type { NamedScenario } from './leaseScenarios.js'
 
 const otherStart = 'LOST: start of another run without an answer'
 const unknownLife = 'TWICE: ended by lease-expired, at work by a start on time in a later life that its term did not know'
 const vouchedForOtherLife = 'TWICE: ended by lease-expired, at work by a start on time, lease lengthened by a late poll'
+const unknownEarlierStart = 'TWICE: ended by earlier-leases-over, at work by a late start in a listed later life'
 
 const explorations = new Map<string, Exploration>()
 
@@ -55,6 +56,11 @@
     expect(getClasses(check(smallRestartScenario, vouchedLifePolicy))).not.toContain(vouchedForOtherLife)
   })
 
+  test('finds that a record does not except a run whose start an earlier term has left under way, so that it must not be used once a later life is listed', () => {
+    expect(getClasses(check(retryScenario, perRunPolicy))).toContain(unknownEarlierStart)
+    for (const policy of [perWorkerPolicy, vouchedLifePolicy]) expect(getClasses(check(retryScenario, policy))).not.toContain(unknownEarlierStart)
+  })
+
   test('the rule per run breaks TWICE in the same classes as the rule per worker, when records vouch for one life', () => {
     expect(getClasses(check(smallRestartScenario, vouchedLifePolicy), Invariant.Twice)).toEqual(getClasses(check(smallRestartScenario, perWorkerPolicy), Invariant.Twice))
   })
