--- a/src/store/confirmedWrites.test.ts
+++ b/src/store/confirmedWrites.test.ts
@@ -148,7 +148,12 @@
     return await neverAnswer()
   }
   expect((await settle(store.transact(both))).value?.isCommitted).toBe(false)
+  // Two writes of other transactions, which leave the same values.
+  memoryStore.write('second', 'value')
+  sent = 0
+  expect((await settle(store.transact(both))).value?.isCommitted).toBe(false)
   memoryStore.write(key, undefined)
+  memoryStore.write('second', undefined)
   transact = undefined
   impairment.lostWrites = 1
   expect((await settle(store.transact(both))).value?.isCommitted).toBe(true)
