--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -54,6 +54,7 @@
     hasEarlierOrders: false,
     hasUncertainRuns: () => false,
     getMaxGrantMs: () => 10_000,
+    getMaxRenewalMs: () => 10_000,
     areEarlierLeasesOver: () => false,
     areAllLeasesOver: () => false,
     onGrant: () => {},
@@ -112,6 +113,7 @@
   const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
   const startedAtMs = performance.now()
   let overAtMs = Infinity
+  const getMaxGrantMs = (): number => performance.now() - startedAtMs < grantedFromMs ? 0 : 6_000
   const port: WorkerPort = {
     start: async () => { throw createError(ErrorKind.AnswerLost, 'not used') },
     stop: async () => {},
@@ -132,7 +134,8 @@
     requestedLeaseMs: 6_000,
     hasEarlierOrders,
     hasUncertainRuns: () => false,
-    getMaxGrantMs: () => performance.now() - startedAtMs < grantedFromMs ? 0 : 6_000,
+    getMaxGrantMs,
+    getMaxRenewalMs: getMaxGrantMs,
     areEarlierLeasesOver: () => areEarlierLeasesOver,
     areAllLeasesOver: () => false,
     onGrant: () => {},
