--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -13,8 +13,10 @@
 import type { Unit } from '../jobs/trackedJob.js'
 import { createLivenessCheck } from '../testing/livenessCheck.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
-import type { HarnessHost, PoolHarness } from '../testing/poolHarness.js'
+import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
+import { disturbTerm, getLeader, termDisturbanceCount } from '../testing/termDisturbances.js'
+import type { Disturb } from '../testing/termDisturbances.js'
 import { grantPrefix } from './grantRecord.js'
 import { getLongestDurationMs } from './workerLease.js'
 
@@ -49,16 +51,9 @@
 const maxTermEnds = 5
 /** Work counts as able to run only when nothing has been disturbed for this long, in ms. Source: the platform's rules (LOST). */
 const calmMs = 4_000
-/** The kinds of disturbances of the host that schedules. */
-const termDisturbanceCount = 9
-/** A freeze that begins with a renewal of a lease begins within this, in ms. */
-const maxRenewalWaitMs = 500
 /** The longest time, in ms, for which the hosts may be without a new leader after a term has been disturbed. */
 const electionLimitMs = 4_000
 
-/** Notes that something is disturbed until `forMs` from now, in ms; 0 by default. */
-type Disturb = (what: string, forMs?: number) => void
-
 const logger = process.env.SASSAFRASFORD_SOAK_LOG === undefined ? silentLogger : createLogger({ level: 'info' })
 let harness: PoolHarness
 let hostNumber = 0
@@ -189,12 +184,12 @@
     const kind = random(2) === 0 ? random(termDisturbanceCount) : undefined
     const areAllShort = random(3) === 0
     for (let left = 1 + random(maxTermEnds), epoch = 0; left > 0; left--) {
-      for (let waitedMs = 0; waitedMs < electionLimitMs && (getLeader()?.getTerm()?.epoch ?? epoch) === epoch; waitedMs += lookPeriodMs) await advance(lookPeriodMs)
+      for (let waitedMs = 0; waitedMs < electionLimitMs && (getLeader(harness)?.getTerm()?.epoch ?? epoch) === epoch; waitedMs += lookPeriodMs) await advance(lookPeriodMs)
       await advance(100 * (areAllShort || random(2) === 0 ? 1 + random(7) : 7 + random(40)))
       if (random(3) === 0) submitJob()
-      const leader = getLeader()
+      const leader = getLeader(harness)
       epoch = leader?.getTerm()?.epoch ?? epoch
-      if (leader !== undefined) disturbTerm(leader, kind ?? random(termDisturbanceCount), random, disturb)
+      if (leader !== undefined) disturbTerm({ harness, addHosts: () => { addHosts(seriesHostCount) }, random, disturb }, leader, kind ?? random(termDisturbanceCount))
     }
     while (performance.now() < calmFromMs) await advance(lookPeriodMs)
     await advance(calmMs + 3_000 + leaseMs)
@@ -212,71 +207,11 @@
   while (harness.hosts.size < count) harness.addHost(`host-${hostNumber++}`)
 }
 
-/** The host that schedules by its own account and by that of the store. */
-function getLeader (): HarnessHost | undefined {
-  const host = harness.hosts.get(harness.store.peek(leaderKey) ?? '')
-  return host?.getTerm()?.isValid() === true ? host : undefined
-}
-
 function pickBusyWorker (random: (limit: number) => number): string | undefined {
   const workerIds = [...new Set([...harness.poolState.running.values()].flat().map(({ workerId }) => workerId))].sort()
   return workerIds[random(Math.max(1, workerIds.length))]
 }
 
-/** Disturbs the host that schedules, or all hosts at once. Those that are killed or stopped are replaced later. */
-function disturbTerm (leader: HarnessHost, kind: number, random: (limit: number) => number, disturb: Disturb): void {
-  const { hostId } = leader
-  const { store } = harness
-  const hosts = [...harness.hosts.values()]
-  const forMs = 500 + 100 * random(50)
-  const cutWorkers = new Set([...harness.workers.keys()].filter(() => random(3) > 0))
-  const endLater = (what: string, end: () => void): void => {
-    disturb(`${what} (${hostId} schedules)`, forMs)
-    setTimeout(end, forMs)
-  }
-  const replaceHosts = (): void => { addHosts(seriesHostCount) }
-  const disturbances: readonly (() => void)[] = [
-    () => {
-      endLater('kill', replaceHosts)
-      leader.crash()
-    },
-    () => {
-      disturb('kill, replaced at once')
-      leader.crash()
-      replaceHosts()
-    },
-    () => {
-      endLater('stop', replaceHosts)
-      void leader.stop()
-    },
-    () => {
-      endLater('kill of all', replaceHosts)
-      for (const host of hosts) host.crash()
-    },
-    () => {
-      disturb('freeze', forMs + maxRenewalWaitMs)
-      leader.freeze(forMs, random(3) === 0)
-    },
-    () => {
-      disturb('freeze of all', forMs)
-      for (const host of hosts) host.freeze(forMs)
-    },
-    () => {
-      endLater('cut off from the store', () => { store.setUnavailable(false, hostId) })
-      store.setUnavailable(true, hostId)
-    },
-    () => {
-      endLater('cut off from workers', () => { leader.setCutFromWorkers(new Set()) })
-      leader.setCutFromWorkers(cutWorkers)
-    },
-    () => {
-      disturb('renewals held back', forMs)
-      store.holdRenewals(hostId, forMs)
-    }
-  ]
-  disturbances[kind]?.()
-}
-
 function cutWorkerOff (workerId: string | undefined, forMs: number, disturb: Disturb): void {
   if (workerId === undefined) return
   const setCut = (isCut: boolean): void => {
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -11,6 +11,8 @@
   readonly getRun: (task: string, run: number) => RunBehaviour
   /** Called when a worker begins a run; `receivedAtMs` is when its start request arrived, by the monotonic clock. */
   readonly onStart?: (start: ReceivedStart) => void
+  /** Called when a worker lists an end. */
+  readonly onEnd?: (end: Pick<EndedRun, 'task' | 'run' | 'how'> & { readonly workerId: string }) => void
   /** The number of members of the task's gang; 1 for a task without a gang. */
   readonly getGangSize: (task: string) => number
   readonly getRequest: (task: string) => Resources
@@ -62,7 +64,7 @@
 }
 
 /** How the workers of a stand-in pool behave. */
-export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
+export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'onEnd' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
   /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
   readonly jobs: ReadonlyMap<string, JobSpec>
   /** The request of a task of no known job. */
@@ -281,6 +283,7 @@
     highestRuns.set(run.task, Math.max(highestRuns.get(run.task) ?? 0, run.run))
     runs.delete(run.task)
     removeFromPool(run)
+    pool.onEnd?.({ task: run.task, run: run.run, how, workerId: info.workerId })
   }
 
   /** An end that is lost with the life of its worker, or acknowledged, is not known there any more. */
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -118,6 +118,9 @@
   readonly hasStandbys?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
+  /** Wraps the port of a host to a worker. */
+  readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
+  readonly onEnd?: PoolState['onEnd']
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -182,6 +185,7 @@
     defaultRequest: harnessCapacity,
     getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
     ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
+    ...(options.onEnd === undefined ? {} : { onEnd: options.onEnd }),
     maxLeaseMs,
     gangStartTimeoutMs: 1_500,
     stopDelayMs: 50
@@ -350,7 +354,10 @@
           getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
-          connect: info => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw),
+          connect: info => {
+            const port = freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw)
+            return options.interceptWorker?.(hostId, info.workerId, port) ?? port
+          },
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
       }
