--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -73,6 +73,8 @@
 const lookPeriodMs = 100
 /** Work counts as able to run only when nothing has been disturbed for this long, in ms. Source: the platform's rules (LOST). */
 const calmMs = 4_000
+/** Another host has taken over this long after the one that scheduled has failed, in ms: an election and the first polls. */
+const takeoverMs = 2_000
 /** How long the play goes on after that, in ms: longer than any lease and the wait for it. */
 const watchMs = 12_000
 /** An end that has been read is stored within this time, in ms, and if the store loses answers to writes. */
@@ -98,7 +100,7 @@
     if (moment !== undefined) moments.push(moment)
   }
   const termEnds: TermEnd[] = []
-  for (let count = 1 + random(2); count > 0; count--) {
+  for (let count = random(3); count > 0; count--) {
     const previousMs = termEnds.at(-1)?.atMs ?? moments.at(-1)?.atMs ?? latestMs
     termEnds.push({ atMs: previousMs + random(maxTermEndGapMs), kind: random(2) === 0 ? killKind : random(termDisturbanceCount), seed: random(1_000_000) })
   }
@@ -125,7 +127,7 @@
   /** Until when single workers are disturbed: what runs elsewhere need not wait for them. */
   const disturbedUntilMs = new Map<string, number>()
   const disturb: Disturb = (what, forMs = 0, isReplaceable = false) => {
-    calmFromMs = Math.max(calmFromMs, performance.now() + (isReplaceable ? 0 : forMs))
+    calmFromMs = Math.max(calmFromMs, performance.now() + (isReplaceable ? takeoverMs - calmMs : forMs))
     if (untilMs === undefined) logger.info('disturbed', { what, atMs: performance.now(), forMs })
   }
   const disturbWorker = (workerId: string, what: string, forMs: number): void => {
@@ -133,7 +135,7 @@
     disturbedUntilMs.set(workerId, Math.max(disturbedUntilMs.get(workerId) ?? 0, performance.now() + forMs))
   }
   const isCalm = (workerId: string): boolean => performance.now() >= (disturbedUntilMs.get(workerId) ?? -Infinity) + calmMs
-  const faults = createStoreFaults(disturb)
+  const faults = createStoreFaults()
   const recorder = createEventRecorder(() => harness, (hostId, end) => { if (end.how === EndKind.Done) expectStored(hostId, end) })
   const endedAtMs = new Map<string, number>()
   /** The tasks and gangs that the elected scheduler knew to be done for long enough to store it. */
@@ -169,7 +171,7 @@
   for (const moment of moments) setTimeout(() => { beginAbsence({ harness, addHosts, faults, random: createRandom(moment.seed), disturb, disturbWorker }, moment) }, moment.atMs)
   for (const termEnd of termEnds) setTimeout(() => { endTerm(termEnd, performance.now() + leaderWaitMs) }, termEnd.atMs)
   const lastMs = Math.max(submitMs, ...[...moments, ...termEnds].map(({ atMs }) => atMs))
-  while (performance.now() < (untilMs ?? Math.max(lastMs, calmFromMs) + calmMs + watchMs)) {
+  while (performance.now() < (untilMs ?? Math.max(lastMs, calmFromMs, ...disturbedUntilMs.values()) + calmMs + watchMs)) {
     await run(lookPeriodMs)
     standing.push(...check.look(submitted))
   }
--- a/src/testing/moments.ts
+++ b/src/testing/moments.ts
@@ -138,14 +138,14 @@
 
 function killHost ({ harness, addHosts, random, disturb }: AbsenceHost): void {
   const forMs = 100 * random(30)
-  disturb('the host is killed')
+  disturb('the host is killed', forMs, true)
   getLeader(harness)?.crash()
   setTimeout(addHosts, forMs)
 }
 
 function freezeHost ({ harness, faults, random, disturb }: AbsenceHost): void {
   const forMs = 200 + 100 * random(40)
-  disturb('the host is frozen')
+  disturb('the host is frozen', forMs, true)
   faults.note(forMs)
   getLeader(harness)?.freeze(forMs)
 }
@@ -196,8 +196,8 @@
 /** After this time, in ms, a host gives up a write whose answer does not arrive. */
 const answerTimeoutMs = 900
 
-/** Creates the faults of a play; `disturb` notes writes that are executed late. */
-export function createStoreFaults (disturb: TermDisturbanceHost['disturb']): StoreFaults {
+/** Creates the faults of a play. */
+export function createStoreFaults (): StoreFaults {
   let lossUntilMs = -Infinity
   let faultUntilMs = -Infinity
   let random: RandomInteger = () => 0
@@ -217,7 +217,6 @@
     if (random(4) > 0) await client.transact(transaction)
     else {
       const lateMs = 1_000 + 100 * random(50)
-      disturb('a write is late', lateMs)
       setTimeout(() => { void client.transact(transaction).catch(() => {}) }, lateMs)
     }
     await delay(answerTimeoutMs)
