--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -60,8 +60,9 @@
 const latestMs = 10_000
 /** A second absence begins at most this long after the first one, in ms. */
 const maxMomentGapMs = 4_000
-/** A term ends at most this long after the disturbance before it, in ms. */
+/** A term ends at most this long after the disturbance before it, in ms; half of them do so within the shorter time. */
 const maxTermEndGapMs = 8_000
+const shortTermEndGapMs = 2_000
 /** If no host schedules when a term is to end, the first one that does within this time is disturbed, in ms. */
 const leaderWaitMs = 4_000
 /** When workers restart, in ms: before any work is handed in. */
@@ -102,7 +103,7 @@
   const termEnds: TermEnd[] = []
   for (let count = random(3); count > 0; count--) {
     const previousMs = termEnds.at(-1)?.atMs ?? moments.at(-1)?.atMs ?? latestMs
-    termEnds.push({ atMs: previousMs + random(maxTermEndGapMs), kind: random(2) === 0 ? killKind : random(termDisturbanceCount), seed: random(1_000_000) })
+    termEnds.push({ atMs: previousMs + random(random(2) === 0 ? shortTermEndGapMs : maxTermEndGapMs), kind: random(2) === 0 ? killKind : random(termDisturbanceCount), seed: random(1_000_000) })
   }
   logger.info('drawn', { moments, termEnds })
   const { violations, standing, repeated } = await play(seed, { moments, termEnds })
