--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -218,8 +218,7 @@
 }
 
 function drawJob (jobId: string, random: RandomInteger): DrawnJob {
-  const drawStep = (after: readonly number[]): JobSpec['steps'][number] => makeStep({ count: 1 + random(3), isGang: random(3) === 0, after })
-  const steps = random(2) === 0 ? [drawStep([])] : [drawStep([]), drawStep([0])]
-  const workMs = steps.map(() => random(2) === 0 ? 300 + random(2_500) : 5_000 + random(25_000))
+  const workMs = Array.from({ length: 1 + random(2) }, () => random(2) === 0 ? 300 + random(2_500) : 5_000 + random(25_000))
+  const steps = workMs.map((estimateMs, step) => makeStep({ count: 1 + random(3), isGang: random(3) === 0, estimateMs, after: step === 0 ? [] : [step - 1] }))
   return { submitAtMs: 1_500 + random(submitMs - 1_500), spec: makeJob(jobId, random(2) === 0 ? 'urgent' : 'batch', steps), workMs }
 }
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -175,6 +175,8 @@
   const workers = new Map<string, PoolWorker>()
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
+  /** The ids of all workers so far, with those that are gone. */
+  const knownIds = new Set<string>()
   const refreshCallbacks = new Set<() => void>()
   const silence = createWorkerSilence({ onReport: report, onExpired: workerId => { setListed(workerId, false) } })
   const orders: HarnessOrder[] = []
@@ -205,6 +207,7 @@
   }
 
   function addLife (info: ListedWorker): void {
+    knownIds.add(info.workerId)
     workers.set(info.workerId, createPoolWorker(poolState, info, () => { crashWorker(info.workerId) }))
     listedWorkers.set(info.workerId, info)
   }
@@ -277,7 +280,7 @@
       const value = JSON.stringify(info)
       if (store.peek(listPrefix + info.workerId) !== value) store.write(listPrefix + info.workerId, value)
     }
-    for (const workerId of workers.keys()) if (!listedWorkers.has(workerId) && store.peek(listPrefix + workerId) !== undefined) store.write(listPrefix + workerId, undefined)
+    for (const workerId of knownIds) if (!listedWorkers.has(workerId) && store.peek(listPrefix + workerId) !== undefined) store.write(listPrefix + workerId, undefined)
   }
 
   function refreshSchedulers (): void {
