--- /dev/null
+++ b/src/peers/relayedPolls.ts
@@ -0,0 +1,108 @@
+/** Polls of workers through other hosts, for a scheduler that gets no answers from them: a cut, or lost answers, may concern only some hosts. */
+import * as z from 'zod/mini'
+import type { RpcClient } from '../common/rpcClient.js'
+import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { EndKind } from '../jobs/jobModel.js'
+import type { ListedWorker, RelayedPoll, WorkerStatusReport } from '../workers/workerPort.js'
+import type { KnownHost } from './hostDirectory.js'
+import { peerWorkerMethods, relayedAnswerTimeoutMs } from './peerWorkerMethods.js'
+import { peerCallTimeoutMs } from './relayedStore.js'
+
+/** Dependencies of the relayed polls. */
+export interface RelayedPollsHost {
+  readonly getPeers: () => readonly KnownHost[]
+  readonly connect: (address: string) => RpcClient
+}
+
+/** Polls workers through other hosts. */
+export interface RelayedPolls {
+  /**
+   * Asks several hosts at once, others each time, and returns the first report that arrives. Errors: `stale-epoch` if the worker has had a request with a higher
+   * epoch; `answer-lost` if no host has got an answer in time.
+   */
+  poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, poll: RelayedPoll): Promise<WorkerStatusReport>
+}
+
+/** The hosts that one poll asks: a cut may concern nine hosts in ten, and the worker may soon be gone. */
+const hostsPerPoll = 3
+/**
+ * The most polls under way of workers that no host has reached, and of those besides that one has. Load: a loss of a region, of which some 60 workers held runs,
+ * costs 70 calls to other hosts a second, and the polls of these workers do not hold up those that extend leases.
+ */
+const maxActivePolls = { unreached: 16, reached: 16 } as const
+/** The most workers that are remembered; beyond it, all are forgotten, and the next polls ask the hosts from the start of the list. */
+const maxRoutes = 1_000
+
+/** The way to one worker. */
+interface Route {
+  /** Where on the list of hosts the next poll begins. */
+  nextPeer: number
+  /** The host through which the worker was reached by its latest poll. */
+  reachedThrough?: string | undefined
+}
+
+const runningSchema = z.object({ task: z.string(), run: z.int(), checkpoint: z.string(), progressPercent: z.number(), usage: z.optional(z.number()) })
+const endedSchema = z.object({ sequence: z.int(), task: z.string(), run: z.int(), how: z.enum(EndKind), checkpoint: z.string() })
+const reportSchema = z.object({ clockMs: z.number(), bornAtMs: z.optional(z.number()), running: z.array(runningSchema), ended: z.array(endedSchema) })
+
+/** Creates the relayed polls of one host. */
+export function createRelayedPolls ({ getPeers, connect }: RelayedPollsHost): RelayedPolls {
+  const routes = new Map<string, Route>()
+  const activePolls = { unreached: 0, reached: 0 }
+
+  return { poll }
+
+  async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
+    const route = getRoute(worker.workerId)
+    const kind = route.reachedThrough === undefined ? 'unreached' : 'reached'
+    if (activePolls[kind] >= maxActivePolls[kind]) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
+    activePolls[kind]++
+    try {
+      const { address, report } = await Promise.any(selectPeers(route).map(async address => ({ address, report: await pollThrough(address, worker, request) })))
+      route.reachedThrough = address
+      return report
+    } catch (error) {
+      route.reachedThrough = undefined
+      throw selectError(error)
+    } finally {
+      activePolls[kind]--
+    }
+  }
+
+  async function pollThrough (address: string, { workerId, address: workerAddress }: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
+    const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, ...request }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
+    const report = reportSchema.safeParse(answer)
+    if (!report.success) throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${report.error.message}`)
+    return { ...report.data, bornAtMs: report.data.bornAtMs }
+  }
+
+  function getRoute (workerId: string): Route {
+    let route = routes.get(workerId)
+    if (route === undefined) {
+      if (routes.size >= maxRoutes) routes.clear()
+      routes.set(workerId, route = { nextPeer: routes.size })
+    }
+    return route
+  }
+
+  /** Selects peers that are far apart on the list, which begins with those of the own domain; others each time, but for the one that has reached the worker. */
+  function selectPeers (route: Route): readonly string[] {
+    const addresses = getPeers().map(({ address }) => address)
+    const count = Math.min(hostsPerPoll, addresses.length)
+    const selected = new Set<string>(route.reachedThrough !== undefined && addresses.includes(route.reachedThrough) ? [route.reachedThrough] : [])
+    const stride = Math.max(1, Math.floor(addresses.length / hostsPerPoll))
+    for (let index = 0; selected.size < count; index++) {
+      // Where the stride leads to a host that is selected already, its neighbour is taken.
+      const address = addresses[(route.nextPeer + index * stride + Math.floor(index / hostsPerPoll)) % addresses.length]
+      if (address !== undefined) selected.add(address)
+    }
+    route.nextPeer++
+    return [...selected]
+  }
+}
+
+function selectError (error: unknown): unknown {
+  if (!(error instanceof AggregateError)) return error
+  const errors: readonly unknown[] = error.errors
+  return errors.find(candidate => isErrorOfKind(candidate, ErrorKind.StaleEpoch)) ?? errors[0] ?? createError(ErrorKind.PeerUnreachable, 'no other host is known')
+}
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -14,6 +14,8 @@
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { createHostDirectory } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
+import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
+import { createRelayedPolls } from '../peers/relayedPolls.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
 import { createRpcHandler } from '../common/rpcServer.js'
 import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
@@ -22,6 +24,8 @@
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby, maxStandbys } from '../runs/warmStandby.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
+import type { LateWriteOutcome } from '../store/confirmedWrites.js'
 import { createStoreContact } from '../store/storeContact.js'
 import { createMaintenanceWaves } from '../maintenance/maintenanceWaves.js'
 import { createWorkerList } from '../workers/workerList.js'
@@ -57,7 +61,7 @@
 const metrics = createHostMetrics()
 const stopping = new AbortController()
 /** The direct store, used by the scheduler and the election. The job API uses `relayedStore`, which may also reach the store through peers. */
-const { store, getContactMs: getStoreContactMs } = createStoreContact(createHttpStore(settings.storeAddress))
+const { store, getContactMs: getStoreContactMs } = createStoreContact(createConfirmedWrites({ store: createHttpStore(settings.storeAddress), onLateWrite }))
 const peersAddress = `${settings.ipAddress}:${settings.peersPort}`
 const hasFastLink = settings.linkMbps >= smallLinkMbps
 const isSmall = settings.cpuShare < smallCpuShare || !hasFastLink
@@ -115,7 +119,12 @@
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }))
-const servePeers = createRpcHandler([...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }), createFollowMethod(configuration)])
+const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections() })
+const servePeers = createRpcHandler([
+  ...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }),
+  ...createPeerWorkerMethods({ connect: createHttpWorker }),
+  createFollowMethod(configuration)
+])
 listen(peersAddress, createServer((request, response) => { void servePeers(request, response) }))
 listen(`${settings.ipAddress}:${metricsPort}`, createServer((request, response) => {
   if (request.url === '/status') response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(getStatus()))
@@ -150,6 +159,7 @@
     isWorkerListCurrent: list.isCurrent,
     getStoreContactMs,
     connect: createHttpWorker,
+    pollThroughPeers: relayedPolls.poll,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
     readInitial,
@@ -205,6 +215,11 @@
   return metrics.getText()
 }
 
+function onLateWrite (outcome: LateWriteOutcome, copies: number): void {
+  metrics.count('late_store_writes', outcome)
+  for (let copy = 1; copy < copies; copy++) metrics.count('repeated_store_writes')
+}
+
 /** The body of `/status`; the host that is the scheduler includes its scheduling state. */
 function getStatus (): object {
   return {
--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -161,6 +161,7 @@
     storeRoundTripMs: 10,
     workerRoundTripMs: 10,
     isListStored: true,
+    hasRelayedPolls: true,
     hasStandbys: random(2) === 0,
     interceptStore: (_hostId, client) => recorder.interceptStore(faults.intercept(client)),
     interceptWorker: recorder.interceptWorker,
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -6,7 +6,7 @@
 import { RunScope } from './endEvidence.js'
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
-import type { ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { getEarliestClockMs, getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
@@ -35,6 +35,14 @@
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
   readonly getPollWaitMs?: () => number | undefined
+  /** The pause after a failed poll, in ms, if the usual one is too long. */
+  readonly getRetryPauseMs?: () => number | undefined
+  /** Polls the worker through other hosts; undefined if there is no such way. */
+  readonly pollThroughPeers?: ((poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** Tells whether the lease may be extended through other hosts. */
+  readonly mayExtendThroughPeers?: () => boolean
+  /** Called when a report has come through another host: the worker may be granted a lease again. */
+  readonly onRelayed?: () => void
   /** Resolves when every end in the report is stored. `isComplete` is false when the worker has more ends to report. */
   readonly onReport: (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean) => Promise<void>
   readonly onReachable: (isReachable: boolean) => void
@@ -58,10 +66,11 @@
   check (): void
   /** Must be called when more has become known of the leases of earlier terms, and regularly. */
   reviewLease (): void
-  /** The end of a lease granted now, on the worker's clock; undefined while that clock is unknown or none may be granted. */
-  getLeaseUntilMs (): number | undefined
-  /** Records that a request that extends the lease is being sent. */
-  recordLeaseExtension (): void
+  /**
+   * The end of the lease of a start that is sent now, on the worker's clock; undefined while that clock is unknown or none may be granted. Call it only to send
+   * the start.
+   */
+  grantStartLease (): number | undefined
   /** Must be called with the clock in the answer to a start: one that is behind the known clock is that of an incarnation that has not been seen yet. */
   checkClock (clockMs: number): void
   /** Records that the list shows an incarnation of the worker; reports of earlier ones that are under way are then ignored. */
@@ -89,7 +98,7 @@
 /** How long a poll waits for an ended run, in ms: a quarter of the shortest worker lease; a lost connection is detected in under 2 s. */
 const pollWaitMs = 1_500
 /** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
-const retryPauseMs = 300
+export const retryPauseMs = 300
 /**
  * The first polls after a lost answer: the pause before each, and the time allowed for its answer, in ms. An end that the worker lists is gone if it crashes
  * before a poll is answered, and the task runs again. A few round trips between regions suffice for an answer; the third poll has the usual time, for slow links.
@@ -101,6 +110,11 @@
 ]
 /** A clock counts as that of a later incarnation if it is further behind than this, in ms: more than the longest time that the answer to a start may take. */
 const maxClockErrorMs = 1_000
+/** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
+const failedPollsBeforeRelay = 2
+/** Pause between two relayed polls of a worker, in ms; it doubles with each that fails, up to the longest, since the worker may be gone. */
+const minRelayPauseMs = 400
+const maxRelayPauseMs = 2_000
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
 /**
@@ -134,6 +148,9 @@
   /** Only the runs that are uncertain may still have a lease. */
   let areSettledRunsOver = false
   let isClosed = false
+  let isRelaying = false
+  /** The latest poll through other hosts was answered, and none has been answered directly since the worker fell silent. */
+  let isRelayAnswered = false
   let isCheckDue = false
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
@@ -142,11 +159,15 @@
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
   let hasExtendedLease = host.hasEarlierOrders
+  /** The end of the lease that the present incarnation was last given, on its clock. */
+  let grantedUntilMs: number | undefined
+  /** When the latest start was sent, by the monotonic clock. */
+  let startSentAtMs = -Infinity
   /** When an incarnation was first seen to which orders for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, getLeaseUntilMs, recordLeaseExtension, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake: changed.notify, check, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
 
   function close (): void {
     isClosed = true
@@ -176,6 +197,7 @@
     storedSequence = 0
     // Its clock starts anew.
     clock = undefined
+    grantedUntilMs = undefined
   }
 
   function mayFollowEarlierOrders (): boolean {
@@ -184,18 +206,30 @@
 
   function getLatestLeaseEndMs (scope: RunScope): number {
     const isLongest = mayFollowEarlierOrders() || (scope === RunScope.All && host.hasUncertainRuns())
-    const leaseEndMs = extendedAtMs + getLongestDurationMs(isLongest ? host.maxLeaseMs : host.requestedLeaseMs)
+    // An incarnation whose clock starts anew grants the longest lease from when it carries out an order.
+    const leaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : extendedAtMs + getLongestDurationMs(host.requestedLeaseMs)
     return host.areEarlierLeasesOver(scope) ? leaseEndMs : Math.max(leaseEndMs, earlierLeasesEndMs)
   }
 
-  function recordLeaseExtension (): void {
+  function recordLeaseExtension (leaseUntilMs: number): void {
     host.onGrant()
     extendedAtMs = performance.now()
+    grantedUntilMs = leaseUntilMs
     hasExtendedLease = true
     isLeaseOver = false
     areSettledRunsOver = false
+  }
+
+  /** A start extends the lease only if little is left of it: one to a worker that is gone would prolong the wait for all runs there. */
+  function grantStartLease (): number | undefined {
+    const leaseUntilMs = getLeaseUntilMs()
+    if (leaseUntilMs === undefined || clock === undefined) return undefined
+    const leftMs = (grantedUntilMs ?? -Infinity) - clock.workerMs - (performance.now() - clock.readAtMs)
+    if (leftMs < host.requestedLeaseMs / 2) recordLeaseExtension(leaseUntilMs)
+    startSentAtMs = performance.now()
     // Wakes the polling, because only reports show whether the request was executed if its answer is lost.
     changed.notify()
+    return grantedUntilMs
   }
 
   function checkClock (clockMs: number): void {
@@ -203,6 +237,7 @@
     logger.warn('the clock of a worker is behind: a later incarnation answers', { workerId: info.workerId, clockMs, knownClockMs: clock.workerMs, knownBornAtMs: bornAtMs })
     laterIncarnationSeenAtMs = performance.now()
     clock = undefined
+    grantedUntilMs = undefined
     changed.notify()
   }
 
@@ -213,7 +248,7 @@
   }
 
   function getSilentForMs (): number {
-    return isReachable ? 0 : performance.now() - silentSinceMs
+    return isReachable || isRelayAnswered ? 0 : performance.now() - silentSinceMs
   }
 
   function getLeaseLeftMs (scope: RunScope): number | undefined {
@@ -245,7 +280,7 @@
     // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost. Without runs there is nothing to extend.
     const isNeeded = host.isNeeded()
     const leaseUntilMs = isReachable && isNeeded ? getLeaseUntilMs() : undefined
-    if (leaseUntilMs !== undefined) recordLeaseExtension()
+    if (leaseUntilMs !== undefined) recordLeaseExtension(leaseUntilMs)
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
       const isExtensionDue = isReachable && isNeeded && leaseUntilMs === undefined
@@ -305,10 +340,47 @@
     }
     failedPolls++
     reviewLease()
-    const pauseMs = getFastRetry()?.pauseMs ?? retryPauseMs
+    if (failedPolls >= failedPollsBeforeRelay) void relayPolls()
+    const pauseMs = getFastRetry()?.pauseMs ?? host.getRetryPauseMs?.() ?? retryPauseMs
     if (pauseMs > 0) await Promise.race([delay(pauseMs, term.signal), changed.wait(pauseMs)])
   }
 
+  /** Reads what the worker lists through other hosts while it does not answer this one. */
+  async function relayPolls (): Promise<void> {
+    if (isRelaying || host.pollThroughPeers === undefined) return
+    isRelaying = true
+    let pauseMs = minRelayPauseMs
+    while (!isClosed && !isReachable && !term.signal.aborted && host.isNeeded()) {
+      if (term.isValid()) pauseMs = await tryRelayedPoll(host.pollThroughPeers) ? minRelayPauseMs : Math.min(2 * pauseMs, maxRelayPauseMs)
+      await delay(pauseMs, term.signal)
+    }
+    isRelaying = false
+    isRelayAnswered = false
+  }
+
+  async function tryRelayedPoll (poll: (request: RelayedPoll) => Promise<WorkerStatusReport>): Promise<boolean> {
+    const sentAtMs = performance.now()
+    // As with direct polls, the lease of a worker that has not answered the previous poll is not extended.
+    const untilMs = isRelayAnswered && !isLeaseOver && host.mayExtendThroughPeers?.() === true ? getLeaseUntilMs() : undefined
+    if (untilMs !== undefined) recordLeaseExtension(untilMs)
+    try {
+      const report = await poll({ epoch: term.epoch, lease: untilMs === undefined ? undefined : { untilMs, incarnationMs: bornAtMs } })
+      // A report that came directly is newer, and only such reports show a restart.
+      if (isClosed || reportedAtMs > sentAtMs || term.signal.aborted || (report.bornAtMs ?? bornAtMs) !== bornAtMs) return false
+      logger.info('report of a worker read through another host', { workerId: info.workerId, running: report.running.length, ended: report.ended.length, silentForMs: Math.round(getSilentForMs()) })
+      clock = { workerMs: report.clockMs, readAtMs: performance.now() }
+      isRelayAnswered = true
+      host.onRelayed?.()
+      void host.onReport(report, sentAtMs, report.ended.length < maxEndsPerReport)
+      return true
+    } catch (error) {
+      if (isRelayAnswered) silentSinceMs = performance.now()
+      isRelayAnswered = false
+      if (isErrorOfKind(error, ErrorKind.StaleEpoch)) term.resign(`worker ${info.workerId} has seen a higher epoch`)
+      return false
+    }
+  }
+
   function reviewLease (): void {
     if (isClosed || isLeaseOver || failedPolls === 0 || !term.isValid()) return
     for (const scope of [RunScope.All, RunScope.Settled]) {
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -7,11 +7,11 @@
 import type { Member, TrackedJob } from '../jobs/trackedJob.js'
 import { createWorkerState, getAllocationKey } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { LeaseRenewal, ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource, RunScope } from './endEvidence.js'
 import type { GrantRecord, SilentWorker } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
-import { createWorkerLink } from './workerLink.js'
+import { createWorkerLink, retryPauseMs } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Dependencies of the worker pool. */
@@ -23,6 +23,10 @@
   /** The longest lease that this term asks for, in ms. */
   readonly requestedLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
+  /** Polls a worker through other hosts; undefined if there are none. */
+  readonly pollThroughPeers?: ((info: ListedWorker, poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** Tells whether the worker's lease may be extended through other hosts: stops are not relayed, so what is to be stopped ends with its lease. */
+  readonly mayExtendThroughPeers?: (workerId: string) => boolean
   /** What this term and earlier ones have recorded about the leases that they have granted. */
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getEndedLeases' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
@@ -104,6 +108,14 @@
  */
 const leasesPerHandOver = 2
 
+/** The shortest pause after a failed poll of a worker that holds runs, in ms: its lease may be about to end when it answers again. */
+const minRetryPauseMs = 100
+/**
+ * The pause, in ms, for each worker that does not answer, up to the usual pause: below that, these polls do not exceed 100 a second. Each takes about 3 ms of the
+ * smallest host.
+ */
+const retryPausePerWorkerMs = 10
+
 /** How long a worker has not answered, in ms, when the end of its lease is recorded: brief losses of the connection cost no write. */
 const minSilenceMs = 500
 /** Interval in ms at which the ends of leases are recorded at most. */
@@ -120,7 +132,7 @@
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
-  const { term, logger } = host
+  const { term, logger, pollThroughPeers } = host
   const workers = new Map<string, WorkerState>()
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
@@ -139,6 +151,8 @@
   /** Where the next check of a domain with more idle workers begins. */
   let checkOffset = 0
   let unreachableSinceMs: number | undefined
+  /** The workers that did not answer at the last check of reachability. */
+  let unansweringWorkers = Infinity
   let silentRecordedAtMs = -Infinity
   /** The silent workers that the record does not name because none of their runs is certain to end with their leases. */
   let leftOut: ReadonlySet<string> = new Set()
@@ -208,6 +222,10 @@
     for (const link of [...links.values()]) link.reviewLease()
   }
 
+  function getRetryPauseMs (): number {
+    return Math.min(retryPauseMs, Math.max(minRetryPauseMs, retryPausePerWorkerMs * unansweringWorkers))
+  }
+
   function isAwaited (workerId: string): boolean {
     const sentAtMs = firstPolls.get(workerId) ?? Infinity
     return firstPolls.has(workerId) && performance.now() - sentAtMs < freeWorkerWaitMs
@@ -215,6 +233,7 @@
 
   /** A host that is disconnected from most workers lets another host, which may reach them, take over. A worker that waits for its first poll shows nothing. */
   function checkReachability (): void {
+    unansweringWorkers = [...links.values()].filter(link => !link.isAnswering()).length
     const listed = [...workers.values()].filter(worker => worker.isListed && !firstPolls.has(worker.info.workerId))
     const unreachable = listed.filter(({ info }) => links.get(info.workerId)?.isAnswering() !== true).length
     if (listed.length === 0 || unreachable <= listed.length * maxUnreachableShare) unreachableSinceMs = undefined
@@ -292,6 +311,10 @@
       onGrant: () => { granted.add(info.workerId) },
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
+      getRetryPauseMs: () => hasMembers(info.workerId) ? getRetryPauseMs() : undefined,
+      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
+      mayExtendThroughPeers: () => host.mayExtendThroughPeers?.(info.workerId) === true,
+      onRelayed: () => { void host.grants.include(info.workerId) },
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
