--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -126,6 +126,9 @@
   readonly hasRelayedPolls?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
+  /** Wraps the port of a host to a worker. */
+  readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
+  readonly onEnd?: PoolState['onEnd']
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -180,6 +183,8 @@
   const workers = new Map<string, PoolWorker>()
   const hosts = new Map<string, HarnessHost>()
   const listedWorkers = new Map<string, ListedWorker>()
+  /** The ids of all workers so far, with those that are gone. */
+  const knownIds = new Set<string>()
   const refreshCallbacks = new Set<() => void>()
   const silence = createWorkerSilence({ onReport: report, onExpired: workerId => { setListed(workerId, false) } })
   const orders: HarnessOrder[] = []
@@ -192,6 +197,7 @@
     defaultRequest: harnessCapacity,
     getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
     ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
+    ...(options.onEnd === undefined ? {} : { onEnd: options.onEnd }),
     maxLeaseMs,
     gangStartTimeoutMs: 1_500,
     stopDelayMs: 50
@@ -211,6 +217,7 @@
   }
 
   function addLife (info: ListedWorker): void {
+    knownIds.add(info.workerId)
     workers.set(info.workerId, createPoolWorker(poolState, info, () => { crashWorker(info.workerId) }))
     listedWorkers.set(info.workerId, info)
   }
@@ -283,7 +290,7 @@
       const value = JSON.stringify(info)
       if (store.peek(listPrefix + info.workerId) !== value) store.write(listPrefix + info.workerId, value)
     }
-    for (const workerId of workers.keys()) if (!listedWorkers.has(workerId) && store.peek(listPrefix + workerId) !== undefined) store.write(listPrefix + workerId, undefined)
+    for (const workerId of knownIds) if (!listedWorkers.has(workerId) && store.peek(listPrefix + workerId) !== undefined) store.write(listPrefix + workerId, undefined)
   }
 
   function refreshSchedulers (): void {
@@ -363,7 +370,7 @@
           getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
-          connect: connectWorker,
+          connect: info => options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info),
           pollThroughPeers: relayedPolls?.poll,
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
