--- a/src/store/confirmedWrites.test.ts
+++ b/src/store/confirmedWrites.test.ts
@@ -225,3 +225,16 @@
   expect((await settle(store.transact(transaction))).value?.isCommitted).toBe(true)
   expect(calls.transact).toBeLessThanOrEqual(8)
 })
+
+// Guards against a caller that waits for ever: an aborted call fails, as those of the store do.
+test.each(['during', 'before'])('a write that is aborted %s the call fails', async when => {
+  transact = neverAnswer
+  const ending = new AbortController()
+  if (when === 'before') ending.abort()
+  const errors: unknown[] = []
+  void store.transact(transaction, ending.signal).catch((error: unknown) => { errors.push(error) })
+  await jest.advanceTimersByTimeAsync(10)
+  ending.abort()
+  await jest.advanceTimersByTimeAsync(20)
+  expect(errors).toEqual([expect.objectContaining({ kind: ErrorKind.AnswerLost })])
+})
