--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -7,7 +7,7 @@
 import type { Member, TrackedJob } from '../jobs/trackedJob.js'
 import { createWorkerState, getAllocationKey } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import type { LeaseRenewal, ListedWorker, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import type { LeaseRenewal, ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource, RunScope } from './endEvidence.js'
 import type { GrantRecord, SilentWorker } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
@@ -23,6 +23,10 @@
   /** The longest lease that this term asks for, in ms. */
   readonly requestedLeaseMs: number
   readonly connect: (info: ListedWorker) => WorkerPort
+  /** Polls a worker through other hosts; undefined if there are none. */
+  readonly pollThroughPeers?: ((info: ListedWorker, poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** Tells whether the worker's lease may be extended through other hosts: stops are not relayed, so what is to be stopped ends with its lease. */
+  readonly mayExtendThroughPeers?: (workerId: string) => boolean
   /** What this term and earlier ones have recorded about the leases that they have granted. */
   readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getMaxRenewalMs' | 'getEndedLeases' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
@@ -128,7 +132,7 @@
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
-  const { term, logger } = host
+  const { term, logger, pollThroughPeers } = host
   const workers = new Map<string, WorkerState>()
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
@@ -310,6 +314,9 @@
       isNeeded: () => worker.allocations.size > 0 || host.needsReports(info.workerId),
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
       getRetryPauseMs: () => hasMembers(info.workerId) ? getRetryPauseMs() : undefined,
+      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
+      mayExtendThroughPeers: () => host.mayExtendThroughPeers?.(info.workerId) === true,
+      onRelayed: () => { void host.grants.include(info.workerId) },
       onReport: (report, sentAtMs, isComplete) => {
         endEarlierLife(worker, report)
         worker.isIncarnationListed = link.getBornAtMs() === worker.info.bornAtMs
