--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -47,7 +47,6 @@
 }
 
 const chosenSeeds = process.env.SASSAFRASFORD_SOAK_SEEDS?.split(',').map(Number)
-/** GUARDS */
 const seeds = chosenSeeds ?? [1, 2]
 /**
  * Known to fail, see KNOWN-RED.txt: a worker that leaves while its life is young (8), an order without an answer that is waited for anew in each term (38), a worker
