--- a/src/runs/review58.test.ts
+++ b/src/runs/review58.test.ts
@@ -125,3 +125,29 @@
   areWritesRefused = false
   expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId: 'worker-0', run: 1 }])
 })
+
+// Guards against a wait for leases that others have: the timer of workers that fall silent together lasts for the longest of their leases.
+test.each([false, true])('a run on a lost worker is replaced in the next term when its lease is over, with a worker lost beside it that had started anew: %s', async isBesideRestarted => {
+  harness = createPoolHarness({ workers: 3, maxLeaseMs, getRun: (task, number) => ({ workMs: task.startsWith('x') || number > 1 ? 300 : 60_000, how: EndKind.Done }) })
+  for (const workerId of ['worker-1', 'worker-2']) harness.setListed(workerId, false)
+  harness.addHost('host-0')
+  await run(40_000)
+  const request = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await submit(makeJob('x', 'batch', [makeStep({ request })]))
+  await run(1_000)
+  if (isBesideRestarted) harness.restartWorker('worker-0')
+  await run(3_000)
+  await submit(makeJob('a', 'batch', [makeStep({ request })]))
+  await run(1500)
+  harness.setListed('worker-1', true)
+  await submit(makeJob('b', 'batch', [makeStep({ request })]))
+  await run(12_000)
+  expect(harness.poolState.running.get('b.0.0.0')).toEqual([{ workerId: 'worker-1', run: 1 }])
+  harness.setListed('worker-2', true)
+  for (const workerId of ['worker-0', 'worker-1']) harness.crashWorker(workerId, { awayMs: 120_000, keepsId: false })
+  await run(3_000)
+  harness.hosts.get('host-0')?.crash()
+  harness.addHost('host-1')
+  await run(5_000)
+  expect(harness.orders.filter(({ task }) => task === 'b.0.0.0').map(order => order.run)).toContain(2)
+})
