--- a/src/runs/workerEvidence.test.ts
+++ b/src/runs/workerEvidence.test.ts
@@ -1,7 +1,5 @@
 /** Evidence about workers that are reached through other hosts, start anew, or have had starts without an answer. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
-import type { Logger } from '../common/logger.js'
-import { silentLogger } from '../common/logger.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
 import { EndKind } from '../jobs/jobModel.js'
@@ -9,6 +7,7 @@
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import type { PoolWorker } from '../standins/poolWorker.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
+import { grantPrefix } from './grantRecord.js'
 
 const maxLeaseMs = 10_000
 let harness: PoolHarness
@@ -57,13 +56,13 @@
   await run(40_000)
   worker.delayStarts(3, 6_000, true)
   await submit(makeJob('a', 'batch', [makeStep()]))
+  worker.losePolls(6_600)
   harness.hosts.get('host-0')?.crash()
   harness.addHost('host-1')
-  harness.crashWorker('worker-0', { awayMs: 5_500, keepsId: true })
-  await run(5_400)
+  await run(5_000)
   expect(harness.hosts.get('host-1')?.getTerm()).toBeDefined()
-  worker.losePolls(800)
-  await run(1_000)
+  harness.crashWorker('worker-0', { awayMs: 400, keepsId: true })
+  await run(1_800)
   expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId: 'worker-0', run: 1 }])
   harness.setListed('worker-1', true)
   worker.setUnreachable(true)
@@ -73,13 +72,7 @@
 
 // Guards against a worker that is waited for with the record of the whole term because of a run that has ended.
 test('a silent worker is recorded although the first start of a run that has ended there got no answer', async () => {
-  const excluded: string[] = []
-  const logger: Logger = {
-    ...silentLogger,
-    info: (message, fields) => { if (message === 'workers that do not answer are granted no lease') excluded.push(JSON.stringify(fields)) },
-    withPrefix: () => logger
-  }
-  await startHarness({ logger, getRun: task => ({ workMs: task.startsWith('a') ? 60_000 : 300, how: EndKind.Done }) })
+  await startHarness({ getRun: task => ({ workMs: task.startsWith('a') ? 60_000 : 300, how: EndKind.Done }) })
   await run(1_000)
   await submit(makeJob('a', 'batch', [makeStep()]))
   await run(500)
@@ -89,7 +82,7 @@
   expect(harness.poolState.running.get('b.0.0.0')).toEqual([])
   worker.setUnreachable(true)
   await run(3_000)
-  expect(excluded.join()).toContain('worker-0')
+  expect(harness.store.peek(`${grantPrefix}${String(harness.hosts.get('host-0')?.getTerm()?.epoch)}`)).toContain('worker-0')
 })
 
 // Guards against two runs at once: the same, in a term that knows no earlier life. Its polls are lost until the start of the previous term has been carried out.
@@ -132,3 +125,29 @@
   areWritesRefused = false
   expect(harness.poolState.running.get('a.0.0.0')).toEqual([{ workerId: 'worker-0', run: 1 }])
 })
+
+// Guards against a wait for leases that others have: the timer of workers that fall silent together lasts for the longest of their leases.
+test.each([false, true])('a run on a lost worker is replaced in the next term when its lease is over, with a worker lost beside it that had started anew: %s', async isBesideRestarted => {
+  harness = createPoolHarness({ workers: 3, maxLeaseMs, getRun: (task, number) => ({ workMs: task.startsWith('x') || number > 1 ? 300 : 60_000, how: EndKind.Done }) })
+  for (const workerId of ['worker-1', 'worker-2']) harness.setListed(workerId, false)
+  harness.addHost('host-0')
+  await run(40_000)
+  const request = { cpuMilli: 4_000, memoryMb: 8_000, accelerators: 8 }
+  await submit(makeJob('x', 'batch', [makeStep({ request })]))
+  await run(1_000)
+  if (isBesideRestarted) harness.restartWorker('worker-0')
+  await run(3_000)
+  await submit(makeJob('a', 'batch', [makeStep({ request })]))
+  await run(1500)
+  harness.setListed('worker-1', true)
+  await submit(makeJob('b', 'batch', [makeStep({ request })]))
+  await run(12_000)
+  expect(harness.poolState.running.get('b.0.0.0')).toEqual([{ workerId: 'worker-1', run: 1 }])
+  harness.setListed('worker-2', true)
+  for (const workerId of ['worker-0', 'worker-1']) harness.crashWorker(workerId, { awayMs: 120_000, keepsId: false })
+  await run(3_000)
+  harness.hosts.get('host-0')?.crash()
+  harness.addHost('host-1')
+  await run(5_000)
+  expect(harness.orders.filter(({ task }) => task === 'b.0.0.0').map(order => order.run)).toContain(2)
+})
