--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -194,7 +194,19 @@
     logLeftOut(found.filter(worker => !silent.includes(worker)).map(({ workerId }) => workerId))
     if (silent.length === 0) return
     silentRecordedAtMs = nowMs
-    const leasesLeftMs = Math.max(0, ...silent.map(({ workerId }) => links.get(workerId)?.getLeaseLeftMs(RunScope.Settled) ?? 0))
+    // Workers whose leases may last longer than this term asks for have a timer of their own.
+    const isLong = ({ workerId }: SilentWorker): boolean => getSettledLeaseLeftMs(workerId) > getLongestDurationMs(host.requestedLeaseMs)
+    excludeSilent(silent.filter(worker => !isLong(worker)))
+    excludeSilent(silent.filter(isLong))
+  }
+
+  function getSettledLeaseLeftMs (workerId: string): number {
+    return links.get(workerId)?.getLeaseLeftMs(RunScope.Settled) ?? 0
+  }
+
+  function excludeSilent (silent: readonly SilentWorker[]): void {
+    if (silent.length === 0) return
+    const leasesLeftMs = Math.max(...silent.map(({ workerId }) => getSettledLeaseLeftMs(workerId)))
     const excluded = host.grants.excludeSilent(silent, leasesLeftMs)
     if (excluded.length === 0) return
     const uncertainRuns = silent.reduce((sum, worker) => sum + worker.uncertainRuns.length, 0)
