An end that several reports list is acknowledged when it is stored for the first of them

Since polls no longer wait for more than a second for the ends of a report, and since reports come through other hosts, a second report may list an end that is being stored for the first one. It has nothing to store for an end that is known, so that the worker forgot the end, and the scheduler was gone before the store had it. The ends of a report now count as stored when those of all earlier reports of the incarnation are.

--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -12,6 +12,8 @@
 const usualAnswerTimeoutMs = 500
 const capacity = { cpuMilli: 8_000, memoryMb: 16_000, accelerators: 8 }
 
+const end: EndedRun = { sequence: 1, task: 'a.0.0.0', run: 1, how: EndKind.Done, checkpoint: '' }
+
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
@@ -20,7 +22,6 @@
   const leaving = new AbortController()
   const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
   const read: EndedRun[] = []
-  const end: EndedRun = { sequence: 1, task: 'a.0.0.0', run: 1, how: EndKind.Done, checkpoint: '' }
   let polls = 0
   const startedAtMs = performance.now()
   const port: WorkerPort = {
@@ -189,3 +190,56 @@
 test('the longest lease is not waited for after a restart before which the worker was given no lease', async () => {
   expect(await measureWaitMs({ lostAtMs: 12_000, areEarlierLeasesOver: true, listedAnewAtMs: 3_000, grantedFromMs: 5_000 })).toBeLessThan(6_500)
 })
+
+// Guards against a task that runs again after its end was acknowledged: the second report of an end had nothing to store, while the first was still being stored.
+test('an end is not acknowledged before it is stored for the first report that listed it', async () => {
+  const leaving = new AbortController()
+  const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
+  const acknowledged: number[] = []
+  let reports = 0
+  let storeFirst = (): void => {}
+  const link = createWorkerLink({
+    term,
+    logger: silentLogger,
+    info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
+    port: {
+      start: async () => { throw createError(ErrorKind.AnswerLost, 'not used') },
+      stop: async () => {},
+      pace: async () => {},
+      close: () => {},
+      renewLease: async ({ acknowledgedSequence }) => {
+        acknowledged.push(acknowledgedSequence)
+        await delay(10)
+        return { clockMs: Math.floor(performance.now()), bornAtMs: 1, running: [], ended: [end] }
+      }
+    },
+    maxLeaseMs: 10_000,
+    requestedLeaseMs: 6_000,
+    hasEarlierOrders: false,
+    areEarlierOrdersOver: () => true,
+    hasUncertainRuns: () => false,
+    getMaxGrantMs: () => 6_000,
+    getMaxRenewalMs: () => 6_000,
+    areEarlierLeasesOver: () => true,
+    areAllLeasesOver: () => false,
+    onGrant: () => {},
+    isNeeded: () => true,
+    onReport: async () => {
+      reports++
+      if (reports === 1) await new Promise<void>(resolve => { storeFirst = resolve })
+    },
+    onReachable: () => {},
+    onRestarted: () => {},
+    onReplaced: () => {},
+    onLeaseExpired: () => {}
+  })
+  await jest.advanceTimersByTimeAsync(5_000)
+  expect(reports).toBeGreaterThan(2)
+  expect(acknowledged.every(sequence => sequence === 0)).toBe(true)
+  storeFirst()
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect(acknowledged.at(-1)).toBe(end.sequence)
+  leaving.abort()
+  link.close()
+  await jest.advanceTimersByTimeAsync(2_000)
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -143,6 +143,8 @@
   /** When the list has shown the latest incarnation before any report did, by the monotonic clock. */
   let listedAtMs = -Infinity
   let storedSequence = 0
+  /** Resolves when the ends of all reports of the incarnation are stored, also of those that came through other hosts. */
+  let storing = Promise.resolve()
   let reportedAtMs = -Infinity
   let clock: { readonly workerMs: number, readonly readAtMs: number } | undefined
   let hasAnswered = false
@@ -201,6 +203,7 @@
     bornAtMs = newBornAtMs
     if (hasExtendedLease || !host.areEarlierOrdersOver()) laterIncarnationSeenAtMs = performance.now()
     storedSequence = 0
+    storing = Promise.resolve()
     // Its clock starts anew.
     clock = undefined
     grantedUntilMs = undefined
@@ -321,7 +324,7 @@
     isLeaseOver = false
     areSettledRunsOver = false
     const isComplete = report.ended.length < maxEndsPerReport
-    const stored = host.onReport(report, sentAtMs, isComplete)
+    const stored = storeEnds(report, sentAtMs, isComplete)
     if (!isReachable) {
       isReachable = true
       host.onReachable(true)
@@ -335,6 +338,12 @@
     await Promise.race([acknowledgeable, delay(storeWaitMs)])
   }
 
+  /** An end that an earlier report has listed counts as known, so that it has to be stored for that report before it is for this one. */
+  function storeEnds (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
+    storing = Promise.all([storing, host.onReport(report, sentAtMs, isComplete)]).then(() => {})
+    return storing
+  }
+
   async function onFailure (error: unknown): Promise<void> {
     if (isErrorOfKind(error, ErrorKind.StaleEpoch)) {
       term.resign(`worker ${info.workerId} has seen a higher epoch`)
@@ -387,7 +396,7 @@
       clock = { workerMs: report.clockMs, readAtMs: performance.now() }
       isRelayAnswered = true
       host.onRelayed?.()
-      void host.onReport(report, sentAtMs, report.ended.length < maxEndsPerReport)
+      void storeEnds(report, sentAtMs, report.ended.length < maxEndsPerReport)
       return true
     } catch (error) {
       onRelayFailed()
