--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -7,6 +7,7 @@
 import { EndKind } from '../jobs/jobModel.js'
 import type { EndedRun, LeaseRenewal, WorkerPort } from '../workers/workerPort.js'
 import { createWorkerLink } from './workerLink.js'
+import type { WorkerLink, WorkerLinkHost } from './workerLink.js'
 
 /** The time allowed for an answer if the poll does not say another, in ms. */
 const usualAnswerTimeoutMs = 500
@@ -17,6 +18,29 @@
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
+type LinkFields = Pick<WorkerLinkHost, 'term' | 'port' | 'requestedLeaseMs' | 'getMaxGrantMs' | 'getMaxRenewalMs' | 'areEarlierLeasesOver'> & Partial<WorkerLinkHost>
+
+/** Creates the link to a worker that holds runs and grants up to 10 s. */
+function createLink (fields: LinkFields): WorkerLink {
+  return createWorkerLink({
+    logger: silentLogger,
+    info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
+    maxLeaseMs: 10_000,
+    hasEarlierOrders: false,
+    areEarlierOrdersOver: () => true,
+    hasUncertainRuns: () => false,
+    areAllLeasesOver: () => false,
+    onGrant: () => {},
+    isNeeded: () => true,
+    onReport: async () => {},
+    onReachable: () => {},
+    onRestarted: () => {},
+    onReplaced: () => {},
+    onLeaseExpired: () => {},
+    ...fields
+  })
+}
+
 /** Polls a worker whose polls number `lost` (counted from 0) get no answer, and that another worker replaces at `replacedAtMs`. Returns the ends read. */
 async function readEnds (lost: ReadonlySet<number>, endAtMs: number, replacedAtMs: number, roundTripMs = 1): Promise<readonly EndedRun[]> {
   const leaving = new AbortController()
@@ -45,27 +69,15 @@
       return { clockMs: Math.floor(performance.now()), bornAtMs: 1, running: [], ended: performance.now() - startedAtMs >= endAtMs ? [end] : [] }
     }
   }
-  const link = createWorkerLink({
+  const link = createLink({
     term,
-    logger: silentLogger,
-    info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
     port,
-    maxLeaseMs: 10_000,
     requestedLeaseMs: 10_000,
-    hasEarlierOrders: false,
-    areEarlierOrdersOver: () => true,
-    hasUncertainRuns: () => false,
     getMaxGrantMs: () => 10_000,
     getMaxRenewalMs: () => 10_000,
     areEarlierLeasesOver: () => false,
-    areAllLeasesOver: () => false,
-    onGrant: () => {},
-    isNeeded: () => true,
     onReport: async ({ ended }) => { read.push(...ended) },
-    onReachable: () => {},
-    onRestarted: () => {},
-    onReplaced: () => { leaving.abort() },
-    onLeaseExpired: () => {}
+    onReplaced: () => { leaving.abort() }
   })
   for (let elapsedMs = 0; elapsedMs < replacedAtMs + 2_000; elapsedMs += 10) await jest.advanceTimersByTimeAsync(10)
   leaving.abort()
@@ -127,26 +139,14 @@
       return { clockMs: Math.floor(performance.now()), bornAtMs: 1, running: [], ended: [] }
     }
   }
-  const link = createWorkerLink({
+  const link = createLink({
     term,
-    logger: silentLogger,
-    info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
     port,
-    maxLeaseMs: 10_000,
     requestedLeaseMs: 6_000,
     hasEarlierOrders,
-    areEarlierOrdersOver: () => true,
-    hasUncertainRuns: () => false,
     getMaxGrantMs,
     getMaxRenewalMs: getMaxGrantMs,
     areEarlierLeasesOver: () => areEarlierLeasesOver,
-    areAllLeasesOver: () => false,
-    onGrant: () => {},
-    isNeeded: () => true,
-    onReport: async () => {},
-    onReachable: () => {},
-    onRestarted: () => {},
-    onReplaced: () => {},
     onLeaseExpired: () => { overAtMs = performance.now() }
   })
   for (let elapsedMs = 0; elapsedMs < lostAtMs + 15_000; elapsedMs += 10) {
@@ -198,10 +198,8 @@
   const acknowledged: number[] = []
   let reports = 0
   let storeFirst = (): void => {}
-  const link = createWorkerLink({
+  const link = createLink({
     term,
-    logger: silentLogger,
-    info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
     port: {
       start: async () => { throw createError(ErrorKind.AnswerLost, 'not used') },
       stop: async () => {},
@@ -213,25 +211,14 @@
         return { clockMs: Math.floor(performance.now()), bornAtMs: 1, running: [], ended: [end] }
       }
     },
-    maxLeaseMs: 10_000,
     requestedLeaseMs: 6_000,
-    hasEarlierOrders: false,
-    areEarlierOrdersOver: () => true,
-    hasUncertainRuns: () => false,
     getMaxGrantMs: () => 6_000,
     getMaxRenewalMs: () => 6_000,
     areEarlierLeasesOver: () => true,
-    areAllLeasesOver: () => false,
-    onGrant: () => {},
-    isNeeded: () => true,
     onReport: async () => {
       reports++
       if (reports === 1) await new Promise<void>(resolve => { storeFirst = resolve })
-    },
-    onReachable: () => {},
-    onRestarted: () => {},
-    onReplaced: () => {},
-    onLeaseExpired: () => {}
+    }
   })
   await jest.advanceTimersByTimeAsync(5_000)
   expect(reports).toBeGreaterThan(2)
