--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -166,6 +166,7 @@
   const earlierLeasesEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
+  /** Orders that extend a lease may have been sent to an incarnation under the worker's id, in this term or before. */
   let hasExtendedLease = host.hasEarlierOrders
   /** The end of the lease that the present incarnation was last given, on its clock. */
   let grantedUntilMs: number | undefined
