--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -303,7 +303,7 @@
       if (!isClosed) await applyReport(report, sentAtMs)
       if (isExtensionDue && getLeaseUntilMs() === undefined) await changed.wait(extensionRetryMs)
     } catch (error) {
-      if (!isClosed && !term.signal.aborted) await onFailure(error)
+      if (!isClosed && !term.signal.aborted) await onFailure(error, sentAtMs)
     }
   }
 
@@ -345,13 +345,14 @@
     return storing
   }
 
-  async function onFailure (error: unknown): Promise<void> {
+  async function onFailure (error: unknown, sentAtMs: number): Promise<void> {
     if (isErrorOfKind(error, ErrorKind.StaleEpoch)) {
       term.resign(`worker ${info.workerId} has seen a higher epoch`)
       return
     }
     if (isReachable) {
-      logger.warn('poll of a worker failed', { workerId: info.workerId, error: String(error) })
+      const nowMs = performance.now()
+      logger.warn('poll of a worker failed', { workerId: info.workerId, error: String(error), underWayMs: Math.round(nowMs - sentAtMs), reportAgeMs: Math.round(nowMs - reportedAtMs) })
       isReachable = false
       silentSinceMs = performance.now()
       host.onReachable(false)
