Workers: inquire beside a poll whose answer may be lost

Cause: a link had one poll under way. If its answer is lost, that shows only when its time is over, up to 2 s after it was sent, and an end that the worker lists meanwhile is gone if the worker leaves.

While a poll waits, a second request is sent when a run should have ended by its progress, and while a poll that does not wait (the first one of a term) has no answer for 150 ms. It waits for nothing, acknowledges nothing and extends no lease, so that it does no harm if it is carried out late; it uses the connections for starts. An end that it shows takes the place of the poll. Three in a row without an answer count as a failed poll; the first one begins the polls through other hosts. Reports that overtake each other are ordered by the worker's clock.

--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -84,7 +84,7 @@
     checkResponse(await sendRunRequest('pace', { task, run, percent, fence: epoch }))
   }
 
-  async function renewLease ({ epoch, acknowledgedSequence: seenUpTo, leaseUntilMs, leaseIncarnationMs, waitMs, answerTimeoutMs = renewalGraceMs }: LeaseRenewal): Promise<WorkerStatusReport> {
+  async function renewLease ({ epoch, acknowledgedSequence: seenUpTo, leaseUntilMs, leaseIncarnationMs, waitMs, answerTimeoutMs = renewalGraceMs, isConcurrent = false, signal }: LeaseRenewal): Promise<WorkerStatusReport> {
     let usedConnection: object | undefined
     const getBody = (connection: object): object => {
       usedConnection = connection
@@ -96,12 +96,15 @@
         ...(waitMs > 0 ? { waitMs } : {})
       }
     }
-    const answer = await leaseClient.call({ method: 'POST', path: '/sassafrasford/hold', getBody, headers, timeoutMs: waitMs + answerTimeoutMs })
+    const client = isConcurrent ? runClient : leaseClient
+    const answer = await client.call({ method: 'POST', path: '/sassafrasford/hold', getBody, headers, timeoutMs: waitMs + answerTimeoutMs, ...(signal === undefined ? {} : { signal }) })
     checkResponse(answer)
     const parsed = holdSchema.safeParse(answer.body)
     if (!parsed.success) throw createError(ErrorKind.AnswerLost, `the response of worker ${info.workerId} to a lease renewal is malformed: ${parsed.error.message}`)
-    reportedOver = usedConnection
-    reportedBornAtMs = parsed.data.born
+    if (!isConcurrent) {
+      reportedOver = usedConnection
+      reportedBornAtMs = parsed.data.born
+    }
     return {
       clockMs: parsed.data.clockMs,
       bornAtMs: parsed.data.born,
--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -75,6 +75,7 @@
       port: ports.get(workerId) as WorkerPort,
       wake: () => {},
       check: () => {},
+      inquire: () => {},
       reviewLease: () => {},
       grantStartLease: () => Math.floor(performance.now()) + 30_000,
       checkClock: () => {},
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -29,6 +29,7 @@
 import { createFillPacing } from './fillPacing.js'
 import { countPending, createJobTable } from './jobTable.js'
 import { RunScope } from './endEvidence.js'
+import { getFirstExpectedEndMs } from './expectedEnds.js'
 import { createGrantRecord } from './grantRecord.js'
 import { createLearnedState } from './learnedState.js'
 import type { JobTableHost } from './jobTable.js'
@@ -169,6 +170,7 @@
     needsReports: workerId => controller.needsReports(workerId),
     getUncertainRuns: workerId => controller.getUncertainRuns(workerId),
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
+    getExpectedEndMs: workerId => getFirstExpectedEndMs(controller.getMembers(workerId)),
     onReport,
     onLost: (worker, source, uncertainRuns) => { controller.onWorkerLost(worker, source, uncertainRuns) },
     onCrashed: (workerId, machine, bornAtMs, wasDraining) => { controller.onWorkerCrashed(workerId, machine, bornAtMs, wasDraining) },
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -4,6 +4,7 @@
 import type { Term } from '../election/leaderElection.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { RunScope } from './endEvidence.js'
+import { createPollSender } from './pollSender.js'
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
@@ -39,6 +40,8 @@
   readonly isNeeded: () => boolean
   /** How long the next poll may wait, in ms, if the usual time is too long. */
   readonly getPollWaitMs?: () => number | undefined
+  /** When the first run on the worker is expected to end, by the monotonic clock; Infinity if that is not known. */
+  readonly getExpectedEndMs?: () => number
   /** The pause after a failed poll, in ms, if the usual one is too long. */
   readonly getRetryPauseMs?: () => number | undefined
   /** Polls the worker through other hosts; undefined if there is no such way. */
@@ -68,6 +71,8 @@
   wake (): void
   /** Polls the worker once although nothing runs there, to see whether it answers. */
   check (): void
+  /** Asks the worker what it runs, beside a poll that is waiting: another request to it has got no answer so far. */
+  inquire (): void
   /** Must be called when more has become known of the leases of earlier terms, and regularly. */
   reviewLease (): void
   /**
@@ -160,6 +165,9 @@
   /** The latest poll through other hosts was answered, and none has been answered directly since the worker fell silent. */
   let isRelayAnswered = false
   let isCheckDue = false
+  /** The highest number of an end that the present incarnation has listed, and its clock in the latest report. */
+  let listedSequence = 0
+  let latestClockMs = -Infinity
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
   // Previous schedulers may have extended the lease until their terms ended, for as long as workers grant.
@@ -174,9 +182,10 @@
   let startSentAtMs = -Infinity
   /** When an incarnation was first seen to which orders for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
+  const sender = createPollSender({ term, logger, workerId: info.workerId, port, getExpectedEndMs, isNeeded: host.isNeeded, onInquiryAnswered: applyInquiry, onInquiryFailed: () => { void relayPolls() } })
   void pollUntilClosed()
 
-  return { port, wake: changed.notify, check, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake: changed.notify, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
 
   function close (): void {
     isClosed = true
@@ -204,6 +213,8 @@
     bornAtMs = newBornAtMs
     if (hasExtendedLease || !host.areEarlierOrdersOver()) laterIncarnationSeenAtMs = performance.now()
     storedSequence = 0
+    listedSequence = 0
+    latestClockMs = -Infinity
     storing = Promise.resolve()
     // Its clock starts anew.
     clock = undefined
@@ -298,15 +309,35 @@
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
       const isExtensionDue = isReachable && isNeeded && getLeaseUntilMs() === undefined
       const waitMs = isReachable && isNeeded && !isExtensionDue ? host.getPollWaitMs?.() ?? pollWaitMs : 0
-      const report = await port.renewLease({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs })
+      const report = await sender.send({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs }, failedPolls > 0)
       failedPolls = 0
-      if (!isClosed) await applyReport(report, sentAtMs)
+      if (report !== undefined && !isClosed) await applyReport(report, sentAtMs)
       if (isExtensionDue && getLeaseUntilMs() === undefined) await changed.wait(extensionRetryMs)
     } catch (error) {
       if (!isClosed && !term.signal.aborted) await onFailure(error, sentAtMs)
     }
   }
 
+  function getExpectedEndMs (): number {
+    return host.getExpectedEndMs?.() ?? Infinity
+  }
+
+  function inquire (): void {
+    if (!sender.tryInquire()) changed.notify()
+  }
+
+  /** Returns true if the poll under way need not be waited for any more. */
+  function applyInquiry (report: WorkerStatusReport, sentAtMs: number): boolean {
+    if (isClosed || !term.isValid()) return false
+    // Another incarnation is taken note of by the next poll, which shows whether it is a later one.
+    if ((report.bornAtMs ?? bornAtMs) !== bornAtMs) return true
+    const hasNewEnds = report.ended.some(({ sequence }) => sequence > listedSequence)
+    if (hasNewEnds) logger.info('an inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length })
+    const isFirstAnswer = !isReachable
+    void takeReport(report, sentAtMs)
+    return hasNewEnds || isFirstAnswer
+  }
+
   async function applyReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
       if (earlierIncarnations.has(report.bornAtMs) && sentAtMs < listedAtMs) {
@@ -318,25 +349,36 @@
       beginIncarnation(report.bornAtMs)
       host.onRestarted(report.bornAtMs)
     }
+    const stored = takeReport(report, sentAtMs)
+    // The polls extend the lease of all runs there, also of those whose jobs can be stored.
+    await Promise.race([stored, delay(storeWaitMs)])
+  }
+
+  /** Applies a report of the present incarnation. Resolves when its ends are stored. */
+  function takeReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
+    // The answers to an inquiry and to the poll beside it may overtake each other.
+    const isOutdated = sentAtMs < reportedAtMs && report.clockMs < latestClockMs
     reportedAtMs = performance.now()
-    clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
     hasAnswered = true
     hasIncarnationReported = true
     isLeaseOver = false
     areSettledRunsOver = false
+    if (!isOutdated) {
+      latestClockMs = report.clockMs
+      clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
+      for (const { sequence } of report.ended) listedSequence = Math.max(listedSequence, sequence)
+    }
     const isComplete = report.ended.length < maxEndsPerReport
-    const stored = storeEnds(report, sentAtMs, isComplete)
+    const stored = isOutdated ? Promise.resolve() : storeEnds(report, sentAtMs, isComplete)
     if (!isReachable) {
       isReachable = true
       host.onReachable(true)
     }
     const reportingBornAtMs = bornAtMs
-    const acknowledgeable = stored.then(() => {
+    return stored.then(() => {
       if (bornAtMs !== reportingBornAtMs) return
       for (const end of report.ended) storedSequence = Math.max(storedSequence, end.sequence)
     })
-    // The polls extend the lease of all runs there, also of those whose jobs can be stored.
-    await Promise.race([acknowledgeable, delay(storeWaitMs)])
   }
 
   /** An end that an earlier report has listed counts as known, so that it has to be stored for that report before it is for this one. */
@@ -373,7 +415,7 @@
     if (isRelaying || host.pollThroughPeers === undefined) return
     isRelaying = true
     let pauseMs = minRelayPauseMs
-    while (!isClosed && !isReachable && !term.signal.aborted && host.isNeeded()) {
+    while (!isClosed && isSilent() && !term.signal.aborted && host.isNeeded()) {
       if (term.isValid()) pauseMs = await tryRelayedPoll(host.pollThroughPeers) ? minRelayPauseMs : Math.min(2 * pauseMs, maxRelayPauseMs)
       await delay(pauseMs, term.signal)
     }
@@ -381,6 +423,11 @@
     isRelayAnswered = false
   }
 
+  /** Tells whether the latest poll, or the latest inquiry beside the one under way, has got no answer. */
+  function isSilent (): boolean {
+    return !isReachable || sender.countFailedInquiries() > 0
+  }
+
   async function tryRelayedPoll (poll: (request: RelayedPoll) => Promise<WorkerStatusReport>): Promise<boolean> {
     const sentAtMs = performance.now()
     // As with direct polls, the lease of a worker that has not answered the previous poll is not extended.
--- a/src/workers/workerPort.ts
+++ b/src/workers/workerPort.ts
@@ -91,6 +91,10 @@
   readonly waitMs: number
   /** How long the answer may take beyond that, in ms; the connection's usual time if it is not given. */
   readonly answerTimeoutMs?: number
+  /** Sends the request over another connection than a renewal that is under way. Such a request acknowledges nothing and extends no lease. */
+  readonly isConcurrent?: boolean
+  /** Gives the request up when it is aborted: the call fails with `answer-lost`. */
+  readonly signal?: AbortSignal
 }
 
 /** A poll that another host sends to a worker; it acknowledges nothing. */
