Workers: the next poll does not wait for the store while another end is expected

To acknowledge an end needs it stored; to read the next one does not. While the progress of a run shows that its end is near, the next poll follows after 40 ms, doubled each time up to the usual 1 s.

--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -117,8 +117,12 @@
   { pauseMs: 50, answerTimeoutMs: 150 },
   { pauseMs: 100 }
 ]
-/** The next poll waits this long, in ms, until the ends of a report are stored: a worker answers at once while it lists ends that are not acknowledged. */
+/**
+ * The next poll waits at most this long, in ms, until the ends of a report are stored: a worker answers at once while it lists ends that are not acknowledged.
+ * When another end is expected, the next poll does not wait for it; the pause between such polls doubles from the shorter time.
+ */
 const storeWaitMs = 1_000
+const minStoreWaitMs = 40
 /** A clock counts as that of a later incarnation if it is further behind than this, in ms: more than the longest time that the answer to a start may take. */
 const maxClockErrorMs = 1_000
 /** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
@@ -168,6 +172,7 @@
   /** The highest number of an end that the present incarnation has listed, and its clock in the latest report. */
   let listedSequence = 0
   let latestClockMs = -Infinity
+  let nextStoreWaitMs = minStoreWaitMs
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
   // Previous schedulers may have extended the lease until their terms ended, for as long as workers grant.
@@ -351,7 +356,16 @@
     }
     const stored = takeReport(report, sentAtMs)
     // The polls extend the lease of all runs there, also of those whose jobs can be stored.
-    await Promise.race([stored, delay(storeWaitMs)])
+    await Promise.race([stored.then(() => { nextStoreWaitMs = minStoreWaitMs }), delay(getStoreWaitMs())])
+  }
+
+  /** How long the next poll may wait for the store, in ms: while another end is expected, no poll that waits at the worker shows it. */
+  function getStoreWaitMs (): number {
+    const untilExpectedMs = getExpectedEndMs() - performance.now()
+    if (untilExpectedMs > nextStoreWaitMs) return Math.min(storeWaitMs, untilExpectedMs)
+    const waitMs = nextStoreWaitMs
+    nextStoreWaitMs = Math.min(2 * nextStoreWaitMs, storeWaitMs)
+    return waitMs
   }
 
   /** Applies a report of the present incarnation. Resolves when its ends are stored. */
