Starts: look for a run in a report when its start gets no answer for 150 ms

A start without an answer was repeated twice, 0.45 s apart, before anything else told whether it had been carried out: the report that would have shown the run was waiting for an end. The worker is now asked beside that poll.

runs/unreadEnds.test.ts, the fourth test, failed on: three starts in place of one.

--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -46,6 +46,8 @@
 
 /** How many times a start request without an answer is sent: starts are idempotent, so a repeated one does no harm. */
 const maxTries = 3
+/** A start without an answer for this long, in ms, is looked for in a report of its worker. */
+const promptAnswerMs = 150
 
 interface UnansweredStart {
   readonly member: Member
@@ -102,6 +104,7 @@
     member.state = MemberState.StartSent
     member.unansweredStarts++
     awaitingAnswer.add(member)
+    const inquiryTimer = setTimeout(link.inquire, promptAnswerMs)
     try {
       const { answer, clockMs } = await link.port.start({
         task: getTaskName(member),
@@ -129,6 +132,7 @@
       unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxRequestDelayMs, incarnationMs }])
       return 'lost'
     } finally {
+      clearTimeout(inquiryTimer)
       awaitingAnswer.delete(member)
     }
   }
--- a/src/runs/unreadEnds.test.ts
+++ b/src/runs/unreadEnds.test.ts
@@ -11,6 +11,7 @@
 
 /** The time allowed for an answer if the request does not say another, in ms. */
 const answerTimeoutMs = 500
+const startTimeoutMs = 450
 const workMs = 3_000
 const lateStoreMs = 1_500
 /** A worker that lists an end leaves after this time, in ms: the time for which an end was listed on the day of the report. */
@@ -109,3 +110,26 @@
   await waitForState('b', JobState.Complete, 2_000)
   expect(countStarts('b.0.0.0')).toBe(1)
 })
+
+// The report that would have shown the run waited for an end, and the start was sent up to three times, each of which may be carried out late.
+test('a start that got no answer is not repeated when the worker lists the run', async () => {
+  let isLosing = false
+  createPool('none', 0, {
+    interceptWorker: (_hostId, _workerId, port) => ({
+      ...port,
+      start: async request => {
+        const answer = await port.start(request)
+        if (!isLosing) return answer
+        await delay(startTimeoutMs)
+        throw createError(ErrorKind.AnswerLost, 'the start got no response')
+      }
+    })
+  })
+  await run(3_000)
+  await submit(makeJob('a', 'batch', [makeStep({ requiredLabel: 'rack-0', estimateMs: 60_000 })]))
+  await run(700)
+  isLosing = true
+  await submit(makeJob('b', 'batch', [makeStep({ requiredLabel: 'rack-0' })]))
+  await run(1_500)
+  expect(harness.orders.filter(({ task }) => task === 'b.0.0.0').length).toBe(1)
+})
