--- a/src/runs/pollSender.ts
+++ b/src/runs/pollSender.ts
@@ -37,7 +37,7 @@
 }
 
 /** An inquiry is sent this long, in ms, after a run should have ended, or after a poll that does not wait was sent. */
-const overdueMs = 100
+const overdueMs = 50
 const promptAnswerMs = 150
 /**
  * The times allowed for the answers to the inquiries beside one poll, in ms; the last one suffices on slow links. When all of them have failed in a row, the poll
