A relayed poll that is turned away does not make its worker silent

After 0.5 s the worker was recorded as silent, and was granted no lease until a second write had included it.

Cause: both limits threw `peer-unreachable`, as a lost connection does, and the worker link took every error for a failed poll. The way to the worker was forgotten as well, so that the next poll competed with those of workers that are gone.

Change: both limits throw `overloaded`. The link then keeps the worker as answering, asks again soon, and does not extend the lease until a poll has been answered; without that, polls that are never sent would prolong the wait for the runs of a worker that is gone. After 1.5 s without an answer the worker is silent as before. The way to the worker is kept.

Not shown: the load of 80 and more such workers in a pool.

--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -39,7 +39,7 @@
   return [defineMethod(peerWorkerMethods.poll, pollSchema, poll)]
 
   async function poll ({ workerId, address, epoch, lease }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
-    if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.PeerUnreachable, 'this host already serves the maximum number of concurrent polls for peers')
+    if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.Overloaded, 'this host already serves the maximum number of concurrent polls for peers')
     activePolls++
     try {
       return await getConnection(workerId, address).renewLease({
--- a/src/peers/relayedPolls.test.ts
+++ b/src/peers/relayedPolls.test.ts
@@ -41,6 +41,40 @@
   expect(await polls.poll(toWorker('reached'), request)).toEqual(report)
 })
 
+// A poll that was turned away counted as one without an answer, and the next one competed with those of workers that are gone.
+test.each([true, false])('a host that has reached a worker is asked for it again after a poll was turned away (here: %p)', async isHere => {
+  const asked: number[] = []
+  let isBusy = false
+  const answers: Array<() => void> = []
+  const polls = createPolls(40, async (peer, workerId) => {
+    if (workerId !== 'worker-0') return await new Promise(resolve => { answers.push(() => { resolve(report) }) })
+    asked.push(peer)
+    if (peer !== 27) throw createError(ErrorKind.AnswerLost, 'no answer')
+    if (isBusy) throw createError(ErrorKind.Overloaded, 'too many polls')
+    return report
+  })
+  while (!asked.includes(27)) await polls.poll(toWorker('worker-0'), request).catch(() => {})
+  if (isHere) {
+    // Other workers that were reached take up all polls.
+    const reached = Array.from({ length: 16 }, (_, index) => toWorker(`reached-${index}`))
+    for (let round = 0; round < 2; round++) {
+      for (const worker of reached) void polls.poll(worker, request)
+      if (round === 0) while (answers.length > 0) answers.shift()?.()
+      await new Promise(setImmediate)
+    }
+  } else {
+    isBusy = true
+  }
+  const error: unknown = await polls.poll(toWorker('worker-0'), request).catch((reason: unknown) => reason)
+  expect(isErrorOfKind(error, ErrorKind.Overloaded)).toBe(true)
+  isBusy = false
+  while (answers.length > 0) answers.shift()?.()
+  await new Promise(setImmediate)
+  asked.length = 0
+  expect(await polls.poll(toWorker('worker-0'), request)).toEqual(report)
+  expect(asked[0]).toBe(27)
+})
+
 test('an answer that cannot be decoded counts as lost', async () => {
   const polls = createPolls(1, async () => ({ ...report, ended: [{ sequence: 'first' }] }))
   const error: unknown = await polls.poll(toWorker('worker-0'), request).catch((reason: unknown) => reason)
--- a/src/peers/relayedPolls.ts
+++ b/src/peers/relayedPolls.ts
@@ -18,7 +18,8 @@
 export interface RelayedPolls {
   /**
    * Asks several hosts at once, others each time, and returns the first report that arrives. Errors: `stale-epoch` if the worker has had a request with a higher
-   * epoch; `answer-lost` if no host has got an answer in time.
+   * epoch; `overloaded` if this host, or the one that reached the worker last, has too many polls under way: that shows nothing about the worker; `answer-lost` if
+   * no host has got an answer in time.
    */
   poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, poll: RelayedPoll): Promise<WorkerStatusReport>
 }
@@ -55,15 +56,16 @@
   async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
     const route = getRoute(worker.workerId)
     const kind = route.reachedThrough === undefined ? 'unreached' : 'reached'
-    if (activePolls[kind] >= maxActivePolls[kind]) throw createError(ErrorKind.PeerUnreachable, 'the maximum number of relayed polls is under way')
+    if (activePolls[kind] >= maxActivePolls[kind]) throw createError(ErrorKind.Overloaded, 'the maximum number of relayed polls is under way')
     activePolls[kind]++
     try {
       const { address, report } = await Promise.any(selectPeers(route).map(async address => ({ address, report: await pollThrough(address, worker, request) })))
       route.reachedThrough = address
       return report
     } catch (error) {
-      route.reachedThrough = undefined
-      throw selectError(error)
+      const selected = selectError(error)
+      if (!isErrorOfKind(selected, ErrorKind.Overloaded)) route.reachedThrough = undefined
+      throw selected
     } finally {
       activePolls[kind]--
     }
@@ -101,6 +103,7 @@
   }
 }
 
+/** The first of several errors is that of the host that reached the worker last, if there is one. */
 function selectError (error: unknown): unknown {
   if (!(error instanceof AggregateError)) return error
   const errors: readonly unknown[] = error.errors
--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -5,7 +5,8 @@
 import type { Term } from '../election/leaderElection.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { EndKind } from '../jobs/jobModel.js'
-import type { EndedRun, LeaseRenewal, WorkerPort } from '../workers/workerPort.js'
+import type { EndedRun, LeaseRenewal, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { RunScope } from './endEvidence.js'
 import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink, WorkerLinkHost } from './workerLink.js'
 
@@ -230,3 +231,85 @@
   link.close()
   await jest.advanceTimersByTimeAsync(2_000)
 })
+
+/** Creates the link to a worker that answers directly at first, for 1 s, and then only through other hosts, as `relay` says; `relay` is given the lease asked for. */
+async function createRelayedLink (relay: (hasLease: boolean) => Promise<WorkerStatusReport>, term: Term): Promise<WorkerLink> {
+  const startedAtMs = performance.now()
+  const link = createLink({
+    term,
+    port: {
+      start: async () => { throw createError(ErrorKind.AnswerLost, 'not used') },
+      stop: async () => {},
+      pace: async () => {},
+      close: () => {},
+      renewLease: async () => {
+        await delay(10)
+        if (performance.now() - startedAtMs > 1_000) throw createError(ErrorKind.AnswerLost, 'the poll got no response')
+        return makeReport()
+      }
+    },
+    requestedLeaseMs: 6_000,
+    getMaxGrantMs: () => 6_000,
+    getMaxRenewalMs: () => 6_000,
+    areEarlierLeasesOver: () => true,
+    mayExtendThroughPeers: () => true,
+    pollThroughPeers: async ({ lease }) => {
+      await delay(10)
+      return await relay(lease !== undefined)
+    }
+  })
+  await jest.advanceTimersByTimeAsync(3_000)
+  return link
+}
+
+function createTerm (leaving: AbortController): Term {
+  return { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
+}
+
+function makeReport (): WorkerStatusReport {
+  return { clockMs: Math.floor(performance.now()), bornAtMs: 1, running: [], ended: [] }
+}
+
+async function endLink (link: WorkerLink, leaving: AbortController): Promise<void> {
+  leaving.abort()
+  link.close()
+  await jest.advanceTimersByTimeAsync(3_000)
+}
+
+// A poll that was not sent because too many were under way counted as one without an answer: the worker was recorded as silent, and was granted no lease until it
+// had been recorded as answering again.
+test('a worker is not silent because relayed polls of it are turned away', async () => {
+  const leaving = new AbortController()
+  let polls = 0
+  const link = await createRelayedLink(async () => {
+    if (polls++ % 3 === 0) return makeReport()
+    throw createError(ErrorKind.Overloaded, 'the maximum number of relayed polls is under way')
+  }, createTerm(leaving))
+  let longestSilenceMs = 0
+  for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 50) {
+    await jest.advanceTimersByTimeAsync(50)
+    longestSilenceMs = Math.max(longestSilenceMs, link.getSilentForMs())
+  }
+  expect(longestSilenceMs).toBe(0)
+  await endLink(link, leaving)
+})
+
+// Guards against runs of a lost worker that are waited for without end: polls that are turned away extended its lease again and again in the scheduler's books.
+test('a worker whose relayed polls are all turned away is silent after 2 s, and its lease ends', async () => {
+  const leaving = new AbortController()
+  let areTurnedAway = false
+  let leases = 0
+  const link = await createRelayedLink(async hasLease => {
+    if (!areTurnedAway) return makeReport()
+    if (hasLease) leases++
+    throw createError(ErrorKind.Overloaded, 'the maximum number of relayed polls is under way')
+  }, createTerm(leaving))
+  expect(link.getSilentForMs()).toBe(0)
+  areTurnedAway = true
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect(link.getSilentForMs()).toBeGreaterThan(1_000)
+  await jest.advanceTimersByTimeAsync(5_000)
+  expect(leases).toBe(1)
+  expect(link.getLeaseLeftMs(RunScope.All)).toBeUndefined()
+  await endLink(link, leaving)
+})
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -121,6 +121,11 @@
 /** Pause between two relayed polls of a worker, in ms; it doubles with each that fails, up to the longest, since the worker may be gone. */
 const minRelayPauseMs = 400
 const maxRelayPauseMs = 2_000
+/**
+ * A worker whose relayed polls are turned away counts as silent when it has not answered for longer than this, in ms: its lease is not extended meanwhile, and three
+ * polls in a row are rarely turned away.
+ */
+const maxTurnedAwayMs = 1_500
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
 /**
@@ -159,6 +164,8 @@
   let isRelaying = false
   /** The latest poll through other hosts was answered, and none has been answered directly since the worker fell silent. */
   let isRelayAnswered = false
+  /** The latest poll through other hosts was turned away because too many were under way. */
+  let isRelayTurnedAway = false
   let isCheckDue = false
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
@@ -383,8 +390,9 @@
   async function tryRelayedPoll (poll: (request: RelayedPoll) => Promise<WorkerStatusReport>): Promise<boolean> {
     const sentAtMs = performance.now()
     // As with direct polls, the lease of a worker that has not answered the previous poll is not extended.
-    const untilMs = isRelayAnswered && !isLeaseOver && host.mayExtendThroughPeers?.() === true ? getLeaseUntilMs() : undefined
+    const untilMs = isRelayAnswered && !isRelayTurnedAway && !isLeaseOver && host.mayExtendThroughPeers?.() === true ? getLeaseUntilMs() : undefined
     if (untilMs !== undefined) recordLeaseExtension(untilMs)
+    isRelayTurnedAway = false
     try {
       const report = await poll({ epoch: term.epoch, lease: untilMs === undefined ? undefined : { untilMs, incarnationMs: bornAtMs } })
       // A report that came directly is newer, and only such reports show a restart.
@@ -400,6 +408,9 @@
       void storeEnds(report, sentAtMs, report.ended.length < maxEndsPerReport)
       return true
     } catch (error) {
+      isRelayTurnedAway = isErrorOfKind(error, ErrorKind.Overloaded)
+      // A poll that was turned away shows nothing about the worker. One that answered is asked again soon.
+      if (isRelayTurnedAway && performance.now() - (clock?.readAtMs ?? -Infinity) <= maxTurnedAwayMs) return isRelayAnswered
       onRelayFailed()
       if (isErrorOfKind(error, ErrorKind.StaleEpoch)) term.resign(`worker ${info.workerId} has seen a higher epoch`)
       return false
