Job intake learns of copies of its writes that got no answer

Since writes are repeated until a copy is answered, a loss shows as a success, and a job could be refused ("will not run") that a late write of another host stored afterwards.

Cause: neither `confirmedWrites` nor `relayedStore`, which asks a peer after 400 ms, told their caller of the copy without an answer.

Change: the result of a transaction says so with `hasUnansweredCopy`, also through peers; the intake takes it for a sign as it takes a failure, but not for an outage. Only copies that were sent before the answered one, or before a read that showed the write, count: a slow store answers the first copy first, and gives no sign.

Tests, failed before: "an id does not count as new after a write of which a copy was not answered" (confirmed, relayed). "an id counts as new after writes that were answered late" guards against a sign from slowness. Three expectations in store/confirmedWrites.test.ts compare whole results and now also demand the new field.

--- a/src/jobs/jobIntake.test.ts
+++ b/src/jobs/jobIntake.test.ts
@@ -1,9 +1,13 @@
 /** Job acceptance over a store that refuses calls, loses responses or applies writes late: "not accepted" is reported only if it is true. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
+import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import { createRelayedStore } from '../peers/relayedStore.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
+import { createConfirmedWrites } from '../store/confirmedWrites.js'
+import type { Transaction } from '../store/metadataStore.js'
 import { makeJob, makeStep } from '../testing/poolHarness.js'
 import { createJobIntake } from './jobIntake.js'
 import type { JobIntake } from './jobIntake.js'
@@ -187,6 +191,41 @@
   }
 })
 
+// Since writes are repeated until one copy is answered, a lost one did not show: this host refused a job that another host's lost write stored seconds later.
+test.each(['confirmed', 'relayed'])('an id does not count as new after a write of which a copy was not answered (%s)', async kind => {
+  const client = store.connect('host')
+  if (kind === 'confirmed') {
+    intake = createJobIntake({ store: createConfirmedWrites({ store: client }), logger: silentLogger })
+  } else {
+    const peer = { call: async <T>(_method: string, parameters: unknown) => await store.connect('peer').transact(parameters as Transaction) as T }
+    const peers = [{ hostId: 'peer', address: 'peer', domain: 'a', hasFastLink: true }]
+    intake = createJobIntake({ store: createRelayedStore({ direct: client, logger: silentLogger, getPeers: () => peers, connect: () => peer }), logger: silentLogger })
+  }
+  store.delayWrites('host', 1, 6_000)
+  expect(await submit('a')).toBeUndefined()
+  expect(await isCertainlyNew('b')).toBe(false)
+  await jest.advanceTimersByTimeAsync(3_000)
+  expect(await isCertainlyNew('b')).toBe(false)
+  await jest.advanceTimersByTimeAsync(6_000)
+  expect(await isCertainlyNew('b')).toBe(true)
+})
+
+// Guards against a host that refuses no job for load while the store is only slow.
+test('an id counts as new after writes that were answered late', async () => {
+  const client = store.connect('host')
+  let delayMs = 5
+  const transact: typeof client.transact = async transaction => {
+    await delay(delayMs)
+    return await client.transact(transaction)
+  }
+  intake = createJobIntake({ store: createConfirmedWrites({ store: { ...client, transact } }), logger: silentLogger })
+  expect(await submit('a')).toBeUndefined()
+  delayMs = 350
+  expect(await submit('b')).toBeUndefined()
+  expect(isAccepted('b')).toBe(true)
+  expect(await isCertainlyNew('c')).toBe(true)
+})
+
 test('a look-up that is not answered takes at most half of the time to the deadline, and no job counts as new', async () => {
   intake = createJobIntake({ store: { ...store.connect('host'), get: async () => await new Promise(() => {}) }, logger: silentLogger })
   const results: boolean[] = []
--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
-import type { MetadataStore } from '../store/metadataStore.js'
+import type { MetadataStore, Transaction, TransactionResult } from '../store/metadataStore.js'
 import { createOutageTracker, knownOutageMs, tryGetOutageRetryS } from '../store/outageTracker.js'
 import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
 import { JobState } from './jobModel.js'
@@ -58,8 +58,8 @@
 /** Maximum age of the cached counts of pending jobs, in ms. Counts shown to callers may be at most 2 s old. */
 const pendingCountsMaxAgeMs = 700
 /**
- * For how long a write without a response may still be applied, in ms, and hence for how long after a failed call no job counts as
- * certainly new: the same failure may have hit another host that wrote the job. The store's stand-in delays writes by up to 6 s in tests.
+ * For how long a write without a response may still be applied, in ms, and hence for how long after a failed call, or a write of which a copy had no answer, no job
+ * counts as certainly new: the same failure may have hit another host that wrote the job. The store's stand-in delays writes by up to 6 s in tests.
  */
 const lateWriteMs = 8_000
 /** Time limit of the look-up before a refusal, in ms, after which the job is accepted: with the summary's read, a submission is delayed by less than a second. */
@@ -70,7 +70,7 @@
 /** Creates the intake of one host. */
 export function createJobIntake (host: JobIntakeHost): JobIntake {
   const { logger } = host
-  const store: Pick<MetadataStore, 'get' | 'transact'> = { get: key => observe(host.store.get(key)), transact: transaction => observe(host.store.transact(transaction)) }
+  const store: Pick<MetadataStore, 'get' | 'transact'> = { get: key => observe(host.store.get(key)), transact: transaction => observe(transact(transaction)) }
   const tracker = createOutageTracker()
   /** The number of submissions under way, by job. */
   const submitting = new Map<string, number>()
@@ -90,6 +90,13 @@
     }
   }
 
+  async function transact (transaction: Transaction): Promise<TransactionResult> {
+    const result = await host.store.transact(transaction)
+    // A write of another host may have had no answer either, and no other copy that was applied.
+    if (result.hasUnansweredCopy === true) tracker.recordFailure(createError(ErrorKind.AnswerLost, 'a copy of a write was not answered'))
+    return result
+  }
+
   function getOutageMs (): number {
     return Math.max(tracker.getOutageMs(), host.getKnownOutageMs?.() ?? 0)
   }
--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -7,8 +7,8 @@
 import type { Logger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
 import { delay } from '../common/time.js'
-import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import type { MetadataStore, Transaction } from '../store/metadataStore.js'
+import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
+import type { MetadataStore, Transaction, TransactionResult } from '../store/metadataStore.js'
 import { createOutageTracker } from '../store/outageTracker.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerStoreMethods } from './peerStoreMethods.js'
@@ -41,7 +41,11 @@
 const revisionSchema = z.int().check(z.nonnegative())
 const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema })
 const itemSchema = z.nullable(storedItemSchema)
-const resultSchema = z.union([z.object({ isCommitted: z.literal(true), revision: revisionSchema }), z.object({ isCommitted: z.literal(false), items: z.array(storedItemSchema) })])
+const hasUnansweredCopy = z.optional(z.boolean())
+const resultSchema = z.union([
+  z.object({ isCommitted: z.literal(true), revision: revisionSchema, hasUnansweredCopy }),
+  z.object({ isCommitted: z.literal(false), items: z.array(storedItemSchema), hasUnansweredCopy })
+])
 
 /** Creates the store of one host. */
 export function createRelayedStore (host: RelayedStoreHost): RelayedStore {
@@ -55,7 +59,7 @@
     get: key => call(() => direct.get(key), async peer => decodeAnswer(itemSchema, await peer.call(peerStoreMethods.get, { key })) ?? undefined),
     range: (prefix, after) => callDirect(() => direct.range(prefix, after)),
     watch: (prefix, afterRevision, waitMs, signal) => callDirect(() => direct.watch(prefix, afterRevision, waitMs, signal)),
-    transact: transaction => call(() => direct.transact(transaction), async peer => decodeAnswer(resultSchema, await peer.call(peerStoreMethods.transact, toParameters(transaction)))),
+    transact,
     grantLease: direct.grantLease,
     keepLeaseAlive: direct.keepLeaseAlive,
     revokeLease: direct.revokeLease,
@@ -63,6 +67,22 @@
     getDirectOutageMs: tracker.getOutageMs
   }
 
+  async function transact (transaction: Transaction): Promise<TransactionResult> {
+    let isDirectOpen = true
+    const transactDirectly = async (): Promise<TransactionResult> => {
+      try {
+        const result = await direct.transact(transaction)
+        isDirectOpen = false
+        return result
+      } catch (error) {
+        if (isNotRun(error)) isDirectOpen = false
+        throw error
+      }
+    }
+    const result = await call(transactDirectly, async peer => decodeAnswer(resultSchema, await peer.call(peerStoreMethods.transact, toParameters(transaction))))
+    return isDirectOpen ? { ...result, hasUnansweredCopy: true } : result
+  }
+
   function isDirectUnavailable (): boolean {
     return performance.now() < directUnavailableUntilMs
   }
--- a/src/store/confirmedWrites.test.ts
+++ b/src/store/confirmedWrites.test.ts
@@ -87,7 +87,7 @@
 test('a write that was applied without an answer is reported as committed after one read', async () => {
   impairment.lostWrites = 1
   const { value, tookMs } = await settle(store.transact(transaction))
-  expect(value).toEqual({ isCommitted: true, revision: 2 })
+  expect(value).toEqual({ isCommitted: true, revision: 2, hasUnansweredCopy: true })
   expect(tookMs).toBeLessThan(120)
   expect(calls).toEqual({ get: 1, transact: 1, grantLease: 0 })
   expect(outcomes).toEqual([LateWriteOutcome.Read])
@@ -113,7 +113,7 @@
     await execute(requested)
     return await neverAnswer()
   }
-  expect((await settle(store.transact(transaction))).value).toEqual({ isCommitted: true, revision: 2 })
+  expect((await settle(store.transact(transaction))).value).toEqual({ isCommitted: true, revision: 2, hasUnansweredCopy: true })
 })
 
 test('a conflict with another writer is reported as such, also after lost answers', async () => {
@@ -121,7 +121,7 @@
   transact = async (requested, execute) => ++sent < 2 ? await neverAnswer() : await execute(requested)
   writeByOther('other')
   const { value } = await settle(store.transact(transaction))
-  expect(value).toEqual({ isCommitted: false, items: [expect.objectContaining({ key, value: 'other' })] })
+  expect(value).toEqual({ isCommitted: false, items: [expect.objectContaining({ key, value: 'other' })], hasUnansweredCopy: true })
 })
 
 // Guards against two leaders: a host writes the same value in each of its candidacies, and the key of an earlier one may still exist.
--- a/src/store/confirmedWrites.ts
+++ b/src/store/confirmedWrites.ts
@@ -29,6 +29,8 @@
   send (signal: AbortSignal): Promise<T>
   /** Interprets the answer to one of several copies, of which an earlier one may have been applied. */
   interpret (answer: T): T
+  /** Adds to the outcome that a copy that was sent earlier had no answer. */
+  markUnanswered (outcome: T): T
   /** Reads whether the write has been applied; returns undefined if the read does not show it. */
   read (signal: AbortSignal): Promise<T | undefined>
 }
@@ -79,6 +81,7 @@
         const revision = result.isCommitted ? undefined : tryGetAppliedRevision(transaction, result.items)
         return revision === undefined ? result : { isCommitted: true, revision }
       },
+      markUnanswered: result => ({ ...result, hasUnansweredCopy: true }),
       read: async readSignal => await readApplied(transaction, readSignal)
     }, signal)
   }
@@ -88,6 +91,7 @@
     return await confirm({
       send: copySignal => store.grantLease(ttlMs, copySignal),
       interpret: lease => lease,
+      markUnanswered: lease => lease,
       read: async readSignal => {
         await measure(store.get(probeKey, readSignal))
         return undefined
@@ -130,6 +134,8 @@
     let sentAtMs = startedAtMs
     let copies = 0
     let unanswered = 0
+    /** The copies, by number, of which it is known that they were not carried out. */
+    const refused = new Set<number>()
     let isLate = false
     /** The error of a copy that may have been applied. */
     let lostError: unknown
@@ -159,15 +165,17 @@
       unanswered++
       sentAtMs = performance.now()
       const copySentAtMs = sentAtMs
+      const copy = copies
       write.send(ending.signal).then(answer => {
         recordWrite(copySentAtMs)
-        succeed(copies > 1 ? write.interpret(answer) : answer, LateWriteOutcome.Answered)
-      }, onCopyFailed)
+        succeed(copies > 1 ? write.interpret(answer) : answer, LateWriteOutcome.Answered, copy - 1)
+      }, error => { onCopyFailed(error, copy) })
     }
 
-    function onCopyFailed (error: unknown): void {
+    function onCopyFailed (error: unknown, copy: number): void {
       unanswered--
       const isRefused = isErrorOfKind(error, ErrorKind.StoreUnavailable, ErrorKind.PeerUnreachable)
+      if (isRefused) refused.add(copy)
       if (isErrorOfKind(error, ErrorKind.AnswerLost)) lostError = error
       else if (!isRefused || (unanswered === 0 && lostError === undefined)) fail(error)
       changed.notify()
@@ -192,7 +200,7 @@
       const read = async (): Promise<void> => {
         const applied = await write.read(ending.signal)
         answeredAtMs = performance.now()
-        if (applied !== undefined) succeed(applied, LateWriteOutcome.Read)
+        if (applied !== undefined) succeed(applied, LateWriteOutcome.Read, copies)
       }
       // The write is repeated without the read if that fails.
       read().catch(() => {}).finally(() => {
@@ -203,10 +211,12 @@
       return answeredAtMs === undefined ? undefined : answeredAtMs - readSentAtMs
     }
 
-    function succeed (value: T, outcome: LateWriteOutcome): void {
+    /** `earlierCopies` is the number of copies that were sent before the one that was answered. A slow store answers the first one first. */
+    function succeed (value: T, outcome: LateWriteOutcome, earlierCopies: number): void {
       if (ending.signal.aborted) return
       finish(outcome)
-      resolve(value)
+      const refusedCopies = [...refused].filter(copy => copy <= earlierCopies).length
+      resolve(refusedCopies < earlierCopies ? write.markUnanswered(value) : value)
     }
 
     function fail (error: unknown): void {
--- a/src/store/metadataStore.ts
+++ b/src/store/metadataStore.ts
@@ -45,10 +45,14 @@
   readonly removes?: readonly string[]
 }
 
-/** The transaction was committed, or a condition failed; then `items` holds the current items of the expected keys. */
-export type TransactionResult =
+/**
+ * The transaction was committed, or a condition failed; then `items` holds the current items of the expected keys. With `hasUnansweredCopy` the outcome was found
+ * although a copy of the transaction that was sent earlier had no answer: writes of other hosts may have none either, and be applied late.
+ */
+export type TransactionResult = { readonly hasUnansweredCopy?: boolean | undefined } & (
   | { readonly isCommitted: true, readonly revision: number }
   | { readonly isCommitted: false, readonly items: readonly StoredItem[] }
+)
 
 /**
  * The operations of the store. Errors: `store-unavailable` when the call had no effect; `answer-lost` when the call may have
