A worker that was missing on the list at a takeover is a life of its machine

The trace: the term of host-3 begins while worker-0+ is not on the list, and knows it from stored attempts only. 0.3 s later it is listed again and gets run 3. It crashes; its machine is back 2 s later as worker-0++, which answers. No crash is logged, the run is waited for until its lease expires, and it does not count as ended by a crash.

Cause: the worker pool records which worker is the latest life of a machine when it adds a worker, and one that it knows from stored attempts has no machine. The entry of the list that arrives later only replaced the fields. The crash tracking looks after such lives itself, but only until their worker reports.

Change: the life is recorded also when the machine of a known worker becomes known.

Test, failed before: "a job does not wait for the lease of a worker that was missing on the list at the start of the term" (the job was still active after 3.5 s, no crash was recorded).

--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -267,6 +267,7 @@
       return
     }
     const isNewIncarnation = worker.info.bornAtMs !== info.bornAtMs
+    const isMachineNew = worker.info.machineId !== info.machineId
     if (isNewIncarnation) logger.info('worker listed with a new incarnation', { workerId: info.workerId, bornAtMs: info.bornAtMs })
     if (worker.info.address !== info.address) {
       // Its address was unknown, because the worker was only known from stored attempts, or it has changed.
@@ -283,12 +284,18 @@
     if (worker.info.isDraining !== info.isDraining) logger.info('draining state of a worker changed', { workerId: info.workerId, isDraining: info.isDraining, remainingMs: info.remainingMs })
     worker.info = info
     worker.isListed = true
+    if (isMachineNew) recordLife(worker)
   }
 
   function addWorker (info: ListedWorker): void {
     const worker = createWorkerState(info)
     workers.set(info.workerId, worker)
     addLink(worker)
+    recordLife(worker)
+  }
+
+  function recordLife (worker: WorkerState): void {
+    const { info } = worker
     if (info.machineId === undefined) return
     const previous = lives.get(info.machineId)
     if (previous !== undefined && previous.info.bornAtMs < info.bornAtMs) {
