Writes under a lease are not relayed through peers

No caller has sent such a transaction through the relayed store.

Cause: neither the parameters nor the schema of stored items have the field.

Change: a transaction with a lease is made directly or fails, as the calls that grant and renew the lease do. Adding the field to the method would not do: peers of earlier versions drop it. Relayed items keep their lease, which peers of all versions send.

Tests, failed before: "a write under a lease is not made through a peer" (was committed, without the lease), "a relayed read shows the lease of an item".

--- a/src/peers/relayedStore.test.ts
+++ b/src/peers/relayedStore.test.ts
@@ -130,3 +130,21 @@
   expect(await waitForResult((relayedStores.get('host-0') as RelayedStore).get(getAcceptedKey('job')))).toBe(ErrorKind.AnswerLost)
   expect(await waitForResult(submit())).toBe(ErrorKind.AnswerLost)
 })
+
+// A relayed transaction dropped the leases of its writes, so that their keys would have stayed for good.
+test('a write under a lease is not made through a peer', async () => {
+  const relayed = relayedStores.get('host-0') as RelayedStore
+  const { leaseId } = await relayed.grantLease(5_000)
+  store.setUnavailable(true, 'host-0')
+  expect(await waitForResult(relayed.transact({ expected: [{ key: 'key', revision: 0 }], writes: [{ key: 'key', value: 'value', leaseId }] }))).toBe(ErrorKind.StoreUnavailable)
+  expect(store.peek('key')).toBeUndefined()
+})
+
+// A relayed read dropped the lease of the item, which says "none" then.
+test('a relayed read shows the lease of an item', async () => {
+  const relayed = relayedStores.get('host-0') as RelayedStore
+  const { leaseId } = await relayed.grantLease(60_000)
+  await relayed.transact({ expected: [{ key: 'key', revision: 0 }], writes: [{ key: 'key', value: 'value', leaseId }] })
+  store.setUnavailable(true, 'host-0')
+  expect(await waitForResult(relayed.get('key'))).toMatchObject({ value: 'value', leaseId })
+})
--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -1,6 +1,6 @@
 /**
  * Access to the platform's store: direct, or relayed through a peer while the store rejects this host or is unreachable from
- * it. Reads of one key and transactions are relayed. Leases are not, since the host that schedules must reach the store itself; nor are
+ * it. Reads of one key and transactions are relayed. Leases and transactions that use them are not, since the host that schedules must reach the store itself; nor are
  * range reads and watches: they follow the configuration, which has a replication of its own between hosts.
  */
 import * as z from 'zod/mini'
@@ -39,7 +39,7 @@
 const peerTimeoutMs = 400
 
 const revisionSchema = z.int().check(z.nonnegative())
-const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema })
+const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema, leaseId: z.optional(z.int()) })
 const itemSchema = z.nullable(storedItemSchema)
 const hasUnansweredCopy = z.optional(z.boolean())
 const resultSchema = z.union([
@@ -68,6 +68,8 @@
   }
 
   async function transact (transaction: Transaction): Promise<TransactionResult> {
+    // Peers write without leases: such a key would never be removed.
+    if (transaction.writes.some(({ leaseId }) => leaseId !== undefined)) return await callDirect(() => direct.transact(transaction))
     let isDirectOpen = true
     const transactDirectly = async (): Promise<TransactionResult> => {
       try {
