A crash that an earlier term has recorded is not counted anew after a takeover

The trace: the start of run 2 of job6.0.0.1 got no answer ("the worker is not reachable", three times); its worker crashed with all others (5 of 5), so that host-4 recorded the crash without counting it (`unconfirmed`) and stored that. host-2 took over, found the attempt still stored, and recorded the same crash again, as that of a run "planned by an earlier scheduler", which counts. Runs 1, 3, 4 and 5 crashed beside tasks of the job that crashes its workers.

Cause: `recordCrash` replaced the record of the same run on the same machine by what the new term knows, which is less: neither the answer to the start nor a drain of the life. Records of drains became crashes in the same way.

Change: a record of the same end of the same life stays. Its likelihood ratio can only fall, by the births that the new term sees; without that a crash of many of which the earlier term had seen only the first would weigh too much. No count rises and no ratio exceeds what a takeover gave before. Starts of crashing tasks: as within a term, a start without an answer in a crash of many workers is not counted (docs/design/crash-evidence.md, "Limits").

--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -298,8 +298,11 @@
         hasMachineCrashedBefore: [...earlierUnits].some(earlier => earlier !== unit) || unit.crashes.some(earlier => earlier.cause === EndCause.Crash && earlier.machine === machine && earlier.run !== run),
         othersProbability: allProbabilities - (probabilities.get(unit) ?? 0)
       }
-      const record = { run, indices, machine, bornAtMs: bornAtMs - 1, cause: wasDraining ? EndCause.Drain : EndCause.Crash, likelihoodRatio: getLikelihoodRatio(circumstances), ranMs: maxRanMs, isCounted: isCounted(circumstances) }
-      addRecord(unit, record)
+      const likelihoodRatio = getLikelihoodRatio(circumstances)
+      const known = findEarlierRecord(unit, run, indices, machine, bornAtMs)
+      const record = known ?? { run, indices, machine, bornAtMs: bornAtMs - 1, cause: wasDraining ? EndCause.Drain : EndCause.Crash, likelihoodRatio, ranMs: maxRanMs, isCounted: isCounted(circumstances) }
+      if (known === undefined) addRecord(unit, record)
+      else known.likelihoodRatio = Math.min(known.likelihoodRatio, likelihoodRatio)
       exposures.push({ unit, record, location, ownMachines, circumstances, learntAtMs: performance.now() })
       const judgement = decide(unit)
       logger.info(wasDraining ? 'the end of a draining worker is recorded under a task' : 'a crash counts under a task', { ...describeTask(unit, indices[0]), run, workerId, machine, ...describeRecord(record), presence, ...coincidence, birthAgeMs: Date.now() - bornAtMs, minRanMs: roundMs(minRanMs), wasDraining, machineCrashedBefore: circumstances.hasMachineCrashedBefore, othersProbability: round(circumstances.othersProbability), ...describeJudgement(judgement) })
@@ -307,6 +310,12 @@
     if (!wasDraining) crashedMachines.set(machine, new Set([...earlierUnits, ...units]))
   }
 
+  /** An earlier term that has recorded the end of this life knew what the worker had answered and whether it was draining; only later births speak for the unit. */
+  function findEarlierRecord (unit: Unit, run: number, indices: readonly number[], machine: string, bornAtMs: number): CrashRecord | undefined {
+    return unit.crashes.find(known => known.run === run && known.machine === machine && known.bornAtMs === bornAtMs - 1 &&
+      (known.cause === EndCause.Crash || known.cause === EndCause.Drain) && indices.every(index => known.indices.includes(index)))
+  }
+
   function getBirths (): NonNullable<typeof births> {
     const nowMs = performance.now()
     if (births !== undefined && nowMs - births.atMs < birthsMaxAgeMs) return births
