Entry hosts forget the clients of addresses that no known host has

Cause: clients were added and never removed. The connections themselves belong to the pool of the process, which closes idle ones after 30 s.

Change: with the reports of hosts that have expired, the clients of addresses go that are neither a known host's nor a seed.

Test, failed before: "the client of an address that no known host and no seed has is forgotten".

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -222,6 +222,9 @@
     for (const [hostId, peer] of known) {
       if (Date.now() - peer.lastSeenMs > peerRetentionMs) known.delete(hostId)
     }
+    const addresses = new Set([...host.getSeeds(), ...[...known.values()].map(({ info }) => info.address)])
+    // The connections are those of the process, which closes them when they are idle.
+    for (const address of clients.keys()) if (!addresses.has(address)) clients.delete(address)
   }
 
   function stop (): void {
