Clients of other hosts are closed when they are not used

Hosts that have moved or left are not called again.

Change: a client is closed when it has not been asked for in 60 s, longer than any call takes; the next use of the address creates another one.

Test, failed before: "a client that is not used for a minute is closed, and another one serves the address".

--- a/src/platform/peerConnections.ts
+++ b/src/platform/peerConnections.ts
@@ -5,21 +5,32 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { peerCallTimeoutMs } from '../peers/relayedStore.js'
 import { createHttpClient } from './httpClient.js'
+import type { HttpClient } from './httpClient.js'
 
 const connectionsPerPeer = 2
+/** A client that has not been asked for this long, in ms, is closed: longer than any call takes. Hosts that have moved or left are not called again. */
+const idleClientMs = 60_000
 
 /** Returns a function that creates one client per address and reuses it. */
 export function createPeerConnections (): (address: string) => RpcClient {
-  const clients = new Map<string, RpcClient>()
+  const clients = new Map<string, { readonly client: RpcClient, readonly idleTimer: NodeJS.Timeout }>()
   return address => {
-    let client = clients.get(address)
-    if (client === undefined) clients.set(address, client = connect(address))
-    return client
+    let entry = clients.get(address)
+    if (entry === undefined) {
+      const http = createHttpClient(address, connectionsPerPeer)
+      const idleTimer = setTimeout(() => {
+        clients.delete(address)
+        http.close()
+      }, idleClientMs)
+      idleTimer.unref()
+      clients.set(address, entry = { client: createClient(http, address), idleTimer })
+    }
+    entry.idleTimer.refresh()
+    return entry.client
   }
 }
 
-function connect (address: string): RpcClient {
-  const http = createHttpClient(address, connectionsPerPeer)
+function createClient (http: HttpClient, address: string): RpcClient {
   return createTransportRpcClient(async (request, method, timeoutMs) => {
     const { status, body } = await http.call({ method: 'POST', path: '/rpc', body: request, timeoutMs, stallTimeoutMs: peerCallTimeoutMs })
     if (status === 200 && typeof body === 'object' && body !== null) return body as JSONRPCResponse
