--- a/src/platform/httpClient.ts
+++ b/src/platform/httpClient.ts
@@ -32,7 +32,7 @@
 }
 
 /** Idle time of a connection before its first TCP keep-alive probe: longer than the gap between two requests to a busy worker. */
-const keepAliveMs = 30_000
+const probeDelayMs = 30_000
 
 /** Maximum time for a response body whose transfer makes progress, in ms: 1.4 MB, the largest value of the store, at 1.2 Mbit/s. */
 const maxTransferMs = 10_000
@@ -44,7 +44,7 @@
   return { call, close: () => { agent.destroy() } }
 
   function createAgent (): Agent {
-    return new Agent({ keepAlive: true, keepAliveMsecs: keepAliveMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo' })
+    return new Agent({ keepAlive: true, keepAliveMsecs: probeDelayMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo' })
   }
 
   function call ({ method, path, body, getBody, headers, timeoutMs, stallTimeoutMs, signal }: HttpCall): Promise<HttpResponse> {
