--- a/src/peers/relayedStore.ts
+++ b/src/peers/relayedStore.ts
@@ -1,14 +1,14 @@
 /**
  * Access to the platform's store: direct, or relayed through a peer while the store rejects this host or is unreachable from
- * it. Reads of one key and transactions are relayed. Leases are not, since the host that schedules must reach the store itself; nor are
+ * it. Reads of one key and transactions are relayed. Leases and transactions that use them are not, since the host that schedules must reach the store itself; nor are
  * range reads and watches: they follow the configuration, which has a replication of its own between hosts.
  */
 import * as z from 'zod/mini'
 import type { Logger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
 import { delay } from '../common/time.js'
-import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import type { MetadataStore, Transaction } from '../store/metadataStore.js'
+import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
+import type { MetadataStore, Transaction, TransactionResult } from '../store/metadataStore.js'
 import { createOutageTracker } from '../store/outageTracker.js'
 import type { KnownHost } from './hostDirectory.js'
 import { peerStoreMethods } from './peerStoreMethods.js'
@@ -39,9 +39,13 @@
 const peerTimeoutMs = 400
 
 const revisionSchema = z.int().check(z.nonnegative())
-const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema })
+const storedItemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema, createdRevision: revisionSchema, leaseId: z.optional(z.int()) })
 const itemSchema = z.nullable(storedItemSchema)
-const resultSchema = z.union([z.object({ isCommitted: z.literal(true), revision: revisionSchema }), z.object({ isCommitted: z.literal(false), items: z.array(storedItemSchema) })])
+const hasUnansweredCopy = z.optional(z.boolean())
+const resultSchema = z.union([
+  z.object({ isCommitted: z.literal(true), revision: revisionSchema, hasUnansweredCopy }),
+  z.object({ isCommitted: z.literal(false), items: z.array(storedItemSchema), hasUnansweredCopy })
+])
 
 /** Creates the store of one host. */
 export function createRelayedStore (host: RelayedStoreHost): RelayedStore {
@@ -55,7 +59,7 @@
     get: key => call(() => direct.get(key), async peer => decodeAnswer(itemSchema, await peer.call(peerStoreMethods.get, { key })) ?? undefined),
     range: (prefix, after) => callDirect(() => direct.range(prefix, after)),
     watch: (prefix, afterRevision, waitMs, signal) => callDirect(() => direct.watch(prefix, afterRevision, waitMs, signal)),
-    transact: transaction => call(() => direct.transact(transaction), async peer => decodeAnswer(resultSchema, await peer.call(peerStoreMethods.transact, toParameters(transaction)))),
+    transact,
     grantLease: direct.grantLease,
     keepLeaseAlive: direct.keepLeaseAlive,
     revokeLease: direct.revokeLease,
@@ -63,6 +67,24 @@
     getDirectOutageMs: tracker.getOutageMs
   }
 
+  async function transact (transaction: Transaction): Promise<TransactionResult> {
+    // Peers write without leases: such a key would never be removed.
+    if (transaction.writes.some(({ leaseId }) => leaseId !== undefined)) return await callDirect(() => direct.transact(transaction))
+    let isDirectOpen = true
+    const transactDirectly = async (): Promise<TransactionResult> => {
+      try {
+        const result = await direct.transact(transaction)
+        isDirectOpen = false
+        return result
+      } catch (error) {
+        if (isNotRun(error)) isDirectOpen = false
+        throw error
+      }
+    }
+    const result = await call(transactDirectly, async peer => decodeAnswer(resultSchema, await peer.call(peerStoreMethods.transact, toParameters(transaction))))
+    return isDirectOpen ? { ...result, hasUnansweredCopy: true } : result
+  }
+
   function isDirectUnavailable (): boolean {
     return performance.now() < directUnavailableUntilMs
   }
