A life that has answered a term refuses the orders of earlier ones

A job stood still for up to 10 s where workers grant 10 s: a worker that had restarted shortly before left for good, and the next term waited for its longest lease from that term's start.

Cause: while a term is young, a young life counted as one that may carry out orders which earlier terms had sent to the life before, for 25 s. Its lease was waited for as the longest one from each extension, and the record did not vouch for the life, so that the next term waited anew.

Once the life has answered a request of the term, it has seen a higher epoch and refuses those orders (the workers' protocol: the worker does nothing for a lower value). What it may have got from them ends with the longest lease from that answer on. The record vouches for the life then, unless the worker has runs that an earlier term has started: of these this term does not know which starts are without an answer until it is 25 s old, as before. Orders of this term to another life count as before.

Test "a job does not wait anew for the lease of a worker that restarted before its work began" failed before. Tests of a late start of an earlier term that extends the lease just before the answer guard against two runs at once.

--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -94,6 +94,22 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// A worker that had restarted shortly before left for good. The next term waited anew, since orders that were sent to the life before might count for the lease.
+test('a job does not wait anew for the lease of a worker that restarted before its work began', async () => {
+  await restartHarness()
+  for (const workerId of harness.workers.keys()) harness.restartWorker(workerId)
+  await run(8_000)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(1_000)
+  harness.crashWorker(getRunningOn('a.0.0.0'), { awayMs: goneMs, keepsId: false })
+  await run(2_500)
+  harness.hosts.get('host-0')?.crash()
+  await run(leaseMs)
+  harness.addHost('host-1')
+  await waitForState('a', JobState.Complete, lostAfterMs + 500)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // The same with terms in series: each knows for itself which of its leases have ended.
 test('a job does not wait beyond the lease of a worker that was silent before the second of two terms ended', async () => {
   harness.hosts.get('host-0')?.crash()
@@ -316,6 +332,32 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// Guards against two runs at once: a later life carries out an order of an earlier term for the life before, and then answers this term, so that its lease lasts longer than was asked for.
+test.each([0, 500, 2_000])('a lease that a late start of an earlier term extends just before a later life answers counts for its runs (behind a cut from %i ms on)', async answeredMs => {
+  await restartHarness(2)
+  harness.setListed('worker-1', false)
+  await run(20_000)
+  harness.workers.get('worker-0')?.setClockRate(0.98)
+  harness.workers.get('worker-0')?.delayStarts(3, 1_500, true)
+  await submit(makeJob('b', 'batch', [makeStep()]))
+  await run(200)
+  harness.hosts.get('host-0')?.crash()
+  harness.restartWorker('worker-0')
+  await run(1_400)
+  harness.addHost('host-1')
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  for (let elapsedMs = 0; elapsedMs < 3_000 && (harness.poolState.running.get('a.0.0.0')?.length ?? 0) === 0; elapsedMs += 10) await run(10)
+  expect(getRunningOn('a.0.0.0')).toBe('worker-0')
+  await run(answeredMs)
+  cutOff('worker-0')
+  await run(1_000)
+  harness.hosts.get('host-1')?.crash()
+  harness.setListed('worker-1', true)
+  harness.addHost('host-2')
+  await run(20_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // Guards against work lost although its worker answers before its lease ends, at any time between two polls.
 test.each([1_250, 1_000, 860, 750, 700].flatMap(earlyMs => [0, 1_000, 1_040, 1_080, 1_120, 1_160, 1_200, 1_240, 1_280].map(hostAfterMs => [earlyMs, hostAfterMs])))('the lease of a worker that answers again %i ms less than a lease after the crash of the leader is extended at once, with a host that is added after %i ms', async (earlyMs = 0, hostAfterMs = 0) => {
   await restartHarness()
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -166,6 +166,7 @@
     isWorkerListCurrent: host.isWorkerListCurrent,
     getStoreContactMs: host.getStoreContactMs,
     getMembers: workerId => controller.getMembers(workerId),
+    hasRestoredMembers: workerId => [...controller.getMembers(workerId)].some(({ attempt }) => attempt.isRestored),
     needsReports: workerId => controller.needsReports(workerId),
     getUncertainRuns: workerId => controller.getUncertainRuns(workerId),
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
--- a/src/runs/workerLink.test.ts
+++ b/src/runs/workerLink.test.ts
@@ -27,6 +27,7 @@
     info: { workerId: 'worker-0', address: 'worker-0', service: 'pool', domain: 'a', bornAtMs: 1, isDraining: false, coldLeftMs: 0, capacity, labels: [], rack: 'rack-0' },
     maxLeaseMs: 10_000,
     hasEarlierOrders: false,
+    hasOrdersOfEarlierTerms: false,
     areEarlierOrdersOver: () => true,
     hasUncertainRuns: () => false,
     areAllLeasesOver: () => false,
@@ -115,6 +116,7 @@
   readonly lostAtMs: number
   readonly areEarlierLeasesOver: boolean
   readonly hasEarlierOrders?: boolean
+  readonly hasOrdersOfEarlierTerms?: boolean
   /** When the list shows another incarnation. */
   readonly listedAnewAtMs?: number
   /** When the worker is first given a lease; at once by default. */
@@ -122,7 +124,7 @@
 }
 
 /** A worker grants up to 10 s and is asked for 6 s. Returns how long after the loss its lease counts as over; the latest extension was sent at the loss. */
-async function measureWaitMs ({ lostAtMs, areEarlierLeasesOver, hasEarlierOrders = false, listedAnewAtMs, grantedFromMs = 0 }: LossOptions): Promise<number> {
+async function measureWaitMs ({ lostAtMs, areEarlierLeasesOver, hasEarlierOrders = false, hasOrdersOfEarlierTerms = false, listedAnewAtMs, grantedFromMs = 0 }: LossOptions): Promise<number> {
   const leaving = new AbortController()
   const term = { signal: leaving.signal, epoch: 1, isValid: () => true, resign: () => {} } as unknown as Term
   const startedAtMs = performance.now()
@@ -144,6 +146,7 @@
     port,
     requestedLeaseMs: 6_000,
     hasEarlierOrders,
+    hasOrdersOfEarlierTerms,
     getMaxGrantMs,
     getMaxRenewalMs: getMaxGrantMs,
     areEarlierLeasesOver: () => areEarlierLeasesOver,
@@ -186,6 +189,16 @@
   expect(await measureWaitMs(options)).toBeGreaterThan(10_000 * 1.02)
 })
 
+// Guards against two runs at once: the incarnation carries out an order of an earlier term just before the first request of this one.
+test('the longest lease is waited for from the first answer of an incarnation that may have carried out orders of earlier terms', async () => {
+  expect(2_000 + await measureWaitMs({ lostAtMs: 2_000, areEarlierLeasesOver: true, hasOrdersOfEarlierTerms: true })).toBeGreaterThan(10_000 * 1.02)
+})
+
+// A worker that had restarted shortly before was waited for as long as its longest lease lasts, although it refused the orders of earlier terms.
+test('the longest lease is not waited for from a later extension once an incarnation has answered this term', async () => {
+  expect(await measureWaitMs({ lostAtMs: 8_000, areEarlierLeasesOver: true, hasOrdersOfEarlierTerms: true })).toBeLessThan(6_500)
+})
+
 // Guards against the longest wait where no order of this term can have reached another incarnation than the one that is lost.
 test('the longest lease is not waited for after a restart before which the worker was given no lease', async () => {
   expect(await measureWaitMs({ lostAtMs: 12_000, areEarlierLeasesOver: true, listedAnewAtMs: 3_000, grantedFromMs: 5_000 })).toBeLessThan(6_500)
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -19,8 +19,10 @@
   readonly maxLeaseMs: number
   /** The longest lease that this term asks for, in ms. */
   readonly requestedLeaseMs: number
-  /** Tells whether orders to another incarnation under the worker's id may have been sent before the link was created and may still be carried out. */
+  /** Tells whether orders of this term to another incarnation under the worker's id may have been sent before the link was created and may still be carried out. */
   readonly hasEarlierOrders: boolean
+  /** Tells whether such orders of earlier terms may still be carried out when the link is created. */
+  readonly hasOrdersOfEarlierTerms: boolean
   /** Tells whether the orders of earlier terms have been carried out, and the leases that counted from then are over. */
   readonly areEarlierOrdersOver: () => boolean
   /** Tells whether a start request may still be carried out, also by an incarnation of which nothing is known. */
@@ -92,8 +94,8 @@
   /** How long the leases of these runs may still last although the worker does not answer, in ms; undefined if it answers, or its lease is over. */
   getLeaseLeftMs (scope: RunScope): number | undefined
   /**
-   * Tells whether orders of this term for another incarnation may have reached the present one and count for its lease: the clock of an incarnation starts anew, so
-   * that an order for an earlier one that it carries out late asks for the longest lease that it grants.
+   * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
+   * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
    */
   mayFollowEarlierOrders (): boolean
   close (): void
@@ -164,15 +166,22 @@
   let hasIncarnationReported = true
   // Previous schedulers may have extended the lease until their terms ended, for as long as workers grant.
   const earlierLeasesEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
+  /**
+   * Orders of earlier terms for an earlier incarnation may count for the lease of the present one. It refuses them as soon as it has carried out a request of this term: it has
+   * then seen a higher epoch.
+   */
+  let mayFollowEarlierTerms = host.hasOrdersOfEarlierTerms
+  /** When the last lease ends that the present incarnation may have got from such orders, by the monotonic clock. */
+  let earlierTermsEndMs = -Infinity
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
-  /** Orders that extend a lease may have been sent to an incarnation under the worker's id, in this term or before. */
+  /** Orders of this term that extend a lease may have been sent to an incarnation under the worker's id. */
   let hasExtendedLease = host.hasEarlierOrders
   /** The end of the lease that the present incarnation was last given, on its clock. */
   let grantedUntilMs: number | undefined
   /** When the latest start was sent, by the monotonic clock. */
   let startSentAtMs = -Infinity
-  /** When an incarnation was first seen to which orders for an earlier one may be delivered, by the monotonic clock. */
+  /** When an incarnation was first seen to which orders of this term for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   void pollUntilClosed()
 
@@ -202,7 +211,8 @@
     earlierIncarnations.add(bornAtMs)
     earlierIncarnations.delete(newBornAtMs)
     bornAtMs = newBornAtMs
-    if (hasExtendedLease || !host.areEarlierOrdersOver()) laterIncarnationSeenAtMs = performance.now()
+    if (hasExtendedLease) laterIncarnationSeenAtMs = performance.now()
+    mayFollowEarlierTerms = !host.areEarlierOrdersOver()
     storedSequence = 0
     storing = Promise.resolve()
     // Its clock starts anew.
@@ -211,13 +221,14 @@
   }
 
   function mayFollowEarlierOrders (): boolean {
-    return extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
+    return mayFollowEarlierTerms || extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
   }
 
   function getLatestLeaseEndMs (scope: RunScope): number {
     const isLongest = mayFollowEarlierOrders() || (scope === RunScope.All && host.hasUncertainRuns())
     // An incarnation whose clock starts anew grants the longest lease from when it carries out an order.
-    const leaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : extendedAtMs + getLongestDurationMs(host.requestedLeaseMs)
+    const ownLeaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : extendedAtMs + getLongestDurationMs(host.requestedLeaseMs)
+    const leaseEndMs = Math.max(ownLeaseEndMs, earlierTermsEndMs)
     return host.areEarlierLeasesOver(scope) ? leaseEndMs : Math.max(leaseEndMs, earlierLeasesEndMs)
   }
 
@@ -339,8 +350,16 @@
     await Promise.race([acknowledgeable, delay(storeWaitMs)])
   }
 
+  /** After a request of this term, the incarnation that has answered it refuses the orders of earlier terms. */
+  function excludeEarlierTerms (report: WorkerStatusReport): void {
+    if (!mayFollowEarlierTerms || report.bornAtMs !== bornAtMs) return
+    mayFollowEarlierTerms = false
+    earlierTermsEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
+  }
+
   /** An end that an earlier report has listed counts as known, so that it has to be stored for that report before it is for this one. */
   function storeEnds (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
+    excludeEarlierTerms(report)
     storing = Promise.all([storing, host.onReport(report, sentAtMs, isComplete)]).then(() => {})
     return storing
   }
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -37,6 +37,8 @@
   readonly getMembers: (workerId: string) => ReadonlySet<Pick<Member, 'bornAtMs'>>
   /** Tells whether the worker's reports are needed: it has members, or a start request without an answer may still be carried out there. */
   readonly needsReports: (workerId: string) => boolean
+  /** Tells whether an earlier term has started a member on the worker that has not ended. */
+  readonly hasRestoredMembers: (workerId: string) => boolean
   /** The runs, by allocation key, of which a start request may still be carried out on the worker, also by a later life of which nothing is known. */
   readonly getUncertainRuns: (workerId: string) => ReadonlySet<string>
   /** How long the next poll of the worker may wait, in ms, if the usual time is too long. */
@@ -215,7 +217,9 @@
   }
 
   function describeSilent ([workerId, link]: readonly [string, WorkerLink]): SilentWorker {
-    const isLifeKnown = areEarlierOrdersOver() && !link.mayFollowEarlierOrders()
+    // This term does not know of which runs that it has taken over earlier ones have left starts without an answer, which a later life may carry out.
+    const areStartsKnown = areEarlierOrdersOver() || !host.hasRestoredMembers(workerId)
+    const isLifeKnown = areStartsKnown && !link.mayFollowEarlierOrders()
     return { workerId, uncertainRuns: [...host.getUncertainRuns(workerId)], isLifeKnown }
   }
 
@@ -314,7 +318,8 @@
       port: connect(info),
       maxLeaseMs: host.maxLeaseMs,
       requestedLeaseMs: host.requestedLeaseMs,
-      hasEarlierOrders: granted.has(info.workerId) || (!areEarlierOrdersOver() && isYoung(info)),
+      hasEarlierOrders: granted.has(info.workerId),
+      hasOrdersOfEarlierTerms: !areEarlierOrdersOver() && isYoung(info),
       areEarlierOrdersOver,
       hasUncertainRuns: () => host.getUncertainRuns(info.workerId).size > 0,
       getMaxGrantMs: () => Math.min(host.requestedLeaseMs, host.grants.getMaxGrantMs(info.workerId)),
