No starts go on to a worker that has left one without an answer while there is room

A job stood still although most of its pool was idle: its start was sent to a worker that had vanished, and the wait for a lease that a late start may bring follows (6.3 s, or 10.4 s where workers grant 10 s).

Cause: a worker is taken out of planning when its poll fails, which is after up to 1.5 s of waiting. Starts that got no answer showed 30 ms after they were sent that the worker might be gone, and starts went on to it.

Such a worker is in doubt until it answers any request. Plans use it only for what has no room elsewhere, and attempts that were planned there before are planned anew. A worker that has only lost one answer is in doubt until its next report.

Test "no more starts are sent to a worker that has left one without an answer" failed before.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -40,6 +40,8 @@
   readonly runTimes: RunTimes
   /** The expected speed of runs on a worker, relative to usual. */
   readonly getSpeed?: PlacementRules['getSpeed']
+  /** Tells whether a worker may be gone, so that a start there may cost the wait for a lease. It gets work that has no room elsewhere. */
+  readonly isInDoubt?: (workerId: string) => boolean
   /** Urgent jobs within their organisation's guarantee start within this time, in ms. */
   readonly reclaimMs: number
   /** The longest time that a worker takes to stop a run, in ms. */
@@ -138,6 +140,8 @@
   let poolRoom: PoolRoom = createPoolRoom(new Map())
   /** The ids of the usable workers; determined at the start of each planning pass. */
   let usableIds: readonly string[] = []
+  /** The usable workers that may be gone; determined at the start of each planning pass. */
+  let doubtful: ReadonlySet<WorkerState> = new Set()
   const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
   /** For a unit that has been held back for long enough: other units on a worker only count against it, and reservations bind it only while its job progresses. */
   const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: (unit, worker) => isJobRunning(unit) && hasBindingReservation(unit, worker), countConflicts }
@@ -179,6 +183,7 @@
     recordDemand(freeCapacity)
     poolRoom = createPoolRoom(freeCapacity)
     usableIds = [...freeCapacity.keys()].map(worker => worker.info.workerId)
+    doubtful = new Set([...freeCapacity.keys()].filter(worker => host.isInDoubt?.(worker.info.workerId) === true))
     reservations.clear()
     reservedUnits = 0
     usageByWorker = new Map()
@@ -214,7 +219,7 @@
       const permitted = getPermittedCapacity(unit, freeCapacity)
       if (permitted === undefined) return false
       const hasRoom = permitted !== freeCapacity || poolRoom.hasRoom(unit)
-      const placed = !hasRoom ? 0 : unit.size === 1 ? startTasks(remaining, permitted, freeCapacity) : startGang(unit, permitted, freeCapacity)
+      const placed = hasRoom ? startWhereSure(remaining, permitted, freeCapacity) : 0
       remaining.splice(0, placed)
       if (placed > 0) continue
       const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
@@ -246,6 +251,14 @@
     return true
   }
 
+  /** Starts the first of the units, and others like it if they are single tasks, on workers that may be gone only if there is no room elsewhere. Returns how many have started. */
+  function startWhereSure (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
+    const start = units[0]?.size === 1 ? startTasks : startGang
+    const sure = doubtful.size === 0 ? permitted : new Map([...permitted].filter(([worker]) => !doubtful.has(worker)))
+    const started = start(units, sure, freeCapacity)
+    return started > 0 || sure.size === permitted.size ? started : start(units, permitted, freeCapacity)
+  }
+
   /** Starts as many of the tasks as there is room for, and returns their number. */
   function startTasks (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
     const [first] = units as [Unit]
@@ -255,7 +268,8 @@
   }
 
   /** Returns 1 if the gang has started, otherwise 0. */
-  function startGang (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
+  function startGang (units: readonly Unit[], permitted: FreeCapacity, freeCapacity: FreeCapacity): number {
+    const [unit] = units as [Unit]
     const places = countPermitted(unit) < unit.size ? undefined : tryPlace(unit, permitted, rules)
     if (places === undefined) return 0
     startPlaced(unit, places, permitted, freeCapacity)
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -82,6 +82,8 @@
   needsReports (workerId: string): boolean
   /** The runs, by allocation key, of which a start request to the worker is under way, or has got no answer and may still be carried out. */
   getUncertainRuns (workerId: string): ReadonlySet<string>
+  /** Tells whether the worker may be gone: a start request has got no answer, and the worker has answered nothing since. */
+  isInDoubt (workerId: string): boolean
 }
 
 /** A stop is sent again when the end has not been reported within this, in ms, beyond the time that a stop may take. */
@@ -121,7 +123,7 @@
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
 
-  return { planAttempt, dispatchPlanned, stopAttempt, preemptAttempt, cancelJob, restoreAttempts, onReport, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports, getUncertainRuns: startRequests.getUncertainRuns }
+  return { planAttempt, dispatchPlanned, stopAttempt, preemptAttempt, cancelJob, restoreAttempts, onReport, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports, getUncertainRuns: startRequests.getUncertainRuns, isInDoubt: workerId => startRequests.getDoubtedSinceMs(workerId) !== undefined }
 
   function getMembers (workerId: string): Set<Member> {
     let members = membersByWorker.get(workerId)
@@ -172,6 +174,7 @@
       const evacuated = attempt.members.find(({ workerId }) => isDomainEvacuated(workerId))
       if (evacuated !== undefined) preventStart(evacuated, evacuatedReason)
       else if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) beginStop(attempt, 'a planned worker is no longer usable')
+      else if (attempt.members.some(({ workerId }) => isDoubtedSince(workerId, attempt.plannedAtMs))) beginStop(attempt, 'a planned worker has left another start without an answer')
       else if (hasCapacity(attempt)) dispatch(attempt)
       else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) beginStop(attempt, 'the capacity of a planned worker has shrunk')
     }
@@ -191,6 +194,11 @@
     return worker !== undefined && isUsable(worker)
   }
 
+  /** An attempt that was planned before the worker was in doubt may have room elsewhere. */
+  function isDoubtedSince (workerId: string, sinceMs: number): boolean {
+    return (startRequests.getDoubtedSinceMs(workerId) ?? -Infinity) > sinceMs
+  }
+
   function isDomainEvacuated (workerId: string): boolean {
     return host.getWorker(workerId)?.isDomainEvacuated === true
   }
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -226,6 +226,7 @@
     getOrganisations: () => host.getConfiguration()?.organisations ?? [],
     runTimes,
     getSpeed: worker => speeds.getSpeed(getMachineId(worker.info.workerId), performance.now()),
+    isInDoubt: controller.isInDoubt,
     reclaimMs: host.bounds.reclaimMs,
     stopMs: host.bounds.stopMs,
     costSettings: host.bounds.costSettings ?? defaultCostSettings,
--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -38,9 +38,11 @@
   start (member: Member): Promise<void>
   /** Tells whether a start request to the worker has got no answer and may still be carried out. */
   hasUnanswered (workerId: string): boolean
+  /** Since when the worker may be gone, by the monotonic clock: the first start request that got no answer since the worker last answered any request; undefined if there is none. */
+  getDoubtedSinceMs (workerId: string): number | undefined
   /** The runs, by allocation key, that have not ended, and of which a start request to the worker is under way, or has got no answer and may still be carried out. */
   getUncertainRuns (workerId: string): ReadonlySet<string>
-  /** Excludes late starts of runs that have ended, if another incarnation of the worker reports than the one that excluded them. */
+  /** Must be called with each report of a worker. Excludes late starts of runs that have ended, if another incarnation of the worker reports than the one that excluded them. */
   onReport (workerId: string, incarnationMs: number): void
 }
 
@@ -60,8 +62,10 @@
   const unansweredByWorker = new Map<string, UnansweredStart[]>()
   /** The members of which a start request is under way. */
   const awaitingAnswer = new Set<Member>()
+  /** When the first start request got no answer, by the workers that have answered nothing since. */
+  const doubtedSinceMs = new Map<string, number>()
 
-  return { start, hasUnanswered: workerId => getUnanswered(workerId).length > 0, getUncertainRuns, onReport }
+  return { start, hasUnanswered: workerId => getUnanswered(workerId).length > 0, getDoubtedSinceMs: workerId => doubtedSinceMs.get(workerId), getUncertainRuns, onReport }
 
   async function start (member: Member): Promise<void> {
     for (let tries = 1; ; tries++) {
@@ -113,6 +117,7 @@
         ticket: host.getTicket(member)
       })
       member.unansweredStarts--
+      doubtedSinceMs.delete(workerId)
       if (clockMs !== undefined) link.checkClock(clockMs)
       if (answer === StartResult.Started) member.runningIncarnationMs ??= incarnationMs
       // The run cannot start any more in this incarnation; the next report shows whether it has run.
@@ -125,6 +130,7 @@
         member.unansweredStarts--
         return 'unsent'
       }
+      if (!doubtedSinceMs.has(workerId)) doubtedSinceMs.set(workerId, performance.now())
       for (const otherId of unansweredByWorker.keys()) getUnanswered(otherId)
       unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxRequestDelayMs, incarnationMs }])
       return 'lost'
@@ -172,6 +178,7 @@
   }
 
   function onReport (workerId: string, incarnationMs: number): void {
+    doubtedSinceMs.delete(workerId)
     for (const unanswered of getUnanswered(workerId)) {
       if (unanswered.member.state === MemberState.Ended && unanswered.incarnationMs !== incarnationMs) void exclude(unanswered, incarnationMs)
     }
--- a/src/runs/unansweredStarts.test.ts
+++ b/src/runs/unansweredStarts.test.ts
@@ -80,3 +80,31 @@
   expect(isAtWork()).toBe(true)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// Starts went on to a worker that had left one without an answer, up to the end of the poll that was waiting there, and each of these jobs waited for a lease.
+test('no more starts are sent to a worker that has left one without an answer while there is room elsewhere', async () => {
+  const workerId = await loseWorkerDuringStart(6_000)
+  await run(100)
+  for (let index = 0; index < 6; index++) {
+    await submit(makeJob(`c${index}`, 'batch', [makeStep()]))
+    await run(100)
+    expect(harness.poolState.running.get(`c${index}.0.0.0`)?.length).toBe(1)
+  }
+  expect(harness.poolState.running.get('c0.0.0.0')?.[0]?.workerId).not.toBe(workerId)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Guards against workers that are left unused: one answer that is lost does not show that the worker is gone.
+test('a worker that has left a start without an answer gets work again once it has answered, and at once if there is no room elsewhere', async () => {
+  harness = createPoolHarness({ workers: 2, workersPerRack: 1, maxLeaseMs: 6_000, getRun: () => ({ workMs: 60_000, how: EndKind.Done }) })
+  harness.addHost('host-0')
+  await run(40_000)
+  harness.workers.get('worker-0')?.delayStarts(3, 60_000)
+  await submit(makeJob('a', 'batch', [makeStep({ requiredLabel: 'rack-0' })]))
+  await submit(makeJob('b', 'batch', [makeStep({ requiredLabel: 'rack-0' })]))
+  await run(100)
+  expect(harness.poolState.running.get('b.0.0.0')?.length).toBe(1)
+  await run(2_000)
+  expect(harness.poolState.running.get('a.0.0.0')?.length).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
