Later terms wait no longer for a start without an answer than the term that sent it

A job whose own start got no answer, from a worker that was gone, stood for up to a second longer than a whole lease after each end of a term: the next term waited until the record of the one before was gone, or for a whole lease from its own start.

Cause: the record named such runs without saying when their leases end, although the term that wrote it knew: the longest lease after the latest order.

The record has a second timer for these runs. A later term takes them for over with it, when the term that sent the start would have done so itself, and no sooner. Programs that do not know the field wait for the whole record as before.

--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -70,9 +70,10 @@
   areEarlierLeasesOver (workerId: string): boolean
   /**
    * Records that the leases of these workers, also those of earlier terms, have certainly ended in `leasesLeftMs`, but for those of uncertain runs. They are
-   * granted none until `include` has resolved. Returns the workers, by id, that were not excluded before.
+   * granted none until `include` has resolved. Those of uncertain runs have certainly ended in `uncertainLeftMs`, or with the record if it is not given. Returns the
+   * workers, by id, that were not excluded before.
    */
-  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[]
+  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[]
   isExcluded (workerId: string): boolean
   /** Resolves when the stored record does not exclude the worker any more, or at the end of the term. */
   include (workerId: string): Promise<void>
@@ -120,7 +121,8 @@
 /** The most workers that a record excludes: up to 150 KB, which a link of 7 Mbit/s carries in 0.2 s. */
 const maxExcluded = 2_000
 
-const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean() })
+/** `uncertainTimer` is the key of the timer with which the leases of uncertain runs end. Programs that do not know it wait for the whole record. */
+const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean(), uncertainTimer: z.optional(z.string()) })
 /**
  * `silentWorkers` lists workers by the key of a timer: a key under a lease of the store, which the store removes when the leases of these workers have ended.
  * Programs that do not know the field wait for the whole record. Earlier versions write `silent`, and only for workers without uncertain runs.
@@ -145,6 +147,8 @@
 /** A worker that was excluded while its leases lasted. */
 interface ExcludedWorker extends SilentWorker {
   readonly group: SilentGroup
+  /** Ends with the leases of its uncertain runs; undefined if these are waited for with the record. */
+  readonly uncertainGroup: SilentGroup | undefined
   /** A record has been sent that says that its leases have ended, whatever becomes of the timer. */
   isRecordedAsEnded: boolean
 }
@@ -299,12 +303,14 @@
       return new Map()
     }
     const { excluded, silent = {}, silentWorkers } = record.data
-    const isOver = ([timerKey]: readonly [string, unknown]): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
+    const isTimerOver = (timerKey: string): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
+    const isOver = ([timerKey]: readonly [string, unknown]): boolean => isTimerOver(timerKey)
     return new Map<string, Exclusion>([
       // Those that earlier versions exclude may have had leases that have ended.
       ...excluded.map(workerId => [workerId, { uncertainRuns: [], ...silentWorkers === undefined ? { isLifeKnown: false } : {} }] as const),
       ...Object.entries(silent).filter(isOver).flatMap(([, workerIds]) => workerIds.map(workerId => [workerId, { uncertainRuns: [], isLifeKnown: false }] as const)),
-      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers))
+      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers)).map(([workerId, { uncertainRuns, isLifeKnown, uncertainTimer }]) =>
+        [workerId, { uncertainRuns: uncertainTimer !== undefined && isTimerOver(uncertainTimer) ? [] : uncertainRuns, isLifeKnown }] as const)
     ])
   }
 
@@ -417,23 +423,32 @@
       if (included.has(workerId)) continue
       if (worker === undefined) withoutLease.push(workerId)
       else {
-        const { group, uncertainRuns, isLifeKnown } = worker
-        const timerKey = group.leasesEndAtMs <= nowMs ? getTimerPrefix(ownKey) + endedTimer : group.isTimerStored ? group.timer?.key : undefined
+        const { group, uncertainGroup, uncertainRuns, isLifeKnown } = worker
+        const timerKey = getTimerKey(group, nowMs)
+        const uncertainTimer = uncertainGroup === undefined ? undefined : getTimerKey(uncertainGroup, nowMs)
         if (group.leasesEndAtMs <= nowMs) worker.isRecordedAsEnded = true
-        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown }
+        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown, ...uncertainTimer === undefined ? {} : { uncertainTimer } }
       }
     }
     const record: EncodedRecord = { excluded: withoutLease, silentWorkers }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
 
+  /** The key that goes away when the leases of the group have ended; undefined while it is not stored. */
+  function getTimerKey (group: SilentGroup, nowMs: number): string | undefined {
+    if (group.leasesEndAtMs <= nowMs) return getTimerPrefix(ownKey) + endedTimer
+    return group.isTimerStored ? group.timer?.key : undefined
+  }
+
   // Exclusions
 
-  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[] {
-    const group: SilentGroup = { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
+  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[] {
+    const group = createSilentGroup(leasesLeftMs)
+    const uncertainGroup = uncertainLeftMs === undefined ? undefined : createSilentGroup(uncertainLeftMs)
     const added = workers.filter(({ workerId }) => mayExclude(workerId)).slice(0, maxExcluded - excluded.size)
-    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, isRecordedAsEnded: false })
+    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, uncertainGroup: worker.uncertainRuns.length > 0 ? uncertainGroup : undefined, isRecordedAsEnded: false })
     if (added.length > 0) void grantTimer(group)
+    if (uncertainGroup !== undefined) void grantTimer(uncertainGroup)
     return added.map(({ workerId }) => workerId)
   }
 
@@ -468,7 +483,7 @@
 
   /** The groups of which a worker is excluded and is not to be included. */
   function getSilentGroups (): ReadonlySet<SilentGroup> {
-    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : worker.group))
+    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : [worker.group, ...worker.uncertainGroup === undefined ? [] : [worker.uncertainGroup]]))
   }
 
   async function include (workerId: string): Promise<void> {
@@ -539,6 +554,10 @@
   }
 }
 
+function createSilentGroup (leasesLeftMs: number): SilentGroup {
+  return { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
+}
+
 /** For how long a lease of the store certainly does not expire yet, in ms; 0 or less if it may have. */
 function getLeaseValidForMs ({ ttlMs, confirmedAt }: RecordLease): number {
   return ttlMs - leaseMarginMs - getElapsedMs(confirmedAt)
