The lease of a young worker is not waited for anew in each of a series of terms

A worker that had restarted within the last 31 s (35 s where workers grant 10 s) left shortly before the end of a term. Each later term waited for a whole lease from its own start, also when the record of the term that had used the worker was gone.

Cause: a term does not know whether orders for the life before count for a young life, and only the entry of a worker that was recorded as silent told it. The term that has used the worker knows.

The record names the young lives of workers with runs that have answered its term and that no order of this term for another life can reach. Later terms judge by such a life as by an old one. The statement belongs to the life, by its start, and stays true; a term passes it on for workers to which it has granted nothing. At most 256 lives, 10 KB.

Tests "the lease of a young worker that left just before the end of a term is waited for once" (three) failed before. A test with a late start for the life before and a series of terms guards against two runs; it fails if every young life is named.

--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -52,9 +52,10 @@
 export interface GrantRecord {
   /**
    * Has the record stored. `getUnanswered` returns the workers that have not answered this term, so that it has granted them no lease; they are granted none until
-   * `include` has resolved. Resolves when the record is stored, or at the end of the term. A term that ends before it is called leaves no record.
+   * `include` has resolved. `getKnownLives` returns young lives of workers, by their starts as Unix time in ms, for which no order for an earlier life counts any more.
+   * Resolves when the record is stored, or at the end of the term. A term that ends before it is called leaves no record.
    */
-  open (getUnanswered: () => readonly string[]): Promise<void>
+  open (getUnanswered: () => readonly string[], getKnownLives?: () => ReadonlyMap<string, number>): Promise<void>
   /** Tells whether the record is stored. No lease may be granted before. */
   isStored (): boolean
   /** The longest lease that the worker may be granted now, in ms; 0 if none. */
@@ -66,6 +67,8 @@
   getMaxRenewalMs (workerId: string): number
   /** Returns undefined if leases that earlier terms have granted to the worker may last, for other runs than those that they have recorded as uncertain. */
   getEndedLeases (workerId: string): EndedLeases | undefined
+  /** Tells whether an earlier term has recorded that no order for an earlier life of the worker can count for the leases of this one. */
+  isLifeKnown (workerId: string, bornAtMs: number): boolean
   /** Tells whether all leases that earlier terms have granted to the worker have certainly ended; false if that is not known. */
   areEarlierLeasesOver (workerId: string): boolean
   /**
@@ -120,6 +123,8 @@
 const endedTimer = '0'
 /** The most workers that a record excludes: up to 150 KB, which a link of 7 Mbit/s carries in 0.2 s. */
 const maxExcluded = 2_000
+/** The most young lives that a record names as known: up to 10 KB, which is written each 500 ms while so many workers are young. */
+const maxKnownLives = 256
 
 /** `uncertainTimer` is the key of the timer with which the leases of uncertain runs end. Programs that do not know it wait for the whole record. */
 const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean(), uncertainTimer: z.optional(z.string()) })
@@ -130,7 +135,8 @@
 const recordSchema = z.object({
   excluded: z.array(z.string()),
   silent: z.optional(z.record(z.string(), z.array(z.string()))),
-  silentWorkers: z.optional(z.record(z.string(), z.record(z.string(), silentSchema)))
+  silentWorkers: z.optional(z.record(z.string(), z.record(z.string(), silentSchema))),
+  knownLives: z.optional(z.record(z.string(), z.number()))
 })
 type EncodedRecord = z.infer<typeof recordSchema>
 /** The reference names the term that has created it and its lease. */
@@ -191,6 +197,9 @@
   let isGrantingLease = false
   let createdReference: TransactionWrite | undefined
   let getUnanswered: (() => readonly string[]) | undefined
+  let getKnownLives: () => ReadonlyMap<string, number> = () => new Map()
+  /** The young lives that records of earlier terms have named as known; it stays true when these have gone away. */
+  const earlierKnownLives = new Map<string, number>()
   let isStored = false
   /** The excluded workers, by id; undefined for those that this term has granted no lease. */
   const excluded = new Map<string, ExcludedWorker | undefined>()
@@ -202,15 +211,16 @@
   term.signal.addEventListener('abort', onTermEnded, { once: true })
   void start()
 
-  return { open, isStored: () => isStored, getMaxGrantMs, getMaxRenewalMs, getEndedLeases, areEarlierLeasesOver, excludeSilent, isExcluded: workerId => excluded.has(workerId), include, describe }
+  return { open, isStored: () => isStored, getMaxGrantMs, getMaxRenewalMs, getEndedLeases, areEarlierLeasesOver, excludeSilent, isExcluded: workerId => excluded.has(workerId), isLifeKnown: (workerId, bornAtMs) => earlierKnownLives.get(workerId) === bornAtMs, include, describe }
 
   function onTermEnded (): void {
     logger.info('the record of granted leases is not renewed any more', { epoch: term.epoch, isStored, validForMs: Math.round(getValidForMs()) })
     written.notify()
   }
 
-  async function open (getUnansweredNow: () => readonly string[]): Promise<void> {
+  async function open (getUnansweredNow: () => readonly string[], getKnownLivesNow: () => ReadonlyMap<string, number> = () => new Map()): Promise<void> {
     getUnanswered = getUnansweredNow
+    getKnownLives = getKnownLivesNow
     written.notify()
     while (!isStored && !term.signal.aborted) await written.wait()
   }
@@ -290,7 +300,9 @@
     hasReference = (tryDecodeReference(reference)?.epoch ?? Infinity) < term.epoch
     if (hadReference && !hasReference) logger.warn('the store has dropped its leases; it is not known how long earlier terms have granted leases')
     const keys = new Set(items.map(({ key }) => key))
-    earlierExclusions = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).map(item => decodeExclusions(item, keys))
+    const records = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).sort((left, right) => left.createdRevision - right.createdRevision)
+    earlierExclusions = records.map(item => decodeExclusions(item, keys))
+    for (const [workerId, bornAtMs] of records.flatMap(decodeKnownLives)) earlierKnownLives.set(workerId, bornAtMs)
     host.onEarlierChanged()
     return { reference, revision }
   }
@@ -314,6 +326,10 @@
     ])
   }
 
+  function decodeKnownLives ({ value }: StoredItem): readonly (readonly [string, number])[] {
+    return Object.entries(recordSchema.safeParse(tryParseJson(value)).data?.knownLives ?? {})
+  }
+
   // Storing
 
   /** Stores the record of this term, and the reference if there is none. */
@@ -430,7 +446,10 @@
         if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown, ...uncertainTimer === undefined ? {} : { uncertainTimer } }
       }
     }
-    const record: EncodedRecord = { excluded: withoutLease, silentWorkers }
+    // What earlier terms knew holds for those to which this one has granted nothing.
+    const inheritedLives = withoutLease.flatMap(workerId => earlierKnownLives.has(workerId) ? [[workerId, earlierKnownLives.get(workerId) as number] as const] : [])
+    const knownLives = Object.fromEntries([...inheritedLives, ...getKnownLives()].slice(0, maxKnownLives))
+    const record: EncodedRecord = { excluded: withoutLease, silentWorkers, ...Object.keys(knownLives).length === 0 ? {} : { knownLives } }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
 
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -110,6 +110,26 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// The same where it left shortly before, so that no record named it: each of a series of terms waited for a whole lease from its own start.
+test.each([1, 2, 3])('the lease of a young worker that left just before the end of a term is waited for once (%i takeovers more)', async takeovers => {
+  await restartHarness()
+  for (const workerId of harness.workers.keys()) harness.restartWorker(workerId)
+  await run(1_000)
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(3_000)
+  const goneAtMs = performance.now()
+  harness.crashWorker(getRunningOn('a.0.0.0'), { awayMs: goneMs, keepsId: false })
+  await run(100)
+  for (let term = 0; term <= takeovers; term++) {
+    harness.hosts.get(`host-${term}`)?.crash()
+    harness.addHost(`host-${term + 1}`)
+    await run(3_500)
+  }
+  const recordEndsAtMs = goneAtMs + 100 + getLongestDurationMs(maxLeaseMs) + 1_000
+  await waitForState('a', JobState.Complete, Math.max(0, recordEndsAtMs - performance.now()) + 2_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // The same with terms in series: each knows for itself which of its leases have ended.
 test('a job does not wait beyond the lease of a worker that was silent before the second of two terms ended', async () => {
   harness.hosts.get('host-0')?.crash()
@@ -332,6 +352,29 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// Guards against two runs at once: the same where a series of terms follows at once, of which the first reads the record of the term that sent the order.
+test('a lease that a late start for an earlier life extends counts for the runs of the later life in a series of terms', async () => {
+  await restartHarness(2)
+  harness.setListed('worker-1', false)
+  await run(20_000)
+  harness.workers.get('worker-0')?.delayStarts(3, 6_000, true)
+  await submit(makeJob('b', 'batch', [makeStep()]))
+  await run(200)
+  harness.restartWorker('worker-0')
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(2_000)
+  expect(getRunningOn('a.0.0.0')).toBe('worker-0')
+  cutOff('worker-0')
+  harness.setListed('worker-1', true)
+  for (let term = 0; term < 2; term++) {
+    harness.hosts.get(`host-${term}`)?.crash()
+    harness.addHost(`host-${term + 1}`)
+    await run(4_000)
+  }
+  await run(20_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // Guards against two runs at once: a later life carries out an order of an earlier term for the life before, and then answers this term, so that its lease lasts longer than was asked for.
 test.each([0, 500, 2_000])('a lease that a late start of an earlier term extends just before a later life answers counts for its runs (behind a cut from %i ms on)', async answeredMs => {
   await restartHarness(2)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -254,7 +254,7 @@
     for (const job of table.getAll()) pool.addUnlisted(job)
     controller.restoreAttempts(table.getAll())
     await waitForFirstAnswers()
-    const stored = grants.open(pool.getUnanswered).then(pool.wakeLinks)
+    const stored = grants.open(pool.getUnanswered, pool.getKnownLives).then(pool.wakeLinks)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
     // Before that no lease can be granted, so that start requests could not be sent.
     await stored
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -28,7 +28,7 @@
   /** Tells whether the worker's lease may be extended through other hosts: stops are not relayed, so what is to be stopped ends with its lease. */
   readonly mayExtendThroughPeers?: (workerId: string) => boolean
   /** What this term and earlier ones have recorded about the leases that they have granted. */
-  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getMaxRenewalMs' | 'getEndedLeases' | 'excludeSilent' | 'isExcluded' | 'include'>
+  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getMaxRenewalMs' | 'getEndedLeases' | 'isLifeKnown' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
   readonly isWorkerListCurrent: () => boolean
   /** How long the store has answered this host without interruption, in ms. */
@@ -71,6 +71,8 @@
   describeUnanswered (): object
   /** The ids of the workers that hold members and have not answered yet, so that this term has granted them no lease. */
   getUnanswered (): readonly string[]
+  /** The young lives of workers with members, by their starts as Unix time in ms, for which no order for an earlier life counts any more. */
+  getKnownLives (): ReadonlyMap<string, number>
   /** Records when the leases of workers that hold runs and do not answer will have ended, so that a later term need not wait longer. */
   recordSilent (): void
   /** Must be called when leases may be granted that could not be granted before. */
@@ -165,7 +167,7 @@
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
 
-  return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
+  return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, getKnownLives, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
 
   function hasMembers (workerId: string): boolean {
     return host.getMembers(workerId).size > 0
@@ -188,6 +190,14 @@
     return [...links].flatMap(([workerId, link]) => !link.isSettled() && !granted.has(workerId) && hasMembers(workerId) ? workerId : [])
   }
 
+  function getKnownLives (): ReadonlyMap<string, number> {
+    return new Map([...workers.values()].flatMap(({ info }) => {
+      const link = links.get(info.workerId)
+      const isKnown = isYoung(info) && hasMembers(info.workerId) && link?.hasReported() === true && link.getBornAtMs() === info.bornAtMs && !link.mayFollowEarlierOrders()
+      return isKnown ? [[info.workerId, info.bornAtMs] as const] : []
+    }))
+  }
+
   function recordSilent (): void {
     const nowMs = performance.now()
     if (nowMs - silentRecordedAtMs < silentRecordPeriodMs) return
@@ -397,7 +407,8 @@
   function isOnlyLife ({ info, isListed }: WorkerState): boolean {
     const isMissing = !isListed || info.address === ''
     if (isMissing && Math.max(performance.now() - startedAtMs, host.getStoreContactMs()) < entryReturnMs) return false
-    return host.isWorkerListCurrent() && !isYoung(info) && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
+    if (isYoung(info) && !host.grants.isLifeKnown(info.workerId, info.bornAtMs)) return false
+    return host.isWorkerListCurrent() && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
   /** Tells whether orders that were sent to the life before this one may count for its leases. */
