--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -52,9 +52,10 @@
 export interface GrantRecord {
   /**
    * Has the record stored. `getUnanswered` returns the workers that have not answered this term, so that it has granted them no lease; they are granted none until
-   * `include` has resolved. Resolves when the record is stored, or at the end of the term. A term that ends before it is called leaves no record.
+   * `include` has resolved. `getKnownLives` returns young lives of workers, by their starts as Unix time in ms, for which no order for an earlier life counts any more.
+   * Resolves when the record is stored, or at the end of the term. A term that ends before it is called leaves no record.
    */
-  open (getUnanswered: () => readonly string[]): Promise<void>
+  open (getUnanswered: () => readonly string[], getKnownLives?: () => ReadonlyMap<string, number>): Promise<void>
   /** Tells whether the record is stored. No lease may be granted before. */
   isStored (): boolean
   /** The longest lease that the worker may be granted now, in ms; 0 if none. */
@@ -66,13 +67,16 @@
   getMaxRenewalMs (workerId: string): number
   /** Returns undefined if leases that earlier terms have granted to the worker may last, for other runs than those that they have recorded as uncertain. */
   getEndedLeases (workerId: string): EndedLeases | undefined
+  /** Tells whether an earlier term has recorded that no order for an earlier life of the worker can count for the leases of this one. */
+  isLifeKnown (workerId: string, bornAtMs: number): boolean
   /** Tells whether all leases that earlier terms have granted to the worker have certainly ended; false if that is not known. */
   areEarlierLeasesOver (workerId: string): boolean
   /**
    * Records that the leases of these workers, also those of earlier terms, have certainly ended in `leasesLeftMs`, but for those of uncertain runs. They are
-   * granted none until `include` has resolved. Returns the workers, by id, that were not excluded before.
+   * granted none until `include` has resolved. Those of uncertain runs have certainly ended in `uncertainLeftMs`, or with the record if it is not given. Returns the
+   * workers, by id, that were not excluded before.
    */
-  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[]
+  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[]
   isExcluded (workerId: string): boolean
   /** Resolves when the stored record does not exclude the worker any more, or at the end of the term. */
   include (workerId: string): Promise<void>
@@ -119,8 +123,11 @@
 const endedTimer = '0'
 /** The most workers that a record excludes: up to 150 KB, which a link of 7 Mbit/s carries in 0.2 s. */
 const maxExcluded = 2_000
+/** The most young lives that a record names as known: up to 10 KB, which is written each 500 ms while so many workers are young. */
+const maxKnownLives = 256
 
-const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean() })
+/** `uncertainTimer` is the key of the timer with which the leases of uncertain runs end. Programs that do not know it wait for the whole record. */
+const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean(), uncertainTimer: z.optional(z.string()) })
 /**
  * `silentWorkers` lists workers by the key of a timer: a key under a lease of the store, which the store removes when the leases of these workers have ended.
  * Programs that do not know the field wait for the whole record. Earlier versions write `silent`, and only for workers without uncertain runs.
@@ -128,7 +135,8 @@
 const recordSchema = z.object({
   excluded: z.array(z.string()),
   silent: z.optional(z.record(z.string(), z.array(z.string()))),
-  silentWorkers: z.optional(z.record(z.string(), z.record(z.string(), silentSchema)))
+  silentWorkers: z.optional(z.record(z.string(), z.record(z.string(), silentSchema))),
+  knownLives: z.optional(z.record(z.string(), z.number()))
 })
 type EncodedRecord = z.infer<typeof recordSchema>
 /** The reference names the term that has created it and its lease. */
@@ -145,6 +153,8 @@
 /** A worker that was excluded while its leases lasted. */
 interface ExcludedWorker extends SilentWorker {
   readonly group: SilentGroup
+  /** Ends with the leases of its uncertain runs; undefined if these are waited for with the record. */
+  readonly uncertainGroup: SilentGroup | undefined
   /** A record has been sent that says that its leases have ended, whatever becomes of the timer. */
   isRecordedAsEnded: boolean
 }
@@ -187,6 +197,9 @@
   let isGrantingLease = false
   let createdReference: TransactionWrite | undefined
   let getUnanswered: (() => readonly string[]) | undefined
+  let getKnownLives: () => ReadonlyMap<string, number> = () => new Map()
+  /** The young lives that records of earlier terms have named as known; it stays true when these have gone away. */
+  const earlierKnownLives = new Map<string, number>()
   let isStored = false
   /** The excluded workers, by id; undefined for those that this term has granted no lease. */
   const excluded = new Map<string, ExcludedWorker | undefined>()
@@ -198,15 +211,16 @@
   term.signal.addEventListener('abort', onTermEnded, { once: true })
   void start()
 
-  return { open, isStored: () => isStored, getMaxGrantMs, getMaxRenewalMs, getEndedLeases, areEarlierLeasesOver, excludeSilent, isExcluded: workerId => excluded.has(workerId), include, describe }
+  return { open, isStored: () => isStored, getMaxGrantMs, getMaxRenewalMs, getEndedLeases, areEarlierLeasesOver, excludeSilent, isExcluded: workerId => excluded.has(workerId), isLifeKnown: (workerId, bornAtMs) => earlierKnownLives.get(workerId) === bornAtMs, include, describe }
 
   function onTermEnded (): void {
     logger.info('the record of granted leases is not renewed any more', { epoch: term.epoch, isStored, validForMs: Math.round(getValidForMs()) })
     written.notify()
   }
 
-  async function open (getUnansweredNow: () => readonly string[]): Promise<void> {
+  async function open (getUnansweredNow: () => readonly string[], getKnownLivesNow: () => ReadonlyMap<string, number> = () => new Map()): Promise<void> {
     getUnanswered = getUnansweredNow
+    getKnownLives = getKnownLivesNow
     written.notify()
     while (!isStored && !term.signal.aborted) await written.wait()
   }
@@ -286,7 +300,9 @@
     hasReference = (tryDecodeReference(reference)?.epoch ?? Infinity) < term.epoch
     if (hadReference && !hasReference) logger.warn('the store has dropped its leases; it is not known how long earlier terms have granted leases')
     const keys = new Set(items.map(({ key }) => key))
-    earlierExclusions = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).map(item => decodeExclusions(item, keys))
+    const records = items.filter(({ key }) => key !== ownKey && isRecordKey(key)).sort((left, right) => left.createdRevision - right.createdRevision)
+    earlierExclusions = records.map(item => decodeExclusions(item, keys))
+    for (const [workerId, bornAtMs] of records.flatMap(decodeKnownLives)) earlierKnownLives.set(workerId, bornAtMs)
     host.onEarlierChanged()
     return { reference, revision }
   }
@@ -299,15 +315,21 @@
       return new Map()
     }
     const { excluded, silent = {}, silentWorkers } = record.data
-    const isOver = ([timerKey]: readonly [string, unknown]): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
+    const isTimerOver = (timerKey: string): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
+    const isOver = ([timerKey]: readonly [string, unknown]): boolean => isTimerOver(timerKey)
     return new Map<string, Exclusion>([
       // Those that earlier versions exclude may have had leases that have ended.
       ...excluded.map(workerId => [workerId, { uncertainRuns: [], ...silentWorkers === undefined ? { isLifeKnown: false } : {} }] as const),
       ...Object.entries(silent).filter(isOver).flatMap(([, workerIds]) => workerIds.map(workerId => [workerId, { uncertainRuns: [], isLifeKnown: false }] as const)),
-      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers))
+      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers)).map(([workerId, { uncertainRuns, isLifeKnown, uncertainTimer }]) =>
+        [workerId, { uncertainRuns: uncertainTimer !== undefined && isTimerOver(uncertainTimer) ? [] : uncertainRuns, isLifeKnown }] as const)
     ])
   }
 
+  function decodeKnownLives ({ value }: StoredItem): readonly (readonly [string, number])[] {
+    return Object.entries(recordSchema.safeParse(tryParseJson(value)).data?.knownLives ?? {})
+  }
+
   // Storing
 
   /** Stores the record of this term, and the reference if there is none. */
@@ -417,23 +439,35 @@
       if (included.has(workerId)) continue
       if (worker === undefined) withoutLease.push(workerId)
       else {
-        const { group, uncertainRuns, isLifeKnown } = worker
-        const timerKey = group.leasesEndAtMs <= nowMs ? getTimerPrefix(ownKey) + endedTimer : group.isTimerStored ? group.timer?.key : undefined
+        const { group, uncertainGroup, uncertainRuns, isLifeKnown } = worker
+        const timerKey = getTimerKey(group, nowMs)
+        const uncertainTimer = uncertainGroup === undefined ? undefined : getTimerKey(uncertainGroup, nowMs)
         if (group.leasesEndAtMs <= nowMs) worker.isRecordedAsEnded = true
-        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown }
+        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown, ...uncertainTimer === undefined ? {} : { uncertainTimer } }
       }
     }
-    const record: EncodedRecord = { excluded: withoutLease, silentWorkers }
+    // What earlier terms knew holds for those to which this one has granted nothing.
+    const inheritedLives = withoutLease.flatMap(workerId => earlierKnownLives.has(workerId) ? [[workerId, earlierKnownLives.get(workerId) as number] as const] : [])
+    const knownLives = Object.fromEntries([...inheritedLives, ...getKnownLives()].slice(0, maxKnownLives))
+    const record: EncodedRecord = { excluded: withoutLease, silentWorkers, ...Object.keys(knownLives).length === 0 ? {} : { knownLives } }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
 
+  /** The key that goes away when the leases of the group have ended; undefined while it is not stored. */
+  function getTimerKey (group: SilentGroup, nowMs: number): string | undefined {
+    if (group.leasesEndAtMs <= nowMs) return getTimerPrefix(ownKey) + endedTimer
+    return group.isTimerStored ? group.timer?.key : undefined
+  }
+
   // Exclusions
 
-  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[] {
-    const group: SilentGroup = { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
+  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[] {
+    const group = createSilentGroup(leasesLeftMs)
+    const uncertainGroup = uncertainLeftMs === undefined ? undefined : createSilentGroup(uncertainLeftMs)
     const added = workers.filter(({ workerId }) => mayExclude(workerId)).slice(0, maxExcluded - excluded.size)
-    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, isRecordedAsEnded: false })
+    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, uncertainGroup: worker.uncertainRuns.length > 0 ? uncertainGroup : undefined, isRecordedAsEnded: false })
     if (added.length > 0) void grantTimer(group)
+    if (uncertainGroup !== undefined) void grantTimer(uncertainGroup)
     return added.map(({ workerId }) => workerId)
   }
 
@@ -468,7 +502,7 @@
 
   /** The groups of which a worker is excluded and is not to be included. */
   function getSilentGroups (): ReadonlySet<SilentGroup> {
-    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : worker.group))
+    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : [worker.group, ...worker.uncertainGroup === undefined ? [] : [worker.uncertainGroup]]))
   }
 
   async function include (workerId: string): Promise<void> {
@@ -539,6 +573,10 @@
   }
 }
 
+function createSilentGroup (leasesLeftMs: number): SilentGroup {
+  return { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
+}
+
 /** For how long a lease of the store certainly does not expire yet, in ms; 0 or less if it may have. */
 function getLeaseValidForMs ({ ttlMs, confirmedAt }: RecordLease): number {
   return ttlMs - leaseMarginMs - getElapsedMs(confirmedAt)
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -167,6 +167,7 @@
     isWorkerListCurrent: host.isWorkerListCurrent,
     getStoreContactMs: host.getStoreContactMs,
     getMembers: workerId => controller.getMembers(workerId),
+    hasRestoredMembers: workerId => [...controller.getMembers(workerId)].some(({ attempt }) => attempt.isRestored),
     needsReports: workerId => controller.needsReports(workerId),
     getUncertainRuns: workerId => controller.getUncertainRuns(workerId),
     getPollWaitMs: workerId => health.getPollWaitMs(workerId, controller.getMembers(workerId), performance.now()),
@@ -227,6 +228,7 @@
     getOrganisations: () => host.getConfiguration()?.organisations ?? [],
     runTimes,
     getSpeed: worker => speeds.getSpeed(getMachineId(worker.info.workerId), performance.now()),
+    isInDoubt: controller.isInDoubt,
     reclaimMs: host.bounds.reclaimMs,
     stopMs: host.bounds.stopMs,
     costSettings: host.bounds.costSettings ?? defaultCostSettings,
@@ -254,7 +256,7 @@
     for (const job of table.getAll()) pool.addUnlisted(job)
     controller.restoreAttempts(table.getAll())
     await waitForFirstAnswers()
-    const stored = grants.open(pool.getUnanswered).then(pool.wakeLinks)
+    const stored = grants.open(pool.getUnanswered, pool.getKnownLives).then(pool.wakeLinks)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
     // Before that no lease can be granted, so that start requests could not be sent.
     await stored
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -28,7 +28,7 @@
   /** Tells whether the worker's lease may be extended through other hosts: stops are not relayed, so what is to be stopped ends with its lease. */
   readonly mayExtendThroughPeers?: (workerId: string) => boolean
   /** What this term and earlier ones have recorded about the leases that they have granted. */
-  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getMaxRenewalMs' | 'getEndedLeases' | 'excludeSilent' | 'isExcluded' | 'include'>
+  readonly grants: Pick<GrantRecord, 'getMaxGrantMs' | 'getMaxRenewalMs' | 'getEndedLeases' | 'isLifeKnown' | 'excludeSilent' | 'isExcluded' | 'include'>
   /** Tells whether the list of workers shows the lives that are known now. */
   readonly isWorkerListCurrent: () => boolean
   /** How long the store has answered this host without interruption, in ms. */
@@ -37,6 +37,8 @@
   readonly getMembers: (workerId: string) => ReadonlySet<Pick<Member, 'bornAtMs'>>
   /** Tells whether the worker's reports are needed: it has members, or a start request without an answer may still be carried out there. */
   readonly needsReports: (workerId: string) => boolean
+  /** Tells whether an earlier term has started a member on the worker that has not ended. */
+  readonly hasRestoredMembers: (workerId: string) => boolean
   /** The runs, by allocation key, of which a start request may still be carried out on the worker, also by a later life of which nothing is known. */
   readonly getUncertainRuns: (workerId: string) => ReadonlySet<string>
   /** How long the next poll of the worker may wait, in ms, if the usual time is too long. */
@@ -71,6 +73,8 @@
   describeUnanswered (): object
   /** The ids of the workers that hold members and have not answered yet, so that this term has granted them no lease. */
   getUnanswered (): readonly string[]
+  /** The young lives of workers with members, by their starts as Unix time in ms, for which no order for an earlier life counts any more. */
+  getKnownLives (): ReadonlyMap<string, number>
   /** Records when the leases of workers that hold runs and do not answer will have ended, so that a later term need not wait longer. */
   recordSilent (): void
   /** Must be called when leases may be granted that could not be granted before. */
@@ -156,7 +160,7 @@
   /** The workers that did not answer at the last check of reachability. */
   let unansweringWorkers = Infinity
   let silentRecordedAtMs = -Infinity
-  /** The silent workers that the record does not name because none of their runs is certain to end with their leases. */
+  /** The silent workers that the record does not name because they have too many uncertain runs. */
   let leftOut: ReadonlySet<string> = new Set()
   const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
   const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
@@ -165,7 +169,7 @@
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
 
-  return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
+  return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, getKnownLives, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
 
   function hasMembers (workerId: string): boolean {
     return host.getMembers(workerId).size > 0
@@ -188,11 +192,19 @@
     return [...links].flatMap(([workerId, link]) => !link.isSettled() && !granted.has(workerId) && hasMembers(workerId) ? workerId : [])
   }
 
+  function getKnownLives (): ReadonlyMap<string, number> {
+    return new Map([...workers.values()].flatMap(({ info }) => {
+      const link = links.get(info.workerId)
+      const isKnown = isYoung(info) && hasMembers(info.workerId) && link?.hasReported() === true && link.getBornAtMs() === info.bornAtMs && !link.mayFollowEarlierOrders()
+      return isKnown ? [[info.workerId, info.bornAtMs] as const] : []
+    }))
+  }
+
   function recordSilent (): void {
     const nowMs = performance.now()
     if (nowMs - silentRecordedAtMs < silentRecordPeriodMs) return
     const found = [...links].filter(([workerId, link]) => link.getSilentForMs() >= minSilenceMs && hasMembers(workerId) && !host.grants.isExcluded(workerId)).map(describeSilent)
-    const silent = found.filter(({ workerId, uncertainRuns }) => uncertainRuns.length < host.getMembers(workerId).size && uncertainRuns.length <= maxRecordedRuns)
+    const silent = found.filter(({ uncertainRuns }) => uncertainRuns.length <= maxRecordedRuns)
     logLeftOut(found.filter(worker => !silent.includes(worker)).map(({ workerId }) => workerId))
     if (silent.length === 0) return
     silentRecordedAtMs = nowMs
@@ -209,7 +221,8 @@
   function excludeSilent (silent: readonly SilentWorker[]): void {
     if (silent.length === 0) return
     const leasesLeftMs = Math.max(...silent.map(({ workerId }) => getSettledLeaseLeftMs(workerId)))
-    const excluded = host.grants.excludeSilent(silent, leasesLeftMs)
+    const uncertainLeftMs = silent.filter(worker => worker.uncertainRuns.length > 0).map(({ workerId }) => links.get(workerId)?.getLeaseLeftMs(RunScope.All) ?? 0)
+    const excluded = host.grants.excludeSilent(silent, leasesLeftMs, uncertainLeftMs.length === 0 ? undefined : Math.max(...uncertainLeftMs))
     if (excluded.length === 0) return
     const uncertainRuns = silent.reduce((sum, worker) => sum + worker.uncertainRuns.length, 0)
     const earlierLives = silent.filter(({ isLifeKnown }) => !isLifeKnown).length
@@ -217,14 +230,16 @@
   }
 
   function describeSilent ([workerId, link]: readonly [string, WorkerLink]): SilentWorker {
-    const isLifeKnown = areEarlierOrdersOver() && !link.mayFollowEarlierOrders()
+    // This term does not know of which runs that it has taken over earlier ones have left starts without an answer, which a later life may carry out.
+    const areStartsKnown = areEarlierOrdersOver() || !host.hasRestoredMembers(workerId)
+    const isLifeKnown = areStartsKnown && !link.mayFollowEarlierOrders()
     return { workerId, uncertainRuns: [...host.getUncertainRuns(workerId)], isLifeKnown }
   }
 
   function logLeftOut (workerIds: readonly string[]): void {
     const added = workerIds.filter(workerId => !leftOut.has(workerId))
     leftOut = new Set(workerIds)
-    if (added.length > 0) logger.info('workers that do not answer are left out of the record: starts have got no answer', { workers: added.length, workerIds: added.slice(0, maxLoggedWorkers) })
+    if (added.length > 0) logger.info('workers that do not answer are left out of the record: too many starts have got no answer', { workers: added.length, workerIds: added.slice(0, maxLoggedWorkers) })
   }
 
   function wakeLinks (): void {
@@ -323,7 +338,8 @@
       port: connect(info),
       maxLeaseMs: host.maxLeaseMs,
       requestedLeaseMs: host.requestedLeaseMs,
-      hasEarlierOrders: granted.has(info.workerId) || (!areEarlierOrdersOver() && isYoung(info)),
+      hasEarlierOrders: granted.has(info.workerId),
+      hasOrdersOfEarlierTerms: !areEarlierOrdersOver() && isYoung(info),
       areEarlierOrdersOver,
       hasUncertainRuns: () => host.getUncertainRuns(info.workerId).size > 0,
       getMaxGrantMs: () => Math.min(host.requestedLeaseMs, host.grants.getMaxGrantMs(info.workerId)),
@@ -401,7 +417,8 @@
   function isOnlyLife ({ info, isListed }: WorkerState): boolean {
     const isMissing = !isListed || info.address === ''
     if (isMissing && Math.max(performance.now() - startedAtMs, host.getStoreContactMs()) < entryReturnMs) return false
-    return host.isWorkerListCurrent() && !isYoung(info) && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
+    if (isYoung(info) && !host.grants.isLifeKnown(info.workerId, info.bornAtMs)) return false
+    return host.isWorkerListCurrent() && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
   /** Tells whether orders that were sent to the life before this one may count for its leases. */
