--- a/src/runs/grantRecord.test.ts
+++ b/src/runs/grantRecord.test.ts
@@ -127,24 +127,6 @@
   expect(third.record.areEarlierLeasesOver('w')).toBe(true)
 })
 
-// The leases of uncertain runs were waited for with the whole record, for longer than by the term that had sent the starts.
-test('the leases of uncertain runs end with a timer of their own', async () => {
-  const first = await startTerm('host-0')
-  await run(100)
-  first.record.excludeSilent([{ workerId: 'w', uncertainRuns: ['t#2'], isLifeKnown: true }], 1_000, 3_000)
-  await run(500)
-  first.ending.abort()
-  const second = await startTerm('host-1', { unansweredIds: ['w'] })
-  await run(1_000)
-  expect(second.record.getEndedLeases('w')).toEqual({ uncertainRuns: new Set(['t#2']), isLifeKnown: true })
-  second.ending.abort()
-  const third = await startTerm('host-2')
-  await run(1_400)
-  expect(third.record.areEarlierLeasesOver('w')).toBe(false)
-  await run(500)
-  expect(third.record.getEndedLeases('w')).toEqual({ uncertainRuns: new Set(), isLifeKnown: true })
-})
-
 // Guards against a life that only the first of two terms knew.
 test('the life of a worker counts as known only if every term that has granted it a lease knows it', async () => {
   const first = await startTerm('host-0')
--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -73,10 +73,9 @@
   areEarlierLeasesOver (workerId: string): boolean
   /**
    * Records that the leases of these workers, also those of earlier terms, have certainly ended in `leasesLeftMs`, but for those of uncertain runs. They are
-   * granted none until `include` has resolved. Those of uncertain runs have certainly ended in `uncertainLeftMs`, or with the record if it is not given. Returns the
-   * workers, by id, that were not excluded before.
+   * granted none until `include` has resolved. Returns the workers, by id, that were not excluded before.
    */
-  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[]
+  excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[]
   isExcluded (workerId: string): boolean
   /** Resolves when the stored record does not exclude the worker any more, or at the end of the term. */
   include (workerId: string): Promise<void>
@@ -126,8 +125,7 @@
 /** The most young lives that a record names as known: up to 10 KB, which is written each 500 ms while so many workers are young. */
 const maxKnownLives = 256
 
-/** `uncertainTimer` is the key of the timer with which the leases of uncertain runs end. Programs that do not know it wait for the whole record. */
-const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean(), uncertainTimer: z.optional(z.string()) })
+const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean() })
 /**
  * `silentWorkers` lists workers by the key of a timer: a key under a lease of the store, which the store removes when the leases of these workers have ended.
  * Programs that do not know the field wait for the whole record. Earlier versions write `silent`, and only for workers without uncertain runs.
@@ -153,8 +151,6 @@
 /** A worker that was excluded while its leases lasted. */
 interface ExcludedWorker extends SilentWorker {
   readonly group: SilentGroup
-  /** Ends with the leases of its uncertain runs; undefined if these are waited for with the record. */
-  readonly uncertainGroup: SilentGroup | undefined
   /** A record has been sent that says that its leases have ended, whatever becomes of the timer. */
   isRecordedAsEnded: boolean
 }
@@ -315,14 +311,12 @@
       return new Map()
     }
     const { excluded, silent = {}, silentWorkers } = record.data
-    const isTimerOver = (timerKey: string): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
-    const isOver = ([timerKey]: readonly [string, unknown]): boolean => isTimerOver(timerKey)
+    const isOver = ([timerKey]: readonly [string, unknown]): boolean => !existingKeys.has(timerKey) && timerKey.startsWith(getTimerPrefix(key))
     return new Map<string, Exclusion>([
       // Those that earlier versions exclude may have had leases that have ended.
       ...excluded.map(workerId => [workerId, { uncertainRuns: [], ...silentWorkers === undefined ? { isLifeKnown: false } : {} }] as const),
       ...Object.entries(silent).filter(isOver).flatMap(([, workerIds]) => workerIds.map(workerId => [workerId, { uncertainRuns: [], isLifeKnown: false }] as const)),
-      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers)).map(([workerId, { uncertainRuns, isLifeKnown, uncertainTimer }]) =>
-        [workerId, { uncertainRuns: uncertainTimer !== undefined && isTimerOver(uncertainTimer) ? [] : uncertainRuns, isLifeKnown }] as const)
+      ...Object.entries(silentWorkers ?? {}).filter(isOver).flatMap(([, workers]) => Object.entries(workers))
     ])
   }
 
@@ -439,11 +433,10 @@
       if (included.has(workerId)) continue
       if (worker === undefined) withoutLease.push(workerId)
       else {
-        const { group, uncertainGroup, uncertainRuns, isLifeKnown } = worker
-        const timerKey = getTimerKey(group, nowMs)
-        const uncertainTimer = uncertainGroup === undefined ? undefined : getTimerKey(uncertainGroup, nowMs)
+        const { group, uncertainRuns, isLifeKnown } = worker
+        const timerKey = group.leasesEndAtMs <= nowMs ? getTimerPrefix(ownKey) + endedTimer : group.isTimerStored ? group.timer?.key : undefined
         if (group.leasesEndAtMs <= nowMs) worker.isRecordedAsEnded = true
-        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown, ...uncertainTimer === undefined ? {} : { uncertainTimer } }
+        if (timerKey !== undefined) (silentWorkers[timerKey] ??= {})[workerId] = { uncertainRuns: [...uncertainRuns], isLifeKnown }
       }
     }
     // What earlier terms knew holds for those to which this one has granted nothing.
@@ -453,21 +446,13 @@
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
 
-  /** The key that goes away when the leases of the group have ended; undefined while it is not stored. */
-  function getTimerKey (group: SilentGroup, nowMs: number): string | undefined {
-    if (group.leasesEndAtMs <= nowMs) return getTimerPrefix(ownKey) + endedTimer
-    return group.isTimerStored ? group.timer?.key : undefined
-  }
-
   // Exclusions
 
-  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number, uncertainLeftMs?: number): readonly string[] {
-    const group = createSilentGroup(leasesLeftMs)
-    const uncertainGroup = uncertainLeftMs === undefined ? undefined : createSilentGroup(uncertainLeftMs)
+  function excludeSilent (workers: readonly SilentWorker[], leasesLeftMs: number): readonly string[] {
+    const group: SilentGroup = { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
     const added = workers.filter(({ workerId }) => mayExclude(workerId)).slice(0, maxExcluded - excluded.size)
-    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, uncertainGroup: worker.uncertainRuns.length > 0 ? uncertainGroup : undefined, isRecordedAsEnded: false })
+    for (const worker of added) excluded.set(worker.workerId, { ...worker, group, isRecordedAsEnded: false })
     if (added.length > 0) void grantTimer(group)
-    if (uncertainGroup !== undefined) void grantTimer(uncertainGroup)
     return added.map(({ workerId }) => workerId)
   }
 
@@ -502,7 +487,7 @@
 
   /** The groups of which a worker is excluded and is not to be included. */
   function getSilentGroups (): ReadonlySet<SilentGroup> {
-    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : [worker.group, ...worker.uncertainGroup === undefined ? [] : [worker.uncertainGroup]]))
+    return new Set([...excluded].flatMap(([workerId, worker]) => worker === undefined || included.has(workerId) ? [] : worker.group))
   }
 
   async function include (workerId: string): Promise<void> {
@@ -573,10 +558,6 @@
   }
 }
 
-function createSilentGroup (leasesLeftMs: number): SilentGroup {
-  return { leasesEndAtMs: performance.now() + leasesLeftMs, isTimerStored: false, isTimerConfirmed: false, isTimerExtending: false }
-}
-
 /** For how long a lease of the store certainly does not expire yet, in ms; 0 or less if it may have. */
 function getLeaseValidForMs ({ ttlMs, confirmedAt }: RecordLease): number {
   return ttlMs - leaseMarginMs - getElapsedMs(confirmedAt)
--- a/src/runs/unansweredStarts.test.ts
+++ b/src/runs/unansweredStarts.test.ts
@@ -4,7 +4,6 @@
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
-import { getLongestDurationMs } from './workerLease.js'
 
 /** Source of the bound: the platform's rules (LOST) count a job that stands for 3 s after 4 s without disturbances. */
 const replacementLimitMs = 7_000
@@ -13,8 +12,6 @@
 /** A term that is shorter than a takeover, with the election before it, in ms. */
 const shortTermMs = 1_200
 const goneMs = 3_600_000
-/** A run is replaced within this after its lease has ended, in ms: the timers of leases have a margin, and a takeover may be under way. */
-const replacementMs = 1_000
 const task = 'a.0.0.0'
 let harness: PoolHarness
 const { run, submit } = createPoolSteps(() => harness)
@@ -84,56 +81,6 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
-// The term that sent the start waits for the longest lease from then. Later ones waited until the record of that term was gone, or for a whole lease anew.
-test.each([[6_000, 1, false], [10_000, 1, false], [10_000, 3, false], [10_000, 2, true]])('later terms wait no longer for a run whose own start has no answer than the term that sent it (workers grant %i ms, %i takeovers, beside other runs: %j)', async (maxLeaseMs, takeovers, hasOtherRuns) => {
-  harness = createPoolHarness({ workers: 2, maxLeaseMs, getRun: () => ({ workMs: 60_000, how: EndKind.Done }) })
-  harness.addHost('host-0')
-  harness.setListed('worker-1', false)
-  await run(40_000)
-  if (hasOtherRuns) await submit(makeJob('b', 'batch', [makeStep()]))
-  await run(1_000)
-  harness.workers.get('worker-0')?.delayStarts(3, 60_000)
-  await submit(makeJob('a', 'batch', [makeStep()]))
-  await run(100)
-  const sentAtMs = harness.orders.at(-1)?.atMs ?? 0
-  harness.crashWorker('worker-0', { awayMs: goneMs, keepsId: false })
-  harness.setListed('worker-1', true)
-  await run(getLongestDurationMs(maxLeaseMs) / 2)
-  for (let term = 0; term < takeovers; term++) {
-    harness.hosts.get(`host-${term}`)?.crash()
-    harness.addHost(`host-${term + 1}`)
-    await run(shortTermMs)
-  }
-  await run(sentAtMs + getLongestDurationMs(maxLeaseMs) - 50 - performance.now())
-  expect(isAtWork()).toBe(false)
-  await run(replacementMs)
-  expect(isAtWork()).toBe(true)
-  expect(harness.poolState.violations).toEqual([])
-})
-
-// Guards against two runs at once: a life that no host sees carries the start out at once, with the longest lease, on a slow clock.
-test.each([2_500, 5_000, 9_000])('a run whose start a hidden life has carried out is not started again by the next term while its lease lasts (takeover after %i ms)', async takeoverAfterMs => {
-  harness = createPoolHarness({ workers: 2, maxLeaseMs: 10_000, getRun: () => ({ workMs: 60_000, how: EndKind.Done }) })
-  harness.addHost('host-0')
-  harness.setListed('worker-1', false)
-  await run(40_000)
-  const worker = harness.workers.get('worker-0')
-  worker?.delayStarts(3, 100, true)
-  await submit(makeJob('a', 'batch', [makeStep()]))
-  worker?.restart()
-  worker?.setClockRate(0.98)
-  worker?.setUnreachable(true)
-  harness.setCutFromStore('worker-0', true)
-  harness.setListed('worker-1', true)
-  await run(takeoverAfterMs)
-  expect(harness.poolState.running.get(task)).toEqual([{ workerId: 'worker-0', run: 1 }])
-  harness.hosts.get('host-0')?.crash()
-  harness.addHost('host-1')
-  await run(20_000)
-  expect(harness.poolState.running.get(task)?.[0]?.workerId).toBe('worker-1')
-  expect(harness.poolState.violations).toEqual([])
-})
-
 // Starts went on to a worker that had left one without an answer, up to the end of the poll that was waiting there, and each of these jobs waited for a lease.
 test('no more starts are sent to a worker that has left one without an answer while there is room elsewhere', async () => {
   const workerId = await loseWorkerDuringStart(6_000)
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -158,7 +158,7 @@
   /** The workers that did not answer at the last check of reachability. */
   let unansweringWorkers = Infinity
   let silentRecordedAtMs = -Infinity
-  /** The silent workers that the record does not name because they have too many uncertain runs. */
+  /** The silent workers that the record does not name because none of their runs is certain to end with their leases. */
   let leftOut: ReadonlySet<string> = new Set()
   const [, lastButOneMs = -Infinity] = term.stoodDownAtMs ?? []
   const resignAfterMs = performance.now() - lastButOneMs < handOverPeriodMs ? Math.max(unreachableLimitMs, leasesPerHandOver * host.maxLeaseMs) : unreachableLimitMs
@@ -202,7 +202,7 @@
     const nowMs = performance.now()
     if (nowMs - silentRecordedAtMs < silentRecordPeriodMs) return
     const found = [...links].filter(([workerId, link]) => link.getSilentForMs() >= minSilenceMs && hasMembers(workerId) && !host.grants.isExcluded(workerId)).map(describeSilent)
-    const silent = found.filter(({ uncertainRuns }) => uncertainRuns.length <= maxRecordedRuns)
+    const silent = found.filter(({ workerId, uncertainRuns }) => uncertainRuns.length < host.getMembers(workerId).size && uncertainRuns.length <= maxRecordedRuns)
     logLeftOut(found.filter(worker => !silent.includes(worker)).map(({ workerId }) => workerId))
     if (silent.length === 0) return
     silentRecordedAtMs = nowMs
@@ -219,8 +219,7 @@
   function excludeSilent (silent: readonly SilentWorker[]): void {
     if (silent.length === 0) return
     const leasesLeftMs = Math.max(...silent.map(({ workerId }) => getSettledLeaseLeftMs(workerId)))
-    const uncertainLeftMs = silent.filter(worker => worker.uncertainRuns.length > 0).map(({ workerId }) => links.get(workerId)?.getLeaseLeftMs(RunScope.All) ?? 0)
-    const excluded = host.grants.excludeSilent(silent, leasesLeftMs, uncertainLeftMs.length === 0 ? undefined : Math.max(...uncertainLeftMs))
+    const excluded = host.grants.excludeSilent(silent, leasesLeftMs)
     if (excluded.length === 0) return
     const uncertainRuns = silent.reduce((sum, worker) => sum + worker.uncertainRuns.length, 0)
     const earlierLives = silent.filter(({ isLifeKnown }) => !isLifeKnown).length
@@ -237,7 +236,7 @@
   function logLeftOut (workerIds: readonly string[]): void {
     const added = workerIds.filter(workerId => !leftOut.has(workerId))
     leftOut = new Set(workerIds)
-    if (added.length > 0) logger.info('workers that do not answer are left out of the record: too many starts have got no answer', { workers: added.length, workerIds: added.slice(0, maxLoggedWorkers) })
+    if (added.length > 0) logger.info('workers that do not answer are left out of the record: starts have got no answer', { workers: added.length, workerIds: added.slice(0, maxLoggedWorkers) })
   }
 
   function wakeLinks (): void {
