Test: a run that is late hides the end of another one on its worker

Only the first expected end of a worker counts, and the pause between inquiries doubles: while one run is late, a second one that ends is not asked for at its own time.

--- a/src/runs/inquiriesInPool.test.ts
+++ b/src/runs/inquiriesInPool.test.ts
@@ -4,7 +4,7 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
 import { EndKind } from '../jobs/jobModel.js'
-import type { WorkerPort } from '../workers/workerPort.js'
+import type { LeaseRenewal, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
@@ -14,6 +14,8 @@
 const startTimeoutMs = 450
 /** Source of the bound: the platform's rules (LOST) count a job that stands for 3 s after 4 s without disturbances. */
 const replacementLimitMs = 7_000
+/** A worker that lists an end leaves after this time, in ms: the time for which an end was listed on the day of the report. */
+const listedForMs = 475
 const goneMs = 3_600_000
 const task = 'a.0.0.0'
 let harness: PoolHarness
@@ -30,6 +32,20 @@
   jest.useRealTimers()
 })
 
+/** Wraps the port of a worker so that the answers to the selected requests for a report are lost. */
+function loseAnswers (port: WorkerPort, isLost: (renewal: LeaseRenewal, report: WorkerStatusReport) => boolean): WorkerPort {
+  return {
+    ...port,
+    renewLease: async renewal => {
+      const sentAtMs = performance.now()
+      const report = await port.renewLease(renewal)
+      if (!isLost(renewal, report)) return report
+      await delay(renewal.waitMs + (renewal.answerTimeoutMs ?? answerTimeoutMs) - (performance.now() - sentAtMs))
+      throw createError(ErrorKind.AnswerLost, 'the poll got no response')
+    }
+  }
+}
+
 /** Wraps the port of a worker so that a request without an answer is given up after its whole time. */
 function waitForTimeouts (port: WorkerPort): WorkerPort {
   return {
@@ -139,3 +155,30 @@
   expect(harness.poolState.running.get(task) ?? []).toHaveLength(1)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// The same while another run on the worker is late: only the first of the ends that are due is asked for, with longer pauses each time, and it hides the other one.
+test.failing.each([5_200, 5_400])('the end of a run of %i ms is read although another run on its worker is late and the poll gets no answer', async workMs => {
+  harness = createPoolHarness({
+    workers: 4,
+    workersPerRack: 1,
+    maxLeaseMs: 6_000,
+    getRun: name => ({ workMs: name === task ? workMs : 60_000, how: EndKind.Done }),
+    onEnd: end => { if (end.task === task) setTimeout(() => { harness.crashWorker(end.workerId, { awayMs: goneMs, keepsId: false }) }, listedForMs) },
+    interceptWorker: (_hostId, _workerId, port) => {
+      const lossy = loseAnswers(port, ({ waitMs }, { ended }) => waitMs > 0 && ended.length > 0)
+      return {
+        ...lossy,
+        renewLease: async renewal => {
+          const report = await lossy.renewLease(renewal)
+          // The fill task is paced down shortly before its end.
+          return { ...report, running: report.running.map(reported => reported.task === 'z.0.0.0' ? { ...reported, progressPercent: Math.min(95, 40 * reported.progressPercent) } : reported) }
+        }
+      }
+    }
+  })
+  harness.addHost('host-0')
+  await run(3_000)
+  await submit(makeJob('z', 'batch', [makeStep({ requiredLabel: 'rack-0', estimateMs: 4_000, isFill: true })]), makeJob('a', 'batch', [makeStep({ requiredLabel: 'rack-0', estimateMs: workMs }), makeStep({ after: [0] })]))
+  await run(workMs + listedForMs + 1_000)
+  expect(harness.poolState.starts.get('a.0.1.0')).toBe(1)
+})
