--- a/src/runs/inquiries.test.ts
+++ b/src/runs/inquiries.test.ts
@@ -146,6 +146,22 @@
   expect(notedAtMs - restartedAtMs).toBeLessThan(3_000)
 })
 
+// Guards against more calls on quiet days: a fill task that is paced down, or a run that has slowed down, should have ended at each poll anew, and is asked for four
+// times beside each.
+test.failing('a run that makes no progress costs at most as many inquiries as polls', async () => {
+  let polls = 0
+  let inquiries = 0
+  createLink(async ({ waitMs, isConcurrent = false }: LeaseRenewal) => {
+    if (isConcurrent) inquiries++
+    else polls++
+    await delay(5 + waitMs)
+    return createReport([])
+  }, { getExpectedEndMs: () => 1_000 })
+  await run(60_000)
+  expect(polls).toBeGreaterThan(30)
+  expect(inquiries).toBeLessThanOrEqual(polls)
+})
+
 /** Requests over one set of connections: a request without an answer in time closes them, and the next one opens a connection first. */
 function createConnections (roundTripMs: number): (timeoutMs: number, waitMs: number, signal?: AbortSignal) => Promise<void> {
   let isOpen = true
