--- a/src/runs/inquiries.test.ts
+++ b/src/runs/inquiries.test.ts
@@ -162,6 +162,28 @@
   expect(inquiries).toBeLessThanOrEqual(polls)
 })
 
+// Guards against an end that a host has received and does not read: the answer to an inquiry was dropped when the poll beside it had failed meanwhile.
+test.failing('the answer to an inquiry is applied although its poll has failed meanwhile', async () => {
+  const read: EndedRun[] = []
+  let polls = 0
+  let lostAtMs = Infinity
+  let inquiries = 0
+  createLink(async ({ waitMs, answerTimeoutMs = usualAnswerTimeoutMs, isConcurrent = false }: LeaseRenewal) => {
+    const isLost = !isConcurrent && polls++ >= 2
+    if (isLost) lostAtMs = Math.min(lostAtMs, performance.now())
+    if (isLost || (isConcurrent && inquiries++ > 0)) return await loseAnswer(waitMs + answerTimeoutMs)
+    await delay(isConcurrent ? 100 : 5 + waitMs)
+    return createReport(isConcurrent ? [end] : [])
+  }, { onReport: async ({ ended }) => { read.push(...ended) } })
+  while (lostAtMs === Infinity) await run(10)
+  await run(1_940)
+  // The answer comes after 2,000 ms, when the time of the poll is over.
+  link.inquire()
+  await run(3_000)
+  expect(inquiries).toBeGreaterThan(0)
+  expect(read).not.toEqual([])
+})
+
 /** Requests over one set of connections: a request without an answer in time closes them, and the next one opens a connection first. */
 function createConnections (roundTripMs: number): (timeoutMs: number, waitMs: number, signal?: AbortSignal) => Promise<void> {
   let isOpen = true
