--- a/src/model/findings.ts
+++ b/src/model/findings.ts
@@ -1,4 +1,4 @@
-/** Selects the findings that matter of an exploration of the lease model. */
+/** Selects the findings that matter of an exploration. */
 import type { TracedFinding } from './explorer.js'
 import { Invariant } from './leaseModel.js'
 
@@ -10,10 +10,19 @@
     .sort((a, b) => a.class < b.class ? -1 : 1)
 }
 
+/** Leaves out each finding of a rule that is counted in steps whose causes include all causes of another one that is as severe. Ordered by class. */
+export function getWorstFindings (findings: ReadonlyMap<string, TracedFinding>, counted: readonly string[]): TracedFinding[] {
+  const all = [...findings.values()]
+  const getRule = (finding: TracedFinding): string => finding.class.slice(0, finding.class.indexOf(': '))
+  const isCovered = (finding: TracedFinding, by: TracedFinding): boolean => by !== finding && getRule(by) === getRule(finding) && by.maxSteps >= finding.maxSteps &&
+    getCauses(by).every(cause => getCauses(finding).includes(cause))
+  return all.filter(finding => !counted.includes(getRule(finding)) || !all.some(other => isCovered(finding, other))).sort((a, b) => a.class < b.class ? -1 : 1)
+}
+
 function isLost (finding: TracedFinding): boolean {
   return finding.class.startsWith(`${Invariant.Lost}: `)
 }
 
 function getCauses (finding: TracedFinding): readonly string[] {
-  return finding.class.slice(`${Invariant.Lost}: `.length).split(' + ')
+  return finding.class.slice(finding.class.indexOf(': ') + 2).split(' + ')
 }
--- /dev/null
+++ b/src/model/readingPolicies.ts
@@ -0,0 +1,159 @@
+/**
+ * How a scheduler reads the ends of runs that a worker lists, as pure functions of what its link to the worker knows: when it polls, when it sends a second request
+ * beside a poll under way, and what it acknowledges. Used by the end model (docs/design/end-model.md). All durations are in steps of `stepMs`.
+ */
+
+/** The length of a step of the end model, in ms. A few round trips between regions fit into it. */
+export const stepMs = 250
+
+/** What the link of a term knows when it decides. */
+export interface LinkEvidence {
+  /** The poll under way: the steps since it was sent, and how long it waits for an end at the worker; undefined if there is none. */
+  readonly poll: { readonly age: number, readonly wait: number } | undefined
+  /** Whether a second request is under way. */
+  readonly isLookUnderWay: boolean
+  /** Steps since the latest second request was sent; `ageLimit` at most. */
+  readonly lookSentAge: number
+  /** Whether a run that is not known to have ended should have ended by its progress. */
+  readonly isEndExpected: boolean
+  /** Whether all ends that were read are known to be stored. */
+  readonly areEndsStored: boolean
+  /** Steps since the latest answer to a poll; `ageLimit` at most. */
+  readonly reportAge: number
+  /** Whether the latest report that was read lists ends. */
+  readonly areEndsListed: boolean
+  /** Polls that have failed since the last answer. */
+  readonly failedPolls: number
+  /** The highest sequence number up to which all ends of the known life that were read are stored. */
+  readonly storedSequence: number
+}
+
+/** A second request beside a poll. */
+export interface Look {
+  /** How long it waits for an end at the worker. */
+  readonly wait: number
+  /** Whether another host sends it. */
+  readonly isRelayed: boolean
+}
+
+/** A way to read and to store ends. */
+export interface ReadingPolicy {
+  readonly name: string
+  /** How long a poll waits for an end when the worker has answered the previous one. */
+  readonly pollWait: number
+  /** Tells whether the next poll is sent although the ends of the last report are not stored. */
+  isPollDue (evidence: LinkEvidence): boolean
+  /** The second request to send now. It acknowledges nothing. */
+  getLook (evidence: LinkEvidence): Look | undefined
+  /** What the next poll acknowledges; it is sent only over a connection on which the known life has reported. */
+  getAcknowledgedSequence (evidence: LinkEvidence): number
+  /** Steps after which a write without an answer is checked and repeated. */
+  readonly writeRetry: number
+}
+
+/** Ages are not counted beyond this. */
+export const ageLimit = 20
+/** How long a request may take beyond its wait: 500 ms. */
+export const answerSteps = 2
+/** How long the first retries may take: 150 ms. */
+export const fastAnswerSteps = 1
+/** The number of these retries. */
+export const fastRetries = 2
+/** The next poll waits this long for the store: 1 s. */
+const storeWait = 4
+/** A report is recent enough for an acknowledgement: 1 s. */
+const acknowledgementValidity = 4
+/** Failed polls after which a worker is polled through other hosts. */
+const failedPollsBeforeRelay = 2
+/** The pause between two relayed polls: 400 ms and more. */
+const relayPause = 2
+const pollWait = 6
+const shortPollWait = 2
+/** The pause between two second requests for an end that is expected: 500 ms. */
+const lookPause = 2
+
+/** As the code was before issue 61: one poll at a time, which waits for the store; relayed polls after two that have failed. */
+export const onePollPolicy: ReadingPolicy = {
+  name: 'one poll',
+  pollWait,
+  isPollDue: ({ areEndsStored, reportAge }) => areEndsStored || reportAge >= storeWait,
+  getLook: getRelayAfterFailures,
+  getAcknowledgedSequence: ({ reportAge, storedSequence }) => reportAge < acknowledgementValidity ? storedSequence : 0,
+  writeRetry: 1
+}
+
+/** As `one poll`, with the writes that were in use before confirmed writes: a lost answer shows at the time-out of the call. */
+export const plainWritesPolicy: ReadingPolicy = { ...onePollPolicy, name: 'one poll, plain writes', writeRetry: 4 }
+
+/** As `one poll`, and polls wait for 500 ms. */
+export const shortWaitPolicy: ReadingPolicy = { ...onePollPolicy, name: 'shorter waits', pollWait: shortPollWait }
+
+/** As `one poll`, and the next poll is sent at once with what is stored by then. */
+export const pollAtOncePolicy: ReadingPolicy = { ...onePollPolicy, name: 'next poll at once', isPollDue: () => true }
+
+/** A second request beside a poll when an end is expected, and beside a poll that does not wait and is late; the next poll does not wait for the store when an end is expected. */
+export const secondPollPolicy: ReadingPolicy = {
+  ...onePollPolicy,
+  name: 'second poll',
+  isPollDue: evidence => onePollPolicy.isPollDue(evidence) || evidence.isEndExpected,
+  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: false } : getRelayAfterFailures(evidence)
+}
+
+/** As `second poll`, without the change to the poll that waits for the store. */
+export const lookOnlyPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, waits for the store', isPollDue: onePollPolicy.isPollDue }
+
+/** As `second poll`, and polls wait for 500 ms. */
+export const secondPollShortWaitPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, shorter waits', pollWait: shortPollWait }
+
+/** As `second poll`, with the second request sent by another host. */
+export const relayedLookPolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'second poll through other hosts',
+  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: true } : getRelayAfterFailures(evidence)
+}
+
+/** Own and relayed second requests by turns. */
+export const alternatingLookPolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'second poll, by turns through other hosts',
+  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: (evidence.poll?.age ?? 0) % (2 * lookPause) >= lookPause } : getRelayAfterFailures(evidence)
+}
+
+/** As `second poll`, and a poll acknowledges only when the latest report lists ends, so that few polls carry an acknowledgement. */
+export const acknowledgeOncePolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'second poll, acknowledges once',
+  getAcknowledgedSequence: evidence => evidence.areEndsListed ? onePollPolicy.getAcknowledgedSequence(evidence) : 0
+}
+
+/** Two polls at any time, which both wait for an end. */
+export const twoPollsPolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'two waiting polls',
+  getLook: evidence => evidence.isLookUnderWay ? undefined : { wait: evidence.poll === undefined || evidence.areEndsListed || evidence.failedPolls > 0 ? 0 : pollWait, isRelayed: false }
+}
+
+/** All policies to compare. */
+export const readingPolicies: readonly ReadingPolicy[] = [
+  onePollPolicy,
+  plainWritesPolicy,
+  shortWaitPolicy,
+  pollAtOncePolicy,
+  lookOnlyPolicy,
+  secondPollPolicy,
+  secondPollShortWaitPolicy,
+  relayedLookPolicy,
+  alternatingLookPolicy,
+  acknowledgeOncePolicy,
+  twoPollsPolicy
+]
+
+function isLookDue ({ poll, isLookUnderWay, lookSentAge, isEndExpected }: LinkEvidence): boolean {
+  if (isLookUnderWay || poll === undefined) return false
+  if (poll.wait === 0 && poll.age > 0) return true
+  return isEndExpected && lookSentAge >= lookPause
+}
+
+function getRelayAfterFailures ({ failedPolls, isLookUnderWay, lookSentAge }: LinkEvidence): Look | undefined {
+  return failedPolls >= failedPollsBeforeRelay && !isLookUnderWay && lookSentAge >= relayPause ? { wait: 0, isRelayed: true } : undefined
+}
