--- a/src/model/endModel.ts
+++ b/src/model/endModel.ts
@@ -3,10 +3,10 @@
  * writes without an answer, terms, and lives under one id. What is modelled, and what is not, is described in docs/design/end-model.md.
  */
 import type { Choose, Finding, Model } from './explorer.js'
-import { causes, clone, createRun, createTerm, getBits, getKey, isReachable, Known, note, Phase, Work } from './endModelState.js'
+import { causes, clone, createRun, createTerm, getBits, getKey, isReachable, Known, note, Phase, RequestKind, Work } from './endModelState.js'
 import type { EndDisturbances, EndState, ReportModel, RequestModel, RunModel, TermModel } from './endModelState.js'
 import { ageLimit, answerSteps, fastAnswerSteps, fastRetries } from './readingPolicies.js'
-import type { LinkEvidence, ReadingPolicy } from './readingPolicies.js'
+import type { LinkEvidence, Look, ReadingPolicy } from './readingPolicies.js'
 
 /** A scenario to explore. */
 export interface EndScenario {
@@ -58,19 +58,30 @@
 const maxWriteDelay = 4
 /** A slow answer arrives after this many steps. */
 const slowAnswerSteps = 2
+/** The age of an answer that arrives in the step in which it is sent. */
+const immediate = -1
+
+/** Numbers of requests. */
+export interface RequestCounts {
+  readonly polls: number
+  readonly acknowledging: number
+  readonly looks: number
+}
 
 /** The model of a scenario, and the requests that the present host has sent to the worker in it. */
 export interface EndModel extends Model<EndState> {
-  /** The polls and second requests of all steps that were run so far. */
-  readonly requests: { readonly polls: number, readonly looks: number }
+  /** The polls, those of them that acknowledge ends, and the requests beside polls of all steps that were run so far. */
+  readonly requests: RequestCounts
+  /** Steps for which the end of run 0 has been listed and not read. */
+  getUnreadSteps (state: EndState): number
 }
 
 /** Creates the model of a scenario: run 0 is at work, and run 1 may be started. */
 export function createEndModel ({ policy, disturbances, lateSteps: [minLate, maxLate], areEndsUnforeseen, isProgressWrong, faults = {} }: EndScenario): EndModel {
-  const requests = { polls: 0, looks: 0 }
+  const requests = { polls: 0, acknowledging: 0, looks: 0 }
   let reportFinding: (finding: Finding) => void = () => {}
   let isBroken = false
-  return { initial: createInitial(), clone, getKey, advance, requests }
+  return { initial: createInitial(), clone, getKey, advance, requests, getUnreadSteps: ({ runs }) => (runs[0] as RunModel).unreadSteps }
 
   function createInitial (): EndState {
     return {
@@ -118,7 +129,8 @@
     if (term === undefined) return
     term.reportAge = Math.min(ageLimit, term.reportAge + 1)
     term.lookSentAge = Math.min(ageLimit, term.lookSentAge + 1)
-    for (const request of [term.poll, term.look]) {
+    term.relaySentAge = Math.min(ageLimit, term.relaySentAge + 1)
+    for (const request of [term.poll, term.look, term.relay]) {
       if (request === undefined) continue
       request.age++
       if (request.report !== undefined) request.reportAge++
@@ -146,7 +158,7 @@
         run.work = Work.Gone
         run.isListed = false
       }
-      for (const request of [state.term?.poll, state.term?.look]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
+      for (const request of [state.term?.poll, state.term?.look, state.term?.relay]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
     } else if (!state.isAlive && left.restarts > 0 && choose([['', false], ['another life begins under the id', true]])) {
       left.restarts--
       state.isAlive = true
@@ -171,7 +183,7 @@
   function carryOutLate (state: EndState, choose: Choose): void {
     for (const write of [...state.lateWrites]) {
       const isGuarded = faults.areWritesUnguarded !== true
-      if ((isGuarded && write.term !== state.term?.index) || !choose([['', false], [`a write of term ${write.term} is applied late`, true]])) continue
+      if ((isGuarded && write.term !== state.termCount) || !choose([['', false], [`a write of term ${write.term} is applied late`, true]])) continue
       state.lateWrites = state.lateWrites.filter(other => other !== write)
       store(state, write.runs)
     }
@@ -217,6 +229,7 @@
   function act (state: EndState, term: TermModel, choose: Choose): void {
     if (term.poll !== undefined) receive(state, term, term.poll, choose)
     if (term.look !== undefined) receive(state, term, term.look, choose)
+    if (term.relay !== undefined) receive(state, term, term.relay, choose)
     storeEnds(state, term, choose)
     startRun(state, term, choose)
     // A worker that lists ends answers at once, and a round trip takes far less than a step.
@@ -224,10 +237,15 @@
       sendPoll(state, term, choose)
       storeEnds(state, term, choose)
     }
-    const look = policy.getLook(getEvidence(state, term))
-    if (look === undefined || term.look !== undefined) return
-    sendLook(state, term, look.wait, look.isRelayed, choose)
-    storeEnds(state, term, choose)
+    const look = term.look === undefined ? policy.getLook(getEvidence(state, term)) : undefined
+    if (look !== undefined) {
+      term.lookSentAge = 0
+      term.look = sendBeside(state, term, RequestKind.Look, look, choose)
+    }
+    if (term.relay === undefined && policy.isRelayDue(getEvidence(state, term))) {
+      term.relaySentAge = 0
+      term.relay = sendBeside(state, term, RequestKind.Relay, { wait: 0, answer: answerSteps }, choose)
+    }
   }
 
   function startRun (state: EndState, { hasAnswered }: TermModel, choose: Choose): void {
@@ -241,11 +259,13 @@
   }
 
   function getEvidence (state: EndState, term: TermModel): LinkEvidence {
-    const { poll, look, reportAge, lookSentAge, failedPolls, areEndsListed } = term
+    const { poll, look, relay, reportAge, lookSentAge, relaySentAge, failedPolls, areEndsListed } = term
     return {
       poll: poll === undefined ? undefined : { age: poll.age, wait: poll.wait },
       isLookUnderWay: look !== undefined,
+      isRelayUnderWay: relay !== undefined,
       lookSentAge,
+      relaySentAge,
       isEndExpected: state.runs.some(({ known, work, isForeseen }) => known === Known.Running && (isProgressWrong || (work !== Work.AtWork && isForeseen))),
       areEndsStored: state.runs.every(({ known }) => known !== Known.Read),
       reportAge,
@@ -269,76 +289,73 @@
     const isConfirmedConnection = term.connectionLife !== 0 && term.connectionLife === term.knownLife && term.connectionLife === state.life
     const acknowledged = isConfirmedConnection || faults.acknowledgesOverAnyConnection === true ? policy.getAcknowledgedSequence(getEvidence(state, term)) : 0
     requests.polls++
-    term.poll = send(state, wait, wait + (isFast ? fastAnswerSteps : answerSteps), acknowledged, false, 'poll', choose)
+    if (acknowledged > 0) requests.acknowledging++
+    term.poll = send(state, { kind: RequestKind.Poll, wait, timeout: wait + (isFast ? fastAnswerSteps : answerSteps), acknowledged }, choose)
     receive(state, term, term.poll, choose)
   }
 
-  function sendLook (state: EndState, term: TermModel, wait: number, isRelayed: boolean, choose: Choose): void {
+  /** Sends a request beside the poll. Returns it if it has got no answer. */
+  function sendBeside (state: EndState, term: TermModel, kind: RequestKind, { wait, answer }: Look, choose: Choose): RequestModel | undefined {
     requests.looks++
-    term.lookSentAge = 0
-    term.look = send(state, wait, wait + answerSteps, 0, isRelayed, isRelayed ? 'relayed poll' : 'look', choose)
-    receive(state, term, term.look, choose)
+    const request = send(state, { kind, wait, timeout: wait + answer, acknowledged: 0 }, choose)
+    const isOver = receive(state, term, request, choose)
+    storeEnds(state, term, choose)
+    return isOver ? undefined : request
   }
 
-  function send (state: EndState, wait: number, timeout: number, acknowledged: number, isRelayed: boolean, what: 'poll' | 'look' | 'relayed poll', choose: Choose): RequestModel {
+  function send (state: EndState, request: Pick<RequestModel, 'kind' | 'wait' | 'timeout' | 'acknowledged'>, choose: Choose): RequestModel {
+    const { kind, acknowledged } = request
     const { left } = state
     const options: Array<readonly [string, Outcome]> = [['', Outcome.Answered]]
-    if (left.lostRequests > 0) options.push([`a ${what} is lost`, Outcome.NotExecuted])
+    if (left.lostRequests > 0) options.push([`a ${kind} is lost`, Outcome.NotExecuted])
     // What is carried out without an answer differs from a request that is lost only by what it acknowledges.
-    if (left.lostRequests > 0 && acknowledged > 0) options.push([`a ${what} is carried out, its answer is lost`, Outcome.AnswerLost])
-    if (left.lateRequests > 0) options.push([`a ${what} that acknowledges ${acknowledged} gets no answer and stays under way`, Outcome.Late])
-    const isPossible = state.isAlive && (isRelayed || !state.isCut)
+    if (left.lostRequests > 0 && acknowledged > 0) options.push([`a ${kind} is carried out, its answer is lost`, Outcome.AnswerLost])
+    if (left.lateRequests > 0) options.push([`a ${kind} that acknowledges ${acknowledged} gets no answer and stays under way`, Outcome.Late])
+    const isPossible = state.isAlive && (kind === RequestKind.Relay || !state.isCut)
     const outcome = isPossible && options.length > 1 ? choose(options) : Outcome.Answered
     if (outcome === Outcome.NotExecuted || outcome === Outcome.AnswerLost) {
       left.lostRequests--
-      note(state, `lost ${what}`)
+      note(state, `lost ${kind}`)
     }
     if (outcome === Outcome.Late) {
       left.lateRequests--
-      note(state, what === 'poll' ? 'late poll' : 'late look')
+      note(state, kind === RequestKind.Poll ? 'late poll' : 'late look')
       // Without an acknowledgement it changes nothing when it is carried out.
       if (acknowledged > 0) state.lateRequests.push({ acknowledged, term: state.term?.index ?? 0, life: state.life, age: 0 })
     }
     const isExecuted = isPossible && (outcome === Outcome.Answered || outcome === Outcome.AnswerLost)
     const isRefused = isExecuted && !execute(state, state.term?.index ?? 0, acknowledged, 'a request on time')
-    return { phase: isExecuted && !isRefused ? Phase.AtWorker : Phase.NoAnswer, age: 0, wait, timeout, acknowledged, isRelayed, isLook: what !== 'poll', isAnswerLost: outcome === Outcome.AnswerLost, report: undefined, reportAge: 0 }
+    return { ...request, phase: isExecuted && !isRefused ? Phase.AtWorker : Phase.NoAnswer, age: 0, isAnswerLost: outcome === Outcome.AnswerLost, report: undefined, reportAge: 0 }
   }
 
-  /** Advances a request: the worker answers when it lists an end or the wait is over, and the host gives up at the time-out. */
-  function receive (state: EndState, term: TermModel, request: RequestModel, choose: Choose): void {
+  /** Advances a request: the worker answers when it lists an end or the wait is over, and the host gives up at the time-out. Returns whether the request is over. */
+  function receive (state: EndState, term: TermModel, request: RequestModel, choose: Choose): boolean {
     if (request.phase === Phase.AtWorker && (request.age >= request.wait || state.runs.some(({ isListed }) => isListed))) answer(state, request, choose)
-    if (request.phase === Phase.AnswerUnderWay && request.report !== undefined && (request.reportAge >= slowAnswerSteps || request.reportAge < 0)) {
-      endRequest(term, request)
-      applyReport(state, term, request.report, request)
-    } else if (request.age >= request.timeout) {
-      endRequest(term, request)
-      if (!request.isLook) onFailure(term)
+    const report = request.phase === Phase.AnswerUnderWay && (request.reportAge >= slowAnswerSteps || request.reportAge === immediate) ? request.report : undefined
+    if (report === undefined && request.age < request.timeout) return false
+    if (request.kind === RequestKind.Look) term.look = undefined
+    else if (request.kind === RequestKind.Relay) term.relay = undefined
+    else term.poll = undefined
+    if (report !== undefined) applyReport(state, term, report, request)
+    else if (request.kind === RequestKind.Poll) {
+      term.failedPolls = Math.min(fastRetries + 1, term.failedPolls + 1)
+      term.connectionLife = 0
     }
+    return true
   }
 
   function answer (state: EndState, request: RequestModel, choose: Choose): void {
     request.phase = Phase.NoAnswer
-    if (request.isAnswerLost || (state.isCut && !request.isRelayed)) return
+    if (request.isAnswerLost || (state.isCut && request.kind !== RequestKind.Relay)) return
     request.phase = Phase.AnswerUnderWay
-    const runs = state.runs.filter(({ life }) => life === state.life)
-    request.report = { life: state.life, listed: getBits(state, run => runs.includes(run) && run.isListed), running: getBits(state, run => runs.includes(run) && run.work === Work.AtWork) }
-    const isSlow = state.left.slowAnswers > 0 && choose([['', false], [`the answer to a ${request.isLook ? 'look' : 'poll'} is slow`, true]])
-    request.reportAge = isSlow ? 0 : -1
+    request.report = { life: state.life, listed: getBits(state, run => run.life === state.life && run.isListed), running: getBits(state, run => run.life === state.life && run.work === Work.AtWork) }
+    const isSlow = state.left.slowAnswers > 0 && choose([['', false], [`the answer to a ${request.kind} is slow`, true]])
+    request.reportAge = isSlow ? 0 : immediate
     if (!isSlow) return
     state.left.slowAnswers--
     note(state, 'slow answer')
   }
 
-  function endRequest (term: TermModel, request: RequestModel): void {
-    if (request.isLook) term.look = undefined
-    else term.poll = undefined
-  }
-
-  function onFailure (term: TermModel): void {
-    term.failedPolls = Math.min(fastRetries + 1, term.failedPolls + 1)
-    term.connectionLife = 0
-  }
-
   function applyReport (state: EndState, term: TermModel, report: ReportModel, request: RequestModel): void {
     if (report.life < term.knownLife) return
     if (report.life > term.knownLife) {
@@ -346,7 +363,7 @@
       for (const run of state.runs) run.isSeen = false
     }
     term.hasAnswered = true
-    if (!request.isLook) {
+    if (request.kind === RequestKind.Poll) {
       term.failedPolls = 0
       term.reportAge = 0
       term.connectionLife = report.life
@@ -422,10 +439,15 @@
   }
 }
 
-/** The polls and second requests that a host sends in so many steps if nothing happens. */
-export function countRequests (scenario: EndScenario, steps: number): { readonly polls: number, readonly looks: number } {
+/** The requests that a host sends in so many steps if one run ends in the first one and another goes on. */
+export function countRequests (scenario: EndScenario, steps: number): RequestCounts {
   const model = createEndModel(scenario)
   const state = model.clone(model.initial)
-  for (let step = 0; step < steps; step++) model.advance(state, options => (options[0] as (typeof options)[number])[1], () => {})
+  for (let step = 0; step < steps; step++) {
+    model.advance(state, options => {
+      const wanted = step === 0 ? options.find(([label]) => label === 'run 0 ends' || label === 'run 1 is started') : undefined
+      return (wanted ?? options[0] as (typeof options)[number])[1]
+    }, () => {})
+  }
   return model.requests
 }
--- a/src/model/endModelState.ts
+++ b/src/model/endModelState.ts
@@ -24,6 +24,8 @@
 export enum Work { None, AtWork, Ended, Gone }
 /** What the present term knows of a run. */
 export enum Known { Nothing, Running, Read, Stored, Lost }
+/** A poll of the host, a second request beside it, or a request through another host. */
+export enum RequestKind { Poll = 'poll', Look = 'look', Relay = 'relayed poll' }
 /** Where a request is. */
 export enum Phase { AtWorker, NoAnswer, AnswerUnderWay }
 /** One run, as it is and as the present term knows it. */
@@ -61,9 +63,7 @@
   /** Steps after which the host gives up. */
   readonly timeout: number
   readonly acknowledged: number
-  readonly isRelayed: boolean
-  /** A second request beside the polls. */
-  readonly isLook: boolean
+  readonly kind: RequestKind
   /** The answer is lost as soon as the worker sends it. */
   readonly isAnswerLost: boolean
   /** The answer that is under way, and its age. */
@@ -100,11 +100,13 @@
   failedPolls: number
   reportAge: number
   lookSentAge: number
+  relaySentAge: number
   areEndsListed: boolean
   /** The life that has reported over the connection of the polls; 0 if none. */
   connectionLife: number
   poll: RequestModel | undefined
   look: RequestModel | undefined
+  relay: RequestModel | undefined
   write: WriteModel | undefined
 }
 
@@ -139,7 +141,7 @@
 
 /** A term that begins. */
 export function createTerm (index: number): TermModel {
-  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, write: undefined }
+  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, relaySentAge: ageLimit, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, relay: undefined, write: undefined }
 }
 
 /** Whether the host that schedules reaches the worker. */
@@ -166,7 +168,7 @@
     lateWrites: state.lateWrites.map(write => ({ ...write })),
     term: state.term === undefined
       ? undefined
-      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), write: cloneOptional(state.term.write) },
+      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), relay: cloneOptional(state.term.relay), write: cloneOptional(state.term.write) },
     left: { ...state.left }
   }
 }
@@ -192,11 +194,11 @@
   for (const { runs, term, age } of state.lateWrites) add(runs, term, age)
   add(separator)
   if (term !== undefined) {
-    add(term.index, term.knownLife, Number(term.hasAnswered), term.failedPolls, term.reportAge, term.lookSentAge, Number(term.areEndsListed), term.connectionLife)
-    for (const request of [term.poll, term.look]) {
+    add(term.index, term.knownLife, Number(term.hasAnswered), term.failedPolls, term.reportAge, term.lookSentAge, term.relaySentAge, Number(term.areEndsListed), term.connectionLife)
+    for (const request of [term.poll, term.look, term.relay]) {
       add(separator)
       if (request === undefined) continue
-      add(request.phase, request.age, request.wait, request.timeout, request.acknowledged, Number(request.isRelayed), Number(request.isAnswerLost))
+      add(request.phase, request.age, request.wait, request.timeout, request.acknowledged, Number(request.isAnswerLost))
       if (request.report !== undefined) add(request.report.life, request.report.listed, request.report.running, request.reportAge + 1)
     }
     add(separator)
--- a/src/model/endScenarios.ts
+++ b/src/model/endScenarios.ts
@@ -16,7 +16,7 @@
 export const lostRequestScenario: NamedEndScenario = { ...base, name: 'lost request', disturbances: { ...none, lostRequests: 1 }, maxDepth: 16 }
 
 /** Writes that are lost, done without an answer or done late. */
-export const lostWriteScenario: NamedEndScenario = { ...base, name: 'lost writes', disturbances: { ...none, lostWrites: 2 }, maxDepth: 14 }
+export const lostWriteScenario: NamedEndScenario = { ...base, name: 'lost writes', disturbances: { ...none, lostWrites: 4 }, maxDepth: 14 }
 
 /** An end that the progress has not shown, and a lost request. */
 export const unforeseenScenario: NamedEndScenario = { ...lostRequestScenario, name: 'unforeseen end', areEndsUnforeseen: true, maxDepth: 14 }
@@ -24,6 +24,12 @@
 /** A worker that restarts under its id, and a poll that is carried out late. */
 export const lateRequestScenario: NamedEndScenario = { ...base, name: 'late request', disturbances: { ...none, lateRequests: 1, deaths: 1, restarts: 1 }, maxDepth: 14 }
 
+/** Answers that newer ones overtake, and a lost request. */
+export const slowAnswerScenario: NamedEndScenario = { ...base, name: 'slow answers', disturbances: { ...none, lostRequests: 1, slowAnswers: 2 }, maxDepth: 13 }
+
+/** A term that ends, a lost request and a write without an answer. */
+export const takeoverScenario: NamedEndScenario = { ...base, name: 'takeover', disturbances: { ...none, lostRequests: 1, lostWrites: 1, termEnds: 1 }, maxDepth: 12 }
+
 /** All scenarios. */
 export const endScenarios: readonly NamedEndScenario[] = [
   lostRequestScenario,
@@ -31,9 +37,10 @@
   unforeseenScenario,
   lostWriteScenario,
   { ...base, name: 'lost request and write', disturbances: { ...none, lostRequests: 1, lostWrites: 1 }, maxDepth: 14 },
-  { ...base, name: 'slow answers', disturbances: { ...none, lostRequests: 1, slowAnswers: 2 }, maxDepth: 13 },
+  slowAnswerScenario,
   { ...base, name: 'cut', disturbances: { ...none, lostRequests: 1, cuts: 1 }, maxDepth: 12 },
-  { ...base, name: 'takeover', disturbances: { ...none, lostRequests: 1, lostWrites: 1, termEnds: 1 }, maxDepth: 12 },
+  takeoverScenario,
+  { ...base, name: 'takeover and restart', disturbances: { ...none, lostWrites: 1, termEnds: 1, deaths: 1, restarts: 1 }, maxDepth: 11 },
   lateRequestScenario,
   { ...base, name: 'late request and takeover', disturbances: { ...none, lateRequests: 1, termEnds: 1 }, maxDepth: 15 },
   { ...base, name: 'restart', disturbances: { ...none, slowAnswers: 1, lostRequests: 1, deaths: 1, restarts: 1 }, maxDepth: 11 }
--- a/src/model/findings.ts
+++ b/src/model/findings.ts
@@ -19,6 +19,11 @@
   return all.filter(finding => !counted.includes(getRule(finding)) || !all.some(other => isCovered(finding, other))).sort((a, b) => a.class < b.class ? -1 : 1)
 }
 
+/** The most steps of any finding of a rule; 0 if there is none. */
+export function getWorstSteps (findings: ReadonlyMap<string, TracedFinding>, rule: string): number {
+  return Math.max(0, ...[...findings.values()].filter(finding => finding.class.startsWith(`${rule}: `)).map(({ maxSteps }) => maxSteps))
+}
+
 function isLost (finding: TracedFinding): boolean {
   return finding.class.startsWith(`${Invariant.Lost}: `)
 }
--- a/src/model/readingPolicies.ts
+++ b/src/model/readingPolicies.ts
@@ -10,10 +10,12 @@
 export interface LinkEvidence {
   /** The poll under way: the steps since it was sent, and how long it waits for an end at the worker; undefined if there is none. */
   readonly poll: { readonly age: number, readonly wait: number } | undefined
-  /** Whether a second request is under way. */
+  /** Whether a second request of the host, and one through another host, are under way. */
   readonly isLookUnderWay: boolean
-  /** Steps since the latest second request was sent; `ageLimit` at most. */
+  readonly isRelayUnderWay: boolean
+  /** Steps since the latest of them were sent; `ageLimit` at most. */
   readonly lookSentAge: number
+  readonly relaySentAge: number
   /** Whether a run that is not known to have ended should have ended by its progress. */
   readonly isEndExpected: boolean
   /** Whether all ends that were read are known to be stored. */
@@ -30,10 +32,9 @@
 
 /** A second request beside a poll. */
 export interface Look {
-  /** How long it waits for an end at the worker. */
+  /** How long it waits for an end at the worker, and how long its answer may take beyond that. */
   readonly wait: number
-  /** Whether another host sends it. */
-  readonly isRelayed: boolean
+  readonly answer: number
 }
 
 /** A way to read and to store ends. */
@@ -43,8 +44,10 @@
   readonly pollWait: number
   /** Tells whether the next poll is sent although the ends of the last report are not stored. */
   isPollDue (evidence: LinkEvidence): boolean
-  /** The second request to send now. It acknowledges nothing. */
+  /** The second request to send now; none is sent while one is under way. It acknowledges nothing. */
   getLook (evidence: LinkEvidence): Look | undefined
+  /** Tells whether another host is asked to send a request that does not wait; none is sent while one is under way. It acknowledges nothing. */
+  isRelayDue (evidence: LinkEvidence): boolean
   /** What the next poll acknowledges; it is sent only over a connection on which the known life has reported. */
   getAcknowledgedSequence (evidence: LinkEvidence): number
   /** Steps after which a write without an answer is checked and repeated. */
@@ -77,7 +80,8 @@
   name: 'one poll',
   pollWait,
   isPollDue: ({ areEndsStored, reportAge }) => areEndsStored || reportAge >= storeWait,
-  getLook: getRelayAfterFailures,
+  getLook: () => undefined,
+  isRelayDue: isRelayDueAfterFailures,
   getAcknowledgedSequence: ({ reportAge, storedSequence }) => reportAge < acknowledgementValidity ? storedSequence : 0,
   writeRetry: 1
 }
@@ -96,28 +100,27 @@
   ...onePollPolicy,
   name: 'second poll',
   isPollDue: evidence => onePollPolicy.isPollDue(evidence) || evidence.isEndExpected,
-  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: false } : getRelayAfterFailures(evidence)
+  getLook: evidence => isRequestDue(evidence, evidence.lookSentAge, lookPause) ? { wait: 0, answer: answerSteps } : undefined
 }
 
 /** As `second poll`, without the change to the poll that waits for the store. */
 export const lookOnlyPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, waits for the store', isPollDue: onePollPolicy.isPollDue }
 
+/** As `second poll`, with 250 ms for the answer and between two second requests. */
+export const quickLookPolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'second poll, quick',
+  getLook: evidence => isRequestDue(evidence, evidence.lookSentAge, fastAnswerSteps) ? { wait: 0, answer: fastAnswerSteps } : undefined
+}
+
 /** As `second poll`, and polls wait for 500 ms. */
 export const secondPollShortWaitPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, shorter waits', pollWait: shortPollWait }
 
 /** As `second poll`, with the second request sent by another host. */
-export const relayedLookPolicy: ReadingPolicy = {
-  ...secondPollPolicy,
-  name: 'second poll through other hosts',
-  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: true } : getRelayAfterFailures(evidence)
-}
+export const relayedLookPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll through other hosts', getLook: () => undefined, isRelayDue: isRelayDueSoon }
 
-/** Own and relayed second requests by turns. */
-export const alternatingLookPolicy: ReadingPolicy = {
-  ...secondPollPolicy,
-  name: 'second poll, by turns through other hosts',
-  getLook: evidence => isLookDue(evidence) ? { wait: 0, isRelayed: (evidence.poll?.age ?? 0) % (2 * lookPause) >= lookPause } : getRelayAfterFailures(evidence)
-}
+/** A second request of the host and one through another host. */
+export const bothLooksPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, also through other hosts', isRelayDue: isRelayDueSoon }
 
 /** As `second poll`, and a poll acknowledges only when the latest report lists ends, so that few polls carry an acknowledgement. */
 export const acknowledgeOncePolicy: ReadingPolicy = {
@@ -126,13 +129,16 @@
   getAcknowledgedSequence: evidence => evidence.areEndsListed ? onePollPolicy.getAcknowledgedSequence(evidence) : 0
 }
 
-/** Two polls at any time, which both wait for an end. */
+/** Two polls at any time, which both wait for an end. The second one acknowledges nothing. */
 export const twoPollsPolicy: ReadingPolicy = {
   ...secondPollPolicy,
   name: 'two waiting polls',
-  getLook: evidence => evidence.isLookUnderWay ? undefined : { wait: evidence.poll === undefined || evidence.areEndsListed || evidence.failedPolls > 0 ? 0 : pollWait, isRelayed: false }
+  getLook: ({ areEndsListed, failedPolls }) => ({ wait: areEndsListed || failedPolls > 0 ? 0 : pollWait, answer: answerSteps })
 }
 
+/** As `two waiting polls`, and requests through another host when an end is expected. */
+export const twoPollsRelayPolicy: ReadingPolicy = { ...twoPollsPolicy, name: 'two waiting polls, also through other hosts', isRelayDue: isRelayDueSoon }
+
 /** All policies to compare. */
 export const readingPolicies: readonly ReadingPolicy[] = [
   onePollPolicy,
@@ -141,19 +147,25 @@
   pollAtOncePolicy,
   lookOnlyPolicy,
   secondPollPolicy,
+  quickLookPolicy,
   secondPollShortWaitPolicy,
   relayedLookPolicy,
-  alternatingLookPolicy,
+  bothLooksPolicy,
   acknowledgeOncePolicy,
-  twoPollsPolicy
+  twoPollsPolicy,
+  twoPollsRelayPolicy
 ]
 
-function isLookDue ({ poll, isLookUnderWay, lookSentAge, isEndExpected }: LinkEvidence): boolean {
-  if (isLookUnderWay || poll === undefined) return false
-  if (poll.wait === 0 && poll.age > 0) return true
-  return isEndExpected && lookSentAge >= lookPause
+/** Tells whether a second request beside the poll is due, `sentAge` steps after the last one. */
+function isRequestDue ({ poll, isEndExpected }: LinkEvidence, sentAge: number, pause: number): boolean {
+  if (poll === undefined) return false
+  return (poll.wait === 0 && poll.age > 0) || (isEndExpected && sentAge >= pause)
+}
+
+function isRelayDueAfterFailures ({ failedPolls, relaySentAge }: LinkEvidence): boolean {
+  return failedPolls >= failedPollsBeforeRelay && relaySentAge >= relayPause
 }
 
-function getRelayAfterFailures ({ failedPolls, isLookUnderWay, lookSentAge }: LinkEvidence): Look | undefined {
-  return failedPolls >= failedPollsBeforeRelay && !isLookUnderWay && lookSentAge >= relayPause ? { wait: 0, isRelayed: true } : undefined
+function isRelayDueSoon (evidence: LinkEvidence): boolean {
+  return isRelayDueAfterFailures(evidence) || isRequestDue(evidence, evidence.relaySentAge, relayPause)
 }
