Soak: most requests to workers are lost, a worker leaves soon after an end was listed, and the term ends

No soak lined up a loss within the second after a lost poll: the stand-in failed at once where the users' platform keeps the caller waiting until its time-out. Six in ten requests to all workers (starts, stops, polls) now get no answer for 3 to 6 s, are carried out 2 to 12 s later, and their callers wait for their own time-outs (standins/poolWorker.ts, AbsenceTarget.Requests). An end that a worker has listed for 600 ms and that no request was sent for, or one only, must not be lost with it; no task runs twice; jobs go on. The series of the present seeds draw what they drew before.

--- a/src/model/endModel.ts
+++ b/src/model/endModel.ts
@@ -259,11 +259,9 @@
   }
 
   function getEvidence (state: EndState, term: TermModel): LinkEvidence {
-    const { poll, look, relay, reportAge, lookSentAge, relaySentAge, failedPolls, areEndsListed } = term
+    const { poll, reportAge, lookSentAge, relaySentAge, failedPolls, areEndsListed } = term
     return {
       poll: poll === undefined ? undefined : { age: poll.age, wait: poll.wait },
-      isLookUnderWay: look !== undefined,
-      isRelayUnderWay: relay !== undefined,
       lookSentAge,
       relaySentAge,
       isEndExpected: state.runs.some(({ known, work, isForeseen }) => known === Known.Running && (isProgressWrong || (work !== Work.AtWork && isForeseen))),
--- a/src/model/readingPolicies.ts
+++ b/src/model/readingPolicies.ts
@@ -10,10 +10,7 @@
 export interface LinkEvidence {
   /** The poll under way: the steps since it was sent, and how long it waits for an end at the worker; undefined if there is none. */
   readonly poll: { readonly age: number, readonly wait: number } | undefined
-  /** Whether a second request of the host, and one through another host, are under way. */
-  readonly isLookUnderWay: boolean
-  readonly isRelayUnderWay: boolean
-  /** Steps since the latest of them were sent; `ageLimit` at most. */
+  /** Steps since the latest second request of the host, and the latest one through another host, were sent; `ageLimit` at most. */
   readonly lookSentAge: number
   readonly relaySentAge: number
   /** Whether a run that is not known to have ended should have ended by its progress. */
--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -6,17 +6,20 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { createLogger, silentLogger } from '../common/logger.js'
+import type { Term } from '../election/leaderElection.js'
 import { EndKind, tryParseTaskName } from '../jobs/jobModel.js'
 import type { JobSpec } from '../jobs/jobModel.js'
 import { getUnits } from '../jobs/trackedJob.js'
 import { createLivenessCheck } from '../testing/livenessCheck.js'
-import { AbsenceTarget, beginAbsence, createEventRecorder, createStoreFaults, drawMoment } from '../testing/moments.js'
+import { AbsenceTarget, beginAbsence, createEventRecorder, createStoreFaults, drawMoment, RunEvent } from '../testing/moments.js'
 import type { Moment, RandomInteger, RecordedEvent } from '../testing/moments.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
 import { disturbTerm, getLeader, termDisturbanceCount } from '../testing/termDisturbances.js'
 import type { Disturb } from '../testing/termDisturbances.js'
+import { StartResult } from '../workers/workerPort.js'
+import type { WorkerPort } from '../workers/workerPort.js'
 
 /** When a term is to end, in which way, and the seed of what it draws. */
 interface TermEnd {
@@ -44,6 +47,20 @@
   readonly standing: readonly string[]
   /** Starts of tasks that an earlier scheduler knew to be done. */
   readonly repeated: readonly string[]
+  /** Ends that were listed for `fairReadMs` when their worker left, and that no host had read. */
+  readonly missed: readonly string[]
+}
+
+/** An end that a worker lists and no host has read. */
+interface UnreadEnd {
+  readonly task: string
+  readonly run: number
+  readonly workerId: string
+  readonly atMs: number
+  /** The term that could have read it. */
+  readonly term: Term | undefined
+  /** Requests that have arrived since at the worker. */
+  requests: number
 }
 
 const chosenSeeds = process.env.SASSAFRASFORD_SOAK_SEEDS?.split(',').map(Number)
@@ -53,6 +70,11 @@
  * that leaves just after a takeover (45) or just before one (48), and starts on a worker that has not answered one (59).
  */
 const failingSeeds = chosenSeeds === undefined ? [8, 38, 45, 48, 59] : []
+/** Seeds of the series in which most requests to workers are lost. */
+const lossSeeds = process.env.SASSAFRASFORD_LOSS_SEEDS?.split(',').map(Number) ?? [1, 2]
+/** The same, for jobs that stand still. */
+const standingLossSeeds = process.env.SASSAFRASFORD_LOSS_SEEDS?.split(',').map(Number) ?? [1]
+const lossPlays = new Map<number, Play>()
 const title = 'seed %i: after an absence near an event of a run, no task runs twice, no job stands still, and no end is lost'
 const logger = process.env.SASSAFRASFORD_SOAK_LOG === undefined ? silentLogger : createLogger({ level: 'info' })
 /** The time of day at which each play starts, as Unix time in ms. */
@@ -93,10 +115,30 @@
 /** Added to a seed for the delays of the hosts that run for leader, and for the disturbances, so that these do not change the series. */
 const electionSeedOffset = 15_485_863
 const momentSeedOffset = 32_452_843
+const lossSeedOffset = 49_979_687
+/** A worker leaves this long after an end was listed there, in ms: at least as long as a few requests to it take, and at most `leaveSpanMs` more. */
+const fairReadMs = 600
+const leaveSpanMs = 400
+/** The end is listed within this time after the losses have begun, in ms: they last for 3 s at least. */
+const lossWindowMs = 3_000 - fairReadMs - leaveSpanMs
+/** The term ends at most this long after the worker has left, in ms. */
+const lossTermEndGapMs = 1_000
+/** An end may be lost if this many requests that have arrived since are lost: a worker that is expected to list one is asked at least twice in `fairReadMs`. */
+const fairRequests = 2
 
 afterEach(() => { jest.useRealTimers() })
 
 test.each(seeds)(title, checkSeed)
+// Guards against an end that no host asks for because a poll without an answer, or the write of the last end, is waited for.
+test.each(lossSeeds)('seed %i: while most requests to workers are lost, an end that a worker has listed for 600 ms is read before the worker leaves, and no task runs twice', async seed => {
+  const { violations, repeated, missed } = await playLosses(seed)
+  expect({ violations, repeated, missed }).toEqual({ violations: [], repeated: [], missed: [] })
+})
+// Guards against a lease that is waited for because a worker left, and its term ended, before a poll without an answer had shown it.
+test.each(standingLossSeeds)('seed %i: after most requests to workers were lost, a worker left and the term ended, all jobs go on', async seed => {
+  const { standing } = await playLosses(seed)
+  expect(standing).toEqual([])
+})
 if (failingSeeds.length > 0) test.failing.each(failingSeeds)(title, checkSeed)
 
 async function checkSeed (seed: number): Promise<void> {
@@ -120,6 +162,26 @@
   expect({ violations, standing, repeated }).toEqual({ violations: [], standing: [], repeated: [] })
 }
 
+/** The losses of a users' day on which ends were listed and not asked for in time: requests to all workers, then a worker, then the term. */
+async function playLosses (seed: number): Promise<Play> {
+  const known = lossPlays.get(seed)
+  if (known !== undefined) return known
+  const random = createRandom(seed + lossSeedOffset)
+  const quiet = await play(seed, { moments: [], termEnds: [] }, latestMs)
+  const loss = drawMoment(quiet.events, AbsenceTarget.Requests, earliestMs, latestMs, random)
+  if (loss === undefined) throw new Error('nothing happens in the series')
+  const { events } = await play(seed, { moments: [loss], termEnds: [] }, loss.atMs + lossWindowMs)
+  const ends = events.filter(({ kind, atMs }) => kind === RunEvent.EndListed && atMs >= loss.atMs)
+  const end = ends[random(Math.max(1, ends.length))]
+  const moments = [loss]
+  if (end !== undefined) moments.push({ target: AbsenceTarget.WorkerForGood, absence: 0, event: end, atMs: Math.ceil(end.atMs) + fairReadMs + random(leaveSpanMs), seed: random(1_000_000) })
+  const termEnds = [{ atMs: (moments.at(-1)?.atMs ?? 0) + random(lossTermEndGapMs), kind: killKind, seed: random(1_000_000) }]
+  logger.info('drawn', { moments, termEnds })
+  const result = await play(seed, { moments, termEnds })
+  lossPlays.set(seed, result)
+  return result
+}
+
 function createRandom (seed: number): RandomInteger {
   const generator = xoroshiro128plus(seed)
   return limit => uniformInt(generator, 0, limit - 1)
@@ -147,11 +209,18 @@
   }
   const isCalm = (workerId: string): boolean => performance.now() >= (disturbedUntilMs.get(workerId) ?? -Infinity) + calmMs
   const faults = createStoreFaults()
-  const recorder = createEventRecorder(() => harness, (hostId, end) => { if (end.how === EndKind.Done) expectStored(hostId, end) })
+  const recorder = createEventRecorder(() => harness, (hostId, end) => {
+    unreadEnds.delete(getRunName(end))
+    if (end.how === EndKind.Done) expectStored(hostId, end)
+  })
   const endedAtMs = new Map<string, number>()
   /** The tasks and gangs that the elected scheduler knew to be done for long enough to store it. */
   const known = new Set<string>()
   const repeated: string[] = []
+  /** Runs that a host knows to be at work: by the answer to their start, or by a report. */
+  const seenAtWork = new Set<string>()
+  const unreadEnds = new Map<string, UnreadEnd>()
+  const missed: string[] = []
   const harness: PoolHarness = createPoolHarness({
     workers: workerCount,
     maxLeaseMs: random(2) === 0 ? 6_000 : 10_000,
@@ -163,14 +232,23 @@
     hasRelayedPolls: true,
     hasStandbys: random(2) === 0,
     interceptStore: (_hostId, client) => recorder.interceptStore(faults.intercept(client)),
-    interceptWorker: recorder.interceptWorker,
+    interceptWorker: (hostId, workerId, port) => recorder.interceptWorker(hostId, workerId, noteRuns(port)),
+    onRequestDuringLoss: ({ workerId }) => { for (const end of unreadEnds.values()) if (end.workerId === workerId) end.requests++ },
     getRun: task => ({ workMs: getWorkMs(task), how: EndKind.Done }),
     onStart: ({ task, run, workerId }) => { if (known.has(getUnitName(task))) repeated.push(`${task} run ${run} starts on ${workerId} at ${performance.now()} ms although it is done`) },
     onEnd: end => {
       recorder.onEnd(end)
+      if (end.how === EndKind.Done && seenAtWork.has(getRunName(end))) unreadEnds.set(getRunName(end), { ...end, atMs: performance.now(), term: getLeader(harness)?.getTerm(), requests: 0 })
       endedAtMs.set(`${end.task} ${end.run}`, performance.now())
     }
   })
+  const observedHarness: PoolHarness = {
+    ...harness,
+    crashWorker: (workerId, crash) => {
+      noteMissed(workerId)
+      harness.crashWorker(workerId, crash)
+    }
+  }
   const { run } = createPoolSteps(() => harness)
   const check = createLivenessCheck(harness, ({ job }) => performance.now() < calmFromMs + calmMs || getUnits(job).flatMap(unit => unit.attempts).flatMap(attempt => attempt.members).some(({ workerId }) => !isCalm(workerId)))
   const standing: string[] = []
@@ -180,14 +258,14 @@
   const restarting = random(2) === 0 ? [] : [...harness.workers.keys()].filter(() => random(3) === 0)
   setTimeout(() => { for (const workerId of restarting) harness.restartWorker(workerId) }, restartMs)
   for (const job of jobs.values()) setTimeout(() => { submitJob(job) }, job.submitAtMs)
-  for (const moment of moments) setTimeout(() => { beginAbsence({ harness, addHosts, faults, random: createRandom(moment.seed), disturb, disturbWorker }, moment) }, moment.atMs)
+  for (const moment of moments) setTimeout(() => { beginAbsence({ harness: observedHarness, addHosts, faults, random: createRandom(moment.seed), disturb, disturbWorker }, moment) }, moment.atMs)
   for (const termEnd of termEnds) setTimeout(() => { endTerm(termEnd, performance.now() + leaderWaitMs) }, termEnd.atMs)
   const lastMs = Math.max(submitMs, ...[...moments, ...termEnds].map(({ atMs }) => atMs))
   while (performance.now() < (untilMs ?? Math.max(lastMs, calmFromMs, ...disturbedUntilMs.values()) + calmMs + watchMs)) {
     await run(lookPeriodMs)
     standing.push(...check.look(submitted))
   }
-  return { events: recorder.events, violations: harness.poolState.violations, standing, repeated }
+  return { events: recorder.events, violations: harness.poolState.violations, standing, repeated, missed }
 
   function submitJob ({ spec }: DrawnJob): void {
     submitted.push(spec)
@@ -216,6 +294,36 @@
     else if (performance.now() < giveUpAtMs) setTimeout(() => { endTerm(termEnd, giveUpAtMs) }, lookPeriodMs)
   }
 
+  function getRunName ({ task, run: number }: { readonly task: string, readonly run: number }): string {
+    return `${task} ${number}`
+  }
+
+  function noteRuns (port: WorkerPort): WorkerPort {
+    return {
+      ...port,
+      start: async request => {
+        const response = await port.start(request)
+        if (response.answer === StartResult.Started) seenAtWork.add(getRunName(request))
+        return response
+      },
+      renewLease: async request => {
+        const report = await port.renewLease(request)
+        for (const running of report.running) seenAtWork.add(getRunName(running))
+        return report
+      }
+    }
+  }
+
+  /** Notes the ends that are lost with a worker although the present term could have read them. */
+  function noteMissed (workerId: string): void {
+    const term = getLeader(harness)?.getTerm()
+    for (const end of unreadEnds.values()) {
+      const listedForMs = Math.round(performance.now() - end.atMs)
+      if (end.workerId !== workerId || end.term !== term || listedForMs < fairReadMs || end.requests >= fairRequests) continue
+      missed.push(`the end of ${end.task} run ${end.run} on ${workerId}, listed at ${Math.round(end.atMs)} ms, was not read in ${listedForMs} ms; requests since: ${end.requests}`)
+    }
+  }
+
   /** Notes an end as known for good if its reader is still the scheduler when it has had time to store it. */
   function expectStored (hostId: string, { task, run }: { readonly task: string, readonly run: number }): void {
     const readAtMs = performance.now()
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -13,6 +13,8 @@
   readonly onStart?: (start: ReceivedStart) => void
   /** Called when a worker lists an end. */
   readonly onEnd?: (end: Pick<EndedRun, 'task' | 'run' | 'how'> & { readonly workerId: string }) => void
+  /** Called when a request arrives at a worker while requests may be lost there. */
+  readonly onRequestDuringLoss?: (request: { readonly workerId: string, readonly isLost: boolean }) => void
   /** The number of members of the task's gang; 1 for a task without a gang. */
   readonly getGangSize: (task: string) => number
   readonly getRequest: (task: string) => Resources
@@ -64,7 +66,7 @@
 }
 
 /** How the workers of a stand-in pool behave. */
-export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'onEnd' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
+export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'onEnd' | 'onRequestDuringLoss' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
   /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
   readonly jobs: ReadonlyMap<string, JobSpec>
   /** The request of a task of no known job. */
@@ -116,6 +118,11 @@
    * calls; a count of 0 ends them.
    */
   delayRequests (count: number, lateMs: number): void
+  /**
+   * Until it is called without a function, requests of any kind for which the function returns a time are executed that much later, in ms, and get no response: the
+   * caller waits until its own time-out. A restart discards those that wait.
+   */
+  setRequestLoss (drawLateMs?: () => number | undefined): void
   /** Cuts the way back: calls are executed, and get no response. */
   setAnswersLost (areAnswersLost: boolean): void
   /** While set, the worker refuses all starts as unhealthy. */
@@ -154,6 +161,9 @@
 }
 
 const tickMs = 10
+/** After this time, in ms, a caller gives up a start or a stop, and a poll beyond its wait if the poll says nothing else. */
+const runRequestTimeoutMs = 450
+const renewalGraceMs = 500
 /** A capacity that has shrunk counts after this time, in ms: until then, start requests sent by the larger one may arrive. */
 const shrinkGraceMs = 500
 
@@ -173,6 +183,7 @@
   let speed = 1
   let delayedStarts = { left: 0, lateMs: 0, surviveRestart: false }
   let delayedRequests = { left: 0, lateMs: 0 }
+  let drawRequestLateMs: (() => number | undefined) | undefined
   let areAnswersLost = false
   let isRefusing = false
   let isReplaced = false
@@ -197,6 +208,7 @@
     setUnreachable: isUnreachableNow => { isUnreachable = isUnreachableNow },
     delayStarts: (count, lateMs, surviveRestart = false) => { delayedStarts = { left: count, lateMs, surviveRestart } },
     delayRequests: (count, lateMs) => { delayedRequests = { left: count === 0 ? 0 : delayedRequests.left + count, lateMs } },
+    setRequestLoss: drawLateMs => { drawRequestLateMs = drawLateMs },
     setAnswersLost: areAnswersLostNow => { areAnswersLost = areAnswersLostNow },
     setRefusing: isRefusingNow => { isRefusing = isRefusingNow },
     setReplaced: () => { isReplaced = true },
@@ -326,19 +338,32 @@
   }
 
   /** Executes a request now, or later if requests are delayed; throws if its answer does not reach the host. */
-  async function execute<T> (request: () => T): Promise<T> {
+  async function execute<T> (request: () => T, timeoutMs: number): Promise<T> {
     if (delayedRequests.left > 0) {
       delayedRequests.left--
-      const { bornAtMs } = info
-      setTimeout(() => { if (!isDown && info.bornAtMs === bornAtMs) request() }, delayedRequests.lateMs)
+      executeLate(request, delayedRequests.lateMs)
       throw createError(ErrorKind.AnswerLost, 'the request got no response')
     }
+    if (drawRequestLateMs !== undefined) {
+      const lateMs = drawRequestLateMs()
+      pool.onRequestDuringLoss?.({ workerId: info.workerId, isLost: lateMs !== undefined })
+      if (lateMs !== undefined) {
+        executeLate(request, lateMs)
+        await delay(timeoutMs)
+        throw createError(ErrorKind.AnswerLost, `no response within ${timeoutMs} ms`)
+      }
+    }
     const answer = request()
     if (!areAnswersLost) return answer
     await delay(20)
     throw createError(ErrorKind.AnswerLost, 'the response did not arrive')
   }
 
+  function executeLate (request: () => unknown, lateMs: number): void {
+    const { bornAtMs } = info
+    setTimeout(() => { if (!isDown && info.bornAtMs === bornAtMs) request() }, lateMs)
+  }
+
   async function start (startRequest: StartRequest): Promise<TimestampedResponse<StartResult>> {
     await checkReachable(info.bornAtMs)
     if (isRefusing) return { answer: StartResult.Unhealthy, clockMs: getClockMs() }
@@ -350,7 +375,7 @@
       setTimeout(() => { if (!isDown && (surviveRestart || info.bornAtMs === bornAtMs)) executeStart(startRequest, receivedAtMs) }, lateMs)
       throw createError(ErrorKind.AnswerLost, 'the start request got no response')
     }
-    return await execute(() => ({ answer: executeStart(startRequest, receivedAtMs), clockMs: getClockMs() }))
+    return await execute(() => ({ answer: executeStart(startRequest, receivedAtMs), clockMs: getClockMs() }), runRequestTimeoutMs)
   }
 
   function executeStart (startRequest: StartRequest, receivedAtMs: number): StartResult {
@@ -406,7 +431,7 @@
 
   async function stop (stopRequest: { readonly task: string, readonly run: number, readonly epoch: number }): Promise<void> {
     await checkReachable(info.bornAtMs)
-    if (await execute(() => executeStop(stopRequest)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    if (await execute(() => executeStop(stopRequest), runRequestTimeoutMs) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
   }
 
   function executeStop (stopRequest: { readonly task: string, readonly run: number, readonly epoch: number }): 'stopping' | 'stale' {
@@ -425,7 +450,7 @@
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the poll got no response')
     }
-    if (await execute(() => executeRenewal(renewal)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    if (await execute(() => executeRenewal(renewal), renewal.waitMs + (renewal.answerTimeoutMs ?? renewalGraceMs)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
     const endsAtMs = performance.now() + renewal.waitMs
     while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
     await checkReachable(connectedBornAtMs)
--- a/src/testing/moments.ts
+++ b/src/testing/moments.ts
@@ -38,7 +38,11 @@
 /** What is absent. */
 export enum AbsenceTarget {
   Worker = 'worker',
-  HostOrStore = 'host-or-store'
+  HostOrStore = 'host-or-store',
+  /** A worker, for good. */
+  WorkerForGood = 'worker-for-good',
+  /** Answers of all workers. */
+  Requests = 'requests'
 }
 
 /** A disturbance of a play. */
@@ -63,6 +67,12 @@
 const maxOffsetMs = 500
 /** For a worker that does not come back within a play, in ms. */
 const goneMs = 3_600_000
+/** Six in ten requests are lost, and carried out after these times, in ms. Source: the users' days (`applied_late`). */
+const lossTenths = 6
+const minLossMs = 3_000
+const maxLossMs = 6_000
+const minLateMs = 2_000
+const maxLateMs = 12_000
 /** Starts that are sent within this time are carried out late, in ms. */
 const lateStartWindowMs = 1_000
 
@@ -90,7 +100,9 @@
 
 const absences: Readonly<Record<AbsenceTarget, readonly Absence[]>> = {
   [AbsenceTarget.Worker]: [leave, leave, leave, leave, crash, cutWorkerOff, loseAnswers, delayStarts],
-  [AbsenceTarget.HostOrStore]: [killHost, freezeHost, cutHostOff, refuseCalls, loseWrites, loseWrites, loseWrites, pauseStore]
+  [AbsenceTarget.HostOrStore]: [killHost, freezeHost, cutHostOff, refuseCalls, loseWrites, loseWrites, loseWrites, pauseStore],
+  [AbsenceTarget.WorkerForGood]: [leave],
+  [AbsenceTarget.Requests]: [loseRequests]
 }
 
 function leave ({ harness, random, disturb }: AbsenceHost, workerId: string, busy: readonly string[]): void {
@@ -136,6 +148,15 @@
   setTimeout(() => { worker?.delayStarts(0, 0) }, lateStartWindowMs)
 }
 
+/** Six in ten requests to all workers get no answer before the caller's time-out, and are carried out late. */
+function loseRequests ({ harness, random, disturb }: AbsenceHost): void {
+  const forMs = minLossMs + 100 * random((maxLossMs - minLossMs) / 100 + 1)
+  const workers = [...harness.workers.values()]
+  disturb('most requests to workers are lost', forMs)
+  for (const worker of workers) worker.setRequestLoss(() => random(10) < lossTenths ? minLateMs + random(maxLateMs - minLateMs) : undefined)
+  setTimeout(() => { for (const worker of workers) worker.setRequestLoss() }, forMs)
+}
+
 function killHost ({ harness, addHosts, random, disturb }: AbsenceHost): void {
   const forMs = 100 * random(30)
   disturb('the host is killed', forMs, true)
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -129,6 +129,7 @@
   /** Wraps the port of a host to a worker. */
   readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
   readonly onEnd?: PoolState['onEnd']
+  readonly onRequestDuringLoss?: PoolState['onRequestDuringLoss']
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -198,6 +199,7 @@
     getRun: options.getRun ?? (() => ({ workMs: 500, how: EndKind.Done })),
     ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
     ...(options.onEnd === undefined ? {} : { onEnd: options.onEnd }),
+    ...(options.onRequestDuringLoss === undefined ? {} : { onRequestDuringLoss: options.onRequestDuringLoss }),
     maxLeaseMs,
     gangStartTimeoutMs: 1_500,
     stopDelayMs: 50
