Model of ends: a late poll to an earlier life is carried out whatever term that life had seen

The model dropped late requests of a lower term than the life before had seen, although a later life has seen none. Found by reading. One more scenario, late request, takeover and restart, up to 30,812 states; no new class.

--- a/src/model/endModel.ts
+++ b/src/model/endModel.ts
@@ -122,7 +122,7 @@
   function passTime (state: EndState): void {
     for (const run of state.runs) run.startedAge = Math.min(ageLimit, run.startedAge + 1)
     for (const request of state.lateRequests) request.age++
-    state.lateRequests = state.lateRequests.filter(({ age, term }) => age <= maxLate && term >= state.fence)
+    state.lateRequests = state.lateRequests.filter(({ age }) => age <= maxLate)
     for (const write of state.lateWrites) write.age++
     state.lateWrites = state.lateWrites.filter(({ age }) => age <= maxWriteDelay)
     const { term } = state
--- a/src/model/endScenarios.ts
+++ b/src/model/endScenarios.ts
@@ -43,5 +43,6 @@
   { ...base, name: 'takeover and restart', disturbances: { ...none, lostWrites: 1, termEnds: 1, deaths: 1, restarts: 1 }, maxDepth: 11 },
   lateRequestScenario,
   { ...base, name: 'late request and takeover', disturbances: { ...none, lateRequests: 1, termEnds: 1 }, maxDepth: 15 },
+  { ...base, name: 'late request, takeover and restart', disturbances: { ...none, lateRequests: 1, termEnds: 1, deaths: 1, restarts: 1 }, maxDepth: 13 },
   { ...base, name: 'restart', disturbances: { ...none, slowAnswers: 1, lostRequests: 1, deaths: 1, restarts: 1 }, maxDepth: 11 }
 ]
