--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -64,12 +64,12 @@
 }
 
 const chosenSeeds = process.env.SASSAFRASFORD_SOAK_SEEDS?.split(',').map(Number)
-const seeds = chosenSeeds ?? [1, 2]
+const seeds = chosenSeeds ?? [1, 2, 8, 59]
 /**
- * Known to fail, see KNOWN-RED.txt: a worker that leaves while its life is young (8), an order without an answer that is waited for anew in each term (38), a worker
- * that leaves just after a takeover (45) or just before one (48), and starts on a worker that has not answered one (59).
+ * Known to fail, see KNOWN-RED.txt: an order without an answer that is waited for anew in each term (38), a worker that leaves just after a takeover (45) or just before
+ * one (48).
  */
-const failingSeeds = chosenSeeds === undefined ? [8, 38, 45, 48, 59] : []
+const failingSeeds = chosenSeeds === undefined ? [38, 45, 48] : []
 /** Seeds of the series in which most requests to workers are lost. */
 const lossSeeds = process.env.SASSAFRASFORD_LOSS_SEEDS?.split(',').map(Number) ?? [1, 2]
 /** The same, for jobs that stand still. */
