Metrics and logs of calls do not grow with what callers send

Each method had a latency histogram of its own, and paths of up to 16 KB went into every log line and error message of a refused call. Methods other than GET, POST and DELETE share the label 'other'; 200 characters of a path are kept. The keys of the rate-limited logger are texts of this code and were bounded already.

--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -65,11 +65,12 @@
   return (await send(port, method, path, headers, text)).status
 }
 
-function send (port: number, method: string, path: string, headers: Readonly<Record<string, string>>, text = ''): Promise<{ readonly status: number, readonly retryAfterS: number }> {
+function send (port: number, method: string, path: string, headers: Readonly<Record<string, string>>, text = ''): Promise<{ readonly status: number, readonly retryAfterS: number, readonly text: string }> {
   return new Promise((resolve, reject) => {
     const request = sendRequest({ host: '127.0.0.1', port, method, path, headers: { Host: 'host', ...headers }, agent: false }, response => {
-      response.resume()
-      response.on('end', () => { resolve({ status: response.statusCode ?? 0, retryAfterS: Number(response.headers['retry-after']) }) })
+      let received = ''
+      response.on('data', chunk => { received += String(chunk) })
+      response.on('end', () => { resolve({ status: response.statusCode ?? 0, retryAfterS: Number(response.headers['retry-after']), text: received }) })
     })
     request.on('error', reject)
     request.end(text)
@@ -165,8 +166,18 @@
 test('in a known outage of the store, a host that cannot confirm its configuration asks for a retry after the length of the outage', async () => {
   const stale = createCopy(harnessConfiguration, false)
   const known = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => 4_200 })
-  expect(await send(known.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 504, retryAfterS: 5 })
+  expect(await send(known.port, 'POST', `/batch/${jobId}`, {}, body)).toMatchObject({ status: 504, retryAfterS: 5 })
   server?.close()
   const brief = await listenUnderLoad({ configuration: stale, getKnownOutageMs: () => 1_500 })
-  expect(await send(brief.port, 'POST', `/batch/${jobId}`, {}, body)).toEqual({ status: 504, retryAfterS: 1 })
+  expect(await send(brief.port, 'POST', `/batch/${jobId}`, {}, body)).toMatchObject({ status: 504, retryAfterS: 1 })
+})
+
+// Guards against metrics and log lines whose size callers choose.
+test('methods that are not supported share one label, and errors contain only the beginning of a long path', async () => {
+  const { port, metrics } = await listenUnderLoad()
+  expect(await call(port, 'PROPFIND', `/batch/${jobId}`, {})).toBe(400)
+  expect(await call(port, 'PURGE', `/batch/${jobId}`, {})).toBe(400)
+  expect(metrics.getText()).toContain('sassafrasford_calls_total{kind="other 400"} 2')
+  expect(metrics.getText()).not.toMatch(/PROPFIND|PURGE/)
+  expect((await send(port, 'GET', `/batch/${'x'.repeat(8_000)}`, {})).text.length).toBeLessThan(400)
 })
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -38,6 +38,9 @@
 const retryAfterS = 1
 /** How long a call waits for the configuration to be confirmed, in ms; then the caller still has time to try another host. */
 const maxConfirmationWaitMs = 1_000
+const supportedMethods: readonly string[] = ['GET', 'POST', 'DELETE']
+/** A path may have up to 16 KB; logs and error messages contain this many characters of it. */
+const maxLoggedLength = 200
 const jobIdPattern = /^[0-9a-f]{16}$/
 
 /** Creates the request handler of the job API. */
@@ -60,8 +63,9 @@
       reply = toReply(toAppError(error))
     }
     const tookMs = performance.now() - startedAtMs
-    host.metrics.count('calls', `${request.method ?? ''} ${reply.status}`)
-    host.metrics.record('call', tookMs, request.method)
+    const method = getMethodLabel(request)
+    host.metrics.count('calls', `${method} ${reply.status}`)
+    host.metrics.record('call', tookMs, method)
     log(request, reply, tookMs, decidedBy)
     send(response, reply)
   }
@@ -69,12 +73,12 @@
   async function handle (request: IncomingMessage, configuration: Configuration, startedAtMs: number): Promise<Reply> {
     const path = (request.url ?? '/').split('?')[0] as string
     const queue = findQueue(configuration, getHostName(request), path)
-    if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${path} under the requested host name`)
+    if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${shorten(path)} under the requested host name`)
     const organisation = authenticate(configuration, queue, request)
     const deadlineMs = startedAtMs + (tryGetCallerTimeoutMs(request) ?? queue.timeoutMs) - answerMarginMs
     const jobId = path.slice(queue.pathPrefix.length)
     if (jobId === '' && request.method === 'GET') return { status: 200, body: { pending: await host.intake.countPending(queue.name, deadlineMs) } }
-    if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${jobId}" is not a valid job id`)
+    if (!jobIdPattern.test(jobId)) throw createError(ErrorKind.NotFound, `"${shorten(jobId)}" is not a valid job id`)
     switch (request.method) {
       case 'POST':
         return await submit(request, configuration, queue, organisation, jobId, deadlineMs)
@@ -111,7 +115,7 @@
   }
 
   function log (request: IncomingMessage, reply: Reply, tookMs: number, decidedBy: object): void {
-    const fields = { method: request.method, path: request.url, status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
+    const fields = { method: request.method, path: shorten(request.url ?? ''), status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
     if (request.method === 'GET' && reply.status < 300) logger.debug('a query is answered', fields)
     else logger.info('a call is answered', fields)
   }
@@ -129,6 +133,15 @@
   }
 }
 
+/** Each label costs a histogram, and Node's parser knows 35 methods. */
+function getMethodLabel ({ method }: IncomingMessage): string {
+  return method !== undefined && supportedMethods.includes(method) ? method : 'other'
+}
+
+function shorten (text: string): string {
+  return text.length <= maxLoggedLength ? text : `${text.slice(0, maxLoggedLength)}...`
+}
+
 function getHostName (request: IncomingMessage): string {
   return (request.headers.host ?? '').replace(/:\d+$/, '')
 }
