A body for which there is no memory closes its connection

It was answered 503, which promises that the job never runs. The request may be a repeat of one that was accepted at another host, whose answer was lost: the caller would have taken an accepted job for refused. Without an answer the caller repeats it. That 503 was this answer in the job API is by reading.

--- a/src/common/guardedServer.test.ts
+++ b/src/common/guardedServer.test.ts
@@ -47,6 +47,17 @@
   return `GET ${path} HTTP/1.1\r\nHost: host\r\n${headers}\r\n`
 }
 
+function post (bytes: number): string {
+  return `POST / HTTP/1.1\r\nHost: host\r\nContent-Length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`
+}
+
+function createReader (errors: string[]): GuardedServerHost['handle'] {
+  return async (request, response) => {
+    await readBody(request, 100_000).then(() => {}, (error: unknown) => { errors.push(String(error)) })
+    response.writeHead(200, { Connection: 'close' }).end()
+  }
+}
+
 function getStatuses (text: string): readonly string[] {
   return text.match(/HTTP\/1\.1 \d+/g)?.map(line => line.slice(-3)) ?? []
 }
@@ -89,25 +100,29 @@
   expect(getStatuses(await exchange(port, get('/', 'Expect: much\r\n')))).toEqual(['417'])
 })
 
-test('a body over the limit and a body without room are rejected, and what they held is free afterwards', async () => {
+test('a body over the limit is rejected, and what it held is free afterwards', async () => {
   const errors: string[] = []
-  const port = await listen({
-    limits: { maxConnections: 10, maxBytes: 50_000 },
-    handle: async (request, response) => {
-      await readBody(request, 100_000).then(() => {}, (error: unknown) => { errors.push(String(error)) })
-      response.writeHead(200, { Connection: 'close' }).end()
-    }
-  })
-  for (const bytes of [200_000, 90_000, 40_000]) await exchange(port, `POST / HTTP/1.1\r\nHost: host\r\nContent-Length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`)
-  expect(errors).toEqual([expect.stringContaining('no memory'), expect.stringContaining('no memory')])
+  const port = await listen({ handle: createReader(errors) })
+  for (const bytes of [120_000, 40_000]) expect(getStatuses(await exchange(port, post(bytes)))).toEqual(['200'])
+  expect(errors).toEqual([expect.stringContaining('exceeds the limit')])
+  expect(guarded?.budget.getHeldBytes()).toBe(0)
+})
+
+// Guards against an answer 503, which would promise that the job does not run, to a repeat of a job that was accepted.
+test('a body without room closes the connection without an answer, and what it held is free afterwards', async () => {
+  const errors: string[] = []
+  const port = await listen({ limits: { maxConnections: 10, maxBytes: 50_000 }, handle: createReader(errors) })
+  expect(getStatuses(await exchange(port, post(90_000)))).toEqual([])
+  expect(getStatuses(await exchange(port, post(20_000)))).toEqual(['200'])
+  expect([errors, causes]).toEqual([[expect.stringContaining('no memory')], [RefusalCause.Bytes]])
   expect(guarded?.budget.getHeldBytes()).toBe(0)
 })
 
 // Guards against bodies that pile up because the handler answers before it reads them.
 test('a body that its handler does not read is read and dropped, and the connection goes on', async () => {
   const port = await listen({})
-  const post = `POST / HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(1_000)}0\r\n\r\n`
-  expect(getStatuses(await exchange(port, post + post + get('/', 'Connection: close\r\n')))).toEqual(['200', '200', '200'])
+  const unread = `POST / HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(1_000)}0\r\n\r\n`
+  expect(getStatuses(await exchange(port, unread + unread + get('/', 'Connection: close\r\n')))).toEqual(['200', '200', '200'])
   expect(guarded?.budget.getHeldBytes()).toBe(0)
 })
 
--- a/src/common/guardedServer.ts
+++ b/src/common/guardedServer.ts
@@ -31,7 +31,7 @@
 
 /** A body that is read into one buffer. */
 export interface CollectedBody {
-  /** Rejects with `too-large`, or with `overloaded` if there is no room for it. */
+  /** Rejects with `too-large`, or with `overloaded` if there is no room for it and the connection was closed. */
   readonly whole: Promise<Buffer>
   /** Frees the buffer; the rest of the body is discarded. */
   release (): void
@@ -197,8 +197,11 @@
       if (buffer === undefined) return
       const neededBytes = sizeBytes + chunk.length
       if (neededBytes > limitBytes) fail(createError(ErrorKind.TooLarge, `the body exceeds the limit of ${limitBytes} bytes`))
-      else if (!tryGrow(neededBytes)) fail(createError(ErrorKind.Overloaded, 'this host has no memory for the body at present'))
-      else {
+      else if (!tryGrow(neededBytes)) {
+        fail(createError(ErrorKind.Overloaded, 'this host has no memory for the body at present'))
+        // An answer 503 would promise that the job does not run, but an earlier copy of the request may have been accepted.
+        connection?.client.refuse(RefusalCause.Bytes)
+      } else {
         chunk.copy(buffer, sizeBytes)
         sizeBytes = neededBytes
       }
--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -51,7 +51,7 @@
   }
 }
 
-/** Reads the whole body. Throws `too-large` when it exceeds `limitBytes`, and `overloaded` when its port has no memory for it. */
+/** Reads the whole body. Throws `too-large` when it exceeds `limitBytes`, and `overloaded` when its port has no memory for it and has closed the connection. */
 export async function readBody (message: IncomingMessage, limitBytes: number): Promise<Buffer> {
   const body = await collectBody(message, limitBytes).whole
   if (body.length > limitBytes) throw createError(ErrorKind.TooLarge, `the body exceeds the limit of ${limitBytes} bytes`)
