Peers may have 8 % of the memory for connections instead of 5 %

With 350 MB, 224 connections were fewer than the 360 that 60 hosts may keep open to one peer; idle ones would have been closed and opened again.

--- a/src/platform/portLimits.ts
+++ b/src/platform/portLimits.ts
@@ -17,9 +17,9 @@
 const callerDescriptorShare = 1 / 2
 const peerDescriptorShare = 1 / 8
 const probeDescriptorShare = 1 / 32
-/** The shares of the memory for connections and for bodies. The heap of the process takes 200 of 350 MB at most, and the idle process about 85 MB. */
+/** The shares of the memory for connections and for bodies, half of it together. Each of 60 hosts may have 6 connections to a peer. The heap of the process takes 200 of 350 MB at most, and the idle process about 85 MB. */
 const callerConnectionShare = 0.2
-const peerConnectionShare = 0.05
+const peerConnectionShare = 0.08
 const bodyShare = 0.08
 /** The platform calls the ready and the metrics address about once per second. */
 const maxProbeConnections = 32
