Small chunks beyond the allowance take less of the processor's time

60 connections with 200,000 chunks of one byte each: the host refused 49 of them, but only after 524,000 chunks, and went through the rest of each read afterwards.

--- a/src/common/clientBudget.test.ts
+++ b/src/common/clientBudget.test.ts
@@ -100,7 +100,7 @@
   expect(budget.tryTakeSmallChunks(262_144)).toBe(0)
   expect(budget.tryTakeSmallChunks(50_000)).toBe(1_000)
   jest.advanceTimersByTime(1_000)
-  expect(budget.tryTakeSmallChunks(262_144 + 64)).toBeGreaterThan(5_000)
+  expect(budget.tryTakeSmallChunks(65_536 + 64)).toBeGreaterThan(1_000)
   expect(budget.tryTakeSmallChunks(64)).toBeUndefined()
   jest.advanceTimersByTime(60_000)
   expect(budget.tryTakeSmallChunks(262_144)).toBe(0)
--- a/src/common/clientBudget.ts
+++ b/src/common/clientBudget.ts
@@ -79,6 +79,8 @@
 const relievedShare = 7 / 8
 /** Small chunks that are processed without a pause: a body of 262,144 bytes in chunks of one byte. At 1 to 2 us each, they take about half a second. */
 const smallChunkBurst = 262_144
+/** A read of a connection is processed whole, so several connections may exceed the burst within one turn: by this much, six reads of up to 11,000 chunks. */
+const maxSmallChunkDebt = 65_536
 /** Small chunks processed per second after that, in all connections together: about a tenth of a core. */
 const smallChunksPerS = 50_000
 
@@ -154,8 +156,7 @@
     const nowMs = performance.now()
     chunkTokens = Math.min(smallChunkBurst, chunkTokens + (nowMs - chunksRefilledAtMs) * smallChunksPerS / 1_000)
     chunksRefilledAtMs = nowMs
-    // One read of a connection is processed whole. The debt of all reads of one turn is bounded too.
-    if (chunkTokens < -smallChunkBurst) return undefined
+    if (chunkTokens < -maxSmallChunkDebt) return undefined
     chunkTokens -= count
     return chunkTokens >= 0 ? 0 : -chunkTokens * 1_000 / smallChunksPerS
   }
--- a/src/common/guardedServer.ts
+++ b/src/common/guardedServer.ts
@@ -263,11 +263,15 @@
 
 /**
  * Closes a connection. Node's parser works through a whole read of the socket in one turn, up to 3,600 requests, and Node keeps each of them until the
- * close has been processed. There is no public way to end that; without `onIncoming` they are parsed and dropped.
+ * close has been processed. There is no public way to end that; without `onIncoming` they are parsed and
+ * dropped, and without `incoming` so are the chunks of a body.
  */
-function closeAndDropRequests (socket: Socket & { readonly parser?: { onIncoming?: unknown } | null }): void {
+function closeAndDropRequests (socket: Socket & { readonly parser?: { onIncoming?: unknown, incoming?: unknown } | null }): void {
   socket.destroy()
-  if (socket.parser?.onIncoming !== undefined) socket.parser.onIncoming = () => 0
+  const { parser } = socket
+  if (parser?.onIncoming === undefined) return
+  parser.onIncoming = () => 0
+  parser.incoming = null
 }
 
 function getWaitingBytes (request: IncomingMessage): number {
