A body that is streamed is not taken for stalled

The hosts of /v1/ pass bodies on while they arrive. An upload whose endpoint takes no byte for 30 s, or whose parts the budget did not see, was closed as stalled since the clients of a port share a budget. Progress is now taken from the bytes of the socket, and a body that stands still closes the connection only where the port collects it.

--- a/src/common/guardedServer.ts
+++ b/src/common/guardedServer.ts
@@ -54,7 +54,8 @@
   smallChunks: number
   /** The connection is not read for a while because of its small chunks. */
   isThrottled: boolean
-  writtenBytes: number
+  /** Bytes received, and sent without those that wait, when the connection was last looked at. */
+  movedBytes: number
 }
 
 /** The most requests of a connection that may wait for the answers ahead of them. */
@@ -102,7 +103,7 @@
       socket.destroy()
       return
     }
-    const connection: Connection = { client, budget, socket, current: undefined, isHandled: false, waiting: [], smallChunks: 0, isThrottled: false, writtenBytes: 0 }
+    const connection: Connection = { client, budget, socket, current: undefined, isHandled: false, waiting: [], smallChunks: 0, isThrottled: false, movedBytes: 0 }
     connections.set(socket, connection)
     open.add(connection)
     socket.once('close', () => {
@@ -174,11 +175,12 @@
   function closeStalled (): void {
     for (const connection of open) {
       const { client, socket, current } = connection
-      const writtenBytes = socket.bytesWritten - socket.writableLength
-      if (writtenBytes !== connection.writtenBytes) client.noteProgress()
-      connection.writtenBytes = writtenBytes
+      const movedBytes = socket.bytesRead + socket.bytesWritten - socket.writableLength
+      if (movedBytes !== connection.movedBytes) client.noteProgress()
+      connection.movedBytes = movedBytes
       const isUnread = socket.writableLength > 0
-      const isReading = current !== undefined && !current.request.complete
+      // A streamed body may stand still because its handler does not take more of it.
+      const isReading = host.getMaxBodyBytes !== undefined && current !== undefined && !current.request.complete
       if ((isUnread || isReading) && client.getStalledMs() > progressTimeoutMs) client.refuse(RefusalCause.Stalled)
     }
   }
