--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -90,13 +90,10 @@
 const referenceTtlMs = 600_000
 /** Interval of the renewals of the reference, in ms: several fit into its time to live. */
 const referenceRenewalMs = 60_000
-/**
- * How long a record lasts after its last renewal beyond the longest lease, in ms. Grants between late renewals are shortened by what is missing: where workers grant 6 s, by 0.7 % in the mean
- * at a round trip of 100 ms. With 1,000 ms a run whose worker left just before the scheduling host was replaced only after 7.3 s.
- */
-const recordSlackMs = 600
-/** Interval of the renewals of a record, in ms: a renewal takes two round trips, and leases are shortened when it is late by more than about 150 ms. */
-const renewalIntervalMs = 350
+/** How long a record lasts after its last renewal beyond the longest lease, in ms. Grants between late renewals are shortened by what is missing. */
+const recordSlackMs = 1_000
+/** Interval of the renewals of a record, in ms: a renewal takes two round trips, and leases are shortened when it is late by more than about 300 ms. */
+const renewalIntervalMs = 500
 /**
  * After this time without a confirmed renewal, in ms, the leases of the record are extended themselves, as long as the term is valid. No term is valid for as long
  * without an answer of the store, so that a host that has lost its connection extends nothing.
