--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -47,12 +47,12 @@
 }
 
 const chosenSeeds = process.env.SASSAFRASFORD_SOAK_SEEDS?.split(',').map(Number)
-const seeds = chosenSeeds ?? [1, 2]
+const seeds = chosenSeeds ?? [1, 2, 8, 59]
 /**
- * Known to fail, see KNOWN-RED.txt: a worker that leaves while its life is young (8), an order without an answer that is waited for anew in each term (38), a worker
- * that leaves just after a takeover (45) or just before one (48), and starts on a worker that has not answered one (59).
+ * Known to fail, see KNOWN-RED.txt: an order without an answer that is waited for anew in each term (38), a worker that leaves just after a takeover (45) or just before
+ * one (48).
  */
-const failingSeeds = chosenSeeds === undefined ? [8, 38, 45, 48, 59] : []
+const failingSeeds = chosenSeeds === undefined ? [38, 45, 48] : []
 const title = 'seed %i: after an absence near an event of a run, no task runs twice, no job stands still, and no end is lost'
 const logger = process.env.SASSAFRASFORD_SOAK_LOG === undefined ? silentLogger : createLogger({ level: 'info' })
 /** The time of day at which each play starts, as Unix time in ms. */
