Inquiries use idle connections of the starts

An inquiry now uses a connection of the starts if one is idle, else one of its own that is closed after 2 s.

The new test of platform/httpWorker.test.ts fails with a client that is used for inquiries alone (two connections).

--- a/src/platform/httpClient.ts
+++ b/src/platform/httpClient.ts
@@ -28,6 +28,8 @@
 /** Sends requests to one address. Errors: `peer-unreachable` if nothing was sent, `answer-lost` otherwise. */
 export interface HttpClient {
   call (call: HttpCall): Promise<HttpResponse>
+  /** Tells whether a call would be sent over an open connection that no other call uses. */
+  hasIdleConnection (): boolean
   close (): void
 }
 
@@ -37,14 +39,14 @@
 /** Maximum time for a response body whose transfer makes progress, in ms: 1.4 MB, the largest value of the store, at 1.2 Mbit/s. */
 const maxTransferMs = 10_000
 
-/** Creates a client for `address` (`host:port`) with at most `maxConnections` connections. */
-export function createHttpClient (address: string, maxConnections: number): HttpClient {
+/** Creates a client for `address` (`host:port`) with at most `maxConnections` connections; those that are idle for `maxIdleMs` are closed, if it is given. */
+export function createHttpClient (address: string, maxConnections: number, maxIdleMs?: number): HttpClient {
   const [host = '', port = ''] = address.split(':')
   let agent = createAgent()
-  return { call, close: () => { agent.destroy() } }
+  return { call, hasIdleConnection: () => Object.values(agent.freeSockets).some(sockets => (sockets?.length ?? 0) > 0), close: () => { agent.destroy() } }
 
   function createAgent (): Agent {
-    return new Agent({ keepAlive: true, keepAliveMsecs: probeDelayMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo' })
+    return new Agent({ keepAlive: true, keepAliveMsecs: probeDelayMs, maxSockets: maxConnections, maxFreeSockets: maxConnections, scheduling: 'lifo', ...(maxIdleMs === undefined ? {} : { timeout: maxIdleMs }) })
   }
 
   function call ({ method, path, body, getBody, headers, timeoutMs, stallTimeoutMs, signal }: HttpCall): Promise<HttpResponse> {
--- a/src/platform/httpWorker.test.ts
+++ b/src/platform/httpWorker.test.ts
@@ -104,3 +104,21 @@
   await Promise.all(starts)
   expect(endedBeforeInquiry).toBe(0)
 })
+
+// With a connection of its own for each worker that had ever been inquired, 3,000 workers would have taken more descriptors than a host has.
+test('an inquiry uses a connection of the starts while one of them is idle', async () => {
+  let connections = 0
+  server = createServer((request, response) => {
+    request.resume()
+    response.end(JSON.stringify({ clockMs: 1, born: 1_000 }))
+  })
+  server.on('connection', () => { connections++ })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  worker = createHttpWorker({ workerId: 'i-1', address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+  await worker.start({ task: '0123456789abcdef.0.0.0', run: 1, payload: '', checkpoint: '', leaseUntilMs: 1_000, epoch: 1, ticket: undefined })
+  // The connection counts as idle from the turn after the answer on.
+  await nextTurn()
+  await worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 0, isConcurrent: true })
+  expect(connections).toBe(1)
+})
--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -12,6 +12,8 @@
 /** Time allowed for the response to a lease renewal ("hold" in the protocol, a long poll) beyond its wait time. */
 const renewalGraceMs = 500
 const runRequestConnections = 4
+/** Connections beside those of starts and polls are closed when they have been idle for this long, in ms: with 3,000 workers, there are descriptors for little more than one connection a worker. */
+const concurrentIdleMs = 2_000
 
 const clockedSchema = z.object({ clockMs: z.optional(z.number()), reason: z.optional(z.string()) })
 const runningSchema = z.tuple([z.string(), z.number(), z.string(), z.number()], z.unknown())
@@ -40,7 +42,7 @@
   const runClient = createHttpClient(info.address, runRequestConnections)
   const leaseClient = createHttpClient(info.address, 1)
   /** Starts without an answer hold their connections until they time out, and a request beside the poll is to settle them. */
-  const concurrentClient = createHttpClient(info.address, 1)
+  const concurrentClient = createHttpClient(info.address, 1, concurrentIdleMs)
   const headers = { 'Expect-Instance': info.workerId }
   /** The connection over which the latest report came. */
   let reportedOver: object | undefined
@@ -99,7 +101,7 @@
         ...(waitMs > 0 ? { waitMs } : {})
       }
     }
-    const client = isConcurrent ? concurrentClient : leaseClient
+    const client = !isConcurrent ? leaseClient : runClient.hasIdleConnection() ? runClient : concurrentClient
     const answer = await client.call({ method: 'POST', path: '/sassafrasford/hold', getBody, headers, timeoutMs: waitMs + answerTimeoutMs, ...(signal === undefined ? {} : { signal }) })
     checkResponse(answer)
     const parsed = holdSchema.safeParse(answer.body)
