--- a/src/runs/inquiriesInPool.test.ts
+++ b/src/runs/inquiriesInPool.test.ts
@@ -1,10 +1,10 @@
 /** What inquiries beside polls do to the jobs of a pool: ends that are acknowledged, jobs that stand still, and ends that nobody asks for. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { delay } from '../common/time.js'
-import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { getProgressKey } from '../jobs/jobKeys.js'
 import { EndKind } from '../jobs/jobModel.js'
-import type { LeaseRenewal, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import type { WorkerPort } from '../workers/workerPort.js'
+import { loseAnswers } from '../testing/lostAnswers.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
@@ -32,20 +32,6 @@
   jest.useRealTimers()
 })
 
-/** Wraps the port of a worker so that the answers to the selected requests for a report are lost. */
-function loseAnswers (port: WorkerPort, isLost: (renewal: LeaseRenewal, report: WorkerStatusReport) => boolean): WorkerPort {
-  return {
-    ...port,
-    renewLease: async renewal => {
-      const sentAtMs = performance.now()
-      const report = await port.renewLease(renewal)
-      if (!isLost(renewal, report)) return report
-      await delay(renewal.waitMs + (renewal.answerTimeoutMs ?? answerTimeoutMs) - (performance.now() - sentAtMs))
-      throw createError(ErrorKind.AnswerLost, 'the poll got no response')
-    }
-  }
-}
-
 /** Wraps the port of a worker so that a request without an answer is given up after its whole time. */
 function waitForTimeouts (port: WorkerPort): WorkerPort {
   return {
--- a/src/runs/unreadEnds.test.ts
+++ b/src/runs/unreadEnds.test.ts
@@ -4,13 +4,11 @@
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { progressPrefix } from '../jobs/jobKeys.js'
-import type { LeaseRenewal, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { loseAnswers } from '../testing/lostAnswers.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
 
-/** The time allowed for an answer if the request does not say another, in ms. */
-const answerTimeoutMs = 500
 const startTimeoutMs = 450
 const workMs = 3_000
 const lateStoreMs = 1_500
@@ -44,20 +42,6 @@
   harness.addHost('host-0')
 }
 
-/** Wraps the port of a worker so that the answers to the selected requests for a report are lost. */
-function loseAnswers (port: WorkerPort, isLost: (renewal: LeaseRenewal, report: WorkerStatusReport) => boolean): WorkerPort {
-  return {
-    ...port,
-    renewLease: async renewal => {
-      const sentAtMs = performance.now()
-      const report = await port.renewLease(renewal)
-      if (!isLost(renewal, report)) return report
-      await delay(renewal.waitMs + (renewal.answerTimeoutMs ?? answerTimeoutMs) - (performance.now() - sentAtMs))
-      throw createError(ErrorKind.AnswerLost, 'the poll got no response')
-    }
-  }
-}
-
 function countStarts (task: string): number {
   return harness.poolState.starts.get(task) ?? 0
 }
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -69,7 +69,7 @@
 /** The link to one incarnation of a worker. */
 export interface WorkerLink {
   readonly port: WorkerPort
-  /** Polls the worker now if the link is idle. */
+  /** Polls the worker now if the link is idle; beside a poll under way, looks anew at when the next run should end. */
   wake (): void
   /** Polls the worker once although nothing runs there, to see whether it answers. */
   check (): void
