--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -87,6 +87,7 @@
       getSilentForMs: () => 0,
       getLeaseLeftMs: () => undefined,
       mayFollowEarlierOrders: () => false,
+      describeLease: () => ({}),
       close: () => {}
     }),
     getAttemptLimit: () => 3,
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -103,6 +103,8 @@
    * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
    */
   mayFollowEarlierOrders (): boolean
+  /** The fields that describe in the log when this term last extended the worker's lease and sent it a poll, and how many polls have failed since an answer; times in ms before now. */
+  describeLease (): object
   close (): void
 }
 
@@ -172,6 +174,8 @@
   /** Only the runs that are uncertain may still have a lease. */
   let areSettledRunsOver = false
   let isClosed = false
+  /** When the latest poll was sent, by the monotonic clock. */
+  let polledAtMs = -Infinity
   let isRelaying = false
   /** The latest poll through other hosts was answered, and none has been answered directly since the worker fell silent. */
   let isRelayAnswered = false
@@ -208,7 +212,7 @@
   const sender = createPollSender({ term, logger, workerId: info.workerId, port, getExpectedEndMs, isNeeded: host.isNeeded, onInquiryAnswered: applyInquiry, onInquiryFailed: () => { void relayPolls() } })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, describeLease, close }
 
   function close (): void {
     isClosed = true
@@ -216,6 +220,11 @@
     port.close()
   }
 
+  function describeLease (): object {
+    const nowMs = performance.now()
+    return { leaseExtendedAgoMs: hasExtendedLease ? Math.round(nowMs - extendedAtMs) : undefined, polledAgoMs: Math.round(nowMs - polledAtMs), failedPolls }
+  }
+
   function wake (): void {
     changed.notify()
     sender.reviewExpectedEnd()
@@ -330,6 +339,7 @@
       return
     }
     const sentAtMs = performance.now()
+    polledAtMs = sentAtMs
     isCheckDue = false
     // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost. Without runs there is nothing to extend.
     const isNeeded = host.isNeeded()
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -9,6 +9,7 @@
 import type { WorkerState } from '../workers/workerState.js'
 import type { LeaseRenewal, ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { EvidenceSource, RunScope } from './endEvidence.js'
+import { createFirstRequests, RequestWay } from './firstRequests.js'
 import type { GrantRecord, SilentWorker } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 import { createWorkerLink, retryPauseMs } from './workerLink.js'
@@ -168,6 +169,7 @@
   const firstPolls = new Map<string, number | undefined>()
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
+  const firstRequests = createFirstRequests({ term, logger, getUnanswered })
 
   return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, getKnownLives, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
 
@@ -352,7 +354,7 @@
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
       getExpectedEndMs: afterMs => host.getExpectedEndMs(info.workerId, afterMs),
       getRetryPauseMs: () => hasMembers(info.workerId) ? getRetryPauseMs() : undefined,
-      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
+      pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => firstRequests.record(info.workerId, RequestWay.Relayed, () => pollThroughPeers(info, poll))),
       mayExtendThroughPeers: () => host.mayExtendThroughPeers?.(info.workerId) === true,
       onRelayed: () => { void host.grants.include(info.workerId) },
       onReport: (report, sentAtMs, isComplete) => {
@@ -463,7 +465,7 @@
       }
       if (firstPolls.has(workerId)) firstPolls.set(workerId, performance.now())
       try {
-        return await port.renewLease(renewal)
+        return await firstRequests.record(workerId, renewal.isConcurrent === true ? RequestWay.Inquiry : RequestWay.Poll, () => port.renewLease(renewal))
       } finally {
         if (!isClosed) firstPolls.delete(workerId)
       }
