Pool harness: a host that has crashed or is frozen makes no calls to other hosts

The call to a peer now waits while the caller is frozen and fails once it has crashed, as its calls to the store and to workers do. `canCall` tells a test whether a host runs and has a way to a worker.

--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -47,6 +47,8 @@
   freeze (forMs: number, atRenewal?: boolean): void
   /** Cuts the host off from these workers, and from no others: calls are not executed and get no response. */
   setCutFromWorkers (workerIds: ReadonlySet<string>): void
+  /** Tells whether the host runs and is not cut off from the worker. */
+  canCall (workerId: string): boolean
   getTerm (): Term | undefined
   /** The scheduler of the host's latest term as leader. */
   getScheduler (): Scheduler | undefined
@@ -337,7 +339,7 @@
     const intake = createJobIntake({ store: client, logger })
     const connectWorker = (info: Pick<ListedWorker, 'workerId' | 'address'>): WorkerPort => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw)
     peerMethods.set(hostId, createPeerWorkerMethods({ connect: connectWorker }))
-    const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: connectPeer }) : undefined
+    const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: address => connectPeer(address, awaitThaw, () => hasCrashed) }) : undefined
     const election: LeaderElection = createLeaderElection({
       store: client,
       hostId,
@@ -387,6 +389,7 @@
         else frozenUntilMs = performance.now() + forMs
       },
       setCutFromWorkers: workerIds => { cutWorkers = workerIds },
+      canCall: workerId => !hasCrashed && performance.now() >= frozenUntilMs && !cutWorkers.has(workerId),
       getTerm: () => term,
       getScheduler: () => scheduler,
       crash: () => {
@@ -439,12 +442,17 @@
     return [...peerMethods.keys()].filter(hostId => hostId !== ownId).map(hostId => ({ hostId, address: hostId, domain: 'a', hasFastLink: true }))
   }
 
-  function connectPeer (address: string): RpcClient {
+  /** Connects a host to another one; a host that is frozen or has crashed does not call. */
+  function connectPeer (address: string, awaitThaw: () => Promise<void>, hasCrashed: () => boolean): RpcClient {
     return {
       call: async <T>(methodName: string, params: unknown): Promise<T> => {
-        const method = peerMethods.get(address)?.find(({ name }) => name === methodName)
+        await awaitThaw()
+        const method = hasCrashed() ? undefined : peerMethods.get(address)?.find(({ name }) => name === methodName)
         if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
-        return await method.handle(params, { from: '', identity: '' }) as T
+        const answer = await method.handle(params, { from: '', identity: '' }) as T
+        await awaitThaw()
+        if (hasCrashed()) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
+        return answer
       }
     }
   }
