--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -14,7 +14,7 @@
   /** Called when a worker lists an end. */
   readonly onEnd?: (end: Pick<EndedRun, 'task' | 'run' | 'how'> & { readonly workerId: string }) => void
   /** Called when a request arrives at a worker while requests may be lost there. */
-  readonly onRequestDuringLoss?: (request: { readonly workerId: string, readonly isLost: boolean }) => void
+  readonly onRequestDuringLoss?: (request: LossyRequest) => void
   /** The number of members of the task's gang; 1 for a task without a gang. */
   readonly getGangSize: (task: string) => number
   readonly getRequest: (task: string) => Resources
@@ -57,6 +57,13 @@
   readonly crashAfterMs?: number
 }
 
+/** A request that arrives at a worker while requests may be lost there; `waitMs` is how long a request for a report waits for an end. */
+export interface LossyRequest {
+  readonly workerId: string
+  readonly isLost: boolean
+  readonly waitMs?: number
+}
+
 /** A start that a worker of the stand-in has carried out. */
 export interface ReceivedStart {
   readonly task: string
@@ -338,7 +345,7 @@
   }
 
   /** Executes a request now, or later if requests are delayed; throws if its answer does not reach the host. */
-  async function execute<T> (request: () => T, timeoutMs: number): Promise<T> {
+  async function execute<T> (request: () => T, timeoutMs: number, waitMs?: number): Promise<T> {
     if (delayedRequests.left > 0) {
       delayedRequests.left--
       executeLate(request, delayedRequests.lateMs)
@@ -346,7 +353,7 @@
     }
     if (drawRequestLateMs !== undefined) {
       const lateMs = drawRequestLateMs()
-      pool.onRequestDuringLoss?.({ workerId: info.workerId, isLost: lateMs !== undefined })
+      pool.onRequestDuringLoss?.({ workerId: info.workerId, isLost: lateMs !== undefined, ...(waitMs === undefined ? {} : { waitMs }) })
       if (lateMs !== undefined) {
         executeLate(request, lateMs)
         await delay(timeoutMs)
@@ -450,7 +457,7 @@
       await delay(20)
       throw createError(ErrorKind.AnswerLost, 'the poll got no response')
     }
-    if (await execute(() => executeRenewal(renewal), renewal.waitMs + (renewal.answerTimeoutMs ?? renewalGraceMs)) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
+    if (await execute(() => executeRenewal(renewal), renewal.waitMs + (renewal.answerTimeoutMs ?? renewalGraceMs), renewal.waitMs) === 'stale') throw createError(ErrorKind.StaleEpoch, 'a higher epoch has been seen')
     const endsAtMs = performance.now() + renewal.waitMs
     while (ended.length === 0 && performance.now() < endsAtMs && !isUnreachable) await delay(tickMs)
     await checkReachable(connectedBornAtMs)
--- a/src/testing/moments.ts
+++ b/src/testing/moments.ts
@@ -28,11 +28,12 @@
   EndRead = 'end-read'
 }
 
-/** An event of a play, and the worker that it concerns, if it concerns a single one. */
+/** An event of a play, the worker that it concerns, if it concerns a single one, and the task that is started or ends. */
 export interface RecordedEvent {
   readonly kind: RunEvent
   readonly atMs: number
   readonly workerId?: string
+  readonly task?: string
 }
 
 /** What is absent. */
@@ -42,7 +43,13 @@
   /** A worker, for good. */
   WorkerForGood = 'worker-for-good',
   /** Answers of all workers. */
-  Requests = 'requests'
+  Requests = 'requests',
+  /** A worker, for good or until it starts a new life. */
+  WorkerLife = 'worker-life',
+  /** Answers to writes of all hosts. */
+  Writes = 'writes',
+  /** All hosts at once. */
+  Power = 'power'
 }
 
 /** A disturbance of a play. */
@@ -73,6 +80,9 @@
 const maxLossMs = 6_000
 const minLateMs = 2_000
 const maxLateMs = 12_000
+/** How long all hosts are without power, and how long they then take to start, in ms. */
+const powerLossMs = 600
+const hostStartMs = 150
 /** Starts that are sent within this time are carried out late, in ms. */
 const lateStartWindowMs = 1_000
 
@@ -102,7 +112,10 @@
   [AbsenceTarget.Worker]: [leave, leave, leave, leave, crash, cutWorkerOff, loseAnswers, delayStarts],
   [AbsenceTarget.HostOrStore]: [killHost, freezeHost, cutHostOff, refuseCalls, loseWrites, loseWrites, loseWrites, pauseStore],
   [AbsenceTarget.WorkerForGood]: [leave],
-  [AbsenceTarget.Requests]: [loseRequests]
+  [AbsenceTarget.Requests]: [loseRequests],
+  [AbsenceTarget.WorkerLife]: [leave, crash],
+  [AbsenceTarget.Writes]: [loseWrites],
+  [AbsenceTarget.Power]: [losePower]
 }
 
 function leave ({ harness, random, disturb }: AbsenceHost, workerId: string, busy: readonly string[]): void {
@@ -164,6 +177,13 @@
   setTimeout(addHosts, forMs)
 }
 
+/** All hosts are killed, and start again when the power is back. */
+function losePower ({ harness, addHosts, disturb }: AbsenceHost): void {
+  disturb('all hosts lose power', powerLossMs + hostStartMs)
+  for (const host of [...harness.hosts.values()]) host.crash()
+  setTimeout(addHosts, powerLossMs + hostStartMs)
+}
+
 function freezeHost ({ harness, faults, random, disturb }: AbsenceHost): void {
   const forMs = 200 + 100 * random(40)
   disturb('the host is frozen', forMs, true)
@@ -250,17 +270,17 @@
   readonly events: readonly RecordedEvent[]
   interceptStore (client: MetadataStore): MetadataStore
   interceptWorker (hostId: string, workerId: string, port: WorkerPort): WorkerPort
-  onEnd (end: { readonly workerId: string }): void
+  onEnd (end: { readonly workerId: string, readonly task: string }): void
 }
 
 /** Creates the recorder; `onRead` is called for each end that a report lists. */
 export function createEventRecorder (getHarness: () => PoolHarness, onRead: (hostId: string, end: { readonly task: string, readonly run: number, readonly how: string }) => void): EventRecorder {
   const events: RecordedEvent[] = []
   const readEnds = new Set<string>()
-  return { events, interceptStore, interceptWorker, onEnd: ({ workerId }) => { add(RunEvent.EndListed, workerId) } }
+  return { events, interceptStore, interceptWorker, onEnd: ({ workerId, task }) => { add(RunEvent.EndListed, workerId, task) } }
 
-  function add (kind: RunEvent, workerId?: string): void {
-    events.push({ kind, atMs: performance.now(), ...(workerId === undefined ? {} : { workerId }) })
+  function add (kind: RunEvent, workerId?: string, task?: string): void {
+    events.push({ kind, atMs: performance.now(), ...(workerId === undefined ? {} : { workerId }), ...(task === undefined ? {} : { task }) })
   }
 
   function interceptStore (client: MetadataStore): MetadataStore {
@@ -281,7 +301,7 @@
     return {
       ...port,
       start: async request => {
-        add(RunEvent.StartSent, workerId)
+        add(RunEvent.StartSent, workerId, request.task)
         return await port.start(request)
       },
       renewLease: async request => {
--- a/src/testing/termDisturbances.ts
+++ b/src/testing/termDisturbances.ts
@@ -15,6 +15,13 @@
   readonly disturb: Disturb
 }
 
+/** Kinds of disturbances that tests choose. */
+export enum TermDisturbance {
+  Kill = 0,
+  Stop = 2,
+  Freeze = 4
+}
+
 /** The number of kinds of disturbances. */
 export const termDisturbanceCount = 9
 /** A freeze that begins with a renewal of a lease begins within this, in ms. */
