--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -25,6 +25,16 @@
   readonly getStandbyRank?: () => number | undefined
   /** Called once at the start of each term. */
   readonly onElected: (term: Term) => void
+  /** Called when the store has shown another state of the leader key. */
+  readonly onLeaderSeen?: () => void
+}
+
+/** The leader key, as the store last showed it. */
+export interface LeaderView {
+  /** The host that the key names; undefined if there is no key. */
+  readonly hostId: string | undefined
+  /** The revision at which the key was created or, if there is none, a revision at which there was none: the epochs of all later terms are higher. */
+  readonly epoch: number
 }
 
 /** The period in which one host is the leader and schedules. */
@@ -49,6 +59,8 @@
 /** The running election. */
 export interface LeaderElection {
   getLeader (): string | undefined
+  /** The latest state of the leader key that the store has shown; undefined before the first. */
+  getLeaderView (): LeaderView | undefined
   /** The shortest of the latest round trips to the store, in ms; undefined before the first. */
   getRoundTripMs (): number | undefined
   /** Releases the lease and leaves the election. */
@@ -100,13 +112,14 @@
   const { store, logger } = host
   const stopping = new AbortController()
   let leader: string | undefined
+  let view: LeaderView | undefined
   let abortTerm: ((reason: string) => void) | undefined
   let roundTripsMs: readonly number[] = []
   let candidacyPausedUntilMs = -Infinity
   let stoodDownAtMs: readonly number[] = []
   const finished = run()
 
-  return { getLeader: () => leader, getRoundTripMs, stop }
+  return { getLeader: () => leader, getLeaderView: () => view, getRoundTripMs, stop }
 
   /** Gives up the lease before anything else, so that the successor does not wait for it to expire. */
   async function stop (): Promise<void> {
@@ -133,9 +146,16 @@
     const { items, revision } = await measureRoundTrip(() => store.range(leaderKey))
     const found = items.find(item => item.key === leaderKey)
     leader = found?.value
+    setView({ hostId: found?.value, epoch: found?.createdRevision ?? revision })
     return { found, revision }
   }
 
+  function setView (seen: LeaderView): void {
+    const isNews = view === undefined || view.hostId !== seen.hostId || (seen.hostId !== undefined && view.epoch !== seen.epoch)
+    view = seen
+    if (isNews) host.onLeaderSeen?.()
+  }
+
   async function measureRoundTrip<T> (call: () => Promise<T>): Promise<T> {
     const startedAtMs = performance.now()
     const result = await call()
@@ -167,6 +187,7 @@
       const [last] = result.changes.slice(-1)
       if (last === undefined) continue
       leader = last.item?.value
+      setView({ hostId: leader, epoch: last.item?.createdRevision ?? revision })
       if (leader === undefined) await campaign(revision)
       return
     }
@@ -201,6 +222,7 @@
       const result = await store.transact({ expected: [{ key: leaderKey, revision: 0 }], writes: [{ key: leaderKey, value: host.hostId, leaseId: lease.leaseId }] })
       if (result.isCommitted) {
         leader = host.hostId
+        setView({ hostId: leader, epoch: result.revision })
         abortTerm = abort
         if (stopping.signal.aborted) abort('the host is stopping')
         await runTerm(result.revision, lease, renewal, ending.signal, abort)
--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -166,6 +166,12 @@
   }
 }
 
+/** Reads the entry of one host from the store; undefined if there is none. */
+export async function readHost (store: MetadataStore, hostId: string): Promise<KnownHost | undefined> {
+  const item = await store.get(hostsPrefix + hostId)
+  return item === undefined ? undefined : tryDecodeHost(item)
+}
+
 /** Decodes an entry; undefined if no host can have written it. Never throws. */
 function tryDecodeHost ({ key, value }: StoredItem): KnownHost | undefined {
   const entry = entrySchema.safeParse(tryParseJson(value, entryBounds))
--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -12,6 +12,8 @@
 /** Dependencies of the methods. */
 export interface PeerWorkerHost {
   readonly connect: (worker: Pick<ListedWorker, 'workerId' | 'address'>) => WorkerPort
+  /** Called with each report, which was requested with this epoch: the term that asked may be over when the answer arrives. */
+  readonly onReport?: ((workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number) => void) | undefined
 }
 
 /** Maximum number of concurrent polls for peers, so that a small host keeps capacity for its own callers. */
@@ -41,14 +43,17 @@
   async function poll ({ workerId, address, epoch, lease }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
     if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.Overloaded, 'this host already serves the maximum number of concurrent polls for peers')
     activePolls++
+    const sentAtMs = performance.now()
     try {
-      return await getConnection(workerId, address).renewLease({
+      const report = await getConnection(workerId, address).renewLease({
         epoch,
         acknowledgedSequence: 0,
         ...(lease === undefined ? {} : { leaseUntilMs: lease.untilMs, leaseIncarnationMs: lease.incarnationMs }),
         waitMs: 0,
         answerTimeoutMs: relayedAnswerTimeoutMs
       })
+      host.onReport?.(workerId, report, epoch, sentAtMs)
+      return report
     } finally {
       activePolls--
     }
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -14,7 +14,7 @@
 import type { Term } from '../election/leaderElection.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
-import { createHostDirectory } from '../peers/hostDirectory.js'
+import { createHostDirectory, readHost } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
 import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
@@ -22,9 +22,12 @@
 import { createRpcHandler, maxRpcBodyBytes } from '../common/rpcServer.js'
 import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
+import { createEndReaders } from '../readers/endReaders.js'
+import { grantPrefix } from '../runs/grantRecord.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby, maxStandbys } from '../runs/warmStandby.js'
+import { readAll } from '../store/metadataStore.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import { createConfirmedWrites } from '../store/confirmedWrites.js'
 import type { LateWriteOutcome } from '../store/confirmedWrites.js'
@@ -109,7 +112,8 @@
   isSmall,
   minTtlMs: settings.storeMinTtlMs,
   getStandbyRank: () => standby.isWarm() ? directory.getRank() : undefined,
-  onElected: startTerm
+  onElected: startTerm,
+  onLeaderSeen: () => { endReaders.onLeaderSeen() }
 })
 const standby = createWarmStandby({
   store,
@@ -118,6 +122,22 @@
   isStandby: () => (directory.getRank() ?? maxStandbys) < maxStandbys && (currentTerm === undefined || currentTerm.signal.aborted),
   signal: stopping.signal
 })
+const endReaders = createEndReaders({
+  logger: logger.withPrefix('readers'),
+  metrics,
+  hostId: settings.hostId,
+  domain: settings.domain,
+  getPeers: directory.getPeers,
+  readAddress: async hostId => (await readHost(store, hostId))?.address,
+  connect: createPeerConnections(),
+  connectWorker: createHttpWorker,
+  readWorkers: async () => (standby.peek(workerListPrefix) ?? (await readAll(store, workerListPrefix)).items).flatMap(({ key, value }) => tryDecodeWorker(key, value) ?? []),
+  hasGrantRecord: async () => (await store.range(grantPrefix)).items.length > 0,
+  getLeaderView: election.getLeaderView,
+  getOwnTerm: () => currentTerm === undefined || currentTerm.signal.aborted ? { isPolling: false } : { epoch: currentTerm.epoch, isPolling: currentTerm.isValid() && scheduler?.isPolling() === true },
+  applyEnds: ends => { scheduler?.applyReadEnds(ends) },
+  signal: stopping.signal
+})
 const handleJobCall = createJobApi({ configuration, intake, admission, maxTasksPerJob: settings.maxTasksPerJob, getKnownOutageMs, logger: logger.withPrefix('callers'), metrics, isStopping: () => stopping.signal.aborted })
 const portLimits = getPortLimits(settings.memoryMb, settings.maxDescriptors)
 const callersPort = createPort('callers', portLimits.callers, handleJobCall, () => configuration.get()?.limits.maxBodyBytes ?? defaultMaxBodyBytes)
@@ -129,7 +149,8 @@
 const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections() })
 const servePeers = createRpcHandler([
   ...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }),
-  ...createPeerWorkerMethods({ connect: createHttpWorker }),
+  ...createPeerWorkerMethods({ connect: createHttpWorker, onReport: endReaders.onRelayedReport }),
+  ...endReaders.methods,
   createFollowMethod(configuration)
 ])
 const peersPort = createPort('peers', portLimits.peers, servePeers, () => maxRpcBodyBytes)
--- /dev/null
+++ b/src/readers/endReaders.ts
@@ -0,0 +1,287 @@
+/**
+ * Reads the ends that workers list while no scheduler asks for them, and delivers them to the next scheduler: an end that nobody has read is gone with its worker.
+ * See docs/design/reads-without-scheduler.md.
+ */
+import type { HostMetrics } from '../common/hostMetrics.js'
+import type { Logger } from '../common/logger.js'
+import type { RpcClient } from '../common/rpcClient.js'
+import type { RpcMethod } from '../common/rpcServer.js'
+import { createSignal } from '../common/time.js'
+import type { LeaderView } from '../election/leaderElection.js'
+import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { KnownHost } from '../peers/hostDirectory.js'
+import { createPeerSchedulerMethods, encodeEnds, isAcceptance, maxEndsPerCall, peerSchedulerMethods, tryDecodeTerm } from '../peers/peerSchedulerMethods.js'
+import type { PeerTerm } from '../peers/peerSchedulerMethods.js'
+import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { createReadEnds } from './readEnds.js'
+import type { ReadEnd } from './readEnds.js'
+import { createWorkerReader } from './workerReader.js'
+
+/** Dependencies of the readers of one host. */
+export interface EndReadersHost {
+  readonly logger: Logger
+  readonly metrics?: Pick<HostMetrics, 'count'> | undefined
+  readonly hostId: string
+  /** The failure domain of this host. */
+  readonly domain: string
+  readonly getPeers: () => readonly KnownHost[]
+  /** Reads the address of a host that is not among the peers; undefined if it has none. May reject. */
+  readonly readAddress: (hostId: string) => Promise<string | undefined>
+  readonly connect: (address: string) => RpcClient
+  readonly connectWorker: (worker: ListedWorker) => WorkerPort
+  /** Reads the list of workers. May reject. */
+  readonly readWorkers: () => Promise<readonly ListedWorker[]>
+  /** Tells whether any term has granted leases to workers of which the store still has a record. May reject. */
+  readonly hasGrantRecord: () => Promise<boolean>
+  readonly getLeaderView: () => LeaderView | undefined
+  /** The term of this host, if it schedules. */
+  readonly getOwnTerm: () => PeerTerm
+  /** Hands ends to the scheduler of this host. */
+  readonly applyEnds: (ends: readonly ReadEnd[]) => void
+  readonly signal: AbortSignal
+}
+
+/** The readers of one host. */
+export interface EndReaders {
+  /** The methods that this host serves for its peers. */
+  readonly methods: readonly RpcMethod[]
+  /** Must be called when the leader key, or the term of this host, has changed. */
+  onLeaderSeen (): void
+  /** Must be called with each report that this host has read for a peer. */
+  onRelayedReport (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number): void
+}
+
+/** In each failure domain one host asks the scheduler in each such interval, in ms. */
+const askPeriodMs = 300
+/** Time allowed for the scheduler's answer, in ms: two round trips between the most distant regions, one of them to connect, and a busy host. */
+const askTimeoutMs = 200
+/** A scheduler that leaves so many requests in a row without an answer is taken for lost. */
+const maxLostAnswers = 2
+/** Interval of the checks while this host reads, or has ends to deliver, in ms. */
+const activePeriodMs = 200
+/** Time allowed for a delivery, in ms. */
+const deliveryTimeoutMs = 500
+/** A host follows the suspicions of its peers at most once in this time, in ms. */
+const suspicionPeriodMs = 1_000
+
+/** What the host knows of the scheduler. */
+interface SchedulerState {
+  /** The epoch of the view of the leader key for which it was found out. */
+  readonly epoch: number
+  readonly hostId: string | undefined
+  readonly isPolling: boolean
+  /** False if the host that the key names did not answer. */
+  readonly isAnswering: boolean
+  readonly reason: string
+}
+
+/** Creates the readers of one host; they work until the signal is aborted. */
+export function createEndReaders (host: EndReadersHost): EndReaders {
+  const { logger, signal } = host
+  const kept = createReadEnds()
+  const woken = createSignal()
+  const reader = createWorkerReader({
+    logger,
+    hostId: host.hostId,
+    domain: host.domain,
+    getPeers: host.getPeers,
+    readWorkers: host.readWorkers,
+    connect: host.connectWorker,
+    onReport: (workerId, report, epoch, sentAtMs) => { keep(workerId, report, epoch, sentAtMs, 'reader') },
+    count: outcome => { host.metrics?.count('reader_polls', outcome) }
+  })
+  let state: SchedulerState | undefined
+  let hasSeenScheduler = false
+  let isReading = false
+  let isWoken = false
+  let isDelivering = false
+  let isSuspected = false
+  let suspectedAtMs = -Infinity
+  let answeredAtMs = -Infinity
+  let lastTurn = -1
+  signal.addEventListener('abort', wake, { once: true })
+  void run()
+
+  return {
+    methods: createPeerSchedulerMethods({ getOwnTerm: host.getOwnTerm, onSuspected, acceptEnds }),
+    onLeaderSeen: wake,
+    onRelayedReport: (workerId, report, epoch, sentAtMs) => { keep(workerId, report, epoch, sentAtMs, 'relay') }
+  }
+
+  function wake (): void {
+    isWoken = true
+    woken.notify()
+  }
+
+  function keep (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number, source: string): void {
+    const added = kept.add(workerId, report, epoch, sentAtMs)
+    if (added === 0) return
+    for (let index = 0; index < added; index++) host.metrics?.count('ends_read', source)
+    wake()
+  }
+
+  async function run (): Promise<void> {
+    while (!signal.aborted) {
+      isWoken = false
+      const view = host.getLeaderView()
+      if (view !== undefined) await check(view)
+      // What happens during a check is looked at by the next one.
+      if (!isWoken && !signal.aborted) await woken.wait(getPauseMs())
+    }
+    reader.end()
+  }
+
+  function getPauseMs (): number {
+    const view = host.getLeaderView()
+    if (isReading || (view !== undefined && kept.getUndelivered(view.epoch).length > 0)) return activePeriodMs
+    return askPeriodMs - Date.now() % askPeriodMs
+  }
+
+  async function check (view: LeaderView): Promise<void> {
+    const found = await findScheduler(view)
+    if (signal.aborted) return
+    state = found
+    if (found.isPolling) {
+      hasSeenScheduler = true
+      if (isReading) stopReading(found)
+    } else if (isReading) reader.begin(view.epoch)
+    else if (hasSeenScheduler || await hasGrantRecord()) startReading(found)
+    void deliver(view)
+  }
+
+  function startReading (found: SchedulerState): void {
+    if (signal.aborted) return
+    isReading = true
+    logger.info('no scheduler asks the workers for their ends', { ...describe(found), answerAgeMs: answeredAtMs === -Infinity ? undefined : Math.round(performance.now() - answeredAtMs) })
+    reader.begin(found.epoch)
+  }
+
+  function stopReading (found: SchedulerState): void {
+    isReading = false
+    logger.info('a scheduler asks the workers for their ends', describe(found))
+    reader.end()
+  }
+
+  function describe ({ epoch, hostId, isAnswering, reason }: SchedulerState): object {
+    return { epoch, scheduler: hostId, isAnswering, reason }
+  }
+
+  async function hasGrantRecord (): Promise<boolean> {
+    return await host.hasGrantRecord().catch(error => {
+      logger.info('cannot read whether leases have been granted; retrying', { error: String(error) })
+      return false
+    })
+  }
+
+  async function findScheduler (view: LeaderView): Promise<SchedulerState> {
+    const { epoch, hostId } = view
+    const own = host.getOwnTerm()
+    if (own.epoch !== undefined) return { epoch: own.epoch, hostId: host.hostId, isPolling: own.isPolling, isAnswering: true, reason: 'this host schedules' }
+    if (hostId === undefined) return { epoch, hostId, isPolling: false, isAnswering: false, reason: 'there is no leader key' }
+    if (hostId === host.hostId) return { epoch, hostId, isPolling: false, isAnswering: true, reason: 'the leader key names this host, which does not schedule' }
+    const isKnown = state !== undefined && state.epoch === epoch && state.hostId === hostId
+    if (state !== undefined && isKnown && !isReading && !isSuspected && !takeTurn()) return state
+    return await askScheduler(epoch, hostId)
+  }
+
+  /** Tells whether it is the turn of this host to ask the scheduler. */
+  function takeTurn (): boolean {
+    const turn = Math.floor(Date.now() / askPeriodMs)
+    if (turn === lastTurn) return false
+    lastTurn = turn
+    const hostIds = [host.hostId, ...getDomainPeers().map(({ hostId }) => hostId)].sort()
+    return turn % hostIds.length === hostIds.indexOf(host.hostId)
+  }
+
+  function getDomainPeers (): readonly KnownHost[] {
+    return host.getPeers().filter(({ domain }) => domain === host.domain)
+  }
+
+  async function askScheduler (epoch: number, hostId: string): Promise<SchedulerState> {
+    const attempts = isSuspected ? 1 : maxLostAnswers
+    const mayTellPeers = !isSuspected && !isReading
+    isSuspected = false
+    let reason = ''
+    for (let attempt = 0; attempt < attempts; attempt++) {
+      try {
+        const address = await findAddress(hostId)
+        if (address === undefined) return { epoch, hostId, isPolling: false, isAnswering: false, reason: 'the host that the leader key names has no address' }
+        const term = tryDecodeTerm(await host.connect(address).call(peerSchedulerMethods.getTerm, {}, askTimeoutMs))
+        const isScheduling = term?.epoch !== undefined && term.epoch >= epoch
+        const isPolling = isScheduling && term.isPolling
+        if (isPolling) answeredAtMs = performance.now()
+        return { epoch, hostId, isPolling, isAnswering: true, reason: isPolling ? 'the scheduler answers' : isScheduling ? 'the scheduler does not poll yet' : 'the host does not schedule in this epoch' }
+      } catch (error) {
+        reason = String(error)
+        if (attempt === 0 && mayTellPeers) tellPeers(epoch)
+        if (isErrorOfKind(error, ErrorKind.PeerUnreachable)) break
+      }
+    }
+    return { epoch, hostId, isPolling: false, isAnswering: false, reason }
+  }
+
+  async function findAddress (hostId: string): Promise<string | undefined> {
+    return host.getPeers().find(peer => peer.hostId === hostId)?.address ?? await host.readAddress(hostId)
+  }
+
+  function tellPeers (epoch: number): void {
+    for (const { address, hostId } of getDomainPeers()) {
+      host.connect(address).call(peerSchedulerMethods.suspect, { epoch }, askTimeoutMs).catch(error => {
+        // Such a peer finds out by itself.
+        logger.info('cannot tell a peer that the scheduler does not answer', { peer: hostId, error: String(error) })
+      })
+    }
+  }
+
+  function onSuspected (epoch: number): void {
+    const nowMs = performance.now()
+    if (isReading || epoch < (host.getLeaderView()?.epoch ?? 0) || nowMs - suspectedAtMs < suspicionPeriodMs) return
+    suspectedAtMs = nowMs
+    isSuspected = true
+    wake()
+  }
+
+  // Delivery
+
+  async function deliver ({ epoch, hostId }: LeaderView): Promise<void> {
+    if (isDelivering) return
+    isDelivering = true
+    try {
+      let ends = kept.getUndelivered(epoch).slice(0, maxEndsPerCall)
+      while (ends.length > 0 && !signal.aborted && await tryDeliver(epoch, hostId, ends)) {
+        kept.setDelivered(ends, epoch)
+        for (let index = 0; index < ends.length; index++) host.metrics?.count('ends_delivered')
+        logger.info('ends read by this host are delivered to the scheduler', { epoch, scheduler: hostId, ends: ends.length, ...describeAges(ends) })
+        ends = kept.getUndelivered(epoch).slice(0, maxEndsPerCall)
+      }
+    } catch (error) {
+      logger.info('cannot deliver ends to the scheduler; retrying', { epoch, scheduler: hostId, error: String(error) })
+    } finally {
+      isDelivering = false
+    }
+  }
+
+  async function tryDeliver (epoch: number, hostId: string | undefined, ends: readonly ReadEnd[]): Promise<boolean> {
+    const own = host.getOwnTerm()
+    if (own.epoch !== undefined) {
+      if (own.epoch !== epoch) return false
+      host.applyEnds(ends)
+      return true
+    }
+    if (hostId === undefined || hostId === host.hostId || state?.isAnswering !== true) return false
+    const address = await findAddress(hostId)
+    return address !== undefined && isAcceptance(await host.connect(address).call(peerSchedulerMethods.reportEnds, encodeEnds(epoch, host.hostId, ends), deliveryTimeoutMs))
+  }
+
+  function acceptEnds (epoch: number, ends: readonly ReadEnd[], from: string): boolean {
+    if (host.getOwnTerm().epoch !== epoch) return false
+    logger.info('ends read by another host are received', { epoch, from, ends: ends.length, ...describeAges(ends) })
+    host.applyEnds(ends)
+    return true
+  }
+}
+
+function describeAges (ends: readonly ReadEnd[]): object {
+  const agesMs = ends.map(({ readAtMs }) => Math.round(performance.now() - readAtMs))
+  return { youngestMs: Math.min(...agesMs), oldestMs: Math.max(...agesMs) }
+}
--- /dev/null
+++ b/src/readers/workerReader.ts
@@ -0,0 +1,153 @@
+/** Reads the ends that workers list while no host schedules. Its requests extend no lease and acknowledge nothing. */
+import type { Logger } from '../common/logger.js'
+import { createSignal, delay } from '../common/time.js'
+import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { selectReaders } from './readerSelection.js'
+
+/** Dependencies of the reader. */
+export interface WorkerReaderHost {
+  readonly logger: Logger
+  readonly hostId: string
+  readonly domain: string
+  /** The other hosts that are known. */
+  readonly getPeers: () => readonly { readonly hostId: string, readonly domain: string }[]
+  /** Reads the list of workers. May reject. */
+  readonly readWorkers: () => Promise<readonly ListedWorker[]>
+  readonly connect: (worker: ListedWorker) => WorkerPort
+  readonly onReport: (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number) => void
+  /** Counts the outcome of a request. */
+  readonly count: (outcome: string) => void
+}
+
+/** Reads workers from `begin` to `end`. */
+export interface WorkerReader {
+  /** Begins to read the workers of this host with requests of this epoch. While it reads, only changes the epoch. */
+  begin (epoch: number): void
+  end (): void
+}
+
+/** Requests under way. They take little: a hold of a worker without news is about 200 bytes each way. */
+const maxActiveRequests = 48
+/** How long a request waits at a worker for an end, in ms, and if more workers are to be asked than requests may be under way. */
+const waitMs = 1_000
+const shortWaitMs = 150
+/** Time allowed for an answer beyond the wait, in ms: two round trips between the most distant regions, one of them to connect, and a slow worker. */
+const answerTimeoutMs = 300
+/** A worker answers at once while it lists ends that are not acknowledged: pause until it is asked again, in ms. */
+const listedPauseMs = 150
+/** Pause after a request without an answer, in ms; it doubles up to the longer one. */
+const minRetryPauseMs = 100
+const maxRetryPauseMs = 800
+/** Pause after a failed read of the list, in ms. */
+const listRetryPauseMs = 200
+
+/** One time of reading. */
+interface Session {
+  epoch: number
+  readonly ending: AbortController
+  readonly startedAtMs: number
+  /** The workers that are still asked. */
+  open: number
+  requests: number
+  ends: number
+}
+
+/** Creates a reader that does not read yet. */
+export function createWorkerReader (host: WorkerReaderHost): WorkerReader {
+  const { logger } = host
+  let session: Session | undefined
+  let activeRequests = 0
+  const released = createSignal()
+
+  return { begin, end }
+
+  function begin (epoch: number): void {
+    if (session !== undefined) {
+      session.epoch = epoch
+      return
+    }
+    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), open: 0, requests: 0, ends: 0 }
+    void readAssigned(session)
+  }
+
+  function end (): void {
+    if (session === undefined) return
+    session.ending.abort()
+    const { startedAtMs, requests, ends } = session
+    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, open: session.open })
+    session = undefined
+  }
+
+  async function readAssigned (current: Session): Promise<void> {
+    const workers = await readList(current)
+    const assigned = selectReaders(host, host.getPeers(), workers)
+    logger.info('this host reads workers', { epoch: current.epoch, workers: assigned.length, listed: workers.length, peers: host.getPeers().length })
+    current.open = assigned.length
+    for (const worker of assigned) {
+      void readWorker(worker, current).finally(() => { current.open-- })
+    }
+  }
+
+  async function readList ({ ending: { signal } }: Session): Promise<readonly ListedWorker[]> {
+    while (!signal.aborted) {
+      try {
+        return await host.readWorkers()
+      } catch (error) {
+        logger.info('cannot read the list of workers for reading their ends; retrying', { error: String(error) })
+        await delay(listRetryPauseMs, signal)
+      }
+    }
+    return []
+  }
+
+  async function readWorker (worker: ListedWorker, current: Session): Promise<void> {
+    const { signal } = current.ending
+    let port: WorkerPort | undefined
+    let isFirst = true
+    let retryPauseMs = minRetryPauseMs
+    while (!signal.aborted) {
+      await takeTurn(signal)
+      if (signal.aborted) break
+      try {
+        port ??= host.connect(worker)
+        const report = await read(port, worker.workerId, isFirst ? 0 : current.open > maxActiveRequests ? shortWaitMs : waitMs, current)
+        if (report.running.length === 0 && report.ended.length === 0) break
+        retryPauseMs = minRetryPauseMs
+        isFirst = report.ended.length > 0
+        if (isFirst) await delay(listedPauseMs, signal)
+      } catch (error) {
+        // A later term asks this worker, or another worker has its address.
+        if (isErrorOfKind(error, ErrorKind.StaleEpoch) || isErrorOfKind(error, ErrorKind.Conflict)) break
+        isFirst = true
+        await delay(retryPauseMs, signal)
+        retryPauseMs = Math.min(2 * retryPauseMs, maxRetryPauseMs)
+      }
+    }
+    port?.close()
+  }
+
+  async function takeTurn (signal: AbortSignal): Promise<void> {
+    while (activeRequests >= maxActiveRequests && !signal.aborted) await released.wait(listRetryPauseMs)
+  }
+
+  async function read (port: WorkerPort, workerId: string, requestWaitMs: number, current: Session): Promise<WorkerStatusReport> {
+    const { epoch } = current
+    const sentAtMs = performance.now()
+    activeRequests++
+    current.requests++
+    try {
+      const report = await port.renewLease({ epoch, acknowledgedSequence: 0, waitMs: requestWaitMs, answerTimeoutMs })
+      host.count('answered')
+      current.ends += report.ended.length
+      host.onReport(workerId, report, epoch, sentAtMs)
+      return report
+    } catch (error) {
+      host.count(isErrorOfKind(error, ErrorKind.StaleEpoch) ? 'refused' : 'failed')
+      throw error
+    } finally {
+      activeRequests--
+      released.notify()
+    }
+  }
+}
--- a/src/runs/endEvidence.ts
+++ b/src/runs/endEvidence.ts
@@ -6,6 +6,8 @@
 export enum EvidenceSource {
   /** The worker lists the run as ended. */
   ListedAsEnded = 'listed-as-ended',
+  /** A host that does not schedule has read that the worker lists the run as ended. */
+  ReadByHost = 'read-by-host',
   /** A complete report of the worker does not list the run. */
   Absent = 'absent-from-report',
   /** The worker has refused the only start request that was sent to it. */
--- /dev/null
+++ b/src/runs/endsWithoutScheduler.test.ts
@@ -0,0 +1,231 @@
+/** Ends that workers list while no host schedules: other hosts read them, and the next term applies them, although the worker is gone by then. */
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { EndKind, JobState } from '../jobs/jobModel.js'
+import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
+import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
+import { createPoolSteps } from '../testing/poolSteps.js'
+
+const workMs = 1_500
+const longWorkMs = 30_000
+const goneMs = 3_600_000
+const startMs = 60
+let harness: PoolHarness
+const { run, submit, waitForState } = createPoolSteps(() => harness)
+
+beforeEach(() => { jest.useFakeTimers() })
+
+afterEach(async () => {
+  const stopped = harness.stop()
+  await run(3_000)
+  await stopped
+  jest.useRealTimers()
+})
+
+/** Creates a pool and its hosts, of which host-0 schedules. The first step of a job takes `workMs`, the second one does not end. */
+async function createPool (hosts: number, options: Partial<PoolHarnessOptions> = {}): Promise<void> {
+  harness = createPoolHarness({
+    workers: 6,
+    workersPerRack: 1,
+    maxLeaseMs: 6_000,
+    isListStored: true,
+    hasStandbys: true,
+    hasRelayedPolls: true,
+    hasEndReaders: true,
+    getRun: task => ({ workMs: task.includes('.0.0.') ? workMs : longWorkMs, how: EndKind.Done }),
+    ...options
+  })
+  for (let index = 0; index < hosts; index++) {
+    harness.addHost(`host-${index}`)
+    await run(500)
+  }
+  await run(1_500)
+}
+
+async function submitTwoSteps (): Promise<string> {
+  await submit(makeJob('a', 'batch', [makeStep(), makeStep({ after: [0] })]))
+  await run(startMs)
+  for (let elapsedMs = 0; elapsedMs < 1_000 && harness.poolState.running.get('a.0.0.0') === undefined; elapsedMs += 10) await run(10)
+  const workerId = harness.poolState.running.get('a.0.0.0')?.[0]?.workerId
+  if (workerId === undefined) throw new Error('the task has not started')
+  return workerId
+}
+
+function getScheduling (): string[] {
+  return [...harness.hosts.values()].filter(host => host.getTerm()?.isValid() === true).map(({ hostId }) => hostId)
+}
+
+function lose (workerId: string): void {
+  harness.crashWorker(workerId, { awayMs: goneMs, keepsId: false })
+}
+
+function countStarts (task: string): number {
+  return harness.poolState.starts.get(task) ?? 0
+}
+
+async function waitForStart (task: string, limitMs: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < limitMs && countStarts(task) === 0; elapsedMs += 50) await run(50)
+  expect(countStarts(task)).toBe(1)
+}
+
+// The run was waited for until its worker's lease was over, and started again.
+test('an end that is listed after the scheduling host was killed is not lost with its worker', async () => {
+  await createPool(3)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  await run(800)
+  lose(workerId)
+  await waitForStart('a.0.1.0', 3_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The hosts that start know neither the directory nor an earlier scheduler, and the key of the earlier one is still there.
+test('an end that is listed while all hosts are down is not lost with its worker', async () => {
+  await createPool(3)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 100)
+  for (const host of [...harness.hosts.values()]) host.crash()
+  await run(600)
+  for (const hostId of ['host-0', 'host-1', 'host-2']) harness.addHost(hostId)
+  await run(250)
+  harness.crashWorker(workerId, { awayMs: 500, keepsId: true })
+  await waitForStart('a.0.1.0', 5_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('an end that is listed while the scheduling host is frozen is not lost with its worker', async () => {
+  await createPool(3)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.freeze(6_000)
+  await run(800)
+  lose(workerId)
+  await waitForStart('a.0.1.0', 3_500)
+  await run(5_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(countStarts('a.0.1.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The second term ends before it has read anything: the readers go on, and deliver to the third what they had read for the second.
+test('an end is not lost with its worker in two series of terms', async () => {
+  await createPool(4)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  for (let elapsedMs = 0; elapsedMs < 4_000 && getScheduling().length === 0; elapsedMs += 10) {
+    if (elapsedMs === 800) lose(workerId)
+    await run(10)
+  }
+  const [second = ''] = getScheduling()
+  harness.hosts.get(second)?.crash()
+  await waitForStart('a.0.1.0', 5_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The term that asks is over when the answer arrives: only the host that relayed the poll has read the end.
+test('a host that has relayed a poll delivers what it has read to the next term', async () => {
+  await createPool(3, { workerRoundTripMs: 200 })
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 1_000)
+  // Only host-2 reaches the worker, by polls for the scheduling host.
+  for (const hostId of ['host-0', 'host-1']) harness.hosts.get(hostId)?.setCutFromWorkers(new Set([workerId]))
+  for (let elapsedMs = 0; elapsedMs < 3_000 && harness.poolState.running.get('a.0.0.0')?.length === 1; elapsedMs += 10) await run(10)
+  await run(450)
+  harness.hosts.get('host-0')?.crash()
+  lose(workerId)
+  await waitForStart('a.0.1.0', 3_500)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// An end that is not a success proves nothing once a later life may carry out a start late, but a success stays one.
+test('an end of an earlier life of a worker is applied when the next life has answered', async () => {
+  await createPool(3)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  await run(800)
+  harness.crashWorker(workerId, { awayMs: 100, keepsId: true })
+  await waitForStart('a.0.1.0', 3_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('a failed run is started again at once although its worker is gone', async () => {
+  await createPool(3, { getRun: (_task, attempt) => ({ workMs: attempt === 1 ? workMs : longWorkMs, how: EndKind.Failed }) })
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  await run(800)
+  lose(workerId)
+  for (let elapsedMs = 0; elapsedMs < 3_000 && countStarts('a.0.0.0') < 2; elapsedMs += 50) await run(50)
+  expect(countStarts('a.0.0.0')).toBe(2)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('a gang of which one member is read as done is not started again', async () => {
+  await createPool(3)
+  await submit(makeJob('a', 'batch', [makeStep({ count: 3, isGang: true, request: { cpuMilli: 40_000, memoryMb: 8_000, accelerators: 8 } }), makeStep({ after: [0] })]))
+  await run(startMs)
+  const workerIds = [0, 1, 2].map(index => harness.poolState.running.get(`a.0.0.${index}`)?.[0]?.workerId ?? '')
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  await run(800)
+  for (const workerId of workerIds) lose(workerId)
+  await waitForStart('a.0.1.0', 3_000)
+  expect([0, 1, 2].map(index => countStarts(`a.0.0.${index}`))).toEqual([1, 1, 1])
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// A reader's request that is carried out late must not keep a later term, or the life that carries it out, from anything.
+test('a request of a reader that a later life carries out late does not disturb the next term', async () => {
+  await createPool(3)
+  const workerId = await submitTwoSteps()
+  await run(500)
+  const readers = harness.hosts.size
+  const worker = harness.workers.get(workerId)
+  const epoch = harness.hosts.get('host-0')?.getTerm()?.epoch ?? 0
+  harness.hosts.get('host-0')?.crash()
+  await run(300)
+  harness.crashWorker(workerId, { awayMs: 200, keepsId: true })
+  await run(300)
+  for (let count = 0; count < 20; count++) {
+    await Promise.all([run(200), worker?.connect().renewLease({ epoch, acknowledgedSequence: 0, waitMs: 0 }).catch(() => undefined)])
+  }
+  await waitForState('a', JobState.Active, 100)
+  await submit(makeJob('b', 'batch', Array.from({ length: 6 }, (_, index) => makeStep({ requiredLabel: `rack-${index}` }))))
+  await run(3_000)
+  expect(readers).toBe(3)
+  expect(Array.from({ length: 6 }, (_, index) => countStarts(`b.0.${index}.0`))).toEqual([1, 1, 1, 1, 1, 1])
+  expect(getScheduling()).toHaveLength(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Hosts that do not hear from the scheduler read beside it. It must not be refused anything, and no run may start twice.
+test.each([400, 1_400])('a scheduler that is frozen for %i ms keeps its term while others read beside it', async frozenMs => {
+  await createPool(3, { getRun: () => ({ workMs: 500, how: EndKind.Done }) })
+  const { epoch } = harness.hosts.get('host-0')?.getTerm() ?? {}
+  for (let index = 0; index < 6; index++) {
+    await submit(makeJob(`j${index}`, 'batch', [makeStep({ count: 3 }), makeStep({ after: [0] })]))
+    harness.hosts.get('host-0')?.freeze(frozenMs)
+    await run(frozenMs + 300)
+  }
+  await run(4_000)
+  if (frozenMs < 500) expect(harness.hosts.get('host-0')?.getTerm()?.epoch).toBe(epoch)
+  expect([...harness.poolState.starts.values()].filter(count => count > 1)).toEqual([])
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// Each look at a worker is priced.
+test('workers get no requests from hosts that do not schedule while a scheduler answers', async () => {
+  const requests = new Map<string, number>()
+  const count = (hostId: string): void => { requests.set(hostId, (requests.get(hostId) ?? 0) + 1) }
+  await createPool(3, { interceptWorker: (hostId, _workerId, port) => ({ ...port, renewLease: async renewal => { count(hostId); return await port.renewLease(renewal) } }) })
+  await submitTwoSteps()
+  await run(10_000)
+  expect([...requests.keys()]).toEqual(['host-0'])
+})
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -13,6 +13,7 @@
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { fits, getAllocationKey, getUnusedCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
+import type { ReadEnd } from '../readers/readEnds.js'
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
 import { checkDisruption } from './disruptionBudget.js'
@@ -73,6 +74,10 @@
   restoreAttempts (jobs: Iterable<TrackedJob>): void
   /** Updates members and allocations from a worker's report. Resolves when every reported end is stored. */
   onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void>
+  /**
+   * Applies ends that other hosts have read, or this one before its term. They prove nothing about runs that they do not name. Must not be called before `restoreAttempts`.
+   */
+  applyReadEnds (ends: readonly ReadEnd[]): void
   /** Ends the members on a worker whose runs are lost, by this evidence: all but those whose runs, by allocation key, are in `uncertainRuns`. */
   onWorkerLost (worker: WorkerState, source: EvidenceSource, uncertainRuns: ReadonlySet<string>): void
   /** Counts a crash under the runs that the worker had before it started anew at `bornAtMs`. */
@@ -98,6 +103,8 @@
   const { term, logger } = host
   const membersByWorker = new Map<string, Set<Member>>()
   const planned = new Set<Attempt>()
+  /** The jobs whose ends were read by other hosts, until they are stored. */
+  const storingReadEnds = new Map<TrackedJob, Promise<void>>()
   const startRequests = createStartRequests({
     term,
     logger,
@@ -123,7 +130,7 @@
     onGivenUp: unit => { endJob(unit.job, JobState.Failed) }
   })
 
-  return { planAttempt, dispatchPlanned, stopAttempt, preemptAttempt, cancelJob, restoreAttempts, onReport, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports, getUncertainRuns: startRequests.getUncertainRuns, isInDoubt: workerId => startRequests.getDoubtedSinceMs(workerId) !== undefined }
+  return { planAttempt, dispatchPlanned, stopAttempt, preemptAttempt, cancelJob, restoreAttempts, onReport, applyReadEnds, onWorkerLost, onWorkerCrashed: crashTracking.onWorkerCrashed, getMembers, needsReports, getUncertainRuns: startRequests.getUncertainRuns, isInDoubt: workerId => startRequests.getDoubtedSinceMs(workerId) !== undefined }
 
   function getMembers (workerId: string): Set<Member> {
     let members = membersByWorker.get(workerId)
@@ -371,6 +378,8 @@
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
     const reportedKeys = new Set<string>()
+    // An end that a host has read before counts as known, so that it has to be stored for that host's reading before it is for this report.
+    const storing = new Set<Promise<void>>()
     for (const reported of report.running) {
       const key = getAllocationKey(reported.task, reported.run)
       reportedKeys.add(key)
@@ -389,13 +398,46 @@
       if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs, reported.how)
       const job = applyEnded(member, reported, { source: EvidenceSource.ListedAsEnded, ...origin })
       if (job !== undefined) dirty.add(job)
+      const stored = getStoringReadEnds(reported.task)
+      if (stored !== undefined) storing.add(stored)
     }
     if (isComplete) {
       for (const [key, member] of members) if (!reportedKeys.has(key)) applyAbsent(member, origin, dirty)
       for (const key of worker.allocations.keys()) if (!reportedKeys.has(key) && !members.has(key)) worker.allocations.delete(key)
     }
     host.onChanged()
-    await Promise.all([...dirty].map(host.commit))
+    await Promise.all([...[...dirty].map(host.commit), ...storing])
+  }
+
+  function applyReadEnds (ends: readonly ReadEnd[]): void {
+    const dirty = new Set<TrackedJob>()
+    for (const end of ends) {
+      const { workerId, task, run, how, bornAtMs, readAtMs } = end
+      const member = [...getMembers(workerId)].find(candidate => candidate.attempt.run === run && getTaskName(candidate) === task)
+      // A later life may carry out a start late that this life has carried out, so that only its own report shows that the run is over. A success needs no further run.
+      if (member !== undefined && how !== EndKind.Done && !isLatestLife(workerId, bornAtMs)) continue
+      if (member !== undefined) crashTracking.onRunReported(member, bornAtMs, readAtMs, how)
+      const job = applyEnded(member, end, { source: EvidenceSource.ReadByHost, requestedAtMs: readAtMs, incarnationMs: bornAtMs })
+      if (job !== undefined) dirty.add(job)
+    }
+    if (ends.length > 0) logger.info('ends read by hosts that do not schedule are applied', { ends: ends.length, jobs: dirty.size, oldestMs: Math.round(Math.max(...ends.map(({ readAtMs }) => performance.now() - readAtMs))) })
+    for (const job of dirty) storeReadEnds(job)
+    host.onChanged()
+  }
+
+  /** Tells whether no later life of the worker is known than the one that began then. */
+  function isLatestLife (workerId: string, bornAtMs: number): boolean {
+    return host.getWorker(workerId)?.info.bornAtMs === bornAtMs && host.getLink(workerId)?.getBornAtMs() === bornAtMs
+  }
+
+  function storeReadEnds (job: TrackedJob): void {
+    const stored = host.commit(job).finally(() => { if (storingReadEnds.get(job) === stored) storingReadEnds.delete(job) })
+    storingReadEnds.set(job, stored)
+  }
+
+  function getStoringReadEnds (task: string): Promise<void> | undefined {
+    const job = storingReadEnds.size === 0 ? undefined : host.getJob(tryParseTaskName(task)?.jobId ?? '')
+    return job === undefined ? undefined : storingReadEnds.get(job)
   }
 
   function applyRunning (member: Member, reported: RunningRun, { requestedAtMs, incarnationMs }: ReportOrigin): void {
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -16,6 +16,7 @@
 import { createRunTimes } from '../placement/runTimes.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
 import { createEvacuatedWorkers } from '../evacuation/evacuatedWorkers.js'
+import type { ReadEnd } from '../readers/readEnds.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { getConfinedSets } from '../workers/confinedSets.js'
 import type { WorkerState } from '../workers/workerState.js'
@@ -88,6 +89,10 @@
 export interface Scheduler extends MaintenanceDrain {
   /** Must be called when the list of workers or the configuration has changed. */
   refresh (): void
+  /** Tells whether the workers are being polled. */
+  isPolling (): boolean
+  /** Takes ends that hosts have read while no scheduler asked the workers; they are applied when the stored attempts are known. */
+  applyReadEnds (ends: readonly ReadEnd[]): void
   getStatus (): SchedulerStatus
 }
 
@@ -111,6 +116,8 @@
 const firstAnswersMs = 400
 /** It is stored sooner if no more workers have answered for this long, in ms: leases may be about to end, and workers that are gone never answer. */
 const answerPauseMs = 80
+/** The most ends that are kept until the stored attempts are known, beside those of one delivery: those of several hosts, of which two read each worker. */
+const maxEarlyReadEnds = 10_000
 /** Planning starts at the latest this long after the start of the term, in ms, even if workers that hold stored attempts have not answered. */
 const settleLimitMs = 700
 
@@ -125,6 +132,8 @@
   const startedAtMs = performance.now()
   let areJobsLoaded = false
   let isTakeoverDone = false
+  /** The ends that hosts have read, until the stored attempts are known; undefined afterwards. */
+  let earlyReadEnds: ReadEnd[] | undefined = []
   const pacing = createPassPacing(tryPlan)
 
   const writer = createProgressWriter({
@@ -241,7 +250,7 @@
   const maintenanceDrain = createMaintenanceDrain({ getWorker: workerId => pool.workers.get(workerId), getMembers: controller.getMembers, stopAttempt: controller.stopAttempt })
   createBacklogPublisher({ store: host.store, term, logger, summarize: () => isTakeoverDone ? summarize() : undefined })
   void start()
-  return { refresh, getStatus, ...maintenanceDrain }
+  return { refresh, isPolling: () => areJobsLoaded, applyReadEnds, getStatus, ...maintenanceDrain }
 
   async function start (): Promise<void> {
     void delay(takeoverLimitMs, term.signal).then(() => {
@@ -256,6 +265,9 @@
     refresh()
     for (const job of table.getAll()) pool.addUnlisted(job)
     controller.restoreAttempts(table.getAll())
+    const readEnds = earlyReadEnds ?? []
+    earlyReadEnds = undefined
+    applyReadEnds(readEnds)
     await waitForFirstAnswers()
     const stored = grants.open(pool.getUnanswered, pool.getKnownLives).then(pool.wakeLinks)
     while (!term.signal.aborted && performance.now() - startedAtMs < settleLimitMs && !pool.areSettled()) await delay(20)
@@ -281,6 +293,13 @@
     pool.close()
   }
 
+  function applyReadEnds (ends: readonly ReadEnd[]): void {
+    if (term.signal.aborted || ends.length === 0) return
+    if (earlyReadEnds === undefined) controller.applyReadEnds(ends)
+    else if (earlyReadEnds.length < maxEarlyReadEnds) earlyReadEnds.push(...ends)
+    else logger.warn('ends read by other hosts are dropped: too many came before the stored attempts were known', { ends: ends.length })
+  }
+
   async function waitForFirstAnswers (): Promise<void> {
     const polledAtMs = performance.now()
     let unanswered = pool.getUnanswered().length
--- a/src/runs/warmStandby.ts
+++ b/src/runs/warmStandby.ts
@@ -6,7 +6,7 @@
 import { delay } from '../common/time.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { readAll } from '../store/metadataStore.js'
-import type { MetadataStore } from '../store/metadataStore.js'
+import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
 import { createPrefixReplica } from '../store/prefixReplica.js'
 import type { PrefixReplica, PrefixSnapshot } from '../store/prefixReplica.js'
 
@@ -30,6 +30,8 @@
   read (prefix: string, minRevision: number): Promise<PrefixSnapshot>
   /** Tells whether the records of all prefixes have been read and are being followed. */
   isWarm (): boolean
+  /** The copy of a prefix, which may be behind the store; undefined if there is none. */
+  peek (prefix: string): readonly StoredItem[] | undefined
 }
 
 /** A host is a standby if fewer hosts than this are closer to the store: if the nearest is the scheduler, or dies with it, others remain. */
@@ -45,7 +47,7 @@
   let replicas = new Map<string, PrefixReplica>()
   void follow()
 
-  return { read, isWarm: () => prefixes.every(prefix => replicas.get(prefix)?.getRevision() !== undefined) }
+  return { read, isWarm: () => prefixes.every(prefix => replicas.get(prefix)?.getRevision() !== undefined), peek: prefix => replicas.get(prefix)?.peek() }
 
   async function follow (): Promise<void> {
     while (!host.signal.aborted) {
--- a/src/store/prefixReplica.ts
+++ b/src/store/prefixReplica.ts
@@ -22,6 +22,8 @@
 export interface PrefixReplica {
   /** The revision up to which all changes are in the copy; undefined before the first full read. */
   getRevision (): number | undefined
+  /** The items of the copy as far as it has been followed; undefined before the first full read. */
+  peek (): readonly StoredItem[] | undefined
   /**
    * Stops following, and returns the items at a revision of at least `minRevision`. Returns undefined if the latest changes cannot
    * be read, so that the items have to be read in full.
@@ -52,7 +54,7 @@
   let readAtMs = -Infinity
   void follow()
 
-  return { getRevision: () => revision, catchUp, stop: () => { stopping.abort() } }
+  return { getRevision: () => revision, peek: () => revision === undefined ? undefined : [...items.values()], catchUp, stop: () => { stopping.abort() } }
 
   async function follow (): Promise<void> {
     while (!stopping.signal.aborted) {
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -18,6 +18,9 @@
 import type { KnownHost } from '../peers/hostDirectory.js'
 import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
+import { createEndReaders } from '../readers/endReaders.js'
+import type { EndReaders } from '../readers/endReaders.js'
+import { grantPrefix } from '../runs/grantRecord.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby } from '../runs/warmStandby.js'
@@ -28,6 +31,7 @@
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
 import { createWorkerSilence, SilenceCause } from '../standins/workerSilence.js'
+import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerList } from '../workers/workerList.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
@@ -124,6 +128,8 @@
   readonly hasStandbys?: boolean
   /** A host that gets no answers from a worker polls it through the others. */
   readonly hasRelayedPolls?: boolean
+  /** The hosts read ends while none of them schedules. */
+  readonly hasEndReaders?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
@@ -315,6 +321,13 @@
     let renewalFreezeMs: number | undefined
     let cutWorkers: ReadonlySet<string> = new Set()
     const awaitThaw = async (): Promise<void> => { while (performance.now() < frozenUntilMs) await delay(frozenUntilMs - performance.now()) }
+    const freezeMethod = (method: RpcMethod): RpcMethod => ({
+      ...method,
+      handle: async (params, caller) => {
+        await awaitThaw()
+        return await method.handle(params, caller)
+      }
+    })
     const onStoreAnswer = (name: keyof MetadataStore): void => {
       if (name !== 'keepLeaseAlive' || renewalFreezeMs === undefined) return
       frozenUntilMs = performance.now() + renewalFreezeMs
@@ -336,7 +349,7 @@
       })
     const intake = createJobIntake({ store: client, logger })
     const connectWorker = (info: Pick<ListedWorker, 'workerId' | 'address'>): WorkerPort => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw)
-    peerMethods.set(hostId, createPeerWorkerMethods({ connect: connectWorker }))
+    let endReaders: EndReaders | undefined
     const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: connectPeer }) : undefined
     const election: LeaderElection = createLeaderElection({
       store: client,
@@ -346,6 +359,7 @@
       isSmall: false,
       minTtlMs: 1_000,
       ...(standby === undefined ? {} : { getStandbyRank: () => standby.isWarm() ? rank : undefined }),
+      onLeaderSeen: () => { endReaders?.onLeaderSeen() },
       onElected: elected => {
         term = elected
         const evacuations = createEvacuations(elected, client, () => { scheduler?.refresh() })
@@ -378,6 +392,25 @@
         })
       }
     })
+    if (options.hasEndReaders === true) {
+      endReaders = createEndReaders({
+        logger: logger.withPrefix(hostId),
+        hostId,
+        domain: 'a',
+        getPeers: () => getPeers(hostId),
+        readAddress: async named => named,
+        connect: connectPeer,
+        connectWorker: info => options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info),
+        readWorkers: async () => (standby?.peek(listPrefix) ?? (await readAll(client, listPrefix)).items).map(({ value }) => JSON.parse(value) as ListedWorker),
+        hasGrantRecord: async () => (await client.range(grantPrefix)).items.length > 0,
+        getLeaderView: election.getLeaderView,
+        getOwnTerm: () => term === undefined || term.signal.aborted ? { isPolling: false } : { epoch: term.epoch, isPolling: term.isValid() && scheduler?.isPolling() === true },
+        applyEnds: ends => { scheduler?.applyReadEnds(ends) },
+        signal: leaving.signal
+      })
+    }
+    const methods = [...createPeerWorkerMethods({ connect: connectWorker, onReport: endReaders?.onRelayedReport }), ...(endReaders?.methods ?? []).map(freezeMethod)]
+    peerMethods.set(hostId, methods)
     refreshCallbacks.add(() => { scheduler?.refresh() })
     const host: HarnessHost = {
       hostId,
@@ -441,14 +474,20 @@
 
   function connectPeer (address: string): RpcClient {
     return {
-      call: async <T>(methodName: string, params: unknown): Promise<T> => {
+      call: async <T>(methodName: string, params: unknown, timeoutMs?: number): Promise<T> => {
         const method = peerMethods.get(address)?.find(({ name }) => name === methodName)
         if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
-        return await method.handle(params, { from: '', identity: '' }) as T
+        const answer = method.handle(params, { from: '', identity: '' }) as Promise<T>
+        return timeoutMs === undefined ? await answer : await Promise.race([answer, failAfter(timeoutMs)])
       }
     }
   }
 
+  async function failAfter (timeoutMs: number): Promise<never> {
+    await delay(timeoutMs)
+    throw createError(ErrorKind.AnswerLost, 'the host did not respond')
+  }
+
   function connect (hostId: string, info: Pick<ListedWorker, 'workerId' | 'address'>, isCut: () => boolean): WorkerPort {
     const port = workers.get(info.workerId)?.connect()
     const halfTripMs = (options.workerRoundTripMs ?? 0) / 2
