Readers take the place of peers that do not answer; a host that has just started reads its whole domain

A directory lists hosts that are gone for up to 15 s, and their share of the workers was read by nobody. Hosts that begin to read tell their peers, and those that do not answer are left out. A host without a directory reads the stored entries, and all workers of its domain, its own share first: with 40 hosts that start at once, all workers would be 10,000 requests.

--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -166,10 +166,10 @@
   }
 }
 
-/** Reads the entry of one host from the store; undefined if there is none. */
-export async function readHost (store: MetadataStore, hostId: string): Promise<KnownHost | undefined> {
-  const item = await store.get(hostsPrefix + hostId)
-  return item === undefined ? undefined : tryDecodeHost(item)
+/** Reads the entries of all hosts. Those of hosts that are gone remain until their leases end. */
+export async function readHosts (store: MetadataStore): Promise<readonly KnownHost[]> {
+  const { items } = await readAll(store, hostsPrefix)
+  return items.flatMap(item => tryDecodeHost(item) ?? [])
 }
 
 /** Decodes an entry; undefined if no host can have written it. Never throws. */
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -14,7 +14,7 @@
 import type { Term } from '../election/leaderElection.js'
 import { createJobIntake } from '../jobs/jobIntake.js'
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
-import { createHostDirectory, readHost } from '../peers/hostDirectory.js'
+import { createHostDirectory, readHosts } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
 import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
@@ -122,14 +122,15 @@
   isStandby: () => (directory.getRank() ?? maxStandbys) < maxStandbys && (currentTerm === undefined || currentTerm.signal.aborted),
   signal: stopping.signal
 })
+const connectPeer = createPeerConnections()
 const endReaders = createEndReaders({
   logger: logger.withPrefix('readers'),
   metrics,
   hostId: settings.hostId,
   domain: settings.domain,
   getPeers: directory.getPeers,
-  readAddress: async hostId => (await readHost(store, hostId))?.address,
-  connect: createPeerConnections(),
+  readPeers: async () => (await readHosts(store)).filter(({ hostId }) => hostId !== settings.hostId),
+  connect: connectPeer,
   connectWorker: createHttpWorker,
   readWorkers: async () => (standby.peek(workerListPrefix) ?? (await readAll(store, workerListPrefix)).items).flatMap(({ key, value }) => tryDecodeWorker(key, value) ?? []),
   hasGrantRecord: async () => (await store.range(grantPrefix)).items.length > 0,
@@ -146,7 +147,7 @@
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }).server)
-const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections() })
+const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: connectPeer })
 const servePeers = createRpcHandler([
   ...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }),
   ...createPeerWorkerMethods({ connect: createHttpWorker, onReport: endReaders.onRelayedReport }),
--- a/src/readers/endReaders.ts
+++ b/src/readers/endReaders.ts
@@ -25,8 +25,8 @@
   /** The failure domain of this host. */
   readonly domain: string
   readonly getPeers: () => readonly KnownHost[]
-  /** Reads the address of a host that is not among the peers; undefined if it has none. May reject. */
-  readonly readAddress: (hostId: string) => Promise<string | undefined>
+  /** Reads the other hosts from the store, while no peers are known; it shows also those that are gone. May reject. */
+  readonly readPeers: () => Promise<readonly KnownHost[]>
   readonly connect: (address: string) => RpcClient
   readonly connectWorker: (worker: ListedWorker) => WorkerPort
   /** Reads the list of workers. May reject. */
@@ -63,6 +63,8 @@
 const deliveryTimeoutMs = 500
 /** A host follows the suspicions of its peers at most once in this time, in ms. */
 const suspicionPeriodMs = 1_000
+/** A peer that has not answered is taken for gone for this long, in ms. */
+const absentMs = 5_000
 
 /** What the host knows of the scheduler. */
 interface SchedulerState {
@@ -84,18 +86,21 @@
     logger,
     hostId: host.hostId,
     domain: host.domain,
-    getPeers: host.getPeers,
+    readPeers: readLivePeers,
     readWorkers: host.readWorkers,
     connect: host.connectWorker,
     onReport: (workerId, report, epoch, sentAtMs) => { keep(workerId, report, epoch, sentAtMs, 'reader') },
     count: outcome => { host.metrics?.count('reader_polls', outcome) }
   })
+  /** When peers of the failure domain have last not answered, by host. */
+  const absentSinceMs = new Map<string, number>()
   let state: SchedulerState | undefined
   let hasSeenScheduler = false
   let isReading = false
   let isWoken = false
   let isDelivering = false
   let isSuspected = false
+  let toldAtMs = -Infinity
   let suspectedAtMs = -Infinity
   let answeredAtMs = -Infinity
   let lastTurn = -1
@@ -154,6 +159,7 @@
     isReading = true
     logger.info('no scheduler asks the workers for their ends', { ...describe(found), answerAgeMs: answeredAtMs === -Infinity ? undefined : Math.round(performance.now() - answeredAtMs) })
     reader.begin(found.epoch)
+    tellPeers(found.epoch)
   }
 
   function stopReading (found: SchedulerState): void {
@@ -180,7 +186,7 @@
     if (hostId === undefined) return { epoch, hostId, isPolling: false, isAnswering: false, reason: 'there is no leader key' }
     if (hostId === host.hostId) return { epoch, hostId, isPolling: false, isAnswering: true, reason: 'the leader key names this host, which does not schedule' }
     const isKnown = state !== undefined && state.epoch === epoch && state.hostId === hostId
-    if (state !== undefined && isKnown && !isReading && !isSuspected && !takeTurn()) return state
+    if (state?.isPolling === true && isKnown && !isReading && !isSuspected && !takeTurn()) return state
     return await askScheduler(epoch, hostId)
   }
 
@@ -221,14 +227,32 @@
   }
 
   async function findAddress (hostId: string): Promise<string | undefined> {
-    return host.getPeers().find(peer => peer.hostId === hostId)?.address ?? await host.readAddress(hostId)
+    const isNamed = (peer: KnownHost): boolean => peer.hostId === hostId
+    return (host.getPeers().find(isNamed) ?? (await host.readPeers()).find(isNamed))?.address
   }
 
+  async function readLivePeers (): Promise<{ readonly peers: readonly KnownHost[], readonly isAlone: boolean }> {
+    const known = host.getPeers()
+    const nowMs = performance.now()
+    if (known.length > 0) return { peers: known.filter(({ hostId }) => nowMs - (absentSinceMs.get(hostId) ?? -Infinity) > absentMs), isAlone: false }
+    const stored = await host.readPeers().catch(error => {
+      logger.info('cannot read the hosts; this host reads all workers', { error: String(error) })
+      return []
+    })
+    return { peers: stored, isAlone: true }
+  }
+
+  /** Tells the other hosts of the failure domain that the scheduler does not answer, which also shows which of them are alive. */
   function tellPeers (epoch: number): void {
+    const nowMs = performance.now()
+    if (nowMs - toldAtMs < suspicionPeriodMs) return
+    toldAtMs = nowMs
+    absentSinceMs.clear()
     for (const { address, hostId } of getDomainPeers()) {
       host.connect(address).call(peerSchedulerMethods.suspect, { epoch }, askTimeoutMs).catch(error => {
-        // Such a peer finds out by itself.
-        logger.info('cannot tell a peer that the scheduler does not answer', { peer: hostId, error: String(error) })
+        logger.info('a peer does not answer; its workers are read by others', { peer: hostId, error: String(error) })
+        absentSinceMs.set(hostId, performance.now())
+        reader.reviewPeers()
       })
     }
   }
--- a/src/readers/workerReader.ts
+++ b/src/readers/workerReader.ts
@@ -10,8 +10,8 @@
   readonly logger: Logger
   readonly hostId: string
   readonly domain: string
-  /** The other hosts that are known. */
-  readonly getPeers: () => readonly { readonly hostId: string, readonly domain: string }[]
+  /** The other hosts that may be alive. `isAlone` if that can't be known yet. */
+  readonly readPeers: () => Promise<{ readonly peers: readonly { readonly hostId: string, readonly domain: string }[], readonly isAlone: boolean }>
   /** Reads the list of workers. May reject. */
   readonly readWorkers: () => Promise<readonly ListedWorker[]>
   readonly connect: (worker: ListedWorker) => WorkerPort
@@ -24,6 +24,8 @@
 export interface WorkerReader {
   /** Begins to read the workers of this host with requests of this epoch. While it reads, only changes the epoch. */
   begin (epoch: number): void
+  /** Must be called when other peers may be alive than before. */
+  reviewPeers (): void
   end (): void
 }
 
@@ -47,7 +49,9 @@
   epoch: number
   readonly ending: AbortController
   readonly startedAtMs: number
-  /** The workers that are still asked. */
+  workers: readonly ListedWorker[]
+  /** The ids of the workers that have been asked, and how many are still asked. */
+  readonly begun: Set<string>
   open: number
   requests: number
   ends: number
@@ -60,31 +64,42 @@
   let activeRequests = 0
   const released = createSignal()
 
-  return { begin, end }
+  return { begin, reviewPeers, end }
 
   function begin (epoch: number): void {
     if (session !== undefined) {
       session.epoch = epoch
       return
     }
-    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), open: 0, requests: 0, ends: 0 }
+    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), workers: [], begun: new Set(), open: 0, requests: 0, ends: 0 }
     void readAssigned(session)
   }
 
   function end (): void {
     if (session === undefined) return
     session.ending.abort()
-    const { startedAtMs, requests, ends } = session
-    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, open: session.open })
+    const { startedAtMs, requests, ends, open } = session
+    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, open })
     session = undefined
   }
 
+  function reviewPeers (): void {
+    if (session !== undefined && session.workers.length > 0) void beginAssigned(session)
+  }
+
   async function readAssigned (current: Session): Promise<void> {
-    const workers = await readList(current)
-    const assigned = selectReaders(host, host.getPeers(), workers)
-    logger.info('this host reads workers', { epoch: current.epoch, workers: assigned.length, listed: workers.length, peers: host.getPeers().length })
-    current.open = assigned.length
+    current.workers = await readList(current)
+    await beginAssigned(current)
+  }
+
+  async function beginAssigned (current: Session): Promise<void> {
+    const { peers, isAlone } = await host.readPeers()
+    if (current.ending.signal.aborted) return
+    const assigned = selectReaders(host, peers, current.workers, isAlone).filter(({ workerId }) => !current.begun.has(workerId))
+    logger.info('this host reads workers', { epoch: current.epoch, workers: assigned.length, begun: current.begun.size, listed: current.workers.length, peers: peers.length, isAlone })
     for (const worker of assigned) {
+      current.begun.add(worker.workerId)
+      current.open++
       void readWorker(worker, current).finally(() => { current.open-- })
     }
   }
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -414,8 +414,9 @@
     for (const end of ends) {
       const { workerId, task, run, how, bornAtMs, readAtMs } = end
       const member = [...getMembers(workerId)].find(candidate => candidate.attempt.run === run && getTaskName(candidate) === task)
-      // A later life may carry out a start late that this life has carried out, so that only its own report shows that the run is over. A success needs no further run.
-      if (member !== undefined && how !== EndKind.Done && !isLatestLife(workerId, bornAtMs)) continue
+      // A later life may carry out a start late that this life has carried out, so that only its own report shows that the run is over. After a success none is started.
+      const isFinal = how === EndKind.Done && member?.attempt.unit.spec.isService !== true
+      if (member !== undefined && !isFinal && !isLatestLife(workerId, bornAtMs)) continue
       if (member !== undefined) crashTracking.onRunReported(member, bornAtMs, readAtMs, how)
       const job = applyEnded(member, end, { source: EvidenceSource.ReadByHost, requestedAtMs: readAtMs, incarnationMs: bornAtMs })
       if (job !== undefined) dirty.add(job)
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -130,10 +130,14 @@
   readonly hasRelayedPolls?: boolean
   /** The hosts read ends while none of them schedules. */
   readonly hasEndReaders?: boolean
+  /** The hosts know the others only from the store. */
+  readonly hasEmptyDirectories?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
   readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
+  /** Wraps the port of a host to a worker for requests while no host schedules. */
+  readonly interceptReader?: (hostId: string, port: WorkerPort) => WorkerPort
   readonly onEnd?: PoolState['onEnd']
   readonly onRequestDuringLoss?: PoolState['onRequestDuringLoss']
   /** Returns the configuration of a host; undefined until the host has received one. */
@@ -397,10 +401,10 @@
         logger: logger.withPrefix(hostId),
         hostId,
         domain: 'a',
-        getPeers: () => getPeers(hostId),
-        readAddress: async named => named,
+        getPeers: () => options.hasEmptyDirectories === true ? [] : getPeers(hostId),
         connect: connectPeer,
-        connectWorker: info => options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info),
+        connectWorker: info => options.interceptReader?.(hostId, connectWorker(info)) ?? connectWorker(info),
+        readPeers: async () => getPeers(hostId),
         readWorkers: async () => (standby?.peek(listPrefix) ?? (await readAll(client, listPrefix)).items).map(({ value }) => JSON.parse(value) as ListedWorker),
         hasGrantRecord: async () => (await client.range(grantPrefix)).items.length > 0,
         getLeaderView: election.getLeaderView,
