--- a/src/peers/hostDirectory.ts
+++ b/src/peers/hostDirectory.ts
@@ -166,6 +166,12 @@
   }
 }
 
+/** Reads the entries of all hosts. Those of hosts that are gone remain until their leases end. */
+export async function readHosts (store: MetadataStore): Promise<readonly KnownHost[]> {
+  const { items } = await readAll(store, hostsPrefix)
+  return items.flatMap(item => tryDecodeHost(item) ?? [])
+}
+
 /** Decodes an entry; undefined if no host can have written it. Never throws. */
 function tryDecodeHost ({ key, value }: StoredItem): KnownHost | undefined {
   const entry = entrySchema.safeParse(tryParseJson(value, entryBounds))
--- /dev/null
+++ b/src/readers/workerReader.ts
@@ -0,0 +1,168 @@
+/** Reads the ends that workers list while no host schedules. Its requests extend no lease and acknowledge nothing. */
+import type { Logger } from '../common/logger.js'
+import { createSignal, delay } from '../common/time.js'
+import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
+import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
+import { selectReaders } from './readerSelection.js'
+
+/** Dependencies of the reader. */
+export interface WorkerReaderHost {
+  readonly logger: Logger
+  readonly hostId: string
+  readonly domain: string
+  /** The other hosts that may be alive. `isAlone` if that can't be known yet. */
+  readonly readPeers: () => Promise<{ readonly peers: readonly { readonly hostId: string, readonly domain: string }[], readonly isAlone: boolean }>
+  /** Reads the list of workers. May reject. */
+  readonly readWorkers: () => Promise<readonly ListedWorker[]>
+  readonly connect: (worker: ListedWorker) => WorkerPort
+  readonly onReport: (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number) => void
+  /** Counts the outcome of a request. */
+  readonly count: (outcome: string) => void
+}
+
+/** Reads workers from `begin` to `end`. */
+export interface WorkerReader {
+  /** Begins to read the workers of this host with requests of this epoch. While it reads, only changes the epoch. */
+  begin (epoch: number): void
+  /** Must be called when other peers may be alive than before. */
+  reviewPeers (): void
+  end (): void
+}
+
+/** Requests under way. They take little: a hold of a worker without news is about 200 bytes each way. */
+const maxActiveRequests = 48
+/** How long a request waits at a worker for an end, in ms, and if more workers are to be asked than requests may be under way. */
+const waitMs = 1_000
+const shortWaitMs = 150
+/** Time allowed for an answer beyond the wait, in ms: two round trips between the most distant regions, one of them to connect, and a slow worker. */
+const answerTimeoutMs = 300
+/** A worker answers at once while it lists ends that are not acknowledged: pause until it is asked again, in ms. */
+const listedPauseMs = 150
+/** Pause after a request without an answer, in ms; it doubles up to the longer one. */
+const minRetryPauseMs = 100
+const maxRetryPauseMs = 800
+/** Pause after a failed read of the list, in ms. */
+const listRetryPauseMs = 200
+
+/** One time of reading. */
+interface Session {
+  epoch: number
+  readonly ending: AbortController
+  readonly startedAtMs: number
+  workers: readonly ListedWorker[]
+  /** The ids of the workers that have been asked, and how many are still asked. */
+  readonly begun: Set<string>
+  open: number
+  requests: number
+  ends: number
+}
+
+/** Creates a reader that does not read yet. */
+export function createWorkerReader (host: WorkerReaderHost): WorkerReader {
+  const { logger } = host
+  let session: Session | undefined
+  let activeRequests = 0
+  const released = createSignal()
+
+  return { begin, reviewPeers, end }
+
+  function begin (epoch: number): void {
+    if (session !== undefined) {
+      session.epoch = epoch
+      return
+    }
+    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), workers: [], begun: new Set(), open: 0, requests: 0, ends: 0 }
+    void readAssigned(session)
+  }
+
+  function end (): void {
+    if (session === undefined) return
+    session.ending.abort()
+    const { startedAtMs, requests, ends, open } = session
+    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, open })
+    session = undefined
+  }
+
+  function reviewPeers (): void {
+    if (session !== undefined && session.workers.length > 0) void beginAssigned(session)
+  }
+
+  async function readAssigned (current: Session): Promise<void> {
+    current.workers = await readList(current)
+    await beginAssigned(current)
+  }
+
+  async function beginAssigned (current: Session): Promise<void> {
+    const { peers, isAlone } = await host.readPeers()
+    if (current.ending.signal.aborted) return
+    const assigned = selectReaders(host, peers, current.workers, isAlone).filter(({ workerId }) => !current.begun.has(workerId))
+    logger.info('this host reads workers', { epoch: current.epoch, workers: assigned.length, begun: current.begun.size, listed: current.workers.length, peers: peers.length, isAlone })
+    for (const worker of assigned) {
+      current.begun.add(worker.workerId)
+      current.open++
+      void readWorker(worker, current).finally(() => { current.open-- })
+    }
+  }
+
+  async function readList ({ ending: { signal } }: Session): Promise<readonly ListedWorker[]> {
+    while (!signal.aborted) {
+      try {
+        return await host.readWorkers()
+      } catch (error) {
+        logger.info('cannot read the list of workers for reading their ends; retrying', { error: String(error) })
+        await delay(listRetryPauseMs, signal)
+      }
+    }
+    return []
+  }
+
+  async function readWorker (worker: ListedWorker, current: Session): Promise<void> {
+    const { signal } = current.ending
+    let port: WorkerPort | undefined
+    let isFirst = true
+    let retryPauseMs = minRetryPauseMs
+    while (!signal.aborted) {
+      await takeTurn(signal)
+      if (signal.aborted) break
+      try {
+        port ??= host.connect(worker)
+        const report = await read(port, worker.workerId, isFirst ? 0 : current.open > maxActiveRequests ? shortWaitMs : waitMs, current)
+        if (report.running.length === 0 && report.ended.length === 0) break
+        retryPauseMs = minRetryPauseMs
+        isFirst = report.ended.length > 0
+        if (isFirst) await delay(listedPauseMs, signal)
+      } catch (error) {
+        // A later term asks this worker, or another worker has its address.
+        if (isErrorOfKind(error, ErrorKind.StaleEpoch) || isErrorOfKind(error, ErrorKind.Conflict)) break
+        isFirst = true
+        await delay(retryPauseMs, signal)
+        retryPauseMs = Math.min(2 * retryPauseMs, maxRetryPauseMs)
+      }
+    }
+    port?.close()
+  }
+
+  async function takeTurn (signal: AbortSignal): Promise<void> {
+    while (activeRequests >= maxActiveRequests && !signal.aborted) await released.wait(listRetryPauseMs)
+  }
+
+  async function read (port: WorkerPort, workerId: string, requestWaitMs: number, current: Session): Promise<WorkerStatusReport> {
+    const { epoch } = current
+    const sentAtMs = performance.now()
+    activeRequests++
+    current.requests++
+    try {
+      const report = await port.renewLease({ epoch, acknowledgedSequence: 0, waitMs: requestWaitMs, answerTimeoutMs })
+      host.count('answered')
+      current.ends += report.ended.length
+      host.onReport(workerId, report, epoch, sentAtMs)
+      return report
+    } catch (error) {
+      host.count(isErrorOfKind(error, ErrorKind.StaleEpoch) ? 'refused' : 'failed')
+      throw error
+    } finally {
+      activeRequests--
+      released.notify()
+    }
+  }
+}
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -18,6 +18,9 @@
 import type { KnownHost } from '../peers/hostDirectory.js'
 import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
+import { createEndReaders } from '../readers/endReaders.js'
+import type { EndReaders } from '../readers/endReaders.js'
+import { grantPrefix } from '../runs/grantRecord.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
 import { createWarmStandby } from '../runs/warmStandby.js'
@@ -28,6 +31,7 @@
 import { createPoolState, createPoolWorker } from '../standins/poolWorker.js'
 import type { PoolWorker, PoolState, RunBehaviour } from '../standins/poolWorker.js'
 import { createWorkerSilence, SilenceCause } from '../standins/workerSilence.js'
+import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
 import { createWorkerList } from '../workers/workerList.js'
 import type { ListedWorker, WorkerPort } from '../workers/workerPort.js'
@@ -126,10 +130,16 @@
   readonly hasStandbys?: boolean
   /** A host that gets no answers from a worker polls it through the others. */
   readonly hasRelayedPolls?: boolean
+  /** The hosts read ends while none of them schedules. */
+  readonly hasEndReaders?: boolean
+  /** The hosts know the others only from the store. */
+  readonly hasEmptyDirectories?: boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
   readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
+  /** Wraps the port of a host to a worker for requests while no host schedules. */
+  readonly interceptReader?: (hostId: string, port: WorkerPort) => WorkerPort
   readonly onEnd?: PoolState['onEnd']
   readonly onRequestDuringLoss?: PoolState['onRequestDuringLoss']
   /** Returns the configuration of a host; undefined until the host has received one. */
@@ -317,6 +327,13 @@
     let renewalFreezeMs: number | undefined
     let cutWorkers: ReadonlySet<string> = new Set()
     const awaitThaw = async (): Promise<void> => { while (performance.now() < frozenUntilMs) await delay(frozenUntilMs - performance.now()) }
+    const freezeMethod = (method: RpcMethod): RpcMethod => ({
+      ...method,
+      handle: async (params, caller) => {
+        await awaitThaw()
+        return await method.handle(params, caller)
+      }
+    })
     const onStoreAnswer = (name: keyof MetadataStore): void => {
       if (name !== 'keepLeaseAlive' || renewalFreezeMs === undefined) return
       frozenUntilMs = performance.now() + renewalFreezeMs
@@ -338,8 +355,9 @@
       })
     const intake = createJobIntake({ store: client, logger })
     const connectWorker = (info: Pick<ListedWorker, 'workerId' | 'address'>): WorkerPort => freezePort(connect(hostId, info, () => hasCrashed || cutWorkers.has(info.workerId)), awaitThaw)
-    peerMethods.set(hostId, createPeerWorkerMethods({ connect: connectWorker }))
-    const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: address => connectPeer(address, awaitThaw, () => hasCrashed) }) : undefined
+    let endReaders: EndReaders | undefined
+    const connectToPeer = (address: string): RpcClient => connectPeer(address, awaitThaw, () => hasCrashed)
+    const relayedPolls = options.hasRelayedPolls === true ? createRelayedPolls({ getPeers: () => getPeers(hostId), connect: connectToPeer }) : undefined
     const election: LeaderElection = createLeaderElection({
       store: client,
       hostId,
@@ -348,6 +366,7 @@
       isSmall: false,
       minTtlMs: 1_000,
       ...(standby === undefined ? {} : { getStandbyRank: () => standby.isWarm() ? rank : undefined }),
+      onLeaderSeen: () => { endReaders?.onLeaderSeen() },
       onElected: elected => {
         term = elected
         const evacuations = createEvacuations(elected, client, () => { scheduler?.refresh() })
@@ -380,6 +399,25 @@
         })
       }
     })
+    if (options.hasEndReaders === true) {
+      endReaders = createEndReaders({
+        logger: logger.withPrefix(hostId),
+        hostId,
+        domain: 'a',
+        getPeers: () => options.hasEmptyDirectories === true ? [] : getPeers(hostId),
+        connect: connectToPeer,
+        connectWorker: info => options.interceptReader?.(hostId, connectWorker(info)) ?? connectWorker(info),
+        readPeers: async () => getPeers(hostId),
+        readWorkers: async () => (standby?.peek(listPrefix) ?? (await readAll(client, listPrefix)).items).map(({ value }) => JSON.parse(value) as ListedWorker),
+        hasGrantRecord: async () => (await client.range(grantPrefix)).items.length > 0,
+        getLeaderView: election.getLeaderView,
+        getOwnTerm: () => term === undefined || term.signal.aborted ? { isPolling: false } : { epoch: term.epoch, isPolling: term.isValid() && scheduler?.isPolling() === true },
+        applyEnds: ends => { scheduler?.applyReadEnds(ends) },
+        signal: leaving.signal
+      })
+    }
+    const methods = [...createPeerWorkerMethods({ connect: connectWorker, onReport: endReaders?.onRelayedReport }), ...(endReaders?.methods ?? []).map(freezeMethod)]
+    peerMethods.set(hostId, methods)
     refreshCallbacks.add(() => { scheduler?.refresh() })
     const host: HarnessHost = {
       hostId,
@@ -445,16 +483,26 @@
   /** Connects a host to another one; a host that is frozen or has crashed does not call. */
   function connectPeer (address: string, awaitThaw: () => Promise<void>, hasCrashed: () => boolean): RpcClient {
     return {
-      call: async <T>(methodName: string, params: unknown): Promise<T> => {
-        await awaitThaw()
-        const method = hasCrashed() ? undefined : peerMethods.get(address)?.find(({ name }) => name === methodName)
-        if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
-        const answer = await method.handle(params, { from: '', identity: '' }) as T
-        await awaitThaw()
-        if (hasCrashed()) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
-        return answer
+      call: async <T>(methodName: string, params: unknown, timeoutMs?: number): Promise<T> => {
+        const answer = handle(methodName, params) as Promise<T>
+        return timeoutMs === undefined ? await answer : await Promise.race([answer, failAfter(timeoutMs)])
       }
     }
+
+    async function handle (methodName: string, params: unknown): Promise<unknown> {
+      await awaitThaw()
+      const method = hasCrashed() ? undefined : peerMethods.get(address)?.find(({ name }) => name === methodName)
+      if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
+      const answer = await method.handle(params, { from: '', identity: '' })
+      await awaitThaw()
+      if (hasCrashed()) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
+      return answer
+    }
+  }
+
+  async function failAfter (timeoutMs: number): Promise<never> {
+    await delay(timeoutMs)
+    throw createError(ErrorKind.AnswerLost, 'the host did not respond')
   }
 
   function connect (hostId: string, info: Pick<ListedWorker, 'workerId' | 'address'>, isCut: () => boolean): WorkerPort {
