Model of reading ends: a request that waits beside the poll while answers are lost

An end that the progress has not shown is read by the poll alone: 8 steps if that poll is lost. Explored before the code: a waiting request beside the poll, sent only while answers are being lost, by the host itself or, after a failure of its own, through another host.

--- a/src/model/endLosses.ts
+++ b/src/model/endLosses.ts
@@ -9,6 +9,8 @@
 export interface LossTrials {
   /** Whether the progress of the run has shown its end. */
   readonly isForeseen: boolean
+  /** Whether answers of other workers are known to be lost from before the end on. */
+  readonly areOthersLosing: boolean
   /** The share of requests that are lost. */
   readonly lostShare: number
   readonly trials: number
@@ -24,10 +26,10 @@
 const unlimited = 1_000_000
 
 /** Returns, for each number of steps, the share of ends that are listed and not read after so many. */
-export function getUnreadShares (policy: ReadingPolicy, { isForeseen, lostShare, trials, seed }: LossTrials, steps: readonly number[]): readonly number[] {
+export function getUnreadShares (policy: ReadingPolicy, { isForeseen, areOthersLosing, lostShare, trials, seed }: LossTrials, steps: readonly number[]): readonly number[] {
   const generator = xoroshiro128plus(seed)
   const none = { lostRequests: 0, lateRequests: 0, slowAnswers: 0, lostWrites: 0, cuts: 0, termEnds: 0, deaths: 0, restarts: 0 }
-  const model = createEndModel({ policy, disturbances: { ...none, lostRequests: unlimited }, lateSteps: [0, 0], areEndsUnforeseen: true, isProgressWrong: false })
+  const model = createEndModel({ policy, disturbances: { ...none, lostRequests: unlimited }, lateSteps: [0, 0], areEndsUnforeseen: true, isProgressWrong: false, areOthersLosing })
   const maxSteps = Math.max(...steps)
   const unread = steps.map(() => 0)
   for (let trial = 0; trial < trials; trial++) {
--- a/src/model/endModel.test.ts
+++ b/src/model/endModel.test.ts
@@ -2,12 +2,12 @@
 import { getUnreadShares } from './endLosses.js'
 import { countRequests, createEndModel, EndInvariant } from './endModel.js'
 import type { EndModelFaults } from './endModel.js'
-import { endScenarios, lateRequestScenario, lostRequestScenario, lostWriteScenario, slowAnswerScenario, takeoverScenario, unforeseenScenario } from './endScenarios.js'
+import { endScenarios, lateRequestScenario, lostRequestScenario, lostWriteScenario, slowAnswerScenario, takeoverScenario, unforeseenDuringLossesScenario, unforeseenScenario } from './endScenarios.js'
 import type { NamedEndScenario } from './endScenarios.js'
 import { explore } from './explorer.js'
 import type { Exploration } from './explorer.js'
 import { getWorstSteps } from './findings.js'
-import { acknowledgeOncePolicy, onePollPolicy, plainWritesPolicy, pollAtOncePolicy, secondPollPolicy, shortWaitPolicy, twoPollsPolicy } from './readingPolicies.js'
+import { acknowledgeOncePolicy, onePollPolicy, plainWritesPolicy, pollAtOncePolicy, relayedWatchPolicy, secondPollPolicy, shortWaitPolicy, twoPollsPolicy } from './readingPolicies.js'
 import type { ReadingPolicy } from './readingPolicies.js'
 
 const forgottenByLatePoll = 'KEPT: an end that was never read is forgotten by a late request to an earlier life'
@@ -16,6 +16,7 @@
 /** Smaller bounds than those of `npm run model`. */
 const lostRequest = { ...lostRequestScenario, maxDepth: 11 }
 const unforeseen = { ...unforeseenScenario, maxDepth: 11 }
+const unforeseenDuringLosses = { ...unforeseenDuringLossesScenario, maxDepth: 11 }
 const lostWrites = { ...lostWriteScenario, disturbances: { ...lostWriteScenario.disturbances, lostWrites: 3 }, maxDepth: 8 }
 const maxSafetyDepth = 6
 
@@ -43,6 +44,11 @@
     expect(getWorst(unforeseen, twoPollsPolicy)).toBe(0)
   })
 
+  test('finds that a waiting request beside the poll reads an end that the progress has not shown, if it is known that answers of other workers are being lost', () => {
+    expect(getWorst(unforeseenDuringLosses, secondPollPolicy)).toBe(8)
+    expect(getWorst(unforeseenDuringLosses, relayedWatchPolicy)).toBe(0)
+  })
+
   test('finds that the next end is not read while the write of the last one has no answer, unless the poll goes on when an end is expected', () => {
     expect(getWorst(lostWrites, onePollPolicy)).toBe(2)
     expect(getWorst(lostWrites, secondPollPolicy)).toBe(0)
@@ -54,13 +60,13 @@
   })
 
   test('no policy forgets an end before it is stored, starts a run again after that, or counts one as lost while it is at work, unless a later life carries out a late poll', () => {
-    for (const policy of [onePollPolicy, secondPollPolicy]) {
+    for (const policy of [onePollPolicy, secondPollPolicy, relayedWatchPolicy]) {
       for (const scenario of endScenarios.filter(({ disturbances }) => disturbances.lateRequests === 0)) expect(getUnsafe(check({ ...scenario, maxDepth: maxSafetyDepth }, policy))).toEqual([])
     }
   })
 
   test('finds under each rule that a late poll to an earlier life makes the next one forget an end that was never read, which is the known open case', () => {
-    for (const policy of [onePollPolicy, secondPollPolicy, acknowledgeOncePolicy]) expect(getUnsafe(check(lateRequestScenario, policy))).toEqual([forgottenByLatePoll])
+    for (const policy of [onePollPolicy, secondPollPolicy, relayedWatchPolicy, acknowledgeOncePolicy]) expect(getUnsafe(check(lateRequestScenario, policy))).toEqual([forgottenByLatePoll])
   })
 
   test('finds an end that is acknowledged before it is stored', () => {
@@ -89,13 +95,21 @@
   test('a second poll costs no request while no end is expected, and few polls acknowledge ends if each end is acknowledged once', () => {
     const usual = countRequests({ ...lostRequestScenario, policy: onePollPolicy }, 40)
     expect(countRequests({ ...lostRequestScenario, policy: secondPollPolicy }, 40)).toEqual(usual)
+    expect(countRequests({ ...lostRequestScenario, policy: relayedWatchPolicy }, 40)).toEqual(usual)
     expect(countRequests({ ...lostRequestScenario, policy: acknowledgeOncePolicy }, 40)).toEqual({ ...usual, acknowledging: 1 })
   })
 
   test('with most requests lost, a second request makes it rarer that an end which should be there is not read for a second', () => {
-    const trials = { isForeseen: true, lostShare: 0.6, trials: 1_000, seed: 1 }
+    const trials = { isForeseen: true, areOthersLosing: false, lostShare: 0.6, trials: 1_000, seed: 1 }
     const [one, second] = [onePollPolicy, secondPollPolicy].map(policy => getUnreadShares(policy, trials, [4])[0])
     expect(one).toBeGreaterThan(0.25)
     expect(second).toBeLessThan(0.1)
   })
+
+  test('with most requests lost, a waiting request makes it rarer that an end which the progress has not shown is not read for a second', () => {
+    const trials = { isForeseen: false, areOthersLosing: true, lostShare: 0.6, trials: 1_000, seed: 1 }
+    const [second, watch] = [secondPollPolicy, relayedWatchPolicy].map(policy => getUnreadShares(policy, trials, [4])[0])
+    expect(second).toBeGreaterThan(0.25)
+    expect(watch).toBeLessThan(0.05)
+  })
 })
--- a/src/model/endModel.ts
+++ b/src/model/endModel.ts
@@ -5,7 +5,7 @@
 import type { Choose, Finding, Model } from './explorer.js'
 import { causes, clone, createRun, createTerm, getBits, getKey, isReachable, Known, note, Phase, RequestKind, Work } from './endModelState.js'
 import type { EndDisturbances, EndState, ReportModel, RequestModel, RunModel, TermModel } from './endModelState.js'
-import { ageLimit, answerSteps, fastAnswerSteps, fastRetries } from './readingPolicies.js'
+import { ageLimit, answerSteps, areAnswersLost, FailedWatch, fastAnswerSteps, fastRetries } from './readingPolicies.js'
 import type { LinkEvidence, Look, ReadingPolicy } from './readingPolicies.js'
 
 /** A scenario to explore. */
@@ -18,6 +18,8 @@
   readonly areEndsUnforeseen: boolean
   /** All runs should have ended by their progress from the first step on, although they go on. */
   readonly isProgressWrong: boolean
+  /** Answers of other workers are being lost all the while, and the host knows it. */
+  readonly areOthersLosing: boolean
   /** Assumptions of the model that a test takes away, to show that the model finds what follows. */
   readonly faults?: EndModelFaults
 }
@@ -77,7 +79,7 @@
 }
 
 /** Creates the model of a scenario: run 0 is at work, and run 1 may be started. */
-export function createEndModel ({ policy, disturbances, lateSteps: [minLate, maxLate], areEndsUnforeseen, isProgressWrong, faults = {} }: EndScenario): EndModel {
+export function createEndModel ({ policy, disturbances, lateSteps: [minLate, maxLate], areEndsUnforeseen, isProgressWrong, areOthersLosing, faults = {} }: EndScenario): EndModel {
   const requests = { polls: 0, acknowledging: 0, looks: 0 }
   let reportFinding: (finding: Finding) => void = () => {}
   let isBroken = false
@@ -130,7 +132,8 @@
     term.reportAge = Math.min(ageLimit, term.reportAge + 1)
     term.lookSentAge = Math.min(ageLimit, term.lookSentAge + 1)
     term.relaySentAge = Math.min(ageLimit, term.relaySentAge + 1)
-    for (const request of [term.poll, term.look, term.relay]) {
+    term.lossAge = Math.min(ageLimit, term.lossAge + 1)
+    for (const request of [term.poll, term.look, term.relay, term.watch]) {
       if (request === undefined) continue
       request.age++
       if (request.report !== undefined) request.reportAge++
@@ -158,7 +161,7 @@
         run.work = Work.Gone
         run.isListed = false
       }
-      for (const request of [state.term?.poll, state.term?.look, state.term?.relay]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
+      for (const request of [state.term?.poll, state.term?.look, state.term?.relay, state.term?.watch]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
     } else if (!state.isAlive && left.restarts > 0 && choose([['', false], ['another life begins under the id', true]])) {
       left.restarts--
       state.isAlive = true
@@ -230,6 +233,7 @@
     if (term.poll !== undefined) receive(state, term, term.poll, choose)
     if (term.look !== undefined) receive(state, term, term.look, choose)
     if (term.relay !== undefined) receive(state, term, term.relay, choose)
+    if (term.watch !== undefined) receive(state, term, term.watch, choose)
     storeEnds(state, term, choose)
     startRun(state, term, choose)
     // A worker that lists ends answers at once, and a round trip takes far less than a step.
@@ -246,6 +250,8 @@
       term.relaySentAge = 0
       term.relay = sendBeside(state, term, RequestKind.Relay, { wait: 0, answer: answerSteps }, choose)
     }
+    const watch = term.watch === undefined ? policy.getWatch(getEvidence(state, term)) : undefined
+    if (watch !== undefined) term.watch = sendBeside(state, term, watch.isRelayed ? RequestKind.RelayedWatch : RequestKind.Watch, watch, choose)
   }
 
   function startRun (state: EndState, { hasAnswered }: TermModel, choose: Choose): void {
@@ -259,7 +265,7 @@
   }
 
   function getEvidence (state: EndState, term: TermModel): LinkEvidence {
-    const { poll, reportAge, lookSentAge, relaySentAge, failedPolls, areEndsListed } = term
+    const { poll, reportAge, lookSentAge, relaySentAge, failedPolls, areEndsListed, lossAge, failedWatch } = term
     return {
       poll: poll === undefined ? undefined : { age: poll.age, wait: poll.wait },
       lookSentAge,
@@ -269,6 +275,9 @@
       reportAge,
       areEndsListed,
       failedPolls,
+      lossAge,
+      areOthersLosing,
+      failedWatch,
       storedSequence: getStoredSequence(state, term)
     }
   }
@@ -282,7 +291,7 @@
 
   function sendPoll (state: EndState, term: TermModel, choose: Choose): void {
     const isAnswering = term.hasAnswered && term.failedPolls === 0
-    const wait = isAnswering ? policy.pollWait : 0
+    const wait = !isAnswering ? 0 : areAnswersLost(getEvidence(state, term)) ? policy.lossyPollWait : policy.pollWait
     const isFast = term.hasAnswered && term.failedPolls > 0 && term.failedPolls <= fastRetries
     const isConfirmedConnection = term.connectionLife !== 0 && term.connectionLife === term.knownLife && term.connectionLife === state.life
     const acknowledged = isConfirmedConnection || faults.acknowledgesOverAnyConnection === true ? policy.getAcknowledgedSequence(getEvidence(state, term)) : 0
@@ -309,7 +318,7 @@
     // What is carried out without an answer differs from a request that is lost only by what it acknowledges.
     if (left.lostRequests > 0 && acknowledged > 0) options.push([`a ${kind} is carried out, its answer is lost`, Outcome.AnswerLost])
     if (left.lateRequests > 0) options.push([`a ${kind} that acknowledges ${acknowledged} gets no answer and stays under way`, Outcome.Late])
-    const isPossible = state.isAlive && (kind === RequestKind.Relay || !state.isCut)
+    const isPossible = state.isAlive && (isRelayed(kind) || !state.isCut)
     const outcome = isPossible && options.length > 1 ? choose(options) : Outcome.Answered
     if (outcome === Outcome.NotExecuted || outcome === Outcome.AnswerLost) {
       left.lostRequests--
@@ -333,18 +342,25 @@
     if (report === undefined && request.age < request.timeout) return false
     if (request.kind === RequestKind.Look) term.look = undefined
     else if (request.kind === RequestKind.Relay) term.relay = undefined
-    else term.poll = undefined
+    else if (request.kind === RequestKind.Poll) term.poll = undefined
+    else {
+      term.watch = undefined
+      term.failedWatch = report !== undefined ? FailedWatch.None : request.kind === RequestKind.Watch ? FailedWatch.Own : FailedWatch.Relayed
+    }
     if (report !== undefined) applyReport(state, term, report, request)
-    else if (request.kind === RequestKind.Poll) {
-      term.failedPolls = Math.min(fastRetries + 1, term.failedPolls + 1)
-      term.connectionLife = 0
+    else {
+      if (!isRelayed(request.kind)) term.lossAge = 0
+      if (request.kind === RequestKind.Poll) {
+        term.failedPolls = Math.min(fastRetries + 1, term.failedPolls + 1)
+        term.connectionLife = 0
+      }
     }
     return true
   }
 
   function answer (state: EndState, request: RequestModel, choose: Choose): void {
     request.phase = Phase.NoAnswer
-    if (request.isAnswerLost || (state.isCut && request.kind !== RequestKind.Relay)) return
+    if (request.isAnswerLost || (state.isCut && !isRelayed(request.kind))) return
     request.phase = Phase.AnswerUnderWay
     request.report = { life: state.life, listed: getBits(state, run => run.life === state.life && run.isListed), running: getBits(state, run => run.life === state.life && run.work === Work.AtWork) }
     const isSlow = state.left.slowAnswers > 0 && choose([['', false], [`the answer to a ${request.kind} is slow`, true]])
@@ -437,6 +453,10 @@
   }
 }
 
+function isRelayed (kind: RequestKind): boolean {
+  return kind === RequestKind.Relay || kind === RequestKind.RelayedWatch
+}
+
 /** The requests that a host sends in so many steps if one run ends in the first one and another goes on. */
 export function countRequests (scenario: EndScenario, steps: number): RequestCounts {
   const model = createEndModel(scenario)
--- a/src/model/endModelCheck.ts
+++ b/src/model/endModelCheck.ts
@@ -20,9 +20,11 @@
 const lossTrials = 20_000
 
 for (const policy of readingPolicies.filter(({ name }) => policyNames?.includes(name) ?? true)) {
-  for (const isForeseen of [true, false]) {
-    const shares = getUnreadShares(policy, { isForeseen, lostShare, trials: lossTrials, seed: 1 }, soonSteps)
-    console.log(`${policy.name}: with ${lostShare} of the requests lost, ${shares.map(share => `${(100 * share).toFixed(1)} %`).join(', ')} of ${isForeseen ? '' : 'unforeseen '}ends are not read after ${soonSteps.join(', ')} steps`)
+  for (const areOthersLosing of [false, true]) {
+    for (const isForeseen of [true, false]) {
+      const shares = getUnreadShares(policy, { isForeseen, areOthersLosing, lostShare, trials: lossTrials, seed: 1 }, soonSteps)
+      console.log(`${policy.name}: with ${lostShare} of the requests lost${areOthersLosing ? ', as those of other workers,' : ''} ${shares.map(share => `${(100 * share).toFixed(1)} %`).join(', ')} of ${isForeseen ? '' : 'unforeseen '}ends are not read after ${soonSteps.join(', ')} steps`)
+    }
   }
   for (const isProgressWrong of [false, true]) {
     const { polls, acknowledging, looks } = countRequests({ ...endScenarios[0] as (typeof endScenarios)[number], policy, isProgressWrong }, countedSteps)
--- a/src/model/endModelState.ts
+++ b/src/model/endModelState.ts
@@ -1,5 +1,5 @@
 /** The state of the end model: one worker with two runs, one term, and what is under way between them and the store. */
-import { ageLimit } from './readingPolicies.js'
+import { ageLimit, FailedWatch } from './readingPolicies.js'
 
 /** How often each disturbance may happen. */
 export interface EndDisturbances {
@@ -24,8 +24,8 @@
 export enum Work { None, AtWork, Ended, Gone }
 /** What the present term knows of a run. */
 export enum Known { Nothing, Running, Read, Stored, Lost }
-/** A poll of the host, a second request beside it, or a request through another host. */
-export enum RequestKind { Poll = 'poll', Look = 'look', Relay = 'relayed poll' }
+/** A poll of the host, a second request beside it, a request through another host, or a request that waits beside the poll, by either way. */
+export enum RequestKind { Poll = 'poll', Look = 'look', Relay = 'relayed poll', Watch = 'waiting request', RelayedWatch = 'relayed waiting request' }
 /** Where a request is. */
 export enum Phase { AtWorker, NoAnswer, AnswerUnderWay }
 /** One run, as it is and as the present term knows it. */
@@ -101,12 +101,16 @@
   reportAge: number
   lookSentAge: number
   relaySentAge: number
+  /** Steps since a request of the host itself got no answer. */
+  lossAge: number
+  failedWatch: FailedWatch
   areEndsListed: boolean
   /** The life that has reported over the connection of the polls; 0 if none. */
   connectionLife: number
   poll: RequestModel | undefined
   look: RequestModel | undefined
   relay: RequestModel | undefined
+  watch: RequestModel | undefined
   write: WriteModel | undefined
 }
 
@@ -130,7 +134,7 @@
 }
 
 /** What findings are grouped by. */
-export const causes = ['lost poll', 'late poll', 'lost look', 'late look', 'lost relayed poll', 'slow answer', 'write without an answer', 'cut', 'earlier term', 'later life', 'unforeseen end'] as const
+export const causes = ['lost poll', 'late poll', 'lost look', 'late look', 'lost relayed poll', 'slow answer', 'write without an answer', 'cut', 'earlier term', 'later life', 'unforeseen end', 'lost waiting request', 'lost relayed waiting request'] as const
 /** One of them. */
 export type Cause = typeof causes[number]
 
@@ -141,7 +145,7 @@
 
 /** A term that begins. */
 export function createTerm (index: number): TermModel {
-  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, relaySentAge: ageLimit, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, relay: undefined, write: undefined }
+  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, relaySentAge: ageLimit, lossAge: ageLimit, failedWatch: FailedWatch.None, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, relay: undefined, watch: undefined, write: undefined }
 }
 
 /** Whether the host that schedules reaches the worker. */
@@ -168,7 +172,7 @@
     lateWrites: state.lateWrites.map(write => ({ ...write })),
     term: state.term === undefined
       ? undefined
-      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), relay: cloneOptional(state.term.relay), write: cloneOptional(state.term.write) },
+      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), relay: cloneOptional(state.term.relay), watch: cloneOptional(state.term.watch), write: cloneOptional(state.term.write) },
     left: { ...state.left }
   }
 }
@@ -194,11 +198,11 @@
   for (const { runs, term, age } of state.lateWrites) add(runs, term, age)
   add(separator)
   if (term !== undefined) {
-    add(term.index, term.knownLife, Number(term.hasAnswered), term.failedPolls, term.reportAge, term.lookSentAge, term.relaySentAge, Number(term.areEndsListed), term.connectionLife)
-    for (const request of [term.poll, term.look, term.relay]) {
+    add(term.index, term.knownLife, Number(term.hasAnswered), term.failedPolls, term.reportAge, term.lookSentAge, term.relaySentAge, term.lossAge, term.failedWatch, Number(term.areEndsListed), term.connectionLife)
+    for (const request of [term.poll, term.look, term.relay, term.watch]) {
       add(separator)
       if (request === undefined) continue
-      add(request.phase, request.age, request.wait, request.timeout, request.acknowledged, Number(request.isAnswerLost))
+      add(request.phase, request.age, request.wait, request.timeout, request.acknowledged, Number(request.isAnswerLost), Number(request.kind === RequestKind.RelayedWatch))
       if (request.report !== undefined) add(request.report.life, request.report.listed, request.report.running, request.reportAge + 1)
     }
     add(separator)
--- a/src/model/endScenarios.ts
+++ b/src/model/endScenarios.ts
@@ -10,7 +10,7 @@
 
 const none = { lostRequests: 0, lateRequests: 0, slowAnswers: 0, lostWrites: 0, cuts: 0, termEnds: 0, deaths: 0, restarts: 0 }
 /** Late requests are carried out after 2 to 3 s; the bench does so after 2 to 12 s, which reaches the same states with more steps between. */
-const base = { lateSteps: [8, 12] as const, areEndsUnforeseen: false, isProgressWrong: false }
+const base = { lateSteps: [8, 12] as const, areEndsUnforeseen: false, isProgressWrong: false, areOthersLosing: false }
 
 /** A request that is lost, and no other disturbance. */
 export const lostRequestScenario: NamedEndScenario = { ...base, name: 'lost request', disturbances: { ...none, lostRequests: 1 }, maxDepth: 16 }
@@ -21,6 +21,9 @@
 /** An end that the progress has not shown, and a lost request. */
 export const unforeseenScenario: NamedEndScenario = { ...lostRequestScenario, name: 'unforeseen end', areEndsUnforeseen: true, maxDepth: 14 }
 
+/** The same while answers of other workers are being lost. */
+export const unforeseenDuringLossesScenario: NamedEndScenario = { ...unforeseenScenario, name: 'unforeseen end during losses', areOthersLosing: true }
+
 /** A worker that restarts under its id, and a poll that is carried out late. */
 export const lateRequestScenario: NamedEndScenario = { ...base, name: 'late request', disturbances: { ...none, lateRequests: 1, deaths: 1, restarts: 1 }, maxDepth: 14 }
 
@@ -35,6 +38,8 @@
   lostRequestScenario,
   { ...base, name: 'lost requests', disturbances: { ...none, lostRequests: 3 }, maxDepth: 16 },
   unforeseenScenario,
+  unforeseenDuringLossesScenario,
+  { ...unforeseenDuringLossesScenario, name: 'unforeseen end during losses, lost requests', disturbances: { ...none, lostRequests: 3 }, maxDepth: 12 },
   lostWriteScenario,
   { ...base, name: 'lost request and write', disturbances: { ...none, lostRequests: 1, lostWrites: 1 }, maxDepth: 14 },
   slowAnswerScenario,
--- a/src/model/readingPolicies.ts
+++ b/src/model/readingPolicies.ts
@@ -23,28 +23,47 @@
   readonly areEndsListed: boolean
   /** Polls that have failed since the last answer. */
   readonly failedPolls: number
+  /** Steps since the host learned that a request of its own to the worker got no answer; `ageLimit` at most. */
+  readonly lossAge: number
+  /** Whether other workers have left requests unanswered and answered later ones. */
+  readonly areOthersLosing: boolean
+  /** Whether the latest waiting request got no answer, and whether another host had sent it. */
+  readonly failedWatch: FailedWatch
   /** The highest sequence number up to which all ends of the known life that were read are stored. */
   readonly storedSequence: number
 }
 
-/** A second request beside a poll. */
+/** How the latest waiting request failed. */
+export enum FailedWatch { None, Own, Relayed }
+
+/** A request beside a poll. */
 export interface Look {
   /** How long it waits for an end at the worker, and how long its answer may take beyond that. */
   readonly wait: number
   readonly answer: number
 }
 
+/** A request beside a poll that waits at the worker. */
+export interface Watch extends Look {
+  /** Whether another host sends it. */
+  readonly isRelayed: boolean
+}
+
 /** A way to read and to store ends. */
 export interface ReadingPolicy {
   readonly name: string
   /** How long a poll waits for an end when the worker has answered the previous one. */
   readonly pollWait: number
+  /** The same while answers are being lost. */
+  readonly lossyPollWait: number
   /** Tells whether the next poll is sent although the ends of the last report are not stored. */
   isPollDue (evidence: LinkEvidence): boolean
   /** The second request to send now; none is sent while one is under way. It acknowledges nothing. */
   getLook (evidence: LinkEvidence): Look | undefined
   /** Tells whether another host is asked to send a request that does not wait; none is sent while one is under way. It acknowledges nothing. */
   isRelayDue (evidence: LinkEvidence): boolean
+  /** The waiting request to send now, beside all others; none is sent while one is under way. It acknowledges nothing. */
+  getWatch (evidence: LinkEvidence): Watch | undefined
   /** What the next poll acknowledges; it is sent only over a connection on which the known life has reported. */
   getAcknowledgedSequence (evidence: LinkEvidence): number
   /** Steps after which a write without an answer is checked and repeated. */
@@ -69,6 +88,8 @@
 const relayPause = 2
 const pollWait = 6
 const shortPollWait = 2
+/** Answers of a worker count as being lost for this long after a request without an answer: 4 s. */
+const lossWindow = 16
 /** The pause between two second requests for an end that is expected: 500 ms. */
 const lookPause = 2
 
@@ -77,8 +98,10 @@
   name: 'one poll',
   pollWait,
   isPollDue: ({ areEndsStored, reportAge }) => areEndsStored || reportAge >= storeWait,
+  lossyPollWait: pollWait,
   getLook: () => undefined,
   isRelayDue: isRelayDueAfterFailures,
+  getWatch: () => undefined,
   getAcknowledgedSequence: ({ reportAge, storedSequence }) => reportAge < acknowledgementValidity ? storedSequence : 0,
   writeRetry: 1
 }
@@ -87,7 +110,7 @@
 export const plainWritesPolicy: ReadingPolicy = { ...onePollPolicy, name: 'one poll, plain writes', writeRetry: 4 }
 
 /** As `one poll`, and polls wait for 500 ms. */
-export const shortWaitPolicy: ReadingPolicy = { ...onePollPolicy, name: 'shorter waits', pollWait: shortPollWait }
+export const shortWaitPolicy: ReadingPolicy = { ...onePollPolicy, name: 'shorter waits', pollWait: shortPollWait, lossyPollWait: shortPollWait }
 
 /** As `one poll`, and the next poll is sent at once with what is stored by then. */
 export const pollAtOncePolicy: ReadingPolicy = { ...onePollPolicy, name: 'next poll at once', isPollDue: () => true }
@@ -111,7 +134,7 @@
 }
 
 /** As `second poll`, and polls wait for 500 ms. */
-export const secondPollShortWaitPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, shorter waits', pollWait: shortPollWait }
+export const secondPollShortWaitPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll, shorter waits', pollWait: shortPollWait, lossyPollWait: shortPollWait }
 
 /** As `second poll`, with the second request sent by another host. */
 export const relayedLookPolicy: ReadingPolicy = { ...secondPollPolicy, name: 'second poll through other hosts', getLook: () => undefined, isRelayDue: isRelayDueSoon }
@@ -136,6 +159,24 @@
 /** As `two waiting polls`, and requests through another host when an end is expected. */
 export const twoPollsRelayPolicy: ReadingPolicy = { ...twoPollsPolicy, name: 'two waiting polls, also through other hosts', isRelayDue: isRelayDueSoon }
 
+/** As `second poll`, and a waiting request beside the poll while answers are being lost. */
+export const watchPolicy: ReadingPolicy = {
+  ...secondPollPolicy,
+  name: 'waiting request during losses',
+  getWatch: evidence => areAnswersLost(evidence) ? { wait: evidence.areEndsListed ? 0 : pollWait, answer: answerSteps, isRelayed: false } : undefined
+}
+
+/** The rule of `runs/`: as `waiting request during losses`, through another host after a failure of the host's own requests, and back after a failure there; both requests wait for 500 ms. */
+export const relayedWatchPolicy: ReadingPolicy = {
+  ...watchPolicy,
+  name: 'waiting request during losses, also through other hosts',
+  lossyPollWait: shortPollWait,
+  getWatch: evidence => areAnswersLost(evidence) ? { wait: evidence.areEndsListed ? 0 : shortPollWait, answer: answerSteps, isRelayed: isWatchRelayed(evidence) } : undefined
+}
+
+/** As the last one, and polls wait as usual. */
+export const relayedWatchLongPollPolicy: ReadingPolicy = { ...relayedWatchPolicy, name: 'waiting request during losses, also through other hosts, usual polls', lossyPollWait: pollWait }
+
 /** All policies to compare. */
 export const readingPolicies: readonly ReadingPolicy[] = [
   onePollPolicy,
@@ -150,7 +191,10 @@
   bothLooksPolicy,
   acknowledgeOncePolicy,
   twoPollsPolicy,
-  twoPollsRelayPolicy
+  twoPollsRelayPolicy,
+  watchPolicy,
+  relayedWatchPolicy,
+  relayedWatchLongPollPolicy
 ]
 
 /** Tells whether a second request beside the poll is due, `sentAge` steps after the last one. */
@@ -166,3 +210,12 @@
 function isRelayDueSoon (evidence: LinkEvidence): boolean {
   return isRelayDueAfterFailures(evidence) || isRequestDue(evidence, evidence.relaySentAge, relayPause)
 }
+
+/** Tells whether answers of the worker, or of others, are being lost. */
+export function areAnswersLost ({ lossAge, areOthersLosing }: LinkEvidence): boolean {
+  return areOthersLosing || lossAge < lossWindow
+}
+
+function isWatchRelayed ({ failedPolls, failedWatch }: LinkEvidence): boolean {
+  return failedWatch === FailedWatch.Own || (failedPolls > 0 && failedWatch !== FailedWatch.Relayed)
+}
