A second request waits at workers while answers are being lost

What callers saw: a task whose end was listed between two requests ran again (LOST). After a lost answer the worker was asked only for what was true at times, and a lost poll that was still waited for hid the ends that progress does not announce.

A detector per term notes requests that a worker leaves unanswered although it is there. While the answers of several workers are lost, and for 4 s after a worker has left a request unanswered, an inquiry waits at the worker beside the poll, over a connection of its own; after a failure of the host's own requests two other hosts send it (a relayed poll that waits). It acknowledges nothing and extends no lease. Polls wait for less meanwhile, so that a lost one shows sooner.

--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -16,6 +16,10 @@
 
 /** Maximum number of concurrent polls for peers, so that a small host keeps capacity for its own callers. */
 const maxConcurrentPolls = 16
+/** The same for those that wait at the worker, which do not count as the others do: they extend no lease. */
+export const maxWaitingPolls = 8
+/** The longest wait at a worker, in ms: as long as that of a scheduler's own polls. */
+const maxWaitMs = 1_500
 /** Time allowed for the worker's answer, in ms: two round trips between the most distant regions, one of them to connect, and a slow worker. */
 export const relayedAnswerTimeoutMs = 300
 /** Connections that have not been used for this long, in ms, are closed. */
@@ -25,7 +29,8 @@
   workerId: z.string().check(z.minLength(1), z.maxLength(200)),
   address: z.string().check(z.refine(isAddress)),
   epoch: z.int().check(z.nonnegative()),
-  lease: z.optional(z.object({ untilMs: z.int(), incarnationMs: z.int() }))
+  lease: z.optional(z.object({ untilMs: z.int(), incarnationMs: z.int() })),
+  waitMs: z.optional(z.int().check(z.minimum(0), z.maximum(maxWaitMs)))
 })
 
 /**
@@ -34,23 +39,26 @@
  */
 export function createPeerWorkerMethods (host: PeerWorkerHost): readonly RpcMethod[] {
   const connections = new Map<string, { readonly port: WorkerPort, readonly idleTimer: NodeJS.Timeout }>()
-  let activePolls = 0
+  const activePolls = { prompt: 0, waiting: 0 }
 
   return [defineMethod(peerWorkerMethods.poll, pollSchema, poll)]
 
-  async function poll ({ workerId, address, epoch, lease }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
-    if (activePolls >= maxConcurrentPolls) throw createError(ErrorKind.Overloaded, 'this host already serves the maximum number of concurrent polls for peers')
-    activePolls++
+  async function poll ({ workerId, address, epoch, lease, waitMs = 0 }: z.infer<typeof pollSchema>): Promise<WorkerStatusReport> {
+    const isWaiting = waitMs > 0
+    const kind = isWaiting ? 'waiting' : 'prompt'
+    if (activePolls[kind] >= (isWaiting ? maxWaitingPolls : maxConcurrentPolls)) throw createError(ErrorKind.Overloaded, 'this host already serves the maximum number of concurrent polls for peers')
+    activePolls[kind]++
     try {
       return await getConnection(workerId, address).renewLease({
         epoch,
         acknowledgedSequence: 0,
-        ...(lease === undefined ? {} : { leaseUntilMs: lease.untilMs, leaseIncarnationMs: lease.incarnationMs }),
-        waitMs: 0,
-        answerTimeoutMs: relayedAnswerTimeoutMs
+        ...(lease === undefined || isWaiting ? {} : { leaseUntilMs: lease.untilMs, leaseIncarnationMs: lease.incarnationMs }),
+        waitMs,
+        answerTimeoutMs: relayedAnswerTimeoutMs,
+        ...(isWaiting ? { isConcurrent: true } : {})
       })
     } finally {
-      activePolls--
+      activePolls[kind]--
     }
   }
 
--- a/src/peers/relayedPolls.ts
+++ b/src/peers/relayedPolls.ts
@@ -12,6 +12,8 @@
 export interface RelayedPollsHost {
   readonly getPeers: () => readonly KnownHost[]
   readonly connect: (address: string) => RpcClient
+  /** Returns a client for calls that wait, so that they do not hold up the others; the usual one by default. */
+  readonly connectWaiting?: (address: string) => RpcClient
 }
 
 /** Polls workers through other hosts. */
@@ -26,11 +28,14 @@
 
 /** The hosts that one poll asks: a cut may concern nine hosts in ten, and the worker may soon be gone. */
 const hostsPerPoll = 3
+/** The same for a poll that waits at the worker: it is sent for as long as answers are being lost, and one of two answers suffices. */
+const hostsPerWaitingPoll = 2
 /**
  * The most polls under way of workers that no host has reached, and of those besides that one has. Load: a loss of a region, of which some 60 workers held runs,
- * costs 70 calls to other hosts a second, and the polls of these workers do not hold up those that extend leases.
+ * costs 70 calls to other hosts a second, and the polls of these workers do not hold up those that extend leases. Nor do
+ * those that wait, at most 16 of which cost some 30 calls a second.
  */
-const maxActivePolls = { unreached: 16, reached: 16 } as const
+const maxActivePolls = { unreached: 16, reached: 16, waiting: 16 } as const
 /** The most workers that are remembered; beyond it, all are forgotten, and the next polls ask the hosts from the start of the list. */
 const maxRoutes = 1_000
 
@@ -38,6 +43,8 @@
 interface Route {
   /** Where on the list of hosts the next poll begins. */
   nextPeer: number
+  /** The same for polls that wait. */
+  nextWaitingPeer: number
   /** The host through which the worker was reached by its latest poll. */
   reachedThrough?: string | undefined
 }
@@ -47,24 +54,26 @@
 const reportSchema = z.object({ clockMs: z.number(), bornAtMs: z.optional(z.number()), running: z.array(runningSchema), ended: z.array(endedSchema) })
 
 /** Creates the relayed polls of one host. */
-export function createRelayedPolls ({ getPeers, connect }: RelayedPollsHost): RelayedPolls {
+export function createRelayedPolls ({ getPeers, connect, connectWaiting = connect }: RelayedPollsHost): RelayedPolls {
   const routes = new Map<string, Route>()
-  const activePolls = { unreached: 0, reached: 0 }
+  const activePolls = { unreached: 0, reached: 0, waiting: 0 }
 
   return { poll }
 
   async function poll (worker: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
     const route = getRoute(worker.workerId)
-    const kind = route.reachedThrough === undefined ? 'unreached' : 'reached'
+    const isWaiting = (request.waitMs ?? 0) > 0
+    const kind = isWaiting ? 'waiting' : route.reachedThrough === undefined ? 'unreached' : 'reached'
     if (activePolls[kind] >= maxActivePolls[kind]) throw createError(ErrorKind.Overloaded, 'the maximum number of relayed polls is under way')
     activePolls[kind]++
     try {
-      const { address, report } = await Promise.any(selectPeers(route).map(async address => ({ address, report: await pollThrough(address, worker, request) })))
-      route.reachedThrough = address
+      const { address, report } = await Promise.any(selectPeers(route, isWaiting).map(async address => ({ address, report: await pollThrough(address, worker, request) })))
+      if (!isWaiting) route.reachedThrough = address
       return report
     } catch (error) {
       const selected = selectError(error)
-      if (!isErrorOfKind(selected, ErrorKind.Overloaded)) route.reachedThrough = undefined
+      // What becomes of a poll that waits does not change the way of those that extend the lease.
+      if (!isWaiting && !isErrorOfKind(selected, ErrorKind.Overloaded)) route.reachedThrough = undefined
       throw selected
     } finally {
       activePolls[kind]--
@@ -72,7 +81,9 @@
   }
 
   async function pollThrough (address: string, { workerId, address: workerAddress }: Pick<ListedWorker, 'workerId' | 'address'>, request: RelayedPoll): Promise<WorkerStatusReport> {
-    const answer = await connect(address).call(peerWorkerMethods.poll, { workerId, address: workerAddress, ...request }, relayedAnswerTimeoutMs + peerCallTimeoutMs)
+    const { waitMs = 0 } = request
+    const client = waitMs > 0 ? connectWaiting(address) : connect(address)
+    const answer = await client.call(peerWorkerMethods.poll, { workerId, address: workerAddress, ...request }, waitMs + relayedAnswerTimeoutMs + peerCallTimeoutMs)
     const report = reportSchema.safeParse(answer)
     if (!report.success) throw createError(ErrorKind.AnswerLost, `the peer's answer is malformed: ${report.error.message}`)
     return { ...report.data, bornAtMs: report.data.bornAtMs }
@@ -82,23 +93,26 @@
     let route = routes.get(workerId)
     if (route === undefined) {
       if (routes.size >= maxRoutes) routes.clear()
-      routes.set(workerId, route = { nextPeer: routes.size })
+      routes.set(workerId, route = { nextPeer: routes.size, nextWaitingPeer: routes.size })
     }
     return route
   }
 
   /** Selects peers that are far apart on the list, which begins with those of the own domain; others each time, but for the one that has reached the worker. */
-  function selectPeers (route: Route): readonly string[] {
+  function selectPeers (route: Route, isWaiting: boolean): readonly string[] {
+    const hosts = isWaiting ? hostsPerWaitingPoll : hostsPerPoll
+    const first = isWaiting ? route.nextWaitingPeer : route.nextPeer
     const addresses = getPeers().map(({ address }) => address)
-    const count = Math.min(hostsPerPoll, addresses.length)
+    const count = Math.min(hosts, addresses.length)
     const selected = new Set<string>(route.reachedThrough !== undefined && addresses.includes(route.reachedThrough) ? [route.reachedThrough] : [])
-    const stride = Math.max(1, Math.floor(addresses.length / hostsPerPoll))
+    const stride = Math.max(1, Math.floor(addresses.length / hosts))
     for (let index = 0; selected.size < count; index++) {
       // Where the stride leads to a host that is selected already, its neighbour is taken.
-      const address = addresses[(route.nextPeer + index * stride + Math.floor(index / hostsPerPoll)) % addresses.length]
+      const address = addresses[(first + index * stride + Math.floor(index / hosts)) % addresses.length]
       if (address !== undefined) selected.add(address)
     }
-    route.nextPeer++
+    if (isWaiting) route.nextWaitingPeer++
+    else route.nextPeer++
     return [...selected]
   }
 }
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -16,7 +16,7 @@
 import { acceptedPrefix, progressPrefix } from '../jobs/jobKeys.js'
 import { createHostDirectory } from '../peers/hostDirectory.js'
 import { createPeerStoreMethods } from '../peers/peerStoreMethods.js'
-import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
+import { createPeerWorkerMethods, maxWaitingPolls } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
 import { createRelayedStore } from '../peers/relayedStore.js'
 import { createRpcHandler, maxRpcBodyBytes } from '../common/rpcServer.js'
@@ -126,7 +126,7 @@
   const isReady = configuration.isCurrent() && configuration.isStoreReached() && !stopping.signal.aborted
   response.writeHead(isReady ? 200 : 503).end()
 }).server)
-const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections() })
+const relayedPolls = createRelayedPolls({ getPeers: directory.getPeers, connect: createPeerConnections(), connectWaiting: createPeerConnections(maxWaitingPolls) })
 const servePeers = createRpcHandler([
   ...createPeerStoreMethods({ direct: store, isDirectUnavailable: relayedStore.isDirectUnavailable }),
   ...createPeerWorkerMethods({ connect: createHttpWorker }),
--- a/src/platform/httpWorker.ts
+++ b/src/platform/httpWorker.ts
@@ -43,6 +43,8 @@
   const leaseClient = createHttpClient(info.address, 1)
   /** Starts without an answer hold their connections until they time out, and a request beside the poll is to settle them. */
   const concurrentClient = createHttpClient(info.address, 1, concurrentIdleMs)
+  /** A request that waits beside the poll holds up neither starts nor other requests. */
+  const waitingClient = createHttpClient(info.address, 1, concurrentIdleMs)
   const headers = { 'Expect-Instance': info.workerId }
   /** The connection over which the latest report came. */
   let reportedOver: object | undefined
@@ -58,6 +60,7 @@
       runClient.close()
       leaseClient.close()
       concurrentClient.close()
+      waitingClient.close()
     }
   }
 
@@ -101,7 +104,7 @@
         ...(waitMs > 0 ? { waitMs } : {})
       }
     }
-    const client = !isConcurrent ? leaseClient : runClient.hasIdleConnection() ? runClient : concurrentClient
+    const client = !isConcurrent ? leaseClient : waitMs > 0 ? waitingClient : runClient.hasIdleConnection() ? runClient : concurrentClient
     const answer = await client.call({ method: 'POST', path: '/sassafrasford/hold', getBody, headers, timeoutMs: waitMs + answerTimeoutMs, ...(signal === undefined ? {} : { signal }) })
     checkResponse(answer)
     const parsed = holdSchema.safeParse(answer.body)
--- a/src/platform/peerConnections.ts
+++ b/src/platform/peerConnections.ts
@@ -7,17 +7,17 @@
 import { createHttpClient } from './httpClient.js'
 import type { HttpClient } from './httpClient.js'
 
-const connectionsPerPeer = 2
+const defaultConnections = 2
 /** A client that has not been asked for this long, in ms, is closed: longer than any call takes. Hosts that have moved or left are not called again. */
 const idleClientMs = 60_000
 
-/** Returns a function that creates one client per address and reuses it. */
-export function createPeerConnections (): (address: string) => RpcClient {
+/** Returns a function that creates one client per address, with at most `maxConnections` connections, and reuses it. */
+export function createPeerConnections (maxConnections = defaultConnections): (address: string) => RpcClient {
   const clients = new Map<string, { readonly client: RpcClient, readonly idleTimer: NodeJS.Timeout }>()
   return address => {
     let entry = clients.get(address)
     if (entry === undefined) {
-      const http = createHttpClient(address, connectionsPerPeer)
+      const http = createHttpClient(address, maxConnections)
       const idleTimer = setTimeout(() => {
         clients.delete(address)
         http.close()
--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -76,6 +76,7 @@
       wake: () => {},
       check: () => {},
       inquire: () => {},
+      reviewWaitingInquiry: () => {},
       reviewLease: () => {},
       grantStartLease: () => Math.floor(performance.now()) + 30_000,
       checkClock: () => {},
--- a/src/runs/pollSender.ts
+++ b/src/runs/pollSender.ts
@@ -48,6 +48,12 @@
   tryInquire (): boolean
   /** Must be called when another end may be expected than before. */
   reviewExpectedEnd (): void
+  /** Must be called when another request to the worker was answered; `isOwn` if this host sent it. One that shows new ends gives the poll a little time to show them, too. */
+  onAnsweredBeside (sentAtMs: number, isOwn: boolean, hasNews: boolean): void
+  /** Must be called when another request of this host shows another incarnation, or a higher epoch: the next poll, which does not wait, shows the same. */
+  replaceWaitingPoll (): void
+  /** How long the poll under way has been waited for, in ms; Infinity if there is none. */
+  getPollAgeMs (): number
   /** How many inquiries beside the poll under way have failed since one was answered. */
   countFailedInquiries (): number
 }
@@ -77,6 +83,7 @@
   hasInquiryAnswer: boolean
   failedInquiries: number
   timer?: NodeJS.Timeout | undefined
+  replaceTimer?: NodeJS.Timeout | undefined
 }
 
 /** Creates the poll sender of one worker. */
@@ -87,7 +94,7 @@
   let inquiredAtMs = -Infinity
   let pauseMs = minPauseMs
 
-  return { send, tryInquire, reviewExpectedEnd, countFailedInquiries: () => activePoll?.failedInquiries ?? 0 }
+  return { send, tryInquire, reviewExpectedEnd, onAnsweredBeside, replaceWaitingPoll, getPollAgeMs: () => performance.now() - (activePoll?.sentAtMs ?? -Infinity), countFailedInquiries: () => activePoll?.failedInquiries ?? 0 }
 
   async function send (renewal: LeaseRenewal, isRepeated: boolean): Promise<WorkerStatusReport | PollSubstitute> {
     const aborting = new AbortController()
@@ -112,6 +119,7 @@
       if (active !== undefined) {
         active.isOver = true
         clearTimeout(active.timer)
+        clearTimeout(active.replaceTimer)
       }
     }
   }
@@ -127,6 +135,18 @@
     if (activePoll !== undefined) scheduleInquiry(activePoll)
   }
 
+  function onAnsweredBeside (sentAtMs: number, isOwn: boolean, hasNews: boolean): void {
+    const active = activePoll
+    if (active === undefined) return
+    if (isOwn && sentAtMs >= active.sentAtMs) active.hasInquiryAnswer = true
+    // The poll waits at the worker for the same end, so that its answer is lost if it does not come soon.
+    if (hasNews && active.isWaiting) active.replaceTimer ??= setTimeout(() => { active.replace(PollSubstitute.Unconfirmed) }, promptAnswerMs)
+  }
+
+  function replaceWaitingPoll (): void {
+    if (activePoll?.isWaiting === true) activePoll.replace(PollSubstitute.Unconfirmed)
+  }
+
   function scheduleInquiry (active: ActivePoll): void {
     clearTimeout(active.timer)
     if (active.isOver || active.isInquiring) return
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -5,6 +5,8 @@
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import { RunScope } from './endEvidence.js'
 import { createPollSender, InquiryVerdict, PollSubstitute } from './pollSender.js'
+import { createWaitingInquiry } from './waitingInquiry.js'
+import type { LinkLosses } from './waitingInquiry.js'
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
@@ -48,6 +50,8 @@
   readonly getRetryPauseMs?: () => number | undefined
   /** Polls the worker through other hosts; undefined if there is no such way. */
   readonly pollThroughPeers?: ((poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
+  /** How likely it is that answers are lost; without it, no inquiry waits beside the polls. */
+  readonly losses?: LinkLosses | undefined
   /** Tells whether the lease may be extended through other hosts. */
   readonly mayExtendThroughPeers?: () => boolean
   /** Called when a report has come through another host: the worker may be granted a lease again. */
@@ -75,6 +79,8 @@
   check (): void
   /** Asks the worker what it runs, beside a poll that is waiting: another request to it has got no answer so far. */
   inquire (): void
+  /** Must be called when answers of the worker may begin to be lost. */
+  reviewWaitingInquiry (): void
   /** Must be called when more has become known of the leases of earlier terms, and regularly. */
   reviewLease (): void
   /**
@@ -206,9 +212,20 @@
   /** When an incarnation was first seen to which orders of this term for an earlier one may be delivered, by the monotonic clock. */
   let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   const sender = createPollSender({ term, logger, workerId: info.workerId, port, getExpectedEndMs, isNeeded: host.isNeeded, onInquiryAnswered: applyInquiry, onInquiryFailed: () => { void relayPolls() } })
+  const waitingInquiry = createWaitingInquiry({
+    term,
+    port,
+    pollThroughPeers: host.pollThroughPeers,
+    losses: host.losses,
+    isDue: areLossesLikely,
+    getExpectedEndMs,
+    getPollAgeMs: sender.getPollAgeMs,
+    onAnswered: applyWaitingInquiry,
+    onFailed: onWaitingInquiryFailed
+  })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, close }
 
   function close (): void {
     isClosed = true
@@ -333,6 +350,7 @@
     isCheckDue = false
     // The lease of a worker that does not answer is not extended: the request may arrive although its answer is lost. Without runs there is nothing to extend.
     const isNeeded = host.isNeeded()
+    waitingInquiry.review()
     // Nor is that of a worker whose latest poll has got no answer, although it has answered an inquiry.
     const isConfirmed = isReachable && !isUnconfirmed
     const leaseUntilMs = isConfirmed && isNeeded ? getUntilMs(host.getMaxRenewalMs()) : undefined
@@ -340,7 +358,7 @@
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
       const isExtensionDue = isConfirmed && isNeeded && getLeaseUntilMs() === undefined
-      const waitMs = isConfirmed && isNeeded && !isExtensionDue ? host.getPollWaitMs?.() ?? pollWaitMs : 0
+      const waitMs = isConfirmed && isNeeded && !isExtensionDue ? getWaitMs() : 0
       const report = await sender.send({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs }, failedPolls > 0)
       failedPolls = 0
       isUnconfirmed = report === PollSubstitute.Unconfirmed
@@ -351,6 +369,16 @@
     }
   }
 
+  /** How long the next poll may wait, in ms: while answers are being lost, a lost one is to show sooner. */
+  function getWaitMs (): number {
+    const usualMs = host.getPollWaitMs?.() ?? pollWaitMs
+    return areLossesLikely() ? Math.min(usualMs, host.losses?.slots.getWaitMs() ?? usualMs) : usualMs
+  }
+
+  function areLossesLikely (): boolean {
+    return !isClosed && !isLeaseOver && !term.signal.aborted && host.losses?.areLikely() === true && host.isNeeded()
+  }
+
   function getExpectedEndMs (afterMs: number): number {
     return host.getExpectedEndMs?.(afterMs) ?? Infinity
   }
@@ -370,6 +398,39 @@
     return hasNewEnds || isFirstAnswer ? InquiryVerdict.News : InquiryVerdict.NothingNew
   }
 
+  /** Returns whether the answer shows ends that were not known. */
+  function applyWaitingInquiry (report: WorkerStatusReport, sentAtMs: number, isRelayed: boolean): boolean {
+    if (isClosed || !term.isValid()) return false
+    if ((report.bornAtMs ?? bornAtMs) !== bornAtMs) {
+      // Only direct polls show a restart.
+      if (!isRelayed) sender.replaceWaitingPoll()
+      return false
+    }
+    const hasNewEnds = report.ended.some(({ sequence }) => sequence > listedSequence)
+    if (hasNewEnds) {
+      const pollAgeMs = sender.getPollAgeMs()
+      logger.info('a waiting inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length, isRelayed, waitedMs: Math.round(performance.now() - sentAtMs), ...(pollAgeMs === Infinity ? {} : { pollUnderWayMs: Math.round(pollAgeMs) }) })
+    }
+    if (isRelayed) takeRelayedReport(report, sentAtMs)
+    else void takeReport(report, sentAtMs)
+    sender.onAnsweredBeside(sentAtMs, !isRelayed, hasNewEnds)
+    return hasNewEnds
+  }
+
+  /** Applies what another host has read after a wait: it shows neither that this host is answered nor how old the worker's clock is. */
+  function takeRelayedReport (report: WorkerStatusReport, sentAtMs: number): void {
+    if (report.clockMs < latestClockMs) return
+    latestClockMs = report.clockMs
+    for (const { sequence } of report.ended) listedSequence = Math.max(listedSequence, sequence)
+    void storeEnds(report, sentAtMs, report.ended.length < maxEndsPerReport)
+  }
+
+  function onWaitingInquiryFailed (error: unknown, isRelayed: boolean): void {
+    const isStale = isErrorOfKind(error, ErrorKind.StaleEpoch)
+    if (isRelayed && isStale) term.resign(`worker ${info.workerId} has seen a higher epoch`)
+    else if (!isRelayed && (isStale || isOtherIncarnation(error))) sender.replaceWaitingPoll()
+  }
+
   async function applyReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
       if (earlierIncarnations.has(report.bornAtMs) && sentAtMs < listedAtMs) {
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -8,9 +8,11 @@
 import { createWorkerState, getAllocationKey } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import type { LeaseRenewal, ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import { createAnswerLosses } from './answerLosses.js'
 import { EvidenceSource, RunScope } from './endEvidence.js'
 import type { GrantRecord, SilentWorker } from './grantRecord.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
+import { createInquirySlots } from './waitingInquiry.js'
 import { createWorkerLink, retryPauseMs } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -138,7 +140,7 @@
 
 /** Creates the pool of one term. */
 export function createWorkerPool (host: WorkerPoolHost): WorkerPool {
-  const { term, logger, pollThroughPeers } = host
+  const { term, logger } = host
   const workers = new Map<string, WorkerState>()
   const links = new Map<string, WorkerLink>()
   /** The latest life of each machine. */
@@ -169,6 +171,15 @@
   // Workers that hold members come first: their leases have to be extended before they end.
   const contacts = createTurnLimiter({ maxPerTurn: maxContactsPerTurn, isUrgent: hasMembers })
 
+  const losses = createAnswerLosses({
+    logger,
+    countBusyWorkers: () => [...links.keys()].filter(hasMembers).length,
+    onUnanswered: workerId => { links.get(workerId)?.reviewWaitingInquiry() },
+    onBegun: () => { for (const link of links.values()) link.reviewWaitingInquiry() }
+  })
+  const slots = createInquirySlots()
+  const pollThroughPeers = host.pollThroughPeers && observeRelayed(host.pollThroughPeers)
+
   return { workers, getLink: workerId => links.get(workerId), refresh, isUncertain, addUnlisted, areSettled, describeUnanswered, getUnanswered, getKnownLives, recordSilent, wakeLinks, reviewLeases, checkReachability, close }
 
   function hasMembers (workerId: string): boolean {
@@ -248,6 +259,7 @@
 
   function reviewLeases (): void {
     for (const link of [...links.values()]) link.reviewLease()
+    losses.review()
   }
 
   function getRetryPauseMs (): number {
@@ -352,6 +364,12 @@
       getPollWaitMs: () => host.getPollWaitMs(info.workerId),
       getExpectedEndMs: afterMs => host.getExpectedEndMs(info.workerId, afterMs),
       getRetryPauseMs: () => hasMembers(info.workerId) ? getRetryPauseMs() : undefined,
+      losses: {
+        areLikely: () => losses.isLossLikely(info.workerId),
+        hasLeftUnanswered: () => losses.hasLeftUnanswered(info.workerId),
+        isSilent: () => losses.isSilent(info.workerId),
+        slots
+      },
       pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
       mayExtendThroughPeers: () => host.mayExtendThroughPeers?.(info.workerId) === true,
       onRelayed: () => { void host.grants.include(info.workerId) },
@@ -449,10 +467,18 @@
     for (const { info } of [...idle.slice(offset), ...idle.slice(0, offset)].slice(0, maxChecksPerPeriod)) links.get(info.workerId)?.check()
   }
 
+  function observeRelayed (poll: NonNullable<WorkerPoolHost['pollThroughPeers']>): NonNullable<WorkerPoolHost['pollThroughPeers']> {
+    return async (info, request) => {
+      const report = await poll(info, request)
+      losses.onRelayed(info.workerId)
+      return report
+    }
+  }
+
   /** Connects to a worker. Polls that extend no lease, which are those of workers that have not answered, wait for their turn. */
   function connect (info: ListedWorker): WorkerPort {
     const { workerId } = info
-    const port = host.connect(info)
+    const port = losses.observe(workerId, host.connect(info))
     let isClosed = false
     return { ...port, renewLease, close }
 
--- a/src/workers/workerPort.ts
+++ b/src/workers/workerPort.ts
@@ -91,7 +91,7 @@
   readonly waitMs: number
   /** How long the answer may take beyond that, in ms; the connection's usual time if it is not given. */
   readonly answerTimeoutMs?: number
-  /** Sends the request over another connection than a renewal that is under way. Such a request acknowledges nothing and extends no lease. */
+  /** Sends the request over another connection than a renewal that is under way, and, if it waits, over another one than those that do not. Such a request acknowledges nothing and extends no lease. */
   readonly isConcurrent?: boolean
   /** Gives the request up when it is aborted: the call fails with `answer-lost`. */
   readonly signal?: AbortSignal
@@ -102,6 +102,8 @@
   readonly epoch: number
   /** Extends the lease to a time on the clock of this incarnation, if the host reaches it over a connection on which it has reported. */
   readonly lease?: { readonly untilMs: number, readonly incarnationMs: number } | undefined
+  /** How long the worker may wait for a run to end before it responds, in ms; an integer. A poll that waits extends no lease. */
+  readonly waitMs?: number | undefined
 }
 
 /** A worker's response, with the time on the worker's clock. */
