--- a/src/peers/relayedPolls.test.ts
+++ b/src/peers/relayedPolls.test.ts
@@ -75,6 +75,33 @@
   expect(asked[0]).toBe(27)
 })
 
+// Guards against leases that end, and against ends that are read too late: the polls that wait take up all that may be under way.
+test('polls that wait at workers do not hold up the others, and are turned away beyond their limit', async () => {
+  const polls = createPolls(10, async (_peer, workerId) => workerId === 'prompt' ? report : await new Promise<never>(() => {}))
+  for (let index = 0; index < 100; index++) void polls.poll(toWorker(`waiting-${index}`), { ...request, waitMs: 1_000 }).catch(() => {})
+  const error: unknown = await polls.poll(toWorker('further'), { ...request, waitMs: 1_000 }).catch((reason: unknown) => reason)
+  expect(isErrorOfKind(error, ErrorKind.Overloaded)).toBe(true)
+  expect(await polls.poll(toWorker('prompt'), request)).toEqual(report)
+})
+
+// Guards against leases that end: a poll that waits and gets no answer sent the next poll that extends the lease through other hosts.
+test('a host that has reached a worker is asked for it again although a poll that waits there got no answer', async () => {
+  const asked: number[] = []
+  let isLost = false
+  const polls = createPolls(40, async peer => {
+    asked.push(peer)
+    if (peer !== 27 || isLost) throw createError(ErrorKind.AnswerLost, 'no answer')
+    return report
+  })
+  while (!asked.includes(27)) await polls.poll(toWorker('worker-0'), request).catch(() => {})
+  isLost = true
+  await polls.poll(toWorker('worker-0'), { ...request, waitMs: 1_000 }).catch(() => {})
+  isLost = false
+  asked.length = 0
+  expect(await polls.poll(toWorker('worker-0'), request)).toEqual(report)
+  expect(asked[0]).toBe(27)
+})
+
 test('an answer that cannot be decoded counts as lost', async () => {
   const polls = createPolls(1, async () => ({ ...report, ended: [{ sequence: 'first' }] }))
   const error: unknown = await polls.poll(toWorker('worker-0'), request).catch((reason: unknown) => reason)
--- a/src/platform/httpWorker.test.ts
+++ b/src/platform/httpWorker.test.ts
@@ -122,3 +122,39 @@
   await worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 0, isConcurrent: true })
   expect(connections).toBe(1)
 })
+
+// Guards against starts, polls and inquiries that are held up: a request that waits beside the poll is answered only when a run ends.
+test('starts, polls and inquiries are sent while a request waits beside the poll', async () => {
+  const waiting: ServerResponse[] = []
+  const withheld: ServerResponse[] = []
+  server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => {
+      const body = JSON.parse(Buffer.concat(chunks).toString()) as { readonly task?: string, readonly waitMs?: number }
+      if (body.waitMs !== undefined) waiting.push(response)
+      else if (body.task?.endsWith('.late') === true) withheld.push(response)
+      else response.end(JSON.stringify({ clockMs: 1, born: 1_000 }))
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  worker = createHttpWorker({ workerId: 'i-1', address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+  const start = async (task: string): Promise<unknown> => await worker.start({ task, run: 1, payload: '', checkpoint: '', leaseUntilMs: 1_000, epoch: 1, ticket: undefined })
+  // A connection of the starts is idle, and is not taken.
+  await start('first')
+  await nextTurn()
+  let isAnswered = false
+  const waited = worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 30_000, isConcurrent: true }).then(() => { isAnswered = true })
+  while (waiting.length === 0) await nextTurn()
+  // Their answers are late, so that the starts need all of their connections, and the inquiry its own.
+  const starts = [1, 2, 3, 4].map(async index => await start(`${index}.late`).catch(() => {}))
+  const startedAtMs = performance.now()
+  while (withheld.length < starts.length && performance.now() - startedAtMs < 3_000) await nextTurn()
+  expect(withheld).toHaveLength(starts.length)
+  await worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 0, answerTimeoutMs: 2_000, isConcurrent: true })
+  await worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 0, answerTimeoutMs: 2_000 })
+  expect(isAnswered).toBe(false)
+  for (const response of [...waiting, ...withheld]) response.end(JSON.stringify({ clockMs: 1, born: 1_000 }))
+  await Promise.all([waited, ...starts])
+})
