--- a/src/peers/peerWorkerMethods.test.ts
+++ b/src/peers/peerWorkerMethods.test.ts
@@ -24,10 +24,11 @@
 // Guards against leases that end: polls that wait take up all that a host serves for its peers, or the connection of those that extend a lease.
 test('a poll that extends a lease is answered while as many as permitted wait at workers', async () => {
   const { poll, sent } = serve()
-  for (let index = 0; index < maxWaitingPolls; index++) void poll({ waitMs: 1_000 })
+  for (let index = 0; index < maxWaitingPolls; index++) poll({ waitMs: 1_000 }).catch(() => {})
   await expect(poll({ waitMs: 1_000 })).rejects.toMatchObject({ kind: 'overloaded' })
-  for (let index = 1; index < maxConcurrentPolls; index++) void poll({ workerId: 'gone' })
+  for (let index = 1; index < maxConcurrentPolls; index++) poll({ workerId: 'gone' }).catch(() => {})
   expect(await poll({ lease: { untilMs: 5, incarnationMs: 1 } })).toEqual(report)
+  expect(sent.filter(({ waitMs }) => waitMs === 0)).toHaveLength(maxConcurrentPolls)
   expect(sent.filter(({ waitMs }) => waitMs > 0).map(({ isConcurrent }) => isConcurrent)).toEqual(Array.from({ length: maxWaitingPolls }, () => true))
 })
 
--- a/src/platform/httpWorker.test.ts
+++ b/src/platform/httpWorker.test.ts
@@ -145,7 +145,7 @@
   await start('first')
   await nextTurn()
   let isAnswered = false
-  const waited = worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 30_000, isConcurrent: true }).then(() => { isAnswered = true })
+  const waited = worker.renewLease({ epoch: 1, acknowledgedSequence: 0, waitMs: 30_000, isConcurrent: true }).then(() => { isAnswered = true }, () => {})
   while (waiting.length === 0) await nextTurn()
   // Their answers are late, so that the starts need all of their connections, and the inquiry its own.
   const starts = [1, 2, 3, 4].map(async index => await start(`${index}.late`).catch(() => {}))
