--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -236,7 +236,7 @@
   }
 
   function describeLease (): object {
-    return { leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: sender.getPollAgeMs(), failedPolls }
+    return { leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }
   }
 
   function wake (): void {
