Idle timers of relayed polls are set anew instead of refreshed

Timeout.refresh of @sinonjs/fake-timers 15.5.0 changes the time of the timer before it takes it out of its heap, and the last timer is then sifted the wrong way: timers below it wait until it fires, here an idle timer of seconds. Only the tests have this clock. Earlier soaks with relayed polls may have met it too.

--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -35,7 +35,7 @@
  * term has raised further; it acknowledges nothing; and the lease ends at a fixed time on the clock of the incarnation for which it is meant.
  */
 export function createPeerWorkerMethods (host: PeerWorkerHost): readonly RpcMethod[] {
-  const connections = new Map<string, { readonly port: WorkerPort, readonly idleTimer: NodeJS.Timeout }>()
+  const connections = new Map<string, { readonly port: WorkerPort, idleTimer?: NodeJS.Timeout }>()
   let activePolls = 0
 
   return [defineMethod(peerWorkerMethods.poll, pollSchema, poll)]
@@ -62,16 +62,15 @@
   function getConnection (workerId: string, address: string): WorkerPort {
     const key = `${workerId} ${address}`
     let connection = connections.get(key)
-    if (connection === undefined) {
-      const port = host.connect({ workerId, address })
-      const idleTimer = setTimeout(() => {
-        connections.delete(key)
-        port.close()
-      }, idleConnectionMs)
-      idleTimer.unref()
-      connections.set(key, connection = { port, idleTimer })
-    }
-    connection.idleTimer.refresh()
-    return connection.port
+    if (connection === undefined) connections.set(key, connection = { port: host.connect({ workerId, address }) })
+    const { port } = connection
+    // Not `refresh`: it leaves the timers of the fake clock of the tests in the wrong order, so that others fire late or never.
+    clearTimeout(connection.idleTimer)
+    connection.idleTimer = setTimeout(() => {
+      connections.delete(key)
+      port.close()
+    }, idleConnectionMs)
+    connection.idleTimer.unref()
+    return port
   }
 }
