--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -22,6 +22,8 @@
 
 /** Seed 12 guards against a wait for missing entries that begins with the term and not with the host's contact with the store. */
 const seeds = (process.env.SASSAFRASFORD_SOAK_SEEDS ?? '1,2,3,12').split(',').map(Number)
+/** The time of day at which each test starts, as Unix time in ms: hosts ask the scheduler in turn by it. */
+const startAtMs = 1_700_000_000_000
 const maxLeaseMs = 6_000
 const workerCount = 10
 const roundCount = 6
@@ -60,7 +62,7 @@
 const { run } = createPoolSteps(() => harness)
 
 beforeEach(() => {
-  jest.useFakeTimers()
+  jest.useFakeTimers({ now: startAtMs })
   hostNumber = 0
 })
 
@@ -73,7 +75,7 @@
 
 test.each(seeds)('seed %i: no task runs twice, and after the last absence nothing stands still', async seed => {
   const random = createRandom(seed)
-  harness = createPoolHarness({ hasRelayedPolls: true, workers: workerCount, maxLeaseMs, logger, getRun: task => ({ workMs: task.startsWith(lastJobId) && !hasLastLeft ? lastWorkMs : 500 + 10 * random(1_000), how: EndKind.Done }) })
+  harness = createPoolHarness({ hasRelayedPolls: true, hasEndReaders: true, workers: workerCount, maxLeaseMs, logger, getRun: task => ({ workMs: task.startsWith(lastJobId) && !hasLastLeft ? lastWorkMs : 500 + 10 * random(1_000), how: EndKind.Done }) })
   for (const worker of harness.workers.values()) worker.setClockRate(1 - 0.02 * random(11) / 10)
   const gone = new Set<string>()
   let hasLastLeft = false
@@ -136,6 +138,7 @@
   const leaseMs = seed % 3 === 0 ? 6_000 : 10_000
   harness = createPoolHarness({
     hasRelayedPolls: true,
+    hasEndReaders: true,
     workers: seriesWorkerCount,
     maxLeaseMs: leaseMs,
     logger,
--- a/src/runs/endsWithoutScheduler.test.ts
+++ b/src/runs/endsWithoutScheduler.test.ts
@@ -1,5 +1,7 @@
 /** Ends that workers list while no host schedules: other hosts read them, and the next term applies them, although the worker is gone by then. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
+import { delay } from '../common/time.js'
+import { progressPrefix } from '../jobs/jobKeys.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
@@ -168,6 +170,65 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// A worker whose life is over may carry out the start of the failed run again in its next life, which is cut off here: only its own report ends the run.
+test('a failed run of an earlier life is not started elsewhere before the next life has answered', async () => {
+  await createPool(3, { getRun: () => ({ workMs, how: EndKind.Failed }) })
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  await run(500)
+  harness.crashWorker(workerId, { awayMs: 100, keepsId: true })
+  await run(200)
+  harness.workers.get(workerId)?.setUnreachable(true)
+  await run(2_500)
+  expect(getScheduling()).toHaveLength(1)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  harness.workers.get(workerId)?.setUnreachable(false)
+  await run(1_500)
+  expect(countStarts('a.0.0.0')).toBe(2)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The end was known from the reader when the worker listed it to the scheduler, so that it seemed to need no write.
+test('an end that a reader has delivered is stored before it is acknowledged to the worker', async () => {
+  let areWritesHeld = false
+  const acknowledged: number[] = []
+  await createPool(3, {
+    interceptStore: (_hostId, client) => ({
+      ...client,
+      transact: async transaction => {
+        while (areWritesHeld && transaction.writes.some(({ key }) => key.startsWith(progressPrefix))) await delay(10)
+        return await client.transact(transaction)
+      }
+    }),
+    interceptWorker: (hostId, _workerId, port) => ({
+      ...port,
+      renewLease: async renewal => {
+        if (hostId !== 'host-0' && areWritesHeld) acknowledged.push(renewal.acknowledgedSequence)
+        return await port.renewLease(renewal)
+      }
+    })
+  })
+  await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  areWritesHeld = true
+  await run(4_000)
+  expect(getScheduling()).toHaveLength(1)
+  expect(acknowledged.length).toBeGreaterThan(0)
+  expect(acknowledged.filter(sequence => sequence > 0)).toEqual([])
+  areWritesHeld = false
+  await waitForStart('a.0.1.0', 2_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('hosts that start for the first time do not read workers', async () => {
+  const requests: string[] = []
+  await createPool(4, { interceptReader: (hostId, port) => ({ ...port, renewLease: async renewal => { requests.push(hostId); return await port.renewLease(renewal) } }) })
+  expect(requests).toEqual([])
+})
+
 test('a gang of which one member is read as done is not started again', async () => {
   await createPool(3)
   await submit(makeJob('a', 'batch', [makeStep({ count: 3, isGang: true, request: { cpuMilli: 40_000, memoryMb: 8_000, accelerators: 8 } }), makeStep({ after: [0] })]))
--- a/src/runs/momentsSoak.test.ts
+++ b/src/runs/momentsSoak.test.ts
@@ -230,6 +230,7 @@
     workerRoundTripMs: 10,
     isListStored: true,
     hasRelayedPolls: true,
+    hasEndReaders: true,
     hasStandbys: random(2) === 0,
     interceptStore: (_hostId, client) => recorder.interceptStore(faults.intercept(client)),
     interceptWorker: (hostId, workerId, port) => recorder.interceptWorker(hostId, workerId, noteRuns(port)),
--- a/src/runs/schedulerSoak.test.ts
+++ b/src/runs/schedulerSoak.test.ts
@@ -44,6 +44,8 @@
 const pendingBoundMs = 5_000
 /** Added to a seed for the disturbances that came last, for the same reason. */
 const disturbancesSeedOffset = 32_452_843
+/** The time of day at which each test starts, as Unix time in ms: hosts ask the scheduler in turn by it. */
+const startAtMs = 1_700_000_000_000
 const maxLeaseMs = 3_000
 /** A request to a worker without an answer is carried out between these times later, in ms. */
 const minLateRequestMs = 2_000
@@ -60,7 +62,7 @@
 const lookPeriodMs = 100
 const shrunkCapacity = { ...harnessCapacity, accelerators: 3 }
 
-beforeEach(() => { jest.useFakeTimers() })
+beforeEach(() => { jest.useFakeTimers({ now: startAtMs }) })
 afterEach(() => { jest.useRealTimers() })
 
 async function run (ms: number): Promise<void> {
@@ -84,6 +86,7 @@
   const randomDisturbance = (limit: number): number => uniformInt(disturbancesGenerator, 0, limit - 1)
   const harness = createPoolHarness({
     hasRelayedPolls: true,
+    hasEndReaders: true,
     // Two fifths of a larger pool are several workers, and leave more than one rack in use.
     workers: seed % 4 < 2 ? 6 : 12,
     workersPerRack,
