--- a/src/runs/endsWithoutScheduler.test.ts
+++ b/src/runs/endsWithoutScheduler.test.ts
@@ -194,6 +194,7 @@
   let areWritesHeld = false
   const acknowledged: number[] = []
   await createPool(3, {
+    getRun: task => ({ workMs: task.startsWith('a.0.0.') ? workMs : longWorkMs, how: EndKind.Done }),
     interceptStore: (_hostId, client) => ({
       ...client,
       transact: async transaction => {
@@ -209,7 +210,9 @@
       }
     })
   })
-  await submitTwoSteps()
+  const workerId = await submitTwoSteps()
+  // The worker is polled on, since another run is there.
+  await submit(makeJob('b', 'batch', [makeStep({ requiredLabel: workerId.replace('worker', 'rack'), estimateMs: 2 * longWorkMs })]))
   await run(workMs - startMs - 200)
   harness.hosts.get('host-0')?.crash()
   areWritesHeld = true
