Platform soak: an end by SIGTERM before the program has run is not an exit of its own

What was seen: `edge-2 exited with null after SIGTERM, 2340 ms after its start`, once beside load 20, without a line of that host.

Cause: the soak excused such ends by the kernel's mask of caught signals, but Node.js catches SIGTERM itself from its first milliseconds on, resets the terminal and raises the signal again. The mask is set long before main.ts has installed its handler, which it does first thing already.

What remains before the handler is Node's own start.

The soak now looks at the signal and at the log: only an end by SIGTERM itself, of a process that has logged nothing, counts as one while starting.

--- a/src/platform/soak/daemonProcesses.ts
+++ b/src/platform/soak/daemonProcesses.ts
@@ -1,8 +1,8 @@
 /** Starts the platform's daemon as separate processes on loopback, each with its own proxy to the store. */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { closeSync, mkdtempSync, openSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
-import { constants, tmpdir } from 'node:os'
+import { closeSync, mkdtempSync, openSync, readFileSync, readdirSync, rmSync, statSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { delay } from '../../common/time.js'
@@ -29,8 +29,11 @@
 export interface Termination {
   readonly code: number | null
   readonly uptimeMs: number
-  /** The process handled SIGTERM when the signal was sent: before that, no program can end in any other way than by the signal. */
-  readonly hadHandler: boolean
+  /**
+   * The signal ended the process before it had logged anything: Node.js itself ends a process so until the program has set its handler, and catches the signal to do
+   * so, so that the kernel's mask of caught signals does not tell.
+   */
+  readonly wasStarting: boolean
   /** Another fault killed the process while it was stopping. */
   readonly wasKilled: boolean
 }
@@ -59,6 +62,8 @@
   const hosts: DaemonProcess[] = []
   const children = new Map<string, ChildProcess>()
   const startedAtMs = new Map<string, number>()
+  /** The size of each log when its process was started, in bytes. */
+  const logSizes = new Map<string, number>()
   const killed = new WeakSet<ChildProcess>()
   for (let index = 0; index < count; index++) hosts.push(await createHost(index))
   for (const host of hosts) host.start()
@@ -81,9 +86,9 @@
       terminate: async () => {
         const child = children.get(name)
         const uptimeMs = performance.now() - (startedAtMs.get(name) ?? -Infinity)
-        const hadHandler = isSigtermHandled(child?.pid)
-        const code = await signalAndWait(name, 'SIGTERM')
-        return { code, uptimeMs, hadHandler, wasKilled: child !== undefined && killed.has(child) }
+        const { code, signal } = await signalAndWait(name, 'SIGTERM')
+        const wasStarting = signal === 'SIGTERM' && getLogSize(name) === logSizes.get(name)
+        return { code, uptimeMs, wasStarting, wasKilled: child !== undefined && killed.has(child) }
       },
       freeze: async forMs => {
         children.get(name)?.kill('SIGSTOP')
@@ -96,6 +101,7 @@
 
   function start (name: string, file: string): void {
     const output = openSync(join(folder, `${name}${logSuffix}`), 'a')
+    logSizes.set(name, getLogSize(name))
     const child = spawn(process.execPath, [program], { env: { ...process.env, SASSAFRASFORD_NODE_FILE: file }, stdio: ['ignore', output, output] })
     closeSync(output)
     children.set(name, child)
@@ -103,12 +109,16 @@
     child.once('exit', () => { if (children.get(name) === child) children.delete(name) })
   }
 
-  async function signalAndWait (name: string, signal: NodeJS.Signals): Promise<number | null> {
+  function getLogSize (name: string): number {
+    return statSync(join(folder, `${name}${logSuffix}`)).size
+  }
+
+  async function signalAndWait (name: string, signal: NodeJS.Signals): Promise<{ readonly code: number | null, readonly signal: NodeJS.Signals | null }> {
     const child = children.get(name)
-    if (child === undefined) return null
+    if (child === undefined) return { code: null, signal: null }
     if (signal === 'SIGKILL') killed.add(child)
     return await new Promise(resolve => {
-      child.once('exit', resolve)
+      child.once('exit', (code, exitSignal) => { resolve({ code, signal: exitSignal }) })
       child.kill(signal)
     })
   }
@@ -135,13 +145,6 @@
   return Number(/"time":(\d+)/.exec(line)?.[1] ?? 0)
 }
 
-/** Tells whether the process has set a handler for SIGTERM, by the kernel's mask of its caught signals. */
-function isSigtermHandled (pid: number | undefined): boolean {
-  if (pid === undefined) return false
-  const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
-  return (BigInt(`0x${mask}`) >> BigInt(constants.signals.SIGTERM - 1) & 1n) === 1n
-}
-
 function formatSettings (name: string, ip: string, storeAddress: string, bounds: Readonly<Record<string, number>>): string {
   return [
     `node = "${name}"`,
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -39,6 +39,8 @@
   readonly massCrashes: number
   /** How often the next writes of one key were made late. */
   readonly lateWrites: number
+  /** Processes that a SIGTERM ended before they had logged anything, and how long after their start that was. */
+  readonly endedWhileStarting: readonly string[]
   readonly faults: readonly string[]
   /** Descriptions of violated guarantees; empty on success. */
   readonly broken: readonly string[]
@@ -55,6 +57,13 @@
   withdrawnAtMs: number
 }
 
+/** What the faults of a soak and the hosts' reactions to them add to its report. */
+interface FaultRecord {
+  readonly faults: string[]
+  readonly broken: string[]
+  readonly endedWhileStarting: string[]
+}
+
 const hostCount = 4
 const workerCount = 12
 const capacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
@@ -118,6 +127,7 @@
   const caller = createSoakCaller({ addresses: daemons.hosts.map(host => host.callersAddress), hostName: names.hostName, key: names.key, random })
   const faults: string[] = []
   const broken: string[] = []
+  const endedWhileStarting: string[] = []
   let massCrashes = 0
   let lateWrites = 0
   const jobs: SoakJob[] = []
@@ -149,7 +159,7 @@
       const running: Promise<void>[] = []
       while (Date.now() < endsAtMs) {
         await delay(faultPauseMs * (0.5 + random()))
-        running.push(injectFault(emulator, daemons, random, faults, broken))
+        running.push(injectFault(emulator, daemons, random, { faults, broken, endedWhileStarting }))
       }
       await Promise.all(running)
     }
@@ -218,6 +228,7 @@
     evacuations: evacuations.length,
     massCrashes,
     lateWrites,
+    endedWhileStarting,
     faults,
     broken,
     ...collectTrace(daemons, broken)
@@ -269,7 +280,7 @@
 }
 
 /** Injects one random fault; resolves when it is over. */
-async function injectFault (emulator: PlatformEmulator, daemons: DaemonProcesses, random: () => number, faults: string[], broken: string[]): Promise<void> {
+async function injectFault (emulator: PlatformEmulator, daemons: DaemonProcesses, random: () => number, { faults, broken, endedWhileStarting }: FaultRecord): Promise<void> {
   const host = pickRandom(daemons.hosts, random)
   const leaderName = emulator.store.peek(leaderKey)
   const leader = daemons.hosts.find(({ name }) => name === leaderName) ?? host
@@ -280,8 +291,9 @@
     'kill-host': () => restartAfter(host, () => host.kill(), 300),
     'terminate-host': () => restartAfter(host, async () => {
       if (!host.isUp()) return
-      const { code, uptimeMs, hadHandler, wasKilled } = await host.terminate()
-      if (code !== 0 && hadHandler && !wasKilled) broken.push(`${host.name} exited with ${code} after SIGTERM, ${Math.round(uptimeMs)} ms after its start`)
+      const { code, uptimeMs, wasStarting, wasKilled } = await host.terminate()
+      if (wasStarting) endedWhileStarting.push(`${host.name} after ${Math.round(uptimeMs)} ms`)
+      else if (code !== 0 && !wasKilled) broken.push(`${host.name} exited with ${code} after SIGTERM, ${Math.round(uptimeMs)} ms after its start`)
     }, 100),
     'freeze-leader': () => leader.freeze(forMs),
     'reload-host': async () => { host.reload() },
