Peer methods: idle timers are replaced, so that the fake clock of the tests loses no timers

The stand-in's poll of worker-9 waited on a timer of 10 ms that never fired; it was still in the fake clock's heap, overdue, 30 ms later.

Cause: `Timeout.refresh` of @sinonjs/fake-timers 15.5.0 sets the new due time before it takes the timer out of its heap, so that the element that takes its place moves the wrong way. Shown on the library alone: with timers due at 1, 50, 2, 60, 70, 3 and 300 ms, a refresh of the second one to 1,000 leaves the heap 1 300 2 60 70 3 1000, and the timer of 70 ms fires before that of 60. A timer that is overtaken so within a tick is out of range from then on and never fires. The relayed polls of the pool harness are the only caller under the fake clock; the other two uses of `refresh` are in the HTTP clients.

Clearing and setting the timer does the same in production.

--- a/src/peers/peerWorkerMethods.ts
+++ b/src/peers/peerWorkerMethods.ts
@@ -56,17 +56,16 @@
 
   function getConnection (workerId: string, address: string): WorkerPort {
     const key = `${workerId} ${address}`
-    let connection = connections.get(key)
-    if (connection === undefined) {
-      const port = host.connect({ workerId, address })
-      const idleTimer = setTimeout(() => {
-        connections.delete(key)
-        port.close()
-      }, idleConnectionMs)
-      idleTimer.unref()
-      connections.set(key, connection = { port, idleTimer })
-    }
-    connection.idleTimer.refresh()
-    return connection.port
+    const known = connections.get(key)
+    const port = known?.port ?? host.connect({ workerId, address })
+    // Not refreshed: on the fake clock of the tests, `refresh` keeps other timers from firing (@sinonjs/fake-timers 15.5.0).
+    clearTimeout(known?.idleTimer)
+    const idleTimer = setTimeout(() => {
+      connections.delete(key)
+      port.close()
+    }, idleConnectionMs)
+    idleTimer.unref()
+    connections.set(key, { port, idleTimer })
+    return port
   }
 }
