Election: a likely successor watches the leader key with two calls that overlap

What callers saw: when the leader fails and the answer to the next host's watch of its key is lost, nobody schedules for 4.8 s: the host has one watch under way, which waits for 4 s and has 0.6 s more for its answer, and asks nothing else.

Hosts that follow the records, and all hosts where none is a standby, now have a second series of watches that is shifted by half a wait. A change is seen by the one whose answer arrives; the failure of either ends both and has the leader read again, after 0.25 to 0.5 s, so that two lost answers cost about 3.1 s at most (by the constants, not measured).

--- a/src/election/leaderElection.test.ts
+++ b/src/election/leaderElection.test.ts
@@ -65,6 +65,28 @@
   await candidateStopped
 })
 
+// Guards against a cost of the store that grows with the hosts: only likely successors watch the leader key with two calls.
+test('40 hosts, three of which follow the records, cost the store fewer than 16 calls a second while there is a leader', async () => {
+  const leader = startElection('leader', store.connect('leader'))
+  await run(500)
+  const counted = Array.from({ length: 40 }, (_, index) => ({ index, ...countCalls(`host-${index}`) }))
+  const elections = counted.map(({ index, client }) => createLeaderElection({
+    store: client,
+    hostId: `host-${index}`,
+    logger: silentLogger,
+    random: () => 0.5,
+    isSmall: false,
+    getStandbyRank: () => index < 3 ? index : undefined,
+    onElected: () => {}
+  }))
+  await run(idleMs)
+  const callsPerS = counted.reduce((sum, { getCalls }) => sum + getCalls(), 0) * 1_000 / idleMs
+  expect(callsPerS).toBeLessThan(16)
+  const stopped = Promise.all([leader, ...elections].map(async election => { await election.stop() }))
+  await run(2_500)
+  await stopped
+})
+
 test('a new configuration takes effect at once, with about one call per second, also when the history is compacted', async () => {
   const stopping = new AbortController()
   const { client, getCalls } = countCalls('host-1')
--- a/src/election/leaderElection.ts
+++ b/src/election/leaderElection.ts
@@ -55,6 +55,8 @@
   stop (): Promise<void>
 }
 
+type LeaderWatch = Awaited<ReturnType<MetadataStore['watch']>>
+
 /** The key that the elected host holds. */
 export const leaderKey = 'leader/scheduler'
 
@@ -66,7 +68,7 @@
 const ttlRoundTrips = 4
 /** Number of latest round trips that are taken into account. */
 const maxRoundTrips = 16
-/** How long one watch of the leader key waits, in ms: one call per host every 4 s; removal of the key ends the wait at once. */
+/** How long one watch of the leader key waits, in ms: one call per host every 4 s, two for a likely successor; removal of the key ends the wait at once. */
 const leaderWatchWaitMs = 4_000
 /** A candidate measures its round trip after this many watches without a change: 12 s. */
 const watchesPerMeasurement = 3
@@ -157,24 +159,41 @@
     return Math.ceil(Math.max(host.minTtlMs ?? defaultMinTtlMs, neededMs))
   }
 
-  /** Watches from the store's latest revision, because the history since the revision of the leader key is soon compacted. */
+  /** Waits until the leader key changes, and runs for leader if there is none. Returns without a change when the leader has to be read again. */
   async function waitForChange (fromRevision: number): Promise<void> {
+    const ending = new AbortController()
+    const result = await watchWithOverlap(fromRevision, AbortSignal.any([stopping.signal, ending.signal])).finally(() => { ending.abort() })
+    const [last] = result?.changes.slice(-1) ?? []
+    if (result === undefined || last === undefined) return
+    leader = last.item?.value
+    if (leader === undefined) await campaign(result.revision)
+  }
+
+  /** Two series of watches, so that a change is seen at once although the answer to one of them is lost. The failure of either ends both. */
+  async function watchWithOverlap (fromRevision: number, signal: AbortSignal): Promise<LeaderWatch | undefined> {
     let revision = fromRevision
-    for (let watches = 0; !stopping.signal.aborted && watches < watchesPerMeasurement; watches++) {
-      const result = await watchLeader(revision, leaderWatchWaitMs)
-      if (result === undefined) return
-      revision = result.revision
-      const [last] = result.changes.slice(-1)
-      if (last === undefined) continue
-      leader = last.item?.value
-      if (leader === undefined) await campaign(revision)
-      return
+    // Watches from the store's latest revision, because the history since the revision of the leader key is soon compacted.
+    const watchInTurn = async (): Promise<LeaderWatch | undefined> => {
+      for (let watches = 0; !signal.aborted && watches < watchesPerMeasurement; watches++) {
+        const result = await watchLeader(revision, leaderWatchWaitMs, signal)
+        if (result === undefined || result.changes.length > 0) return result
+        revision = Math.max(revision, result.revision)
+      }
+      return undefined
     }
+    const first = watchInTurn()
+    const second = delay(leaderWatchWaitMs / 2, signal).then(async () => isLikelySuccessor() ? await watchInTurn() : await first)
+    return await Promise.race([first, second])
+  }
+
+  /** A host that would not run for leader before others need not see at once that there is none. */
+  function isLikelySuccessor (): boolean {
+    return host.getStandbyRank === undefined || host.getStandbyRank() !== undefined
   }
 
   /** Returns undefined if the history since the revision has been compacted. */
-  async function watchLeader (fromRevision: number, waitMs: number): Promise<Awaited<ReturnType<MetadataStore['watch']>> | undefined> {
-    return await store.watch(leaderKey, fromRevision, waitMs, stopping.signal).catch(error => {
+  async function watchLeader (fromRevision: number, waitMs: number, signal = stopping.signal): Promise<LeaderWatch | undefined> {
+    return await store.watch(leaderKey, fromRevision, waitMs, signal).catch(error => {
       if (!isErrorOfKind(error, ErrorKind.HistoryGone)) throw error
       return undefined
     })
--- a/src/election/lostWatches.test.ts
+++ b/src/election/lostWatches.test.ts
@@ -58,6 +58,6 @@
 
 // Guards against a pool without a scheduler: the only other host watches the leader's key with one call for 4 s, and learns nothing before that call has timed out if
 // its answer is lost.
-test.failing('a host is elected in time when the leader fails although the answer to its watch is lost', async () => {
+test('a host is elected in time when the leader fails although the answer to its watch is lost', async () => {
   expect(await measureElection(true)).toBeLessThan(electedWithinMs)
 })
