--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -368,6 +368,7 @@
         areLikely: () => losses.isLossLikely(info.workerId),
         hasLeftUnanswered: () => losses.hasLeftUnanswered(info.workerId),
         isSilent: () => losses.isSilent(info.workerId),
+        onOvertaken: () => { losses.onOvertaken(info.workerId) },
         slots
       },
       pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => pollThroughPeers(info, poll)),
