A scheduler that is only slow is read beside ever less often

A false alarm costs requests to each worker of a domain. An answer is awaited for 250 ms, and a scheduler that answers again in the same term has to leave two more requests unanswered the next time, up to 8. The scheduler itself takes no turn in asking.

--- a/src/readers/endReaders.ts
+++ b/src/readers/endReaders.ts
@@ -54,9 +54,13 @@
 /** In each failure domain one host asks the scheduler in each such interval, in ms. */
 const askPeriodMs = 300
 /** Time allowed for the scheduler's answer, in ms: two round trips between the most distant regions, one of them to connect, and a busy host. */
-const askTimeoutMs = 200
-/** A scheduler that leaves so many requests in a row without an answer is taken for lost. */
-const maxLostAnswers = 2
+const askTimeoutMs = 250
+/**
+ * A scheduler that leaves so many requests in a row without an answer is taken for lost. If it answers again in the same term, as many more are required the next time, up to the
+ * greater number: each time of reading costs requests to workers, and such a scheduler is only slow.
+ */
+const minLostAnswers = 2
+const maxLostAnswers = 8
 /** Interval of the checks while this host reads, or has ends to deliver, in ms. */
 const activePeriodMs = 200
 /** Time allowed for a delivery, in ms. */
@@ -101,6 +105,9 @@
   let isDelivering = false
   let isSuspected = false
   let toldAtMs = -Infinity
+  /** The epoch with which reading began because the scheduler did not answer; undefined if it began for another reason. */
+  let silentEpoch: number | undefined
+  let requiredLostAnswers = minLostAnswers
   let suspectedAtMs = -Infinity
   let answeredAtMs = -Infinity
   let lastTurn = -1
@@ -157,6 +164,7 @@
   function startReading (found: SchedulerState): void {
     if (signal.aborted) return
     isReading = true
+    silentEpoch = found.hostId === undefined || found.isAnswering ? undefined : found.epoch
     logger.info('no scheduler asks the workers for their ends', { ...describe(found), answerAgeMs: answeredAtMs === -Infinity ? undefined : Math.round(performance.now() - answeredAtMs) })
     reader.begin(found.epoch)
     tellPeers(found.epoch)
@@ -164,7 +172,8 @@
 
   function stopReading (found: SchedulerState): void {
     isReading = false
-    logger.info('a scheduler asks the workers for their ends', describe(found))
+    requiredLostAnswers = found.epoch === silentEpoch ? Math.min(requiredLostAnswers + minLostAnswers, maxLostAnswers) : minLostAnswers
+    logger.info('a scheduler asks the workers for their ends', { ...describe(found), requiredLostAnswers })
     reader.end()
   }
 
@@ -186,16 +195,16 @@
     if (hostId === undefined) return { epoch, hostId, isPolling: false, isAnswering: false, reason: 'there is no leader key' }
     if (hostId === host.hostId) return { epoch, hostId, isPolling: false, isAnswering: true, reason: 'the leader key names this host, which does not schedule' }
     const isKnown = state !== undefined && state.epoch === epoch && state.hostId === hostId
-    if (state?.isPolling === true && isKnown && !isReading && !isSuspected && !takeTurn()) return state
+    if (state?.isPolling === true && isKnown && !isReading && !isSuspected && !takeTurn(hostId)) return state
     return await askScheduler(epoch, hostId)
   }
 
   /** Tells whether it is the turn of this host to ask the scheduler. */
-  function takeTurn (): boolean {
+  function takeTurn (schedulerId: string): boolean {
     const turn = Math.floor(Date.now() / askPeriodMs)
     if (turn === lastTurn) return false
     lastTurn = turn
-    const hostIds = [host.hostId, ...getDomainPeers().map(({ hostId }) => hostId)].sort()
+    const hostIds = [host.hostId, ...getDomainPeers().map(({ hostId }) => hostId)].filter(hostId => hostId !== schedulerId).sort()
     return turn % hostIds.length === hostIds.indexOf(host.hostId)
   }
 
@@ -204,7 +213,8 @@
   }
 
   async function askScheduler (epoch: number, hostId: string): Promise<SchedulerState> {
-    const attempts = isSuspected ? 1 : maxLostAnswers
+    // The peer that suspects it has had the first request without an answer.
+    const attempts = isSuspected ? requiredLostAnswers - 1 : requiredLostAnswers
     const mayTellPeers = !isSuspected && !isReading
     isSuspected = false
     let reason = ''
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -136,6 +136,10 @@
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
   readonly interceptWorker?: (hostId: string, workerId: string, port: WorkerPort) => WorkerPort
+  /** The shortest time to live of the leader's lease, in ms; 1 s by default. */
+  readonly leaderTtlMs?: number
+  /** Wraps the calls of hosts to a peer. */
+  readonly interceptPeers?: (address: string, call: () => Promise<unknown>) => Promise<unknown>
   /** Wraps the port of a host to a worker for requests while no host schedules. */
   readonly interceptReader?: (hostId: string, port: WorkerPort) => WorkerPort
   readonly onEnd?: PoolState['onEnd']
@@ -361,7 +365,7 @@
       logger: logger.withPrefix(hostId),
       random: options.random ?? (() => 0.5),
       isSmall: false,
-      minTtlMs: 1_000,
+      minTtlMs: options.leaderTtlMs ?? 1_000,
       ...(standby === undefined ? {} : { getStandbyRank: () => standby.isWarm() ? rank : undefined }),
       onLeaderSeen: () => { endReaders?.onLeaderSeen() },
       onElected: elected => {
@@ -481,7 +485,8 @@
       call: async <T>(methodName: string, params: unknown, timeoutMs?: number): Promise<T> => {
         const method = peerMethods.get(address)?.find(({ name }) => name === methodName)
         if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
-        const answer = method.handle(params, { from: '', identity: '' }) as Promise<T>
+        const handle = async (): Promise<unknown> => await method.handle(params, { from: '', identity: '' })
+        const answer = (options.interceptPeers?.(address, handle) ?? handle()) as Promise<T>
         return timeoutMs === undefined ? await answer : await Promise.race([answer, failAfter(timeoutMs)])
       }
     }
