--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -227,7 +227,7 @@
   })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, describeLease, close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
 
   function close (): void {
     isClosed = true
@@ -235,10 +235,6 @@
     port.close()
   }
 
-  function describeLease (): object {
-    return { leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }
-  }
-
   function wake (): void {
     changed.notify()
     sender.reviewExpectedEnd()
