Lease model: a record that says with each renewal when leases end

Each renewal of the record names the worker with the end of its leases; it is not extended before a record without it is stored, and runs that are planned later are excepted. Policy 'renewed ends', compared with 'product'; scenarios 'two ends' and 'two ends, restart'.

A variant that covers runs planned after the renewal is found to break TWICE. The state of the model has a file of its own.

--- a/src/model/endPolicies.ts
+++ b/src/model/endPolicies.ts
@@ -30,6 +30,8 @@
   readonly reportedLife: number
   /** Steps since this term sent its latest start request that has no answer; Infinity if there is none. */
   readonly unansweredAge: number
+  /** The worker has confirmed to this term that the run is at work. */
+  readonly isConfirmed: boolean
 }
 
 /** How the record of a term mentions a worker that does not answer. */
@@ -57,6 +59,8 @@
   readonly hasGranted: boolean
   /** Steps since this term last sent a request that may extend the lease, or since its start. */
   readonly extendedAge: number
+  /** Steps since this term last sent a start; Infinity if it has not. Starts need not extend the lease, but in a later life their leases count from when they are carried out. */
+  readonly startAge: number
   /** Steps since this term last learnt of another life under the id; Infinity if it has not. */
   readonly laterLifeAge: number
   readonly listedLife: number
@@ -85,6 +89,13 @@
   getEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined
   /** What the record says of the silent worker; undefined if it does not mention it. */
   describeSilence (evidence: TermEvidence): SilentEntry | undefined
+  /**
+   * What each renewal of the record says of a worker that may answer, and whose lease is not extended before a record without it is stored; undefined if renewals do not
+   * mention it. Runs that are planned later are excepted.
+   */
+  readonly describeRenewal?: (evidence: TermEvidence) => SilentEntry
+  /** Runs that are planned after the renewal are not excepted; for tests. */
+  readonly coversLaterRuns?: boolean
 }
 
 /** Decides for the whole worker: one start without an answer keeps it out of the record. The rule up to 3ba3df9. */
@@ -114,8 +125,17 @@
  */
 export const productPolicy: EndPolicy = createPerRunPolicy('product', { isVouchByTermAge: true, readsStartClock: true })
 
+/**
+ * As `productPolicy`, but each renewal of the record says when the leases of each worker end that were last extended: a term that ends before it has recorded a worker as
+ * silent leaves this to the next one.
+ */
+export const renewedEndsPolicy: EndPolicy = createPerRunPolicy('renewed ends', { isVouchByTermAge: true, readsStartClock: true, recordsAtRenewal: true })
+
+/** As `renewedEndsPolicy`, but what the record says is also used for runs that were planned after it was written. */
+export const laterRunsPolicy: EndPolicy = { ...renewedEndsPolicy, name: 'renewed ends, later runs', coversLaterRuns: true }
+
 /** All policies that are compared. */
-export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, productPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
+export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, productPolicy, renewedEndsPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
 
 /** The parts in which the policies for each run differ. */
 interface PerRunOptions {
@@ -126,6 +146,7 @@
   readonly readsStartClock?: boolean
   readonly endsWithListedLife?: boolean
   readonly areInheritedUncertain?: boolean
+  readonly recordsAtRenewal?: boolean
 }
 
 function createPerWorkerPolicy (name: string, mayRecord: (evidence: TermEvidence) => boolean): EndPolicy {
@@ -145,8 +166,8 @@
   }
 }
 
-function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false }: PerRunOptions): EndPolicy {
-  return { name, readsStartClock, getEnd: getRunEnd, describeSilence }
+function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false, recordsAtRenewal = false }: PerRunOptions): EndPolicy {
+  return { name, readsStartClock, getEnd: getRunEnd, describeSilence, ...recordsAtRenewal ? { describeRenewal } : {} }
 
   function getRunEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined {
     const { listedLife, times } = evidence
@@ -162,7 +183,15 @@
   }
 
   function describeSilence (evidence: TermEvidence): SilentEntry {
-    const exceptions = evidence.runs.filter(run => !run.hasEnded && mayHaveStarts(evidence, run, evidence.times.maxRequestDelay))
+    return describe(evidence, evidence.runs.filter(run => !run.hasEnded && mayHaveStarts(evidence, run, evidence.times.maxRequestDelay)))
+  }
+
+  /** Start requests of runs that are not confirmed may be sent after the record is written. */
+  function describeRenewal (evidence: TermEvidence): SilentEntry {
+    return describe(evidence, evidence.runs.filter(run => !run.hasEnded && (!run.isConfirmed || mayHaveStarts(evidence, run, evidence.times.maxRequestDelay))))
+  }
+
+  function describe (evidence: TermEvidence, exceptions: readonly RunEvidence[]): SilentEntry {
     const others = evidence.runs.filter(run => !run.hasEnded && !exceptions.includes(run))
     const timerSteps = Math.max(0, ...others.map(run => getStepsLeft(evidence, getLeaseEndSteps(evidence, run), areEarlierLeasesOver(evidence, run))))
     return { timerSteps, exceptions: exceptions.map(({ index }) => index), vouchedLife: mayVouch(evidence) ? evidence.knownLife : 0 }
@@ -170,7 +199,8 @@
 
   function areEarlierLeasesOver (evidence: TermEvidence, run: RunEvidence): boolean {
     const { earlierRecords } = evidence
-    if (!earlierRecords.every(({ isExcluded, silent }) => isExcluded || (silent?.timerSteps === 0 && !silent.exceptions.includes(run.index)))) return false
+    // No earlier term has sent a start of a run that this one has planned.
+    if (!earlierRecords.every(({ isExcluded, silent }) => isExcluded || (silent?.timerSteps === 0 && !(run.isRestored && silent.exceptions.includes(run.index))))) return false
     const granting = earlierRecords.filter(({ isExcluded }) => !isExcluded)
     return (granting.length > 0 && granting.every(({ silent }) => silent !== undefined && isVouchedFor(evidence, run, silent))) || isOnlyLife(evidence)
   }
@@ -204,8 +234,8 @@
   return getStepsLeft(evidence, getLeaseEndSteps(evidence, run), areEarlierOver) <= 0 ? EndSource.LeaseExpired : undefined
 }
 
-function getStepsLeft ({ times, termAge, extendedAge }: TermEvidence, leaseSteps: number, areEarlierOver: boolean): number {
-  const leftSteps = leaseSteps - extendedAge
+function getStepsLeft ({ times, termAge, extendedAge, startAge }: TermEvidence, leaseSteps: number, areEarlierOver: boolean): number {
+  const leftSteps = leaseSteps - (leaseSteps === times.maxLease ? Math.min(extendedAge, startAge) : extendedAge)
   return areEarlierOver ? leftSteps : Math.max(leftSteps, times.maxLease - termAge)
 }
 
--- a/src/model/leaseModel.test.ts
+++ b/src/model/leaseModel.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, test } from '@jest/globals'
-import { endPolicies, inheritedStartsPolicy, perRunPolicy, perWorkerPolicy, productPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
+import { endPolicies, inheritedStartsPolicy, laterRunsPolicy, perRunPolicy, perWorkerPolicy, productPolicy, renewedEndsPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
 import type { EndPolicy } from './endPolicies.js'
 import { explore } from './explorer.js'
 import type { Exploration } from './explorer.js'
 import { getMinimalFindings } from './findings.js'
 import { createLeaseModel, Invariant } from './leaseModel.js'
-import { lateStartScenario, lossScenario, retryScenario, smallRestartScenario, unknownLifeScenario } from './leaseScenarios.js'
+import { lateStartScenario, lossScenario, retryScenario, smallRestartScenario, twoTermsScenario, unknownLifeScenario } from './leaseScenarios.js'
 import type { NamedScenario } from './leaseScenarios.js'
 
 const otherStart = 'LOST: start of another run without an answer'
@@ -42,6 +42,21 @@
     for (const policy of endPolicies) expect(getClasses(check(lossScenario, policy), Invariant.Twice)).toEqual([])
   })
 
+  test('a record that says with each renewal when leases end runs no task twice around two ends of a term', () => {
+    const result = check({ ...twoTermsScenario, maxDepth: 6 }, renewedEndsPolicy)
+    expect(getClasses(result, Invariant.Twice)).toEqual([])
+  })
+
+  test('with such a record, runs are waited for longer only if the term ended while the lease could be extended, or if their starts were sent after the last renewal or got no answer', () => {
+    expect(getClasses(check(lossScenario, renewedEndsPolicy))).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer', 'LOST: start after the last renewal of an earlier record'])
+  })
+
+  test('finds that such a record must not be used for runs that were planned after the last renewal', () => {
+    const laterStart = 'TWICE: ended by earlier-leases-over, at work by a late start in a listed later life'
+    expect(getClasses(check(smallRestartScenario, laterRunsPolicy))).toContain(laterStart)
+    expect(getClasses(check(smallRestartScenario, renewedEndsPolicy))).not.toContain(laterStart)
+  })
+
   test('finds a rule that ends runs one step too early', () => {
     const early: EndPolicy = {
       ...perRunPolicy,
--- a/src/model/leaseModel.ts
+++ b/src/model/leaseModel.ts
@@ -2,25 +2,10 @@
  * A model of the leases of one worker: terms that grant them, their records in the store, lives under one id, and orders that are lost or carried out late. What
  * is modelled, and what is not, is described in docs/design/lease-model.md.
  */
-import type { EarlierRecord, EndPolicy, LeaseTimes, RunEvidence, SilentEntry, TermEvidence } from './endPolicies.js'
+import type { EarlierRecord, EndPolicy, LeaseTimes, RunEvidence, TermEvidence } from './endPolicies.js'
 import type { Choose, Finding, Model } from './explorer.js'
-
-/** How often each disturbance may happen. */
-export interface Disturbances {
-  /** Lives of the worker that end. */
-  readonly deaths: number
-  /** Lives that begin under the same id. */
-  readonly restarts: number
-  /** Cuts of the worker. */
-  readonly cuts: number
-  /** Orders that get no answer although the worker could be reached. */
-  readonly lostAnswers: number
-  /** Of those, orders that are carried out late. */
-  readonly lateOrders: number
-  readonly termEnds: number
-  /** Writes to the store that are not done. */
-  readonly lostWrites: number
-}
+import { ageLimit, Begin, beginNames, clone, countDown, createRun, createTerm, Cut, getKey, getRecord, getRun, isNamed, isReachable, Outcome, RunState } from './leaseModelState.js'
+import type { Disturbances, LateOrder, LeaseState, RunModel, TermModel } from './leaseModelState.js'
 
 /** A scenario to explore. */
 export interface LeaseScenario {
@@ -45,106 +30,12 @@
   Lost = 'LOST'
 }
 
-enum Cut { None, Hosts, All }
-enum RunState { None, StartSent, Running, Ended }
-
-/** The outcome of an order at a worker that can be reached. */
-enum Outcome { Answered, Refused, NotExecuted, Executed, Late }
-
-/** How work under way has begun. */
-enum Begin { OnTime, OnTimeUnknownLife, LateSameLife, LateListedLife, LateHiddenLife }
-
-const beginNames: Readonly<Record<Begin, string>> = {
-  [Begin.OnTime]: 'a start on time',
-  [Begin.OnTimeUnknownLife]: 'a start on time in a later life that its term did not know',
-  [Begin.LateSameLife]: 'a late start in the life to which it was sent',
-  [Begin.LateListedLife]: 'a late start in a listed later life',
-  [Begin.LateHiddenLife]: 'a late start in a hidden later life'
-}
-
-interface LateOrder {
-  /** The run to start, or `poll`. */
-  readonly run: number
-  readonly term: number
-  /** The life to which it was sent. */
-  readonly life: number
-  age: number
-}
-
-interface RunModel {
-  state: RunState
-  plannedLife: number
-  /** The life that the present term believes to run it; 0 if none. */
-  runningLife: number
-  unansweredAge: number
-  isRestored: boolean
-  /** Not part of what a term knows: a start of any term has got no answer. */
-  hadUnanswered: boolean
-  /** The latest life whose report to the present term lists it; 0 if there is none. */
-  reportedLife: number
-  /** Not part of what a term knows: how the work that is under way has begun. */
-  begun: Begin
-  /** By what the run counts as ended. */
-  endedBy: string
-  /** Steps for which the run has not counted as ended although it should. */
-  overdueSteps: number
-}
-
-interface TermModel {
-  readonly index: number
-  age: number
-  knownLife: number
-  isReachable: boolean
-  hasClock: boolean
-  silentSteps: number
-  extendedAge: number
-  laterLifeAge: number
-  hasGranted: boolean
-}
-
-interface RecordModel {
-  readonly term: number
-  ttl: number
-  isExcluded: boolean
-  silent: SilentEntry | undefined
-}
-
-interface LeaseState {
-  life: number
-  isAlive: boolean
-  /** By life; the first element stands for no life. */
-  lifeAges: number[]
-  cut: Cut
-  leaseLeft: number
-  /** Not part of what a term knows: the life has carried out a late poll that was sent to an earlier one. */
-  isExtendedLate: boolean
-  /** The highest term that the life has seen. */
-  fence: number
-  /** Runs, as bits, that are at work, and that the life refuses. */
-  atWork: number
-  refused: number
-  listedLife: number
-  lateOrders: LateOrder[]
-  runs: RunModel[]
-  records: RecordModel[]
-  term: TermModel | undefined
-  termCount: number
-  left: { -readonly [Key in keyof Disturbances]: number }
-  /** Steps since any term last sent an order that may extend the lease. Not part of what a term knows. */
-  sentAge: number
-  /** A term has ended within the steps that it takes to notice and record that a worker is silent. */
-  wasLossUnnoticed: boolean
-}
-
 /** Steps after the start of a term in which it reads the records and polls the worker. */
 const takeoverSteps = 2
 /** Failed polls after which a worker is recorded as silent. */
 const silenceSteps = 2
 const runCount = 2
 const poll = -1
-/** Longer than all durations of the model, in steps. */
-const ageLimit = 200
-
 /** Creates the model of a scenario. */
 export function createLeaseModel ({ policy, times, disturbances, maxDelay, isFirstLifeYoung, listDelay, isIdle }: LeaseScenario): Model<LeaseState> {
   const maxAge = times.youngLife + 1
@@ -164,7 +55,7 @@
       listedLife: 1,
       lateOrders: [],
       runs: Array.from({ length: runCount }, (_, index) => index === 0 && !isIdle ? { ...createRun(), state: RunState.Running, plannedLife: 1, runningLife: 1, reportedLife: 1 } : createRun()),
-      records: [{ term: 1, ttl: times.recordTtl, isExcluded: false, silent: undefined }],
+      records: [{ term: 1, ttl: times.recordTtl, isExcluded: false, silent: undefined, renewal: undefined }],
       term: { ...createTerm(1, 1), isReachable: true, hasClock: true, hasGranted: !isIdle },
       termCount: 1,
       left: { ...disturbances },
@@ -205,7 +96,8 @@
     }
     for (const record of state.records) {
       record.ttl--
-      if (record.silent !== undefined && record.silent.timerSteps > 0) record.silent = { ...record.silent, timerSteps: record.silent.timerSteps - 1 }
+      record.silent = countDown(record.silent)
+      record.renewal = countDown(record.renewal)
     }
     state.records = state.records.filter(({ ttl }) => ttl > 0)
     state.sentAge = Math.min(times.requestedLease, state.sentAge + 1)
@@ -215,6 +107,7 @@
     term.age = Math.min(times.maxRequestDelay + times.maxLease + 1, term.age + 1)
     if (term.laterLifeAge < Infinity && ++term.laterLifeAge > times.maxRequestDelay + 2 * times.maxLease) term.laterLifeAge = Infinity
     // What matters is whether the lease is over and, of a later life that was seen, how long before the extension that was.
+    if (term.startAge < Infinity && ++term.startAge > times.maxLease) term.startAge = Infinity
     term.extendedAge = Math.min(term.laterLifeAge === Infinity ? times.maxLease : ageLimit, term.extendedAge + 1)
   }
 
@@ -262,11 +155,11 @@
   }
 
   /** Carries out an order. Returns false if the worker refuses it. */
-  function execute (state: LeaseState, { run, term, life, age }: LateOrder, isExtension: boolean, isLate: boolean): boolean {
+  function execute (state: LeaseState, { run, term, life, leaseSpent, age }: LateOrder, isExtension: boolean, isLate: boolean): boolean {
     if (term < state.fence) return false
     state.fence = term
     // The deadline is a time on the clock of the life that the term knew. The clock of a later life starts anew, so that the longest lease is granted.
-    const lease = !isExtension ? 0 : life === state.life ? times.requestedLease - age : times.maxLease
+    const lease = !isExtension ? 0 : life === state.life ? times.requestedLease - leaseSpent - age : times.maxLease
     if (run !== poll) {
       if (lease <= 0 || (state.refused & 1 << run) !== 0) return false
       if ((state.atWork & 1 << run) === 0) getRun(state, run).begun = getBegin(state, life, isLate)
@@ -288,7 +181,7 @@
   function beginTerm (state: LeaseState, choose: Choose): void {
     if (choose([['the next term has not begun', true], ['the next term begins', false]])) return
     state.term = createTerm(++state.termCount, state.listedLife)
-    state.records.push({ term: state.termCount, ttl: times.recordTtl, isExcluded: false, silent: undefined })
+    state.records.push({ term: state.termCount, ttl: times.recordTtl, isExcluded: false, silent: undefined, renewal: undefined })
     for (const run of state.runs) {
       if (run.state !== RunState.Running && run.state !== RunState.StartSent) continue
       run.state = RunState.StartSent
@@ -300,7 +193,8 @@
   }
 
   function endTerm (state: LeaseState, term: TermModel): void {
-    if (term.hasGranted && getRecord(state, term).silent === undefined && term.silentSteps < silenceSteps) state.wasLossUnnoticed = true
+    const { silent, renewal } = getRecord(state, term)
+    if (term.hasGranted && (silent ?? renewal) === undefined && term.silentSteps < silenceSteps) state.wasLossUnnoticed = true
     state.term = undefined
     for (const run of state.runs) run.unansweredAge = Infinity
   }
@@ -308,16 +202,46 @@
   function act (state: LeaseState, term: TermModel, choose: Choose): void {
     getRecord(state, term).ttl = times.recordTtl
     if (state.listedLife > term.knownLife) learnLife(term, state.listedLife)
+    prepareExtension(state, term, choose)
+    if (state.term === undefined) return
     if (isNeeded(state) || !term.hasClock) pollWorker(state, term, choose)
     if (state.term === undefined) return
+    const isWrittenLater = policy.describeRenewal !== undefined && choose([['', false], ['the record is written after the starts', true]])
+    if (!isWrittenLater) writeRenewal(state, term, choose)
     for (const [index, run] of state.runs.entries()) if (run.state === RunState.None && canStart(state, term) && choose([['', false], [`run ${index} is started`, true]])) sendStarts(state, term, index, choose)
     if (state.term === undefined) return
+    if (isWrittenLater) writeRenewal(state, term, choose)
     if (!term.isReachable) {
       recordSilence(state, term, choose)
       endRuns(state, term)
     }
   }
 
+  /** Stores a record that does not mention the worker, so that its lease may be extended. */
+  function prepareExtension (state: LeaseState, term: TermModel, choose: Choose): void {
+    const record = getRecord(state, term)
+    if (record.renewal === undefined || !term.isReachable) return
+    // The lease is longer than the time between two renewals.
+    if (!term.wasPutOff && choose([['', false], ['the extension is put off', true]])) {
+      term.wasPutOff = true
+      return
+    }
+    if (!tryWrite(state, choose)) return
+    term.wasPutOff = false
+    record.renewal = undefined
+    if (state.left.termEnds === 0 || !choose([['', false], ['the term ends before the poll', true]])) return
+    state.left.termEnds--
+    endTerm(state, term)
+  }
+
+  function writeRenewal (state: LeaseState, term: TermModel, choose: Choose): void {
+    const record = getRecord(state, term)
+    if (policy.describeRenewal === undefined || isNamed(record) || !term.hasGranted || !isNeeded(state) || !tryWrite(state, choose)) return
+    const entry = policy.describeRenewal(getEvidence(state, term))
+    const later = policy.coversLaterRuns === true ? [] : state.runs.flatMap(({ state: runState }, index) => runState === RunState.None ? index : [])
+    record.renewal = { ...entry, exceptions: [...entry.exceptions, ...later] }
+  }
+
   function learnLife (term: TermModel, life: number): void {
     term.knownLife = life
     term.laterLifeAge = 0
@@ -333,9 +257,9 @@
   }
 
   function pollWorker (state: LeaseState, term: TermModel, choose: Choose): void {
-    const isExtension = canStart(state, term)
+    const isExtension = canStart(state, term) && getRecord(state, term).renewal === undefined
     if (isExtension) recordExtension(state, term)
-    const order = { run: poll, term: term.index, life: term.knownLife, age: 0 }
+    const order = { run: poll, term: term.index, life: term.knownLife, leaseSpent: 0, age: 0 }
     const outcome = isReachable(state) ? send(state, order, isExtension, 'the poll', choose) : Outcome.NotExecuted
     if (outcome === Outcome.Refused) {
       endTerm(state, term)
@@ -353,7 +277,10 @@
     term.silentSteps = 0
     applyReport(state)
     const record = getRecord(state, term)
-    if (isNamed(record) && !tryWrite(state, choose)) return
+    if (isNamed(record)) {
+      if (!tryWrite(state, choose)) return
+      record.renewal = undefined
+    }
     record.isExcluded = false
     record.silent = undefined
     term.isReachable = true
@@ -382,8 +309,10 @@
     run.plannedLife = term.knownLife
     // A start without an answer is repeated once: that one may be answered while the first is under way.
     for (let tries = 0; tries < 2; tries++) {
-      recordExtension(state, term)
-      const order = { run: index, term: term.index, life: term.knownLife, age: 0 }
+      const isExtension = getRecord(state, term).renewal === undefined
+      if (isExtension) recordExtension(state, term)
+      term.startAge = 0
+      const order = { run: index, term: term.index, life: term.knownLife, leaseSpent: isExtension ? 0 : term.extendedAge, age: 0 }
       const outcome = isReachable(state) ? send(state, order, true, `the start of run ${index}`, choose) : Outcome.NotExecuted
       if (outcome === Outcome.Answered) {
         run.state = RunState.Running
@@ -458,14 +387,15 @@
     const runs: RunEvidence[] = []
     for (const [index, run] of state.runs.entries()) {
       if (run.state === RunState.None) continue
-      runs.push({ index, hasEnded: run.state === RunState.Ended, plannedLife: run.plannedLife, reportedLife: run.reportedLife, isRestored: run.isRestored, unansweredAge: run.unansweredAge })
+      runs.push({ index, hasEnded: run.state === RunState.Ended, plannedLife: run.plannedLife, reportedLife: run.reportedLife, isRestored: run.isRestored, unansweredAge: run.unansweredAge, isConfirmed: run.state === RunState.Running })
     }
-    const earlierRecords: EarlierRecord[] = state.records.filter(record => record.term !== term.index)
+    const earlierRecords: EarlierRecord[] = state.records.flatMap(({ term: index, isExcluded, silent, renewal }) => index === term.index ? [] : { isExcluded, silent: silent ?? renewal })
     return {
       times,
       termAge: term.age,
       hasGranted: term.hasGranted,
       extendedAge: term.extendedAge,
+      startAge: term.startAge,
       laterLifeAge: term.laterLifeAge,
       listedLife: state.listedLife,
       listedLifeAge: state.lifeAges[state.listedLife] as number,
@@ -497,8 +427,9 @@
 
   /** What happened that may make a run be waited for. */
   function describeCause (state: LeaseState, index: number): string {
-    const { left, runs, life } = state
+    const { left, runs, life, records } = state
     const causes = [
+      ...records.some(({ term, silent, renewal }) => term < state.termCount && silent === undefined && renewal?.exceptions.includes(index) === true) ? ['start after the last renewal of an earlier record'] : [],
       ...getRun(state, index).hadUnanswered ? ['own start without an answer'] : [],
       ...runs.some((run, other) => other !== index && run.hadUnanswered) ? ['start of another run without an answer'] : [],
       ...state.wasLossUnnoticed ? ['end of a term before the silence was recorded'] : [],
@@ -509,67 +440,3 @@
     return causes.length === 0 ? 'no cause' : causes.join(' + ')
   }
 }
-
-function createRun (): RunModel {
-  return { state: RunState.None, plannedLife: 0, runningLife: 0, unansweredAge: Infinity, isRestored: false, hadUnanswered: false, reportedLife: 0, begun: Begin.OnTime, endedBy: '', overdueSteps: 0 }
-}
-
-function createTerm (index: number, knownLife: number): TermModel {
-  return { index, age: 0, knownLife, isReachable: false, hasClock: false, silentSteps: 0, extendedAge: 0, laterLifeAge: Infinity, hasGranted: false }
-}
-
-function isReachable ({ isAlive, cut }: LeaseState): boolean {
-  return isAlive && cut === Cut.None
-}
-
-function isNamed ({ isExcluded, silent }: RecordModel): boolean {
-  return isExcluded || silent !== undefined
-}
-
-function getRun ({ runs }: LeaseState, index: number): RunModel {
-  return runs[index] as RunModel
-}
-
-function getRecord ({ records }: LeaseState, { index }: TermModel): RecordModel {
-  return records.find(({ term }) => term === index) as RecordModel
-}
-
-function clone (state: LeaseState): LeaseState {
-  return {
-    ...state,
-    lifeAges: [...state.lifeAges],
-    lateOrders: state.lateOrders.map(order => ({ ...order })),
-    runs: state.runs.map(run => ({ ...run })),
-    records: state.records.map(record => ({ ...record })),
-    term: state.term === undefined ? undefined : { ...state.term },
-    left: { ...state.left }
-  }
-}
-
-const keyBuffer = new Uint16Array(256)
-
-function getKey (state: LeaseState): string {
-  const { term, left } = state
-  let length = 0
-  add(state.life, Number(state.isAlive), state.cut, state.leaseLeft, state.fence, state.atWork, state.refused, state.listedLife, state.termCount, state.sentAge, Number(state.wasLossUnnoticed), Number(state.isExtendedLate))
-  add(left.deaths, left.restarts, left.cuts, left.lostAnswers, left.lateOrders, left.termEnds, left.lostWrites)
-  for (const age of state.lifeAges) add(age)
-  for (const run of state.runs) {
-    add(run.state, run.plannedLife, run.runningLife, run.reportedLife, run.begun, Math.min(ageLimit, run.unansweredAge), run.overdueSteps, Number(run.isRestored), Number(run.hadUnanswered), run.endedBy.length)
-  }
-  for (const { term, ttl, isExcluded, silent } of state.records) {
-    add(term, ttl, Number(isExcluded), silent?.timerSteps ?? ageLimit)
-    if (silent !== undefined) add(silent.vouchedLife, ...silent.exceptions)
-  }
-  add(ageLimit)
-  for (const { run, term, life, age } of state.lateOrders) add(run + 1, term, life, age)
-  add(ageLimit)
-  if (term !== undefined) {
-    add(term.age, term.knownLife, Number(term.isReachable), Number(term.hasClock), Number(term.hasGranted), term.silentSteps, term.extendedAge, Math.min(ageLimit, term.laterLifeAge))
-  }
-  return String.fromCharCode(...keyBuffer.subarray(0, length))
-
-  function add (...numbers: readonly number[]): void {
-    for (const number of numbers) keyBuffer[length++] = number
-  }
-}
--- a/src/model/leaseScenarios.ts
+++ b/src/model/leaseScenarios.ts
@@ -31,6 +31,9 @@
 /** As `restartScenario`, where a new life is listed at once and late orders arrive soon, so that fewer states are reached. */
 export const smallRestartScenario: NamedScenario = { ...restartScenario, name: 'restart, small', listDelay: 0, maxDelay: 3, maxDepth: 6 }
 
+/** A worker that is lost, or cut off and lost, around two ends of terms, with an answer that is lost. */
+export const twoTermsScenario: NamedScenario = { ...base, name: 'two ends', disturbances: { ...none, deaths: 1, cuts: 1, lostAnswers: 1, termEnds: 2 }, maxDepth: 9 }
+
 /** A worker that restarts while one of two tries of a start is under way. */
 export const lateStartScenario: NamedScenario = { ...base, name: 'late start', disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 2, lateOrders: 1 }, maxDepth: 6 }
 
@@ -48,6 +51,8 @@
   { ...base, name: 'lost writes', times: scaledTimes, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 1, lostWrites: 2 }, maxDepth: 40 },
   { ...base, name: 'young life', times: scaledTimes, isFirstLifeYoung: true, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 1 }, maxDepth: 40 },
   { ...base, name: 'silent again', times: scaledTimes, disturbances: { ...none, deaths: 1, cuts: 2, lostAnswers: 1, termEnds: 1 }, maxDepth: 14 },
+  twoTermsScenario,
+  { ...twoTermsScenario, name: 'two ends, restart', listDelay: 0, disturbances: { ...twoTermsScenario.disturbances, restarts: 1 }, maxDepth: 7 },
   lateStartScenario,
   retryScenario,
   unknownLifeScenario,
