A record of granted leases says with each renewal when the leases of workers that answer end

Callers saw a job stand still for up to 11.4 s (7.3 s where workers grant 6 s) whose worker had left up to 2.5 s before its term ended: no record named the worker, so that the next term waited for the whole record.

Each renewal now names the workers with runs under keys of leases that were granted for earlier renewals, which the store removes soon after the worker's own lease. Write-ahead: a worker that a stored record names, or one that may be stored, is extended no further than its key lasts. Runs that are not confirmed, or whose progress was stored later than the record knows, are excepted.

--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -8,6 +8,7 @@
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
+import { maxExtensionGapMs, minExtensionGapMs, minExtensionMs, overduePollMs, renewalLeadMs } from './extensionTiming.js'
 import { getEarliestClockMs, getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
@@ -26,12 +27,18 @@
   readonly hasOrdersOfEarlierTerms: boolean
   /** Tells whether the orders of earlier terms have been carried out, and the leases that counted from then are over. */
   readonly areEarlierOrdersOver: () => boolean
+  /** Tells whether an earlier term has recorded that no order for an earlier incarnation can count for the leases of this one. */
+  readonly isIncarnationKnown?: (bornAtMs: number) => boolean
   /** Tells whether a start request may still be carried out, also by an incarnation of which nothing is known. */
   readonly hasUncertainRuns: () => boolean
   /** The longest lease that the worker may be granted now, in ms; 0 if none. */
   readonly getMaxGrantMs: () => number
   /** The longest lease, in ms, by which a poll may extend what runs on the worker now; 0 if none. */
   readonly getMaxRenewalMs: () => number
+  /** Called when the lease should be extended soon, and the stored record of granted leases allows it only up to a time that is near. Resolves when it allows more. */
+  readonly requestExtension?: () => Promise<void>
+  /** Called when the worker should have answered a poll and has not: its lease is not extended until it does. */
+  readonly onOverdue?: () => void
   /** Tells whether the leases of these runs that earlier terms have granted have certainly ended; false if that is not known. */
   readonly areEarlierLeasesOver: (scope: RunScope) => boolean
   /** Tells whether this term has granted the worker no lease, and those of these runs that earlier terms have granted have certainly ended; false if that is not known. */
@@ -98,6 +105,11 @@
   getSilentForMs (): number
   /** How long the leases of these runs may still last although the worker does not answer, in ms; undefined if it answers, or its lease is over. */
   getLeaseLeftMs (scope: RunScope): number | undefined
+  /**
+   * How long the leases of the settled runs may still last, in ms, if none needs to be extended before the next renewal of the record of granted leases; undefined
+   * otherwise.
+   */
+  getUnextendedLeaseMs (): number | undefined
   /**
    * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
    * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
@@ -199,6 +211,13 @@
   let mayFollowEarlierTerms = host.hasOrdersOfEarlierTerms
   /** When the last lease ends that the present incarnation may have got from such orders, by the monotonic clock. */
   let earlierTermsEndMs = -Infinity
+  /** When the settled runs' leases of this term end, by the monotonic clock, unless a later incarnation may have got longer ones. */
+  let settledLeaseEndMs = performance.now() + getLongestDurationMs(host.requestedLeaseMs)
+  /** When the answer to the poll under way is expected, by the monotonic clock, and how long the answer to the latest one took beyond its wait. */
+  let answerDueAtMs = -Infinity
+  let answerDelayMs = 0
+  /** The worker has answered again and its lease has not been extended since. */
+  let hasRecovered = false
   /** When the lease may last have been extended in this term, by the monotonic clock. */
   let extendedAtMs = performance.now()
   /** Orders of this term that extend a lease may have been sent to an incarnation under the worker's id. */
@@ -212,7 +231,7 @@
   const sender = createPollSender({ term, logger, workerId: info.workerId, port, getExpectedEndMs, isNeeded: host.isNeeded, onInquiryAnswered: applyInquiry, onInquiryFailed: () => { void relayPolls() } })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, mayFollowEarlierOrders, describeLease, close }
+  return { port, wake, check, inquire, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, mayFollowEarlierOrders, describeLease, close }
 
   function close (): void {
     isClosed = true
@@ -260,21 +279,28 @@
   }
 
   function mayFollowEarlierOrders (): boolean {
-    return mayFollowEarlierTerms || extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
+    return (mayFollowEarlierTerms && !isIncarnationKnown()) || extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
+  }
+
+  function isIncarnationKnown (): boolean {
+    return host.isIncarnationKnown?.(bornAtMs) === true
   }
 
   function getLatestLeaseEndMs (scope: RunScope): number {
     const isLongest = mayFollowEarlierOrders() || (scope === RunScope.All && host.hasUncertainRuns())
     // An incarnation whose clock starts anew grants the longest lease from when it carries out an order.
-    const ownLeaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : extendedAtMs + getLongestDurationMs(host.requestedLeaseMs)
-    const leaseEndMs = Math.max(ownLeaseEndMs, earlierTermsEndMs)
+    const ownLeaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : settledLeaseEndMs
+    const leaseEndMs = isIncarnationKnown() ? ownLeaseEndMs : Math.max(ownLeaseEndMs, earlierTermsEndMs)
     return host.areEarlierLeasesOver(scope) ? leaseEndMs : Math.max(leaseEndMs, earlierLeasesEndMs)
   }
 
   function recordLeaseExtension (leaseUntilMs: number): void {
     host.onGrant()
     extendedAtMs = performance.now()
-    grantedUntilMs = leaseUntilMs
+    const leaseMs = leaseUntilMs - getEarliestKnownClockMs()
+    settledLeaseEndMs = Math.max(settledLeaseEndMs, extendedAtMs + getLongestDurationMs(Math.min(host.requestedLeaseMs, Math.max(0, leaseMs + 1))))
+    grantedUntilMs = Math.max(grantedUntilMs ?? -Infinity, leaseUntilMs)
+    hasRecovered = false
     hasExtendedLease = true
     isLeaseOver = false
     areSettledRunsOver = false
@@ -307,7 +333,27 @@
 
   function getUntilMs (grantMs: number): number | undefined {
     if (clock === undefined || grantMs <= 0) return undefined
-    return Math.floor(getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs) + grantMs)
+    return Math.floor(getEarliestKnownClockMs() + grantMs)
+  }
+
+  function getEarliestKnownClockMs (): number {
+    return clock === undefined ? Infinity : getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs)
+  }
+
+  function getUnextendedLeaseMs (): number | undefined {
+    if (!hasAnswered || grantedUntilMs === undefined) return undefined
+    const nowMs = performance.now()
+    const isOverdue = nowMs > answerDueAtMs + overduePollMs
+    const isExtensionFar = nowMs + renewalLeadMs < Math.max(answerDueAtMs, extendedAtMs + minExtensionGapMs)
+    return isReachable && !isOverdue && !isExtensionFar ? undefined : getLatestLeaseEndMs(RunScope.Settled) - nowMs
+  }
+
+  /** Returns undefined if the lease cannot be extended by enough now. */
+  function getExtensionUntilMs (): number | undefined {
+    const maxMs = host.getMaxRenewalMs()
+    const untilMs = getUntilMs(maxMs)
+    const isTooShort = untilMs !== undefined && maxMs < host.requestedLeaseMs && untilMs - (grantedUntilMs ?? -Infinity) < minExtensionMs
+    return isTooShort ? undefined : untilMs
   }
 
   function getSilentForMs (): number {
@@ -345,17 +391,26 @@
     const isNeeded = host.isNeeded()
     // Nor is that of a worker whose latest poll has got no answer, although it has answered an inquiry.
     const isConfirmed = isReachable && !isUnconfirmed
-    const leaseUntilMs = isConfirmed && isNeeded ? getUntilMs(host.getMaxRenewalMs()) : undefined
+    const leaseUntilMs = isConfirmed && isNeeded ? getExtensionUntilMs() : undefined
     if (leaseUntilMs !== undefined) recordLeaseExtension(leaseUntilMs)
+    let overdueTimer: NodeJS.Timeout | undefined
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
-      const isExtensionDue = isConfirmed && isNeeded && getLeaseUntilMs() === undefined
-      const waitMs = isConfirmed && isNeeded && !isExtensionDue ? host.getPollWaitMs?.() ?? pollWaitMs : 0
+      const extensionGapLeftMs = extendedAtMs + maxExtensionGapMs - sentAtMs
+      const isDelayed = leaseUntilMs === undefined && (hasRecovered || extensionGapLeftMs <= 0)
+      if (isConfirmed && isNeeded && isDelayed) void host.requestExtension?.().then(changed.notify)
+      const isExtensionDue = isConfirmed && isNeeded && (isDelayed || getLeaseUntilMs() === undefined)
+      const usualWaitMs = host.getPollWaitMs?.() ?? pollWaitMs
+      const waitMs = !isConfirmed || !isNeeded || isExtensionDue ? 0 : leaseUntilMs === undefined ? Math.min(usualWaitMs, Math.ceil(extensionGapLeftMs)) : usualWaitMs
+      answerDueAtMs = sentAtMs + waitMs + answerDelayMs
+      overdueTimer = setTimeout(() => { host.onOverdue?.() }, waitMs + answerDelayMs + overduePollMs + 1)
       const report = await sender.send({ epoch: term.epoch, acknowledgedSequence, leaseUntilMs, waitMs, answerTimeoutMs: getFastRetry()?.answerTimeoutMs }, failedPolls > 0)
+      clearTimeout(overdueTimer)
       failedPolls = 0
       isUnconfirmed = report === PollSubstitute.Unconfirmed
+      if (typeof report === 'object') answerDelayMs = Math.max(0, performance.now() - sentAtMs - waitMs)
       if (typeof report === 'object' && !isClosed) await applyReport(report, sentAtMs)
-      if (isExtensionDue && getLeaseUntilMs() === undefined) await changed.wait(extensionRetryMs)
+      if (isExtensionDue && getExtensionUntilMs() === undefined) await changed.wait(extensionRetryMs)
     } catch (error) {
       if (!isClosed && !term.signal.aborted) await onFailure(error, sentAtMs)
     }
@@ -424,6 +479,7 @@
     const stored = isOutdated ? storing : storeEnds(report, sentAtMs, isComplete)
     if (!isReachable) {
       isReachable = true
+      hasRecovered = true
       host.onReachable(true)
     }
     const reportingBornAtMs = bornAtMs
@@ -458,6 +514,7 @@
       isReachable = false
       silentSinceMs = performance.now()
       host.onReachable(false)
+      host.onOverdue?.()
     }
     if (isOtherIncarnation(error) && !isLeaseOver) {
       isLeaseOver = true
