--- a/src/runs/endsWithoutScheduler.test.ts
+++ b/src/runs/endsWithoutScheduler.test.ts
@@ -1,6 +1,7 @@
 /** Ends that workers list while no host schedules: other hosts read them, and the next term applies them, although the worker is gone by then. */
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { delay } from '../common/time.js'
+import { createError, ErrorKind } from '../errors/errorKinds.js'
 import { progressPrefix } from '../jobs/jobKeys.js'
 import { EndKind, JobState } from '../jobs/jobModel.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
@@ -302,3 +303,34 @@
   await run(10_000)
   expect([...requests.values()]).toEqual(before)
 })
+
+// Only the host that scheduled has read the end, and its term ends before it has stored it; the host itself goes on.
+test('an end that a scheduler has read and not stored is delivered to the next term', async () => {
+  let isCut = false
+  const cut = async <T>(call: () => Promise<T>): Promise<T> => {
+    if (isCut) throw createError(ErrorKind.StoreUnavailable, 'cut off')
+    return await call()
+  }
+  const listed: string[] = []
+  await createPool(3, {
+    onEnd: ({ task }) => { listed.push(task) },
+    interceptStore: (hostId, client) => hostId !== 'host-0'
+      ? client
+      : new Proxy(client, {
+        get: (target, name: keyof typeof client) => async (...parameters: never[]) => await cut(async () => await (target[name] as (...values: never[]) => Promise<unknown>)(...parameters))
+      })
+  })
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 300)
+  isCut = true
+  for (let elapsedMs = 0; elapsedMs < 800 && listed.length === 0; elapsedMs += 10) await run(10)
+  expect(listed).toEqual(['a.0.0.0'])
+  await run(150)
+  expect(getScheduling()).toEqual(['host-0'])
+  lose(workerId)
+  await run(2_500)
+  isCut = false
+  await waitForStart('a.0.1.0', 2_500)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
