Tests of reads beside a scheduler that other hosts do not reach; the pool harness can cut hosts off from each other

The first one fails on: a worker that was idle when the hosts began to read is not asked again after the scheduler was lost. The second one, with a run that was there from the start, passes.

--- a/src/runs/endsWithoutScheduler.test.ts
+++ b/src/runs/endsWithoutScheduler.test.ts
@@ -334,3 +334,36 @@
   expect(countStarts('a.0.0.0')).toBe(1)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// The hosts that read do not hear from the scheduler for long; it starts runs meanwhile on workers that were idle when they were first asked.
+test('an end is not lost with its worker if its run was started while other hosts were reading', async () => {
+  let isCut = false
+  await createPool(3, { isPeerCut: () => isCut })
+  isCut = true
+  await run(1_500)
+  const workerId = await submitTwoSteps()
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  isCut = false
+  await run(800)
+  lose(workerId)
+  await waitForStart('a.0.1.0', 4_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+// The same with a run that is there when the hosts begin to read.
+test('an end is not lost with its worker if other hosts were reading beside the scheduler when it was listed', async () => {
+  let isCut = false
+  await createPool(3, { isPeerCut: () => isCut })
+  const workerId = await submitTwoSteps()
+  isCut = true
+  await run(workMs - startMs - 200)
+  harness.hosts.get('host-0')?.crash()
+  isCut = false
+  await run(800)
+  lose(workerId)
+  await waitForStart('a.0.1.0', 4_000)
+  expect(countStarts('a.0.0.0')).toBe(1)
+  expect(harness.poolState.violations).toEqual([])
+})
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -134,6 +134,8 @@
   readonly hasEndReaders?: boolean
   /** The hosts know the others only from the store. */
   readonly hasEmptyDirectories?: boolean
+  /** Tells whether calls between hosts are lost. */
+  readonly isPeerCut?: () => boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
@@ -491,6 +493,7 @@
 
     async function handle (methodName: string, params: unknown): Promise<unknown> {
       await awaitThaw()
+      if (options.isPeerCut?.() === true) await new Promise<never>(() => {})
       const method = hasCrashed() ? undefined : peerMethods.get(address)?.find(({ name }) => name === methodName)
       if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
       const answer = await method.handle(params, { from: '', identity: '' })
