--- a/src/readers/readEnds.test.ts
+++ b/src/readers/readEnds.test.ts
@@ -52,6 +52,7 @@
   const odd = [makeEnd(1, { task: '' }), makeEnd(2, { task: 'x'.repeat(201) }), makeEnd(3, { run: 0 }), makeEnd(4, { run: 1.5 }), makeEnd(5, { checkpoint: 'x'.repeat(1_001) }), makeEnd(-1)]
   expect(ends.add('w', makeReport([...odd, makeEnd(6)]), 5, 0)).toBe(1)
   expect(ends.add('w', { ...makeReport([makeEnd(7)]), bornAtMs: undefined }, 5, 0)).toBe(0)
+  expect(ends.add('w', makeReport([makeEnd(8)], -1), 5, 0)).toBe(0)
 })
 
 function makeWorkers (count: number, domain: string): readonly ListedWorker[] {
--- a/src/readers/readEnds.ts
+++ b/src/readers/readEnds.ts
@@ -43,7 +43,7 @@
   return { add, getUndelivered, setDelivered }
 
   function add (workerId: string, { bornAtMs, ended }: WorkerStatusReport, epoch: number, sentAtMs: number): number {
-    if (bornAtMs === undefined || !Number.isSafeInteger(bornAtMs)) return 0
+    if (bornAtMs === undefined || !Number.isSafeInteger(bornAtMs) || bornAtMs < 0) return 0
     let added = 0
     for (const row of ended.filter(isOwnFormat)) {
       const key = getKey({ workerId, bornAtMs, sequence: row.sequence })
