--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -22,7 +22,7 @@
 import { createRpcHandler, maxRpcBodyBytes } from '../common/rpcServer.js'
 import { createDomainEvacuations } from '../evacuation/domainEvacuations.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
-import { createEndReaders } from '../readers/endReaders.js'
+import { createEndReaders, observeReports } from '../readers/endReaders.js'
 import { grantPrefix } from '../runs/grantRecord.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
@@ -188,7 +188,7 @@
     getListedWorkers: list.get,
     isWorkerListCurrent: list.isCurrent,
     getStoreContactMs,
-    connect: createHttpWorker,
+    connect: info => observeReports(createHttpWorker(info), info.workerId, endReaders.onOwnReport),
     pollThroughPeers: relayedPolls.poll,
     getConfiguration: configuration.get,
     ...(evacuations === undefined ? {} : { evacuations }),
--- a/src/readers/endReaders.ts
+++ b/src/readers/endReaders.ts
@@ -49,6 +49,8 @@
   onLeaderSeen (): void
   /** Must be called with each report that this host has read for a peer. */
   onRelayedReport (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number): void
+  /** Must be called with each report that the term of this host receives. */
+  onOwnReport (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number): void
 }
 
 /** In each failure domain one host asks the scheduler in each such interval, in ms. */
@@ -56,13 +58,17 @@
 /** Time allowed for the scheduler's answer, in ms: two round trips between the most distant regions, one of them to connect, and a busy host. */
 const askTimeoutMs = 250
 /**
- * A scheduler that leaves so many requests in a row without an answer is taken for lost. If it answers again in the same term, as many more are required the next time, up to the
+ * A scheduler that leaves so many requests in a row without an answer is taken for lost. If it answers again in the same term, twice as many are required the next time, up to the
  * greater number: each time of reading costs requests to workers, and such a scheduler is only slow.
  */
 const minLostAnswers = 2
 const maxLostAnswers = 8
-/** Interval of the checks while this host reads, or has ends to deliver, in ms. */
+/** Interval of the checks while this host has ends to deliver, in ms. The scheduler is asked each such interval at most. */
 const activePeriodMs = 200
+/** Interval of the checks while this host reads, in ms: all hosts do so then, and the scheduler may only be slow. */
+const readingPeriodMs = 500
+/** The store is asked for the same thing once in this time at most, in ms: all hosts share its rate of reads. */
+const storeReadPeriodMs = 1_000
 /** Time allowed for a delivery, in ms. */
 const deliveryTimeoutMs = 500
 /** A host follows the suspicions of its peers at most once in this time, in ms. */
@@ -81,6 +87,19 @@
   readonly reason: string
 }
 
+/** Wraps a port so that its reports are observed. */
+export function observeReports (port: WorkerPort, workerId: string, onReport: EndReaders['onOwnReport']): WorkerPort {
+  return {
+    ...port,
+    renewLease: async renewal => {
+      const sentAtMs = performance.now()
+      const report = await port.renewLease(renewal)
+      onReport(workerId, report, renewal.epoch, sentAtMs)
+      return report
+    }
+  }
+}
+
 /** Creates the readers of one host; they work until the signal is aborted. */
 export function createEndReaders (host: EndReadersHost): EndReaders {
   const { logger, signal } = host
@@ -111,13 +130,18 @@
   let suspectedAtMs = -Infinity
   let answeredAtMs = -Infinity
   let lastTurn = -1
+  let askedAtMs = -Infinity
+  let grantsReadAtMs = -Infinity
+  let storedPeers: readonly KnownHost[] = []
+  let peersReadAtMs = -Infinity
   signal.addEventListener('abort', wake, { once: true })
   void run()
 
   return {
     methods: createPeerSchedulerMethods({ getOwnTerm: host.getOwnTerm, onSuspected, acceptEnds }),
     onLeaderSeen: wake,
-    onRelayedReport: (workerId, report, epoch, sentAtMs) => { keep(workerId, report, epoch, sentAtMs, 'relay') }
+    onRelayedReport: (workerId, report, epoch, sentAtMs) => { keep(workerId, report, epoch, sentAtMs, 'relay') },
+    onOwnReport: (workerId, report, epoch, sentAtMs) => { if (report.ended.length > 0) kept.addOwn(workerId, report, epoch, sentAtMs) }
   }
 
   function wake (): void {
@@ -145,7 +169,8 @@
 
   function getPauseMs (): number {
     const view = host.getLeaderView()
-    if (isReading || (view !== undefined && kept.getUndelivered(view.epoch).length > 0)) return activePeriodMs
+    if (view !== undefined && kept.getUndelivered(view.epoch).length > 0) return activePeriodMs
+    if (isReading) return readingPeriodMs
     return askPeriodMs - Date.now() % askPeriodMs
   }
 
@@ -172,7 +197,7 @@
 
   function stopReading (found: SchedulerState): void {
     isReading = false
-    requiredLostAnswers = found.epoch === silentEpoch ? Math.min(requiredLostAnswers + minLostAnswers, maxLostAnswers) : minLostAnswers
+    requiredLostAnswers = found.epoch === silentEpoch ? Math.min(2 * requiredLostAnswers, maxLostAnswers) : minLostAnswers
     logger.info('a scheduler asks the workers for their ends', { ...describe(found), requiredLostAnswers })
     reader.end()
   }
@@ -182,6 +207,8 @@
   }
 
   async function hasGrantRecord (): Promise<boolean> {
+    if (performance.now() - grantsReadAtMs < storeReadPeriodMs) return false
+    grantsReadAtMs = performance.now()
     return await host.hasGrantRecord().catch(error => {
       logger.info('cannot read whether leases have been granted; retrying', { error: String(error) })
       return false
@@ -196,6 +223,8 @@
     if (hostId === host.hostId) return { epoch, hostId, isPolling: false, isAnswering: true, reason: 'the leader key names this host, which does not schedule' }
     const isKnown = state !== undefined && state.epoch === epoch && state.hostId === hostId
     if (state?.isPolling === true && isKnown && !isReading && !isSuspected && !takeTurn(hostId)) return state
+    if (state !== undefined && isKnown && isReading && performance.now() - askedAtMs < activePeriodMs) return state
+    askedAtMs = performance.now()
     return await askScheduler(epoch, hostId)
   }
 
@@ -238,14 +267,21 @@
 
   async function findAddress (hostId: string): Promise<string | undefined> {
     const isNamed = (peer: KnownHost): boolean => peer.hostId === hostId
-    return (host.getPeers().find(isNamed) ?? (await host.readPeers()).find(isNamed))?.address
+    return (host.getPeers().find(isNamed) ?? (await readStoredPeers()).find(isNamed))?.address
+  }
+
+  async function readStoredPeers (): Promise<readonly KnownHost[]> {
+    if (performance.now() - peersReadAtMs < storeReadPeriodMs) return storedPeers
+    peersReadAtMs = performance.now()
+    storedPeers = await host.readPeers()
+    return storedPeers
   }
 
   async function readLivePeers (): Promise<{ readonly peers: readonly KnownHost[], readonly isAlone: boolean }> {
     const known = host.getPeers()
     const nowMs = performance.now()
     if (known.length > 0) return { peers: known.filter(({ hostId }) => nowMs - (absentSinceMs.get(hostId) ?? -Infinity) > absentMs), isAlone: false }
-    const stored = await host.readPeers().catch(error => {
+    const stored = await readStoredPeers().catch(error => {
       logger.info('cannot read the hosts; this host reads all workers', { error: String(error) })
       return []
     })
--- a/src/readers/readEnds.ts
+++ b/src/readers/readEnds.ts
@@ -16,6 +16,8 @@
 export interface ReadEnds {
   /** Keeps the ends of a report that are not known yet. Returns how many these are. */
   add (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number): number
+  /** The same for a report that the term of this host has received: only later terms get its ends, which that term may not have stored. */
+  addOwn (workerId: string, report: WorkerStatusReport, epoch: number, sentAtMs: number): number
   /** The ends that are to be delivered to the term with this epoch, the oldest first. */
   getUndelivered (epoch: number): readonly ReadEnd[]
   /** Records that the term with this epoch has accepted the ends. Later terms get them again: that term may end before it has stored them. */
@@ -26,12 +28,15 @@
 const maxEnds = 2_000
 /** How long an end is kept, in ms: longer than a series of terms takes, or the longest lease that a run may be waited for. */
 const maxAgeMs = 30_000
+/** The same for the ends in reports of the own term: longer than it goes on without storing them, and than a host stands still. */
+const maxOwnAgeMs = 8_000
 /** Longer names and checkpoints are not the system's; such an end is not kept. */
 export const maxNameLength = 200
 export const maxCheckpointLength = 1_000
 
 interface KeptEnd {
   readonly end: ReadEnd
+  readonly maxAgeMs: number
   deliveredEpoch: number
 }
 
@@ -40,15 +45,20 @@
   /** By worker, life and sequence, in the order in which they were read. */
   const kept = new Map<string, KeptEnd>()
 
-  return { add, getUndelivered, setDelivered }
+  return {
+    add: (workerId, report, epoch, sentAtMs) => keep(workerId, report, epoch, sentAtMs, { maxAgeMs, deliveredEpoch: -1 }),
+    addOwn: (workerId, report, epoch, sentAtMs) => keep(workerId, report, epoch, sentAtMs, { maxAgeMs: maxOwnAgeMs, deliveredEpoch: epoch }),
+    getUndelivered,
+    setDelivered
+  }
 
-  function add (workerId: string, { bornAtMs, ended }: WorkerStatusReport, epoch: number, sentAtMs: number): number {
-    if (bornAtMs === undefined || !Number.isSafeInteger(bornAtMs)) return 0
+  function keep (workerId: string, { bornAtMs, ended }: WorkerStatusReport, epoch: number, sentAtMs: number, fields: Omit<KeptEnd, 'end'>): number {
+    if (bornAtMs === undefined || !Number.isSafeInteger(bornAtMs) || bornAtMs < 0) return 0
     let added = 0
     for (const row of ended.filter(isOwnFormat)) {
       const key = getKey({ workerId, bornAtMs, sequence: row.sequence })
       if (kept.has(key)) continue
-      kept.set(key, { end: { ...row, workerId, bornAtMs, epoch, readAtMs: sentAtMs }, deliveredEpoch: -1 })
+      kept.set(key, { end: { ...row, workerId, bornAtMs, epoch, readAtMs: sentAtMs }, ...fields })
       added++
     }
     dropOld()
@@ -65,7 +75,8 @@
 
   function getUndelivered (epoch: number): readonly ReadEnd[] {
     dropOld()
-    return [...kept.values()].flatMap(({ end, deliveredEpoch }) => end.epoch <= epoch && deliveredEpoch < epoch ? end : [])
+    const nowMs = performance.now()
+    return [...kept.values()].flatMap(({ end, maxAgeMs, deliveredEpoch }) => end.epoch <= epoch && deliveredEpoch < epoch && nowMs - end.readAtMs <= maxAgeMs ? end : [])
   }
 
   function setDelivered (ends: readonly ReadEnd[], epoch: number): void {
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -18,7 +18,7 @@
 import type { KnownHost } from '../peers/hostDirectory.js'
 import { createPeerWorkerMethods } from '../peers/peerWorkerMethods.js'
 import { createRelayedPolls } from '../peers/relayedPolls.js'
-import { createEndReaders } from '../readers/endReaders.js'
+import { createEndReaders, observeReports } from '../readers/endReaders.js'
 import type { EndReaders } from '../readers/endReaders.js'
 import { grantPrefix } from '../runs/grantRecord.js'
 import { createScheduler } from '../runs/scheduler.js'
@@ -134,6 +134,8 @@
   readonly hasEndReaders?: boolean
   /** The hosts know the others only from the store. */
   readonly hasEmptyDirectories?: boolean
+  /** Tells whether calls between hosts are lost. */
+  readonly isPeerCut?: () => boolean
   /** Wraps the store client of a host. */
   readonly interceptStore?: (hostId: string, client: MetadataStore) => MetadataStore
   /** Wraps the port of a host to a worker. */
@@ -397,7 +399,7 @@
           getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
-          connect: info => options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info),
+          connect: info => observeReports(options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info), info.workerId, (...report) => { endReaders?.onOwnReport(...report) }),
           pollThroughPeers: relayedPolls?.poll,
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
         })
@@ -495,6 +497,7 @@
 
     async function handle (methodName: string, params: unknown): Promise<unknown> {
       await awaitThaw()
+      if (options.isPeerCut?.() === true) await new Promise<never>(() => {})
       const method = hasCrashed() ? undefined : peerMethods.get(address)?.find(({ name }) => name === methodName)
       if (method === undefined) throw createError(ErrorKind.PeerUnreachable, 'the host is down')
       const serve = async (): Promise<unknown> => await method.handle(params, { from: '', identity: '' })
