Readers ask workers again that were idle or had refused an epoch, and read the list again

What was lost: an end of a run that was started while hosts were reading already (the scheduler was alive and not reached by them), or on a worker that had been asked by a term which then ended too, or whose entry came back to the list meanwhile: a session asked each worker until it was idle or refused, and read the list once. Idle workers are asked each second and with each new epoch, refusals wait for the next epoch, and the list is read each 1.5 s.

--- a/src/readers/workerReader.ts
+++ b/src/readers/workerReader.ts
@@ -1,6 +1,7 @@
 /** Reads the ends that workers list while no host schedules. Its requests extend no lease and acknowledge nothing. */
 import type { Logger } from '../common/logger.js'
 import { createSignal, delay } from '../common/time.js'
+import type { Signal } from '../common/time.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
 import type { ListedWorker, WorkerPort, WorkerStatusReport } from '../workers/workerPort.js'
 import { selectReaders } from './readerSelection.js'
@@ -50,8 +51,15 @@
 /** Pause after further requests without an answer, in ms; it doubles up to the longer one. */
 const minRetryPauseMs = 100
 const maxRetryPauseMs = 800
+/**
+ * A worker without runs and ends is asked again after this time, in ms, and with each new epoch: a scheduler that this host does not reach may start runs there, and may
+ * be lost then.
+ */
+const idlePauseMs = 1_000
 /** Pause after a failed read of the list, in ms. */
 const listRetryPauseMs = 200
+/** Interval of the reads of the list, in ms. Entries that expired while the store was down are back within about 2 s of its return. */
+const listPeriodMs = 1_500
 
 /** One time of reading. */
 interface Session {
@@ -59,9 +67,11 @@
   readonly ending: AbortController
   readonly startedAtMs: number
   workers: readonly ListedWorker[]
-  /** The ids of the workers that have been asked, and how many are still asked. */
+  /** The ids of the workers that are asked, and of those that ran or listed something. */
   readonly begun: Set<string>
-  open: number
+  readonly busy: Set<string>
+  /** Notified when the epoch changes and when the session ends. */
+  readonly changed: Signal
   requests: number
   ends: number
 }
@@ -77,18 +87,22 @@
 
   function begin (epoch: number): void {
     if (session !== undefined) {
-      session.epoch = epoch
+      if (session.epoch !== epoch) {
+        session.epoch = epoch
+        session.changed.notify()
+      }
       return
     }
-    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), workers: [], begun: new Set(), open: 0, requests: 0, ends: 0 }
+    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), workers: [], begun: new Set(), busy: new Set(), changed: createSignal(), requests: 0, ends: 0 }
     void readAssigned(session)
   }
 
   function end (): void {
     if (session === undefined) return
     session.ending.abort()
-    const { startedAtMs, requests, ends, open } = session
-    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, open })
+    session.changed.notify()
+    const { startedAtMs, requests, ends, busy } = session
+    logger.info('this host stops reading workers', { tookMs: Math.round(performance.now() - startedAtMs), requests, ends, busy: busy.size })
     session = undefined
   }
 
@@ -97,19 +111,25 @@
   }
 
   async function readAssigned (current: Session): Promise<void> {
-    current.workers = await readList(current)
-    await beginAssigned(current)
+    while (!current.ending.signal.aborted) {
+      current.workers = await readList(current)
+      await beginAssigned(current)
+      await delay(listPeriodMs, current.ending.signal)
+    }
   }
 
   async function beginAssigned (current: Session): Promise<void> {
     const { peers, isAlone } = await host.readPeers()
     if (current.ending.signal.aborted) return
     const assigned = selectReaders(host, peers, current.workers, isAlone).filter(({ workerId }) => !current.begun.has(workerId))
+    if (assigned.length === 0) return
     logger.info('this host reads workers', { epoch: current.epoch, workers: assigned.length, begun: current.begun.size, listed: current.workers.length, peers: peers.length, isAlone })
     for (const worker of assigned) {
       current.begun.add(worker.workerId)
-      current.open++
-      void readWorker(worker, current).finally(() => { current.open-- })
+      void readWorker(worker, current).finally(() => {
+        current.begun.delete(worker.workerId)
+        current.busy.delete(worker.workerId)
+      })
     }
   }
 
@@ -127,42 +147,52 @@
 
   async function readWorker (worker: ListedWorker, current: Session): Promise<void> {
     const { signal } = current.ending
-    let port: WorkerPort | undefined
+    const port = host.connect(worker)
     let isFirst = true
     let failures = 0
     while (!signal.aborted) {
-      await takeTurn(signal)
-      if (signal.aborted) break
+      if (!await takeTurn(signal)) break
+      const { epoch } = current
       try {
-        port ??= host.connect(worker)
-        const report = await read(port, worker.workerId, isFirst ? 0 : current.open > maxActiveRequests ? shortWaitMs : waitMs, isFirst ? fastRequests[failures]?.answerTimeoutMs : undefined, current)
-        if (report.running.length === 0 && report.ended.length === 0) break
+        const report = await read(port, worker.workerId, isFirst ? 0 : current.busy.size > maxActiveRequests ? shortWaitMs : waitMs, isFirst ? fastRequests[failures]?.answerTimeoutMs : undefined, current)
+        const isIdle = report.running.length === 0 && report.ended.length === 0
+        if (isIdle) current.busy.delete(worker.workerId)
+        else current.busy.add(worker.workerId)
         failures = 0
-        isFirst = report.ended.length > 0
-        if (isFirst) await delay(listedPauseMs, signal)
+        isFirst = isIdle || report.ended.length > 0
+        if (isIdle) await current.changed.wait(idlePauseMs)
+        else if (isFirst) await delay(listedPauseMs, signal)
       } catch (error) {
-        // A later term asks this worker, or another worker has its address.
-        if (isErrorOfKind(error, ErrorKind.StaleEpoch) || isErrorOfKind(error, ErrorKind.Conflict)) break
+        // Another worker has its address.
+        if (isErrorOfKind(error, ErrorKind.Conflict)) break
         isFirst = true
+        if (isErrorOfKind(error, ErrorKind.StaleEpoch)) {
+          // A later term asks this worker. This host reads on if that term ends too.
+          while (current.epoch === epoch && !signal.aborted) await current.changed.wait(idlePauseMs)
+          continue
+        }
         failures++
         await delay(fastRequests[failures]?.pauseMs ?? getRetryPauseMs(failures - fastRequests.length), signal)
       }
     }
-    port?.close()
+    port.close()
   }
 
   function getRetryPauseMs (retries: number): number {
     return Math.min(minRetryPauseMs * 2 ** retries, maxRetryPauseMs)
   }
 
-  async function takeTurn (signal: AbortSignal): Promise<void> {
+  /** Waits until a request may be sent, and counts it as under way. Returns false, and counts none, if the session has ended. */
+  async function takeTurn (signal: AbortSignal): Promise<boolean> {
     while (activeRequests >= maxActiveRequests && !signal.aborted) await released.wait(listRetryPauseMs)
+    if (signal.aborted) return false
+    activeRequests++
+    return true
   }
 
   async function read (port: WorkerPort, workerId: string, requestWaitMs: number, fastAnswerTimeoutMs: number | undefined, current: Session): Promise<WorkerStatusReport> {
     const { epoch } = current
     const sentAtMs = performance.now()
-    activeRequests++
     current.requests++
     try {
       const report = await port.renewLease({ epoch, acknowledgedSequence: 0, waitMs: requestWaitMs, answerTimeoutMs: fastAnswerTimeoutMs ?? answerTimeoutMs })
