--- a/src/peers/peerSchedulerMethods.test.ts
+++ b/src/peers/peerSchedulerMethods.test.ts
@@ -5,7 +5,7 @@
 import { createPeerSchedulerMethods, encodeEnds, isAcceptance, peerSchedulerMethods, tryDecodeTerm } from './peerSchedulerMethods.js'
 
 const caller = { from: '', identity: '' }
-const end: ReadEnd = { workerId: 'w', bornAtMs: 7, sequence: 1, task: 'a.0.0.0', run: 1, how: EndKind.Done, checkpoint: '', epoch: 5, readAtMs: 0 }
+const end: ReadEnd = { workerId: 'w', bornAtMs: 7, sequence: 1, task: 'a.0.0.0', run: 1, how: EndKind.Done, checkpoint: '', epoch: 5, readAtMs: performance.now() }
 
 function createMethods (accepted: ReadEnd[]): (params: unknown) => Promise<unknown> {
   const methods = createPeerSchedulerMethods({
