--- a/src/runs/answerLosses.ts
+++ b/src/runs/answerLosses.ts
@@ -20,8 +20,6 @@
   observe (workerId: string, port: WorkerPort): WorkerPort
   /** Must be called when another host has read a report of the worker. */
   onRelayed (workerId: string): void
-  /** Must be called when an inquiry has shown an end that the poll waiting beside it has not: the answer of the poll is lost, or only just under way. */
-  onOvertaken (workerId: string): void
   /** Must be called regularly: the losses end when none has shown for a while. */
   review (): void
   /** Tells whether the answer to a request to the worker may be lost: those of several workers are, or the worker has left one unanswered lately. A worker that is gone has no answers to lose. */
@@ -41,12 +39,6 @@
 /** Answers are being lost if those of this many workers are, and of this share of those that hold runs: with many workers some are slow at any time. */
 const minLosingWorkers = 2
 const minLosingShare = 0.02
-/**
- * Polls that were overtaken count as lost if those of this many workers were within `overtakenWindowMs`: they show losses a second sooner than time-outs, but an end may
- * come just when it is asked for, 0.14 times a second in a play of ongjai-sched-grown before its disturbances.
- */
-const minOvertakenWorkers = 3
-const overtakenWindowMs = 1_000
 /** The most workers that a log line names. */
 const maxLoggedWorkers = 20
 
@@ -64,8 +56,6 @@
   bornAtMs: number | undefined
   /** When a loss was last confirmed. */
   lostAtMs: number
-  /** When an inquiry last showed an end that the poll beside it had not shown. */
-  overtakenAtMs: number
 }
 
 /** Creates the detector of one term. */
@@ -74,7 +64,7 @@
   const records = new Map<string, WorkerRecord>()
   let isLosing = false
 
-  return { observe, onRelayed, onOvertaken, review, isLossLikely, hasLeftUnanswered, isSilent: workerId => records.get(workerId)?.silentSinceMs !== undefined }
+  return { observe, onRelayed, review, isLossLikely, hasLeftUnanswered, isSilent: workerId => records.get(workerId)?.silentSinceMs !== undefined }
 
   function observe (workerId: string, port: WorkerPort): WorkerPort {
     return {
@@ -105,7 +95,7 @@
 
   function getRecord (workerId: string): WorkerRecord {
     let record = records.get(workerId)
-    if (record === undefined) records.set(workerId, record = { unansweredSentAtMs: -Infinity, unansweredAtMs: -Infinity, isUnconfirmed: false, silentSinceMs: undefined, answeredSentAtMs: -Infinity, bornAtMs: undefined, lostAtMs: -Infinity, overtakenAtMs: -Infinity })
+    if (record === undefined) records.set(workerId, record = { unansweredSentAtMs: -Infinity, unansweredAtMs: -Infinity, isUnconfirmed: false, silentSinceMs: undefined, answeredSentAtMs: -Infinity, bornAtMs: undefined, lostAtMs: -Infinity })
     return record
   }
 
@@ -144,30 +134,17 @@
     if (record?.silentSinceMs !== undefined) record.silentSinceMs = performance.now()
   }
 
-  function onOvertaken (workerId: string): void {
-    const nowMs = performance.now()
-    getRecord(workerId).overtakenAtMs = nowMs
-    const overtaken = [...records.values()].filter(({ overtakenAtMs }) => nowMs - overtakenAtMs < overtakenWindowMs)
-    if (overtaken.length < Math.max(minOvertakenWorkers, getThreshold())) return
-    for (const record of overtaken) record.lostAtMs = nowMs
-    review()
-  }
-
-  /** The number of workers whose answers have to be lost. */
-  function getThreshold (): number {
-    return Math.max(minLosingWorkers, Math.ceil(minLosingShare * host.countBusyWorkers()))
-  }
-
   function review (): void {
     const nowMs = performance.now()
     const losing = [...records].filter(([, { lostAtMs }]) => nowMs - lostAtMs < lossWindowMs).map(([workerId]) => workerId)
     if (!isLosing && losing.length === 0) return
-    const threshold = getThreshold()
+    const busyWorkers = host.countBusyWorkers()
+    const threshold = Math.max(minLosingWorkers, Math.ceil(minLosingShare * busyWorkers))
     const wasLosing = isLosing
     // They end at half of the threshold, so that the state does not alternate.
     isLosing = isLosing ? 2 * losing.length >= threshold : losing.length >= threshold
     if (isLosing === wasLosing) return
-    logger.info(isLosing ? 'answers of workers are being lost: a second request waits at each worker with runs' : 'answers of workers are no longer being lost', { workers: losing.length, workerIds: losing.slice(0, maxLoggedWorkers), busyWorkers: host.countBusyWorkers(), threshold, windowMs: lossWindowMs })
+    logger.info(isLosing ? 'answers of workers are being lost: a second request waits at each worker with runs' : 'answers of workers are no longer being lost', { workers: losing.length, workerIds: losing.slice(0, maxLoggedWorkers), busyWorkers, threshold, windowMs: lossWindowMs })
     if (isLosing) host.onBegun()
   }
 
--- a/src/runs/waitingInquiry.ts
+++ b/src/runs/waitingInquiry.ts
@@ -14,8 +14,6 @@
   readonly hasLeftUnanswered: () => boolean
   /** Tells whether the worker has answered no request of this host since it left one unanswered. */
   readonly isSilent: () => boolean
-  /** Must be called when an inquiry has shown an end that the poll waiting beside it has not. */
-  readonly onOvertaken: () => void
   readonly slots: InquirySlots
 }
 
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -394,10 +394,7 @@
     // Another incarnation is taken note of by the next poll, which shows whether it is a later one.
     if ((report.bornAtMs ?? bornAtMs) !== bornAtMs) return InquiryVerdict.OtherIncarnation
     const hasNewEnds = report.ended.some(({ sequence }) => sequence > listedSequence)
-    if (hasNewEnds) {
-      logger.info('an inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length })
-      host.losses?.onOvertaken()
-    }
+    if (hasNewEnds) logger.info('an inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length })
     const isFirstAnswer = !isReachable
     void takeReport(report, sentAtMs)
     return hasNewEnds || isFirstAnswer ? InquiryVerdict.News : InquiryVerdict.NothingNew
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -369,7 +369,6 @@
         areLikely: () => losses.isLossLikely(info.workerId),
         hasLeftUnanswered: () => losses.hasLeftUnanswered(info.workerId),
         isSilent: () => losses.isSilent(info.workerId),
-        onOvertaken: () => { losses.onOvertaken(info.workerId) },
         slots
       },
       pollThroughPeers: info.address === '' ? undefined : pollThroughPeers && (poll => firstRequests.record(info.workerId, RequestWay.Relayed, () => pollThroughPeers(info, poll))),
