End model: waiting requests at all times where an end decides

What callers saw: LOST, as an end among the first lost answers was hidden until losses had shown. Wanted was a request that needs no sign of them.

The model gets requests that wait at all times, by the host or through another one. After one lost request 8 steps become 0. No class of KEPT, ONCE or TWICE is added at the bounds of the tests.

--- a/src/model/endModel.test.ts
+++ b/src/model/endModel.test.ts
@@ -7,7 +7,7 @@
 import { explore } from './explorer.js'
 import type { Exploration } from './explorer.js'
 import { getWorstSteps } from './findings.js'
-import { acknowledgeOncePolicy, onePollPolicy, plainWritesPolicy, pollAtOncePolicy, relayedWatchPolicy, secondPollPolicy, shortWaitPolicy, twoPollsPolicy } from './readingPolicies.js'
+import { acknowledgeOncePolicy, decisivePolicy, nearDecisivePolicy, onePollPolicy, plainWritesPolicy, pollAtOncePolicy, relayedWatchPolicy, secondPollPolicy, shortWaitPolicy, twoPollsPolicy } from './readingPolicies.js'
 import type { ReadingPolicy } from './readingPolicies.js'
 
 const forgottenByLatePoll = 'KEPT: an end that was never read is forgotten by a late request to an earlier life'
@@ -49,6 +49,19 @@
     expect(getWorst(unforeseenDuringLosses, relayedWatchPolicy)).toBe(0)
   })
 
+  test('finds that a second request that waits at all times reads an end that the progress has not shown after the first lost answer', () => {
+    expect(getWorst(unforeseen, relayedWatchPolicy)).toBe(8)
+    expect(getWorst(unforeseen, decisivePolicy)).toBe(0)
+  })
+
+  test('with most requests lost, and none known to be, requests that wait at all times make it rarer that an end which the progress has not shown is not read for half a second', () => {
+    const trials = { isForeseen: false, areOthersLosing: false, lostShare: 0.6, trials: 1_000, seed: 1 }
+    const [built, two, four] = [relayedWatchPolicy, decisivePolicy, nearDecisivePolicy].map(policy => getUnreadShares(policy, trials, [2])[0])
+    expect(built).toBeGreaterThan(0.3)
+    expect(two).toBeLessThan(0.25)
+    expect(four).toBeLessThan(0.12)
+  })
+
   test('finds that the next end is not read while the write of the last one has no answer, unless the poll goes on when an end is expected', () => {
     expect(getWorst(lostWrites, onePollPolicy)).toBe(2)
     expect(getWorst(lostWrites, secondPollPolicy)).toBe(0)
@@ -60,7 +73,7 @@
   })
 
   test('no policy forgets an end before it is stored, starts a run again after that, or counts one as lost while it is at work, unless a later life carries out a late poll', () => {
-    for (const policy of [onePollPolicy, secondPollPolicy, relayedWatchPolicy]) {
+    for (const policy of [onePollPolicy, secondPollPolicy, relayedWatchPolicy, decisivePolicy]) {
       for (const scenario of endScenarios.filter(({ disturbances }) => disturbances.lateRequests === 0)) expect(getUnsafe(check({ ...scenario, maxDepth: maxSafetyDepth }, policy))).toEqual([])
     }
   })
--- a/src/model/endModel.ts
+++ b/src/model/endModel.ts
@@ -133,7 +133,7 @@
     term.lookSentAge = Math.min(ageLimit, term.lookSentAge + 1)
     term.relaySentAge = Math.min(ageLimit, term.relaySentAge + 1)
     term.lossAge = Math.min(ageLimit, term.lossAge + 1)
-    for (const request of [term.poll, term.look, term.relay, term.watch]) {
+    for (const request of [term.poll, term.look, term.relay, term.watch, ...term.standing]) {
       if (request === undefined) continue
       request.age++
       if (request.report !== undefined) request.reportAge++
@@ -161,7 +161,7 @@
         run.work = Work.Gone
         run.isListed = false
       }
-      for (const request of [state.term?.poll, state.term?.look, state.term?.relay, state.term?.watch]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
+      for (const request of [state.term?.poll, state.term?.look, state.term?.relay, state.term?.watch, ...state.term?.standing ?? []]) if (request?.phase === Phase.AtWorker) request.phase = Phase.NoAnswer
     } else if (!state.isAlive && left.restarts > 0 && choose([['', false], ['another life begins under the id', true]])) {
       left.restarts--
       state.isAlive = true
@@ -234,6 +234,10 @@
     if (term.look !== undefined) receive(state, term, term.look, choose)
     if (term.relay !== undefined) receive(state, term, term.relay, choose)
     if (term.watch !== undefined) receive(state, term, term.watch, choose)
+    term.standing = policy.standing.map((_, index) => {
+      const request = term.standing[index]
+      return request === undefined || receive(state, term, request, choose) ? undefined : request
+    })
     storeEnds(state, term, choose)
     startRun(state, term, choose)
     // A worker that lists ends answers at once, and a round trip takes far less than a step.
@@ -252,6 +256,9 @@
     }
     const watch = term.watch === undefined ? policy.getWatch(getEvidence(state, term)) : undefined
     if (watch !== undefined) term.watch = sendBeside(state, term, watch.isRelayed ? RequestKind.RelayedWatch : RequestKind.Watch, watch, choose)
+    for (const [index, { wait, isRelayed }] of policy.standing.entries()) {
+      term.standing[index] ??= sendBeside(state, term, isRelayed ? RequestKind.RelayedStanding : RequestKind.Standing, { wait: term.areEndsListed ? 0 : wait, answer: answerSteps }, choose)
+    }
   }
 
   function startRun (state: EndState, { hasAnswered }: TermModel, choose: Choose): void {
@@ -343,7 +350,7 @@
     if (request.kind === RequestKind.Look) term.look = undefined
     else if (request.kind === RequestKind.Relay) term.relay = undefined
     else if (request.kind === RequestKind.Poll) term.poll = undefined
-    else {
+    else if (request.kind === RequestKind.Watch || request.kind === RequestKind.RelayedWatch) {
       term.watch = undefined
       term.failedWatch = report !== undefined ? FailedWatch.None : request.kind === RequestKind.Watch ? FailedWatch.Own : FailedWatch.Relayed
     }
@@ -454,7 +461,7 @@
 }
 
 function isRelayed (kind: RequestKind): boolean {
-  return kind === RequestKind.Relay || kind === RequestKind.RelayedWatch
+  return kind === RequestKind.Relay || kind === RequestKind.RelayedWatch || kind === RequestKind.RelayedStanding
 }
 
 /** The requests that a host sends in so many steps if one run ends in the first one and another goes on. */
--- a/src/model/endModelState.ts
+++ b/src/model/endModelState.ts
@@ -25,7 +25,7 @@
 /** What the present term knows of a run. */
 export enum Known { Nothing, Running, Read, Stored, Lost }
 /** A poll of the host, a second request beside it, a request through another host, or a request that waits beside the poll, by either way. */
-export enum RequestKind { Poll = 'poll', Look = 'look', Relay = 'relayed poll', Watch = 'waiting request', RelayedWatch = 'relayed waiting request' }
+export enum RequestKind { Poll = 'poll', Look = 'look', Relay = 'relayed poll', Watch = 'waiting request', RelayedWatch = 'relayed waiting request', Standing = 'standing request', RelayedStanding = 'relayed standing request' }
 /** Where a request is. */
 export enum Phase { AtWorker, NoAnswer, AnswerUnderWay }
 /** One run, as it is and as the present term knows it. */
@@ -111,6 +111,8 @@
   look: RequestModel | undefined
   relay: RequestModel | undefined
   watch: RequestModel | undefined
+  /** The requests that wait at all times, by their place in the policy. */
+  standing: Array<RequestModel | undefined>
   write: WriteModel | undefined
 }
 
@@ -134,7 +136,7 @@
 }
 
 /** What findings are grouped by. */
-export const causes = ['lost poll', 'late poll', 'lost look', 'late look', 'lost relayed poll', 'slow answer', 'write without an answer', 'cut', 'earlier term', 'later life', 'unforeseen end', 'lost waiting request', 'lost relayed waiting request'] as const
+export const causes = ['lost poll', 'late poll', 'lost look', 'late look', 'lost relayed poll', 'slow answer', 'write without an answer', 'cut', 'earlier term', 'later life', 'unforeseen end', 'lost waiting request', 'lost relayed waiting request', 'lost standing request', 'lost relayed standing request'] as const
 /** One of them. */
 export type Cause = typeof causes[number]
 
@@ -145,7 +147,7 @@
 
 /** A term that begins. */
 export function createTerm (index: number): TermModel {
-  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, relaySentAge: ageLimit, lossAge: ageLimit, failedWatch: FailedWatch.None, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, relay: undefined, watch: undefined, write: undefined }
+  return { index, knownLife: 0, hasAnswered: false, failedPolls: 0, reportAge: ageLimit, lookSentAge: ageLimit, relaySentAge: ageLimit, lossAge: ageLimit, failedWatch: FailedWatch.None, areEndsListed: false, connectionLife: 0, poll: undefined, look: undefined, relay: undefined, watch: undefined, standing: [], write: undefined }
 }
 
 /** Whether the host that schedules reaches the worker. */
@@ -172,7 +174,7 @@
     lateWrites: state.lateWrites.map(write => ({ ...write })),
     term: state.term === undefined
       ? undefined
-      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), relay: cloneOptional(state.term.relay), watch: cloneOptional(state.term.watch), write: cloneOptional(state.term.write) },
+      : { ...state.term, poll: cloneOptional(state.term.poll), look: cloneOptional(state.term.look), relay: cloneOptional(state.term.relay), watch: cloneOptional(state.term.watch), standing: state.term.standing.map(cloneOptional), write: cloneOptional(state.term.write) },
     left: { ...state.left }
   }
 }
@@ -199,7 +201,7 @@
   add(separator)
   if (term !== undefined) {
     add(term.index, term.knownLife, Number(term.hasAnswered), term.failedPolls, term.reportAge, term.lookSentAge, term.relaySentAge, term.lossAge, term.failedWatch, Number(term.areEndsListed), term.connectionLife)
-    for (const request of [term.poll, term.look, term.relay, term.watch]) {
+    for (const request of [term.poll, term.look, term.relay, term.watch, ...term.standing]) {
       add(separator)
       if (request === undefined) continue
       add(request.phase, request.age, request.wait, request.timeout, request.acknowledged, Number(request.isAnswerLost), Number(request.kind === RequestKind.RelayedWatch))
--- a/src/model/readingPolicies.ts
+++ b/src/model/readingPolicies.ts
@@ -49,6 +49,13 @@
   readonly isRelayed: boolean
 }
 
+/** A waiting request that is sent again whenever it is over. */
+export interface StandingRequest {
+  readonly wait: number
+  /** Whether another host sends it. */
+  readonly isRelayed: boolean
+}
+
 /** A way to read and to store ends. */
 export interface ReadingPolicy {
   readonly name: string
@@ -64,6 +71,8 @@
   isRelayDue (evidence: LinkEvidence): boolean
   /** The waiting request to send now, beside all others; none is sent while one is under way. It acknowledges nothing. */
   getWatch (evidence: LinkEvidence): Watch | undefined
+  /** The waiting requests that are under way at all times, each beside all others; they acknowledge nothing. For a worker where an end decides whether other work may start. */
+  readonly standing: readonly StandingRequest[]
   /** What the next poll acknowledges; it is sent only over a connection on which the known life has reported. */
   getAcknowledgedSequence (evidence: LinkEvidence): number
   /** Steps after which a write without an answer is checked and repeated. */
@@ -102,6 +111,7 @@
   getLook: () => undefined,
   isRelayDue: isRelayDueAfterFailures,
   getWatch: () => undefined,
+  standing: [],
   getAcknowledgedSequence: ({ reportAge, storedSequence }) => reportAge < acknowledgementValidity ? storedSequence : 0,
   writeRetry: 1
 }
@@ -177,6 +187,18 @@
 /** As the last one, and polls wait as usual. */
 export const relayedWatchLongPollPolicy: ReadingPolicy = { ...relayedWatchPolicy, name: 'waiting request during losses, also through other hosts, usual polls', lossyPollWait: pollWait }
 
+/** As `relayedWatchPolicy`, and a second request of the host waits at all times. */
+export const decisivePolicy: ReadingPolicy = { ...relayedWatchPolicy, name: 'two waiting requests where an end decides', standing: [{ wait: pollWait, isRelayed: false }] }
+
+/** The same through another host. */
+export const relayedDecisivePolicy: ReadingPolicy = { ...relayedWatchPolicy, name: 'two waiting requests where an end decides, through another host', standing: [{ wait: pollWait, isRelayed: true }] }
+
+/** Three requests beside the poll, two of them through other hosts: where the progress announces the end as near. */
+export const nearDecisivePolicy: ReadingPolicy = { ...relayedWatchPolicy, name: 'four waiting requests where an end decides and is near', standing: [{ wait: pollWait, isRelayed: false }, { wait: pollWait, isRelayed: true }, { wait: pollWait, isRelayed: true }] }
+
+/** The same with shorter waits. */
+export const nearShortDecisivePolicy: ReadingPolicy = { ...nearDecisivePolicy, name: 'four waiting requests where an end decides and is near, shorter waits', standing: nearDecisivePolicy.standing.map(request => ({ ...request, wait: shortPollWait })) }
+
 /** All policies to compare. */
 export const readingPolicies: readonly ReadingPolicy[] = [
   onePollPolicy,
@@ -194,7 +216,11 @@
   twoPollsRelayPolicy,
   watchPolicy,
   relayedWatchPolicy,
-  relayedWatchLongPollPolicy
+  relayedWatchLongPollPolicy,
+  decisivePolicy,
+  relayedDecisivePolicy,
+  nearDecisivePolicy,
+  nearShortDecisivePolicy
 ]
 
 /** Tells whether a second request beside the poll is due, `sentAge` steps after the last one. */
