--- a/src/model/leaseScenarios.ts
+++ b/src/model/leaseScenarios.ts
@@ -34,6 +34,9 @@
 /** A worker that is lost, or cut off and lost, around two ends of terms, with an answer that is lost. */
 export const twoTermsScenario: NamedScenario = { ...base, name: 'two ends', disturbances: { ...none, deaths: 1, cuts: 1, lostAnswers: 1, termEnds: 2 }, maxDepth: 9 }
 
+/** As `twoTermsScenario`, with a write of the record that is lost: what the stored record still says bounds the extensions. */
+export const lostWriteTermsScenario: NamedScenario = { ...twoTermsScenario, name: 'two ends, lost write', disturbances: { ...twoTermsScenario.disturbances, lostWrites: 1 }, maxDepth: 8 }
+
 /** A worker that restarts while one of two tries of a start is under way. */
 export const lateStartScenario: NamedScenario = { ...base, name: 'late start', disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 2, lateOrders: 1 }, maxDepth: 6 }
 
@@ -52,6 +55,8 @@
   { ...base, name: 'young life', times: scaledTimes, isFirstLifeYoung: true, disturbances: { ...none, deaths: 1, lostAnswers: 1, termEnds: 1 }, maxDepth: 40 },
   { ...base, name: 'silent again', times: scaledTimes, disturbances: { ...none, deaths: 1, cuts: 2, lostAnswers: 1, termEnds: 1 }, maxDepth: 14 },
   twoTermsScenario,
+  lostWriteTermsScenario,
+  { ...twoTermsScenario, name: 'two ends, scaled', times: scaledTimes, maxDelay: scaledTimes.maxRequestDelay, maxDepth: 10 },
   { ...twoTermsScenario, name: 'two ends, restart', listDelay: 0, disturbances: { ...twoTermsScenario.disturbances, restarts: 1 }, maxDepth: 7 },
   lateStartScenario,
   retryScenario,
