The record of granted leases names workers whose leases may be extended, from its first write on

Such workers are now named under a timer that lasts for the lease that is asked for and 250 ms at least; each renewal moves them to a later one, and what the timer does not allow is not granted. Runs with unanswered, unconfirmed or later starts are excepted as before, and workers that a later life may have given longer leases are not named. Runs of earlier terms, stored before the leader key, are covered by this term's statement about its own leases: an earlier term's record speaks for itself.

Leases that overrun the timer are found (test).

--- a/src/model/endPolicies.ts
+++ b/src/model/endPolicies.ts
@@ -94,6 +94,13 @@
    * mention it. Runs that are planned later are excepted.
    */
   readonly describeRenewal?: (evidence: TermEvidence) => SilentEntry
+  /**
+   * What a renewal of the record says of a worker whose lease may be extended without another record while `mayExtend` holds; undefined if nothing, so that a record
+   * without the worker is stored before its lease is extended.
+   */
+  readonly describeExtensible?: (evidence: TermEvidence) => SilentEntry | undefined
+  /** Tells whether a worker that the stored record names so may be extended by the lease that is asked for. */
+  readonly mayExtend?: (entry: SilentEntry, times: LeaseTimes) => boolean
   /** Runs that are planned after the renewal are not excepted; for tests. */
   readonly coversLaterRuns?: boolean
 }
@@ -134,8 +141,17 @@
 /** As `renewedEndsPolicy`, but what the record says is also used for runs that were planned after it was written. */
 export const laterRunsPolicy: EndPolicy = { ...renewedEndsPolicy, name: 'renewed ends, later runs', coversLaterRuns: true }
 
+/**
+ * As `renewedEndsPolicy`, but a worker whose lease is to be extended is named too, under a timer that lasts one step longer than the lease that is asked for: a term that ends
+ * before the next renewal leaves no worker that has only such leases to be waited for with the whole record.
+ */
+export const extensibleEndsPolicy: EndPolicy = createPerRunPolicy('extensible ends', { isVouchByTermAge: true, readsStartClock: true, recordsAtRenewal: true, namesExtensible: true })
+
+/** As `extensibleEndsPolicy`, but leases are extended beyond the timer; for tests. */
+export const overrunTimerPolicy: EndPolicy = { ...extensibleEndsPolicy, name: 'extensible ends, overrun timer', mayExtend: () => true }
+
 /** All policies that are compared. */
-export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, productPolicy, renewedEndsPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
+export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, productPolicy, renewedEndsPolicy, extensibleEndsPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
 
 /** The parts in which the policies for each run differ. */
 interface PerRunOptions {
@@ -147,6 +163,7 @@
   readonly endsWithListedLife?: boolean
   readonly areInheritedUncertain?: boolean
   readonly recordsAtRenewal?: boolean
+  readonly namesExtensible?: boolean
 }
 
 function createPerWorkerPolicy (name: string, mayRecord: (evidence: TermEvidence) => boolean): EndPolicy {
@@ -166,8 +183,8 @@
   }
 }
 
-function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false, recordsAtRenewal = false }: PerRunOptions): EndPolicy {
-  return { name, readsStartClock, getEnd: getRunEnd, describeSilence, ...recordsAtRenewal ? { describeRenewal } : {} }
+function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false, recordsAtRenewal = false, namesExtensible = false }: PerRunOptions): EndPolicy {
+  return { name, readsStartClock, getEnd: getRunEnd, describeSilence, ...recordsAtRenewal ? { describeRenewal } : {}, ...namesExtensible ? { describeExtensible, mayExtend: ({ timerSteps }: SilentEntry, { requestedLease }: LeaseTimes) => timerSteps >= requestedLease } : {} }
 
   function getRunEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined {
     const { listedLife, times } = evidence
@@ -191,6 +208,12 @@
     return describe(evidence, evidence.runs.filter(run => !run.hasEnded && (!run.isConfirmed || mayHaveStarts(evidence, run, evidence.times.maxRequestDelay))))
   }
 
+  /** A later life may have longer leases than this term asks for. */
+  function describeExtensible (evidence: TermEvidence): SilentEntry | undefined {
+    if (mayFollowEarlierOrders(isVouchByTermAge ? countYoungLife(evidence) : evidence)) return undefined
+    return { ...describeRenewal(evidence), timerSteps: evidence.times.requestedLease + 1 }
+  }
+
   function describe (evidence: TermEvidence, exceptions: readonly RunEvidence[]): SilentEntry {
     const others = evidence.runs.filter(run => !run.hasEnded && !exceptions.includes(run))
     const timerSteps = Math.max(0, ...others.map(run => getStepsLeft(evidence, getLeaseEndSteps(evidence, run), areEarlierLeasesOver(evidence, run))))
--- a/src/model/leaseModel.test.ts
+++ b/src/model/leaseModel.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { endPolicies, inheritedStartsPolicy, laterRunsPolicy, perRunPolicy, perWorkerPolicy, productPolicy, renewedEndsPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
+import { endPolicies, extensibleEndsPolicy, inheritedStartsPolicy, laterRunsPolicy, overrunTimerPolicy, perRunPolicy, perWorkerPolicy, productPolicy, renewedEndsPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
 import type { EndPolicy } from './endPolicies.js'
 import { explore } from './explorer.js'
 import type { Exploration } from './explorer.js'
@@ -57,6 +57,12 @@
     expect(getClasses(check(smallRestartScenario, renewedEndsPolicy))).not.toContain(laterStart)
   })
 
+  test('a record that also names workers whose leases may be extended runs no task twice around two ends of a term, unless leases are extended beyond the timer', () => {
+    const scenario = { ...twoTermsScenario, maxDepth: 6 }
+    expect(getClasses(check(scenario, extensibleEndsPolicy), Invariant.Twice)).toEqual([])
+    expect(getClasses(check(scenario, overrunTimerPolicy), Invariant.Twice)).toContain('TWICE: ended by earlier-leases-over, at work by a start on time')
+  })
+
   test('finds a rule that ends runs one step too early', () => {
     const early: EndPolicy = {
       ...perRunPolicy,
--- a/src/model/leaseModel.ts
+++ b/src/model/leaseModel.ts
@@ -2,10 +2,10 @@
  * A model of the leases of one worker: terms that grant them, their records in the store, lives under one id, and orders that are lost or carried out late. What
  * is modelled, and what is not, is described in docs/design/lease-model.md.
  */
-import type { EarlierRecord, EndPolicy, LeaseTimes, RunEvidence, TermEvidence } from './endPolicies.js'
+import type { EarlierRecord, EndPolicy, LeaseTimes, RunEvidence, SilentEntry, TermEvidence } from './endPolicies.js'
 import type { Choose, Finding, Model } from './explorer.js'
 import { ageLimit, Begin, beginNames, clone, countDown, createRun, createTerm, Cut, getKey, getRecord, getRun, isNamed, isReachable, Outcome, RunState } from './leaseModelState.js'
-import type { Disturbances, LateOrder, LeaseState, RunModel, TermModel } from './leaseModelState.js'
+import type { Disturbances, LateOrder, LeaseState, RecordModel, RunModel, TermModel } from './leaseModelState.js'
 
 /** A scenario to explore. */
 export interface LeaseScenario {
@@ -217,10 +217,10 @@
     }
   }
 
-  /** Stores a record that does not mention the worker, so that its lease may be extended. */
+  /** Stores a record that does not mention the worker, or under a timer that lasts for longer, so that its lease may be extended. */
   function prepareExtension (state: LeaseState, term: TermModel, choose: Choose): void {
     const record = getRecord(state, term)
-    if (record.renewal === undefined || !term.isReachable) return
+    if (mayExtend(record) || !term.isReachable) return
     // The lease is longer than the time between two renewals.
     if (!term.wasPutOff && choose([['', false], ['the extension is put off', true]])) {
       term.wasPutOff = true
@@ -228,7 +228,7 @@
     }
     if (!tryWrite(state, choose)) return
     term.wasPutOff = false
-    record.renewal = undefined
+    record.renewal = describeExtensible(state, term)
     if (state.left.termEnds === 0 || !choose([['', false], ['the term ends before the poll', true]])) return
     state.left.termEnds--
     endTerm(state, term)
@@ -237,9 +237,23 @@
   function writeRenewal (state: LeaseState, term: TermModel, choose: Choose): void {
     const record = getRecord(state, term)
     if (policy.describeRenewal === undefined || isNamed(record) || !term.hasGranted || !isNeeded(state) || !tryWrite(state, choose)) return
-    const entry = policy.describeRenewal(getEvidence(state, term))
-    const later = policy.coversLaterRuns === true ? [] : state.runs.flatMap(({ state: runState }, index) => runState === RunState.None ? index : [])
-    record.renewal = { ...entry, exceptions: [...entry.exceptions, ...later] }
+    const extensible = describeExtensible(state, term)
+    const isExtensible = extensible !== undefined && choose([['', false], ['the lease may be extended before the next renewal', true]])
+    record.renewal = isExtensible ? extensible : exceptLaterRuns(state, policy.describeRenewal(getEvidence(state, term)))
+  }
+
+  function describeExtensible (state: LeaseState, term: TermModel): SilentEntry | undefined {
+    const entry = policy.describeExtensible?.(getEvidence(state, term))
+    return entry && exceptLaterRuns(state, entry)
+  }
+
+  function exceptLaterRuns ({ runs }: LeaseState, entry: SilentEntry): SilentEntry {
+    const later = policy.coversLaterRuns === true ? [] : runs.flatMap(({ state }, index) => state === RunState.None ? index : [])
+    return { ...entry, exceptions: [...entry.exceptions, ...later] }
+  }
+
+  function mayExtend ({ renewal }: RecordModel): boolean {
+    return renewal === undefined || policy.mayExtend?.(renewal, times) === true
   }
 
   function learnLife (term: TermModel, life: number): void {
@@ -257,7 +271,7 @@
   }
 
   function pollWorker (state: LeaseState, term: TermModel, choose: Choose): void {
-    const isExtension = canStart(state, term) && getRecord(state, term).renewal === undefined
+    const isExtension = canStart(state, term) && mayExtend(getRecord(state, term))
     if (isExtension) recordExtension(state, term)
     const order = { run: poll, term: term.index, life: term.knownLife, leaseSpent: 0, age: 0 }
     const outcome = isReachable(state) ? send(state, order, isExtension, 'the poll', choose) : Outcome.NotExecuted
@@ -309,7 +323,7 @@
     run.plannedLife = term.knownLife
     // A start without an answer is repeated once: that one may be answered while the first is under way.
     for (let tries = 0; tries < 2; tries++) {
-      const isExtension = getRecord(state, term).renewal === undefined
+      const isExtension = mayExtend(getRecord(state, term))
       if (isExtension) recordExtension(state, term)
       term.startAge = 0
       const order = { run: index, term: term.index, life: term.knownLife, leaseSpent: isExtension ? 0 : term.extendedAge, age: 0 }
--- a/src/runs/aimedSoak.test.ts
+++ b/src/runs/aimedSoak.test.ts
@@ -17,9 +17,9 @@
 const seeds = chosenSeeds ?? [1, 3, 6, 7, 8, 13, 14, 21, 55]
 const title = 'seed %i: when a worker is lost near the last end of a step, an end that some host could read for 300 ms is not lost, and no task runs twice'
 /** The same, for jobs that stand still. */
-const standingSeeds = chosenSeeds ?? [1, 6, 7, 13, 14, 21]
+const standingSeeds = chosenSeeds ?? [1, 3, 6, 7, 8, 13, 14, 21, 45, 47]
 /** Known to fail, see KNOWN-RED.txt. */
-const failingStandingSeeds = chosenSeeds === undefined ? [3, 8] : []
+const failingStandingSeeds = chosenSeeds === undefined ? [30, 42] : []
 const standingTitle = 'seed %i: after a worker was lost near the last end of a step, no job stands still'
 const plays = new Map<number, Play>()
 /** The ends that are aimed at are listed in this time, in ms. */
--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -88,6 +88,7 @@
       getSilentForMs: () => 0,
       getLeaseLeftMs: () => undefined,
       getUnextendedLeaseMs: () => undefined,
+      areLeasesAsRequested: () => false,
       mayFollowEarlierOrders: () => false,
       describeLease: () => ({}),
       close: () => {}
--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -3,8 +3,6 @@
  * that goes away by itself once all of its leases are over, and one for each group of workers that stopped answering, a timer, which goes away once theirs
  * are. See docs/design/lease-evidence.md.
  */
-import * as z from 'zod/mini'
-import { tryParseJson } from '../common/boundedJson.js'
 import { getElapsedMs, readClocks } from '../common/elapsedTime.js'
 import type { Logger } from '../common/logger.js'
 import { createSignal, delay } from '../common/time.js'
@@ -14,13 +12,14 @@
 import { readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoredItem, TransactionWrite } from '../store/metadataStore.js'
 import { areConditionsMet, createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
-import { decodeKnownLives, getRenewedTimerKey, getTimerPrefix, tryDecodeExclusions } from './grantRecordFormat.js'
-import type { EncodedRecord, Exclusion } from './grantRecordFormat.js'
+import { decodeKnownLives, getRenewedTimerKey, getTimerPrefix, tryDecodeExclusions, tryDecodeReference } from './grantRecordFormat.js'
+import type { EncodedRecord, Exclusion, Reference } from './grantRecordFormat.js'
 import { getLeaseValidForMs } from './recordLease.js'
 import type { RecordLease } from './recordLease.js'
-import { chooseTimers, encodeRenewed } from './renewedWorkers.js'
-import type { RenewedWorker } from './renewedWorkers.js'
-import { getLeaseWithinMs, getLongestDurationMs } from './workerLease.js'
+import { createExtensibleLeases } from './extensibleLeases.js'
+import { chooseTimers, encodeRenewed, encodeTimers, findLeases } from './renewedWorkers.js'
+import type { NamedWorker, RenewedWorker } from './renewedWorkers.js'
+import { getLeaseWithinMs, getLongestDurationMs, getRequestedLeaseMs } from './workerLease.js'
 
 /** Dependencies of the grant record. */
 export interface GrantRecordHost {
@@ -143,10 +142,6 @@
 /** The most young lives that a record names as known: up to 10 KB, which is written each 500 ms while so many workers are young. */
 const maxKnownLives = 256
 
-/** The reference names the term that has created it and its lease. */
-const referenceSchema = z.object({ epoch: z.number(), leaseId: z.number() })
-type Reference = z.infer<typeof referenceSchema>
-
 /** A worker that was excluded while its leases lasted. */
 interface ExcludedWorker extends SilentWorker {
   readonly group: SilentGroup
@@ -174,6 +169,7 @@
   const ownKey = grantPrefix + term.epoch
   const leaderCondition = { key: term.leaderKey, revision: term.leaderRevision }
   const guard = createRevisionGuard(ownKey)
+  const extensible = createExtensibleLeases({ store, logger, minTtlMs: host.minTtlMs, recordTtlMs: getLongestDurationMs(host.maxLeaseMs) + recordSlackMs, longestLeaseMs: getLongestDurationMs(getRequestedLeaseMs(host.maxLeaseMs)), renewalIntervalMs })
   const getRenewedKey = (leaseId: number): string => getRenewedTimerKey(ownKey, leaseId)
   const written = createSignal()
   /** The workers that each earlier term excludes whose record still exists; undefined until they have been read. */
@@ -223,6 +219,11 @@
     while (!isStored && !term.signal.aborted) await written.wait()
   }
 
+  /** Tells whether the records that name the worker, or may, allow a lease of the length that is asked for. */
+  function isExtensible (workerId: string): boolean {
+    return getRenewedValidForMs(workerId) >= getLongestDurationMs(getRequestedLeaseMs(host.maxLeaseMs))
+  }
+
   function getMaxGrantMs (workerId: string): number {
     if (!isStored || excluded.has(workerId)) return 0
     return Math.min(host.maxLeaseMs, getLeaseWithinMs(Math.min(getValidForMs(), getRenewedValidForMs(workerId))))
@@ -234,10 +235,10 @@
   }
 
   async function requestExtension (workerId: string): Promise<void> {
-    if (getRenewedValidForMs(workerId) === Infinity) return
+    if (isExtensible(workerId)) return
     extensionRequests.add(workerId)
     requestWrite()
-    while (getRenewedValidForMs(workerId) !== Infinity && !term.signal.aborted) await written.wait()
+    while (!isExtensible(workerId) && !term.signal.aborted) await written.wait()
   }
 
   function requestNaming (): void {
@@ -334,17 +335,20 @@
   /** Stores the record of this term, and the reference if there is none. */
   async function storeRecord ({ reference }: { readonly reference: StoredItem | undefined }, lease: RecordLease): Promise<void> {
     if (!leases.includes(lease)) leases = [...leases, lease]
+    grantedLeases = [...await extensible.grant(grantedLeases), lease]
+    // Those that have answered are named before any of them is granted a lease: the term may end before its next record.
+    const renewed = chooseRenewed()
     const created = tryDecodeReference(reference) === undefined ? createdReference ??= await createReference() : undefined
     const conditions = created === undefined ? [leaderCondition] : [leaderCondition, { key: referenceKey, revision: reference?.revision ?? 0 }]
     // Without the reference this term does not know whether the leases of earlier terms have ended, and later terms could not tell.
     if (hasReference) excludeUnanswered(getUnanswered?.() ?? [])
-    const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease, new Map()), ...created === undefined ? [] : [created]] })
+    const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease, renewed), ...encodeTimers(renewed, getRenewedKey), ...created === undefined ? [] : [created]] })
     if (!result.isCommitted) {
       if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
       throw createError(ErrorKind.Conflict, 'the reference has changed, or the term has ended')
     }
     leases = [lease]
-    grantedLeases = [lease]
+    renewedByWrite = [findLeases(renewed, grantedLeases)]
     confirmedWriteAtMs = performance.now()
     isStored = true
     written.notify()
@@ -384,10 +388,11 @@
     isGrantingLease = true
     try {
       const granted = await grantRecordLease()
+      const short = await extensible.grant(grantedLeases)
       // Leases may have been granted to workers by a later extension of the lease that it would replace.
       if (leases.every(({ confirmedAt }) => confirmedAt.monotonicMs < granted.confirmedAt.monotonicMs)) {
         leases = [...leases, granted]
-        grantedLeases = [...grantedLeases.filter(lease => getLeaseValidForMs(lease) > 0), granted]
+        grantedLeases = [...grantedLeases.filter(lease => getLeaseValidForMs(lease) > 0), ...short, granted]
         extensionRequests.clear()
         requestWrite()
       }
@@ -438,7 +443,10 @@
 
   /** The leases under which the record can name workers now, by worker. */
   function chooseRenewed (): ReadonlyMap<RenewedWorker, number> {
-    const named = getRenewed().filter(({ workerId }) => !excluded.has(workerId) && !extensionRequests.has(workerId)).slice(0, maxExcluded - excluded.size)
+    const named = getRenewed().filter(({ workerId }) => !excluded.has(workerId)).slice(0, maxExcluded - excluded.size).map((worker): NamedWorker => {
+      const { workerId, leasesLeftMs } = worker
+      return { ...worker, leasesLeftMs: leasesLeftMs === undefined || extensionRequests.has(workerId) ? extensible.timerMs : leasesLeftMs }
+    })
     return chooseTimers(named, grantedLeases.map(lease => ({ leaseId: lease.leaseId, validForMs: getLeaseValidForMs(lease) })))
   }
 
@@ -463,8 +471,8 @@
       excluded: withoutLease,
       silentWorkers,
       ...Object.keys(knownLives).length === 0 ? {} : { knownLives },
-      // What this host writes from now on gets a higher revision than its latest confirmed write.
-      ...renewedWorkers.size === 0 ? {} : { renewed: encodeRenewed(renewedWorkers, getRenewedKey), upToRevision: Math.max(guard.getCondition().revision, host.getProgressRevision?.() ?? 0) }
+      // What this host writes from now on gets a higher revision than its latest confirmed write, and than its leader key.
+      ...renewedWorkers.size === 0 ? {} : { renewed: encodeRenewed(renewedWorkers, getRenewedKey), upToRevision: Math.max(term.leaderRevision, guard.getCondition().revision, host.getProgressRevision?.() ?? 0) }
     }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
@@ -558,11 +566,10 @@
     for (const group of groups) group.isTimerStored = true
     let isCommitted = false
     const renewed = chooseRenewed()
-    const renewedTimers = [...new Set(renewed.values())].map(leaseId => ({ key: getRenewedKey(leaseId), value: '', leaseId }))
-    const renewedLeases = new Map([...renewed].flatMap(([{ workerId }, leaseId]) => grantedLeases.filter(granted => granted.leaseId === leaseId).map(granted => [workerId, granted] as const)))
+    const renewedLeases = findLeases(renewed, grantedLeases)
     renewedByWrite = [...renewedByWrite, renewedLeases]
     try {
-      const result = await transactGuarded(store, guard, { expected: [leaderCondition, ...timers.map(({ key }) => ({ key, revision: 0 }))], writes: [encodeRecord(lease, renewed), ...timers, ...renewedTimers] })
+      const result = await transactGuarded(store, guard, { expected: [leaderCondition, ...timers.map(({ key }) => ({ key, revision: 0 }))], writes: [encodeRecord(lease, renewed), ...timers, ...encodeTimers(renewed, getRenewedKey)] })
       if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
       isCommitted = result.isCommitted
     } catch (error) {
@@ -591,7 +598,3 @@
 function isRecordKey (key: string): boolean {
   return /^\d+$/.test(key.slice(grantPrefix.length))
 }
-
-function tryDecodeReference (item: Pick<StoredItem, 'value'> | undefined): Reference | undefined {
-  return item === undefined ? undefined : referenceSchema.safeParse(tryParseJson(item.value)).data
-}
--- a/src/runs/grantRecordFormat.ts
+++ b/src/runs/grantRecordFormat.ts
@@ -21,6 +21,10 @@
   upToRevision: z.optional(z.number())
 })
 
+const referenceSchema = z.object({ epoch: z.number(), leaseId: z.number() })
+
+/** The reference names the term that has created it and its lease. */
+export type Reference = z.infer<typeof referenceSchema>
 /** A record as it is stored. */
 export type EncodedRecord = z.infer<typeof recordSchema>
 /** Workers that a record names under one timer. */
@@ -75,3 +79,8 @@
 export function isRenewedTimerKey (key: string): boolean {
   return /\/r\d+$/.test(key)
 }
+
+/** Returns undefined if there is no reference, or it cannot be decoded. */
+export function tryDecodeReference (item: Pick<StoredItem, 'value'> | undefined): Reference | undefined {
+  return item === undefined ? undefined : referenceSchema.safeParse(tryParseJson(item.value)).data
+}
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -168,8 +168,7 @@
 
 // The same where workers grant 10 s: the next term waited for the longest lease that any worker grants, though none of that length had been asked for.
 const longLeaseTitle = 'a job does not wait for the longest lease that workers grant if its worker left just before the scheduling host was killed (%i ms)'
-test.each([0, 300, 900])(longLeaseTitle, checkUnrecordedWorkerOfLongLease)
-test.failing.each([600])(longLeaseTitle, checkUnrecordedWorkerOfLongLease)
+test.each(Array.from({ length: 15 }, (_, index) => 100 * index))(longLeaseTitle, checkUnrecordedWorkerOfLongLease)
 
 // The same with terms in series: each knows for itself which of its leases have ended.
 test('a job does not wait beyond the lease of a worker that was silent before the second of two terms ended', async () => {
--- a/src/runs/renewedWorkers.ts
+++ b/src/runs/renewedWorkers.ts
@@ -2,16 +2,23 @@
  * Workers whose leases are not extended before the next renewal of the record of granted leases. The record names them under leases of the store that end soon after
  * theirs, so that a term which ends before it has noticed that a worker is gone leaves this to the next one. See docs/design/lease-evidence.md.
  */
+import type { TransactionWrite } from '../store/metadataStore.js'
 import type { EncodedRenewed } from './grantRecordFormat.js'
+import type { RecordLease } from './recordLease.js'
 
-/** When the leases of a worker end that this term has granted, as long as it extends none. */
+/** When the leases of a worker end that this term has granted. */
 export interface RenewedWorker {
   readonly workerId: string
   /** The runs, by allocation key, whose start requests may still be sent or carried out: their leases may outlast those of the other runs. */
   readonly uncertainRuns: readonly string[]
   /** No order for an earlier life of the worker can count for the leases of this one. */
   readonly isLifeKnown: boolean
-  /** In ms from now; for all runs but the uncertain ones. */
+  /** In ms from now, for all runs but the uncertain ones; undefined if they may be extended before the next renewal. */
+  readonly leasesLeftMs: number | undefined
+}
+
+/** A worker and how long the timer that it is named under has to last, in ms. */
+export interface NamedWorker extends RenewedWorker {
   readonly leasesLeftMs: number
 }
 
@@ -25,7 +32,7 @@
 const maxRenewedTimers = 8
 
 /** Chooses for each worker the lease that ends first after those of the worker. A worker without such a lease is left out. */
-export function chooseTimers (workers: readonly RenewedWorker[], leases: readonly LastingLease[]): ReadonlyMap<RenewedWorker, number> {
+export function chooseTimers (workers: readonly NamedWorker[], leases: readonly LastingLease[]): ReadonlyMap<RenewedWorker, number> {
   const ordered = [...leases].sort((left, right) => left.validForMs - right.validForMs)
   const used = new Set<number>()
   const chosen = new Map<RenewedWorker, number>()
@@ -48,3 +55,13 @@
   }
   return renewed
 }
+
+/** The keys that the store removes when the leases are over under which the workers are named. */
+export function encodeTimers (chosen: ReadonlyMap<RenewedWorker, number>, getTimerKey: (leaseId: number) => string): readonly TransactionWrite[] {
+  return [...new Set(chosen.values())].map(leaseId => ({ key: getTimerKey(leaseId), value: '', leaseId }))
+}
+
+/** The lease under which each worker is named, by worker id. */
+export function findLeases (chosen: ReadonlyMap<RenewedWorker, number>, leases: readonly RecordLease[]): ReadonlyMap<string, RecordLease> {
+  return new Map([...chosen].flatMap(([{ workerId }, leaseId]) => leases.filter(lease => lease.leaseId === leaseId).map(lease => [workerId, lease] as const)))
+}
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -118,6 +118,8 @@
    * otherwise.
    */
   getUnextendedLeaseMs (): number | undefined
+  /** Tells whether the settled runs have leases of this term that are no longer than it asks for: no order for another incarnation may count for them. */
+  areLeasesAsRequested (): boolean
   /**
    * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
    * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
@@ -244,7 +246,7 @@
   })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested: () => hasAnswered && clock !== undefined && !mayFollowEarlierOrders() && (isIncarnationKnown() || earlierTermsEndMs <= performance.now() + getLongestDurationMs(host.requestedLeaseMs)), mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
 
   function close (): void {
     isClosed = true
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -83,7 +83,7 @@
   getUnanswered (): readonly string[]
   /** The young lives of workers with members, by their starts as Unix time in ms, for which no order for an earlier life counts any more. */
   getKnownLives (): ReadonlyMap<string, number>
-  /** The workers with members whose leases are not to be extended before the next renewal of the record of granted leases, and when these end. */
+  /** The workers with members to which this term has granted leases that a renewal of the record can name under a timer. */
   getRenewed (): readonly RenewedWorker[]
   /** Records when the leases of workers that hold runs and do not answer will have ended, so that a later term need not wait longer. */
   recordSilent (): void
@@ -221,8 +221,9 @@
 
   function getRenewed (): readonly RenewedWorker[] {
     return [...links].flatMap(([workerId, link]) => {
-      const leasesLeftMs = granted.has(workerId) && hasMembers(workerId) ? link.getUnextendedLeaseMs() : undefined
-      if (leasesLeftMs === undefined) return []
+      if (!hasMembers(workerId)) return []
+      const leasesLeftMs = granted.has(workerId) ? link.getUnextendedLeaseMs() : undefined
+      if (leasesLeftMs === undefined && !link.areLeasesAsRequested()) return []
       const silent = describeSilent([workerId, link])
       const uncertainRuns = [...new Set([...silent.uncertainRuns, ...host.getUnconfirmedRuns(workerId)])]
       return uncertainRuns.length < host.getMembers(workerId).size && uncertainRuns.length <= maxRecordedRuns ? { ...silent, uncertainRuns, leasesLeftMs } : []
