--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -3,12 +3,16 @@
 import { createSignal, delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import { createDecisiveInquiries, type DecisiveSlots } from './decisiveInquiries.js'
+import { createDecisiveInquiries } from './decisiveInquiries.js'
+import type { DecisiveSlots } from './decisiveInquiries.js'
 import { RunScope } from './endEvidence.js'
+import { fastRetries } from './fastRetries.js'
+import type { FastRetry } from './fastRetries.js'
 import { createPollSender, InquiryVerdict, PollSubstitute } from './pollSender.js'
 import { createRelayedPolls } from './relayedPolls.js'
 import { createStoreWait } from './storeWait.js'
-import { createWaitingInquiry, type LinkLosses } from './waitingInquiry.js'
+import { createWaitingInquiry } from './waitingInquiry.js'
+import type { LinkLosses } from './waitingInquiry.js'
 import { isOtherIncarnation } from './workerErrors.js'
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
@@ -123,6 +127,8 @@
    * otherwise.
    */
   getUnextendedLeaseMs (): number | undefined
+  /** Tells whether the settled runs have leases of this term that are no longer than it asks for: no order for another incarnation may count for them. */
+  areLeasesAsRequested (): boolean
   /**
    * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
    * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
@@ -137,15 +143,6 @@
 const pollWaitMs = 1_500
 /** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
 export const retryPauseMs = 300
-/**
- * The first polls after a lost answer: the pause before each, and the time allowed for its answer, in ms. An end that the worker lists is gone if it crashes
- * before a poll is answered, and the task runs again. A few round trips between regions suffice for an answer; the third poll has the usual time, for slow links.
- */
-const fastRetries: readonly { readonly pauseMs: number, readonly answerTimeoutMs?: number }[] = [
-  { pauseMs: 0, answerTimeoutMs: 150 },
-  { pauseMs: 50, answerTimeoutMs: 150 },
-  { pauseMs: 100 }
-]
 /** A clock counts as that of a later incarnation if it is further behind than this, in ms: more than the longest time that the answer to a start may take. */
 const maxClockErrorMs = 1_000
 /** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
@@ -243,7 +240,7 @@
   })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested, mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
 
   function close (): void {
     isClosed = true
@@ -289,6 +286,11 @@
     return (mayFollowEarlierTerms && !isIncarnationKnown()) || extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
   }
 
+  /** Tells whether no lease of the worker lasts longer than the one that this term asks for. */
+  function areLeasesAsRequested (): boolean {
+    return hasAnswered && clock !== undefined && !mayFollowEarlierOrders() && (isIncarnationKnown() || earlierTermsEndMs <= performance.now() + getLongestDurationMs(host.requestedLeaseMs))
+  }
+
   function isIncarnationKnown (): boolean {
     return host.isIncarnationKnown?.(bornAtMs) === true
   }
@@ -596,7 +598,7 @@
   }
 
   /** A worker that has never answered in this term may be down. */
-  function getFastRetry (): typeof fastRetries[number] | undefined {
+  function getFastRetry (): FastRetry | undefined {
     return hasAnswered && !isLeaseOver ? fastRetries[failedPolls - 1] : undefined
   }
 }
