--- a/src/runs/decisiveInquiries.ts
+++ b/src/runs/decisiveInquiries.ts
@@ -52,6 +52,9 @@
 const minPauseMs = 100
 const maxPauseMs = 800
 
+/** Inquiries where an end decides go on for this long, in ms, after the worker fell silent: of several requests that are lost at six in ten, one is answered within it. */
+export const maxDecisiveSilenceMs = 4_000
+
 /** Creates the limits of one term. */
 export function createDecisiveSlots (): DecisiveSlots {
   const active = { standing: 0, near: 0 }
--- a/src/runs/fastRetries.ts
+++ b/src/runs/pollRetries.ts
@@ -1,4 +1,4 @@
-/** The polls that follow a lost answer at once. */
+/** When failed polls of a worker are repeated. */
 
 /** The pause before a poll, and the time allowed for its answer beyond its wait, both in ms; without it, the usual time. */
 export interface FastRetry {
@@ -15,3 +15,6 @@
   { pauseMs: 50, answerTimeoutMs: 150 },
   { pauseMs: 100 }
 ]
+
+/** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
+export const retryPauseMs = 300
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -3,11 +3,11 @@
 import { createSignal, delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
 import { ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import { createDecisiveInquiries } from './decisiveInquiries.js'
+import { createDecisiveInquiries, maxDecisiveSilenceMs } from './decisiveInquiries.js'
 import type { DecisiveSlots } from './decisiveInquiries.js'
 import { RunScope } from './endEvidence.js'
-import { fastRetries } from './fastRetries.js'
-import type { FastRetry } from './fastRetries.js'
+import { fastRetries, retryPauseMs } from './pollRetries.js'
+import type { FastRetry } from './pollRetries.js'
 import { createPollSender, InquiryVerdict, PollSubstitute } from './pollSender.js'
 import { createRelayedPolls } from './relayedPolls.js'
 import { createStoreWait } from './storeWait.js'
@@ -141,14 +141,10 @@
 
 /** How long a poll waits for an ended run, in ms: a quarter of the shortest worker lease; a lost connection is detected in under 2 s. */
 const pollWaitMs = 1_500
-/** Pause after a failed poll, in ms: the end of a brief connection loss is detected within it. */
-export const retryPauseMs = 300
 /** A clock counts as that of a later incarnation if it is further behind than this, in ms: more than the longest time that the answer to a start may take. */
 const maxClockErrorMs = 1_000
 /** A worker that has left this many polls in a row unanswered is polled through other hosts as well: one lost answer is made up for by the fast retries. */
 const failedPollsBeforeRelay = 2
-/** Inquiries where an end decides go on for this long, in ms, after the worker fell silent: of several requests that are lost at six in ten, one is answered within it. */
-const maxDecisiveSilenceMs = 4_000
 /** Interval of the polls while a lease is to be extended and none may be granted yet, in ms; `wake` ends it. */
 const extensionRetryMs = 100
 /**
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -16,7 +16,8 @@
 import type { RenewedWorker } from './renewedWorkers.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 import { createInquirySlots } from './waitingInquiry.js'
-import { createWorkerLink, retryPauseMs } from './workerLink.js'
+import { retryPauseMs } from './pollRetries.js'
+import { createWorkerLink } from './workerLink.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Dependencies of the worker pool. */
