Timers of the record of granted leases are written once, each under a condition on its own revision

A transaction that names workers wrote the keys of their timers anew each time, unconditionally. A late one could not replace anything, as it is conditional on the record's revision; the check asks for more, so that no later change has to know that. A key that is stored is not written again.

--- a/src/runs/absentHostsSoak.test.ts
+++ b/src/runs/absentHostsSoak.test.ts
@@ -17,7 +17,7 @@
 import { createPoolSteps } from '../testing/poolSteps.js'
 import { disturbTerm, getLeader, termDisturbanceCount } from '../testing/termDisturbances.js'
 import type { Disturb } from '../testing/termDisturbances.js'
-import { grantPrefix } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 import { getLongestDurationMs } from './workerLease.js'
 
 /** Seed 12 guards against a wait for missing entries that begins with the term and not with the host's contact with the store. */
--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -9,15 +9,16 @@
 import { maxTtlMs } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
 import { createError, ErrorKind, isErrorOfKind } from '../errors/errorKinds.js'
-import { readAll } from '../store/metadataStore.js'
+import { maxTransactionEntries, readAll } from '../store/metadataStore.js'
 import type { MetadataStore, StoredItem, TransactionWrite } from '../store/metadataStore.js'
 import { areConditionsMet, createRevisionGuard, transactGuarded } from '../store/revisionGuard.js'
-import { decodeKnownLives, getRenewedTimerKey, getTimerPrefix, tryDecodeExclusions, tryDecodeReference } from './grantRecordFormat.js'
+import { decodeKnownLives, getTimerPrefix, grantPrefix, isRecordKey, tryDecodeExclusions, tryDecodeReference } from './grantRecordFormat.js'
 import type { EncodedRecord, Exclusion, Reference } from './grantRecordFormat.js'
 import { getLeaseValidForMs } from './recordLease.js'
 import type { RecordLease } from './recordLease.js'
 import { createExtensibleLeases } from './extensibleLeases.js'
-import { chooseTimers, encodeRenewed, encodeTimers, findLeases } from './renewedWorkers.js'
+import { createRenewalTimers } from './renewalTimers.js'
+import { chooseTimers, encodeRenewed, findLeases } from './renewedWorkers.js'
 import type { NamedWorker, RenewedWorker } from './renewedWorkers.js'
 import { getLeaseWithinMs, getLongestDurationMs, getRequestedLeaseMs } from './workerLease.js'
 
@@ -96,8 +97,6 @@
   describe (): object
 }
 
-/** The prefix of the records of all terms. */
-export const grantPrefix = 'grants/'
 const referenceKey = `${grantPrefix}reference`
 /** Time to live of the reference, in ms: the longest that the store grants. After a longer absence of all hosts nothing is known of earlier terms. */
 const referenceTtlMs = 600_000
@@ -131,8 +130,8 @@
  * for the others that the timer stands for.
  */
 const timerExtensionDelayMs = 200
-/** The most timers that are stored in one transaction, in which each has a condition and a write. */
-const maxTimersPerWrite = 10
+/** The most timers that are stored in one transaction, in which each has a condition and a write, beside the conditions on the leader key and the record and the write of the record. */
+const maxTimersPerWrite = (maxTransactionEntries - 3) >> 1
 /** Added to the time to live of a timer, in ms, for the difference between the clock of this host and that of the store. */
 const timerMarginMs = 250
 /** The name, under the prefix of a term's timers, that stands for one that has ended; timers are numbered from 1. */
@@ -170,7 +169,7 @@
   const leaderCondition = { key: term.leaderKey, revision: term.leaderRevision }
   const guard = createRevisionGuard(ownKey)
   const extensible = createExtensibleLeases({ store, logger, minTtlMs: host.minTtlMs, recordTtlMs: getLongestDurationMs(host.maxLeaseMs) + recordSlackMs, longestLeaseMs: getLongestDurationMs(getRequestedLeaseMs(host.maxLeaseMs)), renewalIntervalMs })
-  const getRenewedKey = (leaseId: number): string => getRenewedTimerKey(ownKey, leaseId)
+  const renewalTimers = createRenewalTimers(ownKey)
   const written = createSignal()
   /** The workers that each earlier term excludes whose record still exists; undefined until they have been read. */
   let earlierExclusions: readonly ReadonlyMap<string, Exclusion>[] | undefined
@@ -342,12 +341,14 @@
     const conditions = created === undefined ? [leaderCondition] : [leaderCondition, { key: referenceKey, revision: reference?.revision ?? 0 }]
     // Without the reference this term does not know whether the leases of earlier terms have ended, and later terms could not tell.
     if (hasReference) excludeUnanswered(getUnanswered?.() ?? [])
-    const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease, renewed), ...encodeTimers(renewed, getRenewedKey), ...created === undefined ? [] : [created]] })
+    const newTimers = renewalTimers.encodeMissing(renewed.values())
+    const result = await transactGuarded(store, guard, { expected: conditions, writes: [encodeRecord(lease, renewed), ...newTimers.writes, ...created === undefined ? [] : [created]] }, newTimers.guards)
     if (!result.isCommitted) {
       if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
       throw createError(ErrorKind.Conflict, 'the reference has changed, or the term has ended')
     }
     leases = [lease]
+    renewalTimers.onStored(newTimers)
     renewedByWrite = [findLeases(renewed, grantedLeases)]
     confirmedWriteAtMs = performance.now()
     isStored = true
@@ -393,6 +394,7 @@
       if (leases.every(({ confirmedAt }) => confirmedAt.monotonicMs < granted.confirmedAt.monotonicMs)) {
         leases = [...leases, granted]
         grantedLeases = [...grantedLeases.filter(lease => getLeaseValidForMs(lease) > 0), ...short, granted]
+        renewalTimers.retain(grantedLeases.map(({ leaseId }) => leaseId))
         extensionRequests.clear()
         requestWrite()
       }
@@ -472,7 +474,7 @@
       silentWorkers,
       ...Object.keys(knownLives).length === 0 ? {} : { knownLives },
       // What this host writes from now on gets a higher revision than its latest confirmed write, and than its leader key.
-      ...renewedWorkers.size === 0 ? {} : { renewed: encodeRenewed(renewedWorkers, getRenewedKey), upToRevision: Math.max(term.leaderRevision, guard.getCondition().revision, host.getProgressRevision?.() ?? 0) }
+      ...renewedWorkers.size === 0 ? {} : { renewed: encodeRenewed(renewedWorkers, renewalTimers.getKey), upToRevision: Math.max(term.leaderRevision, guard.getCondition().revision, host.getProgressRevision?.() ?? 0) }
     }
     return { key: ownKey, value: JSON.stringify(record), leaseId }
   }
@@ -560,16 +562,17 @@
     if (lease === undefined) return false
     const nowMs = performance.now()
     const waiting = [...getSilentGroups()].filter(({ timer, isTimerStored, leasesEndAtMs }) => timer !== undefined && !isTimerStored && leasesEndAtMs > nowMs)
-    const groups = waiting.slice(0, maxTimersPerWrite)
+    const renewed = chooseRenewed()
+    const newTimers = renewalTimers.encodeMissing(renewed.values())
+    const groups = waiting.slice(0, maxTimersPerWrite - newTimers.writes.length)
     if (groups.length < waiting.length) isDirty = true
     const timers = groups.flatMap(({ timer }) => timer ?? [])
     for (const group of groups) group.isTimerStored = true
     let isCommitted = false
-    const renewed = chooseRenewed()
     const renewedLeases = findLeases(renewed, grantedLeases)
     renewedByWrite = [...renewedByWrite, renewedLeases]
     try {
-      const result = await transactGuarded(store, guard, { expected: [leaderCondition, ...timers.map(({ key }) => ({ key, revision: 0 }))], writes: [encodeRecord(lease, renewed), ...timers, ...encodeTimers(renewed, getRenewedKey)] })
+      const result = await transactGuarded(store, guard, { expected: [leaderCondition, ...timers.map(({ key }) => ({ key, revision: 0 }))], writes: [encodeRecord(lease, renewed), ...timers, ...newTimers.writes] }, newTimers.guards)
       if (!areConditionsMet([leaderCondition], result)) term.resign('another host holds the leader key')
       isCommitted = result.isCommitted
     } catch (error) {
@@ -578,6 +581,7 @@
     if (isCommitted) {
       // A lease that has been granted meanwhile is not used before the next write.
       leases = leases.slice(leases.indexOf(lease))
+      renewalTimers.onStored(newTimers)
       renewedByWrite = [renewedLeases]
       confirmedWriteAtMs = performance.now()
       for (const group of groups) group.isTimerConfirmed = true
@@ -593,8 +597,3 @@
     return false
   }
 }
-
-/** Tells whether a key under the prefix is the record of a term. */
-function isRecordKey (key: string): boolean {
-  return /^\d+$/.test(key.slice(grantPrefix.length))
-}
--- a/src/runs/grantRecordFormat.ts
+++ b/src/runs/grantRecordFormat.ts
@@ -3,6 +3,9 @@
 import { tryParseJson } from '../common/boundedJson.js'
 import type { StoredItem } from '../store/metadataStore.js'
 
+/** The prefix of the records of all terms. */
+export const grantPrefix = 'grants/'
+
 const silentSchema = z.object({ uncertainRuns: z.array(z.string()), isLifeKnown: z.boolean() })
 /** Workers without uncertain runs whose lives are known, and others. */
 const renewedSchema = z.object({ known: z.array(z.string()), other: z.record(z.string(), silentSchema) })
@@ -84,3 +87,8 @@
 export function tryDecodeReference (item: Pick<StoredItem, 'value'> | undefined): Reference | undefined {
   return item === undefined ? undefined : referenceSchema.safeParse(tryParseJson(item.value)).data
 }
+
+/** Tells whether a key under the prefix is the record of a term. */
+export function isRecordKey (key: string): boolean {
+  return /^\d+$/.test(key.slice(grantPrefix.length))
+}
--- a/src/runs/leasesAfterTakeover.test.ts
+++ b/src/runs/leasesAfterTakeover.test.ts
@@ -5,7 +5,7 @@
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
-import { grantPrefix } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 import { getLongestDurationMs, getRequestedLeaseMs } from './workerLease.js'
 
 let harness: PoolHarness
--- a/src/runs/renewedWorkers.ts
+++ b/src/runs/renewedWorkers.ts
@@ -2,7 +2,6 @@
  * Workers whose leases are not extended before the next renewal of the record of granted leases. The record names them under leases of the store that end soon after
  * theirs, so that a term which ends before it has noticed that a worker is gone leaves this to the next one. See docs/design/lease-evidence.md.
  */
-import type { TransactionWrite } from '../store/metadataStore.js'
 import type { EncodedRenewed } from './grantRecordFormat.js'
 import type { RecordLease } from './recordLease.js'
 
@@ -56,11 +55,6 @@
   return renewed
 }
 
-/** The keys that the store removes when the leases are over under which the workers are named. */
-export function encodeTimers (chosen: ReadonlyMap<RenewedWorker, number>, getTimerKey: (leaseId: number) => string): readonly TransactionWrite[] {
-  return [...new Set(chosen.values())].map(leaseId => ({ key: getTimerKey(leaseId), value: '', leaseId }))
-}
-
 /** The lease under which each worker is named, by worker id. */
 export function findLeases (chosen: ReadonlyMap<RenewedWorker, number>, leases: readonly RecordLease[]): ReadonlyMap<string, RecordLease> {
   return new Map([...chosen].flatMap(([{ workerId }, leaseId]) => leases.filter(lease => lease.leaseId === leaseId).map(lease => [workerId, lease] as const)))
--- a/src/runs/silentWorkers.test.ts
+++ b/src/runs/silentWorkers.test.ts
@@ -10,7 +10,8 @@
 import type { PoolHarness } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
 import { createSilentWorkers } from '../testing/grants.js'
-import { createGrantRecord, grantPrefix } from './grantRecord.js'
+import { createGrantRecord } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 
 const maxLeaseMs = 10_000
 let harness: PoolHarness | undefined
--- a/src/runs/takeoverRefusedWrites.test.ts
+++ b/src/runs/takeoverRefusedWrites.test.ts
@@ -6,7 +6,7 @@
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
-import { grantPrefix } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 
 const workers = 24
 let harness: PoolHarness
--- a/src/runs/warmStandby.test.ts
+++ b/src/runs/warmStandby.test.ts
@@ -12,7 +12,7 @@
 import { createPrefixReplica } from '../store/prefixReplica.js'
 import { createPoolHarness, makeJob, makeStep } from '../testing/poolHarness.js'
 import type { HarnessOrder, PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
-import { grantPrefix } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 import { createWarmStandby } from './warmStandby.js'
 
 type Calls = Partial<Pick<MetadataStore, 'range' | 'watch' | 'keepLeaseAlive' | 'revokeLease'>>
--- a/src/runs/workerEvidence.test.ts
+++ b/src/runs/workerEvidence.test.ts
@@ -7,7 +7,7 @@
 import type { PoolHarness, PoolHarnessOptions } from '../testing/poolHarness.js'
 import type { PoolWorker } from '../standins/poolWorker.js'
 import { createPoolSteps } from '../testing/poolSteps.js'
-import { grantPrefix } from './grantRecord.js'
+import { grantPrefix } from './grantRecordFormat.js'
 
 const maxLeaseMs = 10_000
 let harness: PoolHarness
--- a/src/store/revisionGuard.ts
+++ b/src/store/revisionGuard.ts
@@ -22,16 +22,17 @@
 }
 
 /**
- * Sends a transaction that writes the guarded key, under the guard's condition and those in `expected`. It is sent again if only the guard's
- * condition failed, which means that an earlier write has been applied after all, or that another writer has changed the key. Errors: those of the store.
+ * Sends a transaction that writes the guarded key, and those of `otherGuards`, under the guards' conditions and those in `expected`. It is sent again if only conditions
+ * of guards failed, which means that an earlier write has been applied after all, or that another writer has changed a key. Errors: those of the store.
  */
-export async function transactGuarded (store: Pick<MetadataStore, 'transact'>, guard: RevisionGuard, transaction: Transaction): Promise<TransactionResult> {
+export async function transactGuarded (store: Pick<MetadataStore, 'transact'>, guard: RevisionGuard, transaction: Transaction, otherGuards: readonly RevisionGuard[] = []): Promise<TransactionResult> {
+  const guards = [guard, ...otherGuards]
   const result = await send()
   return result.isCommitted || !areConditionsMet(transaction.expected, result) ? result : await send()
 
   async function send (): Promise<TransactionResult> {
-    const result = await store.transact({ ...transaction, expected: [...transaction.expected, guard.getCondition()] })
-    guard.update(result)
+    const result = await store.transact({ ...transaction, expected: [...transaction.expected, ...guards.map(({ getCondition }) => getCondition())] })
+    for (const { update } of guards) update(result)
     return result
   }
 }
