--- a/src/readers/workerReader.ts
+++ b/src/readers/workerReader.ts
@@ -1,4 +1,5 @@
 /** Reads the ends that workers list while no host schedules. Its requests extend no lease and acknowledge nothing. */
+import { setMaxListeners } from 'node:events'
 import type { Logger } from '../common/logger.js'
 import { createSignal, delay } from '../common/time.js'
 import type { Signal } from '../common/time.js'
@@ -93,7 +94,10 @@
       }
       return
     }
-    session = { epoch, ending: new AbortController(), startedAtMs: performance.now(), workers: [], begun: new Set(), busy: new Set(), changed: createSignal(), requests: 0, ends: 0 }
+    const ending = new AbortController()
+    // Each worker that is read may wait on it.
+    setMaxListeners(0, ending.signal)
+    session = { epoch, ending, startedAtMs: performance.now(), workers: [], begun: new Set(), busy: new Set(), changed: createSignal(), requests: 0, ends: 0 }
     void readAssigned(session)
   }
 
