--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -7,7 +7,6 @@
 import type { DecisiveSlots } from './decisiveInquiries.js'
 import { RunScope } from './endEvidence.js'
 import { fastRetries, retryPauseMs } from './pollRetries.js'
-import type { FastRetry } from './pollRetries.js'
 import { createPollSender, InquiryVerdict, PollSubstitute } from './pollSender.js'
 import { createRelayedPolls } from './relayedPolls.js'
 import { createStoreWait } from './storeWait.js'
@@ -65,8 +64,9 @@
   readonly pollThroughPeers?: ((poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
   /** How likely it is that answers are lost; without it, no inquiry waits beside the polls. */
   readonly losses?: LinkLosses | undefined
-  /** The limits of inquiries where an end decides whether other work may start, and when the first such run that is expected to end after `afterMs` does so; undefined if none runs here. */
+  /** The limits of inquiries where an end decides whether other work may start. */
   readonly decisiveSlots?: DecisiveSlots
+  /** When the first run on the worker that is expected to end after `afterMs`, and whose end decides, does so, by the monotonic clock; undefined if no such run is here. */
   readonly getDecisiveEndMs?: (afterMs: number) => number | undefined
   /** Tells whether the lease may be extended through other hosts. */
   readonly mayExtendThroughPeers?: () => boolean
@@ -594,7 +594,7 @@
   }
 
   /** A worker that has never answered in this term may be down. */
-  function getFastRetry (): FastRetry | undefined {
+  function getFastRetry (): typeof fastRetries[number] | undefined {
     return hasAnswered && !isLeaseOver ? fastRetries[failedPolls - 1] : undefined
   }
 }
