--- a/src/runs/grantRecord.ts
+++ b/src/runs/grantRecord.ts
@@ -61,7 +61,7 @@
   /**
    * Has the record stored. `getUnanswered` returns the workers that have not answered this term, so that it has granted them no lease; they are granted none until
    * `include` has resolved. `getKnownLives` returns young lives of workers, by their starts as Unix time in ms, for which no order for an earlier life counts any more.
-   * `getRenewed` returns workers whose leases need not be extended before the next renewal of the record, which names them under the key of a timer. Until a record
+   * `getRenewed` returns workers that may answer, and when their leases end or that these may be extended; the record names them under keys of timers. Until a record
    * without them is stored, `getMaxGrantMs` is limited by the timer.
    * Resolves when the record is stored, or at the end of the term. A term that ends before it is called leaves no record.
    */
--- a/src/runs/renewedWorkers.ts
+++ b/src/runs/renewedWorkers.ts
@@ -1,6 +1,6 @@
 /**
- * Workers whose leases are not extended before the next renewal of the record of granted leases. The record names them under leases of the store that end soon after
- * theirs, so that a term which ends before it has noticed that a worker is gone leaves this to the next one. See docs/design/lease-evidence.md.
+ * Workers that may answer and that the record of granted leases names with each renewal, under leases of the store that end soon after theirs: a term which ends before
+ * it has noticed that a worker is gone leaves this to the next one. See docs/design/lease-evidence.md.
  */
 import type { EncodedRenewed } from './grantRecordFormat.js'
 import type { RecordLease } from './recordLease.js'
