--- a/review/platform-2/platform.mjs
+++ b/review/platform-2/platform.mjs
@@ -393,7 +393,7 @@
     if (call !== 'machine-upkeep') return [404]
     const machine = pool.machines.get(body.machine)
     const key = `${body.wave}/${body.machine}`
-    const answer = machine === undefined ? [400] : cloud.done.has(key) ? [200, {}] : machine.life === undefined ? [409, { reason: 'busy' }] : undefined
+    const answer = machine === undefined ? [400] : cloud.done.has(key) ? [200, {}] : machine.life === undefined || machine.life.draining ? [409, { reason: 'busy' }] : undefined
     note(`machine service: upkeep of ${body.machine} by ${headers['duty-holder']} (${headers['fence-token']}): ${answer?.[0] ?? 'begins'}`)
     if (answer !== undefined) return answer
     cloud.onUpkeep?.(machine)
