Lease ends: a module of their own; the log names the lease that is awaited and why

Three rules lead to the wait for the longest lease that workers grant, and no line of the log told them apart. `worker lost with its runs` now has `awaitedLease`: requested, uncertain-start, later-incarnation, young-incarnation or earlier-terms.

--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -17,7 +17,7 @@
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
 import { checkDisruption } from './disruptionBudget.js'
-import { AbsenceVerdict, describeEvidence, EvidenceSource, judgeAbsence } from './endEvidence.js'
+import { AbsenceVerdict, describeEvidence, EvidenceSource, judgeAbsence, RunScope } from './endEvidence.js'
 import type { EndEvidence, ReportOrigin } from './endEvidence.js'
 import { createStartRequests } from './startRequests.js'
 import type { WorkerLink } from './workerLink.js'
@@ -516,7 +516,7 @@
 
   function onWorkerLost (worker: WorkerState, source: EvidenceSource, uncertainRuns: ReadonlySet<string>): void {
     const { workerId } = worker.info
-    logger.warn('worker lost with its runs', { workerId, evidence: source, members: getMembers(workerId).size, uncertain: uncertainRuns.size, ...host.getLink(workerId)?.describeLease() })
+    logger.warn('worker lost with its runs', { workerId, evidence: source, members: getMembers(workerId).size, uncertain: uncertainRuns.size, ...host.getLink(workerId)?.describeLease(uncertainRuns.size === 0 ? RunScope.All : RunScope.Settled) })
     loseMembers(workerId, source, uncertainRuns)
     if (uncertainRuns.size === 0) worker.allocations.clear()
     host.onChanged()
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -16,28 +16,18 @@
 import { maxEndsPerReport } from '../workers/workerPort.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { minExtensionGapMs, minExtensionMs, overduePollMs, planExtension, renewalLeadMs } from './extensionTiming.js'
-import { getEarliestClockMs, getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
+import { createLeaseEnds } from './leaseEnds.js'
+import type { LeaseEndsHost } from './leaseEnds.js'
+import { getEarliestClockMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
-export interface WorkerLinkHost {
+export interface WorkerLinkHost extends Omit<LeaseEndsHost, 'isIncarnationKnown'> {
   readonly term: Term
   readonly logger: Logger
   readonly info: ListedWorker
   readonly port: WorkerPort
-  /** The longest lease that a worker grants, in ms. Schedulers of other versions may ask for it. */
-  readonly maxLeaseMs: number
-  /** The longest lease that this term asks for, in ms. */
-  readonly requestedLeaseMs: number
-  /** Tells whether orders of this term to another incarnation under the worker's id may have been sent before the link was created and may still be carried out. */
-  readonly hasEarlierOrders: boolean
-  /** Tells whether such orders of earlier terms may still be carried out when the link is created. */
-  readonly hasOrdersOfEarlierTerms: boolean
-  /** Tells whether the orders of earlier terms have been carried out, and the leases that counted from then are over. */
-  readonly areEarlierOrdersOver: () => boolean
   /** Tells whether an earlier term has recorded that no order for an earlier incarnation can count for the leases of this one. */
   readonly isIncarnationKnown?: (bornAtMs: number) => boolean
-  /** Tells whether a start request may still be carried out, also by an incarnation of which nothing is known. */
-  readonly hasUncertainRuns: () => boolean
   /** The longest lease that the worker may be granted now, in ms; 0 if none. */
   readonly getMaxGrantMs: () => number
   /** The longest lease, in ms, by which a poll may extend what runs on the worker now; 0 if none. */
@@ -46,8 +36,6 @@
   readonly requestExtension?: () => Promise<void>
   /** Called when the worker should have answered a poll and has not: its lease is not extended until it does. */
   readonly onOverdue?: () => void
-  /** Tells whether the leases of these runs that earlier terms have granted have certainly ended; false if that is not known. */
-  readonly areEarlierLeasesOver: (scope: RunScope) => boolean
   /** Tells whether this term has granted the worker no lease, and those of these runs that earlier terms have granted have certainly ended; false if that is not known. */
   readonly areAllLeasesOver: (scope: RunScope) => boolean
   /** Called before a request that grants the worker a lease is sent. */
@@ -128,13 +116,13 @@
   getUnextendedLeaseMs (): number | undefined
   /** Tells whether the settled runs have leases of this term that are no longer than it asks for: no order for another incarnation may count for them. */
   areLeasesAsRequested (): boolean
+  /** Tells whether orders for another incarnation may still reach the present one and count for its lease; see `LeaseEnds`. */
+  mayFollowEarlierOrders (): boolean
   /**
-   * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
-   * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
+   * The fields that describe in the log which lease of these runs is waited for and why, when this term last extended the worker's lease, how long a poll is under way, both
+   * in ms, and how many polls have failed since an answer.
    */
-  mayFollowEarlierOrders (): boolean
-  /** The fields that describe in the log when this term last extended the worker's lease, how long a poll is under way, both in ms, and how many polls have failed since an answer. */
-  describeLease (): object
+  describeLease (scope: RunScope): object
   close (): void
 }
 
@@ -188,32 +176,14 @@
   const storeWait = createStoreWait(() => getExpectedEndMs(-Infinity))
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
-  // Previous schedulers may have extended the lease until their terms ended, for as long as workers grant.
-  const earlierLeasesEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
-  /**
-   * Orders of earlier terms for an earlier incarnation may count for the lease of the present one. It refuses them as soon as it has carried out a request of this term: it has
-   * then seen a higher epoch.
-   */
-  let mayFollowEarlierTerms = host.hasOrdersOfEarlierTerms
-  /** When the last lease ends that the present incarnation may have got from such orders, by the monotonic clock. */
-  let earlierTermsEndMs = -Infinity
-  /** When the settled runs' leases of this term end, by the monotonic clock, unless a later incarnation may have got longer ones. */
-  let settledLeaseEndMs = performance.now() + getLongestDurationMs(host.requestedLeaseMs)
+  const leaseEnds = createLeaseEnds({ ...host, isIncarnationKnown: () => host.isIncarnationKnown?.(bornAtMs) === true })
   /** When the answer to the poll under way is expected, by the monotonic clock, and how long the answer to the latest one took beyond its wait. */
   let answerDueAtMs = -Infinity
   let answerDelayMs = 0
   /** The worker has answered again and its lease has not been extended since. */
   let hasRecovered = false
-  /** When the lease may last have been extended in this term, by the monotonic clock. */
-  let extendedAtMs = performance.now()
-  /** Orders of this term that extend a lease may have been sent to an incarnation under the worker's id. */
-  let hasExtendedLease = host.hasEarlierOrders
   /** The end of the lease that the present incarnation was last given, on its clock. */
   let grantedUntilMs: number | undefined
-  /** When the latest start was sent, by the monotonic clock. */
-  let startSentAtMs = -Infinity
-  /** When an incarnation was first seen to which orders of this term for an earlier one may be delivered, by the monotonic clock. */
-  let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
   const sender = createPollSender({ term, logger, workerId: info.workerId, port, getExpectedEndMs, isNeeded: host.isNeeded, onInquiryAnswered: applyInquiry, onInquiryFailed: () => { void relayed.poll() } })
   const inquiryHost = { term, port, pollThroughPeers: host.pollThroughPeers, getPollAgeMs: sender.getPollAgeMs, onFailed: onWaitingInquiryFailed }
   const waitingInquiry = createWaitingInquiry({ ...inquiryHost, losses: host.losses, isDue: areLossesLikely, getExpectedEndMs, onAnswered: applyWaitingInquiry })
@@ -235,7 +205,12 @@
   })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested, mayFollowEarlierOrders, describeLease: () => ({ leaseExtendedAgoMs: hasExtendedLease ? Math.round(performance.now() - extendedAtMs) : undefined, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }), close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested, mayFollowEarlierOrders: leaseEnds.mayFollowEarlierOrders, describeLease, close }
+
+  function describeLease (scope: RunScope): object {
+    const leaseExtendedAgoMs = leaseEnds.hasExtended() ? Math.round(performance.now() - leaseEnds.getExtendedAtMs()) : undefined
+    return { awaitedLease: leaseEnds.getLatest(scope).reason, leaseExtendedAgoMs, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }
+  }
 
   function close (): void {
     isClosed = true
@@ -266,8 +241,7 @@
     earlierIncarnations.add(bornAtMs)
     earlierIncarnations.delete(newBornAtMs)
     bornAtMs = newBornAtMs
-    if (hasExtendedLease) laterIncarnationSeenAtMs = performance.now()
-    mayFollowEarlierTerms = !host.areEarlierOrdersOver()
+    leaseEnds.onIncarnation()
     storedSequence = 0
     listedSequence = 0
     latestClockMs = -Infinity
@@ -277,35 +251,16 @@
     grantedUntilMs = undefined
   }
 
-  function mayFollowEarlierOrders (): boolean {
-    return (mayFollowEarlierTerms && !isIncarnationKnown()) || extendedAtMs - laterIncarnationSeenAtMs < maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
-  }
-
   /** Tells whether no lease of the worker lasts longer than the one that this term asks for. */
   function areLeasesAsRequested (): boolean {
-    return hasAnswered && clock !== undefined && !mayFollowEarlierOrders() && (isIncarnationKnown() || earlierTermsEndMs <= performance.now() + getLongestDurationMs(host.requestedLeaseMs))
-  }
-
-  function isIncarnationKnown (): boolean {
-    return host.isIncarnationKnown?.(bornAtMs) === true
-  }
-
-  function getLatestLeaseEndMs (scope: RunScope): number {
-    const isLongest = mayFollowEarlierOrders() || (scope === RunScope.All && host.hasUncertainRuns())
-    // An incarnation whose clock starts anew grants the longest lease from when it carries out an order.
-    const ownLeaseEndMs = isLongest ? Math.max(extendedAtMs, startSentAtMs) + getLongestDurationMs(host.maxLeaseMs) : settledLeaseEndMs
-    const leaseEndMs = isIncarnationKnown() ? ownLeaseEndMs : Math.max(ownLeaseEndMs, earlierTermsEndMs)
-    return host.areEarlierLeasesOver(scope) ? leaseEndMs : Math.max(leaseEndMs, earlierLeasesEndMs)
+    return hasAnswered && clock !== undefined && leaseEnds.areAsRequested()
   }
 
   function recordLeaseExtension (leaseUntilMs: number): void {
     host.onGrant()
-    extendedAtMs = performance.now()
-    const leaseMs = leaseUntilMs - getEarliestKnownClockMs()
-    settledLeaseEndMs = Math.max(settledLeaseEndMs, extendedAtMs + getLongestDurationMs(Math.min(host.requestedLeaseMs, Math.max(0, leaseMs + 1))))
+    leaseEnds.onExtension(leaseUntilMs - getEarliestKnownClockMs())
     grantedUntilMs = Math.max(grantedUntilMs ?? -Infinity, leaseUntilMs)
     hasRecovered = false
-    hasExtendedLease = true
     isLeaseOver = false
     areSettledRunsOver = false
   }
@@ -316,7 +271,7 @@
     if (leaseUntilMs === undefined || clock === undefined) return undefined
     const leftMs = (grantedUntilMs ?? -Infinity) - clock.workerMs - (performance.now() - clock.readAtMs)
     if (leftMs < host.requestedLeaseMs / 2) recordLeaseExtension(leaseUntilMs)
-    startSentAtMs = performance.now()
+    leaseEnds.onStart()
     // Wakes the polling, because only reports show whether the request was executed if its answer is lost.
     changed.notify()
     return grantedUntilMs
@@ -325,7 +280,7 @@
   function checkClock (clockMs: number): void {
     if (clock === undefined || clockMs >= getEarliestClockMs(clock.workerMs, performance.now() - clock.readAtMs) - maxClockErrorMs) return
     logger.warn('the clock of a worker is behind: a later incarnation answers', { workerId: info.workerId, clockMs, knownClockMs: clock.workerMs, knownBornAtMs: bornAtMs })
-    laterIncarnationSeenAtMs = performance.now()
+    leaseEnds.onUnknownIncarnation()
     clock = undefined
     grantedUntilMs = undefined
     changed.notify()
@@ -348,9 +303,9 @@
     if (!hasAnswered || grantedUntilMs === undefined) return undefined
     const nowMs = performance.now()
     const isOverdue = nowMs > answerDueAtMs + overduePollMs
-    const isExtensionFar = nowMs + renewalLeadMs < Math.max(answerDueAtMs, extendedAtMs + minExtensionGapMs)
+    const isExtensionFar = nowMs + renewalLeadMs < Math.max(answerDueAtMs, leaseEnds.getExtendedAtMs() + minExtensionGapMs)
     // Polls through other hosts extend the lease while they are answered, whenever they come.
-    return relayed.isAnswered() || (isReachable && !isOverdue && !isExtensionFar) ? undefined : getLatestLeaseEndMs(RunScope.Settled) - nowMs
+    return relayed.isAnswered() || (isReachable && !isOverdue && !isExtensionFar) ? undefined : leaseEnds.getLatest(RunScope.Settled).endMs - nowMs
   }
 
   /** Returns undefined if the lease cannot be extended by enough now. */
@@ -367,7 +322,7 @@
 
   function getLeaseLeftMs (scope: RunScope): number | undefined {
     if (isReachable || isLeaseOver) return undefined
-    return host.areAllLeasesOver(scope) ? 0 : Math.max(0, getLatestLeaseEndMs(scope) - performance.now())
+    return host.areAllLeasesOver(scope) ? 0 : Math.max(0, leaseEnds.getLatest(scope).endMs - performance.now())
   }
 
   async function pollUntilClosed (): Promise<void> {
@@ -401,7 +356,7 @@
     try {
       const acknowledgedSequence = sentAtMs - reportedAtMs < acknowledgementValidityMs ? storedSequence : 0
       const isExtendable = isConfirmed && isNeeded
-      const extension = planExtension({ sinceExtensionMs: sentAtMs - extendedAtMs, isExtended: leaseUntilMs !== undefined, hasRecovered, usualWaitMs: getWaitMs() })
+      const extension = planExtension({ sinceExtensionMs: sentAtMs - leaseEnds.getExtendedAtMs(), isExtended: leaseUntilMs !== undefined, hasRecovered, usualWaitMs: getWaitMs() })
       if (isExtendable && extension.isDelayed) void host.requestExtension?.().then(changed.notify)
       const isExtensionDue = isExtendable && (extension.isDelayed || getLeaseUntilMs() === undefined)
       const waitMs = !isExtendable || isExtensionDue ? 0 : extension.waitMs
@@ -530,16 +485,9 @@
     })
   }
 
-  /** After a request of this term, the incarnation that has answered it refuses the orders of earlier terms. */
-  function excludeEarlierTerms (report: WorkerStatusReport): void {
-    if (!mayFollowEarlierTerms || report.bornAtMs !== bornAtMs) return
-    mayFollowEarlierTerms = false
-    earlierTermsEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
-  }
-
   /** An end that an earlier report has listed counts as known, so that it has to be stored for that report before it is for this one. */
   function storeEnds (report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
-    excludeEarlierTerms(report)
+    if (report.bornAtMs === bornAtMs) leaseEnds.onAnswer()
     storing = Promise.all([storing, host.onReport(report, sentAtMs, isComplete)]).then(() => {})
     return storing
   }
@@ -584,7 +532,7 @@
     if (isClosed || isLeaseOver || failedPolls === 0 || !term.isValid()) return
     for (const scope of [RunScope.All, RunScope.Settled]) {
       const isByRecord = host.areAllLeasesOver(scope)
-      if (!isByRecord && performance.now() <= getLatestLeaseEndMs(scope)) continue
+      if (!isByRecord && performance.now() <= leaseEnds.getLatest(scope).endMs) continue
       if (scope === RunScope.Settled && areSettledRunsOver) return
       areSettledRunsOver = true
       isLeaseOver = scope === RunScope.All
