Starts: a run that a report lists is settled if it was started by one request

A start request without an answer kept its run uncertain for 15 s, whatever reports showed, so that the longest lease was waited for: a copy of the request might reach a later life of the worker. A request is carried out at most once. If only one was sent, and the present life has listed the run in a report that was requested since, that one has been carried out: the run ends with its life, at the latest with the lease that was asked for, also for the next term. Where the start was repeated, the report doesn't show which request it lists; the wait stays.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -37,6 +37,8 @@
   reportedBornAtMs?: number | undefined
   /** The number of start requests that have got no answer: each may still be carried out, also by a later incarnation of the worker. */
   unansweredStarts: number
+  /** The number of start requests that this term has sent, answered or not. */
+  startsSent: number
   startExclusion?: StartExclusion
   isStopLoopRunning: boolean
   progressPercent: number
@@ -256,7 +258,7 @@
 }
 
 function createMember (attempt: Attempt, index: number, { workerId, bornAtMs, machine = workerId }: Place, state: MemberState, nowMs: number): Member {
-  return { attempt, index, workerId, bornAtMs, machine, state, runningSinceMs: Infinity, unansweredStarts: 0, isStopLoopRunning: false, progressPercent: 0, progressedAtMs: nowMs }
+  return { attempt, index, workerId, bornAtMs, machine, state, runningSinceMs: Infinity, unansweredStarts: 0, startsSent: 0, isStopLoopRunning: false, progressPercent: 0, progressedAtMs: nowMs }
 }
 
 /** Returns the name of a member's task. */
--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -40,7 +40,10 @@
   hasUnanswered (workerId: string): boolean
   /** Since when the worker may be gone, by the monotonic clock: the first start request that got no answer since the worker last answered any request; undefined if there is none. */
   getDoubtedSinceMs (workerId: string): number | undefined
-  /** The runs, by allocation key, that have not ended, and of which a start request to the worker is under way, or has got no answer and may still be carried out. */
+  /**
+   * The runs, by allocation key, that have not ended, and of which a start request to the worker is under way, or has got no answer and may still be carried out: all but those
+   * whose only start request the present incarnation has carried out.
+   */
   getUncertainRuns (workerId: string): ReadonlySet<string>
   /** Must be called with each report of a worker. Excludes late starts of runs that have ended, if another incarnation of the worker reports than the one that excluded them. */
   onReport (workerId: string, incarnationMs: number): void
@@ -53,6 +56,7 @@
 
 interface UnansweredStart {
   readonly member: Member
+  readonly sentAtMs: number
   readonly untilMs: number
   /** The incarnation that will not carry it out, or that it was sent to. */
   incarnationMs: number
@@ -62,8 +66,8 @@
 export function createStartRequests (host: StartRequestsHost): StartRequests {
   const { term, logger } = host
   const unansweredByWorker = new Map<string, UnansweredStart[]>()
-  /** The members of which a start request is under way. */
-  const awaitingAnswer = new Set<Member>()
+  /** The members of which a start request is under way, and when it was sent, by the monotonic clock. */
+  const awaitingAnswer = new Map<Member, number>()
   /** When the first start request got no answer, by the workers that have answered nothing since. */
   const doubtedSinceMs = new Map<string, number>()
 
@@ -107,7 +111,9 @@
     const incarnationMs = link.getBornAtMs()
     member.state = MemberState.StartSent
     member.unansweredStarts++
-    awaitingAnswer.add(member)
+    member.startsSent++
+    const sentAtMs = performance.now()
+    awaitingAnswer.set(member, sentAtMs)
     const inquiryTimer = setTimeout(link.inquire, promptAnswerMs)
     try {
       const { answer, clockMs } = await link.port.start({
@@ -131,11 +137,12 @@
       logger.info('start request failed', { task: getTaskName(member), run: attempt.run, workerId, error: String(error) })
       if (isUnsent(error)) {
         member.unansweredStarts--
+        member.startsSent--
         return 'unsent'
       }
       if (!doubtedSinceMs.has(workerId)) doubtedSinceMs.set(workerId, performance.now())
       for (const otherId of unansweredByWorker.keys()) getUnanswered(otherId)
-      unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, untilMs: performance.now() + maxRequestDelayMs, incarnationMs }])
+      unansweredByWorker.set(workerId, [...getUnanswered(workerId), { member, sentAtMs, untilMs: performance.now() + maxRequestDelayMs, incarnationMs }])
       return 'lost'
     } finally {
       clearTimeout(inquiryTimer)
@@ -176,9 +183,14 @@
   }
 
   function getUncertainRuns (workerId: string): ReadonlySet<string> {
-    const awaiting = [...awaitingAnswer].filter(member => member.workerId === workerId)
-    const uncertain = [...awaiting, ...getUnanswered(workerId).map(({ member }) => member)].filter(({ state }) => state !== MemberState.Ended)
-    return new Set(uncertain.map(member => getAllocationKey(getTaskName(member), member.attempt.run)))
+    const awaiting = [...awaitingAnswer].flatMap(([member, sentAtMs]) => member.workerId === workerId ? { member, sentAtMs } : [])
+    const uncertain = [...awaiting, ...getUnanswered(workerId)].filter(({ member, sentAtMs }) => member.state !== MemberState.Ended && !isCarriedOut(member, sentAtMs))
+    return new Set(uncertain.map(({ member }) => getAllocationKey(getTaskName(member), member.attempt.run)))
+  }
+
+  /** Tells whether the report of an incarnation that lists the run shows that its only start request, sent at `sentAtMs`, has been carried out. A repeated one may be the one that it shows. */
+  function isCarriedOut ({ workerId, startsSent, reportedAtMs, reportedBornAtMs }: Member, sentAtMs: number): boolean {
+    return startsSent === 1 && reportedAtMs !== undefined && reportedAtMs >= sentAtMs && reportedBornAtMs !== undefined && reportedBornAtMs === host.getLink(workerId)?.getBornAtMs()
   }
 
   function onReport (workerId: string, incarnationMs: number): void {
