Lease model: a listed run with a repeated start is not settled

The policy `seen runs` takes such a run as settled. Another request of the run may still be under way.

`seen single starts` does so only if one request was sent. A request is taken to be carried out once at most.

LOST by an own start without an answer now says whether a report has listed the run since. Two tests that name all classes of LOST name the new one too. Scenarios can limit how often a start is sent.

--- a/src/model/endPolicies.ts
+++ b/src/model/endPolicies.ts
@@ -32,6 +32,12 @@
   readonly unansweredAge: number
   /** The worker has confirmed to this term that the run is at work. */
   readonly isConfirmed: boolean
+  /** A report of `reportedLife` that was requested after this term sent the latest start request that has no answer lists the run. */
+  readonly isListedSinceStart: boolean
+  /** Start requests of this term that have got no answer. */
+  readonly unansweredStarts: number
+  /** A start request of this term has been answered. */
+  readonly isStartAnswered: boolean
 }
 
 /** How the record of a term mentions a worker that does not answer. */
@@ -80,6 +86,9 @@
   LaterLifeListed = 'later-life-listed'
 }
 
+/** When a run of which a start has got no answer counts as settled, although the request may still be under way. */
+enum Settlement { Never, Listed, ListedSingleStart }
+
 /** A rule for the runs of silent workers. */
 export interface EndPolicy {
   readonly name: string
@@ -103,6 +112,8 @@
   readonly mayExtend?: (entry: SilentEntry, times: LeaseTimes) => boolean
   /** Runs that are planned after the renewal are not excepted; for tests. */
   readonly coversLaterRuns?: boolean
+  /** Whether it matters if a report lists a run after a start without an answer; otherwise the model does not keep it, so that it has fewer states. */
+  readonly usesListedRuns?: boolean
 }
 
 /** Decides for the whole worker: one start without an answer keeps it out of the record. The rule up to 3ba3df9. */
@@ -141,18 +152,32 @@
 /** As `renewedEndsPolicy`, but what the record says is also used for runs that were planned after it was written. */
 export const laterRunsPolicy: EndPolicy = { ...renewedEndsPolicy, name: 'renewed ends, later runs', coversLaterRuns: true }
 
+const extensibleOptions: PerRunOptions = { isVouchByTermAge: true, readsStartClock: true, recordsAtRenewal: true, namesExtensible: true }
+
 /**
  * As `renewedEndsPolicy`, but a worker whose lease is to be extended is named too, under a timer that lasts one step longer than the lease that is asked for: a term that ends
  * before the next renewal leaves no worker that has only such leases to be waited for with the whole record.
  */
-export const extensibleEndsPolicy: EndPolicy = createPerRunPolicy('extensible ends', { isVouchByTermAge: true, readsStartClock: true, recordsAtRenewal: true, namesExtensible: true })
+export const extensibleEndsPolicy: EndPolicy = createPerRunPolicy('extensible ends', extensibleOptions)
 
 /** As `extensibleEndsPolicy`, but leases are extended beyond the timer; for tests. */
 export const overrunTimerPolicy: EndPolicy = { ...extensibleEndsPolicy, name: 'extensible ends, overrun timer', mayExtend: () => true }
 
+/**
+ * As `extensibleEndsPolicy`, but a run counts as settled while the life that the term knows has listed it since the latest start without an answer was sent, whether or not
+ * another request of it may still be carried out.
+ */
+export const seenRunsPolicy: EndPolicy = createPerRunPolicy('seen runs', { ...extensibleOptions, settlement: Settlement.Listed })
+
+/** As `seenRunsPolicy`, but only if the start was sent once: the request that got no answer is the one that has been carried out. */
+export const seenSingleStartsPolicy: EndPolicy = createPerRunPolicy('seen single starts', { ...extensibleOptions, settlement: Settlement.ListedSingleStart })
+
 /** All policies that are compared. */
 export const endPolicies: readonly EndPolicy[] = [perWorkerPolicy, productPolicy, renewedEndsPolicy, extensibleEndsPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, listedLifePolicy, inheritedStartsPolicy, unconditionalPolicy]
 
+/** Candidates for shorter waits, to compare with `extensibleEndsPolicy`. */
+export const shorterWaitPolicies: readonly EndPolicy[] = [seenRunsPolicy, seenSingleStartsPolicy]
+
 /** The parts in which the policies for each run differ. */
 interface PerRunOptions {
   /** What a term vouches for holds only for runs that were planned for the life that it knew, while the list shows no other one. */
@@ -164,6 +189,7 @@
   readonly areInheritedUncertain?: boolean
   readonly recordsAtRenewal?: boolean
   readonly namesExtensible?: boolean
+  readonly settlement?: Settlement
 }
 
 function createPerWorkerPolicy (name: string, mayRecord: (evidence: TermEvidence) => boolean): EndPolicy {
@@ -183,8 +209,8 @@
   }
 }
 
-function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false, recordsAtRenewal = false, namesExtensible = false }: PerRunOptions): EndPolicy {
-  return { name, readsStartClock, getEnd: getRunEnd, describeSilence, ...recordsAtRenewal ? { describeRenewal } : {}, ...namesExtensible ? { describeExtensible, mayExtend: ({ timerSteps }: SilentEntry, { requestedLease }: LeaseTimes) => timerSteps >= requestedLease } : {} }
+function createPerRunPolicy (name: string, { isVouchForLife = false, isVouchByTermAge = false, readsStartClock = false, endsWithListedLife = false, areInheritedUncertain = false, recordsAtRenewal = false, namesExtensible = false, settlement = Settlement.Never }: PerRunOptions): EndPolicy {
+  return { name, readsStartClock, getEnd: getRunEnd, describeSilence, ...recordsAtRenewal ? { describeRenewal } : {}, ...namesExtensible ? { describeExtensible, mayExtend: ({ timerSteps }: SilentEntry, { requestedLease }: LeaseTimes) => timerSteps >= requestedLease } : {}, ...settlement === Settlement.Never ? {} : { usesListedRuns: true } }
 
   function getRunEnd (evidence: TermEvidence, run: RunEvidence): EndSource | undefined {
     const { listedLife, times } = evidence
@@ -194,9 +220,14 @@
     return getEnd(evidence, run, areEarlierLeasesOver, getLeaseEndSteps)
   }
 
-  /** Tells whether a start request sent less than `steps` ago has got no answer. */
-  function mayHaveStarts ({ termAge }: TermEvidence, { unansweredAge, isRestored }: RunEvidence, steps: number): boolean {
-    return unansweredAge < steps || (areInheritedUncertain && isRestored && termAge < steps)
+  /** Tells whether a start request sent less than `steps` ago has got no answer, and the run is not settled. */
+  function mayHaveStarts (evidence: TermEvidence, run: RunEvidence, steps: number): boolean {
+    return (run.unansweredAge < steps && !isSettled(evidence, run)) || (areInheritedUncertain && run.isRestored && evidence.termAge < steps)
+  }
+
+  function isSettled ({ knownLife }: TermEvidence, { reportedLife, isListedSinceStart, unansweredStarts, isStartAnswered }: RunEvidence): boolean {
+    if (settlement === Settlement.Never || !isListedSinceStart || reportedLife !== knownLife) return false
+    return settlement === Settlement.Listed || (unansweredStarts === 1 && !isStartAnswered)
   }
 
   function describeSilence (evidence: TermEvidence): SilentEntry {
@@ -236,7 +267,7 @@
 
   function getLeaseEndSteps (evidence: TermEvidence, run: RunEvidence): number {
     const mayFollow = mayFollowEarlierOrders(isVouchByTermAge ? countYoungLife(evidence) : evidence)
-    return isUncertain(evidence, run) || mayFollow ? evidence.times.maxLease : evidence.times.requestedLease
+    return (isUncertain(evidence, run) && !isSettled(evidence, run)) || mayFollow ? evidence.times.maxLease : evidence.times.requestedLease
   }
 
   function mayVouch (evidence: TermEvidence): boolean {
--- a/src/model/leaseModel.test.ts
+++ b/src/model/leaseModel.test.ts
@@ -1,14 +1,15 @@
 import { describe, expect, test } from '@jest/globals'
-import { endPolicies, extensibleEndsPolicy, inheritedStartsPolicy, laterRunsPolicy, overrunTimerPolicy, perRunPolicy, perWorkerPolicy, productPolicy, renewedEndsPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
+import { endPolicies, extensibleEndsPolicy, inheritedStartsPolicy, laterRunsPolicy, overrunTimerPolicy, perRunPolicy, perWorkerPolicy, productPolicy, renewedEndsPolicy, seenRunsPolicy, seenSingleStartsPolicy, startClockPolicy, vouchedLifePolicy } from './endPolicies.js'
 import type { EndPolicy } from './endPolicies.js'
 import { explore } from './explorer.js'
 import type { Exploration } from './explorer.js'
 import { getMinimalFindings } from './findings.js'
 import { createLeaseModel, Invariant } from './leaseModel.js'
-import { lateStartScenario, lossScenario, retryScenario, smallRestartScenario, twoTermsScenario, unknownLifeScenario } from './leaseScenarios.js'
+import { lateStartScenario, lossScenario, retryScenario, seenRunScenario, seenSingleStartScenario, smallRestartScenario, twoTermsScenario, unknownLifeScenario } from './leaseScenarios.js'
 import type { NamedScenario } from './leaseScenarios.js'
 
 const otherStart = 'LOST: start of another run without an answer'
+const listedStart = 'LOST: own start without an answer, listed since'
 const unknownLife = 'TWICE: ended by lease-expired, at work by a start on time in a later life that its term did not know'
 const vouchedForOtherLife = 'TWICE: ended by lease-expired, at work by a start on time, lease lengthened by a late poll'
 const unknownEarlierStart = 'TWICE: ended by earlier-leases-over, at work by a late start in a listed later life'
@@ -34,7 +35,7 @@
     for (const policy of [productPolicy, perRunPolicy, vouchedLifePolicy, startClockPolicy, inheritedStartsPolicy]) {
       const result = check(lossScenario, policy)
       expect(result.isComplete).toBe(true)
-      expect(getClasses(result)).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer'])
+      expect(getClasses(result)).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer', listedStart])
     }
   })
 
@@ -48,7 +49,7 @@
   })
 
   test('with such a record, runs are waited for longer only if the term ended while the lease could be extended, or if their starts were sent after the last renewal or got no answer', () => {
-    expect(getClasses(check(lossScenario, renewedEndsPolicy))).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer', 'LOST: start after the last renewal of an earlier record'])
+    expect(getClasses(check(lossScenario, renewedEndsPolicy))).toEqual(['LOST: end of a term before the silence was recorded', 'LOST: own start without an answer', listedStart, 'LOST: start after the last renewal of an earlier record'])
   })
 
   test('finds that such a record must not be used for runs that were planned after the last renewal', () => {
@@ -63,6 +64,23 @@
     expect(getClasses(check(scenario, overrunTimerPolicy), Invariant.Twice)).toContain('TWICE: ended by earlier-leases-over, at work by a start on time')
   })
 
+  test('finds that a run which a report lists after a repeated start without an answer is not settled: the other request may be carried out by a later life', () => {
+    const scenario = { ...seenRunScenario, maxDepth: 5 }
+    const present = getClasses(check(scenario, extensibleEndsPolicy), Invariant.Twice)
+    const repeatedStart = 'TWICE: ended by lease-expired, at work by a late start in a listed later life'
+    expect(present).not.toContain(repeatedStart)
+    expect(getClasses(check(scenario, seenRunsPolicy), Invariant.Twice)).toContain(repeatedStart)
+    expect(getClasses(check(scenario, seenSingleStartsPolicy), Invariant.Twice)).toEqual(present)
+  })
+
+  test('a run which a report lists after its only start, which got no answer, is not waited for with the longest lease', () => {
+    const scenario = { ...seenSingleStartScenario, maxDepth: 5 }
+    const present = check(scenario, extensibleEndsPolicy)
+    const settled = check(scenario, seenSingleStartsPolicy)
+    expect(getClasses(present)).toContain(listedStart)
+    expect(getClasses(settled)).toEqual(getClasses(present).filter(name => name !== listedStart))
+  })
+
   test('finds a rule that ends runs one step too early', () => {
     const early: EndPolicy = {
       ...perRunPolicy,
--- a/src/model/leaseModel.ts
+++ b/src/model/leaseModel.ts
@@ -4,7 +4,7 @@
  */
 import type { EarlierRecord, EndPolicy, LeaseTimes, RunEvidence, SilentEntry, TermEvidence } from './endPolicies.js'
 import type { Choose, Finding, Model } from './explorer.js'
-import { ageLimit, Begin, beginNames, clone, countDown, createRun, createTerm, Cut, getKey, getRecord, getRun, isNamed, isReachable, Outcome, RunState } from './leaseModelState.js'
+import { ageLimit, Begin, beginNames, clone, countDown, createRun, createTerm, Cut, getKey, getRecord, getRun, isNamed, isReachable, Outcome, RunState, UnansweredStart } from './leaseModelState.js'
 import type { Disturbances, LateOrder, LeaseState, RecordModel, RunModel, TermModel } from './leaseModelState.js'
 
 /** A scenario to explore. */
@@ -20,6 +20,8 @@
   readonly listDelay: number
   /** Whether the worker is idle at first, so that it is not polled; otherwise run 0 is at work. */
   readonly isIdle: boolean
+  /** How many times a start without an answer is sent. */
+  readonly maxTries: number
 }
 
 /** Rules that a policy can break. */
@@ -37,7 +39,7 @@
 const runCount = 2
 const poll = -1
 /** Creates the model of a scenario. */
-export function createLeaseModel ({ policy, times, disturbances, maxDelay, isFirstLifeYoung, listDelay, isIdle }: LeaseScenario): Model<LeaseState> {
+export function createLeaseModel ({ policy, times, disturbances, maxDelay, isFirstLifeYoung, listDelay, isIdle, maxTries }: LeaseScenario): Model<LeaseState> {
   const maxAge = times.youngLife + 1
   return { initial: createInitial(), clone, getKey, advance }
 
@@ -187,6 +189,7 @@
       run.state = RunState.StartSent
       run.runningLife = 0
       run.reportedLife = 0
+      forgetStarts(run)
       run.isRestored = true
       run.unansweredAge = Infinity
     }
@@ -308,6 +311,8 @@
         run.state = RunState.Running
         run.runningLife = state.life
         run.reportedLife = state.life
+        if (run.unansweredStart === UnansweredStart.Unlisted) run.unansweredStart = UnansweredStart.Listed
+        run.isListedSinceStart = policy.usesListedRuns === true && run.unansweredStarts > 0
         continue
       }
       const isLost = run.state === RunState.Running && (run.unansweredAge === Infinity || run.runningLife === state.life)
@@ -321,8 +326,8 @@
     const run = getRun(state, index)
     run.state = RunState.StartSent
     run.plannedLife = term.knownLife
-    // A start without an answer is repeated once: that one may be answered while the first is under way.
-    for (let tries = 0; tries < 2; tries++) {
+    // A repeated start may be answered while the one before is under way.
+    for (let tries = 0; tries < maxTries; tries++) {
       const isExtension = mayExtend(getRecord(state, term))
       if (isExtension) recordExtension(state, term)
       term.startAge = 0
@@ -331,6 +336,7 @@
       if (outcome === Outcome.Answered) {
         run.state = RunState.Running
         run.runningLife = term.knownLife
+        run.isStartAnswered = policy.usesListedRuns === true
         if (policy.readsStartClock && state.life > term.knownLife) learnLife(term, state.life)
         return
       }
@@ -339,7 +345,8 @@
         return
       }
       run.unansweredAge = 0
-      run.hadUnanswered = true
+      run.unansweredStart = UnansweredStart.Unlisted
+      if (policy.usesListedRuns === true) run.unansweredStarts++
     }
   }
 
@@ -395,13 +402,20 @@
     run.reportedLife = 0
     run.plannedLife = 0
     run.isRestored = false
+    forgetStarts(run)
+  }
+
+  function forgetStarts (run: RunModel): void {
+    run.isListedSinceStart = false
+    run.unansweredStarts = 0
+    run.isStartAnswered = false
   }
 
   function getEvidence (state: LeaseState, term: TermModel): TermEvidence {
     const runs: RunEvidence[] = []
     for (const [index, run] of state.runs.entries()) {
       if (run.state === RunState.None) continue
-      runs.push({ index, hasEnded: run.state === RunState.Ended, plannedLife: run.plannedLife, reportedLife: run.reportedLife, isRestored: run.isRestored, unansweredAge: run.unansweredAge, isConfirmed: run.state === RunState.Running })
+      runs.push({ index, hasEnded: run.state === RunState.Ended, plannedLife: run.plannedLife, reportedLife: run.reportedLife, isRestored: run.isRestored, unansweredAge: run.unansweredAge, isConfirmed: run.state === RunState.Running, isListedSinceStart: run.isListedSinceStart, unansweredStarts: run.unansweredStarts, isStartAnswered: run.isStartAnswered })
     }
     const earlierRecords: EarlierRecord[] = state.records.flatMap(({ term: index, isExcluded, silent, renewal }) => index === term.index ? [] : { isExcluded, silent: silent ?? renewal })
     return {
@@ -444,8 +458,8 @@
     const { left, runs, life, records } = state
     const causes = [
       ...records.some(({ term, silent, renewal }) => term < state.termCount && silent === undefined && renewal?.exceptions.includes(index) === true) ? ['start after the last renewal of an earlier record'] : [],
-      ...getRun(state, index).hadUnanswered ? ['own start without an answer'] : [],
-      ...runs.some((run, other) => other !== index && run.hadUnanswered) ? ['start of another run without an answer'] : [],
+      ...getOwnStartCause(getRun(state, index)),
+      ...runs.some((run, other) => other !== index && run.unansweredStart !== UnansweredStart.None) ? ['start of another run without an answer'] : [],
       ...state.wasLossUnnoticed ? ['end of a term before the silence was recorded'] : [],
       ...left.lostWrites < disturbances.lostWrites ? ['write lost'] : [],
       ...life > 1 ? ['later life'] : [],
@@ -453,4 +467,9 @@
     ]
     return causes.length === 0 ? 'no cause' : causes.join(' + ')
   }
+
+  function getOwnStartCause ({ unansweredStart }: RunModel): string[] {
+    if (unansweredStart === UnansweredStart.None) return []
+    return [unansweredStart === UnansweredStart.Listed ? 'own start without an answer, listed since' : 'own start without an answer']
+  }
 }
--- a/src/model/leaseModelCheck.ts
+++ b/src/model/leaseModelCheck.ts
@@ -1,5 +1,5 @@
 /** `npm run model`: explores the lease model for each policy and scenario, and prints the shortest trace to each class of violations. */
-import { endPolicies } from './endPolicies.js'
+import { endPolicies, shorterWaitPolicies } from './endPolicies.js'
 import { explore } from './explorer.js'
 import { getMinimalFindings } from './findings.js'
 import { createLeaseModel } from './leaseModel.js'
@@ -12,7 +12,7 @@
 const maxStates = Number(process.env.STATES ?? 2_000_000)
 
 for (const scenario of leaseScenarios.filter(({ name }) => scenarioNames?.includes(name) ?? true)) {
-  for (const policy of endPolicies.filter(({ name }) => policyNames?.includes(name) ?? true)) {
+  for (const policy of [...endPolicies, ...shorterWaitPolicies].filter(({ name }) => policyNames?.includes(name) ?? true)) {
     const startedAtMs = performance.now()
     const { states, transitions, depth, isComplete, findings } = explore(createLeaseModel({ ...scenario, policy }), { maxDepth: Math.min(maxDepth, scenario.maxDepth), maxStates })
     const bound = isComplete ? 'all states' : `bounded to ${depth} steps`
--- a/src/model/leaseModelState.ts
+++ b/src/model/leaseModelState.ts
@@ -38,6 +38,9 @@
   [Begin.LateHiddenLife]: 'a late start in a hidden later life'
 }
 
+/** Whether a start of a run has got no answer, and whether a report has listed the run since. */
+export enum UnansweredStart { None, Unlisted, Listed }
+
 /** An order that may be carried out late. */
 export interface LateOrder {
   /** The run to start, or `poll`. */
@@ -58,10 +61,15 @@
   runningLife: number
   unansweredAge: number
   isRestored: boolean
-  /** Not part of what a term knows: a start of any term has got no answer. */
-  hadUnanswered: boolean
+  /** Not part of what a term knows: for the starts of all terms. */
+  unansweredStart: UnansweredStart
   /** The latest life whose report to the present term lists it; 0 if there is none. */
   reportedLife: number
+  /** A report of that life that was requested after the latest start without an answer lists it. */
+  isListedSinceStart: boolean
+  /** Start requests of the present term that have got no answer, and whether one has been answered. */
+  unansweredStarts: number
+  isStartAnswered: boolean
   /** Not part of what a term knows: how the work that is under way has begun. */
   begun: Begin
   /** By what the run counts as ended. */
@@ -130,7 +138,7 @@
 
 /** Creates a run that has not been planned. */
 export function createRun (): RunModel {
-  return { state: RunState.None, plannedLife: 0, runningLife: 0, unansweredAge: Infinity, isRestored: false, hadUnanswered: false, reportedLife: 0, begun: Begin.OnTime, endedBy: '', overdueSteps: 0 }
+  return { state: RunState.None, plannedLife: 0, runningLife: 0, unansweredAge: Infinity, isRestored: false, unansweredStart: UnansweredStart.None, reportedLife: 0, isListedSinceStart: false, unansweredStarts: 0, isStartAnswered: false, begun: Begin.OnTime, endedBy: '', overdueSteps: 0 }
 }
 
 /** Creates a term that begins. */
@@ -186,7 +194,7 @@
   add(left.deaths, left.restarts, left.cuts, left.lostAnswers, left.lateOrders, left.termEnds, left.lostWrites)
   for (const age of state.lifeAges) add(age)
   for (const run of state.runs) {
-    add(run.state, run.plannedLife, run.runningLife, run.reportedLife, run.begun, Math.min(ageLimit, run.unansweredAge), run.overdueSteps, Number(run.isRestored), Number(run.hadUnanswered), run.endedBy.length)
+    add(run.state, run.plannedLife, run.runningLife, run.reportedLife, run.begun, Math.min(ageLimit, run.unansweredAge), run.overdueSteps, Number(run.isListedSinceStart), run.unansweredStarts, Number(run.isStartAnswered), Number(run.isRestored), run.unansweredStart, run.endedBy.length)
   }
   for (const { term, ttl, isExcluded, silent, renewal } of state.records) {
     add(term, ttl, Number(isExcluded))
--- a/src/model/leaseScenarios.ts
+++ b/src/model/leaseScenarios.ts
@@ -15,7 +15,7 @@
 const scaledTimes: LeaseTimes = { requestedLease: 3, maxLease: 5, maxRequestDelay: 7, recordTtl: 6, youngLife: 13 }
 
 const none = { deaths: 0, restarts: 0, cuts: 0, lostAnswers: 0, lateOrders: 0, termEnds: 0, lostWrites: 0 }
-const base = { times: shortTimes, maxDelay: shortTimes.maxRequestDelay, isFirstLifeYoung: false, listDelay: 2, isIdle: false }
+const base = { times: shortTimes, maxDelay: shortTimes.maxRequestDelay, isFirstLifeYoung: false, listDelay: 2, isIdle: false, maxTries: 2 }
 
 /** A worker that is lost while starts are under way, and a takeover. */
 export const lossScenario: NamedScenario = { ...base, name: 'loss', disturbances: { ...none, deaths: 1, lostAnswers: 2, termEnds: 1 }, maxDepth: 40 }
@@ -40,6 +40,12 @@
 /** A worker that restarts while one of two tries of a start is under way. */
 export const lateStartScenario: NamedScenario = { ...base, name: 'late start', disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 2, lateOrders: 1 }, maxDepth: 6 }
 
+/** A worker that restarts once or is gone for good, one start without an answer, and nothing else that could keep the term from polling the worker. */
+export const seenRunScenario: NamedScenario = { ...base, name: 'seen run', disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 1, lateOrders: 1 }, maxDepth: 9 }
+
+/** As `seenRunScenario`, but starts are sent once. */
+export const seenSingleStartScenario: NamedScenario = { ...seenRunScenario, name: 'seen run, single start', maxTries: 1 }
+
 /** A start of which one try stays under way while two terms end, and a worker that restarts. */
 export const retryScenario: NamedScenario = { ...base, name: 'retry', listDelay: 0, disturbances: { ...none, deaths: 1, restarts: 1, lostAnswers: 2, lateOrders: 1, termEnds: 2 }, maxDepth: 6 }
 
@@ -59,6 +65,12 @@
   { ...twoTermsScenario, name: 'two ends, scaled', times: scaledTimes, maxDelay: scaledTimes.maxRequestDelay, maxDepth: 10 },
   { ...twoTermsScenario, name: 'two ends, restart', listDelay: 0, disturbances: { ...twoTermsScenario.disturbances, restarts: 1 }, maxDepth: 7 },
   lateStartScenario,
+  seenRunScenario,
+  { ...seenRunScenario, name: 'seen run, scaled', times: scaledTimes, maxDelay: scaledTimes.maxLease },
+  seenSingleStartScenario,
+  { ...seenSingleStartScenario, name: 'seen run, single start, scaled', times: scaledTimes, maxDelay: scaledTimes.maxLease },
+  { ...seenSingleStartScenario, name: 'seen run, single start, cuts', disturbances: { ...seenRunScenario.disturbances, cuts: 1 } },
+  { ...restartScenario, name: 'restart, small, single start', listDelay: 0, maxDelay: 3, maxTries: 1, maxDepth: 6 },
   retryScenario,
   unknownLifeScenario,
   smallRestartScenario,
