Worker links: one that is created anew in a term takes over what the term knows

Where the entry of a worker had lapsed and came back, or its address had changed, the link was created anew and took every order of the term for one to another life of the worker, whose clock starts anew: the longest lease was waited for, for 25 s. It also counted the leases of earlier terms from its own creation, though these end with the start of the term. The pool now keeps the life and the orders of a closed link, and earlier leases count from when the term began.

The log's new field showed the second part: `awaitedLease` earlier-terms, 7,204 ms after the last extension, when the first part was mended. replacementTime.test.ts, lapsed entry: 10,340 ms before, in time after.

--- a/src/runs/evacuatedStarts.test.ts
+++ b/src/runs/evacuatedStarts.test.ts
@@ -91,6 +91,7 @@
       getUnextendedLeaseMs: () => undefined,
       areLeasesAsRequested: () => false,
       mayFollowEarlierOrders: () => false,
+      getOrders: () => undefined,
       describeLease: () => ({}),
       close: () => {}
     }),
--- a/src/runs/leaseEnds.ts
+++ b/src/runs/leaseEnds.ts
@@ -8,8 +8,10 @@
   readonly maxLeaseMs: number
   /** The longest lease that this term asks for, in ms. */
   readonly requestedLeaseMs: number
-  /** Tells whether orders of this term to another incarnation under the worker's id may have been sent before and may still be carried out. */
-  readonly hasEarlierOrders: boolean
+  /** When this term began to schedule, by the monotonic clock: earlier ones have granted no lease since. */
+  readonly termStartedAtMs: number
+  /** The orders of this term under the worker's id before these lease ends were created; undefined if there were none. */
+  readonly earlierOrders: EarlierOrders | undefined
   /** Tells whether such orders of earlier terms may still be carried out. */
   readonly hasOrdersOfEarlierTerms: boolean
   /** Tells whether the orders of earlier terms have been carried out, and the leases that counted from then are over. */
@@ -22,6 +24,15 @@
   readonly areEarlierLeasesOver: (scope: RunScope) => boolean
 }
 
+/** Orders of this term that were sent through an earlier link to a worker of the same id. */
+export interface EarlierOrders {
+  /**
+   * When an incarnation was first seen to which orders of this term for an earlier one may be delivered, by the monotonic clock; -Infinity if all were sent to the present
+   * incarnation.
+   */
+  readonly laterIncarnationSeenAtMs: number
+}
+
 /** Why a lease may still last. */
 export enum LeaseReason {
   /** This term has asked for it. */
@@ -56,8 +67,8 @@
   onAnswer (): void
   /** When the lease may last have been extended in this term, or the link was created. */
   getExtendedAtMs (): number
-  /** Tells whether orders of this term that extend a lease may have been sent under the worker's id. */
-  hasExtended (): boolean
+  /** The orders of this term that may have extended a lease under the worker's id; undefined if there are none. */
+  getOrders (): EarlierOrders | undefined
   /**
    * Tells whether orders for another incarnation may still reach the present one and count for its lease: the clock of an incarnation starts anew, so that an order for an
    * earlier one that it carries out late asks for the longest lease that it grants. Those of earlier terms may until it has answered this term.
@@ -72,7 +83,7 @@
 /** Creates the lease ends of one link. */
 export function createLeaseEnds (host: LeaseEndsHost): LeaseEnds {
   // Previous schedulers may have extended the lease until their terms ended, for as long as workers grant.
-  const earlierLeasesEndMs = performance.now() + getLongestDurationMs(host.maxLeaseMs)
+  const earlierLeasesEndMs = host.termStartedAtMs + getLongestDurationMs(host.maxLeaseMs)
   /**
    * Orders of earlier terms for an earlier incarnation may count for the lease of the present one. It refuses them as soon as it has carried out a request of this term: it has
    * then seen a higher epoch.
@@ -83,11 +94,11 @@
   /** When the settled runs' leases of this term end, unless a later incarnation may have got longer ones. */
   let settledEndMs = performance.now() + getLongestDurationMs(host.requestedLeaseMs)
   let extendedAtMs = performance.now()
-  let hasExtended = host.hasEarlierOrders
+  let hasExtended = host.earlierOrders !== undefined
   /** When the latest start was sent. */
   let startSentAtMs = -Infinity
   /** When an incarnation was first seen to which orders of this term for an earlier one may be delivered. */
-  let laterIncarnationSeenAtMs = host.hasEarlierOrders ? performance.now() : -Infinity
+  let laterIncarnationSeenAtMs = host.earlierOrders?.laterIncarnationSeenAtMs ?? -Infinity
 
   return {
     onExtension,
@@ -96,7 +107,7 @@
     onUnknownIncarnation: () => { laterIncarnationSeenAtMs = performance.now() },
     onAnswer,
     getExtendedAtMs: () => extendedAtMs,
-    hasExtended: () => hasExtended,
+    getOrders: () => hasExtended ? { laterIncarnationSeenAtMs } : undefined,
     mayFollowEarlierOrders: () => mayFollowOrdersOfEarlierTerms() || mayFollowOrdersOfThisTerm(),
     areAsRequested,
     getLatest
--- a/src/runs/replacementTime.test.ts
+++ b/src/runs/replacementTime.test.ts
@@ -116,7 +116,7 @@
 })
 
 // The entry of a living worker may lapse while the store is away.
-test.failing('a run on a worker whose entry had lapsed and came back is replaced in time', async () => {
+test('a run on a worker whose entry had lapsed and came back is replaced in time', async () => {
   await submitToRack('short', 2)
   await run(1_000)
   for (const workerId of rackWorkers) harness.setListed(workerId, false)
--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -17,7 +17,7 @@
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { minExtensionGapMs, minExtensionMs, overduePollMs, planExtension, renewalLeadMs } from './extensionTiming.js'
 import { createLeaseEnds } from './leaseEnds.js'
-import type { LeaseEndsHost } from './leaseEnds.js'
+import type { EarlierOrders, LeaseEndsHost } from './leaseEnds.js'
 import { getEarliestClockMs } from './workerLease.js'
 
 /** Dependencies of a worker link. */
@@ -118,6 +118,8 @@
   areLeasesAsRequested (): boolean
   /** Tells whether orders for another incarnation may still reach the present one and count for its lease; see `LeaseEnds`. */
   mayFollowEarlierOrders (): boolean
+  /** The orders of this term that may have extended a lease under the worker's id; undefined if there are none. */
+  getOrders (): EarlierOrders | undefined
   /**
    * The fields that describe in the log which lease of these runs is waited for and why, when this term last extended the worker's lease, how long a poll is under way, both
    * in ms, and how many polls have failed since an answer.
@@ -205,10 +207,10 @@
   })
   void pollUntilClosed()
 
-  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested, mayFollowEarlierOrders: leaseEnds.mayFollowEarlierOrders, describeLease, close }
+  return { port, wake, check, inquire, reviewWaitingInquiry: waitingInquiry.review, reviewDecisiveInquiries: decisiveInquiries.review, reviewLease, grantStartLease, checkClock, expectIncarnation, getBornAtMs: () => bornAtMs, hasReported: () => clock !== undefined, isAnswering: () => isReachable, isSettled: () => hasAnswered || isLeaseOver, getSilentForMs, getLeaseLeftMs, getUnextendedLeaseMs, areLeasesAsRequested, mayFollowEarlierOrders: leaseEnds.mayFollowEarlierOrders, getOrders: leaseEnds.getOrders, describeLease, close }
 
   function describeLease (scope: RunScope): object {
-    const leaseExtendedAgoMs = leaseEnds.hasExtended() ? Math.round(performance.now() - leaseEnds.getExtendedAtMs()) : undefined
+    const leaseExtendedAgoMs = leaseEnds.getOrders() !== undefined ? Math.round(performance.now() - leaseEnds.getExtendedAtMs()) : undefined
     return { awaitedLease: leaseEnds.getLatest(scope).reason, leaseExtendedAgoMs, pollUnderWayMs: Math.round(sender.getPollAgeMs()), failedPolls }
   }
 
--- a/src/runs/workerPool.ts
+++ b/src/runs/workerPool.ts
@@ -14,6 +14,7 @@
 import { createFirstRequests, RequestWay } from './firstRequests.js'
 import type { EndedLeases, GrantRecord, SilentWorker } from './grantRecord.js'
 import type { RenewedWorker } from './renewedWorkers.js'
+import type { EarlierOrders } from './leaseEnds.js'
 import { getLongestDurationMs, maxRequestDelayMs } from './workerLease.js'
 import { createInquirySlots } from './waitingInquiry.js'
 import { retryPauseMs } from './pollRetries.js'
@@ -102,6 +103,12 @@
   close (): void
 }
 
+/** A link that has been closed. */
+interface ClosedLink {
+  readonly bornAtMs: number
+  readonly orders: EarlierOrders | undefined
+}
+
 /** How long workers without members are waited for at the start of a term, in ms: with the first of them alone, planning would preempt and spread needlessly. */
 const freeWorkerWaitMs = 100
 /**
@@ -168,6 +175,8 @@
   const earlierOrdersOverAtMs = startedAtMs + maxRequestDelayMs + getLongestDurationMs(host.maxLeaseMs)
   /** The workers, by id, that this term may have granted a lease. */
   const granted = new Set<string>()
+  /** The workers, by id, whose links are closed, and the life to which the link was last connected. */
+  const closedLinks = new Map<string, ClosedLink>()
   /** When the idle workers of each failure domain were last polled. */
   const checkedAtMs = new Map<string, number>()
   /** Where the next check of a domain with more idle workers begins. */
@@ -329,7 +338,7 @@
     if (isNewIncarnation) logger.info('worker listed with a new incarnation', { workerId: info.workerId, bornAtMs: info.bornAtMs })
     if (worker.info.address !== info.address) {
       // Its address was unknown, because the worker was only known from stored attempts, or it has changed.
-      links.get(info.workerId)?.close()
+      closeLink(info.workerId)
       worker.info = info
       worker.isReachable = false
       addLink(worker)
@@ -379,7 +388,8 @@
       port: connect(info),
       maxLeaseMs: host.maxLeaseMs,
       requestedLeaseMs: host.requestedLeaseMs,
-      hasEarlierOrders: granted.has(info.workerId),
+      termStartedAtMs: startedAtMs,
+      earlierOrders: getEarlierOrders(info),
       hasOrdersOfEarlierTerms: !areEarlierOrdersOver() && isYoung(info),
       areEarlierOrdersOver,
       isIncarnationKnown: bornAtMs => host.grants.isLifeKnown(info.workerId, bornAtMs),
@@ -478,6 +488,19 @@
     return host.isWorkerListCurrent() && [...host.getMembers(info.workerId)].every(({ bornAtMs }) => bornAtMs === info.bornAtMs)
   }
 
+  function closeLink (workerId: string): void {
+    const link = links.get(workerId)
+    link?.close()
+    if (link?.getOrders() !== undefined) closedLinks.set(workerId, { bornAtMs: link.getBornAtMs(), orders: link.getOrders() })
+  }
+
+  /** Orders for the same life do not count by another clock: only those for another one may ask for a longer lease than this term does. */
+  function getEarlierOrders ({ workerId, bornAtMs }: ListedWorker): EarlierOrders | undefined {
+    const closed = closedLinks.get(workerId)
+    if (closed?.bornAtMs === bornAtMs) return closed.orders
+    return granted.has(workerId) ? { laterIncarnationSeenAtMs: performance.now() } : undefined
+  }
+
   /** Tells whether orders that were sent to the life before this one may count for its leases. */
   function isYoung ({ bornAtMs }: ListedWorker): boolean {
     return Date.now() - bornAtMs <= youngLifeMs
@@ -544,7 +567,7 @@
   function removeWorker (worker: WorkerState): void {
     // Its runs have ended: the record keeps only workers that a later term would wait for.
     void host.grants.include(worker.info.workerId)
-    links.get(worker.info.workerId)?.close()
+    closeLink(worker.info.workerId)
     links.delete(worker.info.workerId)
     firstPolls.delete(worker.info.workerId)
     workers.delete(worker.info.workerId)
