Platform soak: workers that are gone for good, and jobs that stand at any time of the run

A check at any time of the run finds jobs that stand for 3 s after 4 s of calm; time in which timers are over 200 ms late does not count. Runs in the emulator progress with the time that has passed, not by ticks.

--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -1,5 +1,6 @@
 /** Emulates the platform on loopback for the real daemon: the store, a pool of workers and their entries in the store. */
-import type { EndKind, JobSpec, Resources } from '../../jobs/jobModel.js'
+import { assert } from '../../common/assertions.js'
+import type { JobSpec, Resources } from '../../jobs/jobModel.js'
 import { createMemoryStore } from '../../standins/memoryStore.js'
 import type { MemoryStore } from '../../standins/memoryStore.js'
 import { createPoolState, createPoolWorker } from '../../standins/poolWorker.js'
@@ -8,6 +9,8 @@
 import { evacuationPrefix } from '../evacuationKeys.js'
 import { configurationKey } from '../platformConfiguration.js'
 import { workerListPrefix } from '../workerEntries.js'
+import { createAnswerFaults } from './answerFaults.js'
+import type { AnswerFaults } from './answerFaults.js'
 import { listenEmulated } from './emulatedHttp.js'
 import type { EmulatedServer } from './emulatedHttp.js'
 import { createEmulatedStore } from './emulatedStore.js'
@@ -22,8 +25,9 @@
   /** The failure domain of a worker; `a` by default. */
   readonly getDomain?: (workerIndex: number) => string
   readonly onStart?: PoolState['onStart']
-  /** How long a run of the task takes, in ms, and how it ends. */
-  readonly getRun: (task: string, run: number) => { readonly workMs: number, readonly how: EndKind }
+  readonly onEnd?: PoolState['onEnd']
+  /** How a run of the task behaves. */
+  readonly getRun: PoolState['getRun']
 }
 
 /** The running emulator. */
@@ -41,6 +45,16 @@
   restart (worker: PoolWorker): void
   /** Crashes the worker: its connections drop, and after `awayMs` it starts again under its id and address. */
   crash (worker: PoolWorker, awayMs: number): void
+  /** Ends the worker for good: its connections drop, new ones are refused, and its entry expires. */
+  leave (worker: PoolWorker): void
+  /** Adds a worker under a new id and address. */
+  addWorker (): Promise<void>
+  /** Removes the worker's entry from the store for `forMs` although the worker lives. */
+  hideEntry (worker: PoolWorker, forMs: number): void
+  getAnswerFaults (worker: PoolWorker): AnswerFaults
+  /** Tells whether the scheduler can and may start something on the worker: it is up, listed, not draining and not in an evacuated domain. */
+  isUsable (worker: PoolWorker): boolean
+  isUp (worker: PoolWorker): boolean
   /** Partitions the worker from the store: its entry does not change, and expires. */
   setCutFromStore (worker: PoolWorker, isCut: boolean): void
   configure (configuration: object): void
@@ -58,7 +72,10 @@
   const store = createMemoryStore()
   const jobs = new Map<string, JobSpec>()
   const draining = new Set<PoolWorker>()
+  const evacuated = new Set<string>()
+  const hidden = new Set<PoolWorker>()
   const workerServers = new Map<PoolWorker, EmulatedServer>()
+  const answerFaults = new Map<PoolWorker, AnswerFaults>()
   const silence = createWorkerSilence({
     onReport: workerId => { workers.filter(({ info }) => info.workerId === workerId).forEach(writeEntry) },
     onExpired: workerId => { store.write(workerListPrefix + workerId, undefined) }
@@ -67,32 +84,56 @@
     jobs,
     defaultRequest: capacity,
     getRun: options.getRun,
-    ...(options.onStart === undefined ? {} : { onStart: options.onStart }),
+    onStart: options.onStart,
+    onEnd: options.onEnd,
     maxLeaseMs: options.maxLeaseMs,
     gangStartTimeoutMs: 2_000,
-    stopDelayMs: 100
+    stopDelayMs: 100,
+    isRealTime: true
   })
   const storeServer = await listenEmulated(createEmulatedStore(store.connect(storeClientId)))
   const workers: PoolWorker[] = []
   const servers = [storeServer]
-  for (let index = 0; index < options.workers; index++) await addWorker(index)
+  for (let index = 0; index < options.workers; index++) await addWorker()
 
-  return { store, storeAddress: storeServer.address, poolState, workers, addJob: job => { jobs.set(job.jobId, job) }, setDraining, setEvacuated, restart, crash, setCutFromStore, configure, stop }
+  return {
+    store,
+    storeAddress: storeServer.address,
+    poolState,
+    workers,
+    addJob: job => { jobs.set(job.jobId, job) },
+    setDraining,
+    setEvacuated,
+    restart,
+    crash,
+    leave,
+    addWorker,
+    hideEntry,
+    getAnswerFaults,
+    isUsable: worker => isUp(worker) && !silence.has(worker.info.workerId) && !hidden.has(worker) && !draining.has(worker) && !evacuated.has(worker.info.domain),
+    isUp,
+    setCutFromStore,
+    configure,
+    stop
+  }
 
-  async function addWorker (index: number): Promise<void> {
+  async function addWorker (): Promise<void> {
+    const index = workers.length
     const rack = `rack-${Math.floor(index / options.workersPerRack)}`
     const info = { workerId: `i-${index}`, service: emulatedService, domain: options.getDomain?.(index) ?? 'a', bornAtMs: Date.now(), isDraining: false, coldLeftMs: 0, capacity, labels: ['a', rack], rack }
     const worker: PoolWorker = createPoolWorker(poolState, { ...info, address: '' })
-    const server = await listenEmulated(createEmulatedWorker(worker))
-    servers.push(server)
     workers.push(worker)
+    const faults = createAnswerFaults(createEmulatedWorker(worker))
+    answerFaults.set(worker, faults)
+    const server = await listenEmulated(faults.handle)
+    servers.push(server)
     workerServers.set(worker, server)
     writeEntry(worker)
   }
 
   function writeEntry (worker: PoolWorker): void {
     const { workerId, service, domain, bornAtMs, labels } = worker.info
-    if (silence.has(workerId)) return
+    if (silence.has(workerId) || hidden.has(worker)) return
     store.write(workerListPrefix + workerId, JSON.stringify({
       service,
       addr: workerServers.get(worker)?.address,
@@ -114,6 +155,8 @@
   }
 
   function setEvacuated (domain: string, isEvacuated: boolean): void {
+    if (isEvacuated) evacuated.add(domain)
+    else evacuated.delete(domain)
     store.write(evacuationPrefix + domain, isEvacuated ? '{}' : undefined)
   }
 
@@ -136,6 +179,32 @@
     }, awayMs).unref()
   }
 
+  function leave (worker: PoolWorker): void {
+    worker.crash()
+    worker.stop()
+    workerServers.get(worker)?.close()
+    silence.set(worker.info.workerId, SilenceCause.Down, true)
+  }
+
+  function hideEntry (worker: PoolWorker, forMs: number): void {
+    hidden.add(worker)
+    store.write(workerListPrefix + worker.info.workerId, undefined)
+    setTimeout(() => {
+      hidden.delete(worker)
+      writeEntry(worker)
+    }, forMs).unref()
+  }
+
+  function getAnswerFaults (worker: PoolWorker): AnswerFaults {
+    const faults = answerFaults.get(worker)
+    assert(faults !== undefined, 'the worker is one of the emulator')
+    return faults
+  }
+
+  function isUp ({ info }: PoolWorker): boolean {
+    return !silence.has(info.workerId, SilenceCause.Down)
+  }
+
   function setCutFromStore ({ info }: PoolWorker, isCut: boolean): void {
     silence.set(info.workerId, SilenceCause.CutFromStore, isCut)
   }
--- /dev/null
+++ b/src/platform/soak/departures.test.ts
@@ -0,0 +1,28 @@
+/** Runs rounds of workers that are gone for good against real daemons, one seed each. More seeds and kinds: `npm run soak:platform -- --departures all --seeds 1,2,3 --seconds 27`. */
+import { expect, test } from '@jest/globals'
+import { DepartureKind } from './departures.js'
+import { runPlatformSoak } from './platformSoak.js'
+
+/** One round. */
+const seconds = 27
+/** A run in which less time than this was checked, in ms, says nothing of standing jobs: the machine was too busy. */
+const minCheckedMs = 3_000
+
+async function checkDepartures (seed: number, kinds: readonly DepartureKind[]): Promise<number> {
+  const { broken, trace, logFolder, departures, complete, standing } = await runPlatformSoak(seed, seconds, kinds)
+  if (standing.checkedMs < minCheckedMs) console.log('the machine is too busy to tell standing jobs', standing)
+  expect({ broken, trace, logFolder }).toEqual({ broken: [], trace: [], logFolder: undefined })
+  expect(departures).toBeGreaterThan(0)
+  expect(complete).toBeGreaterThan(0)
+  return standing.checkedMs
+}
+
+// Guards against a job that has nothing running for 3 s after 4 s of calm, at any time of the run and not only at its end.
+test('the runs of workers that are gone for good are replaced before their jobs stand, while answers are late and out of order', async () => {
+  await checkDepartures(1, [DepartureKind.Plain, DepartureKind.DisorderAnswers])
+}, 180_000)
+
+// Guards against a wait for the longest lease that workers grant where a run was seen at work. Known to fail, see KNOWN-RED.txt. A run that has checked nothing is no success here.
+test.failing('the runs of workers that have started again under their id, or whose start got no answer, are replaced before their jobs stand', async () => {
+  expect(await checkDepartures(1, [DepartureKind.Restart, DepartureKind.LoseStarts])).toBeGreaterThan(minCheckedMs)
+}, 180_000)
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run soak:platform -- --seeds 1,2,3 --seconds 15`: runs the real daemons as processes against the emulator on loopback and
  * injects a seeded series of overlapping faults. Compares what the workers ran with the responses that callers got.
+ * With `--departures all`, or some of their kinds, workers are disturbed and then gone for good instead, in rounds of 21 s with calm between them.
  */
 import { parseArgs } from 'node:util'
 import { createRandom, pickRandom } from '../../common/random.js'
@@ -8,7 +9,7 @@
 import { backlogKey } from '../../admission/backlogCodec.js'
 import { leaderKey } from '../../election/leaderElection.js'
 import { acceptedPrefix, getAcceptedKey, pendingCountsKey, progressPrefix } from '../../jobs/jobKeys.js'
-import { EndKind } from '../../jobs/jobModel.js'
+import { EndKind, tryParseTaskName } from '../../jobs/jobModel.js'
 import { hostsPrefix } from '../../peers/hostDirectory.js'
 import { learnedStateKey } from '../../runs/learnedState.js'
 import type { JobSpec } from '../../jobs/jobModel.js'
@@ -21,6 +22,11 @@
 import { LinkFault } from '../../testing/faultProxy.js'
 import { nestJson } from '../../testing/oddValues.js'
 import { workerListPrefix } from '../workerEntries.js'
+import { createDepartures, DepartureKind } from './departures.js'
+import { createDisturbances } from './disturbances.js'
+import type { Disturbances } from './disturbances.js'
+import { watchStandingJobs } from './standingJobs.js'
+import type { StandingReport } from './standingJobs.js'
 import { createSoakCaller, isAccepted, SubmissionOutcome } from './soakCaller.js'
 import type { SoakCaller, SoakJob } from './soakCaller.js'
 
@@ -39,6 +45,10 @@
   readonly massCrashes: number
   /** How often the next writes of one key were made late. */
   readonly lateWrites: number
+  /** Workers that were gone for good. */
+  readonly departures: number
+  /** The time in which jobs may not stand, and the longest that one has stood in it, in ms. */
+  readonly standing: Omit<StandingReport, 'violations'>
   /** Processes that a SIGTERM ended before they had logged anything, and how long after their start that was. */
   readonly endedWhileStarting: readonly string[]
   readonly faults: readonly string[]
@@ -62,13 +72,17 @@
   readonly faults: string[]
   readonly broken: string[]
   readonly endedWhileStarting: string[]
+  readonly disturbances: Disturbances
 }
 
 const hostCount = 4
 const workerCount = 12
 const capacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
 const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900, evacMs: 3_000 }
+/** The longest lease in the soak of departures, in ms: longer than the one that the scheduler asks for, so that a wait for the longest one shows. */
+const departuresMaxLeaseMs = 10_000
 const jobPauseMs = 160
+const longJobPauseMs = 450
 const domains = ['a', 'b']
 const workersPerRack = 4
 /** An evacuation lasts this long beyond its bound, in ms, so that a late start would be seen. */
@@ -86,6 +100,9 @@
 /** The longest time in ms after which a write without a response is applied. */
 const maxLateMs = 6_000
 const lateWritesSeedOffset = 15_485_863
+const departuresSeedOffset = 32_452_843
+/** Starts and writes that a fault makes late are carried out within this, in ms. */
+const maxEffectMs = 3_300
 /** The prefixes of the keys that the daemons write in the soak. */
 const writtenPrefixes = [pendingCountsKey, backlogKey, learnedStateKey, leaderKey, hostsPrefix, progressPrefix, acceptedPrefix]
 /** What another writer left among the entries of workers, hosts and jobs. */
@@ -101,14 +118,22 @@
 const pendingBoundMs = 5_000
 /** All jobs end within this time after the last fault is cleared: some leases have to expire, then the remaining work runs. */
 const settleTimeoutMs = 45_000
+/** The same where runs take up to 14 s and are replaced once. */
+const longSettleTimeoutMs = 90_000
 const pollMs = 250
 const maxTraceLines = 200
 /** A cancelled job must not be running this long after its cancellation was acknowledged. */
 const cancelGraceMs = 3_000
 
-/** Runs one seed. */
-export async function runPlatformSoak (seed: number, seconds: number): Promise<SoakReport> {
+/** Runs one seed: overlapping faults or, if kinds of departures are given, rounds of these. */
+export async function runPlatformSoak (seed: number, seconds: number, departureKinds: readonly DepartureKind[] = []): Promise<SoakReport> {
+  const isOfDepartures = departureKinds.length > 0
   const random = createRandom(seed)
+  const disturbances = createDisturbances()
+  const lasting = new Set<string>()
+  /** The members of a gang have the same work, as the first one to end ends the gang. */
+  const workMs = new Map<string, number>()
+  const holdMaxMs = isOfDepartures ? departuresMaxLeaseMs : bounds.holdMaxMs
   const evacuations: Evacuation[] = []
   const starts: ReceivedStart[] = []
   const emulator = await startPlatformEmulator({
@@ -117,13 +142,16 @@
     capacity,
     getDomain,
     onStart: start => { starts.push(start) },
-    maxLeaseMs: bounds.holdMaxMs,
-    getRun: () => ({ workMs: 100 + Math.floor(1_400 * random()), how: random() < 0.04 ? EndKind.Failed : EndKind.Done })
+    onEnd: ({ task, how }) => { if (how === EndKind.Done) standingJobs.onDone(task) },
+    maxLeaseMs: holdMaxMs,
+    getRun: task => isOfDepartures
+      ? { workMs: workMs.get(getJobId(task)) ?? 0, how: EndKind.Done, isLasting: lasting.has(getJobId(task)) }
+      : { workMs: 100 + Math.floor(1_400 * random()), how: random() < 0.04 ? EndKind.Failed : EndKind.Done }
   })
   const names = { service: 'pool', hostName: 'soak.example', key: 'soak-key' }
   emulator.configure(createConfiguration(1, names))
   for (const [key, value] of oddEntries) emulator.store.write(key, value)
-  const daemons = await startDaemonProcesses(hostCount, getNetwork(seed), emulator.storeAddress, bounds)
+  const daemons = await startDaemonProcesses(hostCount, getNetwork(seed), emulator.storeAddress, { ...bounds, holdMaxMs })
   const caller = createSoakCaller({ addresses: daemons.hosts.map(host => host.callersAddress), hostName: names.hostName, key: names.key, random })
   const faults: string[] = []
   const broken: string[] = []
@@ -131,26 +159,34 @@
   let massCrashes = 0
   let lateWrites = 0
   const jobs: SoakJob[] = []
+  const departures = createDepartures({ kinds: departureKinds, emulator, disturbances, random: createRandom(seed + departuresSeedOffset) })
+  const standingJobs = watchStandingJobs({ emulator, disturbances, caller, jobs, describeRun: departures.describeRun })
+  let standing: SoakReport['standing']
   try {
     await delay(1_500)
     const endsAtMs = Date.now() + seconds * 1_000
     const randomLate = createRandom(seed + lateWritesSeedOffset)
-    await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
-    await clearFaults(emulator, daemons)
-    await waitForJobs(caller, jobs)
+    if (isOfDepartures) await Promise.all([submitJobs(), departures.play(endsAtMs)])
+    else await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
+    await Promise.all(jobs.filter(({ spec }) => lasting.has(spec.jobId)).map(async job => { await caller.cancel(job) }))
+    await clearFaults(emulator, daemons, disturbances)
+    await waitForJobs(caller, jobs, isOfDepartures ? longSettleTimeoutMs : settleTimeoutMs)
     broken.push(...daemons.findLogLines(['"uncaught error"']))
-    broken.push(...await findPendingViolations(randomLate), ...findStoreViolations(emulator, daemons))
+    if (!isOfDepartures) broken.push(...await findPendingViolations(randomLate))
+    broken.push(...findStoreViolations(emulator, daemons))
     broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator), ...findLateStarts(starts, evacuations))
 
     async function submitJobs (): Promise<void> {
       const running: Promise<void>[] = []
       for (let index = 0; Date.now() < endsAtMs; index++) {
-        const job = caller.createJob(index, seed)
+        const job = isOfDepartures ? caller.createLongJob(index, seed) : caller.createJob(index, seed)
+        if (job.spec.steps.some(({ isService }) => isService)) lasting.add(job.spec.jobId)
+        if (isOfDepartures) workMs.set(job.spec.jobId, 4_000 + Math.floor(10_000 * random()))
         emulator.addJob(job.spec)
         jobs.push(job)
         running.push(caller.submit(job))
-        if (random() < 0.1) running.push(delay(400).then(async () => { await caller.cancel(job) }))
-        await delay(jobPauseMs)
+        if (!isOfDepartures && random() < 0.1) running.push(delay(400).then(async () => { await caller.cancel(job) }))
+        await delay(isOfDepartures ? longJobPauseMs : jobPauseMs)
       }
       await Promise.all(running)
     }
@@ -159,7 +195,7 @@
       const running: Promise<void>[] = []
       while (Date.now() < endsAtMs) {
         await delay(faultPauseMs * (0.5 + random()))
-        running.push(injectFault(emulator, daemons, random, { faults, broken, endedWhileStarting }))
+        running.push(injectFault(emulator, daemons, random, { faults, broken, endedWhileStarting, disturbances }))
       }
       await Promise.all(running)
     }
@@ -168,7 +204,7 @@
       const running: Promise<void>[] = []
       while (Date.now() < endsAtMs) {
         await delay(1_000 + (massCrashPauseMs - 1_000) * randomCrash())
-        running.push(crashMany(emulator, randomCrash))
+        running.push(recordDuring(disturbances, 'mass crash', maxAwayMs, crashMany(emulator, randomCrash)))
         massCrashes++
       }
       await Promise.all(running)
@@ -177,6 +213,7 @@
     async function delayWritesByKey (randomLate: () => number): Promise<void> {
       while (Date.now() < endsAtMs) {
         await delay(lateWritesPauseMs * randomLate())
+        void recordDuring(disturbances, 'late writes', maxLateMs)
         emulator.store.delayWrites(storeClientId, 1 + Math.floor(2 * randomLate()), maxLateMs * randomLate(), pickRandom(writtenPrefixes, randomLate))
         lateWrites++
       }
@@ -212,6 +249,9 @@
       }
     }
   } finally {
+    const { violations, ...figures } = standingJobs.stop()
+    broken.push(...violations)
+    standing = figures
     await daemons.stop()
     emulator.stop()
   }
@@ -228,8 +268,10 @@
     evacuations: evacuations.length,
     massCrashes,
     lateWrites,
+    departures: departures.countLeft(),
+    standing,
     endedWhileStarting,
-    faults,
+    faults: [...faults, ...departures.done],
     broken,
     ...collectTrace(daemons, broken)
   }
@@ -239,6 +281,10 @@
   return JSON.stringify({ service: 'pool', addr: '127.0.0.1:9', zone: 'a', state: 'ready', capacity, labels: [], born: 1, ...fields })
 }
 
+function getJobId (task: string): string {
+  return tryParseTaskName(task)?.jobId ?? ''
+}
+
 function getDomain (workerIndex: number): string {
   return domains[Math.floor(workerIndex / workersPerRack) % domains.length] ?? ''
 }
@@ -280,7 +326,7 @@
 }
 
 /** Injects one random fault; resolves when it is over. */
-async function injectFault (emulator: PlatformEmulator, daemons: DaemonProcesses, random: () => number, { faults, broken, endedWhileStarting }: FaultRecord): Promise<void> {
+async function injectFault (emulator: PlatformEmulator, daemons: DaemonProcesses, random: () => number, { faults, broken, endedWhileStarting, disturbances }: FaultRecord): Promise<void> {
   const host = pickRandom(daemons.hosts, random)
   const leaderName = emulator.store.peek(leaderKey)
   const leader = daemons.hosts.find(({ name }) => name === leaderName) ?? host
@@ -313,7 +359,17 @@
   }
   const name = pickRandom(Object.keys(kinds), random)
   faults.push(name)
-  await kinds[name]?.()
+  await recordDuring(disturbances, name, maxEffectMs, kinds[name]?.())
+}
+
+/** Records a disturbance that lasts as long as the action, and what is late because of it up to `effectMs` longer. */
+async function recordDuring (disturbances: Disturbances, name: string, effectMs: number, action: Promise<void> = Promise.resolve()): Promise<void> {
+  const end = disturbances.begin(name)
+  try {
+    await action
+  } finally {
+    setTimeout(end, effectMs)
+  }
 }
 
 /** Crashes two fifths to half of the workers at the same moment, in view of all or behind a partition; resolves when the partition is over. */
@@ -345,7 +401,8 @@
   if (!host.isUp()) host.start()
 }
 
-async function clearFaults (emulator: PlatformEmulator, daemons: DaemonProcesses): Promise<void> {
+async function clearFaults (emulator: PlatformEmulator, daemons: DaemonProcesses, disturbances: Disturbances): Promise<void> {
+  disturbances.note('faults cleared')
   emulator.store.setUnavailable(false)
   emulator.store.delayWrites(storeClientId, 0, 0)
   for (const host of daemons.hosts) {
@@ -361,8 +418,8 @@
   await delay(1_000)
 }
 
-async function waitForJobs (caller: SoakCaller, jobs: readonly SoakJob[]): Promise<void> {
-  const untilMs = Date.now() + settleTimeoutMs
+async function waitForJobs (caller: SoakCaller, jobs: readonly SoakJob[], timeoutMs: number): Promise<void> {
+  const untilMs = Date.now() + timeoutMs
   let open = jobs.filter(isAccepted)
   while (open.length > 0 && Date.now() < untilMs) {
     await Promise.all(open.map(async job => { await caller.poll(job) }))
@@ -398,14 +455,15 @@
   return [...poolState.running].some(([task, places]) => task.startsWith(jobId) && places.length > 0)
 }
 
-const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1' }, seconds: { type: 'string', default: '15' } }, strict: false })
+const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1' }, seconds: { type: 'string', default: '15' }, departures: { type: 'string', default: '' } }, strict: false })
+const allDepartures = Object.values(DepartureKind)
 const isMain = process.argv[1]?.endsWith('platformSoak.js') === true
 if (isMain) {
   let failed = 0
   for (const seed of String(values.seeds).split(',').map(Number)) {
-    const report = await runPlatformSoak(seed, Number(values.seconds))
+    const report = await runPlatformSoak(seed, Number(values.seconds), values.departures === 'all' ? allDepartures : allDepartures.filter(kind => String(values.departures).split(',').includes(kind)))
     if (report.broken.length > 0) failed++
-    console.log(JSON.stringify({ ...report, faults: report.broken.length > 0 ? report.faults : report.faults.length }))
+    console.log(JSON.stringify({ ...report, faults: report.broken.length > 0 || report.departures > 0 ? report.faults : report.faults.length }))
   }
   process.exit(failed === 0 ? 0 : 1)
 }
--- a/src/platform/soak/soakCaller.ts
+++ b/src/platform/soak/soakCaller.ts
@@ -35,6 +35,8 @@
 
 export interface SoakCaller {
   createJob (index: number, seed: number): SoakJob
+  /** Creates a job whose runs take several seconds, so that most have no other run when one is lost; a tenth last until they are cancelled. */
+  createLongJob (index: number, seed: number): SoakJob
   /** Creates a job that no worker may run. */
   createWaitingJob (index: number, seed: number): SoakJob
   submit (job: SoakJob): Promise<void>
@@ -57,7 +59,7 @@
 /** Creates a caller that picks a host at random for each call. */
 export function createSoakCaller (options: SoakCallerOptions): SoakCaller {
   const { random } = options
-  return { createJob, createWaitingJob, submit, cancel, poll, getPending }
+  return { createJob, createLongJob, createWaitingJob, submit, cancel, poll, getPending }
 
   function createJob (index: number, seed: number): SoakJob {
     const queue = random() < 0.4 ? 'urgent' : 'batch'
@@ -74,6 +76,13 @@
     return encodeJob(index, seed, queue, random() < 0.3 ? [step, { count: 2, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, after: [0] }] : [step])
   }
 
+  function createLongJob (index: number, seed: number): SoakJob {
+    const step = { count: 1, cpu: 1_000, memMb: 4_000, gpu: 2, estimateMs: 8_000 }
+    const shape = random()
+    if (shape < 0.1) return encodeJob(index, seed, 'batch', [{ ...step, cpu: 500, gpu: 0, serviceMode: true }])
+    return encodeJob(index, seed, random() < 0.4 ? 'urgent' : 'batch', [shape < 0.25 ? { ...step, count: 2, gang: true } : step])
+  }
+
   function createWaitingJob (index: number, seed: number): SoakJob {
     return encodeJob(index, seed, 'batch', [{ count: 1, cpu: 4_000, memMb: 8_000, gpu: 1, estimateMs: 300, selector: 'none' }])
   }
--- a/src/standins/poolWorker.ts
+++ b/src/standins/poolWorker.ts
@@ -21,6 +21,8 @@
   readonly maxLeaseMs: number
   readonly gangStartTimeoutMs: number
   readonly stopDelayMs: number
+  /** Runs progress with the time that has passed rather than by ticks, which are late on a busy machine. */
+  readonly isRealTime?: boolean
   /** Runs in progress by task, on all workers. */
   readonly running: Map<string, { readonly workerId: string, readonly run: number }[]>
   /** Descriptions of violated invariants. */
@@ -73,7 +75,7 @@
 }
 
 /** How the workers of a stand-in pool behave. */
-export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'onEnd' | 'onRequestDuringLoss' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs'> {
+export interface PoolBehaviour extends Pick<PoolState, 'getRun' | 'onStart' | 'onEnd' | 'onRequestDuringLoss' | 'maxLeaseMs' | 'gangStartTimeoutMs' | 'stopDelayMs' | 'isRealTime'> {
   /** The jobs whose tasks may be started: the workers' protocol passes only a job's payload. */
   readonly jobs: ReadonlyMap<string, JobSpec>
   /** The request of a task of no known job. */
@@ -203,6 +205,8 @@
   let leaseExpiredAtMs = -Infinity
   let endedAtMs = new Map<number, number>()
   let highestRuns = new Map<string, number>()
+  let tickedAtMs = performance.now()
+  let elapsedMs = tickMs
   const timer = setInterval(tick, tickMs)
   timer.unref()
 
@@ -262,6 +266,8 @@
 
   function tick (): void {
     const nowMs = getClockMs()
+    if (pool.isRealTime === true) elapsedMs = performance.now() - tickedAtMs
+    tickedAtMs = performance.now()
     if (nowMs > leaseUntilMs) leaseExpiredAtMs = nowMs
     for (const run of [...runs.values()]) {
       const gang = run.gang === undefined ? undefined : pool.gangs.get(run.gang)
@@ -287,7 +293,7 @@
   function advance (run: Run, canProgress: boolean): void {
     if (!canProgress || isStalled) return
     const gang = run.gang === undefined ? undefined : pool.gangs.get(run.gang)
-    run.workedMs += tickMs * (gang === undefined ? speed : Math.min(...gang.getSpeeds.map(getSpeed => getSpeed())))
+    run.workedMs += elapsedMs * (gang === undefined ? speed : Math.min(...gang.getSpeeds.map(getSpeed => getSpeed())))
     if (run.workedMs >= run.workMs && !run.isLasting) endRun(run, run.how)
   }
 
