--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -82,7 +82,8 @@
 /** The longest lease in the soak of departures, in ms: longer than the one that the scheduler asks for, so that a wait for the longest one shows. */
 const departuresMaxLeaseMs = 10_000
 const jobPauseMs = 160
-const longJobPauseMs = 450
+/** Under half of the accelerators are in use at this pace: 2 of 96 for 9 s a run. */
+const longJobPauseMs = 600
 const domains = ['a', 'b']
 const workersPerRack = 4
 /** An evacuation lasts this long beyond its bound, in ms, so that a late start would be seen. */
