Reports of one life are ordered by the worker's clock

Cause: a run counted as at work from the request of the report that listed it, which may be older than the run, and a report that was requested later as one that was written later. Two reports that a worker writes in one millisecond of its clock, before and after a run begins, pass the check of the link; if the later one arrives first and was requested first, the run counted as lost (absent-from-report) and its next run began beside it.

Change: Member has the first and the latest evidence of a run with the worker's clock and the time of arrival. isWrittenAfter and isWrittenBefore (runs/endEvidence.ts) compare it with a report: by the clock, strictly, within one life that both name, else by whether the report was requested after the evidence had arrived.

--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -26,12 +26,18 @@
   /** The worker's machine; the worker itself if its machine is not known. */
   readonly machine: string
   state: MemberState
-  /** Earliest time at which a response of the worker confirmed it as running, by the monotonic clock. */
+  /**
+   * When the first report that lists it as running was requested, or when its start was confirmed, whichever is earlier, by the monotonic clock. A request may wait at the
+   * worker, so that the run may have begun later.
+   */
   runningSinceMs: number
   /** When the worker confirmed its start request, by the monotonic clock; undefined if that response was lost. */
   startedAtMs?: number
   /** The incarnation of the worker that last confirmed it as running, by its start as Unix time in ms. */
   runningIncarnationMs?: number
+  /** The first and the latest evidence that reports give of it at work, by the incarnation that reported last. */
+  firstSeen?: Sighting
+  lastSeen?: Sighting
   /** When the latest report that lists it as running was requested, by the monotonic clock, and the incarnation that sent the report. */
   reportedAtMs?: number
   reportedBornAtMs?: number | undefined
@@ -46,6 +52,16 @@
   firstProgress?: { readonly percent: number, readonly atMs: number }
 }
 
+/** Evidence that a run is on a worker. */
+export interface Sighting {
+  /** The incarnation that showed it, by its start as Unix time in ms. */
+  readonly incarnationMs: number
+  /** When the worker showed it, in whole ms of its clock; undefined if that is not known. */
+  readonly clockMs: number | undefined
+  /** When the evidence had arrived, by the monotonic clock. */
+  readonly receivedAtMs: number
+}
+
 /** Evidence that a worker will not carry out a start request any more, for example because it has accepted a stop request. */
 export interface StartExclusion {
   /** When it was obtained, by the monotonic clock. A report that is requested later shows whether the run was started before. */
--- a/src/runs/crashTracking.ts
+++ b/src/runs/crashTracking.ts
@@ -10,6 +10,8 @@
 import type { WorkerState } from '../workers/workerState.js'
 import { createBirthIndex, getLikelihoodRatio, getMaxRanMs, getPresence, getSuspicion, isContradicted, isCounted, judge, maxCrashRuns, Presence, usesUpStart, Verdict } from './crashEvidence.js'
 import type { BirthIndex, CrashCircumstances, Judgement, RunOnLife, WorkerLocation } from './crashEvidence.js'
+import { getLatestRequestMs, getSeenForMs, getWorkedMs } from './endEvidence.js'
+import type { ReportOrigin } from './endEvidence.js'
 
 /** Dependencies of the crash tracking. */
 export interface CrashTrackingHost {
@@ -37,7 +39,7 @@
   /** A report of its worker does not list the run any more; if it counts as lost, not because its worker is. */
   onRunAbsent (member: Member): void
   /** A report lists the run as running or, if `how` is given, as ended. */
-  onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number, how?: EndKind): void
+  onRunReported (member: Member, reportBornAtMs: number | undefined, origin: ReportOrigin, how?: EndKind): void
   /** The worker has reported: the runs that were lost with this incarnation were lost by a cut, not by a crash. Must be called before the runs of the report are applied. */
   onReport (info: ListedWorker, reportBornAtMs: number | undefined, sentAtMs: number): void
   /** The worker's machine, named by its id if it has one, has started anew: the incarnation before `bornAtMs` has crashed with everything that ran there, or ended by its drain. */
@@ -181,13 +183,13 @@
     recordCrash(member.workerId, member.machine, bornAtMs, [toExposedRun(member, Presence.Confirmed, member.startedAtMs ?? performance.now())])
   }
 
-  function onRunReported (member: Member, reportBornAtMs: number | undefined, sentAtMs: number, how?: EndKind): void {
+  function onRunReported (member: Member, reportBornAtMs: number | undefined, origin: ReportOrigin, how?: EndKind): void {
     const { unit, run } = member.attempt
     inNewLife.delete(member)
-    member.reportedAtMs = sentAtMs
+    member.reportedAtMs = getLatestRequestMs(member, origin, reportBornAtMs)
     member.reportedBornAtMs = reportBornAtMs
     if (unit.crashes.length === 0) return
-    const workedMs = sentAtMs - (member.startedAtMs ?? member.runningSinceMs)
+    const workedMs = getWorkedMs(member, origin)
     const isRefuted = (record: CrashRecord): boolean => isContradicted(record, member.index, run, workedMs) ||
       (record.run === run && record.machine === member.machine && record.indices.includes(member.index) && reportBornAtMs !== undefined && reportBornAtMs > record.bornAtMs)
     const refuted = unit.crashes.filter(isRefuted)
@@ -219,7 +221,8 @@
         if (workerId !== info.workerId) host.onEarlierLifeEnded(workerId)
       }
     }
-    reportSentAtMs.set(info.workerId, sentAtMs)
+    // Answers to later requests may arrive first.
+    reportSentAtMs.set(info.workerId, Math.max(reportSentAtMs.get(info.workerId) ?? -Infinity, sentAtMs))
     const lost = lostRuns.get(machine)
     if (lost === undefined) return
     lostRuns.delete(machine)
@@ -267,8 +270,10 @@
 
   function toExposedRun (member: Member, presence: Presence, birthMs: number): ExposedRun {
     const startMs = member.startedAtMs ?? (member.runningSinceMs < Infinity ? member.runningSinceMs : undefined)
-    const minRanMs = startMs === undefined ? undefined : Math.max(0, (member.reportedAtMs ?? startMs) - startMs)
-    const maxRanMs = getMaxRanMs(minRanMs, startMs === undefined ? 0 : birthMs - startMs)
+    const minRanMs = startMs === undefined ? undefined : Math.max(0, getSeenForMs(member))
+    // The request for the first report may be older than the run, which only makes the longest time longer.
+    const reportedForMs = startMs === undefined ? undefined : Math.max(0, getSeenForMs(member), (member.reportedAtMs ?? startMs) - startMs)
+    const maxRanMs = getMaxRanMs(reportedForMs, startMs === undefined ? 0 : birthMs - startMs)
     const { unit, run, members } = member.attempt
     return { unit, run, indices: [member.index], presence, minRanMs, maxRanMs, ownMachines: new Set([...getJobMachines(unit.job), ...members.map(({ machine }) => machine)]) }
   }
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -17,7 +17,7 @@
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
 import { checkDisruption } from './disruptionBudget.js'
-import { AbsenceVerdict, describeEvidence, EvidenceSource, judgeAbsence } from './endEvidence.js'
+import { AbsenceVerdict, addSighting, describeEvidence, EvidenceSource, isWrittenAfter, isWrittenBefore, judgeAbsence } from './endEvidence.js'
 import type { EndEvidence, ReportOrigin } from './endEvidence.js'
 import { createStartRequests } from './startRequests.js'
 import type { WorkerLink } from './workerLink.js'
@@ -373,7 +373,8 @@
   async function onReport (worker: WorkerState, report: WorkerStatusReport, sentAtMs: number, isComplete: boolean): Promise<void> {
     const { workerId } = worker.info
     crashTracking.onReport(worker.info, report.bornAtMs, sentAtMs)
-    const origin: ReportOrigin = { requestedAtMs: sentAtMs, incarnationMs: host.getLink(workerId)?.getBornAtMs() ?? worker.info.bornAtMs }
+    const incarnationMs = host.getLink(workerId)?.getBornAtMs() ?? worker.info.bornAtMs
+    const origin: ReportOrigin = { requestedAtMs: sentAtMs, incarnationMs, clockMs: report.bornAtMs === incarnationMs ? report.clockMs : undefined }
     startRequests.onReport(workerId, origin.incarnationMs)
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
@@ -384,9 +385,9 @@
       const key = getAllocationKey(reported.task, reported.run)
       reportedKeys.add(key)
       const member = members.get(key)
-      if (member === undefined) stopOrphan(worker, reported)
+      if (member === undefined) stopOrphan(worker, reported, origin)
       else {
-        crashTracking.onRunReported(member, report.bornAtMs, sentAtMs)
+        crashTracking.onRunReported(member, report.bornAtMs, origin)
         applyRunning(member, reported, origin)
       }
     }
@@ -395,7 +396,7 @@
       reportedKeys.add(key)
       worker.allocations.delete(key)
       const member = members.get(key)
-      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, sentAtMs, reported.how)
+      if (member !== undefined) crashTracking.onRunReported(member, report.bornAtMs, origin, reported.how)
       const job = applyEnded(member, reported, { source: EvidenceSource.ListedAsEnded, ...origin })
       if (job !== undefined) dirty.add(job)
       const stored = getStoringReadEnds(reported.task)
@@ -403,7 +404,10 @@
     }
     if (isComplete) {
       for (const [key, member] of members) if (!reportedKeys.has(key)) applyAbsent(member, origin, dirty)
-      for (const key of worker.allocations.keys()) if (!reportedKeys.has(key) && !members.has(key)) worker.allocations.delete(key)
+      for (const [key, { seen }] of worker.allocations) {
+        const isGone = !reportedKeys.has(key) && !members.has(key) && (seen === undefined || isWrittenAfter(origin, seen))
+        if (isGone) worker.allocations.delete(key)
+      }
     }
     host.onChanged()
     await Promise.all([...[...dirty].map(host.commit), ...storing])
@@ -417,8 +421,9 @@
       // A later life may carry out a start late that this life has carried out, so that only its own report shows that the run is over. After a success none is started.
       const isFinal = how === EndKind.Done && member?.attempt.unit.spec.isService !== true
       if (member !== undefined && !isFinal && !isLatestLife(workerId, bornAtMs)) continue
-      if (member !== undefined) crashTracking.onRunReported(member, bornAtMs, readAtMs, how)
-      const job = applyEnded(member, end, { source: EvidenceSource.ReadByHost, requestedAtMs: readAtMs, incarnationMs: bornAtMs })
+      const origin: ReportOrigin = { requestedAtMs: readAtMs, incarnationMs: bornAtMs }
+      if (member !== undefined) crashTracking.onRunReported(member, bornAtMs, origin, how)
+      const job = applyEnded(member, end, { source: EvidenceSource.ReadByHost, ...origin })
       if (job !== undefined) dirty.add(job)
     }
     if (ends.length > 0) logger.info('ends read by hosts that do not schedule are applied', { ends: ends.length, jobs: dirty.size, oldestMs: Math.round(Math.max(...ends.map(({ readAtMs }) => performance.now() - readAtMs))) })
@@ -441,17 +446,24 @@
     return job === undefined ? undefined : storingReadEnds.get(job)
   }
 
-  function applyRunning (member: Member, reported: RunningRun, { requestedAtMs, incarnationMs }: ReportOrigin): void {
+  function applyRunning (member: Member, reported: RunningRun, origin: ReportOrigin): void {
     if (member.state === MemberState.Ended) return
+    const { requestedAtMs, incarnationMs } = origin
+    const nowMs = performance.now()
+    // What an earlier report shows of its progress is outdated.
+    const isOutdated = member.lastSeen !== undefined && isWrittenBefore(origin, member.lastSeen)
+    if (member.firstSeen?.incarnationMs !== incarnationMs || isWrittenBefore(origin, member.firstSeen)) member.firstSeen = addSighting(undefined, origin, nowMs)
+    member.lastSeen = addSighting(member.lastSeen, origin, nowMs)
     member.runningSinceMs = Math.min(member.runningSinceMs, requestedAtMs)
     member.runningIncarnationMs = incarnationMs
     if (member.attempt.stopReason === undefined) member.startExclusion = undefined
     else if (member.startExclusion !== undefined) member.startExclusion = { ...member.startExclusion, incarnationMs: member.startExclusion.incarnationMs ?? incarnationMs }
     member.state = MemberState.Running
     recordBegun(member.attempt.unit.job)
+    if (isOutdated) return
     if (reported.checkpoint !== '') member.attempt.unit.checkpoint = reported.checkpoint
-    member.firstProgress ??= { percent: reported.progressPercent, atMs: performance.now() }
-    if (reported.progressPercent > member.progressPercent) member.progressedAtMs = performance.now()
+    member.firstProgress ??= { percent: reported.progressPercent, atMs: nowMs }
+    if (reported.progressPercent > member.progressPercent) member.progressedAtMs = nowMs
     member.progressPercent = reported.progressPercent
   }
 
@@ -499,13 +511,16 @@
   }
 
   /** Stops a run that belongs to no current attempt, since its job or its attempt has ended. */
-  function stopOrphan (worker: WorkerState, reported: RunningRun): void {
+  function stopOrphan (worker: WorkerState, reported: RunningRun, origin: ReportOrigin): void {
     const key = getAllocationKey(reported.task, reported.run)
-    if (!worker.allocations.has(key)) {
+    const allocation = worker.allocations.get(key)
+    const seen = addSighting(allocation?.seen, origin, performance.now())
+    if (allocation !== undefined) allocation.seen = seen
+    else {
       const name = tryParseTaskName(reported.task)
       const job = name === undefined ? undefined : host.getJob(name.jobId)
       const request = name === undefined ? undefined : job?.spec.steps[name.step]?.request
-      worker.allocations.set(key, { resources: request ?? worker.info.capacity, isPlanned: false })
+      worker.allocations.set(key, { resources: request ?? worker.info.capacity, isPlanned: false, seen })
       logger.warn('stopping an orphaned run', { task: reported.task, run: reported.run, workerId: worker.info.workerId, jobState: job?.state })
     }
     const link = host.getLink(worker.info.workerId)
--- a/src/workers/workerState.ts
+++ b/src/workers/workerState.ts
@@ -1,5 +1,6 @@
 /** The scheduler's record of one worker: its capacity, the resources allocated there, and whether it can be used. */
 import type { Resources } from '../jobs/jobModel.js'
+import type { Sighting } from '../jobs/trackedJob.js'
 import type { ListedWorker } from './workerPort.js'
 
 /** The resources allocated to a run until the worker reports its end, or until it is certain that the run will never start. */
@@ -7,6 +8,8 @@
   readonly resources: Resources
   /** Allocated for a start that is planned; the work that used the resources before may still be stopping. */
   isPlanned: boolean
+  /** The latest evidence of a run that belongs to no current attempt. */
+  seen?: Sighting
 }
 
 /** A worker, its allocations and its state. */
