Polls through other hosts are ordered with all other reports of a worker

Cause: the answer to a poll through another host was applied without a look at the worker's clock, and did not count as the latest report afterwards; the waiting requests, direct and through other hosts, were compared.

Change: one record for each link (runs/latestReport.ts), by the functions of endEvidence.ts, for every report that comes. An outdated one still shows the clock and that the worker is answered, and lists nothing that the latest one does not.

--- a/src/runs/workerLink.ts
+++ b/src/runs/workerLink.ts
@@ -6,6 +6,7 @@
 import { createDecisiveInquiries, maxDecisiveSilenceMs } from './decisiveInquiries.js'
 import type { DecisiveSlots } from './decisiveInquiries.js'
 import { RunScope } from './endEvidence.js'
+import { createLatestReport } from './latestReport.js'
 import { fastRetries, retryPauseMs } from './pollRetries.js'
 import { createPollSender, InquiryVerdict, PollSubstitute } from './pollSender.js'
 import { createRelayedPolls } from './relayedPolls.js'
@@ -182,9 +183,7 @@
   let isCheckDue = false
   /** The latest poll has got no answer, but an inquiry beside it has. */
   let isUnconfirmed = false
-  /** The highest number of an end that the present incarnation has listed, and its clock in the latest report. */
-  let listedSequence = 0
-  let latestClockMs = -Infinity
+  const latestReport = createLatestReport(bornAtMs)
   const storeWait = createStoreWait(() => getExpectedEndMs(-Infinity))
   /** False until the incarnation that the list shows has answered a poll: only then does it refuse start requests of earlier terms. */
   let hasIncarnationReported = true
@@ -269,8 +268,7 @@
     if (hasExtendedLease) laterIncarnationSeenAtMs = performance.now()
     mayFollowEarlierTerms = !host.areEarlierOrdersOver()
     storedSequence = 0
-    listedSequence = 0
-    latestClockMs = -Infinity
+    latestReport.begin(newBornAtMs)
     storing = Promise.resolve()
     // Its clock starts anew.
     clock = undefined
@@ -445,7 +443,7 @@
     if (isClosed || !term.isValid()) return InquiryVerdict.NothingNew
     // Another incarnation is taken note of by the next poll, which shows whether it is a later one.
     if ((report.bornAtMs ?? bornAtMs) !== bornAtMs) return InquiryVerdict.OtherIncarnation
-    const hasNewEnds = report.ended.some(({ sequence }) => sequence > listedSequence)
+    const hasNewEnds = latestReport.hasNewEnds(report)
     if (hasNewEnds) logger.info('an inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length })
     const isFirstAnswer = !isReachable
     void takeReport(report, sentAtMs)
@@ -460,7 +458,7 @@
       if (!isRelayed) sender.replaceWaitingPoll()
       return false
     }
-    const hasNewEnds = report.ended.some(({ sequence }) => sequence > listedSequence)
+    const hasNewEnds = latestReport.hasNewEnds(report)
     if (hasNewEnds) {
       const pollAgeMs = sender.getPollAgeMs()
       logger.info('a waiting inquiry shows ends that the poll under way has not shown', { workerId: info.workerId, ended: report.ended.length, isRelayed, isDecisive, waitedMs: Math.round(performance.now() - sentAtMs), ...(pollAgeMs === Infinity ? {} : { pollUnderWayMs: Math.round(pollAgeMs) }) })
@@ -473,9 +471,7 @@
 
   /** Applies what another host has read after a wait: it shows neither that this host is answered nor how old the worker's clock is. */
   function takeRelayedReport (report: WorkerStatusReport, sentAtMs: number): void {
-    if (report.clockMs < latestClockMs) return
-    latestClockMs = report.clockMs
-    for (const { sequence } of report.ended) listedSequence = Math.max(listedSequence, sequence)
+    if (!latestReport.record(report)) return
     void storeEnds(report, sentAtMs, report.ended.length < maxEndsPerReport)
   }
 
@@ -504,17 +500,13 @@
   /** Applies a report of the present incarnation. Resolves when its ends are stored. */
   function takeReport (report: WorkerStatusReport, sentAtMs: number): Promise<void> {
     // The answers to an inquiry and to the poll beside it may overtake each other.
-    const isOutdated = sentAtMs < reportedAtMs && report.clockMs < latestClockMs
+    const isOutdated = !latestReport.record(report, sentAtMs)
     reportedAtMs = performance.now()
     hasAnswered = true
     hasIncarnationReported = true
     isLeaseOver = false
     areSettledRunsOver = false
-    if (!isOutdated) {
-      latestClockMs = report.clockMs
-      clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
-      for (const { sequence } of report.ended) listedSequence = Math.max(listedSequence, sequence)
-    }
+    if (!isOutdated) clock = { workerMs: report.clockMs, readAtMs: reportedAtMs }
     const isComplete = report.ended.length < maxEndsPerReport
     // What an outdated report lists is stored with the newer one.
     const stored = isOutdated ? storing : storeEnds(report, sentAtMs, isComplete)
@@ -577,6 +569,7 @@
   function applyRelayedReport (report: WorkerStatusReport, sentAtMs: number): void {
     clock = { workerMs: report.clockMs, readAtMs: performance.now() }
     host.onRelayed?.()
+    if (!latestReport.record(report)) return
     void storeEnds(report, sentAtMs, report.ended.length < maxEndsPerReport)
   }
 
