Ask for advice when the planner finds no place, not by counting tickets

Cause: getPermitted took the number of valid tickets for the answer to whether a unit can be placed. Tickets of workers that have left, are full, or hold as many tasks of the step as its spread limit allows count as well, so the same wait followed from each of these.

Change: the planner reports a unit that has no place on the permitted workers (onNotPlaced), and further workers are asked about then: usable ones of the service, with the required label, those with room first.

advisedRuns.test.ts: asking is a call of its own now, so the test makes it where the planner does; its expectations are unchanged.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -50,6 +50,8 @@
   readonly costSettings: CostSettings
   /** The workers that may run the unit by its queue's policy; undefined while none is known. */
   readonly getPermittedWorkers: (unit: Unit, workerIds: readonly string[]) => ReadonlySet<string> | 'all' | undefined
+  /** Called in each planning pass for the first unit of a step that has no place on the permitted workers, in the order in which units get workers. */
+  readonly onNotPlaced?: (unit: Unit, workerIds: readonly string[]) => void
   /** Allocates resources on the workers and starts the unit there as soon as these resources are free. */
   readonly startAttempt: (unit: Unit, workerIds: readonly string[]) => void
   /** Stops an attempt to make room for other work. */
@@ -217,7 +219,7 @@
     const remaining = [...units]
     for (let unit = remaining[0]; unit !== undefined; unit = remaining[0]) {
       const permitted = getPermittedCapacity(unit, freeCapacity)
-      if (permitted === undefined) return false
+      if (permitted === undefined) return reportNotPlaced(unit)
       const hasRoom = permitted !== freeCapacity || poolRoom.hasRoom(unit)
       const placed = hasRoom ? startWhereSure(remaining, permitted, freeCapacity) : 0
       remaining.splice(0, placed)
@@ -225,11 +227,16 @@
       const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
       if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
       else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
-      else return false
+      else return reportNotPlaced(unit)
     }
     return true
   }
 
+  function reportNotPlaced (unit: Unit): false {
+    host.onNotPlaced?.(unit, usableIds)
+    return false
+  }
+
   /** Tells whether the unit has waited for so long, in a pool of which most is idle, that it is no longer held back for other work. */
   function isHoldOver (unit: Unit): boolean {
     return poolUse.isMostlyIdle(unit.job.spec.service) && performance.now() - unit.waitingSinceMs >= maxIdleHoldMs
--- a/src/runs/advisedRuns.test.ts
+++ b/src/runs/advisedRuns.test.ts
@@ -33,17 +33,23 @@
   })
   const unit = getUnits(createTrackedJob(makeJob('a', 'batch', [makeStep()]), 0))[0]
   if (unit === undefined) throw new Error('the job has no unit')
-  expect(cache.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  // As in a planning pass: the workers with valid tickets, and a request for more if there are none.
+  const look = (): ReadonlySet<string> | undefined => {
+    const permitted = cache.getPermitted(unit, workerIds)
+    if (permitted === undefined) cache.requestMore(unit, settings, () => workerIds.map(workerId => ({ workerId, hasRoom: true })))
+    return permitted
+  }
+  expect(look()).toBeUndefined()
   await jest.advanceTimersByTimeAsync(500)
   isUnavailable = false
-  expect(cache.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  expect(look()).toBeUndefined()
   await jest.advanceTimersByTimeAsync(100)
-  expect([...cache.getPermitted(unit, settings, workerIds) ?? []]).toEqual(['w1', 'w3', 'w4'])
+  expect([...look() ?? []]).toEqual(['w1', 'w3', 'w4'])
   const ticket = cache.getTicket(unit, 'w1')
   await jest.advanceTimersByTimeAsync(settings.validMs)
-  expect(cache.getPermitted(unit, settings, workerIds)).toBeUndefined()
+  expect(look()).toBeUndefined()
   await jest.advanceTimersByTimeAsync(100)
-  expect(cache.getPermitted(unit, settings, workerIds)?.has('w1')).toBe(true)
+  expect(look()?.has('w1')).toBe(true)
   expect(cache.getTicket(unit, 'w1')).not.toBe(ticket)
 })
 
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -12,6 +12,7 @@
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { defaultCostSettings } from '../placement/delayCost.js'
 import type { CostSettings } from '../placement/delayCost.js'
+import { isEligible } from '../placement/placeUnit.js'
 import { createPlanner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
@@ -22,10 +23,10 @@
 import type { WorkerState } from '../workers/workerState.js'
 import { createMachineSpeeds } from '../workers/machineSpeed.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
-import { getAllocationKey } from '../workers/workerState.js'
+import { fits, getAllocationKey, getFreeCapacity } from '../workers/workerState.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { createAdviceCache } from './adviceCache.js'
-import type { AdvicePort } from './adviceCache.js'
+import type { AdviceCandidate, AdvicePort } from './adviceCache.js'
 import { createMaintenanceDrain } from './maintenanceDrain.js'
 import type { MaintenanceDrain } from './maintenanceDrain.js'
 import { createFillPacing } from './fillPacing.js'
@@ -259,6 +260,7 @@
     stopMs: host.bounds.stopMs,
     costSettings: host.bounds.costSettings ?? defaultCostSettings,
     getPermittedWorkers,
+    onNotPlaced,
     startAttempt: controller.planAttempt,
     preemptAttempt: controller.preemptAttempt
   })
@@ -419,18 +421,28 @@
   }
 
   function getPermittedWorkers (unit: Unit, workerIds: readonly string[]): ReadonlySet<string> | 'all' | undefined {
-    const nowMs = performance.now()
-    if (workerIds.some(workerId => health.isLeft(unit, workerId, nowMs))) {
-      const others = workerIds.filter(workerId => !health.isLeft(unit, workerId, nowMs))
-      const permitted = getAdvisedWorkers(unit, others)
-      return permitted === 'all' ? new Set(others) : permitted
-    }
-    return getAdvisedWorkers(unit, workerIds)
+    const others = getWorkersNotLeft(unit, workerIds)
+    if (adviceCache !== undefined && getQueue(unit.job)?.advice !== undefined) return adviceCache.getPermitted(unit, others)
+    return others === workerIds ? 'all' : new Set(others)
   }
 
-  function getAdvisedWorkers (unit: Unit, workerIds: readonly string[]): ReadonlySet<string> | 'all' | undefined {
+  function onNotPlaced (unit: Unit, workerIds: readonly string[]): void {
     const settings = getQueue(unit.job)?.advice
-    return settings === undefined || adviceCache === undefined ? 'all' : adviceCache.getPermitted(unit, settings, workerIds)
+    if (settings !== undefined) adviceCache?.requestMore(unit, settings, () => getAdviceCandidates(unit, workerIds))
+  }
+
+  function getAdviceCandidates (unit: Unit, workerIds: readonly string[]): readonly AdviceCandidate[] {
+    return getWorkersNotLeft(unit, workerIds).flatMap(workerId => {
+      const worker = pool.workers.get(workerId)
+      return worker !== undefined && isEligible(unit, worker) ? [{ workerId, hasRoom: fits(unit.spec.request, getFreeCapacity(worker)) }] : []
+    })
+  }
+
+  /** Leaves out the workers that the unit was moved off recently. */
+  function getWorkersNotLeft (unit: Unit, workerIds: readonly string[]): readonly string[] {
+    const nowMs = performance.now()
+    const isLeft = (workerId: string): boolean => health.isLeft(unit, workerId, nowMs)
+    return workerIds.some(isLeft) ? workerIds.filter(workerId => !isLeft(workerId)) : workerIds
   }
 
   async function sendPace (member: Member, percent: number): Promise<void> {
--- a/src/testing/poolHarness.ts
+++ b/src/testing/poolHarness.ts
@@ -20,6 +20,7 @@
 import { createRelayedPolls } from '../peers/relayedPolls.js'
 import { createEndReaders, observeReports } from '../readers/endReaders.js'
 import type { EndReaders } from '../readers/endReaders.js'
+import type { AdvicePort } from '../runs/adviceCache.js'
 import { grantPrefix } from '../runs/grantRecordFormat.js'
 import { createScheduler } from '../runs/scheduler.js'
 import type { Scheduler } from '../runs/scheduler.js'
@@ -148,6 +149,8 @@
   readonly interceptReader?: (hostId: string, port: WorkerPort) => WorkerPort
   readonly onEnd?: PoolState['onEnd']
   readonly onRequestDuringLoss?: PoolState['onRequestDuringLoss']
+  /** The advice service; the stand-in workers do not check tickets. */
+  readonly advice?: AdvicePort
   /** Returns the configuration of a host; undefined until the host has received one. */
   readonly getConfiguration?: (hostId: string) => Configuration | undefined
 }
@@ -399,6 +402,7 @@
           getStoreContactMs: getContactMs,
           readInitial,
           ...(evacuations === undefined ? {} : { evacuations }),
+          ...(options.advice === undefined ? {} : { advice: options.advice }),
           connect: info => observeReports(options.interceptWorker?.(hostId, info.workerId, connectWorker(info)) ?? connectWorker(info), info.workerId, (...report) => { endReaders?.onOwnReport(...report) }),
           pollThroughPeers: relayedPolls?.poll,
           getConfiguration: () => options.getConfiguration === undefined ? harnessConfiguration : options.getConfiguration(hostId)
