Start waiting jobs at the service that their queue names now

Cause: the intake copies the queue's service into the accept record, and placement went by the copy, although priority, attempts, objective and advice are read from the configuration in force. Room, idleness of the pool, confined workers and the backlog used the same copy.

Change: TrackedJob.service follows the queue. What runs stays where it is, a plan that has not been sent is given up. Accept records have the version of the configuration that decided them, and the newer of the two decides, so that a scheduler whose copy is behind doesn't send a new job to the old service. One scheduler serves all services, so no job changes hands.

scheduler.test.ts, "work of a small service": its jobs named a service to which their queue was not sent, which no host can accept. The queue of the test's configuration names that service now; its expectations are unchanged.

--- a/src/admission/backlogSummary.test.ts
+++ b/src/admission/backlogSummary.test.ts
@@ -55,6 +55,15 @@
   }])
 })
 
+test('waiting work counts at the service that its queue names, and work that has a run where it runs', () => {
+  const workers = [makeWorker(0), makeWorker(1)].map((worker, index) => index === 0 ? worker : { ...worker, info: { ...worker.info, service: 'new' } })
+  const job = makeTracked('batch', 16)
+  job.service = 'new'
+  for (const unit of getUnits(job).slice(0, 4)) start(unit, 1_000)
+  const work = summarize([job], workers).services.map(({ service, levels }) => [service, levels[0]?.acceleratorS])
+  expect(work).toEqual([['pool', 16], ['new', 48]])
+})
+
 test('there is no wait while all work has room at once', () => {
   expect(summarize([makeTracked('batch', 8)]).services[0]?.levels[0]?.acceleratorWaitMs).toBe(0)
   expect(summarize([makeTracked('batch', 9)]).services[0]?.levels[0]?.acceleratorWaitMs).toBe(4_500)
--- a/src/admission/backlogSummary.ts
+++ b/src/admission/backlogSummary.ts
@@ -75,7 +75,13 @@
 /** Computes the summary. Services without a usable worker are left out, since nothing is known about their wait. */
 export function summarizeBacklog (source: BacklogSource): BacklogSummary {
   const services = new Map<string, ServiceAmounts>()
-  for (const worker of source.workers) addCapacity(services, worker)
+  const servicesByWorker = new Map<string, string>()
+  for (const worker of source.workers) {
+    addCapacity(services, worker)
+    servicesByWorker.set(worker.info.workerId, worker.info.service)
+  }
+  /** Work that has a run counts where it runs; its queue may be sent to another service by now. */
+  const getService = ({ job, attempts }: Unit): ServiceAmounts | undefined => services.get(servicesByWorker.get(attempts[0]?.members[0]?.workerId ?? '') ?? job.service)
   const urgentAccelerators = new Map<string, number>()
   const meanRunMs = new Map<string, number>()
   for (const job of source.unfinishedJobs) {
@@ -87,8 +93,7 @@
     }
     const queueMeanMs = source.runTimes.getMeanMs(queue)
     if (queueMeanMs !== undefined) meanRunMs.set(queue, Math.round(queueMeanMs))
-    const service = services.get(job.spec.service)
-    if (service !== undefined) addWork(service, job, priority, source)
+    addWork(getService, job, priority, source)
   }
   return {
     epoch: source.epoch,
@@ -109,9 +114,7 @@
   services.set(service, amounts)
 }
 
-function addWork (service: ServiceAmounts, job: TrackedJob, priority: number, source: BacklogSource): void {
-  const amounts = service.byPriority.get(priority) ?? { acceleratorS: 0, coreS: 0, accelerators: 0, cores: 0 }
-  service.byPriority.set(priority, amounts)
+function addWork (getService: (unit: Unit) => ServiceAmounts | undefined, job: TrackedJob, priority: number, source: BacklogSource): void {
   for (const steps of job.occurrences.values()) {
     for (const units of steps) {
       const [first] = units
@@ -119,12 +122,17 @@
       const expectedMs = source.runTimes.getExpectedMs(job.spec.queue, first.spec)
       // The units of one step depend on the same steps.
       const isRunnable = areDependenciesDone(first)
-      for (const unit of units) if (!unit.isDone) addUnit(service, amounts, unit, expectedMs, isRunnable, source.nowMs)
+      for (const unit of units) {
+        const service = unit.isDone ? undefined : getService(unit)
+        if (service !== undefined) addUnit(service, priority, unit, expectedMs, isRunnable, source.nowMs)
+      }
     }
   }
 }
 
-function addUnit (service: ServiceAmounts, amounts: Amounts, unit: Unit, expectedMs: number, isRunnable: boolean, nowMs: number): void {
+function addUnit (service: ServiceAmounts, priority: number, unit: Unit, expectedMs: number, isRunnable: boolean, nowMs: number): void {
+  const amounts = service.byPriority.get(priority) ?? { acceleratorS: 0, coreS: 0, accelerators: 0, cores: 0 }
+  service.byPriority.set(priority, amounts)
   const { request, isService } = unit.spec
   const accelerators = unit.size * request.accelerators
   const cores = unit.size * request.cpuMilli / 1_000
--- a/src/jobs/jobKeys.ts
+++ b/src/jobs/jobKeys.ts
@@ -66,6 +66,7 @@
   jobId: z.string().check(z.minLength(1)),
   queue: z.string(),
   service: z.string(),
+  configurationVersion: z.optional(z.number()),
   organisation: z.string(),
   payload: z.string(),
   steps: z.array(stepSchema).check(z.minLength(1)),
--- a/src/jobs/jobModel.ts
+++ b/src/jobs/jobModel.ts
@@ -50,8 +50,10 @@
   readonly jobId: string
   /** The queue that the job was submitted to. */
   readonly queue: string
-  /** The pool of workers that runs it. */
+  /** The pool of workers to which the queue sent it at acceptance. The queue's current setting takes precedence (`TrackedJob.service`). */
   readonly service: string
+  /** The version of the configuration by which it was accepted; earlier versions of the product did not store it. */
+  readonly configurationVersion?: number
   readonly organisation: string
   /** Passed to the workers: what to run. */
   readonly payload: string
--- a/src/jobs/trackedJob.ts
+++ b/src/jobs/trackedJob.ts
@@ -147,6 +147,8 @@
 /** A job that the scheduler manages. */
 export interface TrackedJob {
   readonly spec: JobSpec
+  /** The service whose workers its next runs start on. What has a run already stays where it is. */
+  service: string
   /** When the job was accepted, by this host's monotonic clock: the hosts' clocks differ and may jump. */
   readonly acceptedAtMs: number
   state: JobState
@@ -164,14 +166,14 @@
 
 /** Creates the state of a job that was accepted `ageMs` ago and has not started. */
 export function createTrackedJob (spec: JobSpec, nowMs: number, ageMs = 0): TrackedJob {
-  const job: TrackedJob = { spec, acceptedAtMs: nowMs - ageMs, state: JobState.Queued, hasBegun: false, isCancelRequested: false, occurrences: new Map(), progressRevision: 0, restoredRevision: 0 }
+  const job: TrackedJob = { spec, service: spec.service, acceptedAtMs: nowMs - ageMs, state: JobState.Queued, hasBegun: false, isCancelRequested: false, occurrences: new Map(), progressRevision: 0, restoredRevision: 0 }
   if (spec.recurrence === undefined) addOccurrence(job, 0, nowMs)
   return job
 }
 
 /** Creates the state of a job whose units are never created, because it is too large to be scheduled. */
 export function createOversizedJob (spec: JobSpec, nowMs: number): TrackedJob {
-  return { spec, acceptedAtMs: nowMs, state: JobState.Queued, hasBegun: false, isCancelRequested: false, occurrences: new Map(), progressRevision: 0, restoredRevision: 0 }
+  return { spec, service: spec.service, acceptedAtMs: nowMs, state: JobState.Queued, hasBegun: false, isCancelRequested: false, occurrences: new Map(), progressRevision: 0, restoredRevision: 0 }
 }
 
 /** Adds the units of an occurrence, unless they exist already. If the job recurs, the occurrence was due `overdueMs` ago. */
--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -84,10 +84,10 @@
   return nearData.length > 0 ? [nearData, ...byFreeCapacity] : byFreeCapacity
 }
 
-/** Tells whether a worker belongs to the job's service and has the label that the unit requires. */
+/** Tells whether a worker belongs to the service of the job's queue and has the label that the unit requires. */
 export function isEligible (unit: Unit, worker: WorkerState): boolean {
   const { requiredLabel } = unit.spec
-  if (worker.info.service !== unit.job.spec.service) return false
+  if (worker.info.service !== unit.job.service) return false
   return requiredLabel === undefined || worker.info.labels.includes(requiredLabel)
 }
 
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -224,7 +224,7 @@
       const placed = hasRoom ? startWhereSure(remaining, permitted, freeCapacity) : 0
       remaining.splice(0, placed)
       if (placed > 0) continue
-      const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
+      const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.service) ? remaining.findIndex(isHoldOver) : -1
       if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
       else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
       else return reportNotPlaced(unit)
@@ -239,7 +239,7 @@
 
   /** Tells whether the unit has waited for so long, in a pool of which most is idle, that it is no longer held back for other work. */
   function isHoldOver (unit: Unit): boolean {
-    return poolUse.isMostlyIdle(unit.job.spec.service) && performance.now() - unit.waitingSinceMs >= maxIdleHoldMs
+    return poolUse.isMostlyIdle(unit.job.service) && performance.now() - unit.waitingSinceMs >= maxIdleHoldMs
   }
 
   /** Tells whether the unit's job progresses while the unit waits. Each task of a service serves its own users, so another one is no substitute. */
@@ -346,7 +346,7 @@
     for (const worker of places) usageByWorker.delete(worker)
     forgetSearches()
     freeAccelerators -= unit.size * unit.spec.request.accelerators
-    poolUse.add(unit.job.spec.service, unit.size, unit.spec.request)
+    poolUse.add(unit.job.service, unit.size, unit.spec.request)
     host.startAttempt(unit, places.map(worker => worker.info.workerId))
   }
 
--- a/src/placement/poolRoom.ts
+++ b/src/placement/poolRoom.ts
@@ -30,9 +30,9 @@
 }
 
 /** Identifies what a unit requires of the workers on which it is placed: units with the same key have the same groups of workers. */
-export function getPlacementKey ({ job, size, spec }: Unit): string {
+export function getPlacementKey ({ job: { service }, size, spec }: Unit): string {
   const { request: { cpuMilli, memoryMb, accelerators }, requiredLabel, spreadLimit, isSameRack, dataRack } = spec
-  return JSON.stringify([job.spec.service, size, cpuMilli, memoryMb, accelerators, requiredLabel, spreadLimit, isSameRack, dataRack])
+  return JSON.stringify([service, size, cpuMilli, memoryMb, accelerators, requiredLabel, spreadLimit, isSameRack, dataRack])
 }
 
 function findRoom (unit: Unit, freeCapacity: FreeCapacity): boolean {
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -93,7 +93,7 @@
 
   async function submit (request: IncomingMessage, configuration: Configuration, queue: QueueSettings, organisation: string, jobId: string, deadlineMs: number): Promise<Reply> {
     const text = (await readBody(request, configuration.limits.maxBodyBytes)).toString()
-    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, organisation, attemptLimit: queue.attempts }, host.maxTasksPerJob)
+    const job = decodeJob(text, { jobId, queue: queue.name, service: queue.service, configurationVersion: configuration.version, organisation, attemptLimit: queue.attempts }, host.maxTasksPerJob)
     await refuseForLoad(job, queue, configuration, deadlineMs)
     await host.intake.submit(job, deadlineMs)
     return { status: 200, body: {} }
--- a/src/platform/jobSubmission.ts
+++ b/src/platform/jobSubmission.ts
@@ -41,6 +41,7 @@
   readonly jobId: string
   readonly queue: string
   readonly service: string
+  readonly configurationVersion?: number
   readonly organisation: string
   readonly attemptLimit: number
 }
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -11,6 +11,7 @@
 import type { Resources } from '../jobs/jobModel.js'
 import { createAttempt, findUnit, getTaskName, getUnits, hasStarted, isAttemptOver, areAllOccurrencesDone, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { isEligible } from '../placement/placeUnit.js'
 import { fits, getAllocationKey, getUnusedCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import type { ReadEnd } from '../readers/readEnds.js'
@@ -181,6 +182,7 @@
       const evacuated = attempt.members.find(({ workerId }) => isDomainEvacuated(workerId))
       if (evacuated !== undefined) preventStart(evacuated, evacuatedReason)
       else if (!attempt.members.every(({ workerId }) => isUsableWorker(workerId))) beginStop(attempt, 'a planned worker is no longer usable')
+      else if (!attempt.members.every(({ workerId }) => isEligibleWorker(attempt.unit, workerId))) beginStop(attempt, 'a planned worker is of another service than the queue names now, or lacks the required label')
       else if (attempt.members.some(({ workerId }) => isDoubtedSince(workerId, attempt.plannedAtMs))) beginStop(attempt, 'a planned worker has left another start without an answer')
       else if (hasCapacity(attempt)) dispatch(attempt)
       else if (attempt.members.some(({ workerId }) => isOvercommitted(workerId))) beginStop(attempt, 'the capacity of a planned worker has shrunk')
@@ -201,6 +203,11 @@
     return worker !== undefined && isUsable(worker)
   }
 
+  function isEligibleWorker (unit: Unit, workerId: string): boolean {
+    const worker = host.getWorker(workerId)
+    return worker !== undefined && isEligible(unit, worker)
+  }
+
   /** An attempt that was planned before the worker was in doubt may have room elsewhere. */
   function isDoubtedSince (workerId: string, sinceMs: number): boolean {
     return (startRequests.getDoubtedSinceMs(workerId) ?? -Infinity) > sinceMs
--- a/src/runs/scheduler.test.ts
+++ b/src/runs/scheduler.test.ts
@@ -378,7 +378,8 @@
 // The limit counted the workers of all services: each worker of a small service was quarantined at once, and accepted work waited although they were free.
 test('work of a small service is placed while some of its workers are quarantined', async () => {
   const getRun = (task: string, number: number): { workMs: number, how: EndKind } => ({ workMs: 300, how: task.startsWith('small') && number === 1 ? EndKind.Failed : EndKind.Done })
-  await startHarness({ workers: 12, getService: index => index < 9 ? 'pool' : 'few', getRun }, 1)
+  const configuration = { ...harnessConfiguration, queues: harnessConfiguration.queues.map(queue => queue.name === 'batch' ? { ...queue, service: 'few' } : queue) }
+  await startHarness({ workers: 12, getService: index => index < 9 ? 'pool' : 'few', getRun, getConfiguration: () => configuration }, 1)
   const request = { ...harnessCapacity, accelerators: 4, cpuMilli: 4_000, memoryMb: 4_000 }
   const jobIds = Array.from({ length: 6 }, (_, index) => `small${index}`)
   await submit(...jobIds.map(jobId => makeJob(jobId, 'batch', [makeStep({ request })], { service: 'few' })))
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -135,8 +135,10 @@
   // A configuration may have thousands of queues, and a planning pass looks up the queue of every job.
   let indexedQueues: Configuration['queues'] | undefined
   let queuesByName = new Map<string, QueueSettings>()
-  // Removed queues keep their last settings for the jobs that they have accepted.
-  const lastQueueSettings = new Map<string, QueueSettings>()
+  // Removed queues keep their last settings, with the version that had them, for the jobs that they have accepted.
+  const lastQueueSettings = new Map<string, { readonly queue: QueueSettings, readonly version: number }>()
+  /** The configuration by which all unfinished jobs have been assigned to their queues' services. */
+  let assignedConfiguration: Configuration | undefined
   const startedAtMs = performance.now()
   let areJobsLoaded = false
   let isTakeoverDone = false
@@ -163,7 +165,8 @@
     logger,
     retentionMs: host.bounds.retentionMs,
     readInitial: host.readInitial,
-    onJobAdded: () => {
+    onJobAdded: job => {
+      assignService(job)
       writer.scheduleCounts()
       schedulePlan()
     },
@@ -402,6 +405,7 @@
   /** Returns false if no planning pass may run now. */
   function tryPlan (): boolean {
     if (!term.isValid() || !mayStart()) return false
+    assignServices()
     const nowMs = performance.now()
     health.releaseConfined(nowMs)
     for (const worker of pool.workers.values()) worker.isQuarantined = health.isQuarantined(worker.info.workerId, nowMs)
@@ -452,14 +456,40 @@
   }
 
   function getQueue (job: TrackedJob): QueueSettings | undefined {
-    const queues = host.getConfiguration()?.queues
-    if (queues !== indexedQueues) {
-      indexedQueues = queues
-      queuesByName = new Map(queues?.map(queue => [queue.name, queue]))
+    return getQueueWithVersion(job)?.queue
+  }
+
+  function getQueueWithVersion (job: TrackedJob): { readonly queue: QueueSettings, readonly version: number } | undefined {
+    const configuration = host.getConfiguration()
+    if (configuration?.queues !== indexedQueues) {
+      indexedQueues = configuration?.queues
+      queuesByName = new Map(configuration?.queues.map(queue => [queue.name, queue]))
     }
     const queue = queuesByName.get(job.spec.queue)
-    if (queue !== undefined) lastQueueSettings.set(job.spec.queue, queue)
-    return queue ?? lastQueueSettings.get(job.spec.queue)
+    const last = lastQueueSettings.get(job.spec.queue)
+    if (queue === undefined || configuration === undefined) return last
+    if (last?.queue === queue && last.version === configuration.version) return last
+    const latest = { queue, version: configuration.version }
+    lastQueueSettings.set(job.spec.queue, latest)
+    return latest
+  }
+
+  /** Sends waiting work to the services that the queues name now. */
+  function assignServices (): void {
+    const configuration = host.getConfiguration()
+    if (configuration === assignedConfiguration) return
+    assignedConfiguration = configuration
+    for (const job of table.getUnfinished()) assignService(job)
+  }
+
+  /** The host that accepted the job may have known a newer configuration than this one has; its choice then stands. */
+  function assignService (job: TrackedJob): void {
+    const { spec } = job
+    const settings = getQueueWithVersion(job)
+    const service = settings !== undefined && settings.version >= (spec.configurationVersion ?? 0) ? settings.queue.service : spec.service
+    if (service === job.service) return
+    logger.info('a job follows its queue to another service', { jobId: spec.jobId, queue: spec.queue, from: job.service, to: service, state: job.state, configurationVersion: settings?.version })
+    job.service = service
   }
 }
 
--- a/src/runs/stalledJobs.ts
+++ b/src/runs/stalledJobs.ts
@@ -102,7 +102,7 @@
     if (due.length === 0) return
     const poolUse = createPoolUse(new Map([...host.getWorkers()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)])))
     for (const [job, stall] of due) {
-      if (!poolUse.isMostlyIdle(job.spec.service)) continue
+      if (!poolUse.isMostlyIdle(job.service)) continue
       const stalled = describe(job, stall, nowMs)
       if (stalled === undefined || stalled.cause === stall.loggedCause) continue
       stall.loggedCause = stalled.cause
--- a/src/workers/confinedSets.ts
+++ b/src/workers/confinedSets.ts
@@ -9,11 +9,11 @@
  */
 export function getConfinedSets (jobs: Iterable<TrackedJob>, workers: Iterable<WorkerState>): readonly ReadonlySet<string>[] {
   const sets = new Map<string, Map<string, Set<string>>>()
-  for (const { spec } of jobs) {
+  for (const { spec, service } of jobs) {
     for (const { requiredLabel } of spec.steps) {
       if (requiredLabel === undefined) continue
-      const byLabel = sets.get(spec.service) ?? new Map<string, Set<string>>()
-      sets.set(spec.service, byLabel)
+      const byLabel = sets.get(service) ?? new Map<string, Set<string>>()
+      sets.set(service, byLabel)
       if (!byLabel.has(requiredLabel)) byLabel.set(requiredLabel, new Set())
     }
   }
