--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -12,6 +12,7 @@
 import type { Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { defaultCostSettings } from '../placement/delayCost.js'
 import type { CostSettings } from '../placement/delayCost.js'
+import { isEligible } from '../placement/placeUnit.js'
 import { createPlanner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
 import type { DomainEvacuations } from '../evacuation/domainEvacuations.js'
@@ -22,10 +23,10 @@
 import type { WorkerState } from '../workers/workerState.js'
 import { createMachineSpeeds } from '../workers/machineSpeed.js'
 import { createWorkerHealth } from '../workers/workerHealth.js'
-import { getAllocationKey } from '../workers/workerState.js'
+import { fits, getAllocationKey, getFreeCapacity } from '../workers/workerState.js'
 import type { ListedWorker, RelayedPoll, WorkerStatusReport, WorkerPort } from '../workers/workerPort.js'
 import { createAdviceCache } from './adviceCache.js'
-import type { AdvicePort } from './adviceCache.js'
+import type { AdviceCandidate, AdvicePort } from './adviceCache.js'
 import { createMaintenanceDrain } from './maintenanceDrain.js'
 import type { MaintenanceDrain } from './maintenanceDrain.js'
 import { createFillPacing } from './fillPacing.js'
@@ -134,8 +135,10 @@
   // A configuration may have thousands of queues, and a planning pass looks up the queue of every job.
   let indexedQueues: Configuration['queues'] | undefined
   let queuesByName = new Map<string, QueueSettings>()
-  // Removed queues keep their last settings for the jobs that they have accepted.
-  const lastQueueSettings = new Map<string, QueueSettings>()
+  // Removed queues keep their last settings, with the version that had them, for the jobs that they have accepted.
+  const lastQueueSettings = new Map<string, { readonly queue: QueueSettings, readonly version: number }>()
+  /** The configuration by which all unfinished jobs have been assigned to their queues' services. */
+  let assignedConfiguration: Configuration | undefined
   const startedAtMs = performance.now()
   let areJobsLoaded = false
   let isTakeoverDone = false
@@ -162,7 +165,8 @@
     logger,
     retentionMs: host.bounds.retentionMs,
     readInitial: host.readInitial,
-    onJobAdded: () => {
+    onJobAdded: job => {
+      assignService(job)
       writer.scheduleCounts()
       schedulePlan()
     },
@@ -259,6 +263,7 @@
     stopMs: host.bounds.stopMs,
     costSettings: host.bounds.costSettings ?? defaultCostSettings,
     getPermittedWorkers,
+    onNotPlaced,
     startAttempt: controller.planAttempt,
     preemptAttempt: controller.preemptAttempt
   })
@@ -400,6 +405,7 @@
   /** Returns false if no planning pass may run now. */
   function tryPlan (): boolean {
     if (!term.isValid() || !mayStart()) return false
+    assignServices()
     const nowMs = performance.now()
     health.releaseConfined(nowMs)
     for (const worker of pool.workers.values()) worker.isQuarantined = health.isQuarantined(worker.info.workerId, nowMs)
@@ -419,18 +425,28 @@
   }
 
   function getPermittedWorkers (unit: Unit, workerIds: readonly string[]): ReadonlySet<string> | 'all' | undefined {
-    const nowMs = performance.now()
-    if (workerIds.some(workerId => health.isLeft(unit, workerId, nowMs))) {
-      const others = workerIds.filter(workerId => !health.isLeft(unit, workerId, nowMs))
-      const permitted = getAdvisedWorkers(unit, others)
-      return permitted === 'all' ? new Set(others) : permitted
-    }
-    return getAdvisedWorkers(unit, workerIds)
+    const others = getWorkersNotLeft(unit, workerIds)
+    if (adviceCache !== undefined && getQueue(unit.job)?.advice !== undefined) return adviceCache.getPermitted(unit, others)
+    return others === workerIds ? 'all' : new Set(others)
   }
 
-  function getAdvisedWorkers (unit: Unit, workerIds: readonly string[]): ReadonlySet<string> | 'all' | undefined {
+  function onNotPlaced (unit: Unit, workerIds: readonly string[]): void {
     const settings = getQueue(unit.job)?.advice
-    return settings === undefined || adviceCache === undefined ? 'all' : adviceCache.getPermitted(unit, settings, workerIds)
+    if (settings !== undefined) adviceCache?.requestMore(unit, settings, () => getAdviceCandidates(unit, workerIds))
+  }
+
+  function getAdviceCandidates (unit: Unit, workerIds: readonly string[]): readonly AdviceCandidate[] {
+    return getWorkersNotLeft(unit, workerIds).flatMap(workerId => {
+      const worker = pool.workers.get(workerId)
+      return worker !== undefined && isEligible(unit, worker) ? [{ workerId, hasRoom: fits(unit.spec.request, getFreeCapacity(worker)) }] : []
+    })
+  }
+
+  /** Leaves out the workers that the unit was moved off recently. */
+  function getWorkersNotLeft (unit: Unit, workerIds: readonly string[]): readonly string[] {
+    const nowMs = performance.now()
+    const isLeft = (workerId: string): boolean => health.isLeft(unit, workerId, nowMs)
+    return workerIds.some(isLeft) ? workerIds.filter(workerId => !isLeft(workerId)) : workerIds
   }
 
   async function sendPace (member: Member, percent: number): Promise<void> {
@@ -440,14 +456,40 @@
   }
 
   function getQueue (job: TrackedJob): QueueSettings | undefined {
-    const queues = host.getConfiguration()?.queues
-    if (queues !== indexedQueues) {
-      indexedQueues = queues
-      queuesByName = new Map(queues?.map(queue => [queue.name, queue]))
+    return getQueueWithVersion(job)?.queue
+  }
+
+  function getQueueWithVersion (job: TrackedJob): { readonly queue: QueueSettings, readonly version: number } | undefined {
+    const configuration = host.getConfiguration()
+    if (configuration?.queues !== indexedQueues) {
+      indexedQueues = configuration?.queues
+      queuesByName = new Map(configuration?.queues.map(queue => [queue.name, queue]))
     }
     const queue = queuesByName.get(job.spec.queue)
-    if (queue !== undefined) lastQueueSettings.set(job.spec.queue, queue)
-    return queue ?? lastQueueSettings.get(job.spec.queue)
+    const last = lastQueueSettings.get(job.spec.queue)
+    if (queue === undefined || configuration === undefined) return last
+    if (last?.queue === queue && last.version === configuration.version) return last
+    const latest = { queue, version: configuration.version }
+    lastQueueSettings.set(job.spec.queue, latest)
+    return latest
+  }
+
+  /** Sends waiting work to the services that the queues name now. */
+  function assignServices (): void {
+    const configuration = host.getConfiguration()
+    if (configuration === assignedConfiguration) return
+    assignedConfiguration = configuration
+    for (const job of table.getUnfinished()) assignService(job)
+  }
+
+  /** The host that accepted the job may have known a newer configuration than this one has; its choice then stands. */
+  function assignService (job: TrackedJob): void {
+    const { spec } = job
+    const settings = getQueueWithVersion(job)
+    const service = settings !== undefined && settings.version >= (spec.configurationVersion ?? 0) ? settings.queue.service : spec.service
+    if (service === job.service) return
+    logger.info('a job follows its queue to another service', { jobId: spec.jobId, queue: spec.queue, from: job.service, to: service, state: job.state, configurationVersion: settings?.version })
+    job.service = service
   }
 }
 
