Name the rule that stands against a unit that is not placed

Change: the obstacles have their own module. They list each rule that excludes workers, with their number and the tasks that still have room, name the first rule that leaves too little, and show the room of each rack for a gang on one rack, workers that may be gone or are not usable, and how many waiting units come before.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -7,7 +7,7 @@
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { addResources, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
+import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getGuaranteeClaims } from './guarantees.js'
 import type { GuaranteeClaim } from './guarantees.js'
@@ -16,10 +16,12 @@
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
 import { countKeptApart, isKeptApart, isSuspect } from './isolation.js'
-import { allocateCapacity, isEligible, placeTasks, tryPlace } from './placeUnit.js'
+import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import type { FirstNeeds, PreemptionPlan, VictimsByWorker } from './preemption.js'
+import { describeObstacles } from './obstacles.js'
+import type { PlacementObstacles } from './obstacles.js'
 import { createPoolRoom, getPlacementKey } from './poolRoom.js'
 import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
@@ -64,22 +66,6 @@
   describeWait (unit: Unit): PlacementObstacles
 }
 
-/** What stands against placing a unit. */
-export interface PlacementObstacles {
-  /** It has been preempted and is not placed again yet. */
-  readonly isHeldBack: boolean
-  /** Usable workers of its job's service with the label that it requires. */
-  readonly usableWorkers: number
-  /** Usable workers with room for one task of the unit. */
-  readonly workersWithRoom: number
-  /** Of these, the workers that are reserved for other units, or from which it is kept apart. */
-  readonly reservedForOthers: number
-  /** Of those with room, the workers that the policy of its queue permits; undefined while none is known. */
-  readonly permittedWorkers: number | undefined
-  /** The accelerators that its priority leaves to more urgent work, if its slack is long. */
-  readonly headroomAccelerators: number
-}
-
 /** How long a unit that has been preempted waits for each run that was preempted since a run ended in another way, in ms: about as long as a burst's urgent job runs. */
 const restartDelayMs = 1_000
 /**
@@ -138,6 +124,8 @@
   let poolUse: PoolUse = createPoolUse(new Map())
   /** What fits into the free capacity at all; created at the start of each planning pass. */
   let poolRoom: PoolRoom = createPoolRoom(new Map())
+  /** The units of the last planning pass in the order of placement. */
+  let lastOrder: readonly Unit[] = []
   /** The ids of the usable workers; determined at the start of each planning pass. */
   let usableIds: readonly string[] = []
   /** The usable workers that may be gone; determined at the start of each planning pass. */
@@ -149,17 +137,18 @@
   return { plan, describeWait }
 
   function describeWait (unit: Unit): PlacementObstacles {
-    const usable = [...workers.values()].filter(worker => isUsable(worker) && isEligible(unit, worker))
-    const withRoom = usable.filter(worker => fits(unit.spec.request, getFreeCapacity(worker)))
-    const permitted = host.getPermittedWorkers(unit, withRoom.map(worker => worker.info.workerId))
-    return {
-      isHeldBack: isHeldBack(unit),
-      usableWorkers: usable.length,
-      workersWithRoom: withRoom.length,
-      reservedForOthers: withRoom.filter(worker => isReservedForOther(unit, worker)).length,
-      permittedWorkers: permitted === 'all' ? withRoom.length : permitted?.size,
-      headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0
-    }
+    return describeObstacles(unit, {
+      workers: workers.values(),
+      getPermittedWorkers: host.getPermittedWorkers,
+      isHeldBack,
+      isKeptApart: isApartFromWorker,
+      isReserved: hasBindingReservation,
+      isInDoubt: worker => host.isInDoubt?.(worker.info.workerId) === true,
+      countStepTasks,
+      countWithinHeadroom: countPermitted,
+      headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0,
+      unitsBefore: Math.max(0, lastOrder.filter(other => other === unit || isReadyToPlace(other)).indexOf(unit))
+    })
   }
 
   function plan (): void {
@@ -179,7 +168,7 @@
     const waiting = ready.filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = isAnySuspect
-    const ordered = order(waiting)
+    const ordered = lastOrder = order(waiting)
     recordDemand(freeCapacity)
     poolRoom = createPoolRoom(freeCapacity)
     usableIds = [...freeCapacity.keys()].map(worker => worker.info.workerId)
@@ -205,10 +194,10 @@
   function logUnmetClaim (unit: Unit): void {
     if (loggedRuns.get(unit) === unit.run) return
     loggedRuns.set(unit, unit.run)
-    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, size, suspicion } = unit
+    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, suspicion } = unit
     const victims = getVictimsByWorker(unit)
     logger.info('a claim on a guarantee is due and not met', {
-      jobId, step, index, run, size, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
+      jobId, step, index, run, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
     })
   }
 
@@ -507,8 +496,11 @@
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
-    if (hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())) return true
-    return hasBindingReservation(unit, worker)
+    return isApartFromWorker(unit, worker) || hasBindingReservation(unit, worker)
+  }
+
+  function isApartFromWorker (unit: Unit, worker: WorkerState): boolean {
+    return hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())
   }
 
   function countConflicts (unit: Unit, worker: WorkerState): number {
--- a/src/testing/plannerHarness.ts
+++ b/src/testing/plannerHarness.ts
@@ -5,6 +5,7 @@
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
 import { defaultCostSettings } from '../placement/delayCost.js'
 import { createPlanner } from '../placement/planner.js'
+import type { Planner } from '../placement/planner.js'
 import { createRunTimes } from '../placement/runTimes.js'
 import { createWorkerState, getAllocationKey } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
@@ -17,6 +18,7 @@
   readonly started: readonly Attempt[]
   readonly stopped: readonly Attempt[]
   plan (): void
+  readonly describeWait: Planner['describeWait']
   getMembers (workerId: string): ReadonlySet<Member>
 }
 
@@ -55,7 +57,7 @@
       stopped.push(attempt)
     }
   })
-  return { jobs, workers, started, stopped, plan: planner.plan, getMembers }
+  return { jobs, workers, started, stopped, plan: planner.plan, describeWait: planner.describeWait, getMembers }
 
   function getMembers (workerId: string): Set<Member> {
     return members.get(workerId) ?? new Set()
