A gang that belongs on one rack waits for a rack for at most 2 s beside room for it twice over

Cause: in a pool of which most is idle, all that keeps a unit back is lifted after 1 s, except the wish for one rack. The pass did not even get to that point, as no rack had room.

Change: the time beside room for the gang twice over in such a pool is counted, and is not reset when others take the room. After 2 s of it the gang is placed across racks if there is room for it twice over and nothing else of its job runs that ends by itself.

--- a/src/placement/obstacles.ts
+++ b/src/placement/obstacles.ts
@@ -3,6 +3,7 @@
 import { countFitting, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { canHoldWhenEmpty, groupByRack, isEligible } from './placeUnit.js'
+import { isBoundToRack } from './rackHold.js'
 
 /** A rule that may keep a unit off workers, in the order in which the rules are applied. */
 export enum PlacementRule {
@@ -121,10 +122,6 @@
   }
 }
 
-function isBoundToRack (unit: Unit): boolean {
-  return unit.spec.isSameRack && unit.size > 1
-}
-
 /** The workers on the rack with the most room, of the racks that could hold the gang if they were empty; all workers if none could. */
 function getRoomiestRack (unit: Unit, usable: readonly WorkerState[], workers: readonly WorkerState[], count: (worker: WorkerState) => number): readonly WorkerState[] {
   const racks = [...groupByRack(usable)].filter(([, rack]) => canHoldWhenEmpty(unit, rack)).map(([name]) => name)
--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -15,6 +15,8 @@
   readonly getOccupancy: (unit: Unit, worker: WorkerState) => Occupancy
   /** Tells whether a worker is reserved for another unit, whose start this unit would delay. */
   readonly isReservedForOther: (unit: Unit, worker: WorkerState) => boolean
+  /** Gangs that belong on one rack are placed across racks, where they run more slowly. */
+  readonly spansRacks?: boolean
   /** The number of units on a worker beside which the unit runs only if there is no other room; 0 if it is not given. */
   readonly countConflicts?: (unit: Unit, worker: WorkerState) => number
   /** The expected speed of runs on a worker, relative to usual; 1 if it is not given. */
@@ -31,7 +33,7 @@
 
 /** Finds a worker for every member of a unit, or returns undefined. Subtracts the members' requests from the free capacity. */
 export function tryPlace (unit: Unit, freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] | undefined {
-  for (const group of getGroups(unit, freeCapacity)) {
+  for (const group of getGroups(unit, freeCapacity, rules.spansRacks)) {
     const places = tryPlaceInGroup(unit, group, freeCapacity, rules)
     if (places !== undefined) {
       allocateCapacity(freeCapacity, places, unit.spec.request)
@@ -71,11 +73,11 @@
 }
 
 /** The groups of workers to try in turn: the rack that holds the data first, then each rack by itself or all workers together. */
-export function getGroups (unit: Unit, freeCapacity: FreeCapacity): readonly (readonly WorkerState[])[] {
+export function getGroups (unit: Unit, freeCapacity: FreeCapacity, spansRacks = false): readonly (readonly WorkerState[])[] {
   const candidates = [...freeCapacity.keys()].filter(worker => isEligible(unit, worker))
   const { dataRack, isSameRack } = unit.spec
   const nearData = dataRack === undefined ? [] : candidates.filter(worker => worker.info.rack === dataRack)
-  if (!isSameRack || unit.size === 1) return nearData.length > 0 ? [nearData, candidates] : [candidates]
+  if (!isSameRack || spansRacks || unit.size === 1) return nearData.length > 0 ? [nearData, candidates] : [candidates]
   const racks = [...groupByRack(candidates).values()].filter(rack => canHoldWhenEmpty(unit, rack))
   // No single rack can hold the gang: it runs slower across racks, but it runs.
   if (racks.length === 0) return [candidates]
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -26,6 +26,7 @@
 import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
+import { createRackHolds } from './rackHold.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
 import { compareRanks, getPriority, getVictims, maxPreemptions } from './unitOrder.js'
@@ -110,6 +111,7 @@
   let usageByWorker = new Map<WorkerState, Map<string, number>>()
   /** Claims of urgent jobs on their organisations' guarantees; computed at the start of each planning pass. */
   let claims: ReadonlyMap<TrackedJob, GuaranteeClaim> = new Map()
+  const rackHolds = createRackHolds()
   /** Units whose claim has been logged as due and not met, each once for each run, by the number of their last run. */
   const loggedRuns = new WeakMap<Unit, number>()
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
@@ -165,6 +167,7 @@
     if (ready.length === 0) return
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     poolUse = createPoolUse(freeCapacity)
+    rackHolds.update(ready, freeCapacity, poolUse.isMostlyIdle, performance.now())
     const waiting = ready.filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = isAnySuspect
@@ -211,8 +214,9 @@
       const placed = hasRoom ? startWhereSure(remaining, permitted, freeCapacity) : 0
       remaining.splice(0, placed)
       if (placed > 0) continue
-      const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
-      if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
+      const spansRacks = rackHolds.isOver(unit, permitted)
+      const overdue = (hasRoom || spansRacks) && poolUse.isMostlyIdle(unit.job.spec.service) ? remaining.findIndex(isHoldOver) : -1
+      if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity, spansRacks)) remaining.splice(overdue, 1)
       else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
       else return false
     }
@@ -229,13 +233,14 @@
     return !spec.isService && getUnits(job).some(({ attempts }) => attempts.length > 0)
   }
 
-  /** Starts a unit whose hold is over on workers that it would otherwise leave to others. */
-  function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
+  /** Starts a unit whose hold is over on workers that it would otherwise leave to others; across racks only if no rack has room. */
+  function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity, mayGoAcrossRacks: boolean): boolean {
     const isWithinHeadroom = countPermitted(unit) >= unit.size
     if (!isWithinHeadroom && isJobRunning(unit)) return false
-    const places = tryPlace(unit, permitted, idlePoolRules)
+    const placesOnRack = tryPlace(unit, permitted, idlePoolRules)
+    const places = placesOnRack ?? (mayGoAcrossRacks ? tryPlace(unit, permitted, { ...idlePoolRules, spansRacks: true }) : undefined)
     if (places === undefined) return false
-    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion, isWithinHeadroom })
+    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion, isWithinHeadroom, spansRacks: placesOnRack === undefined })
     startPlaced(unit, places, permitted, freeCapacity)
     return true
   }
