A gang does not wait for a rack that lasting tasks keep too full for it

Cause: a rack counted as one that can hold a gang by the whole capacity of its workers. Lasting tasks neither end nor are preempted, so with one on each such rack a gang waits without an end, however many workers of other racks are idle.

Change: what lasting tasks hold is left out of the capacity that decides which racks a gang waits for, in placement, preemption, reservation and the description of a wait alike. If no rack is left the gang is placed across racks, as where racks are too small.

--- a/src/placement/gangAcrossRacks.test.ts
+++ b/src/placement/gangAcrossRacks.test.ts
@@ -81,6 +81,15 @@
   expect(racks.size).toBe(1)
 })
 
+// A lasting task neither ends nor is preempted, so that a rack with one in the way never becomes free.
+test('a gang does not wait for a rack that lasting tasks keep too full for it', () => {
+  const harness = createHarness(8, 4)
+  add(harness, 'lasting', 'batch', { count: 2, isService: true, request: wholeWorker, requiredLabel: 'place-0' })
+  harness.plan()
+  const gang = add(harness, 'gang', 'batch', { count: 4, isGang: true, isSameRack: true, request: wholeWorker, estimateMs: 4_000 })
+  expect(playUntilStarted(harness, gang, 30_000)).toBe(0)
+})
+
 test('later jobs that take part of the room again and again do not begin the wait of a gang anew', () => {
   const harness = createHarness(9, 3)
   add(harness, 'load', 'urgent', { count: 3, request: wholeWorker, requiredLabel: 'place-0' })
--- a/src/placement/obstacles.ts
+++ b/src/placement/obstacles.ts
@@ -2,7 +2,8 @@
 import type { Unit } from '../jobs/trackedJob.js'
 import { countFitting, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import { canHoldWhenEmpty, groupByRack, isEligible } from './placeUnit.js'
+import { canHold, groupByRack, isEligible } from './placeUnit.js'
+import type { GetAttainable } from './placeUnit.js'
 import { isBoundToRack } from './rackHold.js'
 
 /** A rule that may keep a unit off workers, in the order in which the rules are applied. */
@@ -69,6 +70,7 @@
   readonly isReserved: (unit: Unit, worker: WorkerState) => boolean
   readonly isInDoubt: (worker: WorkerState) => boolean
   readonly countStepTasks: (unit: Unit, workerId: string) => number
+  readonly getAttainable: GetAttainable
   /** The tasks of the unit that may start beside the accelerators that its priority leaves to more urgent work. */
   readonly countWithinHeadroom: (unit: Unit) => number
   readonly headroomAccelerators: number
@@ -112,7 +114,7 @@
   apply(PlacementRule.Isolation, workers.filter(worker => !host.isKeptApart(unit, worker)), countTasks)
   apply(PlacementRule.Reservation, workers.filter(worker => !host.isReserved(unit, worker)), countTasks)
   apply(PlacementRule.SpreadLimit, workers.filter(worker => countSpread(worker) > 0), countSpread)
-  if (isBoundToRack(unit)) apply(PlacementRule.OneRack, getRoomiestRack(unit, usable, workers, countSpread), countSpread)
+  if (isBoundToRack(unit)) apply(PlacementRule.OneRack, getRoomiestRack(unit, usable, workers, countSpread, host.getAttainable), countSpread)
   effects.push({ rule: PlacementRule.Headroom, excludedWorkers: 0, tasksWithRoom: Math.max(0, Math.min(host.countWithinHeadroom(unit), effects.at(-1)?.tasksWithRoom ?? limit)) })
   return effects
 
@@ -122,9 +124,9 @@
   }
 }
 
-/** The workers on the rack with the most room, of the racks that could hold the gang if they were empty; all workers if none could. */
-function getRoomiestRack (unit: Unit, usable: readonly WorkerState[], workers: readonly WorkerState[], count: (worker: WorkerState) => number): readonly WorkerState[] {
-  const racks = [...groupByRack(usable)].filter(([, rack]) => canHoldWhenEmpty(unit, rack)).map(([name]) => name)
+/** The workers on the rack with the most room, of the racks that could hold the gang if only lasting tasks ran there; all workers if none could. */
+function getRoomiestRack (unit: Unit, usable: readonly WorkerState[], workers: readonly WorkerState[], count: (worker: WorkerState) => number, getAttainable: GetAttainable): readonly WorkerState[] {
+  const racks = [...groupByRack(usable)].filter(([, rack]) => canHold(unit, rack, getAttainable)).map(([name]) => name)
   if (racks.length === 0) return workers
   const groups = racks.map(name => workers.filter(worker => worker.info.rack === name))
   return groups.reduce((best, group) => sum(group, count) > sum(best, count) ? group : best)
--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -7,6 +7,12 @@
 /** The free capacity of each usable worker during one planning pass; placements of the pass are already subtracted. */
 export type FreeCapacity = Map<WorkerState, Resources>
 
+/**
+ * What a worker has without the lasting tasks on it, which neither end nor are preempted: a gang never gets their share, however long it waits. The worker's
+ * whole capacity where it is not given.
+ */
+export type GetAttainable = (worker: WorkerState) => Resources
+
 /** What the search needs to know about other work on the workers. */
 export interface PlacementRules {
   /** The number of tasks of the unit's step and occurrence on a worker. */
@@ -17,6 +23,7 @@
   readonly isReservedForOther: (unit: Unit, worker: WorkerState) => boolean
   /** Gangs that belong on one rack are placed across racks, where they run more slowly. */
   readonly spansRacks?: boolean
+  readonly getAttainable?: GetAttainable
   /** The number of units on a worker beside which the unit runs only if there is no other room; 0 if it is not given. */
   readonly countConflicts?: (unit: Unit, worker: WorkerState) => number
   /** The expected speed of runs on a worker, relative to usual; 1 if it is not given. */
@@ -33,7 +40,7 @@
 
 /** Finds a worker for every member of a unit, or returns undefined. Subtracts the members' requests from the free capacity. */
 export function tryPlace (unit: Unit, freeCapacity: FreeCapacity, rules: PlacementRules): readonly WorkerState[] | undefined {
-  for (const group of getGroups(unit, freeCapacity, rules.spansRacks)) {
+  for (const group of getGroups(unit, freeCapacity, rules)) {
     const places = tryPlaceInGroup(unit, group, freeCapacity, rules)
     if (places !== undefined) {
       allocateCapacity(freeCapacity, places, unit.spec.request)
@@ -73,12 +80,12 @@
 }
 
 /** The groups of workers to try in turn: the rack that holds the data first, then each rack by itself or all workers together. */
-export function getGroups (unit: Unit, freeCapacity: FreeCapacity, spansRacks = false): readonly (readonly WorkerState[])[] {
+export function getGroups (unit: Unit, freeCapacity: FreeCapacity, { spansRacks = false, getAttainable }: Pick<PlacementRules, 'spansRacks' | 'getAttainable'> = {}): readonly (readonly WorkerState[])[] {
   const candidates = [...freeCapacity.keys()].filter(worker => isEligible(unit, worker))
   const { dataRack, isSameRack } = unit.spec
   const nearData = dataRack === undefined ? [] : candidates.filter(worker => worker.info.rack === dataRack)
   if (!isSameRack || spansRacks || unit.size === 1) return nearData.length > 0 ? [nearData, candidates] : [candidates]
-  const racks = [...groupByRack(candidates).values()].filter(rack => canHoldWhenEmpty(unit, rack))
+  const racks = [...groupByRack(candidates).values()].filter(rack => canHold(unit, rack, getAttainable))
   // No single rack can hold the gang: it runs slower across racks, but it runs.
   if (racks.length === 0) return [candidates]
   // Best fit: trying the racks with the least free capacity first leaves the others free for larger gangs.
@@ -93,12 +100,12 @@
   return requiredLabel === undefined || worker.info.labels.includes(requiredLabel)
 }
 
-/** Tells whether the workers could hold the whole unit if nothing else ran on them. */
-export function canHoldWhenEmpty (unit: Unit, workers: readonly WorkerState[]): boolean {
+/** Tells whether the workers could hold the whole unit if nothing but lasting tasks ran on them. */
+export function canHold (unit: Unit, workers: readonly WorkerState[], getAttainable: GetAttainable = ({ info }) => info.capacity): boolean {
   const { request, spreadLimit = Infinity } = unit.spec
   let count = 0
   for (const worker of workers) {
-    let free = worker.info.capacity
+    let free = getAttainable(worker)
     for (let countOnWorker = 0; countOnWorker < spreadLimit && count < unit.size && fits(request, free); countOnWorker++) {
       free = subtractResources(free, request)
       count++
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -7,7 +7,7 @@
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { addResources, getFreeCapacity, isUsable } from '../workers/workerState.js'
+import { addResources, getFreeCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getGuaranteeClaims } from './guarantees.js'
 import type { GuaranteeClaim } from './guarantees.js'
@@ -109,6 +109,8 @@
   let hasSuspects = false
   /** Accelerators in use on each worker by queue; computed on demand in each planning pass. */
   let usageByWorker = new Map<WorkerState, Map<string, number>>()
+  /** The capacity of workers without lasting tasks; computed on demand in each planning pass. */
+  const attainable = new Map<WorkerState, Resources>()
   /** Claims of urgent jobs on their organisations' guarantees; computed at the start of each planning pass. */
   let claims: ReadonlyMap<TrackedJob, GuaranteeClaim> = new Map()
   const rackHolds = createRackHolds()
@@ -132,7 +134,7 @@
   let usableIds: readonly string[] = []
   /** The usable workers that may be gone; determined at the start of each planning pass. */
   let doubtful: ReadonlySet<WorkerState> = new Set()
-  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
+  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare, getAttainable }
   /** For a unit that has been held back for long enough: other units on a worker only count against it, and reservations bind it only while its job progresses. */
   const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: (unit, worker) => isJobRunning(unit) && hasBindingReservation(unit, worker), countConflicts }
 
@@ -147,6 +149,7 @@
       isReserved: hasBindingReservation,
       isInDoubt: worker => host.isInDoubt?.(worker.info.workerId) === true,
       countStepTasks,
+      getAttainable,
       countWithinHeadroom: countPermitted,
       headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0,
       unitsBefore: Math.max(0, lastOrder.filter(other => other === unit || isReadyToPlace(other)).indexOf(unit))
@@ -173,12 +176,13 @@
     hasSuspects = isAnySuspect
     const ordered = lastOrder = order(waiting)
     recordDemand(freeCapacity)
-    poolRoom = createPoolRoom(freeCapacity)
+    poolRoom = createPoolRoom(freeCapacity, getAttainable)
     usableIds = [...freeCapacity.keys()].map(worker => worker.info.workerId)
     doubtful = new Set([...freeCapacity.keys()].filter(worker => host.isInDoubt?.(worker.info.workerId) === true))
     reservations.clear()
     reservedUnits = 0
     usageByWorker = new Map()
+    attainable.clear()
     forgetVictims()
     const blockedSteps = new Set<string>()
     for (const units of groupAlike(ordered)) {
@@ -330,7 +334,10 @@
   }
 
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
-    for (const worker of places) usageByWorker.delete(worker)
+    for (const worker of places) {
+      usageByWorker.delete(worker)
+      attainable.delete(worker)
+    }
     forgetSearches()
     freeAccelerators -= unit.size * unit.spec.request.accelerators
     poolUse.add(unit.job.spec.service, unit.size, unit.spec.request)
@@ -363,7 +370,7 @@
     const key = permitted.size < usableIds.length ? undefined : getPlacementKey(unit)
     if (key !== undefined && unreservable.has(key)) return
     const unreserved = reservations.size === 0 ? permitted : new Map([...permitted].filter(([worker]) => !reservations.has(worker)))
-    const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now() })
+    const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now(), getAttainable })
     if (reservation === undefined) {
       if (key !== undefined) unreservable.add(key)
       return
@@ -539,6 +546,17 @@
     return { sameQueue, otherQueues }
   }
 
+  function getAttainable (worker: WorkerState): Resources {
+    let resources = attainable.get(worker)
+    if (resources !== undefined) return resources
+    resources = worker.info.capacity
+    for (const { attempt: { unit, stopReason }, state } of getMembers(worker.info.workerId)) {
+      if (unit.spec.isService && stopReason === undefined && state !== MemberState.Ended) resources = subtractResources(resources, unit.spec.request)
+    }
+    attainable.set(worker, resources)
+    return resources
+  }
+
   function getUsage (worker: WorkerState): Map<string, number> {
     let byQueue = usageByWorker.get(worker)
     if (byQueue !== undefined) return byQueue
--- a/src/placement/poolRoom.ts
+++ b/src/placement/poolRoom.ts
@@ -1,8 +1,8 @@
 /** Tells within one planning pass, without ranking workers, whether a unit could be placed at all. Does no I/O. */
 import type { Unit } from '../jobs/trackedJob.js'
 import { countFitting } from '../workers/workerState.js'
-import { canHoldWhenEmpty, groupByRack, isEligible } from './placeUnit.js'
-import type { FreeCapacity } from './placeUnit.js'
+import { canHold, groupByRack, isEligible } from './placeUnit.js'
+import type { FreeCapacity, GetAttainable } from './placeUnit.js'
 
 /** The room of the pool in one planning pass. */
 export interface PoolRoom {
@@ -16,14 +16,14 @@
 }
 
 /** Creates the room index of one planning pass; later changes of the free capacity count. */
-export function createPoolRoom (freeCapacity: FreeCapacity): PoolRoom {
+export function createPoolRoom (freeCapacity: FreeCapacity, getAttainable?: GetAttainable): PoolRoom {
   const lacking = new Set<string>()
   return { hasRoom, clear: () => { lacking.clear() } }
 
   function hasRoom (unit: Unit): boolean {
     const key = getPlacementKey(unit)
     if (lacking.has(key)) return false
-    const isRoom = findRoom(unit, freeCapacity)
+    const isRoom = findRoom(unit, freeCapacity, getAttainable)
     if (!isRoom) lacking.add(key)
     return isRoom
   }
@@ -35,7 +35,7 @@
   return JSON.stringify([job.spec.service, size, cpuMilli, memoryMb, accelerators, requiredLabel, spreadLimit, isSameRack, dataRack])
 }
 
-function findRoom (unit: Unit, freeCapacity: FreeCapacity): boolean {
+function findRoom (unit: Unit, freeCapacity: FreeCapacity, getAttainable: GetAttainable | undefined): boolean {
   const { request, spreadLimit = Infinity, isSameRack } = unit.spec
   const limit = Math.min(unit.size, spreadLimit)
   const isOneRackEnough = isSameRack && unit.size > 1
@@ -52,11 +52,11 @@
       roomByRack.set(worker.info.rack, roomInRack)
     } else if (room >= unit.size) return true
   }
-  // A gang that no rack could hold, even if it were empty, is spread over all workers.
-  return isOneRackEnough && room >= unit.size && !canAnyRackHold(unit, freeCapacity)
+  // A gang that no rack could hold, even if only lasting tasks ran there, is spread over all workers.
+  return isOneRackEnough && room >= unit.size && !canAnyRackHold(unit, freeCapacity, getAttainable)
 }
 
-function canAnyRackHold (unit: Unit, freeCapacity: FreeCapacity): boolean {
+function canAnyRackHold (unit: Unit, freeCapacity: FreeCapacity, getAttainable: GetAttainable | undefined): boolean {
   const racks = groupByRack([...freeCapacity.keys()].filter(worker => isEligible(unit, worker)))
-  return [...racks.values()].some(rack => canHoldWhenEmpty(unit, rack))
+  return [...racks.values()].some(rack => canHold(unit, rack, getAttainable))
 }
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -58,7 +58,7 @@
   unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number, firstNeeds: FirstNeeds = new Map()
 ): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
-  for (const group of getGroups(unit, freeCapacity)) {
+  for (const group of getGroups(unit, freeCapacity, rules)) {
     const plan = tryPreemptInGroup(unit, group, freeCapacity, victims, rules, getWorker, best?.cost ?? maxLoss, firstNeeds)
     if (plan !== undefined && plan.cost < (best?.cost ?? Infinity)) best = plan
   }
--- a/src/placement/reservation.ts
+++ b/src/placement/reservation.ts
@@ -9,7 +9,7 @@
 import { addResources, countFitting } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getGroups } from './placeUnit.js'
-import type { FreeCapacity } from './placeUnit.js'
+import type { FreeCapacity, GetAttainable } from './placeUnit.js'
 
 /** The workers reserved for a unit, and its expected start by the monotonic clock. */
 export interface Reservation {
@@ -21,6 +21,7 @@
 export interface ReservationHost {
   readonly getMembers: (workerId: string) => Iterable<Member>
   readonly nowMs: number
+  readonly getAttainable?: GetAttainable
 }
 
 /** While a run has progressed by less than this since its first report, in percent, its remaining time is taken from its estimate. */
@@ -29,7 +30,7 @@
 /** Finds the workers on which the unit can start first; undefined if it would not fit even after all work except services has ended. */
 export function tryReserve (unit: Unit, freeCapacity: FreeCapacity, host: ReservationHost): Reservation | undefined {
   let best: Reservation | undefined
-  for (const group of getGroups(unit, freeCapacity)) best = estimateStart(unit, group, freeCapacity, host, best?.startAtMs ?? Infinity) ?? best
+  for (const group of getGroups(unit, freeCapacity, host)) best = estimateStart(unit, group, freeCapacity, host, best?.startAtMs ?? Infinity) ?? best
   return best
 }
 
