A claim on a guarantee that is due preempts across racks if it cannot on any rack

Cause: also a claim that is due searched for room and for work to preempt on each rack by itself. That the search failed on the racks is concluded from the log, which doesn't show it by rack.

The line of a preemption has spansRacks.

--- a/src/placement/gangAcrossRacks.test.ts
+++ b/src/placement/gangAcrossRacks.test.ts
@@ -90,6 +90,22 @@
   expect(playUntilStarted(harness, gang, 30_000)).toBe(0)
 })
 
+// narrow, seed 17: RECLAIM. A guaranteed gang of four was due at 1.3 s and preempted at 3.2 s, although 12 of 16 workers held work that it may preempt.
+test('a guaranteed gang preempts across racks if it could not on any rack in time', () => {
+  const organisations = [{ name: 'mill', keys: ['key-of-mill'], guaranteedAccelerators: 24 }, { name: 'weir', keys: ['key-of-weir'], guaranteedAccelerators: 24 }]
+  const harness = createPlannerHarness({ workers: 9, workersPerRack: 3, configuration: { ...harnessConfiguration, organisations }, getLabels: index => [`place-${index % 3}`] })
+  // Guaranteed work is not preempted, and keeps one worker of each rack.
+  const steps = [makeStep({ count: 3, request: wholeWorker, requiredLabel: 'place-0', estimateMs: 60_000 })]
+  harness.jobs.push(createTrackedJob(makeJob('guaranteed', 'urgent', steps, { organisation: 'weir' }), performance.now()))
+  add(harness, 'load', 'batch', { count: 6, request: wholeWorker })
+  harness.plan()
+  expect(harness.started).toHaveLength(9)
+  const gang = add(harness, 'gang', 'urgent', { count: 3, isGang: true, isSameRack: true, request: wholeWorker })
+  // The bound of the harness is 2,900 ms, of which a stop takes 400 ms and storing the plan and the start the rest.
+  expect(playUntilStarted(harness, gang, 2_000)).toBeGreaterThan(1_000)
+  expect(harness.stopped).toHaveLength(3)
+})
+
 test('later jobs that take part of the room again and again do not begin the wait of a gang anew', () => {
   const harness = createHarness(9, 3)
   add(harness, 'load', 'urgent', { count: 3, request: wholeWorker, requiredLabel: 'place-0' })
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -26,10 +26,10 @@
 import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
-import { createRackHolds } from './rackHold.js'
+import { createRackHolds, isBoundToRack } from './rackHold.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareRanks, getPriority, getVictims, maxPreemptions } from './unitOrder.js'
+import { compareRanks, getPriority, getStepKey, getVictims, groupAlike, maxPreemptions } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
 
 /** What the planner needs from outside. */
@@ -387,15 +387,18 @@
     if (isPatient(unit)) return false
     const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
     const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
-    if (victims === undefined || victims.size === 0) return false
-    const preemption = findPreemption(unit, freeCapacity, victims, delayCost)
+    const mayGoAcrossRacks = isBoundToRack(unit) && isReclaimPressing(unit)
+    if (victims === undefined || (victims.size === 0 && !mayGoAcrossRacks)) return false
+    const preemptionOnRack = findPreemption(unit, freeCapacity, victims, delayCost)
+    const preemption = preemptionOnRack ?? (mayGoAcrossRacks ? findPreemptionAcrossRacks(unit, freeCapacity, victims, delayCost) : undefined)
     if (preemption === undefined) return false
     logger.info('preempting running work to start a job', {
       jobId: unit.job.spec.jobId,
       victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId),
       stopCost: preemption.cost,
       delayCost: Number.isFinite(delayCost) ? delayCost : 'guaranteed',
-      slackMs: Math.round(getLimits(unit).latestStartMs - nowMs)
+      slackMs: Math.round(getLimits(unit).latestStartMs - nowMs),
+      spansRacks: preemptionOnRack === undefined
     })
     startAttempt(unit, preemption.places)
     for (const attempt of preemption.victims) host.preemptAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
@@ -424,6 +427,10 @@
     return preemption
   }
 
+  function findPreemptionAcrossRacks (unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, maxLoss: number): PreemptionPlan | undefined {
+    return tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, { ...rules, spansRacks: true }, workerId => workers.get(workerId), maxLoss)
+  }
+
   /** Units of one step of an occurrence have the same limits, and a pass needs those of all victims. */
   function getLimits (unit: Unit): StartLimits {
     const key = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
@@ -503,8 +510,18 @@
     return isGuaranteed(unit.job) && isOldEnoughToReclaim(unit)
   }
 
-  function isOldEnoughToReclaim ({ job }: Unit): boolean {
-    return performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
+  function isOldEnoughToReclaim (unit: Unit): boolean {
+    return getReclaimLeftMs(unit) < 2 * host.stopMs
+  }
+
+  /** Tells whether a guaranteed job must preempt now wherever it can: the bound on its start comes before one rack, without which it only runs more slowly. */
+  function isReclaimPressing (unit: Unit): boolean {
+    return isReclaimDue(unit) && getReclaimLeftMs(unit) < host.stopMs
+  }
+
+  /** The time until a guaranteed job has to start, less the time that storing the plan and the start need. */
+  function getReclaimLeftMs ({ job }: Unit): number {
+    return host.reclaimMs - reclaimLeadMs - (performance.now() - job.acceptedAtMs)
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
@@ -568,24 +585,3 @@
     return byQueue
   }
 }
-
-/** Splits ordered units into runs of units that are alike: tasks of one step that have not failed on any worker, and under which none has crashed. */
-function groupAlike (units: readonly Unit[]): readonly (readonly Unit[])[] {
-  const groups: Unit[][] = []
-  let lastKey: string | undefined
-  for (const unit of units) {
-    const key = unit.avoidedWorkers.size === 0 && !isSuspect(unit) ? getStepKey(unit) : undefined
-    const last = groups.at(-1)
-    if (key !== undefined && key === lastKey && last !== undefined) last.push(unit)
-    else groups.push([unit])
-    lastKey = key
-  }
-  return groups
-}
-
-/** The key of the units that are ranked and blocked alike. A suspect unit waits by itself, as it may need an empty worker. */
-function getStepKey (unit: Unit): string {
-  const { job, occurrence, step, index } = unit
-  const stepKey = `${job.spec.jobId}.${occurrence}.${step}`
-  return isSuspect(unit) ? `${stepKey}.${index}` : stepKey
-}
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -3,6 +3,7 @@
 import { isTerminal } from '../jobs/jobModel.js'
 import { getUnits } from '../jobs/trackedJob.js'
 import type { Attempt, TrackedJob, Unit } from '../jobs/trackedJob.js'
+import { isSuspect } from './isolation.js'
 import type { Victim } from './preemption.js'
 
 /** Looks up the settings of a job's queue. */
@@ -66,3 +67,24 @@
 export function getPriority (job: TrackedJob, getQueue: GetQueue): number {
   return getQueue(job)?.priority ?? lowestPriority
 }
+
+/** Splits ordered units into runs of units that are alike: tasks of one step that have not failed on any worker, and under which none has crashed. */
+export function groupAlike (units: readonly Unit[]): readonly (readonly Unit[])[] {
+  const groups: Unit[][] = []
+  let lastKey: string | undefined
+  for (const unit of units) {
+    const key = unit.avoidedWorkers.size === 0 && !isSuspect(unit) ? getStepKey(unit) : undefined
+    const last = groups.at(-1)
+    if (key !== undefined && key === lastKey && last !== undefined) last.push(unit)
+    else groups.push([unit])
+    lastKey = key
+  }
+  return groups
+}
+
+/** The key of the units that are ranked and blocked alike. A suspect unit waits by itself, as it may need an empty worker. */
+export function getStepKey (unit: Unit): string {
+  const { job, occurrence, step, index } = unit
+  const stepKey = `${job.spec.jobId}.${occurrence}.${step}`
+  return isSuspect(unit) ? `${stepKey}.${index}` : stepKey
+}
