--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -7,7 +7,7 @@
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { addResources, fits, getFreeCapacity, isUsable } from '../workers/workerState.js'
+import { addResources, getFreeCapacity, isUsable, subtractResources } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
 import { getGuaranteeClaims } from './guarantees.js'
 import type { GuaranteeClaim } from './guarantees.js'
@@ -16,17 +16,20 @@
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
 import { countKeptApart, isKeptApart, isSuspect } from './isolation.js'
-import { allocateCapacity, isEligible, placeTasks, tryPlace } from './placeUnit.js'
+import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
 import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
 import type { FirstNeeds, PreemptionPlan, VictimsByWorker } from './preemption.js'
+import { describeObstacles } from './obstacles.js'
+import type { PlacementObstacles } from './obstacles.js'
 import { createPoolRoom, getPlacementKey } from './poolRoom.js'
 import type { PoolRoom } from './poolRoom.js'
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
+import { createRackHolds, isBoundToRack } from './rackHold.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
-import { compareRanks, getPriority, getVictims, maxPreemptions } from './unitOrder.js'
+import { compareRanks, getPriority, getStepKey, getVictims, groupAlike, maxPreemptions } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
 
 /** What the planner needs from outside. */
@@ -66,22 +69,6 @@
   describeWait (unit: Unit): PlacementObstacles
 }
 
-/** What stands against placing a unit. */
-export interface PlacementObstacles {
-  /** It has been preempted and is not placed again yet. */
-  readonly isHeldBack: boolean
-  /** Usable workers of its job's service with the label that it requires. */
-  readonly usableWorkers: number
-  /** Usable workers with room for one task of the unit. */
-  readonly workersWithRoom: number
-  /** Of these, the workers that are reserved for other units, or from which it is kept apart. */
-  readonly reservedForOthers: number
-  /** Of those with room, the workers that the policy of its queue permits; undefined while none is known. */
-  readonly permittedWorkers: number | undefined
-  /** The accelerators that its priority leaves to more urgent work, if its slack is long. */
-  readonly headroomAccelerators: number
-}
-
 /** How long a unit that has been preempted waits for each run that was preempted since a run ended in another way, in ms: about as long as a burst's urgent job runs. */
 const restartDelayMs = 1_000
 /**
@@ -124,8 +111,11 @@
   let hasSuspects = false
   /** Accelerators in use on each worker by queue; computed on demand in each planning pass. */
   let usageByWorker = new Map<WorkerState, Map<string, number>>()
+  /** The capacity of workers without lasting tasks; computed on demand in each planning pass. */
+  const attainable = new Map<WorkerState, Resources>()
   /** Claims of urgent jobs on their organisations' guarantees; computed at the start of each planning pass. */
   let claims: ReadonlyMap<TrackedJob, GuaranteeClaim> = new Map()
+  const rackHolds = createRackHolds()
   /** Units whose claim has been logged as due and not met, each once for each run, by the number of their last run. */
   const loggedRuns = new WeakMap<Unit, number>()
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
@@ -140,28 +130,32 @@
   let poolUse: PoolUse = createPoolUse(new Map())
   /** What fits into the free capacity at all; created at the start of each planning pass. */
   let poolRoom: PoolRoom = createPoolRoom(new Map())
+  /** The units of the last planning pass in the order of placement. */
+  let lastOrder: readonly Unit[] = []
   /** The ids of the usable workers; determined at the start of each planning pass. */
   let usableIds: readonly string[] = []
   /** The usable workers that may be gone; determined at the start of each planning pass. */
   let doubtful: ReadonlySet<WorkerState> = new Set()
-  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare }
+  const rules: PlacementRules = { countStepTasks, getOccupancy, isReservedForOther, getSpeed: host.getSpeed, getSlackShare, getAttainable }
   /** For a unit that has been held back for long enough: other units on a worker only count against it, and reservations bind it only while its job progresses. */
   const idlePoolRules: PlacementRules = { ...rules, isReservedForOther: (unit, worker) => isJobRunning(unit) && hasBindingReservation(unit, worker), countConflicts }
 
   return { plan, describeWait }
 
   function describeWait (unit: Unit): PlacementObstacles {
-    const usable = [...workers.values()].filter(worker => isUsable(worker) && isEligible(unit, worker))
-    const withRoom = usable.filter(worker => fits(unit.spec.request, getFreeCapacity(worker)))
-    const permitted = host.getPermittedWorkers(unit, withRoom.map(worker => worker.info.workerId))
-    return {
-      isHeldBack: isHeldBack(unit),
-      usableWorkers: usable.length,
-      workersWithRoom: withRoom.length,
-      reservedForOthers: withRoom.filter(worker => isReservedForOther(unit, worker)).length,
-      permittedWorkers: permitted === 'all' ? withRoom.length : permitted?.size,
-      headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0
-    }
+    return describeObstacles(unit, {
+      workers: workers.values(),
+      getPermittedWorkers: host.getPermittedWorkers,
+      isHeldBack,
+      isKeptApart: isApartFromWorker,
+      isReserved: hasBindingReservation,
+      isInDoubt: worker => host.isInDoubt?.(worker.info.workerId) === true,
+      countStepTasks,
+      getAttainable,
+      countWithinHeadroom: countPermitted,
+      headroomAccelerators: isPatient(unit) ? headroom.getReserved(getPriority(unit.job, getQueue)) : 0,
+      unitsBefore: Math.max(0, lastOrder.filter(other => other === unit || isReadyToPlace(other)).indexOf(unit))
+    })
   }
 
   function plan (): void {
@@ -178,17 +172,19 @@
     if (ready.length === 0) return
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
     poolUse = createPoolUse(freeCapacity)
+    rackHolds.update(ready, freeCapacity, poolUse.isMostlyIdle, performance.now())
     const waiting = ready.filter(unit => !isHeldBack(unit))
     if (waiting.length === 0) return
     hasSuspects = isAnySuspect
-    const ordered = order(waiting)
+    const ordered = lastOrder = order(waiting)
     recordDemand(freeCapacity)
-    poolRoom = createPoolRoom(freeCapacity)
+    poolRoom = createPoolRoom(freeCapacity, getAttainable)
     usableIds = [...freeCapacity.keys()].map(worker => worker.info.workerId)
     doubtful = new Set([...freeCapacity.keys()].filter(worker => host.isInDoubt?.(worker.info.workerId) === true))
     reservations.clear()
     reservedUnits = 0
     usageByWorker = new Map()
+    attainable.clear()
     forgetVictims()
     const blockedSteps = new Set<string>()
     for (const units of groupAlike(ordered)) {
@@ -207,10 +203,10 @@
   function logUnmetClaim (unit: Unit): void {
     if (loggedRuns.get(unit) === unit.run) return
     loggedRuns.set(unit, unit.run)
-    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, size, suspicion } = unit
+    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, suspicion } = unit
     const victims = getVictimsByWorker(unit)
     logger.info('a claim on a guarantee is due and not met', {
-      jobId, step, index, run, size, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
+      jobId, step, index, run, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
     })
   }
 
@@ -224,8 +220,9 @@
       const placed = hasRoom ? startWhereSure(remaining, permitted, freeCapacity) : 0
       remaining.splice(0, placed)
       if (placed > 0) continue
-      const overdue = hasRoom && poolUse.isMostlyIdle(unit.job.service) ? remaining.findIndex(isHoldOver) : -1
-      if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity)) remaining.splice(overdue, 1)
+      const spansRacks = rackHolds.isOver(unit, permitted)
+      const overdue = (hasRoom || spansRacks) && poolUse.isMostlyIdle(unit.job.service) ? remaining.findIndex(isHoldOver) : -1
+      if (overdue >= 0 && tryStartInIdlePool(remaining[overdue] as Unit, permitted, freeCapacity, spansRacks)) remaining.splice(overdue, 1)
       else if (tryPreemptOrReserve(unit, permitted, freeCapacity)) remaining.shift()
       else return reportNotPlaced(unit)
     }
@@ -247,13 +244,14 @@
     return !spec.isService && getUnits(job).some(({ attempts }) => attempts.length > 0)
   }
 
-  /** Starts a unit whose hold is over on workers that it would otherwise leave to others. */
-  function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
+  /** Starts a unit whose hold is over on workers that it would otherwise leave to others; across racks only if no rack has room. */
+  function tryStartInIdlePool (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity, mayGoAcrossRacks: boolean): boolean {
     const isWithinHeadroom = countPermitted(unit) >= unit.size
     if (!isWithinHeadroom && isJobRunning(unit)) return false
-    const places = tryPlace(unit, permitted, idlePoolRules)
+    const placesOnRack = tryPlace(unit, permitted, idlePoolRules)
+    const places = placesOnRack ?? (mayGoAcrossRacks ? tryPlace(unit, permitted, { ...idlePoolRules, spansRacks: true }) : undefined)
     if (places === undefined) return false
-    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion, isWithinHeadroom })
+    logger.info('starting a unit in an idle pool although it is held back', { jobId: unit.job.spec.jobId, step: unit.step, index: unit.index, waitedMs: Math.round(performance.now() - unit.waitingSinceMs), suspicion: unit.suspicion, isWithinHeadroom, spansRacks: placesOnRack === undefined })
     startPlaced(unit, places, permitted, freeCapacity)
     return true
   }
@@ -343,7 +341,10 @@
   }
 
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
-    for (const worker of places) usageByWorker.delete(worker)
+    for (const worker of places) {
+      usageByWorker.delete(worker)
+      attainable.delete(worker)
+    }
     forgetSearches()
     freeAccelerators -= unit.size * unit.spec.request.accelerators
     poolUse.add(unit.job.service, unit.size, unit.spec.request)
@@ -376,7 +377,7 @@
     const key = permitted.size < usableIds.length ? undefined : getPlacementKey(unit)
     if (key !== undefined && unreservable.has(key)) return
     const unreserved = reservations.size === 0 ? permitted : new Map([...permitted].filter(([worker]) => !reservations.has(worker)))
-    const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now() })
+    const reservation = tryReserve(unit, unreserved, { getMembers, nowMs: performance.now(), getAttainable })
     if (reservation === undefined) {
       if (key !== undefined) unreservable.add(key)
       return
@@ -393,15 +394,18 @@
     if (isPatient(unit)) return false
     const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
     const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
-    if (victims === undefined || victims.size === 0) return false
-    const preemption = findPreemption(unit, freeCapacity, victims, delayCost)
+    const mayGoAcrossRacks = isBoundToRack(unit) && isReclaimPressing(unit)
+    if (victims === undefined || (victims.size === 0 && !mayGoAcrossRacks)) return false
+    const preemptionOnRack = findPreemption(unit, freeCapacity, victims, delayCost)
+    const preemption = preemptionOnRack ?? (mayGoAcrossRacks ? findPreemptionAcrossRacks(unit, freeCapacity, victims, delayCost) : undefined)
     if (preemption === undefined) return false
     logger.info('preempting running work to start a job', {
       jobId: unit.job.spec.jobId,
       victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId),
       stopCost: preemption.cost,
       delayCost: Number.isFinite(delayCost) ? delayCost : 'guaranteed',
-      slackMs: Math.round(getLimits(unit).latestStartMs - nowMs)
+      slackMs: Math.round(getLimits(unit).latestStartMs - nowMs),
+      spansRacks: preemptionOnRack === undefined
     })
     startAttempt(unit, preemption.places)
     for (const attempt of preemption.victims) host.preemptAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
@@ -430,6 +434,10 @@
     return preemption
   }
 
+  function findPreemptionAcrossRacks (unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, maxLoss: number): PreemptionPlan | undefined {
+    return tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, { ...rules, spansRacks: true }, workerId => workers.get(workerId), maxLoss)
+  }
+
   /** Units of one step of an occurrence have the same limits, and a pass needs those of all victims. */
   function getLimits (unit: Unit): StartLimits {
     const key = `${unit.job.spec.jobId}.${unit.occurrence}.${unit.step}`
@@ -509,13 +517,26 @@
     return isGuaranteed(unit.job) && isOldEnoughToReclaim(unit)
   }
 
-  function isOldEnoughToReclaim ({ job }: Unit): boolean {
-    return performance.now() - job.acceptedAtMs > host.reclaimMs - reclaimLeadMs - 2 * host.stopMs
+  function isOldEnoughToReclaim (unit: Unit): boolean {
+    return getReclaimLeftMs(unit) < 2 * host.stopMs
+  }
+
+  /** Tells whether a guaranteed job must preempt now wherever it can: the bound on its start comes before one rack, without which it only runs more slowly. */
+  function isReclaimPressing (unit: Unit): boolean {
+    return isReclaimDue(unit) && getReclaimLeftMs(unit) < host.stopMs
+  }
+
+  /** The time until a guaranteed job has to start, less the time that storing the plan and the start need. */
+  function getReclaimLeftMs ({ job }: Unit): number {
+    return host.reclaimMs - reclaimLeadMs - (performance.now() - job.acceptedAtMs)
   }
 
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
-    if (hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())) return true
-    return hasBindingReservation(unit, worker)
+    return isApartFromWorker(unit, worker) || hasBindingReservation(unit, worker)
+  }
+
+  function isApartFromWorker (unit: Unit, worker: WorkerState): boolean {
+    return hasSuspects && isKeptApart(unit, getMembers(worker.info.workerId), performance.now())
   }
 
   function countConflicts (unit: Unit, worker: WorkerState): number {
@@ -549,6 +570,17 @@
     return { sameQueue, otherQueues }
   }
 
+  function getAttainable (worker: WorkerState): Resources {
+    let resources = attainable.get(worker)
+    if (resources !== undefined) return resources
+    resources = worker.info.capacity
+    for (const { attempt: { unit, stopReason }, state } of getMembers(worker.info.workerId)) {
+      if (unit.spec.isService && stopReason === undefined && state !== MemberState.Ended) resources = subtractResources(resources, unit.spec.request)
+    }
+    attainable.set(worker, resources)
+    return resources
+  }
+
   function getUsage (worker: WorkerState): Map<string, number> {
     let byQueue = usageByWorker.get(worker)
     if (byQueue !== undefined) return byQueue
@@ -560,24 +592,3 @@
     return byQueue
   }
 }
-
-/** Splits ordered units into runs of units that are alike: tasks of one step that have not failed on any worker, and under which none has crashed. */
-function groupAlike (units: readonly Unit[]): readonly (readonly Unit[])[] {
-  const groups: Unit[][] = []
-  let lastKey: string | undefined
-  for (const unit of units) {
-    const key = unit.avoidedWorkers.size === 0 && !isSuspect(unit) ? getStepKey(unit) : undefined
-    const last = groups.at(-1)
-    if (key !== undefined && key === lastKey && last !== undefined) last.push(unit)
-    else groups.push([unit])
-    lastKey = key
-  }
-  return groups
-}
-
-/** The key of the units that are ranked and blocked alike. A suspect unit waits by itself, as it may need an empty worker. */
-function getStepKey (unit: Unit): string {
-  const { job, occurrence, step, index } = unit
-  const stepKey = `${job.spec.jobId}.${occurrence}.${step}`
-  return isSuspect(unit) ? `${stepKey}.${index}` : stepKey
-}
--- a/src/runs/endEvidence.ts
+++ b/src/runs/endEvidence.ts
@@ -128,3 +128,8 @@
   const reported = requestedAtMs === undefined ? {} : { reportAgeMs: Math.round(nowMs - requestedAtMs), reportedBornAtMs: incarnationMs, reportClockMs: clockMs, seenClockMs: member.lastSeen?.clockMs }
   return { evidence: source, ...reported, plannedBornAtMs: member.bornAtMs }
 }
+
+/** The fields that describe in the log how far a lost run was when its worker last listed it, and how long ago that was: it may have ended since, in an end that nobody has read. */
+export function describeLastReport ({ progressPercent, reportedAtMs }: Member, nowMs: number): object {
+  return { progressPercent, lastReportAgeMs: reportedAtMs === undefined ? undefined : Math.round(nowMs - reportedAtMs) }
+}
--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -18,7 +18,7 @@
 import type { EndedRun, RunningRun, WorkerStatusReport } from '../workers/workerPort.js'
 import { createCrashTracking } from './crashTracking.js'
 import { checkDisruption } from './disruptionBudget.js'
-import { AbsenceVerdict, addSighting, describeEvidence, EvidenceSource, isWrittenAfter, isWrittenBefore, judgeAbsence, RunScope } from './endEvidence.js'
+import { AbsenceVerdict, addSighting, describeEvidence, describeLastReport, EvidenceSource, isWrittenAfter, isWrittenBefore, judgeAbsence, RunScope } from './endEvidence.js'
 import type { EndEvidence, ReportOrigin } from './endEvidence.js'
 import { createStartRequests } from './startRequests.js'
 import type { WorkerLink } from './workerLink.js'
@@ -565,7 +565,7 @@
     getMembers(member.workerId).delete(member)
     host.getWorker(member.workerId)?.allocations.delete(getAllocationKey(getTaskName(member), attempt.run))
     if (checkpoint !== '') unit.checkpoint = checkpoint
-    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason, ...(how === 'lost' ? describeLastReport(member) : {}), ...describeEvidence(member, evidence, performance.now()) })
+    logger.info('run ended', { task: getTaskName(member), run: attempt.run, workerId: member.workerId, how, reason: attempt.stopReason, ...(how === 'lost' ? describeLastReport(member, performance.now()) : {}), ...describeEvidence(member, evidence, performance.now()) })
     host.onMemberEnded(member, how)
     if (how === EndKind.Done && !unit.spec.isService) unit.isDone = true
     if (how === EndKind.Failed) {
@@ -578,11 +578,6 @@
     host.onChanged()
   }
 
-  /** How far a lost run was when its worker last listed it, and how long ago that was: it may have ended since, in an end that nobody has read. */
-  function describeLastReport ({ progressPercent, reportedAtMs }: Member): object {
-    return { progressPercent, lastReportAgeMs: reportedAtMs === undefined ? undefined : Math.round(performance.now() - reportedAtMs) }
-  }
-
   function closeAttempt (attempt: Attempt): void {
     const { unit } = attempt
     planned.delete(attempt)
