--- a/src/runs/replacementTime.test.ts
+++ b/src/runs/replacementTime.test.ts
@@ -23,11 +23,18 @@
 
 /** While set, starts are carried out and their answers are lost. */
 let areStartAnswersLost = false
+/** While set, so are the answers to all other requests. */
+let areReportsLost = false
 
 beforeEach(async () => {
   jest.useFakeTimers()
   areStartAnswersLost = false
-  const interceptWorker = (_hostId: string, _workerId: string, port: WorkerPort): WorkerPort => ({ ...port, start: async request => await loseAnswer(port.start(request)) })
+  areReportsLost = false
+  const interceptWorker = (_hostId: string, _workerId: string, port: WorkerPort): WorkerPort => ({
+    ...port,
+    start: async request => await loseAnswer(port.start(request), areStartAnswersLost),
+    renewLease: async renewal => await loseAnswer(port.renewLease(renewal), areReportsLost)
+  })
   harness = createPoolHarness({ workers: 6, workersPerRack: 2, maxLeaseMs, interceptWorker, getRun: name => ({ workMs: name.startsWith('short') ? 300 : 120_000, how: EndKind.Done }) })
   harness.addHost('host-0')
   await run(oldLifeMs)
@@ -40,11 +47,11 @@
   jest.useRealTimers()
 })
 
-async function loseAnswer<T> (answer: Promise<T>): Promise<T> {
-  if (!areStartAnswersLost) return await answer
+async function loseAnswer<T> (answer: Promise<T>, isLost: boolean): Promise<T> {
+  if (!isLost) return await answer
   await answer
   await delay(answerTimeoutMs)
-  throw createError(ErrorKind.AnswerLost, 'the start got no answer')
+  throw createError(ErrorKind.AnswerLost, 'the request got no answer')
 }
 
 function getLocation (): string | undefined {
@@ -72,6 +79,21 @@
   expect(harness.poolState.violations).toEqual([])
 })
 
+// A start was repeated when its answer and those to the inquiries were lost, so that a copy might be carried out later.
+test('a run is replaced in time although its start and the requests beside it got no answer for a while', async () => {
+  areStartAnswersLost = true
+  areReportsLost = true
+  await submit(makeJob('a', 'batch', [makeStep()]))
+  await run(500)
+  areReportsLost = false
+  await run(500)
+  areStartAnswersLost = false
+  await run(2_000)
+  expect(harness.orders.filter(order => order.task === task).length).toBe(1)
+  expect(await loseWorker()).toBeLessThan(replacementLimitMs)
+  expect(harness.poolState.violations).toEqual([])
+})
+
 // The successor knows of the start without an answer only what the record of granted leases says.
 test('the next term replaces such a run in time', async () => {
   areStartAnswersLost = true
