--- a/src/runs/runController.ts
+++ b/src/runs/runController.ts
@@ -382,7 +382,7 @@
     crashTracking.onReport(worker.info, report.bornAtMs, sentAtMs)
     const incarnationMs = host.getLink(workerId)?.getBornAtMs() ?? worker.info.bornAtMs
     const origin: ReportOrigin = { requestedAtMs: sentAtMs, incarnationMs, clockMs: report.bornAtMs === incarnationMs ? report.clockMs : undefined }
-    startRequests.onReport(workerId, origin.incarnationMs, sentAtMs)
+    startRequests.onReport(workerId, origin.incarnationMs)
     const members = new Map([...getMembers(workerId)].map(member => [getAllocationKey(getTaskName(member), member.attempt.run), member]))
     const dirty = new Set<TrackedJob>()
     const reportedKeys = new Set<string>()
--- a/src/runs/startRequests.ts
+++ b/src/runs/startRequests.ts
@@ -1,6 +1,5 @@
 /** Sends the start requests of members, repeats those without an answer, and keeps track of those that may still be carried out. */
 import type { Logger } from '../common/logger.js'
-import { createSignal } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
 import { getTaskName, MemberState } from '../jobs/trackedJob.js'
 import type { Member } from '../jobs/trackedJob.js'
@@ -47,7 +46,7 @@
    */
   getUncertainRuns (workerId: string): ReadonlySet<string>
   /** Must be called with each report of a worker. Excludes late starts of runs that have ended, if another incarnation of the worker reports than the one that excluded them. */
-  onReport (workerId: string, incarnationMs: number, requestedAtMs: number): void
+  onReport (workerId: string, incarnationMs: number): void
 }
 
 /** How many times a start request without an answer is sent: starts are idempotent, so a repeated one does no harm. */
@@ -55,12 +54,6 @@
 /** A start without an answer for this long, in ms, is looked for in a report of its worker. */
 const promptAnswerMs = 150
 
-/**
- * How long a report is waited for, in ms, before a start without an answer is repeated: if one lists the run, no copy is sent that a later incarnation of the worker might carry
- * out. All tries together stay below the time for which the members of a gang wait for each other.
- */
-const reportWaitMs = 300
-
 /** A start request that has been sent. */
 interface SentStart {
   readonly member: Member
@@ -82,9 +75,6 @@
   const unansweredByWorker = new Map<string, UnansweredStart[]>()
   /** The members of which a start request is under way. */
   const awaitingAnswer = new Map<Member, SentStart>()
-  const reported = createSignal()
-  /** When the latest report of each worker was requested, by the monotonic clock. */
-  const reportedAtMs = new Map<string, number>()
   /** When the first start request got no answer, by the workers that have answered nothing since. */
   const doubtedSinceMs = new Map<string, number>()
 
@@ -105,13 +95,11 @@
         host.onPrevented(member, obstacle)
         return
       }
-      const sentAtMs = performance.now()
       const answer = await send(member)
       if (answer !== 'lost' && answer !== 'unsent') {
         handleAnswer(member, answer)
         return
       }
-      if (answer === 'lost' && tries < maxTries) await waitForReport(member, sentAtMs)
       if (member.state === MemberState.Running || member.attempt.stopReason !== undefined) return
       if (tries < maxTries) continue
       if (member.unansweredStarts > 0) host.onUncertain(member, 'the answer to a start was lost')
@@ -120,13 +108,6 @@
     }
   }
 
-  /** Waits until a report that was requested since shows whether the start has been carried out. */
-  async function waitForReport ({ workerId, state }: Member, sentAtMs: number): Promise<void> {
-    const endsAtMs = performance.now() + reportWaitMs
-    if (state !== MemberState.Running) host.getLink(workerId)?.inquire()
-    while ((reportedAtMs.get(workerId) ?? -Infinity) < sentAtMs && performance.now() < endsAtMs && !term.signal.aborted) await reported.wait(endsAtMs - performance.now())
-  }
-
   async function send (member: Member): Promise<StartResult | 'lost' | 'unsent'> {
     const { attempt, workerId } = member
     const link = host.getLink(workerId)
@@ -222,10 +203,8 @@
     return startsSent === 1 && reportedAtMs !== undefined && reportedAtMs >= sentAtMs && reportedBornAtMs === sentToMs && host.getLink(workerId)?.getBornAtMs() === sentToMs
   }
 
-  function onReport (workerId: string, incarnationMs: number, requestedAtMs: number): void {
+  function onReport (workerId: string, incarnationMs: number): void {
     doubtedSinceMs.delete(workerId)
-    reportedAtMs.set(workerId, Math.max(reportedAtMs.get(workerId) ?? -Infinity, requestedAtMs))
-    reported.notify()
     for (const unanswered of getUnanswered(workerId)) {
       if (unanswered.member.state === MemberState.Ended && unanswered.incarnationMs !== incarnationMs) void exclude(unanswered, incarnationMs)
     }
