--- a/src/runs/leaseEnds.ts
+++ b/src/runs/leaseEnds.ts
@@ -12,7 +12,7 @@
   readonly termStartedAtMs: number
   /** The orders of this term under the worker's id before these lease ends were created; undefined if there were none. */
   readonly earlierOrders: EarlierOrders | undefined
-  /** Tells whether such orders of earlier terms may still be carried out. */
+  /** Tells whether orders of earlier terms for another incarnation may still be carried out. */
   readonly hasOrdersOfEarlierTerms: boolean
   /** Tells whether the orders of earlier terms have been carried out, and the leases that counted from then are over. */
   readonly areEarlierOrdersOver: () => boolean
@@ -33,7 +33,7 @@
   readonly laterIncarnationSeenAtMs: number
 }
 
-/** Why a lease may still last. */
+/** Why a lease may still last; the log shows it as `awaitedLease`. */
 export enum LeaseReason {
   /** This term has asked for it. */
   Requested = 'requested',
