--- a/review/platform-3/play.mjs
+++ b/review/platform-3/play.mjs
@@ -261,14 +261,14 @@
   })
 }
 
-/** A configuration with three queues of the priorities 0 to 2, and two tenants. */
-export function createConfiguration (version, { guaranteed = 0 } = {}) {
+/** A configuration with three queues of the priorities 0 to 2, and three tenants. */
+export function createConfiguration (version, { guaranteed = 0, guaranteedB = 0 } = {}) {
   const route = (name, prefix, priority) => ({ name, host: hostName, prefix, service, timeoutMs: 3_000, sloMs: 5_000, sloFactor: 3, priority, attempts: 3 })
   return {
     version,
     routes: [route('urgent', '/urgent/', 0), route('batch', '/batch/', 1), route('patient', '/patient/', 2)],
     services: [{ name: service, admissionCheck: false }],
-    tenants: [{ name: 'tenant-a', keys: ['key-a'], guaranteed: { gpu: guaranteed } }, { name: 'tenant-b', keys: ['key-b'] }],
+    tenants: [{ name: 'tenant-a', keys: ['key-a'], guaranteed: { gpu: guaranteed } }, { name: 'tenant-b', keys: ['key-b'], guaranteed: { gpu: guaranteedB } }, { name: 'tenant-c', keys: ['key-c'], guaranteed: { gpu: 0 } }],
     limits: { maxBodyBytes: 262_144 }
   }
 }
