--- a/review/platform-3/worker.mjs
+++ b/review/platform-3/worker.mjs
@@ -24,10 +24,11 @@
   let waiting = new Set()
   let seq = 0
   let silentSinceMs
+  let answeredAtMs = -Infinity
   /** The entry changes only when more than `seq` changes, so that a report is written if the entry is missing. */
   const beat = setInterval(() => { if (isUp && store.get(`servers/${id}`) === undefined) writeEntry() }, heartbeatMs)
 
-  return { id, machine, start, crash, leave, fail, getTasks: () => [...running.keys()], isUp: () => isUp, close }
+  return { id, machine, start, crash, leaveSilently: crash, fail, getAnsweredAtMs: () => answeredAtMs, getTasks: () => [...running.keys()], isUp: () => isUp, close }
 
   async function start () {
     if (server === undefined) {
@@ -72,11 +73,6 @@
     for (const run of [...running.values()]) if (run.task.startsWith(jobId)) end(run, 'failed')
   }
 
-  function leave () {
-    crash()
-    store.remove(`servers/${id}`)
-  }
-
   function close () {
     clearInterval(beat)
     clearTimeout(leaseTimer)
@@ -189,7 +185,10 @@
   }
 
   function report (waitMs, send) {
-    const sendLists = () => { send(200, { born: bornMs, running: [...running.values()].map(toRow), ended: ended.slice(0, 500) }) }
+    const sendLists = () => {
+      answeredAtMs = performance.now()
+      send(200, { born: bornMs, running: [...running.values()].map(toRow), ended: ended.slice(0, 500) })
+    }
     if (ended.length > 0 || waitMs === 0) {
       sendLists()
       return
