--- a/review/platform-3/play.mjs
+++ b/review/platform-3/play.mjs
@@ -9,6 +9,11 @@
 import { createStore } from './store.mjs'
 import { createWorker } from './worker.mjs'
 
+/** All daemons that were started; none outlives the script. */
+const children = new Set()
+process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
+for (const name of ['SIGINT', 'SIGTERM']) process.on(name, () => { process.exit(2) })
+
 const root = fileURLToPath(new URL('../../', import.meta.url))
 export const hostName = 'jobs.example'
 export const service = 'pool-svc'
@@ -69,7 +74,6 @@
   let code = 2
   const limit = setTimeout(() => {
     record('could not run: the time limit')
-    system?.kill()
     process.exit(2)
   }, 115_000)
   try {
@@ -105,7 +109,7 @@
   }
   const hosts = []
   for (let number = 0; number < hostCount; number++) hosts.push(await createHost(number))
-  const system = { store, workers, hosts, events, jobs, call, submit, configure, waitUntil, getScheduler, isReady, stop, kill, countRunning: () => workers.reduce((sum, worker) => sum + worker.getTasks().length, 0) }
+  const system = { store, workers, hosts, events, jobs, call, submit, configure, waitUntil, getScheduler, isReady, stop, countRunning: () => workers.reduce((sum, worker) => sum + worker.getTasks().length, 0) }
   return system
 
   async function createHost (number) {
@@ -124,7 +128,9 @@
       host.child = spawn(program === 'node' ? process.execPath : program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: process.env.HOME ?? folder, SASSAFRASFORD_NODE_FILE: file }, stdio: ['ignore', log, log] })
       host.isUp = true
       const { child } = host
+      children.add(child)
       child.once('exit', (code, exitSignal) => {
+        children.delete(child)
         if (host.child === child) host.isUp = false
         host.onExit?.(code, exitSignal)
         record('process', name, 'ended', { code, signal: exitSignal })
@@ -232,10 +238,6 @@
     return hosts.find(({ name }) => name === store.getMainWriter())
   }
 
-  function kill () {
-    for (const { child } of hosts) child.kill('SIGKILL')
-  }
-
   async function stop () {
     await Promise.all(hosts.map(host => host.kill()))
     for (const worker of workers) worker.close()
