--- a/src/jobs/jobIntake.ts
+++ b/src/jobs/jobIntake.ts
@@ -9,6 +9,7 @@
 import { createError, ErrorKind, isErrorOfKind, isNotRun } from '../errors/errorKinds.js'
 import type { MetadataStore, Transaction, TransactionResult } from '../store/metadataStore.js'
 import { createOutageTracker, knownOutageMs, tryGetOutageRetryS } from '../store/outageTracker.js'
+import { createEarlyCancels, EarlyCancelResult } from './earlyCancels.js'
 import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey, pendingCountsKey } from './jobKeys.js'
 import { JobState } from './jobModel.js'
 import type { JobSpec } from './jobModel.js'
@@ -20,18 +21,20 @@
   readonly logger: Logger
   /** How long the store is known from other calls to be unavailable on every way, in ms; 0 if it is not. */
   readonly getKnownOutageMs?: () => number
+  /** The least time between two transactions of this host that cancel jobs that are not stored, in ms; 0 if it is not given. */
+  readonly getMinCancelIntervalMs?: () => number
 }
 
 /** Deadlines are by the monotonic clock, in ms. A call that fails rejects with `store-unavailable` if it certainly had no effect, and with `answer-lost` if that is unknown. */
 export interface JobIntake {
-  /** Resolves when the job is stored. Idempotent by job id. */
+  /** Resolves when the job is stored. Idempotent by job id. Rejects with `job-cancelled` if the job was cancelled before it was stored. */
   submit (job: JobSpec, deadlineMs: number): Promise<void>
   /**
    * Resolves to true if the job is certainly not stored, and no write of it by an earlier submission can still be applied as far as this
    * host knows. Never rejects: without an answer of the store it is false.
    */
   isCertainlyNew (jobId: string, deadlineMs: number): Promise<boolean>
-  /** Resolves to false if the job does not exist. */
+  /** Resolves to false if the job does not exist; then no submission that is still on its way can store it either. */
   cancel (jobId: string, deadlineMs: number): Promise<boolean>
   getState (jobId: string, deadlineMs: number): Promise<JobState | undefined>
   /** Counts the jobs of a queue that have not started. The count may be up to `pendingCountsMaxAgeMs` old. */
@@ -42,10 +45,17 @@
 enum CreateResult {
   /** The key exists, from this write or an earlier one. */
   Stored = 'stored',
+  /** A key that must not exist exists. */
+  Prevented = 'prevented',
   NotStored = 'not-stored',
   Unknown = 'unknown'
 }
 
+interface CreateOptions {
+  readonly preventedBy?: string
+  readonly isAnsweredInOutage?: boolean
+}
+
 /** Delay between the attempts of a store call, in ms: allows several attempts within a caller's deadline. */
 const retryDelayMs = 150
 /**
@@ -72,6 +82,7 @@
   const { logger } = host
   const store: Pick<MetadataStore, 'get' | 'transact'> = { get: key => observe(host.store.get(key)), transact: transaction => observe(transact(transaction)) }
   const tracker = createOutageTracker()
+  const earlyCancels = createEarlyCancels({ store, logger, getMinIntervalMs: host.getMinCancelIntervalMs ?? (() => 0) })
   /** The number of submissions under way, by job. */
   const submitting = new Map<string, number>()
   let cachedPending: { readonly counts: Readonly<Record<string, number>>, readonly readAtMs: number } | undefined
@@ -125,13 +136,17 @@
     submitting.set(job.jobId, (submitting.get(job.jobId) ?? 0) + 1)
     let result
     try {
-      result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs, true)
+      result = await createRecord(getAcceptedKey(job.jobId), encodeAccepted(job), deadlineMs, { preventedBy: getCancelKey(job.jobId), isAnsweredInOutage: true })
     } finally {
       const others = (submitting.get(job.jobId) ?? 1) - 1
       if (others === 0) submitting.delete(job.jobId)
       else submitting.set(job.jobId, others)
     }
     if (result === CreateResult.Stored) return
+    if (result === CreateResult.Prevented) {
+      logger.info('a submission is rejected, as the job was cancelled before it was stored', { jobId: job.jobId, queue: job.queue, organisation: job.organisation })
+      throw createError(ErrorKind.JobCancelled, 'the job was cancelled before it was stored; submit the work under another id')
+    }
     // No write of this call was applied, but an earlier request to any host may have stored the job, and the store cannot be asked.
     if (result === CreateResult.NotStored) throw createError(ErrorKind.AnswerLost, 'the store refused the job, and it is unknown whether the job was stored by an earlier request', { retryAfterS: tryGetOutageRetryS(getOutageMs()) })
     // Also a write that is still unanswered at the deadline may be applied late.
@@ -142,17 +157,19 @@
   /**
    * Creates a key. A write whose response was lost may still be applied later, so the result is `NotStored` only if the store itself
    * refused every write; otherwise the write is retried until the deadline. In a known outage a refused write is not retried if
-   * `isAnsweredInOutage`.
+   * `isAnsweredInOutage`. The key is not created if `preventedBy` exists.
    */
-  async function createRecord (key: string, value: string, deadlineMs: number, isAnsweredInOutage = false): Promise<CreateResult> {
+  async function createRecord (key: string, value: string, deadlineMs: number, { preventedBy, isAnsweredInOutage = false }: CreateOptions = {}): Promise<CreateResult> {
+    const expected = [key, ...preventedBy === undefined ? [] : [preventedBy]].map(absentKey => ({ key: absentKey, revision: 0 }))
     const retryUntilMs = performance.now() + refusalRetryMs
     let refusals = 0
     let isUnknown = false
     while (performance.now() < deadlineMs && (isUnknown || performance.now() < retryUntilMs)) {
       try {
-        // If the condition fails, the key already exists, from an earlier write by this host or another.
-        await withDeadline(store.transact({ expected: [{ key, revision: 0 }], writes: [{ key, value }] }), deadlineMs)
-        return CreateResult.Stored
+        const result = await withDeadline(store.transact({ expected, writes: [{ key, value }] }), deadlineMs)
+        // The key may exist from an earlier write by this host or another, and whatever prevents it may have been created after that.
+        const isPrevented = !result.isCommitted && result.items.every(item => item.key !== key) && result.items.some(item => item.key === preventedBy)
+        return isPrevented ? CreateResult.Prevented : CreateResult.Stored
       } catch (error) {
         if (isErrorOfKind(error, ErrorKind.AnswerLost)) isUnknown = true
         refusals++
@@ -167,7 +184,10 @@
   async function cancel (jobId: string, callerDeadlineMs: number): Promise<boolean> {
     const deadlineMs = getDeadline(callerDeadlineMs)
     const item = await retry(() => store.get(getAcceptedKey(jobId)), deadlineMs)
-    if (item === undefined) return false
+    if (item === undefined && await withDeadline(earlyCancels.mark(jobId, deadlineMs), deadlineMs) === EarlyCancelResult.Marked) {
+      logger.info('a job that is not stored is cancelled', { jobId })
+      return false
+    }
     const result = await createRecord(getCancelKey(jobId), '{}', deadlineMs)
     if (result === CreateResult.Stored) return true
     if (result === CreateResult.NotStored) throw createError(ErrorKind.StoreUnavailable, 'the store refused the cancellation')
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -61,6 +61,8 @@
 const startMarginMs = 300
 /** A host does not run for scheduler for this long after an uncaught error, so that another host is elected in the meantime. */
 const faultCandidacyPauseMs = 5_000
+/** The share of the store's writes that all hosts together may spend on cancellations of jobs that are not stored. */
+const earlyCancelWriteShare = 0.25
 /** A request has to be whole within this time, in ms. Callers of the platform wait for 3 s. */
 const requestTimeoutMs = 60_000
 
@@ -102,7 +104,7 @@
   onChanged: () => { scheduler?.refresh() },
   signal: stopping.signal
 })
-const intake = createJobIntake({ store: relayedStore, logger: logger.withPrefix('jobs'), getKnownOutageMs })
+const intake = createJobIntake({ store: relayedStore, logger: logger.withPrefix('jobs'), getKnownOutageMs, getMinCancelIntervalMs })
 const admission = settings.refusesForLoad ? createAdmissionControl({ store: relayedStore, logger: logger.withPrefix('admission'), random: Math.random, margin: settings.refusalMargin }) : undefined
 const election = createLeaderElection({
   store,
@@ -232,6 +234,11 @@
   return configuration.isStoreReached() ? 0 : relayedStore.getDirectOutageMs()
 }
 
+function getMinCancelIntervalMs (): number {
+  const hosts = directory.getPeers().length + 1
+  return 1_000 * hosts / (earlyCancelWriteShare * settings.storeWritesPerS)
+}
+
 function getMetrics (): string {
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
--- a/src/platform/platformSettings.ts
+++ b/src/platform/platformSettings.ts
@@ -19,6 +19,8 @@
 /** The limits of a process where the platform names none: those of its smaller deployments. */
 const defaultMemoryMb = 350
 const defaultMaxDescriptors = 4_100
+/** The store's limit of writes where the platform names none: that of its smaller deployments. */
+const defaultStoreWritesPerS = 400
 const settingsSchema = z.object({
   node: z.string(),
   ip: z._default(z.string(), '127.0.0.1'),
@@ -45,7 +47,7 @@
     leaseMs: z._default(z.number(), 3_000),
     evacMs: z._default(z.number().check(z.gte(minEvacuationBoundMs)), 5_000)
   }),
-  platform: z.object({ addr: addressSchema, ttlMinMs: z.optional(z.int().check(z.positive())) }),
+  platform: z.object({ addr: addressSchema, ttlMinMs: z.optional(z.int().check(z.positive())), writesPerS: z._default(z.number().check(z.positive()), defaultStoreWritesPerS) }),
   cloud: z.optional(z.object({ addr: addressSchema })),
   advice: z.optional(z.string()),
   policy: z._default(z.object({
@@ -67,6 +69,8 @@
   readonly storeAddress: string
   /** The shortest time to live of a lease that the store grants, in ms. */
   readonly storeMinTtlMs: number | undefined
+  /** The writes that the store accepts from all hosts together, per second. */
+  readonly storeWritesPerS: number
   /** The port on which this host accepts calls from its peers. */
   readonly peersPort: number
   readonly cpuShare: number
@@ -121,6 +125,7 @@
     readyAddress: listen.ready,
     storeAddress: platform.addr,
     storeMinTtlMs: platform.ttlMinMs,
+    storeWritesPerS: platform.writesPerS,
     peersPort: portRange[1],
     cpuShare: limits.cpuShare,
     linkMbps: limits.linkMbps,
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -38,6 +38,8 @@
   readonly rejected: number
   readonly unknown: number
   readonly cancelled: number
+  /** Jobs of which a cancellation was answered with 410. */
+  readonly cancelledUnstored: number
   readonly complete: number
   readonly starts: number
   readonly evacuations: number
@@ -264,6 +266,7 @@
     rejected: count(SubmissionOutcome.Rejected),
     unknown: count(SubmissionOutcome.Unknown),
     cancelled: jobs.filter(job => job.cancelledAtMs !== undefined).length,
+    cancelledUnstored: jobs.filter(job => job.isCancelledUnstored).length,
     complete: jobs.filter(job => job.state === 'complete').length,
     starts: [...emulator.poolState.starts.values()].reduce((sum, starts) => sum + starts, 0),
     evacuations: evacuations.length,
@@ -436,7 +439,8 @@
     const { jobId } = job.spec
     const starts = [...emulator.poolState.starts].filter(([task]) => task.startsWith(jobId)).length
     if (job.outcome === SubmissionOutcome.Rejected && starts > 0) violations.push(`${jobId} was rejected at every attempt but has run`)
-    if (job.outcome !== SubmissionOutcome.Accepted) continue
+    if (job.isCancelledUnstored === true && (starts > 0 || isAccepted(job))) violations.push(`${jobId} is ${job.outcome} and has run ${starts} tasks although its cancellation was answered with 410`)
+    if (!isAccepted(job)) continue
     const isCancelled = job.cancelledAtMs !== undefined
     const hasExpectedEnd = job.state === 'complete' || (isCancelled && job.state === 'canceled') || (job.state === 'failed' && hasCauseToFail(emulator.poolState, jobId, job.spec.attemptLimit))
     if (job.isGone) violations.push(`${jobId} was accepted but is unknown`)
--- a/src/platform/soak/soakCaller.ts
+++ b/src/platform/soak/soakCaller.ts
@@ -21,6 +21,8 @@
   readonly spec: JobSpec
   outcome: SubmissionOutcome
   cancelledAtMs?: number
+  /** A cancellation was answered with 410. */
+  isCancelledUnstored?: boolean
   state?: string
   /** A query for the accepted job was answered with 410. */
   isGone: boolean
@@ -112,6 +114,7 @@
     for (let attempts = 0; attempts < maxAttempts; attempts++) {
       const response = await call('DELETE', job.path)
       if (response?.status === 200) job.cancelledAtMs = Date.now()
+      if (response?.status === 410) job.isCancelledUnstored = true
       if (response?.status === 200 || response?.status === 410) return
       await delay(retryPauseMs)
     }
--- a/src/runs/jobTable.test.ts
+++ b/src/runs/jobTable.test.ts
@@ -3,7 +3,7 @@
 import { silentLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { Term } from '../election/leaderElection.js'
-import { encodeAccepted, getAcceptedKey, getProgressKey } from '../jobs/jobKeys.js'
+import { encodeAccepted, getAcceptedKey, getCancelKey, getProgressKey } from '../jobs/jobKeys.js'
 import { createMemoryStore } from '../standins/memoryStore.js'
 import type { MemoryStore } from '../standins/memoryStore.js'
 import type { MetadataStore } from '../store/metadataStore.js'
@@ -18,12 +18,14 @@
 
 let store: MemoryStore
 let added: string[]
+let cancelled: string[]
 let stopping: AbortController
 
 beforeEach(() => {
   jest.useFakeTimers()
   store = createMemoryStore()
   added = []
+  cancelled = []
   stopping = new AbortController()
 })
 afterEach(async () => {
@@ -56,7 +58,10 @@
     term,
     logger: silentLogger,
     onJobAdded: ({ spec }) => { added.push(spec.jobId) },
-    onCancel: () => {},
+    onCancel: job => {
+      job.isCancelRequested = true
+      cancelled.push(job.spec.jobId)
+    },
     onTooLarge: () => {},
     onOccurrenceDue: () => {},
     retentionMs
@@ -122,3 +127,75 @@
   expect(added).toEqual(['reused', 'reused'])
   expect(store.peek(getAcceptedKey('reused'))).toBeDefined()
 })
+
+// UNASKED: during a rolling update, a host of the version before stores a job without regard to its cancellation marker.
+test.each([['before the term', 0], ['during the term', 1_000]])('a job that is stored after its cancellation marker, written %s, is cancelled', async (_when, markedAfterMs) => {
+  if (markedAfterMs === 0) store.write(getCancelKey('early'), '{}')
+  await startTable()
+  await advance(markedAfterMs)
+  store.write(getCancelKey('early'), '{}')
+  await advance(30_000)
+  accept('early')
+  await advance(1_500)
+  expect(added).toEqual(['early'])
+  expect(cancelled).toEqual(['early'])
+})
+
+test('a cancellation marker without a job is kept for a minute, then removed, and a job that is accepted afterwards is not cancelled', async () => {
+  await startTable()
+  for (let index = 0; index < 25; index++) store.write(getCancelKey(`early-${index}`), '{}')
+  await advance(58_000)
+  expect(store.peek(getCancelKey('early-0'))).toBeDefined()
+  await advance(15_000)
+  for (let index = 0; index < 25; index++) expect(store.peek(getCancelKey(`early-${index}`))).toBeUndefined()
+  accept('early-0')
+  await advance(1_500)
+  expect(added).toEqual(['early-0'])
+  expect(cancelled).toEqual([])
+})
+
+test('the marker of a job that cannot be decoded is kept, and does not hold up the removal of others', async () => {
+  store.write(getAcceptedKey('odd'), '{')
+  store.write(getCancelKey('odd'), '{}')
+  store.write(getCancelKey('early'), '{}')
+  await startTable()
+  await advance(85_000)
+  expect(store.peek(getCancelKey('odd'))).toBeDefined()
+  expect(store.peek(getCancelKey('early'))).toBeUndefined()
+})
+
+test('a stale read that shows the marker of a removed job does not cancel a job that is accepted under the same id afterwards', async () => {
+  storeEnded('reused')
+  store.write(getCancelKey('reused'), '{}')
+  let answerMs = 0
+  await startTable(client => ({
+    range: async (...parameters) => {
+      const page = await client.range(...parameters)
+      if (answerMs > 0) await delay(answerMs)
+      return page
+    }
+  }))
+  await advance(removalMs - 10_000)
+  answerMs = 12_000
+  await advance(22_000)
+  answerMs = 0
+  expect(store.peek(getAcceptedKey('reused'))).toBeUndefined()
+  cancelled.length = 0
+  accept('reused')
+  await advance(30_000)
+  expect(added).toEqual(['reused', 'reused'])
+  expect(cancelled).toEqual([])
+})
+
+// A removal that is applied without a response must not leave a marker that cancels a later job.
+test.each([0, 6_000])('a removal of markers without a response that is applied %i ms late does not cancel a later job', async lateMs => {
+  store.write(getCancelKey('early'), '{}')
+  await startTable()
+  store.delayWrites('host-0', 1, lateMs)
+  await advance(85_000)
+  expect(store.peek(getCancelKey('early'))).toBeUndefined()
+  accept('early')
+  await advance(12_000)
+  expect(added).toEqual(['early'])
+  expect(cancelled).toEqual([])
+})
--- a/src/runs/jobTable.ts
+++ b/src/runs/jobTable.ts
@@ -13,6 +13,7 @@
 import type { MetadataStore, StoreChange, StoredItem } from '../store/metadataStore.js'
 import type { PrefixSnapshot } from '../store/prefixReplica.js'
 import { areConditionsMet } from '../store/revisionGuard.js'
+import { createEarlyCancelMarkers } from './earlyCancelMarkers.js'
 
 /** Dependencies of the job table. */
 export interface JobTableHost {
@@ -73,6 +74,7 @@
    * that began later has been applied.
    */
   const removedRevisions = new Map<string, number>()
+  const earlyCancels = createEarlyCancelMarkers({ store, term, logger })
   const unfinished = new Set<TrackedJob>()
   /** The keys of the jobs whose records cannot be decoded. */
   const unreadable = new Set<string>()
@@ -89,11 +91,12 @@
         if (Math.min(accepted.revision, progress.revision) < term.epoch) throw createError(ErrorKind.StoreUnavailable, `the store answered from before the term: revisions ${accepted.revision} and ${progress.revision}`)
         const progressByKey = new Map(progress.items.map(item => [item.key, item]))
         for (const item of accepted.items) addJob(item, progressByKey.get(getProgressKey(parseAcceptedKey(item.key).jobId)))
-        for (const { key } of accepted.items) applyCancel(key)
+        accepted.items.forEach(applyCancel)
         failOversized()
         isLoaded = true
         void watchAccepted(accepted.revision)
         void removeOldJobs()
+        void earlyCancels.expire()
         return
       } catch (error) {
         logger.warn('failed to read the jobs from the store', { error: String(error) })
@@ -121,10 +124,12 @@
     acceptedRevisions.set(jobId, revision)
     const { spec } = job
     jobs.set(jobId, job)
-    if (oversized.has(job)) return
-    unfinished.add(job)
-    if (isLoaded) logger.info('job added', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
-    host.onJobAdded(job)
+    if (!oversized.has(job)) {
+      unfinished.add(job)
+      if (isLoaded) logger.info('job added', { jobId, queue: spec.queue, organisation: spec.organisation, steps: spec.steps.length, ageMs: Date.now() - spec.acceptedAtMs })
+      host.onJobAdded(job)
+    }
+    if (earlyCancels.remove(jobId)) requestCancel(job)
   }
 
   function tryCreateJob (key: string, value: string, progress: StoredProgress | undefined): TrackedJob | undefined {
@@ -161,11 +166,17 @@
     return unfinished
   }
 
-  function applyCancel (key: string): void {
+  function applyCancel ({ key, revision }: StoredItem): void {
     const { jobId, isCancel } = parseAcceptedKey(key)
+    if (!isCancel) return
     const job = jobs.get(jobId)
-    if (!isCancel || job === undefined || job.isCancelRequested) return
-    logger.info('cancel request received', { jobId, state: job.state })
+    if (job === undefined) earlyCancels.add(jobId, revision)
+    else requestCancel(job)
+  }
+
+  function requestCancel (job: TrackedJob): void {
+    if (job.isCancelRequested) return
+    logger.info('cancel request received', { jobId: job.spec.jobId, state: job.state })
     host.onCancel(job)
   }
 
@@ -193,14 +204,20 @@
   async function reread (): Promise<number> {
     const removedBefore = [...removedRevisions]
     const accepted = await readAll(store, acceptedPrefix)
+    earlyCancels.retain(accepted.items)
     applyChanges(accepted.items.map(item => ({ key: item.key, item })))
     for (const [jobId, revision] of removedBefore) if (removedRevisions.get(jobId) === revision) removedRevisions.delete(jobId)
     return accepted.revision
   }
 
+  /** Applies the changes in their order: a job that is stored after a marker under the same id was removed is not cancelled by it. */
   function applyChanges (changes: readonly StoreChange[]): void {
-    for (const { item } of changes) if (item !== undefined) addJob(item)
-    for (const { key, item } of changes) if (item !== undefined) applyCancel(key)
+    for (const { key, item } of changes) {
+      const { jobId, isCancel } = parseAcceptedKey(key)
+      if (!isCancel && item !== undefined) addJob(item)
+      else if (item !== undefined) applyCancel(item)
+      else if (isCancel) earlyCancels.remove(jobId)
+    }
     failOversized()
   }
 
