--- a/src/placement/placeUnit.ts
+++ b/src/placement/placeUnit.ts
@@ -180,7 +180,8 @@
 /** A unit tolerates a slow worker if its slack exceeds its run by this factor. */
 const minTolerantSlackShare = 2
 
-function isAvoided ({ avoidedWorkers }: Unit, { info: { workerId, machineId } }: WorkerState): boolean {
+/** Tells whether the unit starts on the worker only if there is room nowhere else. */
+export function isAvoided ({ avoidedWorkers }: Unit, { info: { workerId, machineId } }: WorkerState): boolean {
   return avoidedWorkers.has(workerId) || (machineId !== undefined && avoidedWorkers.has(machineId))
 }
 
--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -7,19 +7,17 @@
 import type { OrganisationSettings, QueueSettings } from '../configuration/configuration.js'
 import { getUnits, isReadyToPlace, MemberState } from '../jobs/trackedJob.js'
 import type { Attempt, Member, TrackedJob, Unit } from '../jobs/trackedJob.js'
-import { addResources, getFreeCapacity, isUsable, subtractResources } from '../workers/workerState.js'
+import { addResources, isUsable } from '../workers/workerState.js'
 import type { WorkerState } from '../workers/workerState.js'
-import { getGuaranteeClaims } from './guarantees.js'
-import type { GuaranteeClaim } from './guarantees.js'
 import { getDelayCost, getStopCost } from './delayCost.js'
 import type { CostSettings, StartLimits } from './delayCost.js'
 import { getStartLimits } from './objective.js'
 import { createHeadroom } from './headroom.js'
 import { countKeptApart, isKeptApart, isSuspect } from './isolation.js'
-import { allocateCapacity, placeTasks, tryPlace } from './placeUnit.js'
-import type { Occupancy, PlacementRules, FreeCapacity } from './placeUnit.js'
+import { allocateCapacity, isAvoided, isEligible, placeTasks, tryPlace } from './placeUnit.js'
+import type { PlacementRules, FreeCapacity } from './placeUnit.js'
 import { indexVictims, tryPreempt } from './preemption.js'
-import type { FirstNeeds, PreemptionPlan, VictimsByWorker } from './preemption.js'
+import type { FirstNeeds, PreemptionPlan, Victim, VictimsByWorker } from './preemption.js'
 import { describeObstacles } from './obstacles.js'
 import type { PlacementObstacles } from './obstacles.js'
 import { createPoolRoom, getPlacementKey } from './poolRoom.js'
@@ -27,10 +25,14 @@
 import { createPoolUse } from './poolUse.js'
 import type { PoolUse } from './poolUse.js'
 import { createRackHolds, isBoundToRack } from './rackHold.js'
+import { createReclaim } from './reclaim.js'
+import type { RelocationPlan } from './relocation.js'
+import { createRelocationHolds } from './relocationHolds.js'
 import { tryReserve } from './reservation.js'
 import type { RunTimes } from './runTimes.js'
 import { compareRanks, getPriority, getStepKey, getVictims, groupAlike, maxPreemptions } from './unitOrder.js'
 import type { UnitRank } from './unitOrder.js'
+import { createWorkerUse } from './workerUse.js'
 
 /** What the planner needs from outside. */
 export interface PlannerHost {
@@ -78,8 +80,6 @@
 const maxIdleHoldMs = 1_000
 /** The most units for which workers are reserved at once: more cost planning time and would leave many workers idle. */
 const maxReservedUnits = 3
-/** How long before its start is due a guaranteed job may begin to preempt at any cost, in ms, besides the time of two stops. */
-const reclaimLeadMs = 800
 
 /** A worker's reservation for a unit that does not fit yet: the unit's expected start by the monotonic clock, and its priority. */
 interface WorkerReservation {
@@ -109,15 +109,12 @@
   const limitsByStep = new Map<string, StartLimits>()
   /** Workers have crashed under a unit that is not finished; determined at the start of each planning pass. */
   let hasSuspects = false
-  /** Accelerators in use on each worker by queue; computed on demand in each planning pass. */
-  let usageByWorker = new Map<WorkerState, Map<string, number>>()
-  /** The capacity of workers without lasting tasks; computed on demand in each planning pass. */
-  const attainable = new Map<WorkerState, Resources>()
-  /** Claims of urgent jobs on their organisations' guarantees; computed at the start of each planning pass. */
-  let claims: ReadonlyMap<TrackedJob, GuaranteeClaim> = new Map()
+  const workerUse = createWorkerUse(getMembers)
+  const { countStepTasks, getOccupancy, getAttainable } = workerUse
+  const reclaim = createReclaim(host)
+  const { isGuaranteed } = reclaim
+  const relocationHolds = createRelocationHolds()
   const rackHolds = createRackHolds()
-  /** Units whose claim has been logged as due and not met, each once for each run, by the number of their last run. */
-  const loggedRuns = new WeakMap<Unit, number>()
   /** Victims by worker for each kind of unit, and the resources that stopping work will free; until the next preemption of the pass. */
   const victimsByKind = new Map<string, VictimsByWorker>()
   let stoppingByWorker: Map<WorkerState, Resources> | undefined
@@ -168,13 +165,18 @@
         isAnySuspect ||= isSuspect(unit)
       }
     }
-    claims = getGuaranteeClaims(host.getUnfinishedJobs(), host.getOrganisations(), getQueue)
+    reclaim.update()
     if (ready.length === 0) return
-    const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, getFreeCapacity(worker)]))
+    relocationHolds.update(isPlaceUsable, performance.now())
+    const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, relocationHolds.getFree(worker)]))
+    const relocated = new Map(ready.flatMap(unit => {
+      const places = relocationHolds.take(unit)
+      return places === undefined ? [] : [[unit, places]]
+    }))
     poolUse = createPoolUse(freeCapacity)
     rackHolds.update(ready, freeCapacity, poolUse.isMostlyIdle, performance.now())
-    const waiting = ready.filter(unit => !isHeldBack(unit))
-    if (waiting.length === 0) return
+    const waiting = ready.filter(unit => !relocated.has(unit) && !isHeldBack(unit))
+    if (waiting.length === 0 && relocated.size === 0) return
     hasSuspects = isAnySuspect
     const ordered = lastOrder = order(waiting)
     recordDemand(freeCapacity)
@@ -183,31 +185,19 @@
     doubtful = new Set([...freeCapacity.keys()].filter(worker => host.isInDoubt?.(worker.info.workerId) === true))
     reservations.clear()
     reservedUnits = 0
-    usageByWorker = new Map()
-    attainable.clear()
+    workerUse.clear()
     forgetVictims()
+    for (const [unit, places] of relocated) startAttempt(unit, places)
     const blockedSteps = new Set<string>()
     for (const units of groupAlike(ordered)) {
       const stepKey = getStepKey(units[0] as Unit)
       if (!blockedSteps.has(stepKey) && !tryStart(units, freeCapacity)) blockedSteps.add(stepKey)
     }
-    for (const unit of waiting) if (isClaimOverdue(unit)) logUnmetClaim(unit)
-  }
-
-  /** Tells whether a unit could have used its organisation's guarantee by now and has no workers, whether its job is guaranteed or not. */
-  function isClaimOverdue (unit: Unit): boolean {
-    const claim = claims.get(unit.job)
-    return claim !== undefined && claim.ownAccelerators <= claim.guaranteedAccelerators && unit.attempts.length === 0 && isOldEnoughToReclaim(unit)
+    for (const unit of waiting) if (reclaim.isUnmetAndNew(unit)) logUnmetClaim(unit)
   }
 
   function logUnmetClaim (unit: Unit): void {
-    if (loggedRuns.get(unit) === unit.run) return
-    loggedRuns.set(unit, unit.run)
-    const { job: { spec: { jobId, organisation }, acceptedAtMs }, step, index, run, suspicion } = unit
-    const victims = getVictimsByWorker(unit)
-    logger.info('a claim on a guarantee is due and not met', {
-      jobId, step, index, run, suspicion, organisation, ageMs: Math.round(performance.now() - acceptedAtMs), ...claims.get(unit.job), ...describeWait(unit), workersWithVictims: victims.size, stoppingWorkers: sumStopping().size
-    })
+    logger.info('a claim on a guarantee is due and not met', { ...reclaim.describe(unit), ...describeWait(unit), workersWithVictims: getVictimsByWorker(unit).size, stoppingWorkers: sumStopping().size })
   }
 
   /** Starts the units, which are alike, in order, until one cannot be started: the others have the same requirements. Returns whether all have started. */
@@ -341,10 +331,7 @@
   }
 
   function startAttempt (unit: Unit, places: readonly WorkerState[]): void {
-    for (const worker of places) {
-      usageByWorker.delete(worker)
-      attainable.delete(worker)
-    }
+    places.forEach(workerUse.forget)
     forgetSearches()
     freeAccelerators -= unit.size * unit.spec.request.accelerators
     poolUse.add(unit.job.service, unit.size, unit.spec.request)
@@ -360,8 +347,8 @@
 
   /** Preempts running work for a unit that does not fit if callers lose less by that than by the unit's wait, or else reserves workers for it. */
   function tryPreemptOrReserve (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
-    if (tryPreemptFor(unit, permitted)) {
-      for (const worker of freeCapacity.keys()) freeCapacity.set(worker, getFreeCapacity(worker))
+    if (tryPreemptFor(unit, permitted, freeCapacity)) {
+      for (const worker of freeCapacity.keys()) freeCapacity.set(worker, relocationHolds.getFree(worker))
       poolRoom.clear()
       return true
     }
@@ -389,26 +376,33 @@
   }
 
   /** Preempts work for the unit if the unit then fits and its wait would cost callers more. Work whose guarantee is due preempts at any cost. */
-  function tryPreemptFor (unit: Unit, freeCapacity: FreeCapacity): boolean {
+  function tryPreemptFor (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
     const nowMs = performance.now()
     if (isPatient(unit)) return false
-    const delayCost = isReclaimDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
+    const delayCost = reclaim.isDue(unit) ? Infinity : getDelayCost(unit, getPriority(unit.job, getQueue), getLimits(unit), nowMs, host.costSettings)
     const victims = delayCost > 0 ? getVictimsByWorker(unit) : undefined
-    const mayGoAcrossRacks = isBoundToRack(unit) && isReclaimPressing(unit)
-    if (victims === undefined || (victims.size === 0 && !mayGoAcrossRacks)) return false
-    const preemptionOnRack = findPreemption(unit, freeCapacity, victims, delayCost)
-    const preemption = preemptionOnRack ?? (mayGoAcrossRacks ? findPreemptionAcrossRacks(unit, freeCapacity, victims, delayCost) : undefined)
+    const mayGoAcrossRacks = isBoundToRack(unit) && reclaim.isPressing(unit)
+    if (victims === undefined || (victims.size === 0 && !reclaim.isDue(unit))) return false
+    const onRack = findPreemption(unit, permitted, victims, delayCost)
+    const plan = onRack ?? (mayGoAcrossRacks ? findPreemptionAcrossRacks(unit, permitted, victims, delayCost) : undefined)
+    const preemption = plan ?? findRelocation(unit, permitted, freeCapacity, { ...rules, spansRacks: mayGoAcrossRacks })
     if (preemption === undefined) return false
+    const { relocations = [] }: Partial<RelocationPlan> = preemption
     logger.info('preempting running work to start a job', {
       jobId: unit.job.spec.jobId,
       victims: preemption.victims.map(attempt => attempt.unit.job.spec.jobId),
       stopCost: preemption.cost,
       delayCost: Number.isFinite(delayCost) ? delayCost : 'guaranteed',
       slackMs: Math.round(getLimits(unit).latestStartMs - nowMs),
-      spansRacks: preemptionOnRack === undefined
+      spansRacks: onRack === undefined && mayGoAcrossRacks,
+      moved: relocations.map(({ attempt: { unit: { job, step, index }, run }, places }) => ({ jobId: job.spec.jobId, step, index, run, workers: places.map(worker => worker.info.workerId) }))
     })
     startAttempt(unit, preemption.places)
     for (const attempt of preemption.victims) host.preemptAttempt(attempt, `preempted for ${unit.job.spec.jobId}`)
+    for (const { attempt, places } of relocations) {
+      relocationHolds.add(attempt.unit, places, nowMs)
+      host.preemptAttempt(attempt, `moved for ${unit.job.spec.jobId}`)
+    }
     forgetVictims()
     return true
   }
@@ -434,6 +428,31 @@
     return preemption
   }
 
+  /** Moves guaranteed runs for a unit whose guarantee is due, as preemption alone does not make room. */
+  function findRelocation (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity, placementRules: PlacementRules): RelocationPlan | undefined {
+    return reclaim.tryMoveOthers(unit, getCostOfStop, () => ({
+      permitted: getCapacityAfterStops(permitted),
+      freeCapacity: getCapacityAfterStops(freeCapacity),
+      preemptible: getPreemptible(unit),
+      rules: placementRules,
+      getWorker: workerId => workers.get(workerId),
+      getMayStart
+    }))
+  }
+
+  /** Tells of each worker whether a run of the unit that is moved may start there, by the conditions of any other start. */
+  function getMayStart (unit: Unit): (worker: WorkerState) => boolean {
+    const permitted = host.getPermittedWorkers(unit, usableIds)
+    return worker => (permitted === 'all' || permitted?.has(worker.info.workerId) === true) && !isReservedForOther(unit, worker) && !doubtful.has(worker) && !isAvoided(unit, worker)
+  }
+
+  function isPlaceUsable (unit: Unit, worker: WorkerState): boolean {
+    const { workerId } = worker.info
+    if (workers.get(workerId) !== worker || !isUsable(worker) || !isEligible(unit, worker)) return false
+    const permitted = host.getPermittedWorkers(unit, [workerId])
+    return permitted === 'all' || permitted?.has(workerId) === true
+  }
+
   function findPreemptionAcrossRacks (unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, maxLoss: number): PreemptionPlan | undefined {
     return tryPreempt(unit, getCapacityAfterStops(freeCapacity), victims, { ...rules, spansRacks: true }, workerId => workers.get(workerId), maxLoss)
   }
@@ -457,12 +476,16 @@
 
   /** Units of the same priority have the same victims. Work that the pass itself has started is not among them. */
   function getVictimsByWorker (unit: Unit): VictimsByWorker {
-    const kind = `${getPriority(unit.job, getQueue)}.${String(isReclaimDue(unit))}`
+    const kind = `${getPriority(unit.job, getQueue)}.${String(reclaim.isDue(unit))}`
     let victims = victimsByKind.get(kind)
-    if (victims === undefined) victimsByKind.set(kind, victims = indexVictims(getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, isReclaimDue(unit), getCostOfStop)))
+    if (victims === undefined) victimsByKind.set(kind, victims = indexVictims(getPreemptible(unit)))
     return victims
   }
 
+  function getPreemptible (unit: Unit): readonly Victim[] {
+    return getVictims(unit, host.getUnfinishedJobs(), getQueue, isGuaranteed, reclaim.isDue(unit), getCostOfStop)
+  }
+
   function forgetVictims (): void {
     victimsByKind.clear()
     stoppingByWorker = undefined
@@ -499,10 +522,6 @@
     return sums
   }
 
-  function isGuaranteed (job: TrackedJob): boolean {
-    return claims.get(job)?.isGuaranteed === true
-  }
-
   /**
    * Tells whether a unit that was preempted waits before it starts again: longer after each preemption, but only while it could be preempted once more
    * and still meet its objective, and not for long in an idle pool. Load: a burst of urgent gangs, each of which would stop the same small tasks that have just started anew.
@@ -512,25 +531,6 @@
     return performance.now() - unit.waitingSinceMs < restartDelayMs * unit.preemptedRuns && !isHoldOver(unit)
   }
 
-  /** Tells whether a guaranteed job has waited so long that it must preempt other work to start in time. */
-  function isReclaimDue (unit: Unit): boolean {
-    return isGuaranteed(unit.job) && isOldEnoughToReclaim(unit)
-  }
-
-  function isOldEnoughToReclaim (unit: Unit): boolean {
-    return getReclaimLeftMs(unit) < 2 * host.stopMs
-  }
-
-  /** Tells whether a guaranteed job must preempt now wherever it can: the bound on its start comes before one rack, without which it only runs more slowly. */
-  function isReclaimPressing (unit: Unit): boolean {
-    return isReclaimDue(unit) && getReclaimLeftMs(unit) < host.stopMs
-  }
-
-  /** The time until a guaranteed job has to start, less the time that storing the plan and the start need. */
-  function getReclaimLeftMs ({ job }: Unit): number {
-    return host.reclaimMs - reclaimLeadMs - (performance.now() - job.acceptedAtMs)
-  }
-
   function isReservedForOther (unit: Unit, worker: WorkerState): boolean {
     return isApartFromWorker(unit, worker) || hasBindingReservation(unit, worker)
   }
@@ -549,46 +549,4 @@
     if (!reservation.bindsEqualPriority && getPriority(unit.job, getQueue) <= reservation.priority) return false
     return performance.now() + unit.spec.estimateMs > reservation.startAtMs
   }
-
-  function countStepTasks (unit: Unit, workerId: string): number {
-    if (unit.spec.spreadLimit === undefined) return 0
-    let count = 0
-    for (const member of getMembers(workerId)) {
-      const other = member.attempt.unit
-      if (other.job === unit.job && other.occurrence === unit.occurrence && other.step === unit.step) count++
-    }
-    return count
-  }
-
-  function getOccupancy (unit: Unit, worker: WorkerState): Occupancy {
-    let sameQueue = 0
-    let otherQueues = 0
-    for (const [queue, accelerators] of getUsage(worker)) {
-      if (queue === unit.job.spec.queue) sameQueue += accelerators
-      else otherQueues += accelerators
-    }
-    return { sameQueue, otherQueues }
-  }
-
-  function getAttainable (worker: WorkerState): Resources {
-    let resources = attainable.get(worker)
-    if (resources !== undefined) return resources
-    resources = worker.info.capacity
-    for (const { attempt: { unit, stopReason }, state } of getMembers(worker.info.workerId)) {
-      if (unit.spec.isService && stopReason === undefined && state !== MemberState.Ended) resources = subtractResources(resources, unit.spec.request)
-    }
-    attainable.set(worker, resources)
-    return resources
-  }
-
-  function getUsage (worker: WorkerState): Map<string, number> {
-    let byQueue = usageByWorker.get(worker)
-    if (byQueue !== undefined) return byQueue
-    usageByWorker.set(worker, byQueue = new Map())
-    for (const { attempt: { unit } } of getMembers(worker.info.workerId)) {
-      const { queue } = unit.job.spec
-      byQueue.set(queue, (byQueue.get(queue) ?? 0) + unit.spec.request.accelerators)
-    }
-    return byQueue
-  }
 }
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -13,8 +13,14 @@
   readonly cost: number
 }
 
-/** The victims on each worker, cheapest first, with the number of their members there. */
-export type VictimsByWorker = ReadonlyMap<string, readonly { readonly victim: Victim, readonly count: number }[]>
+/** A victim, with the number of its members on one worker. */
+export interface VictimOnWorker {
+  readonly victim: Victim
+  readonly count: number
+}
+
+/** The victims on each worker, in the order in which they are stopped. */
+export type VictimsByWorker = ReadonlyMap<string, readonly VictimOnWorker[]>
 
 /** The workers on which a unit starts, and the attempts to stop for it. */
 export interface PreemptionPlan {
@@ -55,7 +61,7 @@
  * more than `maxLoss` core-seconds. Does not modify `freeCapacity`; adds to `firstNeeds` what it has computed.
  */
 export function tryPreempt (
-  unit: Unit, freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number, firstNeeds: FirstNeeds = new Map()
+  unit: Unit, freeCapacity: FreeCapacity, victims: Pick<VictimsByWorker, 'get'>, rules: PlacementRules, getWorker: (workerId: string) => WorkerState | undefined, maxLoss: number, firstNeeds: FirstNeeds = new Map()
 ): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
   for (const group of getGroups(unit, freeCapacity, rules)) {
@@ -67,7 +73,7 @@
 
 /** Gives up as soon as the cost exceeds `maxCost`. What a worker needs is computed anew only after a choice has changed it. */
 function tryPreemptInGroup (
-  unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, victims: VictimsByWorker, rules: PlacementRules,
+  unit: Unit, group: readonly WorkerState[], freeCapacity: FreeCapacity, victims: Pick<VictimsByWorker, 'get'>, rules: PlacementRules,
   getWorker: (workerId: string) => WorkerState | undefined, maxCost: number, firstNeeds: FirstNeeds
 ): PreemptionPlan | undefined {
   const { request, spreadLimit = Infinity } = unit.spec
@@ -131,7 +137,7 @@
 }
 
 /** The cheapest victims on one worker that, once stopped, leave enough free capacity for the request; undefined if there are not enough. */
-function getVictimsFor (request: Resources, freeNow: Resources, victimsOnWorker: readonly { readonly victim: Victim, readonly count: number }[], chosen: ReadonlySet<Attempt>): readonly Victim[] | undefined {
+function getVictimsFor (request: Resources, freeNow: Resources, victimsOnWorker: readonly VictimOnWorker[], chosen: ReadonlySet<Attempt>): readonly Victim[] | undefined {
   const needed: Victim[] = []
   let free = freeNow
   if (fits(request, free)) return needed
--- a/src/placement/unitOrder.ts
+++ b/src/placement/unitOrder.ts
@@ -14,7 +14,7 @@
  * urgent queue waits for as long as the others fill the workers; with one bound for all, urgent work waited where every task had been stopped twice.
  */
 export const maxPreemptions = 2
-const maxPreemptionsByUrgent = 4
+export const maxPreemptionsByUrgent = 4
 /** The priority of jobs whose queue is unknown; lower numbers come first. */
 const lowestPriority = 1_000
 
@@ -59,7 +59,7 @@
 }
 
 /** Tells whether so many runs of the unit have ended without a failure of its own that it is protected. */
-function hasBeenPreempted ({ run, failedRuns }: Unit, limit: number): boolean {
+export function hasBeenPreempted ({ run, failedRuns }: Unit, limit: number): boolean {
   return run - failedRuns.size > limit
 }
 
