Relocation: no further plan is searched for once one moves nothing

A candidate that, without its superfluous victims, moves no run was found again up to three times. Found while reading the change; the plan is the same. Tests of relocation and reclaimByMoving: 26 of 26 pass.

--- a/src/placement/relocation.ts
+++ b/src/placement/relocation.ts
@@ -77,6 +77,7 @@
     if (result.unplaced === undefined) {
       plans++
       if (result.plan.cost < (plan?.cost ?? Infinity)) plan = result.plan
+      if (moved.length === 0) break
       // Without these, the next candidate moves other runs.
       moved.forEach(({ attempt }) => excluded.add(attempt))
     } else {
