--- a/src/runs/reclaimByMoving.test.ts
+++ b/src/runs/reclaimByMoving.test.ts
@@ -76,3 +76,23 @@
   expect([...claimedTasks, ...smallTasks].every(isRunning)).toBe(true)
   expect(harness.poolState.violations).toEqual([])
 })
+
+// Each worker in turn: that of the claim, that of the new places, and others.
+test.each([0, 1, 2, 3, 4, 5, 6, 7])('worker %i crashes while runs are moved for the claim: no task runs twice, and all that fits is back at work', async index => {
+  await submitClaim()
+  await run(1_450)
+  harness.crashWorker(`worker-${index}`, { awayMs: 2_000, keepsId: true })
+  const isBack = (): boolean => [...claimedTasks, ...smallTasks].every(isRunning)
+  expect(await runUntil(isBack, 15_000)).toBeLessThan(15_000)
+  expect(harness.poolState.violations).toEqual([])
+})
+
+test('the claim is cancelled while runs are moved for it: they are back at work, and nothing of the claim runs', async () => {
+  await submitClaim()
+  await run(1_400)
+  await harness.hosts.get('host-0')?.intake.cancel('claim', performance.now() + 1_000)
+  expect(await runUntil(() => smallTasks.every(isRunning), 3_000)).toBeLessThan(3_000)
+  await run(2_000)
+  expect(claimedTasks.some(isRunning)).toBe(false)
+  expect(harness.poolState.violations).toEqual([])
+})
