--- a/src/runs/jobTable.test.ts
+++ b/src/runs/jobTable.test.ts
@@ -70,17 +70,22 @@
   return table
 }
 
-// Guards against jobs that run again after their end: a read that began before their removal shows them without progress.
-test('a read that began before the removal of an ended job does not add the job again', async () => {
-  storeEnded('ended')
-  let answerMs = 0
-  const table = await startTable(client => ({
+/** Answers of range reads arrive that much later than the store has made them. */
+function delayRanges (getAnswerMs: () => number): (client: MetadataStore) => Partial<MetadataStore> {
+  return client => ({
     range: async (...parameters) => {
       const page = await client.range(...parameters)
-      if (answerMs > 0) await delay(answerMs)
+      if (getAnswerMs() > 0) await delay(getAnswerMs())
       return page
     }
-  }))
+  })
+}
+
+// Guards against jobs that run again after their end: a read that began before their removal shows them without progress.
+test('a read that began before the removal of an ended job does not add the job again', async () => {
+  storeEnded('ended')
+  let answerMs = 0
+  const table = await startTable(delayRanges(() => answerMs))
   await advance(removalMs - 10_000)
   answerMs = 12_000
   await advance(25_000)
@@ -168,13 +173,7 @@
   storeEnded('reused')
   store.write(getCancelKey('reused'), '{}')
   let answerMs = 0
-  await startTable(client => ({
-    range: async (...parameters) => {
-      const page = await client.range(...parameters)
-      if (answerMs > 0) await delay(answerMs)
-      return page
-    }
-  }))
+  await startTable(delayRanges(() => answerMs))
   await advance(removalMs - 10_000)
   answerMs = 12_000
   await advance(22_000)
