--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -169,6 +169,7 @@
     if (ready.length === 0) return
     relocationHolds.update(isPlaceUsable, performance.now())
     const freeCapacity: FreeCapacity = new Map([...workers.values()].filter(isUsable).map(worker => [worker, relocationHolds.getFree(worker)]))
+    // Units that were moved start on the places that were held for them, before anything else is placed.
     const relocated = new Map(ready.flatMap(unit => {
       const places = relocationHolds.take(unit)
       return places === undefined ? [] : [[unit, places]]
@@ -375,7 +376,7 @@
     reservedUnits++
   }
 
-  /** Preempts work for the unit if the unit then fits and its wait would cost callers more. Work whose guarantee is due preempts at any cost. */
+  /** Preempts work for the unit if the unit then fits and its wait would cost callers more. Work whose guarantee is due preempts at any cost, and moves guaranteed work if need be. */
   function tryPreemptFor (unit: Unit, permitted: FreeCapacity, freeCapacity: FreeCapacity): boolean {
     const nowMs = performance.now()
     if (isPatient(unit)) return false
