--- a/src/placement/reclaim.ts
+++ b/src/placement/reclaim.ts
@@ -49,7 +49,7 @@
 const reclaimLeadMs = 800
 /** The pause after a search for runs to move has found none, in ms: it costs several times as much as a search for runs to preempt. */
 const searchPauseMs = 250
-/** The most of these searches in one planning pass; other claims are served in the next passes. With 3,000 workers a search takes some 50 ms. */
+/** The most of these searches in one planning pass; other claims are served in the next passes. */
 const maxSearchesPerPass = 8
 
 /** Creates the claims of one scheduler term. */
--- a/src/placement/relocationHolds.ts
+++ b/src/placement/relocationHolds.ts
@@ -1,6 +1,5 @@
 /**
- * Keeps the new places of runs that are being moved free until they start again. In the meantime their work is not running, and every other unit would find the room. Does
- * no I/O.
+ * Holds the new places of runs that are being moved until they start again, since other units could take the room while the runs are being stopped. Does no I/O.
  */
 import { isTerminal } from '../jobs/jobModel.js'
 import type { Resources } from '../jobs/jobModel.js'
