--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -49,6 +49,19 @@
   readonly limits: CallerLimits
 }
 
+/** An entry that cannot be decoded, and the type that it must have. */
+export interface ConfigurationIssue {
+  readonly path: readonly (string | number)[]
+  readonly expected: string
+}
+
+/** What could be decoded of a stored value. The version may be known although the rest is not. */
+export interface DecodedConfiguration {
+  readonly configuration?: Configuration
+  readonly version?: number
+  readonly issues: readonly ConfigurationIssue[]
+}
+
 /** The response to a caller is due this long before its time-out expires. */
 export const answerMarginMs = 250
 
--- a/src/configuration/configurationPeers.ts
+++ b/src/configuration/configurationPeers.ts
@@ -35,6 +35,16 @@
   getCopy (): (ConfigurationCopy & { readonly value: string }) | undefined
   /** Resolves when there is a copy that is newer than `version`, if that is given, or after `timeoutMs`. */
   waitForVersionAfter (version: number | undefined, timeoutMs: number): Promise<void>
+  /** Reports that a version exists: another host has acted by it. */
+  noteVersion (version: number, source: EvidenceSource): void
+}
+
+/** How this host got to know that a version exists, other than by its value. */
+export enum EvidenceSource {
+  /** The record of a job that another host has accepted by it. */
+  AcceptedJob = 'accepted-job',
+  /** A call of a peer. */
+  Peer = 'peer'
 }
 
 /** A peer whose copy may be followed. */
@@ -100,6 +110,7 @@
 
   return defineMethod(followMethod, requestSchema, async ({ version, waitMs }) => {
     const arrivedAt = readClocks()
+    if (version !== undefined) shared.noteVersion(version, EvidenceSource.Peer)
     if (followers >= maxFollowers) throw createError(ErrorKind.StoreUnavailable, 'this host already serves the maximum number of followers')
     followers++
     try {
--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -9,8 +9,8 @@
 import { createSignal, delay } from '../common/time.js'
 import { createError, ErrorKind } from '../errors/errorKinds.js'
 import type { MetadataStore, StoredItem } from '../store/metadataStore.js'
-import type { Configuration } from './configuration.js'
-import type { ConfigurationFollower, SharedConfiguration } from './configurationPeers.js'
+import type { Configuration, ConfigurationIssue, DecodedConfiguration } from './configuration.js'
+import type { ConfigurationFollower, EvidenceSource, SharedConfiguration } from './configurationPeers.js'
 
 /** Dependencies of the replica. */
 export interface ConfigurationReplicaHost {
@@ -22,7 +22,7 @@
   readonly maxAgeMs: number
   readonly logger: Logger
   readonly key: string
-  readonly decode: (value: string) => Configuration | undefined
+  readonly decode: (value: string) => DecodedConfiguration
   readonly onChanged: () => void
   readonly signal: AbortSignal
 }
@@ -38,6 +38,25 @@
   waitUntilCurrent (timeoutMs: number): Promise<boolean>
   /** Tells whether the store counts as reached, itself or through a peer: it has been before, and the most recent attempts did not all fail. */
   isStoreReached (): boolean
+  describe (): ConfigurationState
+}
+
+/** What an operator is shown of the copy. */
+export interface ConfigurationState {
+  readonly version: number | undefined
+  readonly ageMs: number
+  /** The newest version that is known to exist. */
+  readonly newestKnownVersion: number | undefined
+  /** A received value, newer than the copy, that cannot be decoded. */
+  readonly undecoded: UndecodedValue | undefined
+}
+
+/** A value that cannot be decoded. */
+export interface UndecodedValue {
+  readonly revision: number
+  readonly version: number | undefined
+  readonly issues: readonly string[]
+  readonly issueCount: number
 }
 
 /** Where a version came from. */
@@ -60,6 +79,8 @@
 const unreachableAfterFailures = 2
 /** A watch transfers every version since the revision it starts from; after a value of this length, the newest alone is read instead. */
 const largeValueLength = 100_000
+/** The number of entries that a log line names of those that cannot be decoded. */
+const maxLoggedIssues = 5
 
 /** Creates a replica and starts to follow the configuration. */
 export function createConfigurationReplica (host: ConfigurationReplicaHost): ConfigurationReplica {
@@ -70,6 +91,8 @@
   let watchedRevision: number | undefined
   let failures = 0
   let lastError: unknown
+  let undecoded: UndecodedValue | undefined
+  let newestKnownVersion: number | undefined
   const changed = createSignal()
   void follow()
 
@@ -80,7 +103,9 @@
     waitUntilCurrent,
     isStoreReached: () => failures < unreachableAfterFailures && confirmedAt !== undefined,
     getCopy: () => current === undefined || confirmedAt === undefined ? undefined : { version: current.configuration.version, revision: current.revision, storeRevision, confirmedAt, value: current.value },
-    waitForVersionAfter
+    waitForVersionAfter,
+    noteVersion,
+    describe: () => ({ version: current?.configuration.version, ageMs: getAgeMs(), newestKnownVersion, undecoded })
   }
 
   function getAgeMs (): number {
@@ -109,6 +134,12 @@
     }
   }
 
+  function noteVersion (version: number, source: EvidenceSource): void {
+    if (version <= (newestKnownVersion ?? -Infinity)) return
+    newestKnownVersion = version
+    host.logger.info('a newer configuration than this host has is in use', { version, ownVersion: current?.configuration.version, configurationAgeMs: Math.round(getAgeMs()), source })
+  }
+
   async function follow (): Promise<void> {
     while (!host.signal.aborted) {
       const isFollowed = host.prefersPeers && host.follower.hasPeer()
@@ -192,17 +223,27 @@
 
   function applyValue (value: string, revision: number, sentAtMs: number, source: Source): void {
     const receivedAtMs = performance.now()
-    const next = host.decode(value)
+    const { configuration: next, version, issues } = host.decode(value)
     if (next === undefined) {
-      host.logger.error('the stored configuration is malformed and was ignored', { revision })
+      undecoded = { revision, version, issues: issues.slice(0, maxLoggedIssues).map(formatIssue), issueCount: issues.length }
+      host.logger.error('the stored configuration cannot be decoded and is not applied', { ...undecoded, ownVersion: current?.configuration.version, source })
       return
     }
     const before = current?.configuration.version
-    if (before !== undefined && next.version <= before) return
+    if (before !== undefined && next.version <= before) {
+      host.logger.warn('a configuration is not applied, as its version is not higher', { version: next.version, ownVersion: before, revision, source })
+      return
+    }
     assert(next.version > (before ?? -Infinity), 'the configuration version must not decrease')
     host.logger.info('a new configuration was applied', { version: next.version, before, revision, queues: next.queues.length, source, characters: value.length, waitedMs: Math.round(receivedAtMs - sentAtMs), decodedMs: Math.round(performance.now() - receivedAtMs) })
     current = { configuration: next, value, revision }
+    undecoded = undefined
+    newestKnownVersion = Math.max(newestKnownVersion ?? -Infinity, next.version)
     changed.notify()
     host.onChanged()
   }
 }
+
+function formatIssue ({ path, expected }: ConfigurationIssue): string {
+  return `${path.join('.') || '(top level)'}: ${expected}`
+}
--- a/src/platform/daemon.ts
+++ b/src/platform/daemon.ts
@@ -8,7 +8,7 @@
 import { createHostMetrics } from '../common/hostMetrics.js'
 import { createDaemonLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
-import { createConfigurationFollower, createFollowMethod } from '../configuration/configurationPeers.js'
+import { createConfigurationFollower, createFollowMethod, EvidenceSource } from '../configuration/configurationPeers.js'
 import { createConfigurationReplica } from '../configuration/configurationReplica.js'
 import { createLeaderElection } from '../election/leaderElection.js'
 import type { Term } from '../election/leaderElection.js'
@@ -38,7 +38,7 @@
 import { evacuationPrefix, tryDecodeEvacuationKey } from './evacuationKeys.js'
 import { createPeerConnections } from './peerConnections.js'
 import { createJobApi } from './jobApi.js'
-import { configurationKey, defaultMaxBodyBytes, tryDecodeConfiguration } from './platformConfiguration.js'
+import { configurationKey, decodeConfiguration, defaultMaxBodyBytes } from './platformConfiguration.js'
 import { loadPlatformSettings } from './platformSettings.js'
 import { getPortLimits } from './portLimits.js'
 import { createAdviceClient, createMachineClient, encodeWaveStatus, tryDecodeWave, wavePrefix, waveStatusPrefix } from './serviceClients.js'
@@ -100,7 +100,7 @@
   maxAgeMs: settings.configurationBoundMs - clockMarginMs,
   logger: logger.withPrefix('configuration'),
   key: configurationKey,
-  decode: tryDecodeConfiguration,
+  decode: decodeConfiguration,
   onChanged: () => { scheduler?.refresh() },
   signal: stopping.signal
 })
@@ -193,6 +193,7 @@
     connect: info => observeReports(createHttpWorker(info), info.workerId, endReaders.onOwnReport),
     pollThroughPeers: relayedPolls.poll,
     getConfiguration: configuration.get,
+    onVersionSeen: version => { configuration.noteVersion(version, EvidenceSource.AcceptedJob) },
     ...(evacuations === undefined ? {} : { evacuations }),
     readInitial,
     ...(settings.adviceAddress === undefined ? {} : { advice: createAdviceClient(settings.adviceAddress) })
@@ -241,7 +242,10 @@
 
 function getMetrics (): string {
   metrics.setGauge('configuration_version', configuration.get()?.version ?? 0)
+  const { version = 0, newestKnownVersion = 0, undecoded } = configuration.describe()
   metrics.setGauge('configuration_age_ms', Math.round(configuration.getAgeMs()))
+  metrics.setGauge('configuration_versions_behind', Math.max(0, newestKnownVersion - version))
+  metrics.setGauge('configuration_undecoded', undecoded === undefined ? 0 : 1)
   metrics.setGauge('is_scheduler', currentTerm?.isValid() === true ? 1 : 0)
   metrics.setGauge('ignored_worker_entries', currentTerm?.isValid() === true ? workerList?.countIgnored() ?? 0 : 0)
   if (settings.evacuationBoundMs !== undefined) {
@@ -263,11 +267,14 @@
 
 /** The body of `/status`; the host that is the scheduler includes its scheduling state. */
 function getStatus (): object {
+  const { newestKnownVersion, undecoded } = configuration.describe()
   return {
     host: settings.hostId,
     scheduler: election.getLeader(),
     configurationVersion: configuration.get()?.version,
     configurationAgeMs: Math.round(configuration.getAgeMs()),
+    newestKnownConfigurationVersion: newestKnownVersion,
+    ...(undecoded === undefined ? {} : { undecodedConfiguration: undecoded }),
     isStoreReached: configuration.isStoreReached(),
     isStoreReachedThroughPeers: relayedStore.isDirectUnavailable() && configuration.isStoreReached(),
     peers: directory.getPeers().map(({ hostId }) => hostId),
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -115,7 +115,7 @@
   }
 
   function log (request: IncomingMessage, reply: Reply, tookMs: number, decidedBy: object): void {
-    const fields = { method: request.method, path: shorten(request.url ?? ''), status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
+    const fields = { method: request.method, hostName: shorten(request.headers.host ?? ''), path: shorten(request.url ?? ''), status: reply.status, reply: reply.status === 200 ? undefined : reply.body, ...decidedBy, tookMs: Math.round(tookMs) }
     if (request.method === 'GET' && reply.status < 300) logger.debug('a query is answered', fields)
     else logger.info('a call is answered', fields)
   }
--- a/src/platform/platformConfiguration.ts
+++ b/src/platform/platformConfiguration.ts
@@ -1,7 +1,7 @@
 /** Decodes the operators' configuration from the platform's store. */
 import * as z from 'zod/mini'
 import { tryParseJson } from '../common/boundedJson.js'
-import type { Configuration } from '../configuration/configuration.js'
+import type { Configuration, ConfigurationIssue, DecodedConfiguration } from '../configuration/configuration.js'
 
 /** The store key of the configuration. */
 export const configurationKey = 'op/config'
@@ -31,15 +31,18 @@
   limits: z._default(z.object({ maxBodyBytes: z._default(z.number(), defaultMaxBodyBytes) }), { maxBodyBytes: defaultMaxBodyBytes })
 })
 
+const versionSchema = z.object({ version: z.number() })
+
 /** Decodes a configuration; undefined if it is malformed. */
 export function tryDecodeConfiguration (value: string): Configuration | undefined {
-  return decodeParsedConfiguration(tryParseJson(value)).configuration
+  return decodeConfiguration(value).configuration
 }
 
-/** An entry that cannot be decoded, and the type that it must have. */
-export interface ConfigurationIssue {
-  readonly path: readonly (string | number)[]
-  readonly expected: string
+/** Decodes a stored value. Never throws. */
+export function decodeConfiguration (value: string): DecodedConfiguration {
+  const parsed = tryParseJson(value)
+  const version = versionSchema.safeParse(parsed).data?.version
+  return { ...decodeParsedConfiguration(parsed), ...(version === undefined ? {} : { version }) }
 }
 
 /** Decodes a configuration from parsed JSON. The configuration is undefined exactly if there are issues. */
--- a/src/runs/scheduler.ts
+++ b/src/runs/scheduler.ts
@@ -82,6 +82,8 @@
   /** Polls a worker through other hosts; undefined if there are none. */
   readonly pollThroughPeers?: ((info: ListedWorker, poll: RelayedPoll) => Promise<WorkerStatusReport>) | undefined
   readonly getConfiguration: () => Configuration | undefined
+  /** Called with the version of the configuration by which a stored job was accepted, if its record has it. */
+  readonly onVersionSeen?: (version: number) => void
   /** The operators' requests to evacuate failure domains, if the deployment has them. */
   readonly evacuations?: DomainEvacuations
   /** The advice service, if the deployment has one. */
@@ -166,6 +168,7 @@
     retentionMs: host.bounds.retentionMs,
     readInitial: host.readInitial,
     onJobAdded: job => {
+      if (job.spec.configurationVersion !== undefined) host.onVersionSeen?.(job.spec.configurationVersion)
       assignService(job)
       writer.scheduleCounts()
       schedulePlan()
--- a/src/testing/configurationHarness.ts
+++ b/src/testing/configurationHarness.ts
@@ -2,7 +2,7 @@
 import { jest } from '@jest/globals'
 import { silentLogger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
-import type { Configuration } from '../configuration/configuration.js'
+import type { DecodedConfiguration } from '../configuration/configuration.js'
 import { createConfigurationFollower, createFollowMethod } from '../configuration/configurationPeers.js'
 import type { ConfigurationFollower } from '../configuration/configurationPeers.js'
 import { createConfigurationReplica } from '../configuration/configurationReplica.js'
@@ -23,9 +23,9 @@
 export const noFollower: ConfigurationFollower = { hasPeer: () => false, tryFollow: () => Promise.resolve(undefined) }
 
 /** Decodes a value of the harness. */
-export function decodeHarnessConfiguration (value: string): Configuration | undefined {
+export function decodeHarnessConfiguration (value: string): DecodedConfiguration {
   const version = Number(value)
-  return Number.isFinite(version) ? { ...harnessConfiguration, version } : undefined
+  return Number.isFinite(version) ? { configuration: { ...harnessConfiguration, version }, version, issues: [] } : { issues: [{ path: [], expected: 'number' }] }
 }
 
 /** Advances the fake clock in small steps, so that chains of callbacks run in order. */
