A host name in other letters and a target in absolute form select their queue (CONFIG)

Callers saw: 404 at all hosts for Host: Jobs.Example where the queue is of jobs.example, and for POST http://jobs.example/fresh/ID.

Cause: the host name and the target were compared as bytes. RFC 9110, 4.2.3, asks for a comparison without regard to case, RFC 9112, 3.2.2, for the absolute form, whose host name takes the place of the Host header. Class: a comparison of text that has several equal forms.

Now host names of queues and requests are compared in lower case, without the port, and the absolute form is taken apart. Two tests failed before.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -3,6 +3,7 @@
 /** A queue: where callers submit jobs, and how its jobs are scheduled. */
 export interface QueueSettings {
   readonly name: string
+  /** In lower case, as are the host names of requests when they are compared. */
   readonly hostName: string
   readonly pathPrefix: string
   readonly service: string
--- a/src/platform/jobApi.test.ts
+++ b/src/platform/jobApi.test.ts
@@ -224,14 +224,14 @@
 })
 
 // RFC 9110, 4.2.3: host names are compared without regard to case.
-test.failing('a host name in other letters, or with a port, selects the same queue', async () => {
+test('a host name in other letters, or with a port, selects the same queue', async () => {
   const port = await listen(decodeStored([{ ...storedRoute, host: 'Jobs.Example' }], [storedTenant]))
   for (const host of ['jobs.example', 'JOBS.example', 'Jobs.Example:8521']) expect(await call(port, 'POST', `/batch/${jobId}`, { 'Api-Key': key, Host: host }, body)).toBe(200)
   expect(await call(port, 'POST', `/batch/${jobId}`, { 'Api-Key': key, Host: 'other.example' }, body)).toBe(404)
 })
 
 // RFC 9112, 3.2.2: a server must accept the absolute form, and ignore the Host header then.
-test.failing('a target in absolute form selects the queue by its own host name and path', async () => {
+test('a target in absolute form selects the queue by its own host name and path', async () => {
   const port = await listen(decodeStored([{ ...storedRoute, host: 'jobs.example' }], [storedTenant]))
   for (const target of ['http://jobs.example', 'http://Jobs.Example:8521', 'HTTP://jobs.example']) expect(await call(port, 'POST', `${target}/batch/${jobId}?a=1`, { 'Api-Key': key, Host: 'other.example' }, body)).toBe(200)
   expect(await call(port, 'GET', 'http://jobs.example/batch/', { 'Api-Key': key, Host: 'other.example' })).toBe(200)
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -42,6 +42,8 @@
 /** A path may have up to 16 KB; logs and error messages contain this many characters of it. */
 const maxLoggedLength = 200
 const jobIdPattern = /^[0-9a-f]{16}$/
+/** The authority and the path of a target in absolute form. */
+const absoluteTargetPattern = /^https?:\/\/([^/]*)(\/.*)?$/i
 
 /** Creates the request handler of the job API. */
 export function createJobApi (host: JobApiHost): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
@@ -71,8 +73,7 @@
   }
 
   async function handle (request: IncomingMessage, configuration: Configuration, startedAtMs: number): Promise<Reply> {
-    const path = (request.url ?? '/').split('?')[0] as string
-    const hostName = getHostName(request)
+    const { hostName, path } = getTarget(request)
     const queue = findQueue(configuration, hostName, path)
     if (mayBeUndecodedQueue(configuration, hostName, path, queue)) throw createError(ErrorKind.ConfigurationUndecoded, `this host cannot decode all queues of the configuration, and cannot tell which one the path ${shorten(path)} selects; retry at another host`)
     if (queue === undefined) throw createError(ErrorKind.NoRequestKind, `no queue matches the path ${shorten(path)} under the requested host name`)
@@ -144,8 +145,12 @@
   return text.length <= maxLoggedLength ? text : `${text.slice(0, maxLoggedLength)}...`
 }
 
-function getHostName (request: IncomingMessage): string {
-  return (request.headers.host ?? '').replace(/:\d+$/, '')
+/** A target in absolute form takes the place of the Host header (RFC 9112, 3.2.2). Host names are compared without regard to case and without the port. */
+function getTarget (request: IncomingMessage): { readonly hostName: string, readonly path: string } {
+  const target = (request.url ?? '/').split('?')[0] as string
+  const absolute = absoluteTargetPattern.exec(target)
+  const [authority, path] = absolute === null ? [request.headers.host ?? '', target] : [absolute[1] ?? '', absolute[2] ?? '/']
+  return { hostName: authority.replace(/:\d*$/, '').toLowerCase(), path }
 }
 
 function authenticate (configuration: Configuration, queue: QueueSettings, request: IncomingMessage): string {
--- a/src/platform/platformConfiguration.ts
+++ b/src/platform/platformConfiguration.ts
@@ -109,7 +109,7 @@
   const { advice } = route
   return {
     name: route.name,
-    hostName: route.host,
+    hostName: route.host.toLowerCase(),
     pathPrefix: route.prefix,
     service: route.service,
     priority: route.priority ?? 0,
@@ -124,7 +124,7 @@
 
 function toUndecodedQueue (value: unknown): UndecodedQueue {
   const address = queueAddressSchema.safeParse(value).data
-  return address === undefined ? {} : { address: { hostName: address.host, pathPrefix: address.prefix } }
+  return address === undefined ? {} : { address: { hostName: address.host.toLowerCase(), pathPrefix: address.prefix } }
 }
 
 function toOrganisation ({ name, keys, guaranteed }: z.infer<typeof tenantSchema>): OrganisationSettings {
