An answer to a watch from an older revision confirms nothing (CONFIG)

Cause: a read of the configuration was checked against the newest revision seen before, a watch was not, so that a store that answers a watch from behind confirmed an old copy for good. By reading; no play shows it. Both are checked now. The test failed before.

--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -217,14 +217,19 @@
   async function readCurrent (): Promise<void> {
     const sentAt = readClocks()
     const { items, revision } = await host.store.range(host.key)
-    if (revision < storeRevision) throw createError(ErrorKind.StoreUnavailable, `the store answered from revision ${revision}, older than ${storeRevision}`)
+    checkRevision(revision)
     for (const item of items) handleItem(item, sentAt, Source.Read)
     recordConfirmation(sentAt, revision)
   }
 
+  function checkRevision (revision: number): void {
+    if (revision < storeRevision) throw createError(ErrorKind.StoreUnavailable, `the store answered from revision ${revision}, older than ${storeRevision}`)
+  }
+
   async function watchChanges (fromRevision: number, waitMs: number): Promise<void> {
     const sentAt = readClocks()
     const { changes, revision } = await watchInterruptibly(fromRevision, waitMs)
+    checkRevision(revision)
     const newest = changes.findLast(({ key }) => key === host.key)?.item
     if (newest !== undefined) handleItem(newest, sentAt, Source.Watch)
     recordConfirmation(sentAt, revision)
--- a/src/configuration/newestVersion.test.ts
+++ b/src/configuration/newestVersion.test.ts
@@ -115,7 +115,7 @@
   expect(replica.get()?.version).toBe(2)
 })
 
-test.failing('a watch that is answered from an older revision than one seen before confirms nothing', async () => {
+test('a watch that is answered from an older revision than one seen before confirms nothing', async () => {
   let isBehind = false
   const wrapStore = (store: MetadataStore): MetadataStore => ({
     ...store,
