A copy that a peer relays never counts as confirmed later than it was, whatever the clocks do (CONFIG)

Cause: the time of the confirmation relative to a peer's call was the difference of two elapsed times, each the larger of what two clocks show. With the wall clock set back between the confirmation and the call, and forward before the answer, it said that the copy had been confirmed after the call, so that an old copy counted as current. Class: a stale read taken for a fresh one.

The difference is taken clock by clock, and the smaller one counts; a follower takes no confirmation for later than the answer. The test of the difference failed before; that of the answer was not run on the code before.

--- a/src/common/elapsedTime.ts
+++ b/src/common/elapsedTime.ts
@@ -16,6 +16,11 @@
   return Math.max(performance.now() - since.monotonicMs, Date.now() - since.wallMs)
 }
 
+/** Returns the time from one moment to another, in ms, negative if `to` is the earlier one: the smaller of what the two clocks show, so that `to` never seems later than it was. */
+export function getOffsetMs (from: ClockReading, to: ClockReading): number {
+  return Math.min(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs)
+}
+
 /** Returns the moment `offsetMs` after `reading`, or before it if the offset is negative. */
 export function shiftClocks (reading: ClockReading, offsetMs: number): ClockReading {
   return { monotonicMs: reading.monotonicMs + offsetMs, wallMs: reading.wallMs + offsetMs }
--- a/src/configuration/configurationPeers.ts
+++ b/src/configuration/configurationPeers.ts
@@ -4,7 +4,7 @@
  */
 import { deflateSync, inflateSync } from 'node:zlib'
 import * as z from 'zod/mini'
-import { getElapsedMs, readClocks, shiftClocks } from '../common/elapsedTime.js'
+import { getElapsedMs, getOffsetMs, readClocks, shiftClocks } from '../common/elapsedTime.js'
 import type { ClockReading } from '../common/elapsedTime.js'
 import type { Logger } from '../common/logger.js'
 import type { RpcClient } from '../common/rpcClient.js'
@@ -125,7 +125,7 @@
     const copy = shared.getCopy()
     if (copy === undefined) throw createError(ErrorKind.StoreUnavailable, 'this host has no configuration yet')
     const { version, revision, storeRevision, confirmedAt, value } = copy
-    const confirmedAfterArrivalMs = getElapsedMs(arrivedAt) - getElapsedMs(confirmedAt)
+    const confirmedAfterArrivalMs = getOffsetMs(arrivedAt, confirmedAt)
     const response = { version, revision, storeRevision, confirmedAfterArrivalMs }
     if (knownVersion !== undefined && version <= knownVersion) return response
     if (compressed?.version !== version) compressed = { version, value: deflateSync(value, { level: compressionLevel }).toString('base64') }
@@ -165,8 +165,8 @@
     const parsed = responseSchema.safeParse(result)
     if (!parsed.success) throw createError(ErrorKind.Internal, `the peer's answer is malformed: ${parsed.error.message}`)
     const { confirmedAfterArrivalMs, compressedValue, ...copy } = parsed.data
-    // The request arrived after it was sent, so this is not later than the time of the confirmation.
-    const confirmedAt = shiftClocks(sentAt, confirmedAfterArrivalMs)
+    // The request arrived after it was sent, so this is not later than the time of the confirmation; nor can that be after the answer.
+    const confirmedAt = shiftClocks(sentAt, Math.min(confirmedAfterArrivalMs, getOffsetMs(sentAt, readClocks())))
     if (getElapsedMs(confirmedAt) > maxPeerAgeMs) throw createError(ErrorKind.StoreUnavailable, 'the peer\'s copy has not been confirmed lately')
     if (version !== undefined && copy.version < version) throw createError(ErrorKind.StoreUnavailable, `the peer's copy is older, of version ${copy.version}`)
     if (compressedValue === undefined) return { ...copy, confirmedAt }
--- a/src/configuration/newestVersion.test.ts
+++ b/src/configuration/newestVersion.test.ts
@@ -2,11 +2,12 @@
 import { deflateSync } from 'node:zlib'
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals'
 import { readClocks } from '../common/elapsedTime.js'
+import { silentLogger } from '../common/logger.js'
 import { delay } from '../common/time.js'
 import type { MetadataStore, StoreChange } from '../store/metadataStore.js'
 import { advanceClock, createConfigurationHarness, harnessConfigurationKey } from '../testing/configurationHarness.js'
 import type { ConfigurationHarness } from '../testing/configurationHarness.js'
-import { createFollowMethod, EvidenceSource } from './configurationPeers.js'
+import { createConfigurationFollower, createFollowMethod, EvidenceSource } from './configurationPeers.js'
 
 let harness: ConfigurationHarness
 
@@ -130,7 +131,7 @@
 })
 
 // The clock is set back between the confirmation and the call, and forward before the answer.
-test.failing('a copy does not count as confirmed after a call that it was confirmed before, when the clock is set', async () => {
+test('a copy does not count as confirmed after a call that it was confirmed before, when the clock is set', async () => {
   const realNow = Date.now
   let offsetMs = 0
   const spy = jest.spyOn(Date, 'now').mockImplementation(() => realNow() + offsetMs)
@@ -145,3 +146,15 @@
   expect(confirmedAfterArrivalMs).toBeLessThanOrEqual(-500)
   spy.mockRestore()
 })
+
+test('an answer of a peer that would be confirmed in the future counts as confirmed by now', async () => {
+  const answer = { version: 1, revision: 1, storeRevision: 1, confirmedAfterArrivalMs: 3_600_000 }
+  const follower = createConfigurationFollower({
+    logger: silentLogger,
+    getPeers: () => [{ address: 'peer', isInOwnDomain: true }],
+    connect: () => ({ call: <T>() => Promise.resolve(answer as T) }),
+    random: () => 0
+  })
+  const copy = await follower.tryFollow(undefined)
+  expect(copy?.confirmedAt.monotonicMs).toBeLessThanOrEqual(performance.now())
+})
