Platform soak: changes of the configuration in series, and answers compared with the version in force

Now versions follow each other 0 to 3.7 s apart, beside the kills, freezes, cuts and outages. Each has a queue of its own, and a key of its own or an organisation without keys in the ways that encoders write it. All hosts are asked over connections that stay open. An answer must fit a version that may still decide it: within configMs of its replacement, and not older than one by which the host has answered.

--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -22,6 +22,8 @@
 import { LinkFault } from '../../testing/faultProxy.js'
 import { nestJson } from '../../testing/oddValues.js'
 import { workerListPrefix } from '../workerEntries.js'
+import { createConfigurationChanges } from './configurationChanges.js'
+import type { ConfigurationChangesHost } from './configurationChanges.js'
 import { createDepartures, DepartureKind } from './departures.js'
 import { createDisturbances } from './disturbances.js'
 import type { Disturbances } from './disturbances.js'
@@ -47,6 +49,9 @@
   readonly massCrashes: number
   /** How often the next writes of one key were made late. */
   readonly lateWrites: number
+  /** Versions of the configuration, and answers that told by which of them they were decided. */
+  readonly configurations: number
+  readonly decidedAnswers: number
   /** Workers that were gone for good. */
   readonly departures: number
   /** The time in which jobs may not stand, and the longest that one has stood in it, in ms. */
@@ -80,7 +85,7 @@
 const hostCount = 4
 const workerCount = 12
 const capacity = { cpuMilli: 64_000, memoryMb: 256_000, accelerators: 8 }
-const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900, evacMs: 3_000 }
+const bounds = { graceS: 6, holdMaxMs: 3_000, stopMs: 100, gangMs: 2_000, reclaimMs: 2_900, evacMs: 3_000, configMs: 2_500 }
 /** The longest lease in the soak of departures, in ms: longer than the one that the scheduler asks for, so that a wait for the longest one shows. */
 const departuresMaxLeaseMs = 10_000
 const jobPauseMs = 160
@@ -104,6 +109,7 @@
 const maxLateMs = 6_000
 const lateWritesSeedOffset = 15_485_863
 const departuresSeedOffset = 32_452_843
+const configurationSeedOffset = 49_979_687
 /** Starts and writes that a fault makes late are carried out within this, in ms. */
 const maxEffectMs = 3_300
 /** The prefixes of the keys that the daemons write in the soak. */
@@ -162,6 +168,16 @@
   let massCrashes = 0
   let lateWrites = 0
   const jobs: SoakJob[] = []
+  const changes = createConfigurationChanges({
+    configure: emulator.configure,
+    common: createConfiguration(1, names),
+    hostName: names.hostName,
+    service: names.service,
+    key: names.key,
+    hosts: daemons.hosts,
+    random: createRandom(seed + configurationSeedOffset),
+    boundMs: bounds.configMs
+  })
   const departures = createDepartures({ kinds: departureKinds, emulator, disturbances, random: createRandom(seed + departuresSeedOffset) })
   const standingJobs = watchStandingJobs({ emulator, disturbances, caller, jobs, describeRun: departures.describeRun })
   let standing: SoakReport['standing']
@@ -170,13 +186,14 @@
     const endsAtMs = Date.now() + seconds * 1_000
     const randomLate = createRandom(seed + lateWritesSeedOffset)
     if (isOfDepartures) await Promise.all([submitJobs(), departures.play(endsAtMs)])
-    else await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset))])
+    else await Promise.all([submitJobs(), injectFaults(), delayWritesByKey(randomLate), evacuateDomains(createRandom(seed + evacuationSeedOffset)), crashWorkers(createRandom(seed + massCrashSeedOffset)), changes.play(endsAtMs)])
     await Promise.all(jobs.filter(({ spec }) => lasting.has(spec.jobId)).map(async job => { await caller.cancel(job) }))
     await clearFaults(emulator, daemons, disturbances)
+    if (!isOfDepartures) await changes.settle()
     await waitForJobs(caller, jobs, isOfDepartures ? longSettleTimeoutMs : settleTimeoutMs)
     broken.push(...daemons.findLogLines(['"uncaught error"']))
     if (!isOfDepartures) broken.push(...await findPendingViolations(randomLate))
-    broken.push(...findStoreViolations(emulator, daemons))
+    broken.push(...findStoreViolations(emulator, daemons), ...changes.getViolations())
     broken.push(...emulator.poolState.violations, ...findViolations(jobs, emulator), ...findLateStarts(starts, evacuations))
 
     async function submitJobs (): Promise<void> {
@@ -255,6 +272,7 @@
     const { violations, ...figures } = standingJobs.stop()
     broken.push(...violations)
     standing = figures
+    changes.stop()
     await daemons.stop()
     emulator.stop()
   }
@@ -272,6 +290,8 @@
     evacuations: evacuations.length,
     massCrashes,
     lateWrites,
+    configurations: changes.countVersions(),
+    decidedAnswers: changes.countDecided(),
     departures: departures.countLeft(),
     standing,
     endedWhileStarting,
@@ -316,7 +336,7 @@
   return `127.${1 + process.pid % 250}.${1 + seed % 250}`
 }
 
-function createConfiguration (version: number, { service, hostName, key }: { readonly service: string, readonly hostName: string, readonly key: string }): object {
+function createConfiguration (version: number, { service, hostName, key }: { readonly service: string, readonly hostName: string, readonly key: string }): ConfigurationChangesHost['common'] & { readonly version: number } {
   const route = { host: hostName, service, attempts: 4, timeoutMs: 3_000 }
   return {
     version,
