A host that knows of a version whose value it cannot decode does not read the store in a busy loop

A read that was sent after the version had been seen ends the wait in this case too; the copy stays not current because of the value. A slow host whose peer sends such a value reads the store once for it, not in each turn.

--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -183,8 +183,8 @@
     if (copy === undefined) return false
     if (copy.value !== undefined) applyValue(copy.value, copy.revision, sentAtMs, Source.Peer)
     if (current?.configuration.version !== copy.version) {
-      // Its version cannot be decoded here. Only the store tells that there is such a version, and the peer would answer again at once.
-      watchedRevision = undefined
+      // Its version cannot be decoded here. A read of the store tells whether there is such a version. The peer would answer again at once.
+      if (copy.revision !== undecoded?.revision) watchedRevision = undefined
       await delay(retryDelayMs, host.signal)
       return false
     }
@@ -255,15 +255,17 @@
     if (undecoded === undefined && (confirmedAt === undefined || getElapsedMs(at) < getElapsedMs(confirmedAt))) confirmedAt = at
     storeRevision = Math.max(storeRevision, revision)
     watchedRevision = storeRevision
-    if (awaited !== undefined && undecoded === undefined && at.monotonicMs >= awaited.sinceMs) refuteAwaited()
+    if (awaited !== undefined && at.monotonicMs >= awaited.sinceMs) endWait()
     changed.notify()
   }
 
-  /** The store has answered a call that was sent after the version had been seen in use, and has no such version. */
-  function refuteAwaited (): void {
-    host.logger.error('the store does not have the version that was seen in use', { version: awaited?.version, ownVersion: current?.configuration.version })
+  /** The store has answered a call that was sent after the version had been seen in use: there is no such version, or it is the one that cannot be decoded. */
+  function endWait (): void {
+    if (undecoded === undefined) {
+      host.logger.error('the store does not have the version that was seen in use', { version: awaited?.version, ownVersion: current?.configuration.version })
+      newestKnownVersion = current?.configuration.version
+    }
     awaited = undefined
-    newestKnownVersion = current?.configuration.version
   }
 
   function recordFailure (): void {
--- a/src/configuration/newestVersion.test.ts
+++ b/src/configuration/newestVersion.test.ts
@@ -158,3 +158,23 @@
   const copy = await follower.tryFollow(undefined)
   expect(copy?.confirmedAt.monotonicMs).toBeLessThanOrEqual(performance.now())
 })
+
+test('a host that knows of a version whose value it cannot decode does not read the store in a busy loop', async () => {
+  let reads = 0
+  const wrapStore = (store: MetadataStore): MetadataStore => ({
+    ...store,
+    range: async (...request) => {
+      // After many reads the store fails, which ends a busy loop.
+      if (++reads > 1_000) throw new Error('too many reads')
+      return await store.range(...request)
+    }
+  })
+  const replica = harness.addHost('host', { wrapStore })
+  await advanceClock(1_000)
+  harness.store.write(harnessConfigurationKey, 'not a version')
+  await advanceClock(100)
+  replica.noteVersion(2, EvidenceSource.AcceptedJob)
+  await advanceClock(2_000)
+  expect(reads).toBeLessThanOrEqual(5)
+  expect(replica.isCurrent()).toBe(false)
+})
