--- a/src/platform/emulator/platformEmulator.ts
+++ b/src/platform/emulator/platformEmulator.ts
@@ -1,5 +1,6 @@
 /** Emulates the platform on loopback for the real daemon: the store, a pool of workers and their entries in the store. */
 import { assert } from '../../common/assertions.js'
+import { createSignal } from '../../common/time.js'
 import type { JobSpec, Resources } from '../../jobs/jobModel.js'
 import { createMemoryStore } from '../../standins/memoryStore.js'
 import type { MemoryStore } from '../../standins/memoryStore.js'
@@ -58,6 +59,8 @@
   /** Partitions the worker from the store: its entry does not change, and expires. */
   setCutFromStore (worker: PoolWorker, isCut: boolean): void
   configure (configuration: object): void
+  /** While set, reads and watches of the configuration get no answer; all else of the store is served. */
+  holdConfiguration (isHeld: boolean): void
   stop (): void
 }
 
@@ -91,7 +94,14 @@
     stopDelayMs: 100,
     isRealTime: true
   })
-  const storeServer = await listenEmulated(createEmulatedStore(store.connect(storeClientId)))
+  let isConfigurationHeld = false
+  const configurationReleased = createSignal()
+  const handleStoreCall = createEmulatedStore(store.connect(storeClientId))
+  const storeServer = await listenEmulated(async (method, url, body, headers) => {
+    const response = await handleStoreCall(method, url, body, headers)
+    while (isConfigurationHeld && url.searchParams.get('prefix') === configurationKey) await configurationReleased.wait()
+    return response
+  })
   const workers: PoolWorker[] = []
   const servers = [storeServer]
   for (let index = 0; index < options.workers; index++) await addWorker()
@@ -114,6 +124,7 @@
     isUp,
     setCutFromStore,
     configure,
+    holdConfiguration,
     stop
   }
 
@@ -213,6 +224,11 @@
     store.write(configurationKey, JSON.stringify(configuration))
   }
 
+  function holdConfiguration (isHeld: boolean): void {
+    isConfigurationHeld = isHeld
+    configurationReleased.notify()
+  }
+
   function stop (): void {
     for (const worker of workers) worker.stop()
     for (const server of servers) server.close()
--- a/src/platform/testing/crowdedHost.ts
+++ b/src/platform/testing/crowdedHost.ts
@@ -9,6 +9,7 @@
 import { delay } from '../../common/time.js'
 import { EndKind } from '../../jobs/jobModel.js'
 import { startPlatformEmulator } from '../emulator/platformEmulator.js'
+import type { PlatformEmulator } from '../emulator/platformEmulator.js'
 import { settingsVariable } from '../platformSettings.js'
 
 /** The limits of the machine that the settings name, and the heap of the process. */
@@ -35,6 +36,7 @@
 /** The running daemon. */
 export interface CrowdedHost {
   readonly ip: string
+  readonly emulator: PlatformEmulator
   isUp (): boolean
   /** Reads what the process uses; undefined if it has ended. */
   getUse (): ProcessUse | undefined
@@ -90,7 +92,7 @@
   const output = openSync(logFile, 'a')
   const child: ChildProcess = spawn(process.execPath, [`--max-old-space-size=${limits.heapMb}`, program], { env: { ...process.env, [settingsVariable]: settingsFile }, stdio: ['ignore', output, output] })
   closeSync(output)
-  const host: CrowdedHost = { ip, isUp, getUse, call, isServed, getMetrics, readLog: () => readFileSync(logFile, 'utf8'), stop }
+  const host: CrowdedHost = { ip, emulator, isUp, getUse, call, isServed, getMetrics, readLog: () => readFileSync(logFile, 'utf8'), stop }
   if (!await isServed('GET', crowdPrefix)) throw new Error(`the host has not started: ${host.readLog()}`)
   return host
 
