--- a/src/configuration/configurationPeers.test.ts
+++ b/src/configuration/configurationPeers.test.ts
@@ -224,3 +224,15 @@
   expect(calls).toBeLessThanOrEqual(10)
   expect(replica.get()?.version).toBe(1)
 })
+
+test('a peer that answers at once without a newer version is not asked in a busy loop', async () => {
+  harness.addHost('fast')
+  const replica = harness.addHost('slow', { prefersPeers: true, peers: ['fast'] })
+  await advanceClock(1_000)
+  let calls = 0
+  // After many calls the answers are malformed, which ends a busy loop.
+  harness.setAnswer('fast', () => ++calls > 1_000 ? undefined : { version: 1, revision: 1, storeRevision: 1, confirmedAfterArrivalMs: 0 })
+  await advanceClock(1_000)
+  expect(calls).toBeLessThanOrEqual(10)
+  expect(replica.get()?.version).toBe(1)
+})
--- a/src/configuration/configurationReplica.ts
+++ b/src/configuration/configurationReplica.ts
@@ -80,6 +80,8 @@
 const watchedVersionMs = 100
 /** How long a peer is waited for that does not have the awaited version yet either, in ms. */
 const catchUpWaitMs = 50
+/** A peer without a newer version that answers sooner does not wait as it was asked to; it is not asked again at once. */
+const minPeerWaitMs = 25
 /** How long a watch waits that only has to confirm the copy after another source has failed, in ms. */
 const confirmingWatchWaitMs = 50
 /** Delay after a failed attempt, in ms. */
@@ -189,6 +191,7 @@
       return false
     }
     recordConfirmation(copy.confirmedAt, copy.storeRevision)
+    if (copy.value === undefined && performance.now() - sentAtMs < minPeerWaitMs) await delay(retryDelayMs, host.signal)
     return true
   }
 
