--- a/src/platform/soak/configurationChanges.ts
+++ b/src/platform/soak/configurationChanges.ts
@@ -15,7 +15,10 @@
   /** A key that every version has. */
   readonly key: string
   readonly hosts: readonly DaemonProcess[]
+  /** Draws the series of changes, which depends on nothing else. */
   readonly random: () => number
+  /** Draws what the hosts are asked, as often as the machine allows. */
+  readonly randomProbe: () => number
   /** A confirmed version decides all calls that are sent later than this after its confirmation, in ms. */
   readonly boundMs: number
 }
@@ -47,11 +50,15 @@
 const pauseMs = 1_200
 const probePauseMs = 25
 const probeTimeoutMs = 2_500
-const settleMs = 8_000
+/** All hosts answer by the newest version within this time after the last fault, in ms; each answer's own bound is checked apart from it. */
+const settleMs = 45_000
+
+/** How encoders write an organisation without keys. */
+const emptyKeys: readonly object[] = [{}, { keys: null }, { keys: [] }]
 
 /** Creates the changes; nothing is changed before `play`. */
 export function createConfigurationChanges (host: ConfigurationChangesHost): ConfigurationChanges {
-  const { random } = host
+  const { random, randomProbe } = host
   const versions: Version[] = []
   const violations: string[] = []
   /** The newest version by which each host has answered. */
@@ -79,11 +86,11 @@
     agent.destroy()
   }
 
-  /** Each version has a queue that no other has, and two of three have such a key. An organisation without keys is written in the ways that encoders have. */
+  /** Each version has a queue that no other has, and two of three have such a key. */
   function applyNext (): void {
     const number = (versions.at(-1)?.number ?? 1) + 1 + Math.floor(3 * random())
-    const key = random() < 0.67 ? `key-${number}` : undefined
-    const keys = key === undefined ? pickRandom([{}, { keys: null }, { keys: [] }], random) : { keys: [key] }
+    const key = versions.length % 3 === 1 ? undefined : `key-${number}`
+    const keys = key === undefined ? emptyKeys[Math.floor(versions.length / 3) % emptyKeys.length] : { keys: [key] }
     const confirmedAtMs = performance.now()
     const latest = versions.at(-1)
     host.configure({
@@ -98,9 +105,9 @@
 
   /** Asks for a job with an invalid id: the error tells whether the queue exists and the key is valid, and needs no call of the store. */
   async function probe (daemon: DaemonProcess, agent: Agent): Promise<void> {
-    const version = versions.at(random() < 0.6 ? -1 : -2) ?? versions.at(-1)
+    const version = versions.at(randomProbe() < 0.6 ? -1 : -2) ?? versions.at(-1)
     if (version === undefined) return
-    const key = random() < 0.5 ? version.key ?? host.key : host.key
+    const key = randomProbe() < 0.5 ? version.key ?? host.key : host.key
     const sentAtMs = performance.now()
     const shownBefore = shown.get(daemon) ?? 0
     const kind = await ask(daemon.callersAddress, version.number, key, agent)
--- a/src/platform/soak/platformSoak.ts
+++ b/src/platform/soak/platformSoak.ts
@@ -110,6 +110,7 @@
 const lateWritesSeedOffset = 15_485_863
 const departuresSeedOffset = 32_452_843
 const configurationSeedOffset = 49_979_687
+const probeSeedOffset = 67_867_967
 /** Starts and writes that a fault makes late are carried out within this, in ms. */
 const maxEffectMs = 3_300
 /** The prefixes of the keys that the daemons write in the soak. */
@@ -176,6 +177,7 @@
     key: names.key,
     hosts: daemons.hosts,
     random: createRandom(seed + configurationSeedOffset),
+    randomProbe: createRandom(seed + probeSeedOffset),
     boundMs: bounds.configMs
   })
   const departures = createDepartures({ kinds: departureKinds, emulator, disturbances, random: createRandom(seed + departuresSeedOffset) })
